--- /dev/null
+++ b/Makefile
@@ -0,0 +1,36 @@
+# Entry point: `make demo` runs the whole system on loopback, `make test` passes the tests.
+BIN := $(CURDIR)/bin
+GO_FILES := $(shell git ls-files '*.go' | grep -vE '\.pb\.go$$|\.twirp\.go$$')
+
+.PHONY: build demo test lint fuzz bench model generate tools
+
+build:
+	go build -o $(BIN)/ ./cmd/...
+
+demo: build
+	./test/demo.sh
+
+test:
+	go test -race ./...
+
+tools:
+	cd tools && GOBIN=$(BIN)/tools go install mvdan.cc/gofumpt honnef.co/go/tools/cmd/staticcheck github.com/mgechev/revive
+
+lint: tools
+	@out=$$($(BIN)/tools/gofumpt -l $(GO_FILES)); if [ -n "$$out" ]; then echo "gofumpt would change:"; echo "$$out"; exit 1; fi
+	go vet ./...
+	$(BIN)/tools/staticcheck ./...
+	$(BIN)/tools/revive -config revive.toml -set_exit_status ./...
+
+fuzz:
+	./test/fuzz.sh
+
+bench: build
+	$(BIN)/lovagedyke-experiment all
+
+model:
+	./model/run.sh
+
+generate:
+	cd tools && GOBIN=$(BIN)/tools go install github.com/twitchtv/twirp/protoc-gen-twirp google.golang.org/protobuf/cmd/protoc-gen-go
+	PATH=$(BIN)/tools:$$PATH protoc --proto_path=. --go_out=paths=source_relative:. --twirp_out=paths=source_relative:. internal/peer/peerpb/peer.proto
