--- /dev/null
+++ b/internal/platform/api.go
@@ -0,0 +1,42 @@
+package platform
+
+import "github.com/lovagedyke/lovagedyke/internal/table"
+
+// ProcessHeader names the calling process in every request to the platform.
+const ProcessHeader = "Lovagedyke-Process"
+
+// Paths of the platform's HTTP interface.
+const (
+	GetPath    = "/table/get"
+	ScanPath   = "/table/scan"
+	CommitPath = "/table/commit"
+	HostsPath  = "/hosts"
+	ObjectPath = "/objects/"
+)
+
+// GetRequest is the body of a POST to GetPath.
+type GetRequest struct {
+	Keys []string `json:"keys"`
+}
+
+// ScanRequest is the body of a POST to ScanPath.
+type ScanRequest struct {
+	Prefix string `json:"prefix"`
+}
+
+// RowsAnswer is the answer to a GetRequest or ScanRequest.
+type RowsAnswer struct {
+	Rows []table.Row `json:"rows"`
+}
+
+// ConflictAnswer is the body of a 409 answer to a commit.
+type ConflictAnswer struct {
+	Key  string `json:"key"`
+	Want uint64 `json:"want"`
+	Got  uint64 `json:"got"`
+}
+
+// HostsAnswer is the answer to a GET of HostsPath.
+type HostsAnswer struct {
+	Hosts []Host `json:"hosts"`
+}
--- /dev/null
+++ b/internal/standin/platform/hostlist.go
@@ -0,0 +1,55 @@
+package platform
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	api "github.com/lovagedyke/lovagedyke/internal/platform"
+)
+
+// hostChange is a change that the list does not show yet.
+type hostChange struct {
+	at     time.Time
+	host   api.Host
+	remove bool
+}
+
+// hostList shows changes only once they are older than the lag.
+type hostList struct {
+	shown   map[string]api.Host
+	pending []hostChange
+}
+
+// newHostList returns an empty list.
+func newHostList() *hostList {
+	return &hostList{shown: make(map[string]api.Host)}
+}
+
+// change records a change made at now.
+func (l *hostList) change(now time.Time, host api.Host, remove bool) {
+	l.pending = append(l.pending, hostChange{at: now, host: host, remove: remove})
+}
+
+// list returns the hosts as a reader with that lag sees them, in name order.
+func (l *hostList) list(now time.Time, lag time.Duration) []api.Host {
+	for len(l.pending) > 0 && !l.pending[0].at.Add(lag).After(now) {
+		l.apply(l.pending[0])
+		l.pending = l.pending[1:]
+	}
+	hosts := make([]api.Host, 0, len(l.shown))
+	for _, host := range l.shown {
+		hosts = append(hosts, host)
+	}
+	slices.SortFunc(hosts, func(a, b api.Host) int { return strings.Compare(a.Name, b.Name) })
+	return hosts
+}
+
+// apply makes a change visible.
+func (l *hostList) apply(change hostChange) {
+	if change.remove {
+		delete(l.shown, change.host.Name)
+		return
+	}
+	l.shown[change.host.Name] = change.host
+}
