--- /dev/null
+++ b/internal/limit/grant.go
@@ -0,0 +1,75 @@
+package limit
+
+import "slices"
+
+// keyPrefix starts the key of every limit row in the table.
+const keyPrefix = "limit/"
+
+// Key returns the key of the table row that holds the team's Grant.
+func Key(team string) string {
+	return keyPrefix + team
+}
+
+// Member names one incarnation of a process as "<name>/<incarnation>". A
+// restarted process is a new member and holds nothing.
+type Member string
+
+// Grant is the value of a team's row: how many permits each member was minted.
+// A writer changes the row only on condition of the version that it read, and
+// never deletes it, since generations must not start over.
+//
+// Within a generation Limit and each entry of Granted only rise. The sum of
+// Granted and of the carried bounds never exceeds Limit.
+type Grant struct {
+	Team       string `json:"team"`
+	Generation uint64 `json:"generation"`
+	Limit      int    `json:"limit"`
+	// Granted lists every member that may trade permits in this generation.
+	Granted map[Member]int `json:"granted"`
+	// Carried lists members that did not report when their generation ended.
+	// They stay in that generation until a manager has their report.
+	Carried map[Member]Carry `json:"carried,omitempty"`
+}
+
+// Carry bounds what unreported members hold in a generation that has ended.
+// Only the sum over all members with the same generation is a bound: they may
+// have traded among each other, so that a single value may even be negative.
+type Carry struct {
+	Generation uint64 `json:"generation"`
+	Bound      int    `json:"bound"`
+}
+
+// Minted returns the permits that the row accounts for.
+func (g Grant) Minted() int {
+	sum := 0
+	for _, n := range g.Granted {
+		sum += n
+	}
+	for _, carry := range g.Carried {
+		sum += carry.Bound
+	}
+	return sum
+}
+
+// expects returns the generation that the member trades in according to the
+// row, and false when the row does not know the member.
+func (g Grant) expects(m Member) (uint64, bool) {
+	if carry, ok := g.Carried[m]; ok {
+		return carry.Generation, true
+	}
+	_, ok := g.Granted[m]
+	return g.Generation, ok
+}
+
+// members returns all members of the row in order.
+func (g Grant) members() []Member {
+	all := make([]Member, 0, len(g.Granted)+len(g.Carried))
+	for m := range g.Granted {
+		all = append(all, m)
+	}
+	for m := range g.Carried {
+		all = append(all, m)
+	}
+	slices.Sort(all)
+	return all
+}
--- /dev/null
+++ b/internal/limit/limit_test.go
@@ -0,0 +1,73 @@
+package limit_test
+
+import (
+	"math/rand/v2"
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+// provoked lists what a run of the fuzzer must have met to count.
+var provoked = []string{
+	"step", "started", "refused", "timeout", "transfers", "freezes", "lost", "doubled", "commit", "conflict",
+	"lost answer", "commit refused", "outage", "pause", "wake", "crash", "crash with work", "raised", "lowered", "carried group",
+}
+
+func TestRunningStaysWithinLimit(t *testing.T) {
+	total := make(map[string]int)
+	rapid.Check(t, func(t *rapid.T) {
+		intn := func(n int) int { return rapid.IntRange(0, n-1).Draw(t, "choice") }
+		w := newWorld(intn, rules{})
+		defer func() {
+			for name, n := range w.counts {
+				total[name] += n
+			}
+		}()
+		if err := w.run(400); err != nil {
+			t.Fatal(err)
+		}
+		got, err := w.settle()
+		if err != nil {
+			t.Fatal(err)
+		}
+		if want := w.desired; got != want {
+			t.Fatalf("live members hold %d permits after quiescence, want %d", got, want)
+		}
+	})
+	t.Log("provoked:", total)
+	for _, name := range provoked {
+		if total[name] == 0 {
+			t.Errorf("%s: provoked none", name)
+		}
+	}
+}
+
+// TestOracleFindsMutations takes out one rule at a time; the oracle must see
+// more running than the limit.
+func TestOracleFindsMutations(t *testing.T) {
+	const maxRuns, steps = 400, 600
+	tests := map[string]rules{
+		"accept a transfer after the report":     {acceptAfterReport: true},
+		"add totals of repeated transfers":       {addTotals: true},
+		"adopt a generation while carried":       {adoptWhileCarried: true},
+		"commit without a condition":             {blindCommit: true},
+		"give without debit":                     {giveWithoutDebit: true},
+		"lease by wall clock":                    {leaseByClock: true},
+		"lower without collecting":               {lowerAtOnce: true},
+		"reclaim before the longest run is over": {noLongestRun: true},
+		"release on timeout":                     {releaseOnTimeout: true},
+		"report nothing held":                    {reportOfAnyAge: true},
+	}
+	for name, broken := range tests {
+		t.Run(name, func(t *testing.T) {
+			for seed := range uint64(maxRuns) {
+				random := rand.New(rand.NewPCG(seed, 1))
+				if err := newWorld(random.IntN, broken).run(steps); err != nil {
+					t.Logf("run %d: %v", seed, err)
+					return
+				}
+			}
+			t.Errorf("no violation in %d runs, want one", maxRuns)
+		})
+	}
+}
--- /dev/null
+++ b/internal/limit/world_test.go
@@ -0,0 +1,536 @@
+package limit_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/lovagedyke/lovagedyke/internal/limit"
+	"github.com/lovagedyke/lovagedyke/internal/table"
+)
+
+const (
+	team        = "tanoa"
+	longestRun  = 10 * time.Second
+	memberCount = 4
+	maxInFlight = 60
+)
+
+// rules are the mechanisms that a mutation takes out.
+type rules struct {
+	acceptAfterReport bool
+	addTotals         bool
+	adoptWhileCarried bool
+	blindCommit       bool
+	giveWithoutDebit  bool
+	leaseByClock      bool
+	lowerAtOnce       bool
+	noLongestRun      bool
+	releaseOnTimeout  bool
+	reportOfAnyAge    bool
+}
+
+// work runs at an endpoint, whatever becomes of the member that started it.
+type work struct {
+	owner     *process
+	started   time.Time
+	lingering bool
+}
+
+// process is one incarnation of an entry.
+type process struct {
+	self   limit.Member
+	ledger *limit.Ledger
+	paused bool
+	dead   bool
+	// extra counts permits that only a mutation would have.
+	extra, extraUsed int
+	seen             map[limit.Transfer]int
+}
+
+type manager struct {
+	planner *limit.Planner
+	pending *table.Txn
+}
+
+// world drives ledgers and planners through a hostile network and counts what
+// really runs.
+type world struct {
+	intn     func(n int) int
+	rules    rules
+	now      time.Time
+	store    *table.Memory
+	faults   table.Faults
+	desired  int
+	procs    []*process
+	managers []*manager
+	ended    []limit.Member
+	running  []*work
+	rows     []limit.Grant
+	inFlight []func()
+	counts   map[string]int
+	serial   int
+}
+
+func newWorld(intn func(n int) int, broken rules) *world {
+	w := &world{intn: intn, rules: broken, now: time.Unix(1000, 0), store: table.NewMemory(), desired: 4, counts: make(map[string]int)}
+	for range memberCount {
+		w.procs = append(w.procs, w.spawn())
+	}
+	for range 2 {
+		w.managers = append(w.managers, &manager{})
+		w.restartManager(len(w.managers) - 1)
+	}
+	for i := range w.managers {
+		w.manage(i)
+		w.commit(i)
+	}
+	for _, p := range w.procs {
+		w.readRow(p)
+	}
+	return w
+}
+
+func (w *world) spawn() *process {
+	w.serial++
+	self := limit.Member(fmt.Sprintf("entry/%d", w.serial))
+	return &process{self: self, ledger: limit.New(limit.Config{Self: self}), seen: make(map[limit.Transfer]int)}
+}
+
+func (w *world) restartManager(i int) {
+	w.managers[i] = &manager{planner: limit.NewPlanner(limit.PlannerConfig{ReportTimeout: 2 * time.Second})}
+}
+
+// send puts a message in flight; it may be delivered late, twice or never.
+func (w *world) send(p *process, deliver func()) {
+	if len(w.inFlight) >= maxInFlight {
+		w.counts["lost"]++
+		w.inFlight = slices.Delete(w.inFlight, 0, 1)
+	}
+	w.inFlight = append(w.inFlight, func() {
+		if p == nil || !p.dead && !p.paused {
+			deliver()
+		}
+	})
+}
+
+func (w *world) deliver() {
+	if len(w.inFlight) == 0 {
+		return
+	}
+	i := w.intn(len(w.inFlight))
+	message := w.inFlight[i]
+	fate := w.intn(8)
+	if fate > 0 {
+		message()
+	} else {
+		w.counts["lost"]++
+	}
+	if fate == 1 {
+		w.counts["doubled"]++
+		return
+	}
+	w.inFlight = slices.Delete(w.inFlight, i, i+1)
+}
+
+// row reads the table, and false during an outage.
+func (w *world) row() (limit.Grant, table.Row, bool) {
+	rows, err := w.store.Get(context.Background(), limit.Key(team))
+	if err != nil {
+		return limit.Grant{}, table.Row{}, false
+	}
+	grant := limit.Grant{Team: team}
+	if rows[0].Version != table.Absent {
+		if err := json.Unmarshal(rows[0].Value, &grant); err != nil {
+			panic(err)
+		}
+	}
+	return grant, rows[0], true
+}
+
+func (w *world) readRow(p *process) {
+	if row, _, ok := w.row(); ok && !p.paused {
+		w.adopt(p, row)
+	}
+}
+
+func (w *world) adopt(p *process, row limit.Grant) {
+	if carry, ok := row.Carried[p.self]; ok && w.rules.adoptWhileCarried {
+		row.Granted = maps.Clone(row.Granted)
+		row.Granted[p.self] = max(0, carry.Bound)
+		row.Carried = nil
+	}
+	p.ledger.Adopt(row)
+}
+
+func (w *world) start(p *process) {
+	switch {
+	case p.dead || p.paused:
+		return
+	case p.ledger.Acquire(team):
+	case p.extraUsed < p.extra:
+		p.extraUsed++
+	default:
+		w.counts["refused"]++
+		return
+	}
+	w.counts["started"]++
+	w.running = append(w.running, &work{owner: p, started: w.now})
+}
+
+// release frees the permit of work that its member knows to have ended.
+func (w *world) release(p *process) {
+	switch {
+	case p.dead:
+	case p.extraUsed > 0:
+		p.extraUsed--
+	default:
+		p.ledger.Release(team)
+	}
+}
+
+// end ends work i; its member may hear of it much later.
+func (w *world) end(i int) {
+	done := w.running[i]
+	w.running = slices.Delete(w.running, i, i+1)
+	if done.lingering {
+		if w.intn(2) == 0 && !done.owner.dead {
+			done.owner.ledger.Settle(team, done.started.Add(longestRun))
+		}
+		return
+	}
+	w.release(done.owner)
+}
+
+// timeOut cuts a request short for its caller while its work goes on.
+func (w *world) timeOut(i int) {
+	cut := w.running[i]
+	if cut.lingering || cut.owner.dead || cut.owner.paused {
+		return
+	}
+	w.counts["timeout"]++
+	cut.lingering = true
+	if w.rules.releaseOnTimeout {
+		w.release(cut.owner)
+		return
+	}
+	cut.owner.ledger.Linger(team, cut.started.Add(longestRun))
+}
+
+func (w *world) advance(d time.Duration) {
+	w.now = w.now.Add(d)
+	for i := len(w.running) - 1; i >= 0; i-- {
+		if !w.now.Before(w.running[i].started.Add(longestRun)) {
+			w.end(i)
+		}
+	}
+	for _, p := range w.procs {
+		if !p.paused {
+			p.ledger.Tick(w.now)
+		}
+	}
+}
+
+// trade sends the requests, repetitions and reports of one gossip round.
+func (w *world) trade(p *process) {
+	if p.paused {
+		return
+	}
+	idle := make(map[limit.Member]int)
+	for _, peer := range w.procs {
+		if peer != p {
+			idle[peer.self] = peer.ledger.Status(team).Idle
+		}
+	}
+	for _, ask := range p.ledger.Wanted(team, idle) {
+		w.toMember(ask.To, func(giver *process) { w.give(giver, ask) })
+	}
+	for _, transfer := range p.ledger.Resend() {
+		w.toMember(transfer.To, func(to *process) { w.receive(to, transfer) })
+	}
+	for _, report := range p.ledger.Reports() {
+		m := w.managers[w.intn(len(w.managers))]
+		w.send(nil, func() { m.planner.Handle(report) })
+	}
+}
+
+func (w *world) toMember(to limit.Member, deliver func(p *process)) {
+	for _, p := range w.procs {
+		if p.self == to {
+			w.send(p, func() { deliver(p) })
+		}
+	}
+}
+
+func (w *world) give(giver *process, ask limit.Ask) {
+	transfer, ok := giver.ledger.Give(ask)
+	if !ok {
+		return
+	}
+	w.counts["transfers"]++
+	if w.rules.giveWithoutDebit {
+		giver.extra++
+	}
+	w.toMember(transfer.To, func(to *process) { w.receive(to, transfer) })
+}
+
+func (w *world) receive(p *process, transfer limit.Transfer) {
+	status := p.ledger.Status(team)
+	if w.rules.addTotals && status.Generation == transfer.Generation {
+		key := limit.Transfer{Generation: transfer.Generation, From: transfer.From}
+		p.seen[key] += transfer.Total
+		transfer.Total = p.seen[key]
+	}
+	p.ledger.Receive(transfer)
+	if w.rules.acceptAfterReport && status.Frozen && status.Generation == transfer.Generation && p.seen[transfer] == 0 {
+		p.seen[transfer] = 1
+		p.extra++
+	}
+}
+
+// manage lets a manager read and decide; it commits what it decided later.
+func (w *world) manage(i int) {
+	m := w.managers[i]
+	row, version, ok := w.row()
+	if !ok {
+		return
+	}
+	view := limit.View{Row: row, Limit: w.desired, LongestRun: longestRun, Ended: slices.Clone(w.ended)}
+	if w.rules.noLongestRun {
+		view.LongestRun = 0
+	}
+	for _, p := range w.procs {
+		if p.paused && w.rules.leaseByClock {
+			view.Ended = append(view.Ended, p.self)
+			continue
+		}
+		view.Live = append(view.Live, p.self)
+	}
+	decision := m.planner.Step(w.now, view)
+	for _, request := range decision.Freezes {
+		w.counts["freezes"]++
+		w.toMember(request.To, func(p *process) { w.freeze(p, m, request) })
+	}
+	if decision.Verdict != limit.Commit {
+		return
+	}
+	w.propose(m, decision.Next, version.Version)
+}
+
+func (w *world) propose(m *manager, next limit.Grant, version uint64) {
+	value, err := json.Marshal(next)
+	if err != nil {
+		panic(err)
+	}
+	m.pending = &table.Txn{Writes: []table.Write{{Key: limit.Key(team), Value: value}}}
+	if !w.rules.blindCommit {
+		m.pending.Conditions = []table.Condition{{Key: limit.Key(team), Version: version}}
+	}
+}
+
+func (w *world) freeze(p *process, m *manager, request limit.FreezeRequest) {
+	report, ok := p.ledger.Freeze(request)
+	if !ok {
+		return
+	}
+	if w.rules.reportOfAnyAge {
+		report.InUse, report.Holding = 0, 0
+	}
+	w.send(nil, func() { m.planner.Handle(report) })
+}
+
+func (w *world) commit(i int) {
+	m := w.managers[i]
+	if m.pending == nil {
+		return
+	}
+	txn := *m.pending
+	m.pending = nil
+	switch err := w.store.Commit(context.Background(), txn); {
+	case table.IsConflict(err):
+		w.counts["conflict"]++
+		return
+	case table.IsUnknown(err):
+		w.counts["lost answer"]++
+	case err != nil:
+		w.counts["commit refused"]++
+		return
+	}
+	w.counts["commit"]++
+	if row, _, ok := w.row(); ok {
+		w.rows = append(w.rows, row)
+		if len(row.Carried) > 1 {
+			w.counts["carried group"]++
+		}
+	}
+}
+
+func (w *world) crash(i int) {
+	w.counts["crash"]++
+	lost := w.procs[i]
+	for _, r := range w.running {
+		if r.owner == lost {
+			w.counts["crash with work"]++
+			break
+		}
+	}
+	lost.dead = true
+	w.ended = append(w.ended, lost.self)
+	w.procs[i] = w.spawn()
+}
+
+func (w *world) setLimit(n int) {
+	if n < w.desired {
+		w.counts["lowered"]++
+	} else if n > w.desired {
+		w.counts["raised"]++
+	}
+	w.desired = n
+	row, version, ok := w.row()
+	if ok && w.rules.lowerAtOnce && n < row.Limit {
+		row.Limit = n
+		w.propose(w.managers[0], row, version.Version)
+	}
+}
+
+func (w *world) setFaults(faults table.Faults) {
+	if faults.Down && !w.faults.Down {
+		w.counts["outage"]++
+	}
+	w.faults = faults
+	w.store.SetFaults(faults)
+}
+
+// step takes one random action; weights favour the common ones.
+func (w *world) step() {
+	w.counts["step"]++
+	p := w.procs[w.intn(len(w.procs))]
+	i := w.intn(len(w.managers))
+	switch action := w.intn(50); {
+	case action < 12:
+		w.start(p)
+	case action < 15:
+		if len(w.running) > 0 {
+			w.end(w.intn(len(w.running)))
+		}
+	case action < 27:
+		w.deliver()
+	case action < 31:
+		w.trade(p)
+	case action < 34:
+		w.readRow(p)
+	case action < 37:
+		w.manage(i)
+	case action < 40:
+		w.commit(i)
+	case action < 42:
+		w.advance(time.Duration(w.intn(3000)) * time.Millisecond)
+	default:
+		w.disturb(action, p, i)
+	}
+}
+
+func (w *world) disturb(action int, p *process, i int) {
+	switch action {
+	case 42:
+		if len(w.running) > 0 {
+			w.timeOut(w.intn(len(w.running)))
+		}
+	case 43:
+		w.counts["pause"]++
+		p.paused = true
+	case 44, 45:
+		if p.paused {
+			w.counts["wake"]++
+		}
+		p.paused = false
+	case 46:
+		if w.intn(3) == 0 {
+			w.crash(slices.Index(w.procs, p))
+		}
+	case 47:
+		w.setFaults([]table.Faults{{}, {}, {Down: true}, {LoseAnswers: true}}[w.intn(4)])
+	case 48:
+		w.setLimit(w.intn(8))
+	case 49:
+		if w.intn(4) == 0 {
+			w.restartManager(i)
+		}
+		if len(w.rows) > 0 && !p.paused {
+			w.adopt(p, w.rows[w.intn(len(w.rows))])
+		}
+	}
+}
+
+// check compares what really runs with the limit in the table.
+func (w *world) check() error {
+	w.store.SetFaults(table.Faults{})
+	defer w.store.SetFaults(w.faults)
+	rows, err := w.store.Get(context.Background(), "limit/"+team)
+	if err != nil {
+		return err
+	}
+	var inForce struct {
+		Limit int `json:"limit"`
+	}
+	if err := json.Unmarshal(rows[0].Value, &inForce); err != nil {
+		return err
+	}
+	if len(w.running) > inForce.Limit {
+		return fmt.Errorf("running %d, want at most the limit %d", len(w.running), inForce.Limit)
+	}
+	return nil
+}
+
+func (w *world) run(steps int) error {
+	for range steps {
+		w.step()
+		if err := w.check(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// settle ends all disturbance and work, and returns what the live members hold
+// once the managers have nothing left to do.
+func (w *world) settle() (int, error) {
+	w.setFaults(table.Faults{})
+	for _, p := range w.procs {
+		p.paused = false
+	}
+	for range 40 {
+		w.advance(time.Second)
+		for i, m := range w.managers {
+			m.pending = nil
+			w.manage(i)
+			w.flush()
+			w.manage(i)
+			w.commit(i)
+		}
+		for _, p := range w.procs {
+			w.readRow(p)
+			w.trade(p)
+		}
+		w.flush()
+		if err := w.check(); err != nil {
+			return 0, err
+		}
+	}
+	sum := 0
+	for _, p := range w.procs {
+		sum += p.ledger.Status(team).Holding
+	}
+	return sum, nil
+}
+
+func (w *world) flush() {
+	for len(w.inFlight) > 0 {
+		message := w.inFlight[0]
+		w.inFlight = w.inFlight[1:]
+		message()
+	}
+}
