--- /dev/null
+++ b/internal/catalogue/format.go
@@ -0,0 +1,110 @@
+package catalogue
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// field is one "name = value" of a section.
+type field struct {
+	name, value string
+}
+
+// Format writes the catalogue as INI that Parse reads back.
+func Format(c Catalogue) []byte {
+	var b strings.Builder
+	for _, name := range c.TeamNames() {
+		writeSection(&b, "team", name, teamFields(c.Teams[name], true))
+	}
+	for _, name := range c.EntryNames() {
+		entry := c.Entries[name]
+		writeSection(&b, string(entry.Kind), name, entryFields(entry, true)[1:])
+	}
+	return []byte(b.String())
+}
+
+func writeSection(b *strings.Builder, kind, name string, fields []field) {
+	if b.Len() > 0 {
+		b.WriteString("\n")
+	}
+	fmt.Fprintf(b, "[%s %s]\n", kind, name)
+	for _, f := range fields {
+		fmt.Fprintf(b, "%s = %s\n", f.name, f.value)
+	}
+}
+
+// teamFields returns nil for a team that is not there.
+func teamFields(t Team, exists bool) []field {
+	if !exists {
+		return nil
+	}
+	return []field{
+		{"upper-limit", strconv.Itoa(t.UpperLimit)},
+		{"share", strconv.Itoa(t.Share)},
+	}
+}
+
+// entryFields returns nil for an entry that is not there. The kind comes
+// first: in a file it stands in the section's name.
+func entryFields(e Entry, exists bool) []field {
+	if !exists {
+		return nil
+	}
+	return []field{
+		{"kind", string(e.Kind)},
+		{"team", e.Team},
+		{"class", string(e.Class)},
+		{"open", strconv.FormatBool(e.Open)},
+		{"shares", formatShares(e.Shares)},
+		{"limit", strconv.Itoa(e.Limit)},
+		{"max-body", formatSize(e.MaxBody)},
+		{"deadline", formatDuration(e.Deadline)},
+		{"longest-run", formatDuration(e.LongestRun)},
+		{"availability", strconv.FormatFloat(e.Availability, 'g', -1, 64)},
+		{"pool", e.Pool},
+	}
+}
+
+func formatShares(shares map[string]int) string {
+	parts := make([]string, 0, len(shares))
+	for _, team := range slices.Sorted(maps.Keys(shares)) {
+		parts = append(parts, fmt.Sprintf("%s:%d", team, shares[team]))
+	}
+	return strings.Join(parts, ", ")
+}
+
+// formatDuration leaves out the trailing zero units of time.Duration.String.
+func formatDuration(d time.Duration) string {
+	text := d.String()
+	if strings.HasSuffix(text, "m0s") {
+		text = strings.TrimSuffix(text, "0s")
+	}
+	if strings.HasSuffix(text, "h0m") {
+		text = strings.TrimSuffix(text, "0m")
+	}
+	return text
+}
+
+// sizeUnits holds the units of sizes, largest first.
+var sizeUnits = []struct {
+	name  string
+	bytes int64
+}{
+	{"GiB", 1 << 30},
+	{"MiB", 1 << 20},
+	{"KiB", 1 << 10},
+	{"B", 1},
+}
+
+func formatSize(n int64) string {
+	for _, unit := range sizeUnits {
+		if n != 0 && n%unit.bytes == 0 {
+			return strconv.FormatInt(n/unit.bytes, 10) + unit.name
+		}
+	}
+	return "0B"
+}
