share: divide a service's slots by weighted max-min over the fleet

Ruled out: plain deficit round robin by request count (run times differ) and whole-slot quotas per team and entry (36 cells on 80 slots round too coarsely); deficits grow by fractional quota and fall by slot-seconds in use instead.

--- /dev/null
+++ b/internal/share/divide.go
@@ -0,0 +1,237 @@
+package share
+
+import (
+	"cmp"
+	"math"
+	"slices"
+)
+
+// Division is the result of Divide: who may use how many slots where.
+type Division struct {
+	// Quota gives slots by entry and flow; fractions are meant over time.
+	Quota map[string]map[Flow]float64
+	// Slots gives the whole slots of each entry; they add up to the capacity.
+	Slots map[string]int
+}
+
+// Divide splits capacity slots over the demands of all entries. A team that
+// has no weight counts as 1. The result does not depend on the demands' order.
+func Divide(capacity int, weights map[string]float64, demands []Demand) Division {
+	sorted := slices.Clone(demands)
+	slices.SortFunc(sorted, func(a, b Demand) int { return cmp.Compare(a.Entry, b.Entry) })
+	flows := flowsOf(sorted)
+	rows := make([]row, len(sorted))
+	for i, demand := range sorted {
+		rows[i] = row{debt: demand.Debt}
+		rows[i].fill(flows, demand.Flows)
+	}
+	var div divider
+	div.divide(capacity, weightsOf(flows, weights), flows, rows)
+	out := Division{Quota: map[string]map[Flow]float64{}, Slots: map[string]int{}}
+	for i, demand := range sorted {
+		out.Slots[demand.Entry] = rows[i].slots
+		out.Quota[demand.Entry] = map[Flow]float64{}
+		for f, flow := range flows {
+			out.Quota[demand.Entry][flow] = rows[i].quota[f]
+		}
+	}
+	return out
+}
+
+// row is one entry's part of a division: demand and quota by flow.
+type row struct {
+	demand []float64
+	quota  []float64
+	total  float64
+	debt   float64
+	slots  int
+}
+
+func (r *row) fill(flows []Flow, demands []FlowDemand) {
+	r.resize(len(flows))
+	clear(r.demand)
+	for _, d := range demands {
+		if i, ok := slices.BinarySearchFunc(flows, d.Flow, compareFlows); ok {
+			r.demand[i] += float64(max(0, d.InFlight) + max(0, d.Queued))
+		}
+	}
+}
+
+func (r *row) resize(n int) {
+	r.demand = slices.Grow(r.demand[:0], n)[:n]
+	r.quota = slices.Grow(r.quota[:0], n)[:n]
+}
+
+// divider holds the scratch space of a division, so that repeating it does not
+// allocate.
+type divider struct {
+	total  []float64
+	alloc  []float64
+	column []float64
+	part   []float64
+	ones   []float64
+	order  []int
+}
+
+// divide sets quota, total and slots of each row. Flows are in compareFlows
+// order and rows in the order of their entries' names.
+func (d *divider) divide(capacity int, weights []float64, flows []Flow, rows []row) {
+	d.resize(len(flows), len(rows))
+	for f := range flows {
+		d.total[f] = 0
+		for i := range rows {
+			d.total[f] += rows[i].demand[f]
+		}
+	}
+	remaining := float64(capacity)
+	for first := 0; first < len(flows); {
+		last := first
+		for last < len(flows) && flows[last].Class == flows[first].Class {
+			last++
+		}
+		maxMin(remaining, weights[first:last], d.total[first:last], d.alloc[first:last])
+		for _, part := range d.alloc[first:last] {
+			remaining -= part
+		}
+		remaining = max(0, remaining)
+		first = last
+	}
+	for f := range flows {
+		d.splitFlow(f, rows)
+	}
+	d.round(capacity, rows)
+}
+
+func (d *divider) resize(flows, rows int) {
+	d.total = slices.Grow(d.total[:0], flows)[:flows]
+	d.alloc = slices.Grow(d.alloc[:0], flows)[:flows]
+	d.column = slices.Grow(d.column[:0], rows)[:rows]
+	d.part = slices.Grow(d.part[:0], rows)[:rows]
+	d.order = slices.Grow(d.order[:0], rows)[:rows]
+	for len(d.ones) < rows {
+		d.ones = append(d.ones, 1)
+	}
+}
+
+func (d *divider) splitFlow(f int, rows []row) {
+	for i := range rows {
+		d.column[i] = rows[i].demand[f]
+	}
+	maxMin(d.alloc[f], d.ones[:len(rows)], d.column, d.part)
+	for i := range rows {
+		rows[i].quota[f] = d.part[i]
+	}
+}
+
+// round turns the entries' quotas into whole slots by largest remainder plus
+// debt, and spreads what nobody wants evenly, so that a burst starts at once.
+func (d *divider) round(capacity int, rows []row) {
+	sum, whole := 0.0, 0
+	for i := range rows {
+		rows[i].total = 0
+		for _, quota := range rows[i].quota {
+			rows[i].total += quota
+		}
+		rows[i].slots = int(math.Floor(rows[i].total + roundingTolerance))
+		sum += rows[i].total
+		whole += rows[i].slots
+		d.order[i] = i
+	}
+	slices.SortStableFunc(d.order, func(a, b int) int {
+		return cmp.Compare(rows[b].remainder(), rows[a].remainder())
+	})
+	wanted := min(capacity, int(math.Round(sum)))
+	for k := 0; k < wanted-whole; k++ {
+		rows[d.order[k%len(rows)]].slots++
+	}
+	for k := range max(0, capacity-max(wanted, whole)) {
+		rows[k%len(rows)].slots++
+	}
+}
+
+// roundingTolerance absorbs the float error of a quota that is a whole number.
+const roundingTolerance = 1e-9
+
+// remainder ranks entries for the slots left by rounding down. An entry with a
+// whole quota wants none of them.
+func (r *row) remainder() float64 {
+	fraction := r.total - float64(r.slots)
+	if fraction < roundingTolerance {
+		return math.Inf(-1)
+	}
+	// Quantized so that float error between entries can't change the order.
+	return math.Round((fraction+r.debt*debtGain)*1e6) / 1e6
+}
+
+// debtGain is how strongly rounding debt moves the order, per slot-second.
+const debtGain = 10
+
+// maxMin writes to out the weighted max-min division of capacity: nobody gets
+// more than its demand, and only those at their demand get less per weight
+// than another.
+func maxMin(capacity float64, weights, demands, out []float64) {
+	remaining := capacity
+	for i := range out {
+		out[i] = -1
+	}
+	for {
+		active := 0.0
+		for i := range out {
+			if out[i] < 0 {
+				active += weights[i]
+			}
+		}
+		if active == 0 {
+			return
+		}
+		level := remaining / active
+		settled := false
+		for i := range out {
+			if out[i] < 0 && demands[i] <= level*weights[i] {
+				out[i] = demands[i]
+				remaining = max(0, remaining-demands[i])
+				settled = true
+			}
+		}
+		if settled {
+			continue
+		}
+		for i := range out {
+			if out[i] < 0 {
+				out[i] = level * weights[i]
+			}
+		}
+		return
+	}
+}
+
+func compareFlows(a, b Flow) int {
+	return cmp.Or(cmp.Compare(a.Class, b.Class), cmp.Compare(a.Team, b.Team))
+}
+
+func flowsOf(demands []Demand) []Flow {
+	var flows []Flow
+	for _, demand := range demands {
+		for _, d := range demand.Flows {
+			flows = append(flows, d.Flow)
+		}
+	}
+	slices.SortFunc(flows, compareFlows)
+	return slices.Compact(flows)
+}
+
+func weightsOf(flows []Flow, weights map[string]float64) []float64 {
+	out := make([]float64, len(flows))
+	for i, flow := range flows {
+		out[i] = weightOf(flow.Team, weights)
+	}
+	return out
+}
+
+// weightOf keeps every weight positive: a team without one counts as 1.
+func weightOf(team string, weights map[string]float64) float64 {
+	if w := weights[team]; w > 0 && !math.IsInf(w, 0) {
+		return w
+	}
+	return 1
+}
--- /dev/null
+++ b/internal/share/divide_test.go
@@ -0,0 +1,105 @@
+package share
+
+import (
+	"fmt"
+	"math"
+	"reflect"
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+const tolerance = 1e-6
+
+func drawDemands(t *rapid.T) []Demand {
+	demands := make([]Demand, rapid.IntRange(1, 7).Draw(t, "entries"))
+	for i := range demands {
+		demands[i] = Demand{Entry: fmt.Sprintf("e%d", i), Debt: rapid.Float64Range(-1, 1).Draw(t, "debt")}
+		for team := range 6 {
+			demands[i].Flows = append(demands[i].Flows, FlowDemand{
+				Flow:     Flow{Team: fmt.Sprintf("t%d", team), Class: Class(rapid.IntRange(0, 2).Draw(t, "class"))},
+				InFlight: rapid.IntRange(0, 9).Draw(t, "in-flight"),
+				Queued:   rapid.SampledFrom([]int{0, 0, 1, 40}).Draw(t, "queued"),
+			})
+		}
+	}
+	return demands
+}
+
+func TestDivideIsMaxMin(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		demands := drawDemands(t)
+		capacity := rapid.IntRange(0, 120).Draw(t, "capacity")
+		weights := map[string]float64{}
+		for team := range 5 {
+			weights[fmt.Sprintf("t%d", team)] = rapid.Float64Range(0.1, 10).Draw(t, "weight")
+		}
+		got := Divide(capacity, weights, demands)
+		shuffled := rapid.Permutation(demands).Draw(t, "order")
+		if other := Divide(capacity, weights, shuffled); !reflect.DeepEqual(got, other) {
+			t.Fatalf("got %v at one entry, %v at another", got, other)
+		}
+		slots := 0
+		for _, n := range got.Slots {
+			slots += n
+		}
+		if slots != capacity {
+			t.Fatalf("got %d slots over entries, want %d", slots, capacity)
+		}
+		checkClasses(t, float64(capacity), weights, demands, got)
+	})
+}
+
+// checkClasses walks the classes in order with what earlier ones left over.
+func checkClasses(t *rapid.T, remaining float64, weights map[string]float64, demands []Demand, got Division) {
+	want, alloc := map[Flow]float64{}, map[Flow]float64{}
+	for _, d := range demands {
+		for _, fd := range d.Flows {
+			want[fd.Flow] += float64(fd.InFlight + fd.Queued)
+		}
+		for flow, quota := range got.Quota[d.Entry] {
+			alloc[flow] += quota
+		}
+	}
+	for _, class := range []Class{Urgent, Normal, Batch} {
+		wanted, given, weight := 0.0, 0.0, 0.0
+		for flow := range want {
+			if flow.Class == class {
+				wanted += want[flow]
+				given += alloc[flow]
+				weight += weightOf(flow.Team, weights)
+			}
+		}
+		if math.Abs(given-min(remaining, wanted)) > tolerance {
+			t.Fatalf("class %v: got %v slots, want %v", class, given, min(remaining, wanted))
+		}
+		for flow := range want {
+			share := min(want[flow], remaining*weightOf(flow.Team, weights)/weight)
+			if flow.Class == class && alloc[flow] < share-tolerance {
+				t.Fatalf("%v: got %v slots, want at least %v", flow, alloc[flow], share)
+			}
+		}
+		remaining = max(0, remaining-given)
+	}
+}
+
+func TestDebtRotatesRemainders(t *testing.T) {
+	demand := func(entry string) Demand {
+		return Demand{Entry: entry, Flows: []FlowDemand{{Flow: Flow{Team: "a"}, Queued: 50}}}
+	}
+	demands := []Demand{demand("e0"), demand("e1"), demand("e2")}
+	served := map[string]int{}
+	for range 300 {
+		division := Divide(1, nil, demands)
+		for i := range demands {
+			n := division.Slots[demands[i].Entry]
+			served[demands[i].Entry] += n
+			demands[i].Debt += (1.0/3 - float64(n)) * 0.01
+		}
+	}
+	for _, demand := range demands {
+		if got := served[demand.Entry]; got < 90 || got > 110 {
+			t.Errorf("%s: got %d of 300 turns, want about 100", demand.Entry, got)
+		}
+	}
+}
--- /dev/null
+++ b/internal/share/scheduler.go
@@ -0,0 +1,407 @@
+package share
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// Config constructs a Scheduler. Zero values take the defaults below.
+type Config struct {
+	// Entry is this entry's name, unique in the fleet.
+	Entry string
+	// Weights gives each team's share; a missing team counts as 1.
+	Weights map[string]float64
+	// Capacity is the service's slots at healthy endpoints, fleet-wide.
+	Capacity int
+	// QueueLimit bounds the queued tickets of one flow at this entry.
+	QueueLimit int
+	// ExpectedDuration stands for the run time until one is measured.
+	ExpectedDuration time.Duration
+	// PeerTimeout is the silence after which a peer's demand is dropped.
+	PeerTimeout time.Duration
+	// MaxRetryAfter caps RetryAfter, also for a flow that gets no slots.
+	MaxRetryAfter time.Duration
+}
+
+// Defaults of Config.
+const (
+	DefaultQueueLimit       = 256
+	DefaultExpectedDuration = 100 * time.Millisecond
+	DefaultPeerTimeout      = time.Second
+	DefaultMaxRetryAfter    = 30 * time.Second
+)
+
+const (
+	minRetryAfter     = 10 * time.Millisecond
+	minRecompute      = 2 * time.Millisecond
+	creditLimit       = 500 * time.Millisecond
+	quotaSmoothing    = 2 * time.Second
+	durationSmoothing = 16 // samples
+	debtLimit         = 1  // slot-seconds
+)
+
+func (c *Config) setDefaults() {
+	c.QueueLimit = cmp.Or(c.QueueLimit, DefaultQueueLimit)
+	c.ExpectedDuration = cmp.Or(c.ExpectedDuration, DefaultExpectedDuration)
+	c.PeerTimeout = cmp.Or(c.PeerTimeout, DefaultPeerTimeout)
+	c.MaxRetryAfter = cmp.Or(c.MaxRetryAfter, DefaultMaxRetryAfter)
+}
+
+// Scheduler decides, for one service at one entry, which tickets start, wait
+// or are refused. It is not safe for concurrent use: callers lock per service.
+type Scheduler struct {
+	cfg     Config
+	byFlow  map[Flow]*flow
+	flows   []*flow // in compareFlows order, as keys and weights
+	keys    []Flow
+	weights []float64
+	nodes   nodes
+	index   map[uint64]int32
+	peers   []peer // in the order of their names
+	rows    []row  // one for each peer and this entry, in the order of names
+	self    int
+	divider divider
+
+	slots    int
+	inFlight int
+	queued   int
+	debt     float64
+	sent     float64 // the debt last published, which peers compute with
+	divided  time.Time
+	acts     Actions
+}
+
+// New returns a scheduler that divides alone until it hears of peers.
+func New(cfg Config) *Scheduler {
+	cfg.setDefaults()
+	s := &Scheduler{cfg: cfg, byFlow: map[Flow]*flow{}, index: map[uint64]int32{}}
+	s.layout()
+	s.slots = cfg.Capacity
+	return s
+}
+
+// Submit asks for a slot. IDs of tickets that wait or run must be distinct.
+func (s *Scheduler) Submit(now time.Time, t Ticket) Outcome {
+	if _, ok := s.index[t.ID]; ok {
+		panic("share: ticket submitted twice")
+	}
+	f := s.flow(Flow{Team: t.Team, Class: t.Class})
+	f.accrue(now, s.queued > 0)
+	if s.inFlight >= s.slots && !s.waitsUpTo(t.Class) && now.Sub(s.divided) >= minRecompute {
+		f.newcomer = 1
+		s.divide(now)
+		f.newcomer = 0
+	}
+	if s.inFlight < s.slots && !s.waitsUpTo(t.Class) {
+		s.start(now, f, s.admit(t, f))
+		return Outcome{Decision: Start}
+	}
+	wait, known := f.wait(f.queue.size + 1)
+	full := f.queue.size >= s.cfg.QueueLimit
+	if full || (known && now.Add(wait).After(t.Deadline)) || !t.Deadline.After(now) {
+		return Outcome{Decision: Refused, RetryAfter: s.retryAfter(wait)}
+	}
+	f.queue.push(&s.nodes, s.admit(t, f))
+	s.queued++
+	return Outcome{Decision: Queued}
+}
+
+// Finish ends a running ticket and starts what its slot allows.
+func (s *Scheduler) Finish(now time.Time, id uint64) Actions {
+	s.reset()
+	index, ok := s.index[id]
+	if !ok || !s.nodes.slab[index].running {
+		panic("share: finished ticket is not running")
+	}
+	n := s.nodes.slab[index]
+	n.flow.accrue(now, s.queued > 0)
+	n.flow.observe(now.Sub(n.started))
+	n.flow.inFlight--
+	s.inFlight--
+	s.drop(id, index)
+	s.fill(now)
+	return s.acts
+}
+
+// Cancel ends a queued ticket, and reports whether it was still queued.
+func (s *Scheduler) Cancel(now time.Time, id uint64) bool {
+	index, ok := s.index[id]
+	if !ok || s.nodes.slab[index].running {
+		return false
+	}
+	f := s.nodes.slab[index].flow
+	f.accrue(now, s.queued > 0)
+	s.dequeue(f, index)
+	s.drop(id, index)
+	return true
+}
+
+// SetPeer takes a peer's gossiped demand. A message from itself is ignored.
+func (s *Scheduler) SetPeer(now time.Time, d Demand) Actions {
+	s.reset()
+	if d.Entry == s.cfg.Entry {
+		return s.acts
+	}
+	i, ok := slices.BinarySearchFunc(s.peers, d.Entry, comparePeers)
+	if !ok {
+		s.peers = slices.Insert(s.peers, i, peer{})
+	}
+	s.peers[i] = peer{heard: now, demand: d}
+	grown := false
+	for _, fd := range d.Flows {
+		_, known := s.byFlow[fd.Flow]
+		grown = grown || !known
+		s.flow(fd.Flow)
+	}
+	if !ok || grown {
+		s.layout()
+	} else {
+		s.fillRow(i)
+	}
+	s.divide(now)
+	s.fill(now)
+	return s.acts
+}
+
+// RemovePeer drops the demand of a peer that has left.
+func (s *Scheduler) RemovePeer(now time.Time, entry string) Actions {
+	s.reset()
+	s.peers = slices.DeleteFunc(s.peers, func(p peer) bool { return p.demand.Entry == entry })
+	s.layout()
+	s.divide(now)
+	s.fill(now)
+	return s.acts
+}
+
+// SetCapacity sets the slots of the service's healthy endpoints, fleet-wide.
+func (s *Scheduler) SetCapacity(now time.Time, slots int) Actions {
+	s.reset()
+	s.cfg.Capacity = max(0, slots)
+	s.divide(now)
+	s.fill(now)
+	return s.acts
+}
+
+// SetWeights sets the teams' shares.
+func (s *Scheduler) SetWeights(now time.Time, weights map[string]float64) Actions {
+	s.reset()
+	s.cfg.Weights = weights
+	s.layout()
+	s.divide(now)
+	s.fill(now)
+	return s.acts
+}
+
+// Tick divides anew, refuses queued tickets that can't start before their
+// deadline and starts what the slots allow.
+func (s *Scheduler) Tick(now time.Time) Actions {
+	s.reset()
+	silent := func(p peer) bool { return now.Sub(p.heard) > s.cfg.PeerTimeout }
+	if slices.ContainsFunc(s.peers, silent) {
+		s.peers = slices.DeleteFunc(s.peers, silent)
+		s.layout()
+	}
+	s.divide(now)
+	s.fill(now)
+	for _, f := range s.flows {
+		s.refuseLate(now, f)
+	}
+	return s.acts
+}
+
+// Demand reports this entry's load for gossip.
+func (s *Scheduler) Demand() Demand {
+	s.sent = s.debt
+	d := Demand{Entry: s.cfg.Entry, Debt: s.debt}
+	for _, f := range s.flows {
+		if f.inFlight+f.queue.size > 0 {
+			d.Flows = append(d.Flows, FlowDemand{Flow: f.Flow, InFlight: f.inFlight, Queued: f.queue.size})
+		}
+	}
+	return d
+}
+
+func (s *Scheduler) reset() {
+	s.acts.Start = s.acts.Start[:0]
+	s.acts.Refuse = s.acts.Refuse[:0]
+}
+
+// waitsUpTo reports whether work of this class or an earlier one is queued.
+func (s *Scheduler) waitsUpTo(class Class) bool {
+	if s.queued == 0 {
+		return false
+	}
+	for _, f := range s.flows {
+		if f.Class <= class && f.queue.size > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+func (s *Scheduler) admit(t Ticket, f *flow) int32 {
+	index := s.nodes.take()
+	s.nodes.slab[index] = node{id: t.ID, deadline: t.Deadline, flow: f}
+	s.index[t.ID] = index
+	return index
+}
+
+func (s *Scheduler) drop(id uint64, index int32) {
+	delete(s.index, id)
+	s.nodes.release(index)
+}
+
+func (s *Scheduler) dequeue(f *flow, index int32) {
+	f.queue.remove(&s.nodes, index)
+	s.queued--
+}
+
+func (s *Scheduler) start(now time.Time, f *flow, index int32) {
+	s.nodes.slab[index].running = true
+	s.nodes.slab[index].started = now
+	f.inFlight++
+	s.inFlight++
+}
+
+// fill starts queued tickets while this entry has free slots.
+func (s *Scheduler) fill(now time.Time) {
+	for s.inFlight < s.slots && s.queued > 0 {
+		f := s.next(now)
+		index := f.queue.head
+		n := s.nodes.slab[index]
+		f.accrue(now, true)
+		s.dequeue(f, index)
+		if !n.deadline.After(now) {
+			s.refuse(f, index)
+			continue
+		}
+		s.start(now, f, index)
+		s.acts.Start = append(s.acts.Start, n.id)
+	}
+}
+
+// next returns the flow of the first class that waits whose deficit is largest.
+func (s *Scheduler) next(now time.Time) *flow {
+	var best *flow
+	for _, f := range s.flows {
+		if f.queue.size == 0 {
+			continue
+		}
+		if best != nil && f.Class > best.Class {
+			break
+		}
+		f.accrue(now, true)
+		if best == nil || f.deficit() > best.deficit() {
+			best = f
+		}
+	}
+	return best
+}
+
+// refuse ends a ticket that has left its queue.
+func (s *Scheduler) refuse(f *flow, index int32) {
+	id := s.nodes.slab[index].id
+	wait, _ := f.wait(f.queue.size + 1)
+	s.acts.Refuse = append(s.acts.Refuse, Refusal{ID: id, RetryAfter: s.retryAfter(wait)})
+	s.drop(id, index)
+}
+
+func (s *Scheduler) refuseLate(now time.Time, f *flow) {
+	position := 1
+	for index := f.queue.head; index != none; {
+		next, deadline := s.nodes.slab[index].next, s.nodes.slab[index].deadline
+		wait, known := f.wait(position)
+		if !deadline.After(now) || (known && now.Add(wait).After(deadline)) {
+			s.dequeue(f, index)
+			s.refuse(f, index)
+		} else {
+			position++
+		}
+		index = next
+	}
+}
+
+func (s *Scheduler) retryAfter(wait time.Duration) time.Duration {
+	return min(max(wait, minRetryAfter), s.cfg.MaxRetryAfter)
+}
+
+// divide computes this entry's quotas and slots from all known demand.
+func (s *Scheduler) divide(now time.Time) {
+	elapsed := now.Sub(s.divided).Seconds()
+	if s.divided.IsZero() {
+		elapsed = 0
+	}
+	own := &s.rows[s.self]
+	s.owe(own, elapsed)
+	for i, f := range s.flows {
+		f.accrue(now, s.queued > 0)
+		own.demand[i] = float64(f.inFlight + f.queue.size + f.newcomer)
+	}
+	own.debt = s.sent
+	s.divider.divide(s.cfg.Capacity, s.weights, s.keys, s.rows)
+	for i, f := range s.flows {
+		f.setQuota(own.quota[i], own.demand[i] > 0, elapsed)
+	}
+	s.slots = own.slots
+	s.divided = now
+}
+
+// owe adds what rounding withheld from this entry since the last division.
+func (s *Scheduler) owe(own *row, elapsed float64) {
+	if s.queued == 0 {
+		s.debt = 0
+		return
+	}
+	s.debt += (own.total - float64(own.slots)) * elapsed
+	s.debt = min(max(s.debt, -debtLimit), debtLimit)
+}
+
+// flow returns the state of a flow, made at its first use.
+func (s *Scheduler) flow(key Flow) *flow {
+	if f, ok := s.byFlow[key]; ok {
+		return f
+	}
+	f := newFlow(key, s.cfg.ExpectedDuration)
+	s.byFlow[key] = f
+	i, _ := slices.BinarySearchFunc(s.keys, key, compareFlows)
+	s.keys = slices.Insert(s.keys, i, key)
+	s.flows = slices.Insert(s.flows, i, f)
+	s.layout()
+	return f
+}
+
+// layout rebuilds the dense rows after a change of the peers or flows.
+func (s *Scheduler) layout() {
+	s.weights = weightsOf(s.keys, s.cfg.Weights)
+	s.self, _ = slices.BinarySearchFunc(s.peers, s.cfg.Entry, comparePeers)
+	var old row
+	if s.self < len(s.rows) {
+		old = s.rows[s.self]
+	}
+	s.rows = make([]row, len(s.peers)+1)
+	s.rows[s.self].resize(len(s.keys))
+	s.rows[s.self].total, s.rows[s.self].slots = old.total, old.slots
+	for i := range s.peers {
+		s.fillRow(i)
+	}
+}
+
+func (s *Scheduler) fillRow(i int) {
+	r := &s.rows[i]
+	if i >= s.self {
+		r = &s.rows[i+1]
+	}
+	r.debt = s.peers[i].demand.Debt
+	r.fill(s.keys, s.peers[i].demand.Flows)
+}
+
+// peer is the last message of another entry.
+type peer struct {
+	heard  time.Time
+	demand Demand
+}
+
+func comparePeers(p peer, entry string) int {
+	return cmp.Compare(p.demand.Entry, entry)
+}
