--- /dev/null
+++ b/internal/entry/run.go
@@ -0,0 +1,209 @@
+package entry
+
+import (
+	"context"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"github.com/lovagedyke/lovagedyke/internal/retry"
+	"github.com/lovagedyke/lovagedyke/internal/route"
+	"github.com/lovagedyke/lovagedyke/pkg/api"
+)
+
+// run sends the call to endpoints until one answers, and passes the answer on.
+// It owns the admission and the first run id.
+func (e *Entry) run(w http.ResponseWriter, c *call, adm *admission, firstRun string) *api.Problem {
+	trial := &trial{entry: e, call: c, service: adm.service, admission: adm}
+	for runID := firstRun; ; runID = newID() {
+		a, refusal := trial.begin(runID)
+		if refusal != nil {
+			return refusal
+		}
+		rep, ended := trial.await(a)
+		if !ended {
+			return uncertain(http.StatusGatewayTimeout, "deadline-passed", "the deadline passed before the endpoint answered")
+		}
+		if rep.err == nil && !trial.declined(rep) {
+			return trial.deliver(w, a, rep)
+		}
+		if problem := trial.fail(a, rep); problem != nil {
+			return problem
+		}
+	}
+}
+
+// trial is the series of attempts at one call.
+type trial struct {
+	entry     *Entry
+	call      *call
+	service   *service
+	admission *admission
+	attempts  int
+	tried     []netip.AddrPort
+	// mayHaveRun is true once an attempt without a whole answer was sent.
+	mayHaveRun bool
+}
+
+// begin picks an endpoint for the next attempt. Without one the admission ends.
+func (t *trial) begin(runID string) (*attempt, *api.Problem) {
+	now := t.entry.now()
+	endpoint, ok := t.service.pick(now, t.attempts == 0, t.tried)
+	if !ok {
+		t.admission.end(now)
+		return nil, t.giveUp("no-endpoint", "no endpoint of the service takes work")
+	}
+	t.attempts++
+	t.tried = append(t.tried, endpoint)
+	return &attempt{run: runID, endpoint: endpoint, started: now}, nil
+}
+
+// await sends the attempt and waits for its reply until the deadline. When the
+// deadline passes or the caller leaves, the reply is settled in the background.
+func (t *trial) await(a *attempt) (rep reply, ended bool) {
+	ctx, cancel := context.WithDeadline(t.entry.runs, a.started.Add(t.call.entry.LongestRun))
+	a.cancel = cancel
+	replies := t.entry.forwarder.start(ctx, a, outgoing(t.call, a))
+	timer := time.NewTimer(t.call.deadline.Sub(a.started))
+	defer timer.Stop()
+	select {
+	case rep = <-replies:
+		return rep, true
+	case <-timer.C:
+	case <-t.call.request.Context().Done():
+	}
+	t.entry.late.Go(func() { t.settleLate(a, <-replies) })
+	return reply{}, false
+}
+
+// settleLate settles a reply that nobody waits for.
+func (t *trial) settleLate(a *attempt, rep reply) {
+	if rep.err != nil {
+		t.settleFailure(a, rep)
+		return
+	}
+	whole := rep.whole || discard(rep.response.Body)
+	closeBody(rep.response)
+	t.settleAnswer(a, rep, whole)
+}
+
+// declined reports whether the endpoint had no room and the call may be
+// repeated elsewhere.
+func (t *trial) declined(rep reply) bool {
+	return rep.response.StatusCode == http.StatusServiceUnavailable && rep.whole && t.call.repeatable()
+}
+
+// deliver passes the answer to the caller and settles the attempt.
+func (t *trial) deliver(w http.ResponseWriter, a *attempt, rep reply) *api.Problem {
+	if rep.whole {
+		// The books come first, so that a caller who has the answer can look
+		// up its charge and repeat a marked request.
+		t.settleAnswer(a, rep, true)
+		writeAnswer(w, rep)
+		return nil
+	}
+	whole := writeAnswer(w, rep)
+	t.settleAnswer(a, rep, whole)
+	if !whole {
+		panic(http.ErrAbortHandler)
+	}
+	return nil
+}
+
+// fail settles a failed attempt; nil means that another may follow.
+func (t *trial) fail(a *attempt, rep reply) *api.Problem {
+	sent := a.sent.Load()
+	now := t.entry.now()
+	verdict := t.service.retry(now, retry.Attempt{
+		Number: t.attempts, Marked: !t.call.repeatable(), Sent: sent, Deadline: t.call.deadline,
+	})
+	if rep.err == nil {
+		return t.failDeclined(a, rep, verdict)
+	}
+	t.mayHaveRun = t.mayHaveRun || sent
+	again := verdict == retry.Again
+	if again && !sent {
+		// Nothing ran: slot and permit serve for the next attempt.
+		t.service.done(now, a.endpoint, route.Failed, now.Sub(a.started))
+		a.cancel()
+		return nil
+	}
+	t.settleFailure(a, rep)
+	if !again {
+		return t.giveUp("endpoint-failed", "the endpoint's answer broke off or never began")
+	}
+	return t.readmit()
+}
+
+// failDeclined repeats a call that an endpoint declined, or passes the
+// endpoint's refusal on as its answer.
+func (t *trial) failDeclined(a *attempt, rep reply, verdict retry.Verdict) *api.Problem {
+	now := t.entry.now()
+	t.service.done(now, a.endpoint, route.Refused, now.Sub(a.started))
+	a.cancel()
+	if verdict == retry.Again {
+		return nil
+	}
+	t.admission.end(now)
+	return t.giveUp("endpoints-full", "the endpoints have no free slot")
+}
+
+// readmit takes slot and permit anew after an attempt that may still run.
+func (t *trial) readmit() *api.Problem {
+	adm, refusal := t.entry.admit(t.call, t.service)
+	if refusal != nil {
+		return t.giveUp(refusal.Reason, refusal.Detail)
+	}
+	t.admission = adm
+	return nil
+}
+
+// giveUp answers a call that no endpoint will answer any more.
+func (t *trial) giveUp(reason, detail string) *api.Problem {
+	if t.mayHaveRun {
+		return uncertain(http.StatusBadGateway, reason, detail)
+	}
+	return busy(reason, detail, comeBackSoon)
+}
+
+// comeBackSoon is told where nothing better is known.
+const comeBackSoon = time.Second
+
+// settleAnswer books an answer: whole means that the run is proven.
+func (t *trial) settleAnswer(a *attempt, rep reply, whole bool) {
+	if !whole {
+		t.settleFailure(a, rep)
+		return
+	}
+	now := t.entry.now()
+	t.entry.books.proven(t.call, a, rep, now)
+	t.service.done(now, a.endpoint, resultOf(rep.response.StatusCode), now.Sub(a.started))
+	t.admission.end(now)
+	a.cancel()
+}
+
+// settleFailure books an attempt without a whole answer.
+func (t *trial) settleFailure(a *attempt, rep reply) {
+	now := t.entry.now()
+	t.service.done(now, a.endpoint, route.Failed, now.Sub(a.started))
+	a.cancel()
+	if !a.sent.Load() {
+		t.entry.books.notRun(t.call, a, now)
+		t.admission.end(now)
+		return
+	}
+	t.entry.books.unproven(t.call, a, now)
+	t.admission.linger(now, a.started.Add(t.call.entry.LongestRun))
+}
+
+// resultOf tells what a status says of the endpoint's health.
+func resultOf(status int) route.Result {
+	switch {
+	case status == http.StatusServiceUnavailable:
+		return route.Refused
+	case status >= http.StatusInternalServerError:
+		return route.Failed
+	default:
+		return route.Succeeded
+	}
+}
