--- a/cmd/lovagedyke-standin/main.go
+++ b/cmd/lovagedyke-standin/main.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"flag"
 	"os"
 	"os/signal"
 	"syscall"
@@ -18,12 +19,19 @@
 	defer stop()
 	logger := log.NewWithOptions(os.Stderr, log.Options{ReportTimestamp: true})
 	root := &ffcli.Command{
-		ShortUsage:  "lovagedyke-standin <subcommand> [flags]",
-		Subcommands: []*ffcli.Command{platformCommand(logger), endpointCommand(logger)},
-		Exec:        func(context.Context, []string) error { return errors.New("a subcommand is missing") },
+		ShortUsage: "lovagedyke-standin <subcommand> [flags]",
+		Subcommands: []*ffcli.Command{
+			platformCommand(logger),
+			endpointCommand(logger),
+			workerCommand(logger),
+			loadCommand(),
+		},
+		Exec: func(context.Context, []string) error { return errors.New("a subcommand is missing") },
 	}
-	if err := root.ParseAndRun(ctx, os.Args[1:]); err != nil {
-		logger.Error("failed", "error", err)
+	err := root.ParseAndRun(ctx, os.Args[1:])
+	if err != nil && !errors.Is(err, flag.ErrHelp) {
+		// The error itself would be logged with its stack trace.
+		logger.Error("failed", "error", err.Error())
 		os.Exit(1)
 	}
 }
--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -19,75 +19,51 @@
 package platform
 
 import (
-	"bytes"
 	"context"
 	"encoding/json"
-	"io"
 	"net/http"
-	"net/http/httptrace"
 	"net/netip"
 	"net/url"
-	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/lovagedyke/lovagedyke/internal/call"
 	"github.com/lovagedyke/lovagedyke/internal/table"
 )
 
 // ErrNoObject means that the object store holds no object of that name.
 var ErrNoObject = errors.New("object does not exist")
 
-// errNotSent marks a call that failed before a connection carried it.
-var errNotSent = errors.New("request was not sent")
-
-const (
-	defaultTimeout  = 2 * time.Second
-	maxAnswerBytes  = 64 << 20
-	maxIdleConns    = 8
-	idleConnTimeout = 30 * time.Second
-)
-
 // Config says where the platform is and who calls it.
 type Config struct {
 	Address netip.AddrPort
 	// Process is sent with each call, for the platform's statistics.
 	Process string
-	// Timeout bounds each call; 2 s if zero.
+	// Timeout bounds each call; call.DefaultTimeout if zero.
 	Timeout time.Duration
 }
 
 // Client calls the platform. It is safe for concurrent use.
 type Client struct {
-	base    string
-	process string
-	timeout time.Duration
-	http    *http.Client
+	base   string
+	caller *call.Caller
 }
 
 var _ table.Store = (*Client)(nil)
 
 // New returns a client that connects on its first call.
 func New(cfg Config) *Client {
-	if cfg.Timeout == 0 {
-		cfg.Timeout = defaultTimeout
-	}
-	transport := &http.Transport{
-		MaxIdleConnsPerHost: maxIdleConns,
-		IdleConnTimeout:     idleConnTimeout,
-		DisableCompression:  true,
-	}
+	header := http.Header{ProcessHeader: {cfg.Process}}
 	return &Client{
-		base:    "http://" + cfg.Address.String(),
-		process: cfg.Process,
-		timeout: cfg.Timeout,
-		http:    &http.Client{Transport: transport},
+		base:   "http://" + cfg.Address.String(),
+		caller: call.New(call.Config{Timeout: cfg.Timeout, Header: header}),
 	}
 }
 
 // Close drops the idle connections.
 func (c *Client) Close() {
-	c.http.CloseIdleConnections()
+	c.caller.Close()
 }
 
 // Get implements table.Store.
@@ -113,11 +89,11 @@
 	if err != nil {
 		return errors.Wrap(err, "transaction cannot be encoded")
 	}
-	answer, err := c.call(ctx, http.MethodPost, CommitPath, body)
+	answer, err := c.caller.Do(ctx, http.MethodPost, c.base+CommitPath, body)
 	switch {
-	case errors.Is(err, errNotSent):
+	case errors.Is(err, call.ErrNotSent):
 		return errors.Wrapf(table.ErrUnavailable, "commit: %v", err)
-	case err != nil && answer.status != http.StatusConflict:
+	case err != nil && answer.Status != http.StatusConflict:
 		return errors.Wrapf(table.ErrUnknown, "commit: %v", err)
 	}
 	return commitOutcome(answer)
@@ -134,9 +110,9 @@
 
 // PutObject stores an object under name; storing it again replaces it.
 func (c *Client) PutObject(ctx context.Context, name string, data []byte) error {
-	answer, err := c.call(ctx, http.MethodPut, objectPath(name), data)
+	answer, err := c.caller.Do(ctx, http.MethodPut, c.base+objectPath(name), data)
 	switch {
-	case errors.Is(err, errNotSent):
+	case errors.Is(err, call.ErrNotSent):
 		return errors.Wrapf(table.ErrUnavailable, "put object %q: %v", name, err)
 	case err != nil:
 		return errors.Wrapf(table.ErrUnknown, "put object %q: %v", name, err)
@@ -146,16 +122,16 @@
 
 // GetObject returns the object's bytes, ErrNoObject or table.ErrUnavailable.
 func (c *Client) GetObject(ctx context.Context, name string) ([]byte, error) {
-	answer, err := c.call(ctx, http.MethodGet, objectPath(name), nil)
+	answer, err := c.caller.Do(ctx, http.MethodGet, c.base+objectPath(name), nil)
 	switch {
 	case err != nil:
 		return nil, errors.Wrapf(table.ErrUnavailable, "get object %q: %v", name, err)
-	case answer.status == http.StatusNotFound:
+	case answer.Status == http.StatusNotFound:
 		return nil, errors.Wrapf(ErrNoObject, "get object %q", name)
-	case answer.status != http.StatusOK:
-		return nil, errors.Wrapf(table.ErrUnavailable, "get object %q: status %d", name, answer.status)
+	case answer.Status != http.StatusOK:
+		return nil, errors.Wrapf(table.ErrUnavailable, "get object %q: status %d", name, answer.Status)
 	}
-	return answer.body, nil
+	return answer.Body, nil
 }
 
 // rows posts a read request and returns the rows of its answer.
@@ -173,63 +149,33 @@
 
 // read makes a call without effects; whatever goes wrong, nothing was written.
 func (c *Client) read(ctx context.Context, method, path string, body []byte, into any) error {
-	answer, err := c.call(ctx, method, path, body)
+	answer, err := c.caller.Do(ctx, method, c.base+path, body)
 	if err != nil {
 		return errors.Wrapf(table.ErrUnavailable, "%s: %v", path, err)
 	}
-	if answer.status != http.StatusOK {
-		return errors.Wrapf(table.ErrUnavailable, "%s: status %d", path, answer.status)
+	if answer.Status != http.StatusOK {
+		return errors.Wrapf(table.ErrUnavailable, "%s: status %d", path, answer.Status)
 	}
-	if err := json.Unmarshal(answer.body, into); err != nil {
+	if err := json.Unmarshal(answer.Body, into); err != nil {
 		return errors.Wrapf(table.ErrUnavailable, "%s: broken answer: %v", path, err)
 	}
 	return nil
 }
 
-// answer is a whole answer of the platform.
-type answer struct {
-	status int
-	body   []byte
-}
-
-// call makes one request and reads its whole answer. An error marked errNotSent
-// means that no connection carried the request. A cut body comes with its status.
-func (c *Client) call(ctx context.Context, method, path string, body []byte) (answer, error) {
-	ctx, cancel := context.WithTimeout(ctx, c.timeout)
-	defer cancel()
-	var sent atomic.Bool
-	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { sent.Store(true) }}
-	request, err := http.NewRequestWithContext(httptrace.WithClientTrace(ctx, trace), method, c.base+path, bytes.NewReader(body))
-	if err != nil {
-		return answer{}, errors.Mark(err, errNotSent)
-	}
-	request.Header.Set(ProcessHeader, c.process)
-	response, err := c.http.Do(request)
-	if err != nil && !sent.Load() {
-		return answer{}, errors.Mark(err, errNotSent)
-	}
-	if err != nil {
-		return answer{}, err
-	}
-	defer func() { _ = response.Body.Close() }()
-	data, err := io.ReadAll(io.LimitReader(response.Body, maxAnswerBytes))
-	return answer{status: response.StatusCode, body: data}, err
-}
-
 // commitOutcome maps the answer to a write onto the errors of table.Store.
-func commitOutcome(got answer) error {
-	switch got.status {
+func commitOutcome(got call.Answer) error {
+	switch got.Status {
 	case http.StatusOK, http.StatusNoContent:
 		return nil
 	case http.StatusConflict:
 		var conflict ConflictAnswer
 		// The status alone proves the conflict; the body only names the row.
-		_ = json.Unmarshal(got.body, &conflict)
+		_ = json.Unmarshal(got.Body, &conflict)
 		return &table.ConflictError{Key: conflict.Key, Want: conflict.Want, Got: conflict.Got}
 	case http.StatusServiceUnavailable, http.StatusTooManyRequests, http.StatusNotFound:
-		return errors.Wrapf(table.ErrUnavailable, "status %d", got.status)
+		return errors.Wrapf(table.ErrUnavailable, "status %d", got.Status)
 	default:
-		return errors.Wrapf(table.ErrUnknown, "status %d", got.status)
+		return errors.Wrapf(table.ErrUnknown, "status %d", got.Status)
 	}
 }
 
--- a/internal/standin/endpoint/behaviour.go
+++ b/internal/standin/endpoint/behaviour.go
@@ -65,6 +65,7 @@
 	case Truncate:
 		w.Header().Set("Content-Length", strconv.Itoa(2*len(body)))
 		_, _ = w.Write(body)
+		_ = http.NewResponseController(w).Flush()
 		panic(http.ErrAbortHandler) // The server's own way to cut a connection.
 	case Close:
 		panic(http.ErrAbortHandler)
--- a/internal/standin/endpoint/endpoint.go
+++ b/internal/standin/endpoint/endpoint.go
@@ -25,6 +25,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/julienschmidt/httprouter"
 
+	"github.com/lovagedyke/lovagedyke/internal/duration"
 	"github.com/lovagedyke/lovagedyke/internal/standin/web"
 )
 
@@ -62,7 +63,7 @@
 	// FailEverything runs each request and answers 500.
 	FailEverything bool `json:"fail-everything,omitempty"`
 	// Slow is added to each run's time.
-	Slow web.Duration `json:"slow,omitzero"`
+	Slow duration.Text `json:"slow,omitzero"`
 	// Down cuts each connection without running anything.
 	Down bool `json:"down,omitempty"`
 }
--- a/internal/standin/platform/faults.go
+++ b/internal/standin/platform/faults.go
@@ -6,7 +6,7 @@
 
 	"github.com/cockroachdb/errors"
 
-	"github.com/lovagedyke/lovagedyke/internal/standin/web"
+	"github.com/lovagedyke/lovagedyke/internal/duration"
 )
 
 // Faults are the ways in which the platform misbehaves on request.
@@ -14,11 +14,11 @@
 	// Down refuses every call with 503.
 	Down bool `json:"down,omitempty"`
 	// Slow delays every call, half of it before and half after the effect.
-	Slow web.Duration `json:"slow,omitzero"`
+	Slow duration.Text `json:"slow,omitzero"`
 	// LoseAnswers cuts the connection after a commit took effect.
 	LoseAnswers LossCount `json:"lose-answers,omitzero"`
 	// ListLag is how far the host list lags; it holds for all processes.
-	ListLag web.Duration `json:"list-lag,omitzero"`
+	ListLag duration.Text `json:"list-lag,omitzero"`
 	// Processes limits the faults to callers of these names.
 	Processes []string `json:"processes,omitempty"`
 }
--- a/internal/standin/web/web.go
+++ b/internal/standin/web/web.go
@@ -1,5 +1,5 @@
 // Package web holds what the stand-ins share: a loopback HTTP server that ends
-// with its context, JSON bodies, and durations as text.
+// with its context, and JSON bodies.
 //
 // # Usage
 //
@@ -93,20 +93,3 @@
 	w.WriteHeader(status)
 	_, _ = w.Write(append(data, '\n'))
 }
-
-// Duration is a time.Duration written as text, such as "200ms".
-type Duration struct {
-	time.Duration
-}
-
-// MarshalText implements encoding.TextMarshaler.
-func (d Duration) MarshalText() ([]byte, error) {
-	return []byte(d.String()), nil
-}
-
-// UnmarshalText implements encoding.TextUnmarshaler.
-func (d *Duration) UnmarshalText(text []byte) error {
-	parsed, err := time.ParseDuration(string(text))
-	d.Duration = parsed
-	return err
-}
--- /dev/null
+++ b/internal/standin/worker/worker_test.go
@@ -0,0 +1,201 @@
+package worker_test
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"go.uber.org/goleak"
+
+	"github.com/lovagedyke/lovagedyke/internal/duration"
+	"github.com/lovagedyke/lovagedyke/internal/standin/worker"
+	api "github.com/lovagedyke/lovagedyke/internal/worker"
+)
+
+func TestMain(m *testing.M) {
+	goleak.VerifyTestMain(m)
+}
+
+const (
+	id    = "orders/7.1"
+	lease = 30 * time.Second
+)
+
+// bench is a worker with a clock that the test moves.
+type bench struct {
+	now     time.Time
+	server  *httptest.Server
+	client  *api.Client
+	address netip.AddrPort
+}
+
+func newBench(t *testing.T) *bench {
+	b := &bench{now: time.Unix(1, 0)}
+	b.server = httptest.NewServer(worker.New(worker.Config{
+		Name:        "worker-1",
+		Incarnation: "a",
+		UsageLag:    time.Second,
+		Now:         func() time.Time { return b.now },
+	}).Handler())
+	b.address = netip.MustParseAddrPort(b.server.Listener.Addr().String())
+	b.client = api.New(api.Config{Timeout: 200 * time.Millisecond})
+	t.Cleanup(b.server.Close)
+	t.Cleanup(b.client.Close)
+	return b
+}
+
+func (b *bench) start(change func(*api.Start)) (api.Status, error) {
+	start := api.Start{
+		ID: id, Queue: "orders", Team: "reef", Lease: duration.New(lease), Epoch: 5,
+		RunTime: duration.New(time.Minute), Resources: api.Resources{CPUs: 1, Memory: 1 << 20},
+	}
+	if change != nil {
+		change(&start)
+	}
+	return b.client.Start(context.Background(), b.address, start)
+}
+
+func (b *bench) faults(t *testing.T, body string) {
+	t.Helper()
+	request, err := http.NewRequest(http.MethodPut, b.server.URL+"/standin/faults", strings.NewReader(body))
+	if err != nil {
+		t.Fatal(err)
+	}
+	response, err := b.server.Client().Do(request)
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = response.Body.Close()
+	if got, want := response.StatusCode, http.StatusNoContent; got != want {
+		t.Fatalf("faults: got status %d, want %d", got, want)
+	}
+}
+
+func TestStart(t *testing.T) {
+	tests := map[string]struct {
+		faults    string
+		change    func(*api.Start)
+		wantErr   error
+		wantState api.State
+	}{
+		"taken":             {wantState: api.Running},
+		"other incarnation": {change: func(s *api.Start) { s.Incarnation = "b" }, wantErr: api.ErrOtherIncarnation},
+		"too large":         {change: func(s *api.Start) { s.CPUs = 17 }, wantErr: api.ErrRefused},
+		"more than said":    {change: func(s *api.Start) { s.Body = []byte(`{"memory":99000000000}`) }, wantState: api.Failed},
+		"failing worker":    {faults: `{"fail-everything":true}`, wantState: api.Failed},
+		"answer lost":       {faults: `{"lose-answers":1}`, wantErr: api.ErrUnknown},
+		"paused":            {faults: `{"paused":true}`, wantErr: api.ErrUnknown},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			b := newBench(t)
+			b.faults(t, tc.faults+strings.Repeat("{}", 1-min(1, len(tc.faults))))
+			status, err := b.start(tc.change)
+			b.faults(t, "{}")
+			if got, want := err, tc.wantErr; !errors.Is(got, want) {
+				t.Fatalf("error: got %v, want %v", got, want)
+			}
+			if got, want := status.State, tc.wantState; got != want {
+				t.Errorf("state: got %q, want %q", got, want)
+			}
+		})
+	}
+}
+
+func TestLife(t *testing.T) {
+	order := api.Order{Queue: "orders", Epoch: 5, Lease: duration.New(lease)}
+	tests := map[string]struct {
+		job  string
+		act  func(context.Context, *bench) (api.Status, error)
+		wait time.Duration
+		want api.State
+	}{
+		"lapses":            {wait: lease, want: api.Lapsed},
+		"runs under lease":  {wait: lease - 1, want: api.Running},
+		"ends before lapse": {job: `{"run-time":"1s"}`, wait: time.Hour, want: api.Done},
+		"fails by itself":   {job: `{"run-time":"1s","fail":"bad input"}`, wait: time.Hour, want: api.Failed},
+		"stopped": {wait: 0, want: api.Stopped, act: func(ctx context.Context, b *bench) (api.Status, error) {
+			return b.client.Stop(ctx, b.address, id, order)
+		}},
+		"checkpointed": {wait: 0, want: api.Checkpointed, act: func(ctx context.Context, b *bench) (api.Status, error) {
+			return b.client.Checkpoint(ctx, b.address, id, order)
+		}},
+		"renewed": {wait: lease, want: api.Running, act: func(ctx context.Context, b *bench) (api.Status, error) {
+			b.now = b.now.Add(time.Second)
+			return b.client.Renew(ctx, b.address, id, api.Order{Queue: "orders", Epoch: 6, Lease: duration.New(time.Hour)})
+		}},
+		"throttled": {job: `{"run-time":"1s"}`, wait: 2 * time.Second, want: api.Running, act: func(ctx context.Context, b *bench) (api.Status, error) {
+			return b.client.Throttle(ctx, b.address, id, api.Order{Queue: "orders", Epoch: 5, Rate: 0.25})
+		}},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			ctx := context.Background()
+			b := newBench(t)
+			if _, err := b.start(func(s *api.Start) { s.Body = []byte(tc.job) }); err != nil {
+				t.Fatal(err)
+			}
+			if tc.act != nil {
+				if _, err := tc.act(ctx, b); err != nil {
+					t.Fatal(err)
+				}
+			}
+			b.now = b.now.Add(tc.wait)
+			// A repeated start shows the present state and runs nothing.
+			status, err := b.start(func(s *api.Start) { s.Epoch = 9 })
+			if err != nil {
+				t.Fatal(err)
+			}
+			if got, want := status.State, tc.want; got != want {
+				t.Errorf("state: got %q, want %q", got, want)
+			}
+		})
+	}
+}
+
+func TestStopBeforeStart(t *testing.T) {
+	ctx := context.Background()
+	b := newBench(t)
+	order := api.Order{Queue: "orders", Epoch: 5}
+	if _, err := b.client.Stop(ctx, b.address, id, order); err != nil {
+		t.Fatal(err)
+	}
+	status, err := b.start(nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got, want := status.State, api.Stopped; got != want || status.Ran {
+		t.Errorf("late start: got %q, ran %v, want %q that never ran", got, status.Ran, want)
+	}
+	_, err = b.start(func(s *api.Start) { s.Epoch = 4 })
+	if got, want := err, api.ErrStale; !errors.Is(got, want) {
+		t.Errorf("stale epoch: got %v, want %v", got, want)
+	}
+	_, err = b.client.Status(ctx, b.address, "orders/8.1")
+	if got, want := err, api.ErrNoTask; !errors.Is(got, want) {
+		t.Errorf("unknown task: got %v, want %v", got, want)
+	}
+}
+
+func TestReportLags(t *testing.T) {
+	ctx := context.Background()
+	b := newBench(t)
+	for i, want := range []int{0, 0, 1} {
+		report, err := b.client.Report(ctx, b.address)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if got := len(report.Tasks); got != want {
+			t.Errorf("report %d: got %d tasks, want %d", i, got, want)
+		}
+		if _, err := b.start(nil); err != nil {
+			t.Fatal(err)
+		}
+		b.now = b.now.Add(600 * time.Millisecond)
+	}
+}
