--- /dev/null
+++ b/internal/route/state.go
@@ -0,0 +1,45 @@
+package route
+
+import (
+	"net/netip"
+	"time"
+)
+
+// State is the picker's part of a dump.
+type State struct {
+	Capacity  int             `json:"capacity"`
+	Panicking bool            `json:"panicking"`
+	Endpoints []EndpointState `json:"endpoints"`
+}
+
+// EndpointState is what this entry knows of an endpoint.
+type EndpointState struct {
+	Address       netip.AddrPort `json:"address"`
+	DataCentre    string         `json:"data-centre"`
+	Leaving       bool           `json:"leaving"`
+	InFlight      int            `json:"in-flight"`
+	PeersInFlight int            `json:"peers-in-flight"`
+	MeanRunTime   string         `json:"mean-run-time"`
+	FailureRatio  float64        `json:"failure-ratio"`
+	EjectedUntil  time.Time      `json:"ejected-until,omitzero"`
+	Ramp          int            `json:"ramp,omitempty"`
+}
+
+// State reports what the picker knows, for the operators' dump.
+func (p *Picker) State(now time.Time) State {
+	out := State{Capacity: p.Capacity(now), Panicking: p.panicking()}
+	for _, e := range p.endpoints {
+		out.Endpoints = append(out.Endpoints, EndpointState{
+			Address:       e.Address,
+			DataCentre:    e.DataCentre,
+			Leaving:       e.Leaving || e.gone,
+			InFlight:      e.inFlight,
+			PeersInFlight: e.peers,
+			MeanRunTime:   time.Duration(e.runTime * float64(time.Second)).String(),
+			FailureRatio:  e.failures,
+			EjectedUntil:  e.ejectedUntil,
+			Ramp:          e.ramp,
+		})
+	}
+	return out
+}
