--- a/internal/entry/admission.go
+++ b/internal/entry/admission.go
@@ -52,12 +52,12 @@
 	case share.Start:
 		return nil
 	case share.Refused:
-		return serviceFull(outcome.RetryAfter)
+		return a.service.refusal(outcome.RetryAfter)
 	}
 	select {
 	case t := <-turns:
 		if !t.start {
-			return serviceFull(t.retryAfter)
+			return a.service.refusal(t.retryAfter)
 		}
 		return nil
 	case <-c.request.Context().Done():
@@ -100,9 +100,9 @@
 	a.permits.ledger.Linger(a.team, until)
 }
 
-// serviceFull refuses work that cannot start before its deadline.
-func serviceFull(retryAfter time.Duration) *api.Problem {
-	return busy("service-full", "the service cannot start this work before its deadline", retryAfter)
+// noEndpoint refuses work that has nowhere to go.
+func noEndpoint() *api.Problem {
+	return busy("no-endpoint", "no endpoint of the service takes work", comeBackSoon)
 }
 
 // callerGone ends a request whose caller has hung up; nobody reads it.
--- /dev/null
+++ b/internal/entry/books.go
@@ -0,0 +1,83 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"github.com/lovagedyke/lovagedyke/internal/claim"
+)
+
+// maxRecordedBody bounds the answer that is kept for repeats of a marked
+// request, in bytes; it travels in table rows.
+const maxRecordedBody = 16 << 10
+
+// run is what is known of one attempt that may have run.
+type finishedRun struct {
+	id       string
+	team     string
+	service  string
+	endpoint string
+	started  time.Time
+	duration time.Duration
+	status   int
+}
+
+// charger takes the runs that are to be charged or listed as unproven.
+type charger interface {
+	proven(run finishedRun)
+	unproven(run finishedRun)
+}
+
+// books records how each attempt ended: charges, and the claims of marked calls.
+type books struct {
+	claims  *claims
+	charges charger
+	// background runs what need not hold up the caller.
+	background func(func(ctx context.Context))
+}
+
+// proven records a run with its endpoint's whole answer. The claim is settled
+// before the caller has the answer.
+func (b *books) proven(ctx context.Context, c *call, a *attempt, rep reply, now time.Time) {
+	if !refused(rep.response) {
+		b.charges.proven(newRun(c, a, now, rep.response.StatusCode))
+	}
+	if c.claim == nil {
+		return
+	}
+	result := &claim.Result{Status: rep.response.StatusCode, ContentType: rep.response.Header.Get("Content-Type")}
+	if rep.whole && len(rep.prefix) <= maxRecordedBody {
+		result.Body = rep.prefix
+		result.Whole = true
+	}
+	b.claims.finish(ctx, *c.claim, claim.StateRan, result)
+}
+
+// unproven records an attempt that was sent and has no whole answer.
+func (b *books) unproven(c *call, a *attempt, now time.Time) {
+	b.charges.unproven(newRun(c, a, now, 0))
+	if c.claim == nil {
+		return
+	}
+	record := *c.claim
+	b.background(func(ctx context.Context) {
+		b.claims.finish(ctx, record, claim.StateUnknown, nil)
+	})
+}
+
+// notRun records an attempt of which no byte went out.
+func (b *books) notRun(c *call) {
+	if c.claim == nil {
+		return
+	}
+	id, token := c.claim.ID, c.claim.Token
+	b.background(func(ctx context.Context) { b.claims.release(ctx, id, token) })
+}
+
+// newRun describes an attempt that ended now.
+func newRun(c *call, a *attempt, now time.Time, status int) finishedRun {
+	return finishedRun{
+		id: a.run, team: c.team, service: c.entry.Name, endpoint: a.endpoint.String(),
+		started: a.started, duration: now.Sub(a.started), status: status,
+	}
+}
--- a/internal/entry/call.go
+++ b/internal/entry/call.go
@@ -14,6 +14,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/lovagedyke/lovagedyke/internal/catalogue"
+	"github.com/lovagedyke/lovagedyke/internal/claim"
 	"github.com/lovagedyke/lovagedyke/internal/revision"
 	"github.com/lovagedyke/lovagedyke/pkg/api"
 )
@@ -49,6 +50,8 @@
 	// key is empty for a request that may be repeated.
 	key    string
 	digest [sha256.Size]byte
+	// claim is the granted claim of a marked call.
+	claim *claim.Record
 
 	// body is the whole body, unless stream is set.
 	body   []byte
--- /dev/null
+++ b/internal/entry/entry.go
@@ -0,0 +1,236 @@
+// Package entry is the callers' side: it takes requests for services, admits
+// them within limits and shares, sends them to endpoints and passes on the
+// whole answers.
+//
+// A request names its service by the first segment of its path and carries the
+// team's key in "Authorization: Bearer". "Lovagedyke-Deadline" bounds the
+// caller's patience, and "Idempotency-Key" marks a request that must not be
+// repeated. Answers that the entry itself makes are problem details
+// (application/problem+json) with an outcome, a reason and Retry-After.
+//
+// # Usage
+//
+//	e := entry.New(entry.Config{Node: n, Hosts: platform, Log: log})
+//	n.Add(e)
+//	done := e.Run(ctx)
+//	server.Handler = e
+//
+// On a planned stop the caller shuts its servers down first, then calls Drain,
+// and ends ctx last.
+package entry
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/sourcegraph/conc"
+
+	"github.com/lovagedyke/lovagedyke/internal/node"
+	"github.com/lovagedyke/lovagedyke/internal/platform"
+	"github.com/lovagedyke/lovagedyke/internal/roster"
+	"github.com/lovagedyke/lovagedyke/pkg/api"
+)
+
+const (
+	// scheduleTick is the interval at which queued requests are looked at.
+	scheduleTick = 10 * time.Millisecond
+	// hostsInterval is the time between two readings of the platform's list.
+	hostsInterval = 500 * time.Millisecond
+	// connectionsPerEndpoint bounds this entry's connections to one endpoint;
+	// the picker's bound is the one that counts.
+	connectionsPerEndpoint = 64
+)
+
+// HostLister returns the platform's lagging list of hosts.
+type HostLister interface {
+	Hosts(ctx context.Context) ([]platform.Host, error)
+}
+
+// Config constructs an Entry.
+type Config struct {
+	Node  *node.Node
+	Hosts HostLister
+	Log   *log.Logger
+	// ClaimRetention is how long a repeat of a marked request is recognised.
+	ClaimRetention time.Duration
+}
+
+// Entry serves callers. It is a node.Part and an http.Handler.
+type Entry struct {
+	config    Config
+	node      *node.Node
+	permits   *permits
+	claims    *claims
+	books     *books
+	charges   *charges
+	forwarder *forwarder
+	tickets   atomic.Uint64
+
+	// runs ends when attempts under way must be given up.
+	runs     context.Context
+	stopRuns context.CancelFunc
+	// late tracks what goes on after a caller was answered.
+	late conc.WaitGroup
+
+	mu       sync.RWMutex
+	services map[string]*service
+
+	metrics *meters
+}
+
+// New returns an entry over the node.
+func New(config Config) *Entry {
+	runs, stopRuns := context.WithCancel(context.Background())
+	e := &Entry{
+		config:    config,
+		node:      config.Node,
+		permits:   newPermits(config.Node.Ledger(), config.Node.Short),
+		claims:    newClaims(config.Node, config.ClaimRetention),
+		forwarder: newForwarder(connectionsPerEndpoint),
+		runs:      runs,
+		stopRuns:  stopRuns,
+		services:  make(map[string]*service),
+		metrics:   newMeters(),
+	}
+	e.charges = newCharges(config.Node, config.Log)
+	e.books = &books{claims: e.claims, charges: e.charges, background: e.background}
+	return e
+}
+
+// now returns the time; decisions take it as an argument.
+func (e *Entry) now() time.Time { return time.Now() }
+
+// background runs what need not hold up a caller.
+func (e *Entry) background(do func(ctx context.Context)) {
+	e.late.Go(func() { do(e.runs) })
+}
+
+// Run drives queues, claims, charges and the view of endpoints until the
+// context ends, then delivers one error.
+func (e *Entry) Run(ctx context.Context) <-chan error {
+	done := make(chan error, 1)
+	go func() {
+		var loops conc.WaitGroup
+		loops.Go(func() { e.claims.run(ctx) })
+		loops.Go(func() { e.charges.run(ctx) })
+		loops.Go(func() { e.scheduleLoop(ctx) })
+		loops.Go(func() { e.hostsLoop(ctx) })
+		loops.Wait()
+		done <- ctx.Err()
+	}()
+	return done
+}
+
+// Drain waits for attempts that nobody waits for any more, until the context
+// ends, and then gives up those that are left.
+func (e *Entry) Drain(ctx context.Context) error {
+	settled := make(chan struct{})
+	go func() {
+		e.late.Wait()
+		e.forwarder.close()
+		close(settled)
+	}()
+	select {
+	case <-settled:
+		e.stopRuns()
+		return nil
+	case <-ctx.Done():
+		e.stopRuns()
+		<-settled
+		return ctx.Err()
+	}
+}
+
+// ServeHTTP implements http.Handler.
+func (e *Entry) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	started := e.now()
+	c, problem := e.serve(w, r, started)
+	if problem == nil {
+		e.metrics.answered(c, e.now().Sub(started))
+		return
+	}
+	problem.RequestID = c.id
+	e.metrics.refused(problem)
+	e.config.Log.Debug("request answered by the entry",
+		"request-id", c.id, "reason", problem.Reason, "outcome", problem.Outcome, "service", c.entry.Name, "team", c.team)
+	writeProblem(w, problem)
+}
+
+// serve handles one request; nil means that the caller has its answer.
+func (e *Entry) serve(w http.ResponseWriter, r *http.Request, now time.Time) (*call, *api.Problem) {
+	view := e.node.Configuration().View()
+	if !view.Fresh(now) {
+		c := &call{id: newID()}
+		return c, busy("configuration-stale", "it is not known whether keys were withdrawn", comeBackSoon)
+	}
+	c, refusal := checkCall(&view.State, w, r, now)
+	if refusal != nil {
+		return c, refusal
+	}
+	if c.marked() {
+		return c, e.serveMarked(w, c)
+	}
+	adm, refusal := e.admit(c, e.service(c.entry.Name))
+	if refusal != nil {
+		return c, refusal
+	}
+	return c, e.run(w, c, adm, newID())
+}
+
+// service returns the service's state, made at its first use.
+func (e *Entry) service(name string) *service {
+	e.mu.RLock()
+	s, ok := e.services[name]
+	e.mu.RUnlock()
+	if ok {
+		return s
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if s, ok := e.services[name]; ok {
+		return s
+	}
+	self := e.node.Self()
+	s = newService(self.Name, self.DataCentre, self.Incarnation+uint64(len(e.services)))
+	e.services[name] = s
+	return s
+}
+
+// eachService calls do for every known service.
+func (e *Entry) eachService(do func(name string, s *service)) {
+	e.mu.RLock()
+	services := make(map[string]*service, len(e.services))
+	for name, s := range e.services {
+		services[name] = s
+	}
+	e.mu.RUnlock()
+	for name, s := range services {
+		do(name, s)
+	}
+}
+
+// scheduleLoop lets queues refuse in time and take up new slots.
+func (e *Entry) scheduleLoop(ctx context.Context) {
+	ticker := time.NewTicker(scheduleTick)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			e.eachService(func(_ string, s *service) { s.tick(e.now()) })
+		}
+	}
+}
+
+// PermitsChanged implements node.Part.
+func (e *Entry) PermitsChanged() { e.permits.pumpAll() }
+
+// RosterChanged implements node.Part.
+func (e *Entry) RosterChanged(members roster.Roster, rowVersion uint64) {
+	e.claims.rosterChanged(members, rowVersion)
+}
--- /dev/null
+++ b/internal/entry/entry_test.go
@@ -0,0 +1,250 @@
+package entry
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/lovagedyke/lovagedyke/pkg/api"
+)
+
+// echo answers with the request's body.
+func echo(w http.ResponseWriter, r *http.Request) { _, _ = io.Copy(w, r.Body) }
+
+// cut reads the request and closes the connection without an answer.
+func cut(_ http.ResponseWriter, r *http.Request) {
+	_, _ = io.Copy(io.Discard, r.Body)
+	panic(http.ErrAbortHandler)
+}
+
+// truncate promises size bytes and sends half of them.
+func truncate(size int) http.HandlerFunc {
+	return func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Length", fmt.Sprint(size))
+		_, _ = io.WriteString(w, strings.Repeat("x", size/2))
+		_ = http.NewResponseController(w).Flush()
+		panic(http.ErrAbortHandler)
+	}
+}
+
+func TestRefusals(t *testing.T) {
+	f := newFixture(t, echo)
+	tests := map[string]struct {
+		call       testCall
+		wantStatus int
+		wantReason string
+		wantField  string
+	}{
+		"unknown service":   {testCall{path: "/ordes/x"}, 404, "unknown-service", "path"},
+		"no key":            {testCall{key: "none"}, 401, "no-key", "Authorization"},
+		"wrong key":         {testCall{key: "lk_a_b"}, 401, "wrong-key", "Authorization"},
+		"key of other team": {testCall{key: f.keys["bait"]}, 403, "other-team", "Authorization"},
+		"broken deadline":   {testCall{header: map[string]string{headerDeadline: "soon"}}, 400, "broken-deadline", headerDeadline},
+		"negative deadline": {testCall{header: map[string]string{headerDeadline: "-1s"}}, 400, "broken-deadline", headerDeadline},
+		"long key":          {testCall{header: map[string]string{headerKey: strings.Repeat("k", 256)}}, 400, "broken-idempotency-key", headerKey},
+		"large marked body": {testCall{header: map[string]string{headerKey: "k"}, body: strings.Repeat("b", maxMarkedBody+1)}, 413, "body-too-large", "body"},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			status, _, problem, err := f.do(tc.call)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if got := status; got != tc.wantStatus {
+				t.Errorf("status: got %d, want %d", got, tc.wantStatus)
+			}
+			if got := problem.Reason; got != tc.wantReason {
+				t.Errorf("reason: got %q, want %q", got, tc.wantReason)
+			}
+			if got := problem.Field; got != tc.wantField {
+				t.Errorf("field: got %q, want %q", got, tc.wantField)
+			}
+			if got, want := problem.Outcome, api.OutcomeNotRun; got != want {
+				t.Errorf("outcome: got %q, want %q", got, want)
+			}
+		})
+	}
+	if got := f.handled.Load(); got != 0 {
+		t.Errorf("runs: got %d, want 0", got)
+	}
+}
+
+func TestAnswers(t *testing.T) {
+	marked := map[string]string{headerKey: "k1"}
+	tests := map[string]struct {
+		endpoints   []http.HandlerFunc
+		call        testCall
+		wantStatus  int
+		wantBody    string
+		wantReason  string
+		wantOutcome api.Outcome
+		wantRuns    int64
+		wantCut     bool
+	}{
+		"whole":               {endpoints: []http.HandlerFunc{echo}, call: testCall{body: "leader line"}, wantStatus: 200, wantBody: "leader line", wantRuns: 1},
+		"whole, marked":       {endpoints: []http.HandlerFunc{echo}, call: testCall{body: "leader line", header: marked}, wantStatus: 200, wantBody: "leader line", wantRuns: 1},
+		"no endpoint":         {call: testCall{}, wantStatus: 503, wantReason: "no-endpoint", wantOutcome: api.OutcomeNotRun},
+		"short answer cut":    {endpoints: []http.HandlerFunc{truncate(100)}, call: testCall{header: marked}, wantStatus: 502, wantReason: "endpoint-failed", wantOutcome: api.OutcomeUnknown, wantRuns: 1},
+		"long answer cut":     {endpoints: []http.HandlerFunc{truncate(1 << 20)}, call: testCall{header: marked}, wantCut: true, wantRuns: 1},
+		"marked, cut":         {endpoints: []http.HandlerFunc{cut, cut}, call: testCall{header: marked}, wantStatus: 502, wantReason: "endpoint-failed", wantOutcome: api.OutcomeUnknown, wantRuns: 1},
+		"marked GET, cut":     {endpoints: []http.HandlerFunc{cut, cut}, call: testCall{method: http.MethodGet, header: marked}, wantStatus: 502, wantReason: "endpoint-failed", wantOutcome: api.OutcomeUnknown, wantRuns: 1},
+		"unmarked, one fails": {endpoints: []http.HandlerFunc{truncate(10)}, call: testCall{}, wantStatus: 502, wantReason: "no-endpoint", wantOutcome: api.OutcomeUnknown, wantRuns: 1},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(t, tc.endpoints...)
+			status, body, problem, err := f.do(tc.call)
+			if got := err != nil; got != tc.wantCut {
+				t.Fatalf("cut: got %v, want %v", err, tc.wantCut)
+			}
+			if got := status; got != tc.wantStatus && !tc.wantCut {
+				t.Errorf("status: got %d (%s), want %d", got, body, tc.wantStatus)
+			}
+			if got := body; tc.wantBody != "" && got != tc.wantBody {
+				t.Errorf("body: got %q, want %q", got, tc.wantBody)
+			}
+			if got := problem.Reason; got != tc.wantReason {
+				t.Errorf("reason: got %q, want %q", got, tc.wantReason)
+			}
+			if got := problem.Outcome; got != tc.wantOutcome {
+				t.Errorf("outcome: got %q, want %q", got, tc.wantOutcome)
+			}
+			if got := f.handled.Load(); got != tc.wantRuns {
+				t.Errorf("runs: got %d, want %d", got, tc.wantRuns)
+			}
+		})
+	}
+}
+
+// A connection that closes after an answer makes net/http repeat some requests
+// by itself; a request with an idempotency key is among them.
+func TestMarkedRequestIsNotReplayedOnAReusedConnection(t *testing.T) {
+	first := true
+	f := newFixture(t, func(w http.ResponseWriter, r *http.Request) {
+		if first {
+			first = false
+			echo(w, r)
+			return
+		}
+		cut(w, r)
+	})
+	for i, want := range []api.Outcome{"", api.OutcomeUnknown} {
+		header := map[string]string{headerKey: fmt.Sprint(i)}
+		_, _, problem, err := f.do(testCall{method: http.MethodGet, header: header})
+		if err != nil {
+			t.Fatal(err)
+		}
+		if got := problem.Outcome; got != want {
+			t.Errorf("outcome %d: got %q, want %q", i, got, want)
+		}
+	}
+	if got, want := f.handled.Load(), int64(2); got != want {
+		t.Errorf("runs: got %d, want %d", got, want)
+	}
+}
+
+func TestRepeatOfAMarkedRequest(t *testing.T) {
+	f := newFixture(t, echo)
+	header := map[string]string{headerKey: "order-7"}
+	tests := []struct {
+		name, body  string
+		wantStatus  int
+		wantOutcome api.Outcome
+	}{
+		{"first", "two pallets", 200, ""},
+		{"repeat", "two pallets", 200, ""},
+		{"another body", "three pallets", 422, api.OutcomeNotRun},
+	}
+	for _, tc := range tests {
+		status, body, problem, err := f.do(testCall{body: tc.body, header: header})
+		if err != nil {
+			t.Fatal(err)
+		}
+		if got := status; got != tc.wantStatus {
+			t.Errorf("%s: got status %d (%s), want %d", tc.name, got, body, tc.wantStatus)
+		}
+		if got := problem.Outcome; got != tc.wantOutcome {
+			t.Errorf("%s: got outcome %q, want %q", tc.name, got, tc.wantOutcome)
+		}
+		if tc.wantStatus == 200 && body != "two pallets" {
+			t.Errorf("%s: got body %q, want the recorded one", tc.name, body)
+		}
+	}
+	if got, want := f.handled.Load(), int64(1); got != want {
+		t.Errorf("runs: got %d, want %d", got, want)
+	}
+}
+
+func TestLateAnswerSettlesPermitAndClaim(t *testing.T) {
+	release := make(chan struct{})
+	f := newFixture(t, func(w http.ResponseWriter, _ *http.Request) {
+		<-release
+		_, _ = io.WriteString(w, "late")
+	})
+	header := map[string]string{headerKey: "order-8", headerDeadline: "100ms"}
+	_, _, problem, err := f.do(testCall{header: header})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got, want := problem.Outcome, api.OutcomeUnknown; got != want {
+		t.Errorf("after the deadline: got %q, want %q", got, want)
+	}
+	if got, want := f.inUse(), 1; got != want {
+		t.Errorf("permits while the run goes on: got %d, want %d", got, want)
+	}
+	_, _, problem, _ = f.do(testCall{header: header})
+	if got, want := problem.Outcome, api.OutcomeRunning; got != want {
+		t.Errorf("repeat while running: got %q, want %q", got, want)
+	}
+	close(release)
+	f.eventually("permit is free", func() bool { return f.inUse() == 0 })
+	f.eventually("repeat has the answer", func() bool {
+		_, body, _, err := f.do(testCall{header: header})
+		return err == nil && body == "late"
+	})
+	if got, want := f.handled.Load(), int64(1); got != want {
+		t.Errorf("runs: got %d, want %d", got, want)
+	}
+}
+
+func TestCutRequestKeepsItsPermitUntilTheLongestRun(t *testing.T) {
+	f := newFixture(t, cut)
+	if _, _, _, err := f.do(testCall{header: map[string]string{headerKey: "order-9"}}); err != nil {
+		t.Fatal(err)
+	}
+	if got, want := f.inUse(), 1; got != want {
+		t.Errorf("permits after a cut: got %d, want %d", got, want)
+	}
+	f.node.Ledger().Tick(time.Now().Add(time.Minute))
+	if got, want := f.inUse(), 0; got != want {
+		t.Errorf("permits after the longest run: got %d, want %d", got, want)
+	}
+}
+
+func TestLargeBodiesStreamBothWays(t *testing.T) {
+	f := newFixture(t, echo)
+	body := strings.Repeat("0123456789abcdef", 1<<18)
+	_, got, problem, err := f.do(testCall{body: body})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got != body {
+		t.Errorf("got %d bytes (%s), want %d", len(got), problem.Reason, len(body))
+	}
+}
+
+func TestUnmarkedRequestMovesToAnotherEndpoint(t *testing.T) {
+	f := newFixture(t, cut, echo, echo)
+	for range 10 {
+		_, body, problem, err := f.do(testCall{body: "bait"})
+		if err != nil {
+			t.Fatal(err)
+		}
+		if got, want := body, "bait"; got != want {
+			t.Errorf("got %q (%s), want %q", got, problem.Reason, want)
+		}
+	}
+}
--- a/internal/entry/header.go
+++ b/internal/entry/header.go
@@ -14,6 +14,8 @@
 	headerTeam     = "Lovagedyke-Team"
 	headerRequest  = "Lovagedyke-Request"
 	headerOutcome  = "Lovagedyke-Outcome"
+	headerRepeated = "Lovagedyke-Repeated"
+	headerRefused  = "Lovagedyke-Endpoint-Refused"
 )
 
 // hopByHop are the headers that concern one connection only (RFC 9110, 7.6.1).
--- /dev/null
+++ b/internal/entry/peers.go
@@ -0,0 +1,77 @@
+package entry
+
+import (
+	"context"
+
+	"github.com/twitchtv/twirp"
+
+	"github.com/lovagedyke/lovagedyke/internal/claim"
+	"github.com/lovagedyke/lovagedyke/internal/node"
+	"github.com/lovagedyke/lovagedyke/internal/peer"
+	"github.com/lovagedyke/lovagedyke/internal/peer/peerpb"
+)
+
+// peerService answers the peer calls of an entry.
+type peerService struct {
+	*node.Service
+	entry *Entry
+}
+
+// Service returns the entry's answers to peers.
+func (e *Entry) Service() peerpb.Peer {
+	return &peerService{Service: e.node.Service(), entry: e}
+}
+
+// Claim decides as the home of an id.
+func (s *peerService) Claim(ctx context.Context, request *peerpb.ClaimRequest) (*peerpb.ClaimReply, error) {
+	answer, err := s.entry.claims.decide(ctx, peer.Claim(request))
+	if err != nil {
+		return nil, unavailable(err)
+	}
+	reply, err := peer.AnswerMessage(answer)
+	if err != nil {
+		return nil, twirp.InternalErrorWith(err)
+	}
+	return reply, nil
+}
+
+// Finish records how a granted attempt ended.
+func (s *peerService) Finish(_ context.Context, request *peerpb.FinishRequest) (*peerpb.FinishReply, error) {
+	record, err := peer.Record(request.GetRecord())
+	if err != nil {
+		return nil, twirp.InvalidArgumentError("record", err.Error())
+	}
+	recorded := s.entry.claims.finishHere(record, claim.State(request.GetState()), peer.Result(request.GetResult()))
+	return &peerpb.FinishReply{Recorded: recorded}, nil
+}
+
+// Release records that a granted attempt is never dispatched.
+func (s *peerService) Release(_ context.Context, request *peerpb.ReleaseRequest) (*peerpb.ReleaseReply, error) {
+	taken := s.entry.claims.releaseHere(peer.ClaimID(request.GetId()), peer.Token(request.GetToken()))
+	return &peerpb.ReleaseReply{Taken: taken}, nil
+}
+
+// Mirror records a claim as its second holder.
+func (s *peerService) Mirror(ctx context.Context, request *peerpb.MirrorRequest) (*peerpb.MirrorReply, error) {
+	record, err := peer.Record(request.GetRecord())
+	if err != nil {
+		return nil, twirp.InvalidArgumentError("record", err.Error())
+	}
+	confirm, err := s.entry.claims.mirror(ctx, claim.AskSecond{
+		To: s.entry.node.Self(), From: peer.Identity(request.GetFrom()),
+		Version: request.GetRosterVersion(), Record: record,
+	})
+	if err != nil {
+		return nil, unavailable(err)
+	}
+	encoded, err := peer.RecordMessage(confirm.Record)
+	if err != nil {
+		return nil, twirp.InternalErrorWith(err)
+	}
+	return &peerpb.MirrorReply{RosterVersion: confirm.Version, Record: encoded, Recorded: confirm.Recorded}, nil
+}
+
+// unavailable tells a peer that this process cannot answer now.
+func unavailable(err error) error {
+	return twirp.NewError(twirp.Unavailable, err.Error())
+}
--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -87,10 +87,16 @@
 	t.settleAnswer(a, rep, whole)
 }
 
-// declined reports whether the endpoint had no room and the call may be
-// repeated elsewhere.
+// declined reports whether the endpoint said that it did not run the call, and
+// the call may be repeated elsewhere.
 func (t *trial) declined(rep reply) bool {
-	return rep.response.StatusCode == http.StatusServiceUnavailable && rep.whole && t.call.repeatable()
+	return refused(rep.response) && t.call.repeatable()
+}
+
+// refused reports whether an answer is an endpoint's word that it did not run
+// the request.
+func refused(response *http.Response) bool {
+	return response.StatusCode == http.StatusServiceUnavailable && response.Header.Get(headerRefused) != ""
 }
 
 // deliver passes the answer to the caller and settles the attempt.
@@ -176,7 +182,7 @@
 		return
 	}
 	now := t.entry.now()
-	t.entry.books.proven(t.call, a, rep, now)
+	t.entry.books.proven(t.entry.runs, t.call, a, rep, now)
 	t.service.done(now, a.endpoint, resultOf(rep.response.StatusCode), now.Sub(a.started))
 	t.admission.end(now)
 	a.cancel()
@@ -188,7 +194,7 @@
 	t.service.done(now, a.endpoint, route.Failed, now.Sub(a.started))
 	a.cancel()
 	if !a.sent.Load() {
-		t.entry.books.notRun(t.call, a, now)
+		t.entry.books.notRun(t.call)
 		t.admission.end(now)
 		return
 	}
--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -9,6 +9,7 @@
 	"github.com/lovagedyke/lovagedyke/internal/retry"
 	"github.com/lovagedyke/lovagedyke/internal/route"
 	"github.com/lovagedyke/lovagedyke/internal/share"
+	"github.com/lovagedyke/lovagedyke/pkg/api"
 )
 
 // service is one service's part of the entry: who starts, where, and whether a
@@ -21,6 +22,7 @@
 	budget    *retry.Budget
 	random    *rand.Rand
 	waiting   map[uint64]chan turn
+	capacity  int
 }
 
 // turn ends a request's wait for a slot.
@@ -64,6 +66,16 @@
 	return true
 }
 
+// refusal refuses work that cannot start before its deadline.
+func (s *service) refusal(retryAfter time.Duration) *api.Problem {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.capacity == 0 {
+		return noEndpoint()
+	}
+	return busy("service-full", "the service cannot start this work before its deadline", retryAfter)
+}
+
 // finish returns a slot.
 func (s *service) finish(now time.Time, id uint64) {
 	s.mu.Lock()
@@ -99,7 +111,8 @@
 func (s *service) tick(now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.act(s.scheduler.SetCapacity(now, s.picker.Capacity(now)))
+	s.capacity = s.picker.Capacity(now)
+	s.act(s.scheduler.SetCapacity(now, s.capacity))
 	s.act(s.scheduler.Tick(now))
 }
 
--- /dev/null
+++ b/internal/entry/snapshot.go
@@ -0,0 +1,44 @@
+package entry
+
+import (
+	"github.com/lovagedyke/lovagedyke/internal/claim"
+	"github.com/lovagedyke/lovagedyke/internal/node"
+	"github.com/lovagedyke/lovagedyke/internal/retry"
+	"github.com/lovagedyke/lovagedyke/internal/route"
+	"github.com/lovagedyke/lovagedyke/internal/share"
+)
+
+// Snapshot is an entry's state dump. It holds no secrets.
+type Snapshot struct {
+	Node     node.Snapshot              `json:"node"`
+	Services map[string]ServiceSnapshot `json:"services"`
+	Claims   claim.Snapshot             `json:"claims"`
+}
+
+// ServiceSnapshot is one service's part of a Snapshot.
+type ServiceSnapshot struct {
+	Capacity int          `json:"capacity"`
+	Share    share.State  `json:"share"`
+	Waiting  int          `json:"waiting"`
+	Route    route.State  `json:"route"`
+	Retries  retry.State  `json:"retries"`
+}
+
+// Snapshot returns the present state.
+func (e *Entry) Snapshot() Snapshot {
+	snapshot := Snapshot{
+		Node:     e.node.Snapshot(),
+		Services: make(map[string]ServiceSnapshot),
+		Claims:   e.claims.snapshot(),
+	}
+	now := e.now()
+	e.eachService(func(name string, s *service) {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		snapshot.Services[name] = ServiceSnapshot{
+			Capacity: s.capacity, Share: s.scheduler.State(), Waiting: len(s.waiting),
+			Route: s.picker.State(now), Retries: s.budget.State(),
+		}
+	})
+	return snapshot
+}
--- a/internal/limit/grant.go
+++ b/internal/limit/grant.go
@@ -2,12 +2,12 @@
 
 import "slices"
 
-// keyPrefix starts the key of every limit row in the table.
-const keyPrefix = "limit/"
+// KeyPrefix starts the key of every limit row in the table.
+const KeyPrefix = "limit/"
 
 // Key returns the key of the table row that holds the team's Grant.
 func Key(team string) string {
-	return keyPrefix + team
+	return KeyPrefix + team
 }
 
 // Member names one incarnation of a process as "<name>/<incarnation>". A
--- /dev/null
+++ b/internal/manager/limits.go
@@ -0,0 +1,181 @@
+package manager
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/lovagedyke/lovagedyke/internal/catalogue"
+	"github.com/lovagedyke/lovagedyke/internal/limit"
+	"github.com/lovagedyke/lovagedyke/internal/peer"
+	"github.com/lovagedyke/lovagedyke/internal/roster"
+	"github.com/lovagedyke/lovagedyke/internal/table"
+)
+
+// freezeTimeout bounds one request to end a generation's trade.
+const freezeTimeout = time.Second
+
+// limitLoop keeps every team's permits divided.
+func (m *Manager) limitLoop(ctx context.Context) {
+	planner := limit.NewPlanner(limit.PlannerConfig{ReportTimeout: reportTimeout})
+	ticker := time.NewTicker(limitInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case report := <-m.reports:
+			planner.Handle(report)
+			continue
+		case <-m.wake:
+		case <-ticker.C:
+		}
+		if err := m.divide(ctx, planner); err != nil && ctx.Err() == nil {
+			m.config.Log.Debug("permits not divided", "reason", err)
+		}
+	}
+}
+
+// divide steps the planner for each team that this manager leads.
+func (m *Manager) divide(ctx context.Context, planner *limit.Planner) error {
+	rows, err := m.node.Store().Scan(ctx, limit.KeyPrefix)
+	if err != nil {
+		return errors.Wrap(err, "read the limits")
+	}
+	byKey := make(map[string]table.Row, len(rows))
+	for _, row := range rows {
+		byKey[row.Key] = row
+	}
+	state := m.node.Configuration().View().State
+	for name, team := range state.Catalogue.Teams {
+		key := limit.Key(name)
+		if !m.leads(key, time.Now()) {
+			continue
+		}
+		if err := m.divideTeam(ctx, planner, state.Catalogue, team, byKey[key]); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// divideTeam steps the planner for one team and carries out its decision.
+func (m *Manager) divideTeam(ctx context.Context, planner *limit.Planner, c catalogue.Catalogue, team catalogue.Team, row table.Row) error {
+	grant := limit.Grant{Team: team.Name}
+	if row.Version != table.Absent {
+		if err := json.Unmarshal(row.Value, &grant); err != nil {
+			return errors.Wrapf(err, "decode row %q", row.Key)
+		}
+	}
+	members, _ := m.node.Roster()
+	decision := planner.Step(time.Now(), limit.View{
+		Row: grant, Limit: team.UpperLimit, LongestRun: longestRun(c, team.Name),
+		Live: live(members), Ended: ended(grant, members),
+	})
+	for _, freeze := range decision.Freezes {
+		m.freeze(ctx, planner, freeze)
+	}
+	if decision.Verdict != limit.Commit {
+		return nil
+	}
+	return m.commitGrant(ctx, decision.Next, row)
+}
+
+// commitGrant writes a team's row on condition of the version that was read.
+func (m *Manager) commitGrant(ctx context.Context, next limit.Grant, row table.Row) error {
+	value, err := json.Marshal(next)
+	if err != nil {
+		return errors.Wrap(err, "encode limit row")
+	}
+	key := limit.Key(next.Team)
+	err = m.node.Store().Commit(ctx, table.Txn{
+		Conditions: []table.Condition{{Key: key, Version: row.Version}},
+		Writes:     []table.Write{{Key: key, Value: value}},
+	})
+	if err != nil {
+		return errors.Wrapf(err, "write row %q", key)
+	}
+	m.config.Log.Info("permits divided", "team", next.Team, "generation", next.Generation, "limit", next.Limit)
+	return nil
+}
+
+// freeze asks a member for its report.
+func (m *Manager) freeze(ctx context.Context, planner *limit.Planner, request limit.FreezeRequest) {
+	if request.To == m.node.Member() {
+		if report, ok := m.node.Ledger().Freeze(request); ok {
+			planner.Handle(report)
+		}
+		return
+	}
+	member, ok := m.findMember(request.To)
+	if !ok {
+		return
+	}
+	message, err := peer.FreezeMessage(request)
+	if err != nil {
+		m.config.Log.Error("freeze not sent", "reason", err)
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, freezeTimeout)
+	defer cancel()
+	reply, err := m.node.Dial(member).Freeze(ctx, message)
+	if err == nil && reply.GetReport() != nil {
+		planner.Handle(peer.Report(reply.GetReport()))
+	}
+}
+
+// findMember returns the roster's member of that name in the permits' rows.
+func (m *Manager) findMember(name limit.Member) (roster.Member, bool) {
+	members, _ := m.node.Roster()
+	for _, member := range members.Members {
+		if member.Identity.String() == string(name) {
+			return member, true
+		}
+	}
+	return roster.Member{}, false
+}
+
+// live returns the processes that should hold permits.
+func live(members roster.Roster) []limit.Member {
+	var names []limit.Member
+	for _, member := range members.Members {
+		if member.State == roster.StateActive {
+			names = append(names, limit.Member(member.Identity.String()))
+		}
+	}
+	return names
+}
+
+// ended returns the row's members that the roster has dropped, which it does
+// on evidence only.
+func ended(grant limit.Grant, members roster.Roster) []limit.Member {
+	present := make(map[limit.Member]bool)
+	for _, member := range members.Members {
+		present[limit.Member(member.Identity.String())] = true
+	}
+	var names []limit.Member
+	for name := range grant.Granted {
+		if !present[name] {
+			names = append(names, name)
+		}
+	}
+	for name := range grant.Carried {
+		if !present[name] {
+			names = append(names, name)
+		}
+	}
+	return names
+}
+
+// longestRun bounds the work of a team: the longest of the entries that it may use.
+func longestRun(c catalogue.Catalogue, team string) time.Duration {
+	longest := time.Duration(0)
+	for _, entry := range c.Entries {
+		if entry.Admits(team) {
+			longest = max(longest, entry.LongestRun)
+		}
+	}
+	return longest
+}
--- /dev/null
+++ b/internal/manager/manager.go
@@ -0,0 +1,144 @@
+// Package manager is the operators' side of each entry host: it commits and
+// pushes configuration, divides permits, and keeps the roster true.
+//
+// Every manager may do all of this at any time: what it writes is conditional
+// on the versions that it read, so that of two managers one wins. To spare the
+// table, the work on one team or row is left to the manager that rendezvous
+// hashing names among those that were heard of lately.
+//
+// # Usage
+//
+//	m := manager.New(manager.Config{Node: n, Hosts: platform, ListLag: 5 * time.Second, Log: log})
+//	n.Add(m)
+//	done := m.Run(ctx)
+package manager
+
+import (
+	"context"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/charmbracelet/log"
+	"github.com/sourcegraph/conc"
+
+	"github.com/lovagedyke/lovagedyke/internal/limit"
+	"github.com/lovagedyke/lovagedyke/internal/node"
+	"github.com/lovagedyke/lovagedyke/internal/peer"
+	"github.com/lovagedyke/lovagedyke/internal/peer/peerpb"
+	"github.com/lovagedyke/lovagedyke/internal/platform"
+	"github.com/lovagedyke/lovagedyke/internal/roster"
+)
+
+const (
+	// limitInterval is the time between two looks at the permits' rows.
+	limitInterval = 300 * time.Millisecond
+	// rosterInterval is the time between two looks at the roster's evidence.
+	rosterInterval = time.Second
+	// reportTimeout is how long a rebase waits for members that do not answer.
+	reportTimeout = 2 * time.Second
+	// silence is the time after which a manager's part falls to the others.
+	silence = 5 * time.Second
+	// reportQueue bounds the permit reports that wait for the planner.
+	reportQueue = 1024
+)
+
+// HostLister returns the platform's lagging list of hosts.
+type HostLister interface {
+	Hosts(ctx context.Context) ([]platform.Host, error)
+}
+
+// Config constructs a Manager.
+type Config struct {
+	Node  *node.Node
+	Hosts HostLister
+	// ListLag is how far the platform's list may be behind the truth.
+	ListLag time.Duration
+	// ClaimRetention is how long former generations of the roster may matter.
+	ClaimRetention time.Duration
+	Log            *log.Logger
+}
+
+// Manager is a node.Part.
+type Manager struct {
+	config  Config
+	node    *node.Node
+	reports chan limit.Report
+	wake    chan struct{}
+}
+
+// New returns a manager over the node.
+func New(config Config) *Manager {
+	return &Manager{
+		config:  config,
+		node:    config.Node,
+		reports: make(chan limit.Report, reportQueue),
+		wake:    make(chan struct{}, 1),
+	}
+}
+
+// Run does the periodic work until the context ends, then delivers one error.
+func (m *Manager) Run(ctx context.Context) <-chan error {
+	done := make(chan error, 1)
+	go func() {
+		var loops conc.WaitGroup
+		loops.Go(func() { m.limitLoop(ctx) })
+		loops.Go(func() { m.rosterLoop(ctx) })
+		loops.Wait()
+		done <- ctx.Err()
+	}()
+	return done
+}
+
+// Service returns the manager's answers to peers.
+func (m *Manager) Service() peerpb.Peer { return m.node.Service() }
+
+// Fill implements node.Part.
+func (m *Manager) Fill(*peerpb.State) {}
+
+// Absorb implements node.Part: it takes reports on permits.
+func (m *Manager) Absorb(_ roster.Identity, state *peerpb.State) {
+	for _, report := range state.GetReports() {
+		m.takeReport(peer.Report(report))
+	}
+}
+
+// RosterChanged implements node.Part.
+func (m *Manager) RosterChanged(roster.Roster, uint64) { m.wakeUp() }
+
+// PermitsChanged implements node.Part.
+func (m *Manager) PermitsChanged() {}
+
+// takeReport hands a report to the planner; one that is lost comes again.
+func (m *Manager) takeReport(report limit.Report) {
+	select {
+	case m.reports <- report:
+	default:
+	}
+}
+
+// wakeUp has the permits looked at before the next interval.
+func (m *Manager) wakeUp() {
+	select {
+	case m.wake <- struct{}{}:
+	default:
+	}
+}
+
+// leads reports whether the work on a row is this manager's.
+func (m *Manager) leads(row string, now time.Time) bool {
+	best, weight := m.node.Self().Name, weigh(row, m.node.Self().Name)
+	for _, peer := range m.node.Peers() {
+		if peer.Role != roster.RoleManager || peer.State != roster.StateActive || now.Sub(peer.Heard) > silence {
+			continue
+		}
+		if other := weigh(row, peer.Name); other > weight {
+			best, weight = peer.Name, other
+		}
+	}
+	return best == m.node.Self().Name
+}
+
+// weigh is the rendezvous weight of a manager for a row.
+func weigh(row, name string) uint64 {
+	return xxhash.Sum64String(row + "\x00" + name)
+}
--- /dev/null
+++ b/internal/node/gossip.go
@@ -0,0 +1,220 @@
+package node
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"github.com/lovagedyke/lovagedyke/internal/limit"
+	"github.com/lovagedyke/lovagedyke/internal/peer"
+	"github.com/lovagedyke/lovagedyke/internal/peer/peerpb"
+	"github.com/lovagedyke/lovagedyke/internal/roster"
+)
+
+// exchangeTimeout bounds one exchange of states.
+const exchangeTimeout = time.Second
+
+// peerView is what is known of one other member.
+type peerView struct {
+	busy atomic.Bool
+	// Guarded by Node.mu.
+	heard   time.Time
+	inForce uint64
+	idle    map[string]int
+}
+
+// PeerStatus is one other member in the state dump.
+type PeerStatus struct {
+	roster.Member
+	Heard   time.Time `json:"heard"`
+	InForce uint64    `json:"revision-in-force"`
+}
+
+// gossipLoop exchanges states with every other member each interval.
+func (n *Node) gossipLoop(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(jitter(n.config.GossipInterval)):
+		}
+		n.ledger.Tick(time.Now())
+		n.permitsChanged()
+		n.gossip(ctx)
+		n.askForAll(ctx)
+	}
+}
+
+// gossip starts an exchange with each member that has none under way.
+func (n *Node) gossip(ctx context.Context) {
+	members, _ := n.Roster()
+	for _, member := range members.Members {
+		if member.Identity == n.config.Self.Identity {
+			continue
+		}
+		view := n.view(member.Identity)
+		if !view.busy.CompareAndSwap(false, true) {
+			continue
+		}
+		n.exchanges.Go(func() {
+			defer view.busy.Store(false)
+			n.exchange(ctx, member)
+		})
+	}
+}
+
+// exchange trades states with one member.
+func (n *Node) exchange(ctx context.Context, member roster.Member) {
+	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
+	defer cancel()
+	started := time.Now()
+	reply, err := n.Dial(member).Exchange(ctx, n.state(started))
+	if err != nil {
+		return
+	}
+	// Another process may stand at the member's address by now.
+	if peer.Identity(reply.GetFrom()) != member.Identity {
+		return
+	}
+	n.configuration.Heard(started, peer.Statement(reply.GetFrom(), reply.GetConfiguration()))
+	n.absorb(reply)
+}
+
+// state returns what this process tells a peer.
+func (n *Node) state(now time.Time) *peerpb.State {
+	members, _ := n.Roster()
+	view := n.configuration.View()
+	state := &peerpb.State{
+		From:          peer.IdentityMessage(n.config.Self.Identity),
+		RosterVersion: members.Version,
+		Configuration: peer.StatementMessage(n.configuration.Statement(now), view.State.Revision),
+	}
+	for team := range view.State.Catalogue.Teams {
+		status := n.ledger.Status(team)
+		state.Permits = append(state.Permits, &peerpb.Permits{
+			Team: team, Generation: status.Generation,
+			Holding: int32(status.Holding), InUse: int32(status.InUse), Idle: int32(status.Idle),
+		})
+	}
+	for _, transfer := range n.ledger.Resend() {
+		state.Transfers = append(state.Transfers, peer.TransferMessage(transfer))
+	}
+	for _, report := range n.ledger.Reports() {
+		state.Reports = append(state.Reports, peer.ReportMessage(report))
+	}
+	for _, part := range n.parts {
+		part.Fill(state)
+	}
+	return state
+}
+
+// absorb takes a peer's state.
+func (n *Node) absorb(state *peerpb.State) {
+	from := peer.Identity(state.GetFrom())
+	members, _ := n.Roster()
+	if state.GetRosterVersion() > members.Version {
+		n.PollNow()
+	}
+	if !members.Contains(from) {
+		return
+	}
+	n.note(from, state)
+	if state.GetConfiguration().GetRevision() > n.configuration.View().State.Revision {
+		n.PollNow()
+	}
+	for _, transfer := range state.GetTransfers() {
+		n.ledger.Receive(peer.Transfer(transfer))
+	}
+	if len(state.GetTransfers()) > 0 {
+		n.permitsChanged()
+	}
+	for _, part := range n.parts {
+		part.Absorb(from, state)
+	}
+}
+
+// note keeps what the peer said of itself.
+func (n *Node) note(from roster.Identity, state *peerpb.State) {
+	idle := make(map[string]int, len(state.GetPermits()))
+	for _, permits := range state.GetPermits() {
+		idle[permits.GetTeam()] = int(permits.GetIdle())
+	}
+	view := n.view(from)
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	view.heard = time.Now()
+	view.inForce = max(view.inForce, state.GetConfiguration().GetInForce())
+	view.idle = idle
+}
+
+// view returns what is known of a member.
+func (n *Node) view(id roster.Identity) *peerView {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	view, ok := n.peers[id]
+	if !ok {
+		view = &peerView{}
+		n.peers[id] = view
+	}
+	return view
+}
+
+// forgetPeers drops what is known of processes that left the roster.
+func (n *Node) forgetPeers(members roster.Roster) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for id := range n.peers {
+		if !members.Contains(id) {
+			delete(n.peers, id)
+		}
+	}
+}
+
+// InForce returns the members that have confirmed the revision and the others.
+func (n *Node) InForce(wanted uint64) (confirmed, missing []string) {
+	members, _ := n.Roster()
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for _, member := range members.Members {
+		inForce := n.configuration.View().State.Revision
+		if member.Identity != n.config.Self.Identity {
+			inForce = 0
+			if view, ok := n.peers[member.Identity]; ok {
+				inForce = view.inForce
+			}
+		}
+		if inForce >= wanted {
+			confirmed = append(confirmed, member.Name)
+		} else {
+			missing = append(missing, member.Name)
+		}
+	}
+	return confirmed, missing
+}
+
+// Peers returns the other members for the state dump.
+func (n *Node) Peers() []PeerStatus {
+	members, _ := n.Roster()
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	var peers []PeerStatus
+	for _, member := range members.Members {
+		if view, ok := n.peers[member.Identity]; ok {
+			peers = append(peers, PeerStatus{Member: member, Heard: view.heard, InForce: view.inForce})
+		}
+	}
+	return peers
+}
+
+// idlePermits returns the team's idle permits at each peer.
+func (n *Node) idlePermits(team string) map[limit.Member]int {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	idle := make(map[limit.Member]int, len(n.peers))
+	for id, view := range n.peers {
+		if count := view.idle[team]; count > 0 {
+			idle[limit.Member(id.String())] = count
+		}
+	}
+	return idle
+}
--- /dev/null
+++ b/internal/node/permits.go
@@ -0,0 +1,90 @@
+package node
+
+import (
+	"context"
+	"time"
+
+	"github.com/lovagedyke/lovagedyke/internal/limit"
+	"github.com/lovagedyke/lovagedyke/internal/peer"
+	"github.com/lovagedyke/lovagedyke/internal/roster"
+)
+
+// askTimeout bounds one request for permits.
+const askTimeout = 500 * time.Millisecond
+
+// Short tells that the team has no idle permit here, to ask peers at once.
+func (n *Node) Short(team string) {
+	select {
+	case n.asks <- team:
+	default:
+		// The next gossip round asks for all teams.
+	}
+}
+
+// askLoop asks peers for permits as soon as a team is short of them.
+func (n *Node) askLoop(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case team := <-n.asks:
+			n.ask(ctx, team)
+		}
+	}
+}
+
+// askForAll asks for every team that needs more than it holds.
+func (n *Node) askForAll(ctx context.Context) {
+	for team := range n.configuration.View().State.Catalogue.Teams {
+		n.ask(ctx, team)
+	}
+}
+
+// ask requests permits of a team from the peers that have idle ones.
+func (n *Node) ask(ctx context.Context, team string) {
+	idle := n.idlePermits(team)
+	if len(idle) == 0 {
+		return
+	}
+	for _, ask := range n.ledger.Wanted(team, idle) {
+		member, ok := n.findMember(ask.To)
+		if !ok {
+			continue
+		}
+		n.spend(member.Identity, team, ask.Want)
+		n.askMember(ctx, member, ask)
+	}
+}
+
+// askMember makes one request and takes over what is given.
+func (n *Node) askMember(ctx context.Context, member roster.Member, ask limit.Ask) {
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	reply, err := n.Dial(member).Ask(ctx, peer.AskMessage(ask))
+	if err != nil || reply.GetTransfer() == nil {
+		// What was given comes again with the next exchange.
+		return
+	}
+	n.ledger.Receive(peer.Transfer(reply.GetTransfer()))
+	n.permitsChanged()
+}
+
+// spend lowers what a peer is believed to have idle, until it says anew.
+func (n *Node) spend(id roster.Identity, team string, count int) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if view, ok := n.peers[id]; ok {
+		view.idle[team] -= count
+	}
+}
+
+// findMember returns the roster's member of that name in the permits' rows.
+func (n *Node) findMember(name limit.Member) (roster.Member, bool) {
+	members, _ := n.Roster()
+	for _, member := range members.Members {
+		if member.Identity.String() == string(name) {
+			return member, true
+		}
+	}
+	return roster.Member{}, false
+}
--- /dev/null
+++ b/internal/node/poll.go
@@ -0,0 +1,122 @@
+package node
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/lovagedyke/lovagedyke/internal/limit"
+	"github.com/lovagedyke/lovagedyke/internal/revision"
+	"github.com/lovagedyke/lovagedyke/internal/roster"
+)
+
+// pollTimeout bounds one reading of the table.
+const pollTimeout = 2 * time.Second
+
+// PollNow asks for a reading of the table before the next interval.
+func (n *Node) PollNow() {
+	select {
+	case n.pollNow <- struct{}{}:
+	default:
+	}
+}
+
+// pollLoop reads the table each interval, as the backstop of what is pushed.
+func (n *Node) pollLoop(ctx context.Context) {
+	for {
+		timer := time.NewTimer(jitter(n.config.PollInterval))
+		select {
+		case <-ctx.Done():
+			timer.Stop()
+			return
+		case <-n.pollNow:
+			timer.Stop()
+		case <-timer.C:
+		}
+		if err := n.poll(ctx); err != nil && ctx.Err() == nil {
+			n.config.Log.Debug("table not read", "reason", err)
+		}
+	}
+}
+
+// poll reads roster, revision and permits.
+func (n *Node) poll(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, pollTimeout)
+	defer cancel()
+	if err := n.pollHead(ctx); err != nil {
+		return err
+	}
+	return n.pollLimits(ctx)
+}
+
+// pollHead reads roster and revision in one consistent call.
+func (n *Node) pollHead(ctx context.Context) error {
+	started := time.Now()
+	rows, err := n.config.Store.Get(ctx, revision.HeadKey, roster.Key)
+	if err != nil {
+		return errors.Wrap(err, "read the head")
+	}
+	newest, err := revision.HeadRevision(rows[0])
+	if err != nil {
+		return err
+	}
+	members, err := roster.Decode(rows[1].Value)
+	if err != nil {
+		return err
+	}
+	n.seeRoster(members, rows[1].Version)
+	n.configuration.Read(started, newest, managersOf(members))
+	if newest > n.configuration.View().State.Revision {
+		return n.load(ctx)
+	}
+	return nil
+}
+
+// load reads the whole configuration.
+func (n *Node) load(ctx context.Context) error {
+	state, err := revision.Load(ctx, n.config.Store)
+	if err != nil {
+		return errors.Wrap(err, "load the configuration")
+	}
+	if n.configuration.Offer(state) {
+		n.config.Log.Info("configuration in force", "revision", state.Revision, "source", "table")
+	}
+	return nil
+}
+
+// pollLimits reads the teams' permits.
+func (n *Node) pollLimits(ctx context.Context) error {
+	rows, err := n.config.Store.Scan(ctx, limit.KeyPrefix)
+	if err != nil {
+		return errors.Wrap(err, "read the limits")
+	}
+	for _, row := range rows {
+		var grant limit.Grant
+		if err := json.Unmarshal(row.Value, &grant); err != nil {
+			return errors.Wrapf(err, "decode row %q", row.Key)
+		}
+		n.ledger.Adopt(grant)
+	}
+	n.permitsChanged()
+	return nil
+}
+
+// permitsChanged tells the parts that permits may have come in.
+func (n *Node) permitsChanged() {
+	for _, part := range n.parts {
+		part.PermitsChanged()
+	}
+}
+
+// managersOf returns the members that may commit configuration changes.
+func managersOf(members roster.Roster) []revision.Member {
+	var managers []revision.Member
+	for _, member := range members.Members {
+		if member.Role == roster.RoleManager {
+			managers = append(managers, revision.Member(member.Identity))
+		}
+	}
+	return managers
+}
--- /dev/null
+++ b/internal/node/service.go
@@ -0,0 +1,87 @@
+package node
+
+import (
+	"context"
+	"time"
+
+	"github.com/twitchtv/twirp"
+
+	"github.com/lovagedyke/lovagedyke/internal/peer"
+	"github.com/lovagedyke/lovagedyke/internal/peer/peerpb"
+)
+
+// Service answers the peer calls that every process answers. Processes that
+// hold claims embed it and replace the other methods.
+type Service struct {
+	node *Node
+}
+
+// Service returns the node's answers to peers.
+func (n *Node) Service() *Service { return &Service{node: n} }
+
+// Exchange takes a peer's state and returns the node's own.
+func (s *Service) Exchange(_ context.Context, state *peerpb.State) (*peerpb.State, error) {
+	s.node.absorb(state)
+	return s.node.state(time.Now()), nil
+}
+
+// Push takes a committed change of the configuration.
+func (s *Service) Push(_ context.Context, request *peerpb.PushRequest) (*peerpb.PushReply, error) {
+	change := peer.Change(request)
+	if s.node.configuration.OfferChange(change) {
+		s.node.config.Log.Info("configuration in force", "revision", change.Revision, "source", "push")
+	} else if change.Revision > s.node.configuration.View().State.Revision {
+		s.node.PollNow()
+	}
+	return &peerpb.PushReply{Revision: s.node.configuration.View().State.Revision}, nil
+}
+
+// Ask gives permits to a peer.
+func (s *Service) Ask(_ context.Context, request *peerpb.AskRequest) (*peerpb.AskReply, error) {
+	transfer, ok := s.node.ledger.Give(peer.Ask(request))
+	if !ok {
+		return &peerpb.AskReply{}, nil
+	}
+	return &peerpb.AskReply{Transfer: peer.TransferMessage(transfer)}, nil
+}
+
+// Freeze ends the trade of a generation of permits.
+func (s *Service) Freeze(_ context.Context, request *peerpb.FreezeRequest) (*peerpb.FreezeReply, error) {
+	freeze, err := peer.Freeze(request)
+	if err != nil {
+		return nil, twirp.InvalidArgumentError("row", err.Error())
+	}
+	report, ok := s.node.ledger.Freeze(freeze)
+	if !ok {
+		return &peerpb.FreezeReply{}, nil
+	}
+	return &peerpb.FreezeReply{Report: peer.ReportMessage(report)}, nil
+}
+
+// errNoClaims answers calls on claims at a process that holds none.
+var errNoClaims = twirp.NewError(twirp.Unimplemented, "this process holds no claims")
+
+// Claim implements peerpb.Peer.
+func (s *Service) Claim(context.Context, *peerpb.ClaimRequest) (*peerpb.ClaimReply, error) {
+	return nil, errNoClaims
+}
+
+// Finish implements peerpb.Peer.
+func (s *Service) Finish(context.Context, *peerpb.FinishRequest) (*peerpb.FinishReply, error) {
+	return nil, errNoClaims
+}
+
+// Release implements peerpb.Peer.
+func (s *Service) Release(context.Context, *peerpb.ReleaseRequest) (*peerpb.ReleaseReply, error) {
+	return nil, errNoClaims
+}
+
+// Mirror implements peerpb.Peer.
+func (s *Service) Mirror(context.Context, *peerpb.MirrorRequest) (*peerpb.MirrorReply, error) {
+	return nil, errNoClaims
+}
+
+// KeepCharges implements peerpb.Peer.
+func (s *Service) KeepCharges(context.Context, *peerpb.KeepChargesRequest) (*peerpb.KeepChargesReply, error) {
+	return nil, errNoClaims
+}
--- /dev/null
+++ b/internal/port/port.go
@@ -0,0 +1,187 @@
+// Package port listens and serves HTTP with limits on connections, headers and
+// time, and stops without cutting a request.
+//
+// # Usage
+//
+//	p, err := port.Open(port.Config{Name: "caller", Address: address, Handler: handler})
+//	...
+//	p.Drain()                // answers tell the caller to close its connection
+//	err = p.Shutdown(ctx)    // waits for requests in flight
+package port
+
+import (
+	"context"
+	"crypto/tls"
+	"io"
+	stdlog "log"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// Defaults of Config.
+const (
+	DefaultMaxConnections    = 4096
+	DefaultMaxHeader         = 32 << 10 // bytes
+	DefaultReadHeaderTimeout = 5 * time.Second
+	DefaultIdleTimeout       = 2 * time.Minute
+)
+
+// Config describes a port; zero values take the defaults.
+type Config struct {
+	Name    string
+	Address netip.AddrPort
+	Handler http.Handler
+	// TLS is nil for plain HTTP.
+	TLS               *tls.Config
+	MaxConnections    int
+	MaxHeader         int
+	ReadHeaderTimeout time.Duration
+	IdleTimeout       time.Duration
+	// ReadTimeout bounds reading a whole request; 0 sets no bound, for ports
+	// whose bodies stream.
+	ReadTimeout time.Duration
+}
+
+// withDefaults fills in what is not set.
+func (c Config) withDefaults() Config {
+	if c.MaxConnections == 0 {
+		c.MaxConnections = DefaultMaxConnections
+	}
+	if c.MaxHeader == 0 {
+		c.MaxHeader = DefaultMaxHeader
+	}
+	if c.ReadHeaderTimeout == 0 {
+		c.ReadHeaderTimeout = DefaultReadHeaderTimeout
+	}
+	if c.IdleTimeout == 0 {
+		c.IdleTimeout = DefaultIdleTimeout
+	}
+	return c
+}
+
+// Port is an open port.
+type Port struct {
+	config   Config
+	server   *http.Server
+	address  netip.AddrPort
+	draining atomic.Bool
+	done     chan error
+}
+
+// Open listens and serves in a goroutine of its own, until Shutdown or Close.
+func Open(config Config) (*Port, error) {
+	config = config.withDefaults()
+	listener, err := net.Listen("tcp", config.Address.String())
+	if err != nil {
+		return nil, errors.Wrapf(err, "listen on the %s port", config.Name)
+	}
+	p := &Port{config: config, done: make(chan error, 1)}
+	p.address = listener.Addr().(*net.TCPAddr).AddrPort()
+	p.server = &http.Server{
+		Handler:           http.HandlerFunc(p.serve),
+		TLSConfig:         config.TLS,
+		MaxHeaderBytes:    config.MaxHeader,
+		ReadHeaderTimeout: config.ReadHeaderTimeout,
+		ReadTimeout:       config.ReadTimeout,
+		IdleTimeout:       config.IdleTimeout,
+		ErrorLog:          stdlog.New(io.Discard, "", 0),
+	}
+	limited := newLimitListener(listener, config.MaxConnections)
+	go func() { p.done <- p.listen(limited) }()
+	return p, nil
+}
+
+// listen serves until the server is closed.
+func (p *Port) listen(listener net.Listener) error {
+	var err error
+	if p.config.TLS != nil {
+		err = p.server.ServeTLS(listener, "", "")
+	} else {
+		err = p.server.Serve(listener)
+	}
+	if errors.Is(err, http.ErrServerClosed) {
+		return nil
+	}
+	return errors.Wrapf(err, "serve the %s port", p.config.Name)
+}
+
+// serve passes a request on; while draining it asks the caller to close.
+func (p *Port) serve(w http.ResponseWriter, r *http.Request) {
+	if p.draining.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	p.config.Handler.ServeHTTP(w, r)
+}
+
+// Address returns the address that the port listens on.
+func (p *Port) Address() netip.AddrPort { return p.address }
+
+// Done delivers the error that ended serving, nil after Shutdown or Close.
+func (p *Port) Done() <-chan error { return p.done }
+
+// Drain has every further answer close its connection, while the port still
+// takes requests. Idle connections stay open: closing one could cut a request
+// that is on its way.
+func (p *Port) Drain() { p.draining.Store(true) }
+
+// Shutdown takes no new connection and waits for the requests in flight.
+func (p *Port) Shutdown(ctx context.Context) error {
+	return errors.Wrapf(p.server.Shutdown(ctx), "drain the %s port", p.config.Name)
+}
+
+// Close cuts what is left.
+func (p *Port) Close() error { return p.server.Close() }
+
+// limitListener takes at most a number of connections at a time; more wait in
+// the listen queue.
+type limitListener struct {
+	net.Listener
+	tokens chan struct{}
+	closed chan struct{}
+	once   sync.Once
+}
+
+// newLimitListener returns a listener for at most n connections at a time.
+func newLimitListener(listener net.Listener, n int) *limitListener {
+	return &limitListener{Listener: listener, tokens: make(chan struct{}, n), closed: make(chan struct{})}
+}
+
+// Accept implements net.Listener.
+func (l *limitListener) Accept() (net.Conn, error) {
+	select {
+	case l.tokens <- struct{}{}:
+	case <-l.closed:
+		return nil, net.ErrClosed
+	}
+	conn, err := l.Listener.Accept()
+	if err != nil {
+		<-l.tokens
+		return nil, err
+	}
+	return &limitConn{Conn: conn, release: sync.OnceFunc(func() { <-l.tokens })}, nil
+}
+
+// Close implements net.Listener.
+func (l *limitListener) Close() error {
+	l.once.Do(func() { close(l.closed) })
+	return l.Listener.Close()
+}
+
+// limitConn returns its token when it is closed.
+type limitConn struct {
+	net.Conn
+	release func()
+}
+
+// Close implements net.Conn.
+func (c *limitConn) Close() error {
+	err := c.Conn.Close()
+	c.release()
+	return err
+}
--- /dev/null
+++ b/internal/port/port_test.go
@@ -0,0 +1,136 @@
+package port_test
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"strings"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+
+	"github.com/lovagedyke/lovagedyke/internal/port"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+func open(t *testing.T, config port.Config) *port.Port {
+	t.Helper()
+	config.Name = "test"
+	config.Address = netip.MustParseAddrPort("127.0.0.1:0")
+	p, err := port.Open(config)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = p.Close(); <-p.Done() })
+	return p
+}
+
+func TestShutdownWaitsForRequestsInFlight(t *testing.T) {
+	entered, release := make(chan struct{}), make(chan struct{})
+	p := open(t, port.Config{Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		close(entered)
+		<-release
+		_, _ = io.WriteString(w, "whole")
+	})})
+	body := make(chan string, 1)
+	go func() {
+		answer, err := http.Get("http://" + p.Address().String())
+		if err != nil {
+			body <- err.Error()
+			return
+		}
+		defer answer.Body.Close()
+		text, _ := io.ReadAll(answer.Body)
+		body <- string(text)
+	}()
+	<-entered
+	p.Drain()
+	stopped := make(chan error, 1)
+	go func() { stopped <- p.Shutdown(context.Background()) }()
+	close(release)
+	if got, want := <-body, "whole"; got != want {
+		t.Errorf("answer in flight: got %q, want %q", got, want)
+	}
+	if err := <-stopped; err != nil {
+		t.Errorf("shutdown: got %v, want no error", err)
+	}
+	http.DefaultClient.CloseIdleConnections()
+}
+
+func TestDrainAsksTheCallerToClose(t *testing.T) {
+	p := open(t, port.Config{Handler: http.HandlerFunc(func(http.ResponseWriter, *http.Request) {})})
+	for _, want := range []bool{false, true} {
+		answer, err := http.Get("http://" + p.Address().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		_ = answer.Body.Close()
+		if got := answer.Close; got != want {
+			t.Errorf("connection closes: got %v, want %v", got, want)
+		}
+		p.Drain()
+	}
+	http.DefaultClient.CloseIdleConnections()
+}
+
+func TestLimits(t *testing.T) {
+	tests := map[string]struct {
+		config port.Config
+		send   string
+		want   string
+	}{
+		"large header": {
+			config: port.Config{MaxHeader: 1 << 10},
+			send:   "GET / HTTP/1.1\r\nHost: a\r\nX: " + strings.Repeat("x", 16<<10) + "\r\n\r\n",
+			want:   "HTTP/1.1 431",
+		},
+		"slow header": {
+			config: port.Config{ReadHeaderTimeout: 50 * time.Millisecond},
+			send:   "GET / HTTP/1.1\r\nHost:",
+			want:   "",
+		},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			tc.config.Handler = http.NotFoundHandler()
+			p := open(t, tc.config)
+			conn, err := net.Dial("tcp", p.Address().String())
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer conn.Close()
+			_, _ = io.WriteString(conn, tc.send)
+			got, _ := io.ReadAll(conn)
+			if !strings.HasPrefix(string(got), tc.want) {
+				t.Errorf("got %q, want it to begin with %q", got, tc.want)
+			}
+		})
+	}
+}
+
+func TestConnectionsBeyondTheLimitWait(t *testing.T) {
+	p := open(t, port.Config{MaxConnections: 1, Handler: http.NotFoundHandler()})
+	first, err := net.Dial("tcp", p.Address().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	second, err := net.Dial("tcp", p.Address().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer second.Close()
+	_, _ = io.WriteString(second, "GET / HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n")
+	_ = second.SetReadDeadline(time.Now().Add(50 * time.Millisecond))
+	if n, _ := second.Read(make([]byte, 1)); n != 0 {
+		t.Error("second connection: got an answer, want it to wait for the first")
+	}
+	_ = first.Close()
+	_ = second.SetReadDeadline(time.Now().Add(10 * time.Second))
+	if got, _ := io.ReadAll(second); !strings.HasPrefix(string(got), "HTTP/1.1 404") {
+		t.Errorf("after the first was closed: got %q, want 404", got)
+	}
+}
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -74,6 +74,8 @@
 // Member is one process of the deployment.
 type Member struct {
 	Identity
+	// Host is the name of its host in the platform's list.
+	Host       string         `json:"host"`
 	Role       Role           `json:"role"`
 	Address    netip.AddrPort `json:"address"`
 	DataCentre string         `json:"data-centre"`
