--- a/internal/standin/worker/job.go
+++ b/internal/standin/worker/job.go
@@ -66,7 +66,7 @@
 	done := t.rate > 0 && !end.After(now)
 	switch {
 	case !t.lease.After(now) && !(done && end.Before(t.lease)):
-		t.finish(api.Lapsed, t.lease, "lease lapsed")
+		t.finish(api.Lapsed, t.lease, "lease-lapsed")
 	case done && t.job.Fail != "":
 		t.finish(api.Failed, end, t.job.Fail)
 	case done:
--- a/internal/standin/worker/runner.go
+++ b/internal/standin/worker/runner.go
@@ -40,12 +40,12 @@
 // refusal is a reason for not doing what was asked; empty when it was done.
 type refusal string
 
-// admit checks a caller's epoch and remembers the greatest one of each queue.
-func (r *runner) admit(queue string, epoch uint64) refusal {
-	if epoch < r.epochs[queue] {
+// admit checks a caller's epoch and remembers the greatest one of each shard.
+func (r *runner) admit(shard string, epoch uint64) refusal {
+	if epoch < r.epochs[shard] {
 		return api.ReasonStaleEpoch
 	}
-	r.epochs[queue] = epoch
+	r.epochs[shard] = epoch
 	return ""
 }
 
@@ -54,7 +54,10 @@
 	if start.Incarnation != "" && start.Incarnation != r.cfg.Incarnation {
 		return api.Status{}, api.ReasonOtherIncarnation
 	}
-	if why := r.admit(start.Queue, start.Epoch); why != "" {
+	if start.Shard == "" {
+		start.Shard = start.Queue
+	}
+	if why := r.admit(start.Shard, start.Epoch); why != "" {
 		return api.Status{}, why
 	}
 	r.advance(now)
@@ -73,17 +76,17 @@
 	}
 	r.tasks[start.ID] = started
 	if r.faults.FailEverything {
-		started.finish(api.Failed, now, "worker fails everything")
+		started.finish(api.Failed, now, "worker-fails-everything")
 	}
 	if r.used().Memory > r.cfg.Capacity.Memory {
-		started.finish(api.Failed, now, "out of memory")
+		started.finish(api.Failed, now, api.ReasonOutOfMemory)
 	}
 	return r.status(now, started), ""
 }
 
 // act carries out an order on a task.
 func (r *runner) act(now time.Time, id, action string, order api.Order) (api.Status, refusal) {
-	if why := r.admit(order.Queue, order.Epoch); why != "" {
+	if why := r.admit(order.Shard, order.Epoch); why != "" {
 		return api.Status{}, why
 	}
 	r.advance(now)
@@ -116,6 +119,27 @@
 	}
 }
 
+// renew extends the leases of all named tasks that run.
+func (r *runner) renew(now time.Time, renewal api.Renewal) (api.Renewed, refusal) {
+	if why := r.admit(renewal.Shard, renewal.Epoch); why != "" {
+		return api.Renewed{}, why
+	}
+	r.advance(now)
+	renewed := api.Renewed{Incarnation: r.cfg.Incarnation, Tasks: []api.Status{}}
+	order := api.Order{Epoch: renewal.Epoch, Lease: renewal.Lease}
+	for _, id := range renewal.IDs {
+		known, ok := r.tasks[id]
+		if !ok {
+			continue
+		}
+		if known.state == api.Running {
+			known.obey(now, api.RenewAction, order)
+		}
+		renewed.Tasks = append(renewed.Tasks, r.status(now, known))
+	}
+	return renewed, ""
+}
+
 // lookUp returns a task's status.
 func (r *runner) lookUp(now time.Time, id string) (api.Status, refusal) {
 	r.advance(now)
--- a/internal/standin/worker/worker.go
+++ b/internal/standin/worker/worker.go
@@ -98,6 +98,7 @@
 	router := httprouter.New()
 	router.POST(api.TasksPath, s.start)
 	router.GET(api.TasksPath, s.report)
+	router.POST(api.RenewPath, s.renew)
 	// Ids hold slashes, so that the action is the last element of the path.
 	router.GET(api.TasksPath+"/*id", s.status)
 	router.POST(api.TasksPath+"/*id", s.act)
@@ -118,7 +119,7 @@
 	if start.Task == "" {
 		start.Task = start.ID
 	}
-	s.do(w, func(now time.Time) (api.Status, refusal) { return s.runner.start(now, start) })
+	s.do(w, func(now time.Time) (any, refusal) { return s.runner.start(now, start) })
 }
 
 func (s *Server) act(w http.ResponseWriter, r *http.Request, params httprouter.Params) {
@@ -133,12 +134,20 @@
 	if !web.ReadJSON(w, r, &order) {
 		return
 	}
-	s.do(w, func(now time.Time) (api.Status, refusal) { return s.runner.act(now, id, action, order) })
+	s.do(w, func(now time.Time) (any, refusal) { return s.runner.act(now, id, action, order) })
 }
 
 func (s *Server) status(w http.ResponseWriter, _ *http.Request, params httprouter.Params) {
 	id := params.ByName("id")[1:]
-	s.do(w, func(now time.Time) (api.Status, refusal) { return s.runner.lookUp(now, id) })
+	s.do(w, func(now time.Time) (any, refusal) { return s.runner.lookUp(now, id) })
+}
+
+func (s *Server) renew(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
+	var renewal api.Renewal
+	if !web.ReadJSON(w, r, &renewal) {
+		return
+	}
+	s.do(w, func(now time.Time) (any, refusal) { return s.runner.renew(now, renewal) })
 }
 
 func (s *Server) report(w http.ResponseWriter, _ *http.Request, _ httprouter.Params) {
@@ -149,10 +158,10 @@
 }
 
 // do runs one call on the runner and answers with its outcome.
-func (s *Server) do(w http.ResponseWriter, call func(time.Time) (api.Status, refusal)) {
+func (s *Server) do(w http.ResponseWriter, call func(time.Time) (any, refusal)) {
 	s.awaitPause()
 	s.mu.Lock()
-	status, why := call(s.now())
+	answer, why := call(s.now())
 	lost := s.runner.faults.LoseAnswers > 0
 	if lost {
 		s.runner.faults.LoseAnswers--
@@ -162,7 +171,7 @@
 	case lost:
 		panic(http.ErrAbortHandler) // The server's own way to cut a connection.
 	case why == "":
-		web.WriteJSON(w, http.StatusOK, status)
+		web.WriteJSON(w, http.StatusOK, answer)
 	default:
 		web.WriteJSON(w, refusalStatus(why), api.Refusal{Reason: string(why)})
 	}
--- a/internal/standin/worker/worker_test.go
+++ b/internal/standin/worker/worker_test.go
@@ -108,7 +108,7 @@
 }
 
 func TestLife(t *testing.T) {
-	order := api.Order{Queue: "orders", Epoch: 5, Lease: duration.New(lease)}
+	order := api.Order{Shard: "orders", Epoch: 5, Lease: duration.New(lease)}
 	tests := map[string]struct {
 		job  string
 		act  func(context.Context, *bench) (api.Status, error)
@@ -127,10 +127,18 @@
 		}},
 		"renewed": {wait: lease, want: api.Running, act: func(ctx context.Context, b *bench) (api.Status, error) {
 			b.now = b.now.Add(time.Second)
-			return b.client.Renew(ctx, b.address, id, api.Order{Queue: "orders", Epoch: 6, Lease: duration.New(time.Hour)})
+			return b.client.Renew(ctx, b.address, id, api.Order{Shard: "orders", Epoch: 6, Lease: duration.New(time.Hour)})
+		}},
+		"renewed with others": {wait: lease, want: api.Running, act: func(ctx context.Context, b *bench) (api.Status, error) {
+			b.now = b.now.Add(time.Second)
+			renewed, err := b.client.RenewAll(ctx, b.address, api.Renewal{Shard: "orders", Epoch: 5, Lease: duration.New(time.Hour), IDs: []string{"none", id}})
+			if len(renewed.Tasks) != 1 {
+				return api.Status{}, errors.Newf("%d tasks in %+v", len(renewed.Tasks), renewed)
+			}
+			return renewed.Tasks[0], err
 		}},
 		"throttled": {job: `{"run-time":"1s"}`, wait: 2 * time.Second, want: api.Running, act: func(ctx context.Context, b *bench) (api.Status, error) {
-			return b.client.Throttle(ctx, b.address, id, api.Order{Queue: "orders", Epoch: 5, Rate: 0.25})
+			return b.client.Throttle(ctx, b.address, id, api.Order{Shard: "orders", Epoch: 5, Rate: 0.25})
 		}},
 	}
 	for name, tc := range tests {
@@ -161,7 +169,7 @@
 func TestStopBeforeStart(t *testing.T) {
 	ctx := context.Background()
 	b := newBench(t)
-	order := api.Order{Queue: "orders", Epoch: 5}
+	order := api.Order{Shard: "orders", Epoch: 5}
 	if _, err := b.client.Stop(ctx, b.address, id, order); err != nil {
 		t.Fatal(err)
 	}
--- a/internal/worker/api.go
+++ b/internal/worker/api.go
@@ -10,6 +10,7 @@
 // TasksPath/<id>/<action>.
 const (
 	TasksPath        = "/tasks"
+	RenewPath        = "/renew"
 	RenewAction      = "renew"
 	StopAction       = "stop"
 	CheckpointAction = "checkpoint"
@@ -47,6 +48,8 @@
 	Task  string `json:"task,omitempty"`
 	Queue string `json:"queue"`
 	Team  string `json:"team"`
+	// Shard is the scope of the epoch; the queue if empty.
+	Shard string `json:"shard,omitempty"`
 	// Incarnation, if set, is the only process of the worker that may take it.
 	Incarnation string        `json:"incarnation,omitempty"`
 	Lease       duration.Text `json:"lease"`
@@ -59,12 +62,26 @@
 
 // Order is the body of an action on a task.
 type Order struct {
-	Queue string        `json:"queue"`
+	Shard string        `json:"shard"`
 	Epoch uint64        `json:"epoch"`
 	Lease duration.Text `json:"lease,omitzero"`
 	Rate  float64       `json:"rate,omitempty"`
 }
 
+// Renewal extends the leases of the named running tasks, in one call.
+type Renewal struct {
+	Shard string        `json:"shard"`
+	Epoch uint64        `json:"epoch"`
+	Lease duration.Text `json:"lease"`
+	IDs   []string      `json:"ids"`
+}
+
+// Renewed answers a Renewal: the present status of each task that is known.
+type Renewed struct {
+	Incarnation string   `json:"incarnation"`
+	Tasks       []Status `json:"tasks"`
+}
+
 // Status is the state of one start. Ran is false for a start that was stopped
 // before it arrived: it never ran and never will.
 type Status struct {
@@ -94,6 +111,9 @@
 	Reason string `json:"reason"`
 }
 
+// ReasonOutOfMemory is the reason of a start that failed for want of memory.
+const ReasonOutOfMemory = "out-of-memory"
+
 // Reasons of a Refusal.
 const (
 	ReasonStaleEpoch       = "stale-epoch"
--- a/internal/worker/client.go
+++ b/internal/worker/client.go
@@ -9,7 +9,7 @@
 //	if errors.Is(err, worker.ErrUnknown) {
 //		// The start may still arrive: Stop settles it, for a worker refuses a
 //		// start that was stopped before.
-//		status, err = client.Stop(ctx, address, "orders/7.1", worker.Order{Queue: "orders", Epoch: 4})
+//		status, err = client.Stop(ctx, address, "orders/7.1", worker.Order{Shard: "orders", Epoch: 4})
 //	}
 package worker
 
@@ -77,6 +77,13 @@
 	return c.order(ctx, address, id, RenewAction, order)
 }
 
+// RenewAll extends the leases of many tasks and returns their statuses.
+func (c *Client) RenewAll(ctx context.Context, address netip.AddrPort, renewal Renewal) (Renewed, error) {
+	var renewed Renewed
+	err := c.do(ctx, http.MethodPost, address, RenewPath, renewal, &renewed)
+	return renewed, err
+}
+
 // Stop ends the task, or keeps it from ever starting if it has not arrived.
 func (c *Client) Stop(ctx context.Context, address netip.AddrPort, id string, order Order) (Status, error) {
 	return c.order(ctx, address, id, StopAction, order)
