--- a/internal/place/place_test.go
+++ b/internal/place/place_test.go
@@ -157,45 +157,58 @@
 	}
 }
 
-// TestBlame runs good and bad tasks on good and bad workers and wants only bad
-// workers to be set aside at the end, and the good ones to get the work.
+// blameCase is a pool in which the first workers and some tasks always fail.
+type blameCase struct {
+	placer *place.Placer
+	now    time.Time
+	bad    int
+	wasted int
+}
+
+func (c *blameCase) isBad(worker string) bool {
+	return worker < fmt.Sprintf("worker-%d", c.bad)
+}
+
+// run tries the task on up to three workers.
+func (c *blameCase) run(t *rapid.T, d place.Demand, poison bool) {
+	for range 3 {
+		c.now = c.now.Add(time.Second)
+		decision := c.placer.Choose(c.now, d)
+		if got, want := decision.Outcome, place.Placed; got != want {
+			t.Fatalf("task %s: got %s, want %s", d.Task, got, want)
+		}
+		c.placer.Place(c.now, d, decision.Worker)
+		if !c.isBad(decision.Worker) && !poison {
+			c.placer.Release(c.now, d.Task, place.Succeeded)
+			break
+		}
+		if c.isBad(decision.Worker) {
+			c.wasted++
+		}
+		c.placer.Release(c.now, d.Task, place.Failed)
+		d.Avoid = append(d.Avoid, decision.Worker)
+	}
+	c.placer.Forget(d.Task)
+}
+
+// TestBlame runs good and bad tasks on good and bad workers and wants few runs
+// wasted on the bad workers and no good worker set aside.
 func TestBlame(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		const workers = 6
-		placer := pool(place.Config{}, workers)
-		bad := rapid.IntRange(0, 2).Draw(t, "bad workers")
+		c := &blameCase{placer: pool(place.Config{}, workers), now: start}
+		c.bad = rapid.IntRange(0, 2).Draw(t, "bad workers")
 		poison := rapid.IntRange(0, 3).Draw(t, "poison tasks of ten")
-		now := start
-		wasted := 0
 		for i := range 200 {
-			d := demand(fmt.Sprintf("task-%03d", i), place.Normal, 2, 2)
-			for range 3 {
-				now = now.Add(time.Second)
-				decision := placer.Choose(now, d)
-				if decision.Outcome != place.Placed {
-					t.Fatalf("task %s: got %s, want a worker", d.Task, decision.Outcome)
-				}
-				placer.Place(now, d, decision.Worker)
-				onBad := decision.Worker < fmt.Sprintf("worker-%d", bad)
-				if !onBad && i%10 >= poison {
-					placer.Release(now, d.Task, place.Succeeded)
-					break
-				}
-				if onBad {
-					wasted++
-				}
-				placer.Release(now, d.Task, place.Failed)
-				d.Avoid = append(d.Avoid, decision.Worker)
-			}
-			placer.Forget(d.Task)
+			c.run(t, demand(fmt.Sprintf("task-%03d", i), place.Normal, 2, 2), i%10 < poison)
 		}
 		// Each rest is twice the last: few runs are wasted on bad workers.
-		if got, want := wasted, 12*bad; got > want {
+		if got, want := c.wasted, 12*c.bad; got > want {
 			t.Errorf("runs on bad workers: got %d, want at most %d", got, want)
 		}
-		for _, w := range placer.Dump() {
-			aside := w.AsideUntil != "" && w.AsideUntil > now.Format(time.RFC3339)
-			if onBad := w.Name < fmt.Sprintf("worker-%d", bad); aside && !onBad {
+		for _, w := range c.placer.Dump() {
+			aside := w.AsideUntil != "" && w.AsideUntil > c.now.Format(time.RFC3339)
+			if aside && !c.isBad(w.Name) {
 				t.Errorf("good worker %s is set aside", w.Name)
 			}
 		}
