experiment: shares beside baselines in virtual time; share: divide at each finish

Cause: slots of a finished request went to the local queue under the quotas of the last tick, and deficits at the clamp forgave a team its excess. Ruled out: rounding of entry totals (slots add up to the sum of quotas).

--- /dev/null
+++ b/cmd/lovagedyke-experiment/main.go
@@ -0,0 +1,15 @@
+// Command lovagedyke-experiment measures the policies beside their baselines.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+)
+
+func main() {
+	if err := newRootCommand(os.Stdout).ParseAndRun(context.Background(), os.Args[1:]); err != nil {
+		fmt.Fprintf(os.Stderr, "lovagedyke-experiment: %v\n", err)
+		os.Exit(1)
+	}
+}
--- /dev/null
+++ b/internal/experiment/table.go
@@ -0,0 +1,63 @@
+package experiment
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"strings"
+	"text/tabwriter"
+
+	"github.com/cockroachdb/errors"
+)
+
+// WriteJSON writes the rows.
+func (r Report) WriteJSON(w io.Writer) error {
+	encoder := json.NewEncoder(w)
+	encoder.SetIndent("", "  ")
+	return errors.Wrap(encoder.Encode(r), "writing the report")
+}
+
+// WriteTable writes a table for each part and deployment. A cell is the median
+// with the least and the greatest of the seeds; one number means they agree.
+func (r Report) WriteTable(w io.Writer) error {
+	out := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	for i, row := range r.Rows {
+		if i == 0 || r.Rows[i-1].Part != row.Part || r.Rows[i-1].Deployment != row.Deployment {
+			writeHeader(out, row, i > 0)
+		}
+		cells := []string{row.Scenario, row.Policy}
+		for _, m := range row.Metrics {
+			cells = append(cells, m.String())
+		}
+		fmt.Fprintln(out, strings.Join(cells, "\t"))
+	}
+	return errors.Wrap(out.Flush(), "writing the table")
+}
+
+func writeHeader(w io.Writer, row Row, gap bool) {
+	if gap {
+		fmt.Fprintln(w)
+	}
+	fmt.Fprintf(w, "%s, %s\n", row.Part, row.Deployment)
+	cells := []string{"scenario", "policy"}
+	for _, m := range row.Metrics {
+		cells = append(cells, fmt.Sprintf("%s, %s", m.Name, m.Unit))
+	}
+	fmt.Fprintln(w, strings.Join(cells, "\t"))
+}
+
+// String is the median with the spread.
+func (m Metric) String() string {
+	middle, low, high := number(m.Median), number(m.Low), number(m.High)
+	if low == high {
+		return middle
+	}
+	return fmt.Sprintf("%s (%s-%s)", middle, low, high)
+}
+
+func number(x float64) string {
+	if x >= 100 {
+		return fmt.Sprintf("%.0f", x)
+	}
+	return fmt.Sprintf("%.1f", x)
+}
--- a/internal/share/scheduler.go
+++ b/internal/share/scheduler.go
@@ -120,6 +120,9 @@
 	n.flow.inFlight--
 	s.inFlight--
 	s.drop(id, index)
+	if s.queued > 0 {
+		s.divide(now)
+	}
 	s.fill(now)
 	return s.acts
 }
@@ -338,6 +341,7 @@
 		f.accrue(now, s.queued > 0)
 		own.demand[i] = float64(f.inFlight + f.queue.size + f.newcomer)
 	}
+	s.balance()
 	own.debt = s.sent
 	s.divider.divide(s.cfg.Capacity, s.weights, s.keys, s.rows)
 	for i, f := range s.flows {
@@ -347,6 +351,27 @@
 	s.divided = now
 }
 
+// balance makes the deficits of the queued flows add up to nothing, so that
+// what the entry as a whole has run too much or too little, which no choice
+// between flows can mend, is borne in proportion to the quotas.
+func (s *Scheduler) balance() {
+	credit, quota := 0.0, 0.0
+	for _, f := range s.flows {
+		if f.queue.size > 0 {
+			credit += f.credit
+			quota += f.quota
+		}
+	}
+	if quota == 0 {
+		return
+	}
+	for _, f := range s.flows {
+		if f.queue.size > 0 {
+			f.credit -= credit * f.quota / quota
+		}
+	}
+}
+
 // owe adds what rounding withheld from this entry since the last division.
 func (s *Scheduler) owe(own *row, elapsed float64) {
 	if s.queued == 0 {
