--- a/internal/claim/claim.go
+++ b/internal/claim/claim.go
@@ -139,10 +139,10 @@
 // Result is the recorded answer of a run. A body beyond the adapter's bound is
 // left out, and Whole is false.
 type Result struct {
-	Status      int    `json:"status"`
-	ContentType string `json:"content-type,omitempty"`
-	Body        []byte `json:"body,omitempty"`
-	Whole       bool   `json:"whole"`
+	Status int                 `json:"status"`
+	Header map[string][]string `json:"header,omitempty"`
+	Body   []byte              `json:"body,omitempty"`
+	Whole  bool                `json:"whole"`
 }
 
 // Record is the value of a claim row. Generation counts the attempts that were
--- a/internal/entry/books.go
+++ b/internal/entry/books.go
@@ -2,14 +2,15 @@
 
 import (
 	"context"
+	"net/http"
 	"time"
 
 	"github.com/lovagedyke/lovagedyke/internal/claim"
 )
 
-// maxRecordedBody bounds the answer that is kept for repeats of a marked
-// request, in bytes; it travels in table rows.
-const maxRecordedBody = 16 << 10
+// maxRecorded bounds the answer that is kept for repeats of a marked request,
+// header and body, in bytes; it travels in table rows.
+const maxRecorded = 16 << 10
 
 // run is what is known of one attempt that may have run.
 type finishedRun struct {
@@ -45,12 +46,32 @@
 	if c.claim == nil {
 		return
 	}
-	result := &claim.Result{Status: rep.response.StatusCode, ContentType: rep.response.Header.Get("Content-Type")}
-	if rep.whole && len(rep.prefix) <= maxRecordedBody {
-		result.Body = rep.prefix
-		result.Whole = true
+	b.claims.finish(ctx, *c.claim, claim.StateRan, recordedResult(rep))
+}
+
+// recordedResult returns what is kept of an answer for repeats: all of it, or
+// the status alone when it is large.
+func recordedResult(rep reply) *claim.Result {
+	result := &claim.Result{Status: rep.response.StatusCode}
+	header := endToEnd(rep.response.Header)
+	if !rep.whole || len(rep.prefix)+headerSize(header) > maxRecorded {
+		return result
+	}
+	result.Header = header
+	result.Body = rep.prefix
+	result.Whole = true
+	return result
+}
+
+// headerSize returns the bytes of the header's names and values.
+func headerSize(header http.Header) int {
+	size := 0
+	for name, values := range header {
+		for _, value := range values {
+			size += len(name) + len(value)
+		}
 	}
-	b.claims.finish(ctx, *c.claim, claim.StateRan, result)
+	return size
 }
 
 // unproven records an attempt that was sent and has no whole answer.
--- a/internal/entry/charges.go
+++ b/internal/entry/charges.go
@@ -23,3 +23,5 @@
 func (c *charges) proven(finishedRun) {}
 
 func (c *charges) unproven(finishedRun) {}
+
+func (c *charges) flush(context.Context) {}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -234,3 +234,9 @@
 func (e *Entry) RosterChanged(members roster.Roster, rowVersion uint64) {
 	e.claims.rosterChanged(members, rowVersion)
 }
+
+// HandOver passes the idle permits to another entry, for a planned stop.
+func (e *Entry) HandOver(ctx context.Context) { e.node.HandOver(ctx) }
+
+// Flush waits until the table has this entry's charges.
+func (e *Entry) Flush(ctx context.Context) { e.charges.flush(ctx) }
--- a/internal/entry/marked.go
+++ b/internal/entry/marked.go
@@ -95,8 +95,8 @@
 		}
 	}
 	header := w.Header()
-	if result.ContentType != "" {
-		header.Set("Content-Type", result.ContentType)
+	for name, values := range result.Header {
+		header[name] = values
 	}
 	header.Set(headerOutcome, string(api.OutcomeRan))
 	header.Set(headerRepeated, "true")
--- a/internal/entry/snapshot.go
+++ b/internal/entry/snapshot.go
@@ -17,11 +17,11 @@
 
 // ServiceSnapshot is one service's part of a Snapshot.
 type ServiceSnapshot struct {
-	Capacity int          `json:"capacity"`
-	Share    share.State  `json:"share"`
-	Waiting  int          `json:"waiting"`
-	Route    route.State  `json:"route"`
-	Retries  retry.State  `json:"retries"`
+	Capacity int         `json:"capacity"`
+	Share    share.State `json:"share"`
+	Waiting  int         `json:"waiting"`
+	Route    route.State `json:"route"`
+	Retries  retry.State `json:"retries"`
 }
 
 // Snapshot returns the present state.
--- a/internal/node/permits.go
+++ b/internal/node/permits.go
@@ -88,3 +88,20 @@
 	}
 	return roster.Member{}, false
 }
+
+// HandOver passes all idle permits to another active entry, for a planned
+// stop. What does not arrive comes back by a rebase.
+func (n *Node) HandOver(ctx context.Context) {
+	members, _ := n.Roster()
+	for _, member := range members.Active() {
+		if member.Identity == n.config.Self.Identity {
+			continue
+		}
+		for team := range n.configuration.View().State.Catalogue.Teams {
+			n.ledger.Leave(team, limit.Member(member.Identity.String()))
+		}
+		// The exchange carries the transfers, which are repeated each time.
+		n.exchange(ctx, member)
+		return
+	}
+}
--- a/internal/peer/claims.go
+++ b/internal/peer/claims.go
@@ -109,7 +109,11 @@
 	if r == nil {
 		return nil
 	}
-	return &peerpb.Result{Status: int32(r.Status), ContentType: r.ContentType, Body: r.Body, Whole: r.Whole}
+	m := &peerpb.Result{Status: int32(r.Status), Body: r.Body, Whole: r.Whole}
+	for name, values := range r.Header {
+		m.Header = append(m.Header, &peerpb.HeaderField{Name: name, Values: values})
+	}
+	return m
 }
 
 // Result decodes a recorded answer.
@@ -117,5 +121,12 @@
 	if m == nil {
 		return nil
 	}
-	return &claim.Result{Status: int(m.GetStatus()), ContentType: m.GetContentType(), Body: m.GetBody(), Whole: m.GetWhole()}
+	r := &claim.Result{
+		Status: int(m.GetStatus()), Header: make(map[string][]string, len(m.GetHeader())),
+		Body: m.GetBody(), Whole: m.GetWhole(),
+	}
+	for _, field := range m.GetHeader() {
+		r.Header[field.GetName()] = field.GetValues()
+	}
+	return r
 }
--- /dev/null
+++ b/internal/process/manager.go
@@ -0,0 +1,87 @@
+package process
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/cockroachdb/errors"
+	"github.com/sourcegraph/conc"
+
+	"github.com/lovagedyke/lovagedyke/internal/manager"
+	"github.com/lovagedyke/lovagedyke/internal/port"
+	"github.com/lovagedyke/lovagedyke/internal/roster"
+	"github.com/lovagedyke/lovagedyke/internal/settings"
+)
+
+// RunManager runs a manager until the context ends, and then stops it gracefully.
+func RunManager(ctx context.Context, config settings.Config, logger *log.Logger) error {
+	p, err := newProcess(config, roster.RoleManager, logger)
+	if err != nil {
+		return err
+	}
+	defer p.close()
+	operatorKey, err := readSecret(config.OperatorKeyFile)
+	if err != nil {
+		return errors.Wrap(err, "read the operator key")
+	}
+	m := manager.New(manager.Config{
+		Node: p.node, Hosts: p.platform, ListLag: config.ListLag,
+		ClaimRetention: config.ClaimRetention, Log: logger,
+	})
+	p.node.Add(m)
+	if err := p.openInner(m.Service(), func() any { return m.Snapshot() }); err != nil {
+		return err
+	}
+
+	loops, stopLoops := context.WithCancel(context.WithoutCancel(ctx))
+	var running conc.WaitGroup
+	defer running.Wait()
+	defer stopLoops()
+	running.Go(func() { p.reloadLoop(loops) })
+	if err := p.node.Join(ctx); err != nil {
+		return err
+	}
+	running.Go(func() { <-p.node.Run(loops) })
+	running.Go(func() { <-m.Run(loops) })
+	operators, err := p.openOperators(m.Handler(operatorKey))
+	if err != nil {
+		return err
+	}
+	p.setReady(nil)
+	logger.Info("ready", "member", p.node.Self().Identity)
+
+	select {
+	case <-ctx.Done():
+	case err := <-operators.Done():
+		return err
+	case <-p.dropped(loops):
+		return errors.CombineErrors(errDropped, p.stopManager(m, operators))
+	}
+	return p.stopManager(m, operators)
+}
+
+// openOperators opens the operators' port, with certificates where there are any.
+func (p *process) openOperators(handler http.Handler) (*port.Port, error) {
+	config := port.Config{Name: "operator", Address: p.config.OperatorAddress, Handler: handler}
+	if p.certs != nil {
+		config.TLS = p.certs.Server()
+	}
+	return p.open(config)
+}
+
+// stopManager ends a manager without cutting a request.
+func (p *process) stopManager(m *manager.Manager, operators *port.Port) error {
+	p.log.Info("stopping", "grace", p.config.Grace)
+	p.setReady(errDraining)
+	operators.Drain()
+	requests, cancel := context.WithTimeout(context.Background(), p.config.Grace)
+	defer cancel()
+	err := operators.Shutdown(requests)
+	m.Finish()
+	handOver, cancel := context.WithTimeout(context.Background(), p.config.Grace/leaveShare+time.Second)
+	defer cancel()
+	p.leave(handOver)
+	return errors.Wrap(err, "requests outlived the grace")
+}
--- /dev/null
+++ b/internal/process/process.go
@@ -0,0 +1,210 @@
+// Package process assembles the two long-running programs from settings:
+// stores, ports, node, and the order of start and stop.
+//
+// # Usage
+//
+//	err := process.RunEntry(ctx, config, logger) // ends after ctx, gracefully
+//
+// Start: the operations and peer ports open first, then the process joins the
+// roster, and only then opens its own port and is ready. Stop: not ready, the
+// balancer's delay, requests in flight end, permits and claims are handed
+// over, the roster drops the process, and it exits.
+package process
+
+import (
+	"context"
+	"os"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/cockroachdb/errors"
+
+	"github.com/lovagedyke/lovagedyke/internal/certs"
+	"github.com/lovagedyke/lovagedyke/internal/node"
+	"github.com/lovagedyke/lovagedyke/internal/operations"
+	"github.com/lovagedyke/lovagedyke/internal/peer"
+	"github.com/lovagedyke/lovagedyke/internal/peer/peerpb"
+	"github.com/lovagedyke/lovagedyke/internal/platform"
+	"github.com/lovagedyke/lovagedyke/internal/port"
+	"github.com/lovagedyke/lovagedyke/internal/roster"
+	"github.com/lovagedyke/lovagedyke/internal/settings"
+)
+
+const (
+	// peerTimeout bounds one call to a peer.
+	peerTimeout = 3 * time.Second
+	// certificateInterval is the time between two looks at the certificates' files.
+	certificateInterval = 5 * time.Second
+	// handOverPoll is the time between two looks at a stop's progress.
+	handOverPoll = 50 * time.Millisecond
+	// leaveShare is the part of the grace that is left for handing over.
+	leaveShare = 4
+)
+
+// Reasons for not being ready.
+var (
+	errStarting = errors.New("starting")
+	errDraining = errors.New("draining")
+)
+
+// errDropped ends a process that the platform no longer lists.
+var errDropped = errors.New("the roster has dropped this process: its host is listed as gone")
+
+// process is what both programs have.
+type process struct {
+	config   settings.Config
+	log      *log.Logger
+	platform *platform.Client
+	dialer   *peer.Dialer
+	certs    *certs.Files
+	node     *node.Node
+	secret   string
+	notReady atomic.Pointer[error]
+	ports    []*port.Port
+}
+
+// newProcess builds the common parts.
+func newProcess(config settings.Config, role roster.Role, logger *log.Logger) (*process, error) {
+	p := &process{config: config, log: logger}
+	p.setReady(errStarting)
+	secret, err := readSecret(config.PeerSecretFile)
+	if err != nil {
+		return nil, errors.Wrap(err, "read the peer secret")
+	}
+	p.secret = secret
+	dial := peer.Config{Secret: secret, Timeout: peerTimeout}
+	if config.Certificate != "" {
+		p.certs, err = certs.New(certs.Config{
+			Certificate: config.Certificate, Key: config.CertificateKey, Authority: config.Authority,
+		})
+		if err != nil {
+			return nil, err
+		}
+		dial.TLS = p.certs.Client()
+	}
+	p.dialer = peer.New(dial)
+	p.platform = platform.New(platform.Config{Address: config.PlatformAddress, Process: config.Name})
+	p.node = node.New(node.Config{
+		Self: roster.Member{
+			Identity: roster.Identity{Name: config.Name, Incarnation: uint64(time.Now().UnixNano())},
+			Host:     config.Host, Role: role, Address: config.PeerAddress,
+			DataCentre: config.DataCentre, State: roster.StateActive,
+		},
+		Store: p.platform, Dialer: p.dialer, Log: logger,
+		FreshBound: config.FreshBound, GossipInterval: config.GossipInterval, PollInterval: config.PollInterval,
+	})
+	return p, nil
+}
+
+// setReady sets the reason for not being ready, nil for ready.
+func (p *process) setReady(reason error) { p.notReady.Store(&reason) }
+
+// ready returns nil, or the reason for not being ready.
+func (p *process) ready() error { return *p.notReady.Load() }
+
+// open opens a port, which closes when the process ends.
+func (p *process) open(config port.Config) (*port.Port, error) {
+	config.MaxHeader = p.config.MaxHeader
+	config.ReadHeaderTimeout = p.config.ReadHeaderTimeout
+	opened, err := port.Open(config)
+	if err != nil {
+		return nil, err
+	}
+	p.ports = append(p.ports, opened)
+	p.log.Info("port open", "port", config.Name, "address", opened.Address())
+	return opened, nil
+}
+
+// openInner opens the operations and peer ports.
+func (p *process) openInner(service peerpb.Peer, dump func() any) error {
+	_, err := p.open(port.Config{
+		Name: "operations", Address: p.config.OperationsAddress,
+		Handler: operations.New(operations.Config{Ready: p.ready, Dump: dump}),
+	})
+	if err != nil {
+		return err
+	}
+	inner := port.Config{Name: "peer", Address: p.config.PeerAddress, Handler: peer.Handler(p.secret, service)}
+	if p.certs != nil {
+		inner.TLS = p.certs.Server()
+	}
+	_, err = p.open(inner)
+	return err
+}
+
+// reloadLoop takes up replaced certificates until the context ends.
+func (p *process) reloadLoop(ctx context.Context) {
+	if p.certs == nil {
+		return
+	}
+	ticker := time.NewTicker(certificateInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		changed, err := p.certs.Reload()
+		if err != nil {
+			p.log.Error("certificates not reloaded", "reason", err)
+		} else if changed {
+			p.log.Info("certificates reloaded")
+		}
+	}
+}
+
+// leave marks the process as leaving and waits until the roster has dropped
+// it, which happens once others answer for its keys.
+func (p *process) leave(ctx context.Context) {
+	if err := p.node.Leave(ctx); err != nil {
+		p.log.Warn("left without telling the roster", "reason", err)
+		return
+	}
+	for ctx.Err() == nil {
+		members, _ := p.node.Roster()
+		if !members.Contains(p.node.Self().Identity) {
+			p.log.Info("left the roster")
+			return
+		}
+		p.node.PollNow()
+		select {
+		case <-ctx.Done():
+		case <-time.After(handOverPoll):
+		}
+	}
+	p.log.Warn("still in the roster at the end of the grace")
+}
+
+// close closes all ports and connections.
+func (p *process) close() {
+	for _, opened := range p.ports {
+		_ = opened.Close()
+		<-opened.Done()
+	}
+	p.dialer.Close()
+	p.platform.Close()
+}
+
+// pause waits, or returns early when the context ends.
+func pause(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
+	}
+}
+
+// readSecret reads a file of one line.
+func readSecret(name string) (string, error) {
+	text, err := os.ReadFile(name)
+	if err != nil {
+		return "", err
+	}
+	secret := strings.TrimSpace(string(text))
+	if secret == "" {
+		return "", errors.Newf("file %q is empty", name)
+	}
+	return secret, nil
+}
