Add the maintenance wave's decision

Cause: a fixed fraction ignores present failures and where the hosts stand. The wave takes each next host from the failure domain with the most serving hosts; serving minus the largest domain never rises, so this takes the most hosts at once (12 hosts in racks of 4 with a need of 4: 6 at once against 4 when a rack is finished first). Not wired into the manager yet.

--- /dev/null
+++ b/internal/wave/wave.go
@@ -0,0 +1,301 @@
+// Package wave decides which hosts of a pool to take down for maintenance.
+//
+// A wave takes down as many hosts at once as leaves the pool able to carry its
+// load even when its largest remaining failure domain is lost on top. Hosts
+// that failed, in the wave or outside it, count as down. The wave stops when
+// several of its hosts do not come back, because a fault of the maintenance
+// itself would take down every host in turn.
+//
+// # Usage
+//
+// A Wave is stepped with the state of its pool; it does no input or output and
+// is not safe for concurrent use:
+//
+//	w := wave.New(wave.Config{Reserve: wave.Rack})
+//	decision := w.Step(now, wave.View{Hosts: hosts, Need: 6, BudgetLeft: 0.8})
+//	for _, name := range decision.Start {
+//		// drain the host, reboot it, and report it as StateDown meanwhile
+//	}
+package wave
+
+import (
+	"slices"
+	"strings"
+	"time"
+)
+
+// State is where a host stands in a wave.
+type State string
+
+// States of a host.
+const (
+	// StatePending hosts serve and wait for maintenance.
+	StatePending State = "pending"
+	// StateDown hosts are in maintenance.
+	StateDown State = "down"
+	// StateDone hosts serve after maintenance.
+	StateDone State = "done"
+	// StateFailed hosts did not come back from maintenance.
+	StateFailed State = "failed"
+	// StateLost hosts are down for another reason, before their maintenance.
+	StateLost State = "lost"
+)
+
+// serving reports whether a host in this state carries load.
+func (s State) serving() bool { return s == StatePending || s == StateDone }
+
+// Host is one host of the pool.
+type Host struct {
+	Name       string `json:"name"`
+	Rack       string `json:"rack"`
+	DataCentre string `json:"data-centre"`
+	State      State  `json:"state"`
+}
+
+// Domain is the kind of failure domain whose loss the pool must survive
+// during a wave.
+type Domain string
+
+// Kinds of failure domains.
+const (
+	NoDomain   Domain = "none"
+	Rack       Domain = "rack"
+	DataCentre Domain = "data-centre"
+)
+
+// of returns the host's domain of this kind.
+func (d Domain) of(h Host) string {
+	switch d {
+	case Rack:
+		return h.DataCentre + "/" + h.Rack
+	case DataCentre:
+		return h.DataCentre
+	default:
+		return ""
+	}
+}
+
+// View is the state of the pool at one moment.
+type View struct {
+	Hosts []Host
+	// Need is the number of hosts that carry the pool's load.
+	Need int
+	// BudgetLeft is the part of the availability budget that is not spent, 0 to 1.
+	BudgetLeft float64
+}
+
+// Verdict says how a wave goes on.
+type Verdict string
+
+// Verdicts of Step.
+const (
+	// Go: take down the hosts of Start, if any.
+	Go Verdict = "go"
+	// Hold: nothing may be taken down now; the wave goes on by itself.
+	Hold Verdict = "hold"
+	// Stopped: hosts did not come back; an operator or the cool-down resumes.
+	Stopped Verdict = "stopped"
+	// Finished: no host waits for maintenance or is in it.
+	Finished Verdict = "finished"
+)
+
+// Reasons of Hold and Stopped.
+const (
+	ReasonBudget     = "budget-spent"
+	ReasonCapacity   = "no-spare-capacity"
+	ReasonCorrelated = "failures-correlate"
+)
+
+// Decision is what to do now.
+type Decision struct {
+	Verdict Verdict  `json:"verdict"`
+	Reason  string   `json:"reason,omitempty"`
+	Start   []string `json:"start,omitempty"`
+}
+
+// Defaults of Config.
+const (
+	DefaultBudgetReserve = 0.1
+	DefaultMaxFailures   = 2
+	DefaultCoolDown      = 30 * time.Minute
+)
+
+// Config constructs a Wave; zero values take the defaults.
+type Config struct {
+	// Reserve is the failure domain whose loss the pool must survive.
+	Reserve Domain
+	// BudgetReserve is the part of the availability budget that waves leave.
+	BudgetReserve float64
+	// MaxFailures is the number of hosts that may fail before the wave stops.
+	MaxFailures int
+	// CoolDown is how long the wave stays stopped once its failed hosts are
+	// repaired.
+	CoolDown time.Duration
+}
+
+// Wave is one round of maintenance over a pool.
+type Wave struct {
+	config Config
+	// excused holds failures that an operator has looked at.
+	excused   map[string]bool
+	stoppedAt time.Time
+}
+
+// New returns a wave that has not begun.
+func New(config Config) *Wave {
+	if config.Reserve == "" {
+		config.Reserve = Rack
+	}
+	if config.BudgetReserve == 0 {
+		config.BudgetReserve = DefaultBudgetReserve
+	}
+	if config.MaxFailures == 0 {
+		config.MaxFailures = DefaultMaxFailures
+	}
+	if config.CoolDown == 0 {
+		config.CoolDown = DefaultCoolDown
+	}
+	return &Wave{config: config, excused: make(map[string]bool)}
+}
+
+// Resume lets a stopped wave go on, at an operator's word: the hosts that
+// failed so far no longer count towards stopping.
+func (w *Wave) Resume(view View) {
+	for _, host := range view.Hosts {
+		if host.State == StateFailed {
+			w.excused[host.Name] = true
+		}
+	}
+	w.stoppedAt = time.Time{}
+}
+
+// Step decides what to do now.
+func (w *Wave) Step(now time.Time, view View) Decision {
+	if w.stopped(now, view) {
+		return Decision{Verdict: Stopped, Reason: ReasonCorrelated}
+	}
+	pending, down := count(view.Hosts, StatePending), count(view.Hosts, StateDown)
+	if pending == 0 && down == 0 {
+		return Decision{Verdict: Finished}
+	}
+	if pending == 0 {
+		return Decision{Verdict: Go}
+	}
+	if view.BudgetLeft <= w.config.BudgetReserve {
+		return Decision{Verdict: Hold, Reason: ReasonBudget}
+	}
+	start := w.choose(view)
+	if len(start) == 0 && down == 0 {
+		return Decision{Verdict: Hold, Reason: ReasonCapacity}
+	}
+	return Decision{Verdict: Go, Start: start}
+}
+
+// stopped reports whether the wave must not take down any more: too many of
+// its hosts have failed, or did so less than the cool-down ago.
+func (w *Wave) stopped(now time.Time, view View) bool {
+	failures := 0
+	for _, host := range view.Hosts {
+		if host.State == StateFailed && !w.excused[host.Name] {
+			failures++
+		}
+	}
+	if failures >= w.config.MaxFailures {
+		w.stoppedAt = now
+	}
+	return !w.stoppedAt.IsZero() && now.Sub(w.stoppedAt) < w.config.CoolDown
+}
+
+// choose returns the hosts to take down: each time one of the domain with the
+// most serving hosts, which leaves the smallest largest domain and so lets the
+// most hosts go at once.
+func (w *Wave) choose(view View) []string {
+	byDomain := w.group(view.Hosts)
+	serving := 0
+	for _, d := range byDomain {
+		serving += d.serving
+	}
+	var start []string
+	for {
+		next := largestWithPending(byDomain)
+		if next == nil {
+			return start
+		}
+		next.serving--
+		if serving-1-w.largest(byDomain) < view.Need {
+			return start
+		}
+		serving--
+		start = append(start, next.pending[0])
+		next.pending = next.pending[1:]
+	}
+}
+
+// largest returns the serving hosts of the largest domain, whose loss the pool
+// must survive.
+func (w *Wave) largest(domains []*domain) int {
+	if w.config.Reserve == NoDomain {
+		return 0
+	}
+	largest := 0
+	for _, d := range domains {
+		largest = max(largest, d.serving)
+	}
+	return largest
+}
+
+// domain is one failure domain of the pool.
+type domain struct {
+	name    string
+	serving int
+	pending []string
+}
+
+// group returns the pool's domains in order of name.
+func (w *Wave) group(hosts []Host) []*domain {
+	byName := make(map[string]*domain)
+	var domains []*domain
+	for _, host := range hosts {
+		name := w.config.Reserve.of(host)
+		d, ok := byName[name]
+		if !ok {
+			d = &domain{name: name}
+			byName[name] = d
+			domains = append(domains, d)
+		}
+		if host.State.serving() {
+			d.serving++
+		}
+		if host.State == StatePending {
+			d.pending = append(d.pending, host.Name)
+		}
+	}
+	slices.SortFunc(domains, func(a, b *domain) int { return strings.Compare(a.name, b.name) })
+	for _, d := range domains {
+		slices.Sort(d.pending)
+	}
+	return domains
+}
+
+// largestWithPending returns the domain with the most serving hosts among
+// those with hosts that wait, nil when none waits.
+func largestWithPending(domains []*domain) *domain {
+	var best *domain
+	for _, d := range domains {
+		if len(d.pending) > 0 && (best == nil || d.serving > best.serving) {
+			best = d
+		}
+	}
+	return best
+}
+
+// count returns the hosts in a state.
+func count(hosts []Host, state State) int {
+	n := 0
+	for _, host := range hosts {
+		if host.State == state {
+			n++
+		}
+	}
+	return n
+}
--- /dev/null
+++ b/internal/wave/wave_test.go
@@ -0,0 +1,168 @@
+package wave_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/lovagedyke/lovagedyke/internal/wave"
+)
+
+var start = time.Unix(1_000_000, 0)
+
+// pool returns hosts in racks of four, all in one state.
+func pool(n int, state wave.State) []wave.Host {
+	hosts := make([]wave.Host, n)
+	for i := range hosts {
+		hosts[i] = wave.Host{
+			Name: fmt.Sprintf("host-%02d", i), Rack: fmt.Sprint(i / 4),
+			DataCentre: fmt.Sprint(i / 4 % 3), State: state,
+		}
+	}
+	return hosts
+}
+
+func serving(hosts []wave.Host) int {
+	n := 0
+	for _, host := range hosts {
+		if host.State == wave.StatePending || host.State == wave.StateDone {
+			n++
+		}
+	}
+	return n
+}
+
+func largestRack(hosts []wave.Host) int {
+	racks, largest := make(map[string]int), 0
+	for _, host := range hosts {
+		if host.State == wave.StatePending || host.State == wave.StateDone {
+			racks[host.Rack]++
+			largest = max(largest, racks[host.Rack])
+		}
+	}
+	return largest
+}
+
+func TestStep(t *testing.T) {
+	failing := pool(12, wave.StatePending)
+	failing[0].State, failing[5].State = wave.StateFailed, wave.StateFailed
+	lost := pool(12, wave.StatePending)
+	for i := range 4 {
+		lost[i].State = wave.StateLost
+	}
+	tests := map[string]struct {
+		view       wave.View
+		want       wave.Verdict
+		wantReason string
+		wantStart  int
+	}{
+		"as many as the reserve allows": {wave.View{Hosts: pool(12, wave.StatePending), Need: 4, BudgetLeft: 1}, wave.Go, "", 6},
+		"present failures count":        {wave.View{Hosts: lost, Need: 3, BudgetLeft: 1}, wave.Go, "", 2},
+		"no room":                       {wave.View{Hosts: pool(12, wave.StatePending), Need: 8, BudgetLeft: 1}, wave.Hold, wave.ReasonCapacity, 0},
+		"budget spent":                  {wave.View{Hosts: pool(12, wave.StatePending), Need: 4, BudgetLeft: 0.1}, wave.Hold, wave.ReasonBudget, 0},
+		"failures correlate":            {wave.View{Hosts: failing, Need: 2, BudgetLeft: 1}, wave.Stopped, wave.ReasonCorrelated, 0},
+		"finished":                      {wave.View{Hosts: pool(12, wave.StateDone), Need: 4, BudgetLeft: 1}, wave.Finished, "", 0},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			got := wave.New(wave.Config{}).Step(start, tc.view)
+			if got.Verdict != tc.want || got.Reason != tc.wantReason {
+				t.Errorf("got %s (%s), want %s (%s)", got.Verdict, got.Reason, tc.want, tc.wantReason)
+			}
+			if got, want := len(got.Start), tc.wantStart; got != want {
+				t.Errorf("hosts taken down: got %d, want %d", got, want)
+			}
+		})
+	}
+}
+
+func TestResume(t *testing.T) {
+	tests := map[string]struct {
+		operator bool
+		repaired bool
+		after    time.Duration
+		want     wave.Verdict
+	}{
+		"nobody looked":            {after: time.Minute, want: wave.Stopped},
+		"operator":                 {operator: true, want: wave.Go},
+		"repaired, too early":      {repaired: true, after: time.Minute, want: wave.Stopped},
+		"repaired and cooled down": {repaired: true, after: wave.DefaultCoolDown, want: wave.Go},
+		"time alone":               {after: 10 * wave.DefaultCoolDown, want: wave.Stopped},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			view := wave.View{Hosts: pool(12, wave.StatePending), Need: 2, BudgetLeft: 1}
+			view.Hosts[0].State, view.Hosts[5].State = wave.StateFailed, wave.StateFailed
+			w := wave.New(wave.Config{})
+			w.Step(start, view)
+			if tc.operator {
+				w.Resume(view)
+			}
+			if tc.repaired {
+				view.Hosts[0].State, view.Hosts[5].State = wave.StateDone, wave.StateDone
+			}
+			if got := w.Step(start.Add(tc.after), view).Verdict; got != tc.want {
+				t.Errorf("got %s, want %s", got, tc.want)
+			}
+		})
+	}
+}
+
+// Whatever fails meanwhile, a wave never takes a host down that leaves the
+// pool short after the loss of its largest rack, and it ends.
+func TestWaveKeepsTheReserve(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		hosts := pool(rapid.IntRange(1, 40).Draw(t, "hosts"), wave.StatePending)
+		need := rapid.IntRange(0, len(hosts)).Draw(t, "need")
+		w := wave.New(wave.Config{MaxFailures: 3})
+		now := start
+		for range 200 {
+			now = now.Add(time.Minute)
+			decision := w.Step(now, wave.View{Hosts: hosts, Need: need, BudgetLeft: 1})
+			for _, name := range decision.Start {
+				set(hosts, name, wave.StatePending, wave.StateDown)
+			}
+			if left := serving(hosts) - largestRack(hosts); len(decision.Start) > 0 && left < need {
+				t.Fatalf("after a step: got %d hosts without the largest rack, want %d", left, need)
+			}
+			if decision.Verdict == wave.Stopped && len(decision.Start) > 0 {
+				t.Fatalf("a stopped wave: got %v started, want none", decision.Start)
+			}
+			if decision.Verdict == wave.Finished {
+				return
+			}
+			disturb(t, hosts)
+		}
+	})
+}
+
+// disturb ends maintenance, and fails and repairs hosts.
+func disturb(t *rapid.T, hosts []wave.Host) {
+	for i := range hosts {
+		event := rapid.IntRange(0, 19).Draw(t, "event")
+		switch state := hosts[i].State; {
+		case state == wave.StateDown && event < 10:
+			hosts[i].State = wave.StateDone
+		case state == wave.StateDown && event == 10:
+			hosts[i].State = wave.StateFailed
+		case state == wave.StatePending && event == 0:
+			hosts[i].State = wave.StateLost
+		case state == wave.StateLost && event < 5:
+			hosts[i].State = wave.StatePending
+		case state == wave.StateFailed && event < 5:
+			hosts[i].State = wave.StateDone
+		}
+	}
+}
+
+func set(hosts []wave.Host, name string, from, to wave.State) {
+	for i := range hosts {
+		if hosts[i].Name == name && hosts[i].State == from {
+			hosts[i].State = to
+			return
+		}
+	}
+	panic("host " + name + " is not " + string(from))
+}
