Add revisions: one counter, operations that apply once, fresh copies

Cause: a withdrawn key must stop within seconds and a change never revert, also while the table is down.

--- /dev/null
+++ b/internal/revision/holder.go
@@ -0,0 +1,311 @@
+package revision
+
+import (
+	"maps"
+	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+const (
+	// DefaultBound is how long a confirmation keeps a copy fresh.
+	DefaultBound = 3 * time.Second
+	// removedRetention outlasts any list that a peer kept through an outage.
+	removedRetention = 24 * time.Hour
+)
+
+// HolderConfig configures a Holder.
+type HolderConfig struct {
+	Self Member
+	// Bound is how long a confirmation keeps the copy fresh; 0 means DefaultBound.
+	Bound time.Duration
+}
+
+// Holder keeps a process's copy of the configuration and decides whether it is
+// fresh. Times come from the process's own monotonic clock. Its methods may be
+// called from any goroutine; View takes no lock.
+type Holder struct {
+	config HolderConfig
+	view   atomic.Pointer[View]
+
+	mu    sync.Mutex
+	state State
+	// newest is the newest revision heard of.
+	newest uint64
+	// confirmedAt is the latest time at which state was the newest committed.
+	confirmedAt time.Time
+	// table is the latest knowledge of the head row, direct or relayed.
+	table tableFact
+	// managers that may commit, with what each said last.
+	managers    map[Member]managerFact
+	knowsRoster bool
+	// removed holds managers that a read of the roster lacked, with the time of
+	// the read; they commit nothing more, whatever a peer's older list says.
+	removed   map[Member]time.Time
+	unsettled int
+	final     bool
+}
+
+// tableFact says that revision was the newest in the table until at or later.
+type tableFact struct {
+	known    bool
+	revision uint64
+	at       time.Time
+}
+
+// managerFact is a manager's last statement, as of a time not later than it.
+type managerFact struct {
+	learned time.Time
+	said    bool
+	final   bool
+	// clear is false while a commit of the manager is unsettled.
+	clear bool
+	at    time.Time
+}
+
+// View is a copy and how long it may be relied on.
+type View struct {
+	State State
+	// FreshUntil is the zero time for a copy that was never confirmed.
+	FreshUntil time.Time
+}
+
+// Fresh reports whether the copy may admit keyed work.
+func (v *View) Fresh(now time.Time) bool {
+	return !v.FreshUntil.IsZero() && now.Before(v.FreshUntil)
+}
+
+// NewHolder returns a holder at revision 0, which is not fresh.
+func NewHolder(config HolderConfig) *Holder {
+	if config.Bound == 0 {
+		config.Bound = DefaultBound
+	}
+	h := &Holder{
+		config:   config,
+		state:    Empty(),
+		managers: make(map[Member]managerFact),
+		removed:  make(map[Member]time.Time),
+	}
+	h.view.Store(&View{State: h.state})
+	return h
+}
+
+// View returns the copy in force; it takes no lock and allocates nothing.
+func (h *Holder) View() *View {
+	return h.view.Load()
+}
+
+// Fresh reports whether the copy may admit keyed work.
+func (h *Holder) Fresh(now time.Time) bool {
+	return h.View().Fresh(now)
+}
+
+// Offer takes a state that is newer than the copy, and reports whether it did.
+func (h *Holder) Offer(state State) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if state.Revision <= h.state.Revision {
+		return false
+	}
+	h.advance(state)
+	return true
+}
+
+// OfferChange applies a change that starts at the copy's revision or is whole
+// and newer, and reports whether it did.
+func (h *Holder) OfferChange(change Change) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	next, ok := Apply(h.state, change)
+	h.newest = max(h.newest, change.Revision)
+	if ok {
+		h.advance(next)
+	}
+	return ok
+}
+
+// Read takes the head's revision and the managers of the roster, both from one
+// read of the table that began at started.
+func (h *Holder) Read(started time.Time, revision uint64, managers []Member) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.newest = max(h.newest, revision)
+	h.learnTable(tableFact{known: true, revision: revision, at: started})
+	h.dropManagers(managers, started)
+	h.learnRoster(managers, started)
+	h.confirm()
+}
+
+// Heard takes the answer to a request for a statement that was sent at started.
+func (h *Holder) Heard(started time.Time, said Statement) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.newest = max(h.newest, said.Revision)
+	h.learnRoster(said.Managers, started)
+	if said.TableKnown {
+		h.learnTable(tableFact{known: true, revision: said.TableRevision, at: started.Add(-said.TableAge)})
+	}
+	if fact, ok := h.managers[said.From]; ok && (!fact.said || started.After(fact.at) || said.Final) && !fact.final {
+		fact.said, fact.clear, fact.final, fact.at = true, !said.Unsettled, said.Final && !said.Unsettled, started
+		h.managers[said.From] = fact
+	}
+	h.confirm()
+}
+
+// Admit takes note of a joining manager. The manager may commit only after
+// every member of the roster, read after its own registration, has answered.
+func (h *Holder) Admit(manager Member, now time.Time) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.learnManager(manager, now)
+}
+
+// Begin must be called before each Transaction of this process.
+func (h *Holder) Begin() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.unsettled++
+}
+
+// Settled must be called once after Begin, when the outcome is known: with the
+// transaction's revision, or with 0 when nothing was written. After an unknown
+// outcome it is called with the result of Settle.
+func (h *Holder) Settled(revision uint64) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.unsettled--
+	h.newest = max(h.newest, revision)
+}
+
+// Finish makes this process's statements final: it commits nothing any more.
+func (h *Holder) Finish() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.final = true
+}
+
+// Statement returns what to answer a peer that asks at now.
+func (h *Holder) Statement(now time.Time) Statement {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	said := Statement{
+		From:      h.config.Self,
+		Revision:  h.newest,
+		Unsettled: h.unsettled > 0,
+		Final:     h.final,
+	}
+	if h.knowsRoster {
+		said.Managers = h.sortedManagers()
+	}
+	if h.table.known {
+		said.TableKnown, said.TableRevision, said.TableAge = true, h.table.revision, now.Sub(h.table.at)
+	}
+	return said
+}
+
+// Managers returns those that the copy's freshness depends on when the table
+// is out of reach.
+func (h *Holder) Managers() []Member {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.sortedManagers()
+}
+
+func (h *Holder) sortedManagers() []Member {
+	return slices.SortedFunc(maps.Keys(h.managers), func(a, b Member) int {
+		if order := strings.Compare(a.Name, b.Name); order != 0 {
+			return order
+		}
+		if a.Incarnation < b.Incarnation {
+			return -1
+		}
+		return 1
+	})
+}
+
+func (h *Holder) advance(state State) {
+	h.state = state
+	h.newest = max(h.newest, state.Revision)
+	h.confirm()
+}
+
+// dropManagers forgets the managers that a read of the roster, begun at
+// started, lacks. One that was announced later may be missing in it.
+func (h *Holder) dropManagers(roster []Member, started time.Time) {
+	for manager, fact := range h.managers {
+		if fact.learned.Before(started) && !slices.Contains(roster, manager) {
+			h.removed[manager] = started
+			delete(h.managers, manager)
+		}
+	}
+	maps.DeleteFunc(h.removed, func(_ Member, at time.Time) bool {
+		return started.Sub(at) > removedRetention
+	})
+}
+
+func (h *Holder) learnRoster(managers []Member, now time.Time) {
+	if len(managers) > 0 {
+		h.knowsRoster = true
+	}
+	for _, manager := range managers {
+		h.learnManager(manager, now)
+	}
+}
+
+func (h *Holder) learnManager(manager Member, now time.Time) {
+	_, known := h.managers[manager]
+	_, removed := h.removed[manager]
+	if !known && !removed {
+		h.managers[manager] = managerFact{learned: now}
+	}
+}
+
+func (h *Holder) learnTable(fact tableFact) {
+	if !h.table.known || fact.at.After(h.table.at) {
+		h.table = fact
+	}
+}
+
+// confirm moves confirmedAt forward as far as the facts allow.
+func (h *Holder) confirm() {
+	if h.table.known && h.table.revision <= h.state.Revision {
+		h.confirmAt(h.table.at)
+	}
+	if at, ok := h.allManagersAt(); ok && h.newest <= h.state.Revision {
+		h.confirmAt(at)
+	}
+	view := &View{State: h.state}
+	if !h.confirmedAt.IsZero() {
+		view.FreshUntil = h.confirmedAt.Add(h.config.Bound)
+	}
+	h.view.Store(view)
+}
+
+func (h *Holder) confirmAt(at time.Time) {
+	if at.After(h.confirmedAt) {
+		h.confirmedAt = at
+	}
+}
+
+// allManagersAt returns the earliest of the times as of which each manager had
+// nothing unsettled.
+func (h *Holder) allManagersAt() (time.Time, bool) {
+	if !h.knowsRoster || h.unsettled > 0 {
+		return time.Time{}, false
+	}
+	var earliest time.Time
+	for manager, fact := range h.managers {
+		if manager == h.config.Self || fact.final {
+			continue
+		}
+		if !fact.said || !fact.clear {
+			return time.Time{}, false
+		}
+		if earliest.IsZero() || fact.at.Before(earliest) {
+			earliest = fact.at
+		}
+	}
+	return earliest, !earliest.IsZero()
+}
--- /dev/null
+++ b/internal/revision/state.go
@@ -0,0 +1,205 @@
+package revision
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"strings"
+
+	"github.com/lovagedyke/lovagedyke/internal/catalogue"
+	"github.com/lovagedyke/lovagedyke/internal/keyring"
+	"github.com/lovagedyke/lovagedyke/internal/table"
+)
+
+// Keys of the table's rows.
+const (
+	Prefix      = "config/"
+	headKey     = Prefix + "head"
+	teamPrefix  = Prefix + "team/"
+	entryPrefix = Prefix + "entry/"
+	keyPrefix   = Prefix + "key/"
+)
+
+// State is the configuration at one revision. It is immutable. Revision 0 is
+// the empty configuration before the first change.
+type State struct {
+	Revision  uint64
+	Catalogue catalogue.Catalogue
+	Keys      keyring.Keyring
+}
+
+// Empty returns the state at revision 0.
+func Empty() State {
+	return State{Catalogue: catalogue.New(), Keys: keyring.Of()}
+}
+
+// Rows returns the table's rows that make up the state, without the head.
+func (s State) Rows() (map[string][]byte, error) {
+	rows := make(map[string][]byte)
+	for name, team := range s.Catalogue.Teams {
+		if err := encodeRow(rows, teamPrefix+name, team); err != nil {
+			return nil, err
+		}
+	}
+	for name, entry := range s.Catalogue.Entries {
+		if err := encodeRow(rows, entryPrefix+name, entry); err != nil {
+			return nil, err
+		}
+	}
+	for _, key := range s.Keys.Keys() {
+		if err := encodeRow(rows, keyPrefix+key.ID, key); err != nil {
+			return nil, err
+		}
+	}
+	return rows, nil
+}
+
+func encodeRow(rows map[string][]byte, key string, value any) error {
+	text, err := json.Marshal(value)
+	if err != nil {
+		return fmt.Errorf("row %q cannot be encoded: %w", key, err)
+	}
+	rows[key] = text
+	return nil
+}
+
+// Snapshot returns the change that leads from the empty state to s, to hand a
+// whole state to a process that has none.
+func (s State) Snapshot() (Change, error) {
+	rows, err := s.Rows()
+	change := Change{Revision: s.Revision, Whole: true}
+	for key, value := range rows {
+		change.Rows = append(change.Rows, table.Write{Key: key, Value: value})
+	}
+	return change, err
+}
+
+// Change leads from one revision to the next.
+type Change struct {
+	Base     uint64        `json:"base"`
+	Revision uint64        `json:"revision"`
+	Rows     []table.Write `json:"rows,omitempty"`
+	// Whole means that the rows are the whole state, whatever came before.
+	Whole bool `json:"whole,omitempty"`
+}
+
+// Empty reports whether nothing changed: the declared state was in force, or
+// an operation was repeated.
+func (c Change) Empty() bool {
+	return c.Base == c.Revision
+}
+
+// Apply returns the state after a change. It only moves forward: ok is false
+// when the change does not start at the state's revision (a whole one: is not
+// newer) or is malformed.
+func Apply(state State, change Change) (next State, ok bool) {
+	switch {
+	case change.Revision <= state.Revision:
+		return state, false
+	case change.Whole:
+		next = Empty()
+	case change.Base != state.Revision:
+		return state, false
+	default:
+		next = State{Catalogue: state.Catalogue.Clone(), Keys: state.Keys}
+	}
+	for _, row := range change.Rows {
+		if err := next.applyRow(row); err != nil {
+			return state, false
+		}
+	}
+	next.Revision = change.Revision
+	return next, true
+}
+
+// applyRow changes the maps of s in place; the caller owns them.
+func (s *State) applyRow(row table.Write) error {
+	kind, name, _ := strings.Cut(strings.TrimPrefix(row.Key, Prefix), "/")
+	switch kind + "/" {
+	case strings.TrimPrefix(teamPrefix, Prefix):
+		return applyTo(s.Catalogue.Teams, name, row)
+	case strings.TrimPrefix(entryPrefix, Prefix):
+		return applyTo(s.Catalogue.Entries, name, row)
+	case strings.TrimPrefix(keyPrefix, Prefix):
+		if row.Delete {
+			s.Keys = s.Keys.Without(name)
+			return nil
+		}
+		var key keyring.Key
+		if err := json.Unmarshal(row.Value, &key); err != nil {
+			return fmt.Errorf("row %q is malformed: %w", row.Key, err)
+		}
+		s.Keys = s.Keys.With(key)
+		return nil
+	}
+	return fmt.Errorf("row %q has an unknown kind", row.Key)
+}
+
+func applyTo[V any](values map[string]V, name string, row table.Write) error {
+	if row.Delete {
+		delete(values, name)
+		return nil
+	}
+	var value V
+	if err := json.Unmarshal(row.Value, &value); err != nil {
+		return fmt.Errorf("row %q is malformed: %w", row.Key, err)
+	}
+	values[name] = value
+	return nil
+}
+
+// between returns the change from one state to the next revision, whose rows
+// are after's. Entries and keys that differ are stamped with that revision.
+func between(before, after State) (Change, error) {
+	change := Change{Base: before.Revision, Revision: before.Revision}
+	old, err := before.Rows()
+	if err != nil {
+		return change, err
+	}
+	revised := after.stamped(before)
+	rows, err := revised.Rows()
+	if err != nil {
+		return change, err
+	}
+	for key, value := range rows {
+		if !bytes.Equal(old[key], value) {
+			change.Rows = append(change.Rows, table.Write{Key: key, Value: value})
+		}
+	}
+	for key := range old {
+		if _, kept := rows[key]; !kept {
+			change.Rows = append(change.Rows, table.Write{Key: key, Delete: true})
+		}
+	}
+	if len(change.Rows) > 0 {
+		change.Revision++
+	}
+	return change, nil
+}
+
+// stamped sets the revision of each entry and key: the old one where nothing
+// else differs, or the one after before's.
+func (s State) stamped(before State) State {
+	next := before.Revision + 1
+	out := State{Catalogue: s.Catalogue.Clone(), Keys: s.Keys}
+	changed := make(map[string]bool)
+	for _, change := range catalogue.Diff(before.Catalogue, s.Catalogue) {
+		changed[change.Name] = changed[change.Name] || change.Kind != "team"
+	}
+	for name, entry := range out.Catalogue.Entries {
+		entry.Revision = before.Catalogue.Entries[name].Revision
+		if changed[name] {
+			entry.Revision = next
+		}
+		out.Catalogue.Entries[name] = entry
+	}
+	for _, key := range s.Keys.Keys() {
+		old, known := before.Keys.Get(key.ID)
+		key.Revision = old.Revision
+		if !known || key.Team != old.Team || key.Withdrawn != old.Withdrawn || !bytes.Equal(key.Hash, old.Hash) {
+			key.Revision = next
+		}
+		out.Keys = out.Keys.With(key)
+	}
+	return out
+}
