--- a/internal/manager/manager.go
+++ b/internal/manager/manager.go
@@ -15,6 +15,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -26,6 +27,7 @@
 	"github.com/lovagedyke/lovagedyke/internal/peer"
 	"github.com/lovagedyke/lovagedyke/internal/peer/peerpb"
 	"github.com/lovagedyke/lovagedyke/internal/platform"
+	"github.com/lovagedyke/lovagedyke/internal/revision"
 	"github.com/lovagedyke/lovagedyke/internal/roster"
 )
 
@@ -64,15 +66,26 @@
 	node    *node.Node
 	reports chan limit.Report
 	wake    chan struct{}
+
+	// stopping ends with Run; settling tracks what goes on after an answer.
+	stopping context.Context
+	stop     context.CancelFunc
+	settling conc.WaitGroup
+
+	mu     sync.Mutex
+	joiner *revision.Joiner
 }
 
 // New returns a manager over the node.
 func New(config Config) *Manager {
+	stopping, stop := context.WithCancel(context.Background())
 	return &Manager{
-		config:  config,
-		node:    config.Node,
-		reports: make(chan limit.Report, reportQueue),
-		wake:    make(chan struct{}, 1),
+		config:   config,
+		node:     config.Node,
+		reports:  make(chan limit.Report, reportQueue),
+		wake:     make(chan struct{}, 1),
+		stopping: stopping,
+		stop:     stop,
 	}
 }
 
@@ -84,6 +97,8 @@
 		loops.Go(func() { m.limitLoop(ctx) })
 		loops.Go(func() { m.rosterLoop(ctx) })
 		loops.Wait()
+		m.stop()
+		m.settling.Wait()
 		done <- ctx.Err()
 	}()
 	return done
--- a/internal/node/gossip.go
+++ b/internal/node/gossip.go
@@ -18,6 +18,7 @@
 type peerView struct {
 	busy atomic.Bool
 	// Guarded by Node.mu.
+	answered bool
 	heard   time.Time
 	inForce uint64
 	idle    map[string]int
@@ -76,6 +77,7 @@
 	if peer.Identity(reply.GetFrom()) != member.Identity {
 		return
 	}
+	n.noteAnswer(member.Identity)
 	n.configuration.Heard(started, peer.Statement(reply.GetFrom(), reply.GetConfiguration()))
 	n.absorb(reply)
 }
@@ -88,6 +90,7 @@
 		From:          peer.IdentityMessage(n.config.Self.Identity),
 		RosterVersion: members.Version,
 		Configuration: peer.StatementMessage(n.configuration.Statement(now), view.State.Revision),
+		Manager:       n.config.Self.Role == roster.RoleManager,
 	}
 	for team := range view.State.Catalogue.Teams {
 		status := n.ledger.Status(team)
@@ -133,6 +136,27 @@
 	}
 }
 
+// noteAnswer keeps that the member knows this process.
+func (n *Node) noteAnswer(id roster.Identity) {
+	view := n.view(id)
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	view.answered = true
+}
+
+// Answered returns the members that have answered this process.
+func (n *Node) Answered() []roster.Identity {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	var ids []roster.Identity
+	for id, view := range n.peers {
+		if view.answered {
+			ids = append(ids, id)
+		}
+	}
+	return ids
+}
+
 // note keeps what the peer said of itself.
 func (n *Node) note(from roster.Identity, state *peerpb.State) {
 	idle := make(map[string]int, len(state.GetPermits()))
@@ -192,6 +216,14 @@
 	return confirmed, missing
 }
 
+// NoteInForce keeps that the member has confirmed the revision.
+func (n *Node) NoteInForce(id roster.Identity, confirmed uint64) {
+	view := n.view(id)
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	view.inForce = max(view.inForce, confirmed)
+}
+
 // Peers returns the other members for the state dump.
 func (n *Node) Peers() []PeerStatus {
 	members, _ := n.Roster()
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -219,6 +219,11 @@
 	}
 }
 
+// RefreshRoster reads the roster row.
+func (n *Node) RefreshRoster(ctx context.Context) error {
+	return n.ChangeRoster(ctx, func(current roster.Roster) (roster.Roster, bool) { return current, false })
+}
+
 // seeRoster takes a roster that was read from the table.
 func (n *Node) seeRoster(members roster.Roster, rowVersion uint64) {
 	for {
--- a/internal/node/service.go
+++ b/internal/node/service.go
@@ -8,6 +8,7 @@
 
 	"github.com/lovagedyke/lovagedyke/internal/peer"
 	"github.com/lovagedyke/lovagedyke/internal/peer/peerpb"
+	"github.com/lovagedyke/lovagedyke/internal/revision"
 )
 
 // Service answers the peer calls that every process answers. Processes that
@@ -21,8 +22,14 @@
 
 // Exchange takes a peer's state and returns the node's own.
 func (s *Service) Exchange(_ context.Context, state *peerpb.State) (*peerpb.State, error) {
+	now := time.Now()
+	if state.GetManager() {
+		// A manager commits only once every member knows it, also those whose
+		// roster does not have it yet.
+		s.node.configuration.Admit(revision.Member(peer.Identity(state.GetFrom())), now)
+	}
 	s.node.absorb(state)
-	return s.node.state(time.Now()), nil
+	return s.node.state(now), nil
 }
 
 // Push takes a committed change of the configuration.
--- a/internal/process/manager.go
+++ b/internal/process/manager.go
@@ -65,8 +65,8 @@
 // openOperators opens the operators' port, with certificates where there are any.
 func (p *process) openOperators(handler http.Handler) (*port.Port, error) {
 	config := port.Config{Name: "operator", Address: p.config.OperatorAddress, Handler: handler}
-	if p.certs != nil {
-		config.TLS = p.certs.Server()
+	if p.operatorCerts != nil {
+		config.TLS = p.operatorCerts.Server()
 	}
 	return p.open(config)
 }
--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -58,11 +58,13 @@
 	log      *log.Logger
 	platform *platform.Client
 	dialer   *peer.Dialer
-	certs    *certs.Files
-	node     *node.Node
-	secret   string
-	notReady atomic.Pointer[error]
-	ports    []*port.Port
+	// peerCerts and operatorCerts are nil for ports without TLS.
+	peerCerts     *certs.Files
+	operatorCerts *certs.Files
+	node          *node.Node
+	secret        string
+	notReady      atomic.Pointer[error]
+	ports         []*port.Port
 }
 
 // newProcess builds the common parts.
@@ -75,20 +77,20 @@
 	}
 	p.secret = secret
 	dial := peer.Config{Secret: secret, Timeout: peerTimeout}
-	if config.Certificate != "" {
-		p.certs, err = certs.New(certs.Config{
-			Certificate: config.Certificate, Key: config.CertificateKey, Authority: config.Authority,
-		})
-		if err != nil {
-			return nil, err
-		}
-		dial.TLS = p.certs.Client()
+	if p.peerCerts, err = loadCerts(config.PeerTLS); err != nil {
+		return nil, errors.Wrap(err, "load the peer port's certificates")
+	}
+	if p.operatorCerts, err = loadCerts(config.OperatorTLS); err != nil {
+		return nil, errors.Wrap(err, "load the operator port's certificates")
+	}
+	if p.peerCerts != nil {
+		dial.TLS = p.peerCerts.Client()
 	}
 	p.dialer = peer.New(dial)
 	p.platform = platform.New(platform.Config{Address: config.PlatformAddress, Process: config.Name})
 	p.node = node.New(node.Config{
 		Self: roster.Member{
-			Identity: roster.Identity{Name: config.Name, Incarnation: uint64(time.Now().UnixNano())},
+			Identity: roster.Identity{Name: config.Name, Incarnation: config.Incarnation},
 			Host:     config.Host, Role: role, Address: config.PeerAddress,
 			DataCentre: config.DataCentre, State: roster.StateActive,
 		},
@@ -106,7 +108,7 @@
 
 // open opens a port, which closes when the process ends.
 func (p *process) open(config port.Config) (*port.Port, error) {
-	config.MaxHeader = p.config.MaxHeader
+	config.MaxHeader = int(p.config.MaxHeader)
 	config.ReadHeaderTimeout = p.config.ReadHeaderTimeout
 	opened, err := port.Open(config)
 	if err != nil {
@@ -127,8 +129,8 @@
 		return err
 	}
 	inner := port.Config{Name: "peer", Address: p.config.PeerAddress, Handler: peer.Handler(p.secret, service)}
-	if p.certs != nil {
-		inner.TLS = p.certs.Server()
+	if p.peerCerts != nil {
+		inner.TLS = p.peerCerts.Server()
 	}
 	_, err = p.open(inner)
 	return err
@@ -136,9 +138,6 @@
 
 // reloadLoop takes up replaced certificates until the context ends.
 func (p *process) reloadLoop(ctx context.Context) {
-	if p.certs == nil {
-		return
-	}
 	ticker := time.NewTicker(certificateInterval)
 	defer ticker.Stop()
 	for {
@@ -147,13 +146,30 @@
 			return
 		case <-ticker.C:
 		}
-		changed, err := p.certs.Reload()
-		if err != nil {
-			p.log.Error("certificates not reloaded", "reason", err)
-		} else if changed {
-			p.log.Info("certificates reloaded")
-		}
+		p.reload("peer", p.peerCerts)
+		p.reload("operator", p.operatorCerts)
+	}
+}
+
+// reload takes up one port's certificates if they were replaced.
+func (p *process) reload(name string, files *certs.Files) {
+	if files == nil {
+		return
+	}
+	changed, err := files.Reload()
+	if err != nil {
+		p.log.Error("certificates not reloaded", "port", name, "reason", err)
+	} else if changed {
+		p.log.Info("certificates reloaded", "port", name)
+	}
+}
+
+// loadCerts returns nil for a port without TLS.
+func loadCerts(files settings.TLSFiles) (*certs.Files, error) {
+	if !files.Enabled() {
+		return nil, nil
 	}
+	return certs.New(certs.Config{Certificate: files.Certificate, Key: files.Key, Authority: files.Authority})
 }
 
 // leave marks the process as leaving and waits until the roster has dropped
