--- a/internal/catalogue/format.go
+++ b/internal/catalogue/format.go
@@ -7,6 +7,8 @@
 	"strconv"
 	"strings"
 	"time"
+
+	"github.com/lovagedyke/lovagedyke/internal/bytesize"
 )
 
 // field is one "name = value" of a section.
@@ -61,7 +63,7 @@
 		{"open", strconv.FormatBool(e.Open)},
 		{"shares", formatShares(e.Shares)},
 		{"limit", strconv.Itoa(e.Limit)},
-		{"max-body", formatSize(e.MaxBody)},
+		{"max-body", bytesize.Format(e.MaxBody)},
 		{"deadline", formatDuration(e.Deadline)},
 		{"longest-run", formatDuration(e.LongestRun)},
 		{"availability", strconv.FormatFloat(e.Availability, 'g', -1, 64)},
@@ -88,23 +90,3 @@
 	}
 	return text
 }
-
-// sizeUnits holds the units of sizes, largest first.
-var sizeUnits = []struct {
-	name  string
-	bytes int64
-}{
-	{"GiB", 1 << 30},
-	{"MiB", 1 << 20},
-	{"KiB", 1 << 10},
-	{"B", 1},
-}
-
-func formatSize(n int64) string {
-	for _, unit := range sizeUnits {
-		if n != 0 && n%unit.bytes == 0 {
-			return strconv.FormatInt(n/unit.bytes, 10) + unit.name
-		}
-	}
-	return "0B"
-}
--- a/internal/catalogue/parse.go
+++ b/internal/catalogue/parse.go
@@ -4,7 +4,6 @@
 	"cmp"
 	"fmt"
 	"io"
-	"math"
 	"slices"
 	"strconv"
 	"strings"
@@ -12,6 +11,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/lovagedyke/lovagedyke/internal/bytesize"
 	"github.com/lovagedyke/lovagedyke/internal/inifile"
 	"github.com/lovagedyke/lovagedyke/internal/problem"
 )
@@ -105,7 +105,7 @@
 		Open:         read(p, "open", false, "true or false", strconv.ParseBool),
 		Shares:       read(p, "shares", nil, "<team>:<weight>, separated by commas", parseShares),
 		Limit:        read(p, "limit", 0, "a whole number", strconv.Atoi),
-		MaxBody:      read(p, "max-body", defaultMaxBody, "a size such as 512KiB or 4MiB", positive(parseSize)),
+		MaxBody:      read(p, "max-body", defaultMaxBody, "a size such as 512KiB or 4MiB", positive(bytesize.Parse)),
 		Deadline:     read(p, "deadline", defaultDeadline, "a duration such as 2s or 500ms", positive(time.ParseDuration)),
 		LongestRun:   read(p, "longest-run", 0, "a duration such as 2s or 10m", positive(time.ParseDuration)),
 		Availability: read(p, "availability", defaultAvailability, "a number such as 0.999", positive(parseFloat)),
@@ -188,21 +188,6 @@
 	return shares, nil
 }
 
-func parseSize(text string) (int64, error) {
-	for _, unit := range sizeUnits {
-		digits, found := strings.CutSuffix(text, unit.name)
-		if !found {
-			continue
-		}
-		n, err := strconv.ParseInt(strings.TrimSpace(digits), 10, 64)
-		if err == nil && (n < 0 || n > math.MaxInt64/unit.bytes) {
-			return 0, fmt.Errorf("size %q is out of range", text)
-		}
-		return n * unit.bytes, err
-	}
-	return 0, fmt.Errorf("size %q has no unit", text)
-}
-
 func parseFloat(text string) (float64, error) {
 	return strconv.ParseFloat(text, 64)
 }
