--- a/internal/node/gossip.go
+++ b/internal/node/gossip.go
@@ -19,9 +19,9 @@
 	busy atomic.Bool
 	// Guarded by Node.mu.
 	answered bool
-	heard   time.Time
-	inForce uint64
-	idle    map[string]int
+	heard    time.Time
+	inForce  uint64
+	idle     map[string]int
 }
 
 // PeerStatus is one other member in the state dump.
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -97,12 +97,13 @@
 }
 
 // Handler serves the peer port; it refuses calls without the shared secret.
+// Without a secret the port must ask for certificates.
 func Handler(secret string, service peerpb.Peer) http.Handler {
 	server := peerpb.NewPeerServer(service)
 	want := sha256.Sum256([]byte(secret))
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		got := sha256.Sum256([]byte(r.Header.Get(secretHeader)))
-		if secret == "" || subtle.ConstantTimeCompare(got[:], want[:]) != 1 {
+		if secret != "" && subtle.ConstantTimeCompare(got[:], want[:]) != 1 {
 			_ = twirp.WriteError(w, twirp.NewError(twirp.Unauthenticated, "peer secret does not match"))
 			return
 		}
--- a/internal/process/manager.go
+++ b/internal/process/manager.go
@@ -22,7 +22,7 @@
 		return err
 	}
 	defer p.close()
-	operatorKey, err := readSecret(config.OperatorKeyFile)
+	operatorKey, err := settings.ReadSecret(config.OperatorKeyFile)
 	if err != nil {
 		return errors.Wrap(err, "read the operator key")
 	}
--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -13,8 +13,6 @@
 
 import (
 	"context"
-	"os"
-	"strings"
 	"sync/atomic"
 	"time"
 
@@ -71,12 +69,15 @@
 func newProcess(config settings.Config, role roster.Role, logger *log.Logger) (*process, error) {
 	p := &process{config: config, log: logger}
 	p.setReady(errStarting)
-	secret, err := readSecret(config.PeerSecretFile)
-	if err != nil {
-		return nil, errors.Wrap(err, "read the peer secret")
+	var err error
+	if config.PeerSecretFile != "" {
+		secret, err := settings.ReadSecret(config.PeerSecretFile)
+		if err != nil {
+			return nil, errors.Wrap(err, "read the peer secret")
+		}
+		p.secret = string(secret)
 	}
-	p.secret = secret
-	dial := peer.Config{Secret: secret, Timeout: peerTimeout}
+	dial := peer.Config{Secret: p.secret, Timeout: peerTimeout}
 	if p.peerCerts, err = loadCerts(config.PeerTLS); err != nil {
 		return nil, errors.Wrap(err, "load the peer port's certificates")
 	}
@@ -211,16 +212,3 @@
 	case <-time.After(d):
 	}
 }
-
-// readSecret reads a file of one line.
-func readSecret(name string) (string, error) {
-	text, err := os.ReadFile(name)
-	if err != nil {
-		return "", err
-	}
-	secret := strings.TrimSpace(string(text))
-	if secret == "" {
-		return "", errors.Newf("file %q is empty", name)
-	}
-	return secret, nil
-}
--- a/internal/settings/definitions.go
+++ b/internal/settings/definitions.go
@@ -34,6 +34,7 @@
 
 var definitions = []definition{
 	{"process", "name", "", "name of this process, unique in the fleet", wantName, name(func(c *Config) *string { return &c.Name })},
+	{"process", "host", "", "name of its host in the platform's list", wantName, name(func(c *Config) *string { return &c.Host })},
 	{"process", "data-centre", "", "data centre of this process", wantName, name(func(c *Config) *string { return &c.DataCentre })},
 	{"process", "role", "", "program that the settings are for; checked when set", "entry or manager", choice(func(c *Config) *Role { return &c.Role }, RoleEntry, RoleManager)},
 
@@ -62,11 +63,13 @@
 	{"requests", "max-body", "1GiB", "largest body of a request, whatever the catalogue says", wantSize, size(func(c *Config) *int64 { return &c.MaxBody })},
 	{"requests", "read-header-timeout", "5s", "bound on reading a request's header", wantDuration, duration(func(c *Config) *time.Duration { return &c.ReadHeaderTimeout })},
 
-	{"agreement", "gossip-interval", "250ms", "time between exchanges with peers", wantDuration, duration(func(c *Config) *time.Duration { return &c.GossipInterval })},
+	{"agreement", "gossip-interval", "100ms", "time between exchanges with peers", wantDuration, duration(func(c *Config) *time.Duration { return &c.GossipInterval })},
 	{"agreement", "poll-interval", "1s", "time between reads of the newest revision", wantDuration, duration(func(c *Config) *time.Duration { return &c.PollInterval })},
 	{"agreement", "fresh-bound", "3s", "how long keyed work is admitted after the configuration was confirmed", wantDuration, duration(func(c *Config) *time.Duration { return &c.FreshBound })},
 	{"agreement", "claim-retention", "24h", "how long the record of a marked request is kept", wantDuration, duration(func(c *Config) *time.Duration { return &c.ClaimRetention })},
 
+	{"agreement", "list-lag", "10s", "how far the platform's list of hosts may be behind", wantDuration, duration(func(c *Config) *time.Duration { return &c.ListLag })},
+
 	{"weights", "buffer-cost", "1", "weight of idle spare hosts", wantWeight, weight(func(c *Config) *float64 { return &c.Weights.BufferCost })},
 	{"weights", "moves", "1", "weight of hosts' moves between pools", wantWeight, weight(func(c *Config) *float64 { return &c.Weights.Moves })},
 	{"weights", "share-nearness", "1", "weight of how near each team comes to its share", wantWeight, weight(func(c *Config) *float64 { return &c.Weights.ShareNearness })},
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -56,6 +56,7 @@
 // defaults stand in definitions.
 type Config struct {
 	Name       string
+	Host       string
 	DataCentre string
 	Role       Role
 	// Incarnation tells this run of the process from others; a later run has
@@ -90,6 +91,7 @@
 	PollInterval   time.Duration
 	FreshBound     time.Duration
 	ClaimRetention time.Duration
+	ListLag        time.Duration
 
 	Weights Weights
 }
