--- a/internal/keyring/keyring.go
+++ b/internal/keyring/keyring.go
@@ -83,6 +83,17 @@
 	return Secret{id: id, text: prefix + id + "_" + secret}, Key{ID: id, Team: team, Hash: hash[:]}, nil
 }
 
+// Validate reports a malformed id or hash.
+func (k Key) Validate() error {
+	if raw, err := hex.DecodeString(k.ID); err != nil || len(raw) != idBytes || hex.EncodeToString(raw) != k.ID {
+		return fmt.Errorf("key id %q is malformed, want %d lower-case hexadecimal digits", k.ID, idLength)
+	}
+	if len(k.Hash) != sha256.Size {
+		return fmt.Errorf("hash of key %q has %d bytes, want %d", k.ID, len(k.Hash), sha256.Size)
+	}
+	return nil
+}
+
 // String names the key without its hash.
 func (k Key) String() string {
 	state := "in force"
--- /dev/null
+++ b/internal/operator/keys.go
@@ -0,0 +1,94 @@
+package operator
+
+import (
+	"bytes"
+	"fmt"
+	"net/http"
+	"slices"
+
+	"github.com/julienschmidt/httprouter"
+
+	"github.com/lovagedyke/lovagedyke/internal/keyring"
+	"github.com/lovagedyke/lovagedyke/internal/revision"
+	"github.com/lovagedyke/lovagedyke/pkg/api"
+)
+
+func (h *Handler) listKeys(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
+	state, err := revision.Load(r.Context(), h.config.Store)
+	if err != nil {
+		writeError(w, err)
+		return
+	}
+	keys := []api.Key{}
+	for _, key := range state.Keys.Keys() {
+		keys = append(keys, api.Key{ID: key.ID, Team: key.Team, Withdrawn: key.Withdrawn, Revision: key.Revision})
+	}
+	writeJSON(w, http.StatusOK, keys)
+}
+
+// giveKey registers a key by its hash: the secret never reaches a manager, and
+// a repeat after a lost answer finds the key in place.
+func (h *Handler) giveKey(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
+	var request api.GiveKeyRequest
+	if !readJSON(w, r, &request) {
+		return
+	}
+	key := keyring.Key{ID: request.ID, Team: request.Team, Hash: request.Hash}
+	if err := key.Validate(); err != nil {
+		writeProblem(w, api.Problem{
+			Status: http.StatusUnprocessableEntity, Title: "key is malformed", Detail: err.Error(),
+			Reason: api.ReasonMalformed, Field: "id", Outcome: api.OutcomeNotRun,
+		})
+		return
+	}
+	edit := func(current revision.State) (revision.State, error) {
+		if _, known := current.Catalogue.Teams[key.Team]; !known {
+			return current, unknownName("team", key.Team, current.Catalogue.TeamNames())
+		}
+		if old, taken := current.Keys.Get(key.ID); taken {
+			return current, sameKey(old, key)
+		}
+		return revision.State{Catalogue: current.Catalogue, Keys: current.Keys.With(key)}, nil
+	}
+	op := revision.Operation{ID: request.Operation, Digest: digest(slices.Concat([]byte("give key "+key.ID+key.Team), key.Hash))}
+	change, err := h.commit(r.Context(), op, edit)
+	if err != nil {
+		writeError(w, err)
+		return
+	}
+	writeChange(w, change, request.Operation, nil)
+}
+
+// sameKey refuses an id that another key has.
+func sameKey(old, key keyring.Key) error {
+	if old.Team == key.Team && bytes.Equal(old.Hash, key.Hash) {
+		return nil
+	}
+	return &api.Problem{
+		Status: http.StatusConflict, Title: fmt.Sprintf("key id %q is taken", key.ID),
+		Reason: api.ReasonMalformed, Field: "id", Outcome: api.OutcomeNotRun,
+	}
+}
+
+// withdrawKey keeps the key's row, so that it can never come back.
+func (h *Handler) withdrawKey(w http.ResponseWriter, r *http.Request, params httprouter.Params) {
+	id := params.ByName("id")
+	op, ok := operationOf(w, r, "withdraw key "+id)
+	if !ok {
+		return
+	}
+	edit := func(current revision.State) (revision.State, error) {
+		key, known := current.Keys.Get(id)
+		if !known {
+			return current, unknownName("id", id, nil)
+		}
+		key.Withdrawn = true
+		return revision.State{Catalogue: current.Catalogue, Keys: current.Keys.With(key)}, nil
+	}
+	change, err := h.commit(r.Context(), op, edit)
+	if err != nil {
+		writeError(w, err)
+		return
+	}
+	writeChange(w, change, op.ID, nil)
+}
--- /dev/null
+++ b/internal/operator/operator_test.go
@@ -0,0 +1,310 @@
+package operator_test
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/lovagedyke/lovagedyke/internal/operator"
+	"github.com/lovagedyke/lovagedyke/internal/revision"
+	"github.com/lovagedyke/lovagedyke/internal/table"
+	"github.com/lovagedyke/lovagedyke/pkg/api"
+	"github.com/lovagedyke/lovagedyke/pkg/client"
+)
+
+const operatorKey = "operators' key of the tests"
+
+// fleet is a roster whose members confirm what is pushed to them.
+type fleet struct {
+	mu        sync.Mutex
+	confirmed map[string]uint64
+	deaf      string
+}
+
+func (f *fleet) Push(_ context.Context, change revision.Change) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for name := range f.confirmed {
+		if name != f.deaf {
+			f.confirmed[name] = change.Revision
+		}
+	}
+}
+
+func (f *fleet) InForce(_ context.Context, number uint64) (confirmed, missing []string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for name, at := range f.confirmed {
+		if at >= number {
+			confirmed = append(confirmed, name)
+		} else {
+			missing = append(missing, name)
+		}
+	}
+	return confirmed, missing
+}
+
+func (f *fleet) Roster(context.Context) ([]api.Member, error) {
+	return []api.Member{{Name: "entry-1", Role: "entry"}}, nil
+}
+
+// records knows one charge.
+type records struct{}
+
+func (records) Charge(_ context.Context, id string) (api.Charge, error) {
+	if id != "c1" {
+		return api.Charge{}, operator.ErrNotFound
+	}
+	return api.Charge{ID: id, Run: api.Run{Run: "r1", Entry: "orders"}}, nil
+}
+
+func (records) Unproven(context.Context) ([]api.Run, error) {
+	return nil, nil
+}
+
+// setup is two managers on one table.
+type setup struct {
+	store  *table.Memory
+	fleet  *fleet
+	client *client.Client
+	url    string
+}
+
+func newSetup(t *testing.T) *setup {
+	s := &setup{store: table.NewMemory(), fleet: &fleet{confirmed: map[string]uint64{"entry-1": 0, "entry-2": 0}}}
+	config := client.Config{Key: operatorKey, Attempts: 4}
+	for range 2 {
+		author := revision.NewAuthor(revision.AuthorConfig{
+			Store:  s.store,
+			Holder: revision.NewHolder(revision.HolderConfig{}),
+			Ready:  func() bool { return true },
+			Guard:  func() []table.Condition { return nil },
+		})
+		server := httptest.NewServer(operator.New(operator.Config{
+			Store:   s.store,
+			Author:  author,
+			Fleet:   s.fleet,
+			Records: records{},
+			Keys:    func() [][]byte { return [][]byte{[]byte("another key"), []byte(operatorKey)} },
+			Dump:    func() any { return map[string]int{"revision": 1} },
+		}))
+		t.Cleanup(server.Close)
+		s.url = server.URL
+		config.Managers = append(config.Managers, netip.MustParseAddrPort(server.Listener.Addr().String()))
+	}
+	s.client = client.New(config)
+	return s
+}
+
+func sampleCatalogue() api.Catalogue {
+	return api.Catalogue{
+		Teams:   []api.Team{{Name: "acme", UpperLimit: 4}},
+		Entries: []api.Entry{{Name: "orders", Kind: "service", Team: "acme"}},
+	}
+}
+
+func TestChangesAndKeys(t *testing.T) {
+	ctx := context.Background()
+	s := newSetup(t)
+	first := uint64(0)
+	request := api.ApplyRequest{Catalogue: sampleCatalogue(), Expected: &first, Operation: "op"}
+	answer := must(s.client.Apply(ctx, request))(t)
+	if got, want := answer.Revision, uint64(1); got != want || len(answer.Changes) != 2 || !answer.Accepted {
+		t.Errorf("apply: got %+v, want two changes at revision %d", answer, want)
+	}
+	if again := must(s.client.Apply(ctx, request))(t); again.Revision != 1 || !again.Unchanged {
+		t.Errorf("repeat: got %+v, want revision 1 unchanged", again)
+	}
+	s.fleet.deaf = "entry-2"
+	key, given, err := s.client.GiveKey(ctx, "acme")
+	if err != nil || given.Revision != 2 {
+		t.Fatalf("give: got %+v, %v, want revision 2", given, err)
+	}
+	state := must(revision.Load(ctx, s.store))(t)
+	if team, ok := state.Keys.Check(key); team != "acme" || !ok {
+		t.Errorf("given key: got %q, %v, want acme", team, ok)
+	}
+	id := must(s.client.Keys(ctx))(t)[0].ID
+	withdrawn := must(s.client.WithdrawKey(ctx, id, ""))(t)
+	state = must(revision.Load(ctx, s.store))(t)
+	if team, ok := state.Keys.Check(key); ok {
+		t.Errorf("withdrawn key: got %q, want none", team)
+	}
+	where := must(s.client.Revision(ctx, withdrawn.Revision, 50*time.Millisecond))(t)
+	if where.InForce || !slices.Equal(where.Missing, []string{"entry-2"}) || !slices.Equal(where.Confirmed, []string{"entry-1"}) {
+		t.Errorf("in force: got %+v, want entry-2 missing", where)
+	}
+	s.fleet.deaf = ""
+	removed := must(s.client.RemoveEntry(ctx, "orders", "", nil))(t)
+	if where := must(s.client.Revision(ctx, removed.Revision, time.Second))(t); !where.InForce {
+		t.Errorf("in force: got %+v, want everywhere", where)
+	}
+	if got := must(s.client.Catalogue(ctx))(t); len(got.Catalogue.Entries) != 0 || got.Revision != 4 {
+		t.Errorf("catalogue: got %+v, want no entries at revision 4", got)
+	}
+}
+
+func TestRemovedTeamsKeysStayWithdrawn(t *testing.T) {
+	ctx := context.Background()
+	s := newSetup(t)
+	must(s.client.Apply(ctx, api.ApplyRequest{Catalogue: sampleCatalogue()}))(t)
+	key, _, err := s.client.GiveKey(ctx, "acme")
+	if err != nil {
+		t.Fatal(err)
+	}
+	must(s.client.Apply(ctx, api.ApplyRequest{}))(t)
+	must(s.client.Apply(ctx, api.ApplyRequest{Catalogue: sampleCatalogue()}))(t)
+	if team, ok := must(revision.Load(ctx, s.store))(t).Keys.Check(key); ok {
+		t.Errorf("got team %q, want the key withdrawn", team)
+	}
+}
+
+func TestRefusals(t *testing.T) {
+	ctx := context.Background()
+	old := uint64(7)
+	invalid := sampleCatalogue()
+	invalid.Entries[0].Team = "acne"
+	tests := map[string]struct {
+		faults table.Faults
+		call   func(c *client.Client) error
+		want   api.Problem
+	}{
+		"revision moved on": {
+			call: func(c *client.Client) error {
+				_, err := c.Apply(ctx, api.ApplyRequest{Catalogue: sampleCatalogue(), Expected: &old})
+				return err
+			},
+			want: api.Problem{Status: 409, Reason: api.ReasonRevision, Field: "expected-revision", Outcome: api.OutcomeNotRun},
+		},
+		"invalid": {
+			call: func(c *client.Client) error {
+				_, err := c.Apply(ctx, api.ApplyRequest{Catalogue: invalid})
+				return err
+			},
+			want: api.Problem{Status: 422, Reason: api.ReasonInvalid, Field: "[service orders] team", Outcome: api.OutcomeNotRun},
+		},
+		"unknown team": {
+			call: func(c *client.Client) error { _, _, err := c.GiveKey(ctx, "acne"); return err },
+			want: api.Problem{Status: 404, Reason: api.ReasonNotFound, Field: "team", Outcome: api.OutcomeNotRun},
+		},
+		"unknown charge": {
+			call: func(c *client.Client) error { _, err := c.Charge(ctx, "c2"); return err },
+			want: api.Problem{Status: 404, Reason: api.ReasonNotFound, Field: "id", Outcome: api.OutcomeNotRun},
+		},
+		"table is down": {
+			faults: table.Faults{Down: true},
+			call:   func(c *client.Client) error { _, err := c.WithdrawKey(ctx, "1", ""); return err },
+			want:   api.Problem{Status: 503, Reason: api.ReasonTableUnavailable, Outcome: api.OutcomeNotRun},
+		},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			s := newSetup(t)
+			s.store.SetFaults(tc.faults)
+			var got *api.Problem
+			if err := tc.call(s.client); !errors.As(err, &got) {
+				t.Fatalf("got %v, want a problem", err)
+			}
+			if got.Status != tc.want.Status || got.Reason != tc.want.Reason || got.Field != tc.want.Field || got.Outcome != tc.want.Outcome {
+				t.Errorf("got %+v, want %+v", got, tc.want)
+			}
+		})
+	}
+}
+
+// The answers to all commits are lost; each change takes effect once.
+func TestLostAnswers(t *testing.T) {
+	ctx := context.Background()
+	s := newSetup(t)
+	s.store.SetFaults(table.Faults{LoseAnswers: true})
+	answer := must(s.client.Apply(ctx, api.ApplyRequest{Catalogue: sampleCatalogue()}))(t)
+	if got, want := must(revision.Head(ctx, s.store))(t), answer.Revision; got != want || got != 1 {
+		t.Errorf("got head %d, answer %d, want 1", got, want)
+	}
+}
+
+func TestBadRequests(t *testing.T) {
+	s := newSetup(t)
+	huge := `{"operation-id":"` + strings.Repeat("x", 17<<20) + `"}`
+	tests := map[string]struct {
+		method, path, key, body string
+		wantStatus              int
+		wantField               string
+	}{
+		"no key":           {"GET", "/v1/catalogue", "", "", 401, "Authorization"},
+		"wrong key":        {"GET", "/v1/catalogue", "x", "", 401, "Authorization"},
+		"unknown path":     {"GET", "/v2", operatorKey, "", 404, "path"},
+		"wrong method":     {"PUT", "/v1/catalogue", operatorKey, "", 405, "method"},
+		"empty body":       {"POST", "/v1/catalogue", operatorKey, "", 400, "body"},
+		"two values":       {"POST", "/v1/catalogue", operatorKey, "{}{}", 400, "body"},
+		"unknown field":    {"POST", "/v1/catalogue", operatorKey, `{"catalog":{}}`, 400, "catalog"},
+		"wrong type":       {"POST", "/v1/catalogue", operatorKey, `{"dry-run":3}`, 400, "dry-run"},
+		"too large":        {"POST", "/v1/catalogue", operatorKey, huge, 413, "body"},
+		"malformed wait":   {"GET", "/v1/revision?wait=3", operatorKey, "", 400, "wait"},
+		"malformed number": {"DELETE", "/v1/entries/a?expected-revision=-1", operatorKey, "", 400, "expected-revision"},
+		"malformed key id": {"POST", "/v1/keys", operatorKey, `{"id":"x","team":"acme"}`, 422, "id"},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			request := must(http.NewRequest(tc.method, s.url+tc.path, strings.NewReader(tc.body)))(t)
+			if tc.key != "" {
+				request.Header.Set("Authorization", "Bearer "+tc.key)
+			}
+			answer := must(http.DefaultClient.Do(request))(t)
+			defer answer.Body.Close()
+			content := must(io.ReadAll(answer.Body))(t)
+			var got api.Problem
+			if err := json.Unmarshal(content, &got); err != nil {
+				t.Fatalf("got %q: %v", content, err)
+			}
+			if answer.StatusCode != tc.wantStatus || got.Field != tc.wantField || got.Reason == "" {
+				t.Errorf("got %d, %+v, want %d, field %q", answer.StatusCode, got, tc.wantStatus, tc.wantField)
+			}
+		})
+	}
+}
+
+func TestClientTriesTheNextManager(t *testing.T) {
+	s := newSetup(t)
+	dead := httptest.NewServer(nil)
+	address := netip.MustParseAddrPort(dead.Listener.Addr().String())
+	dead.Close()
+	live := netip.MustParseAddrPort(strings.TrimPrefix(s.url, "http://"))
+	tests := map[string]struct {
+		managers []netip.AddrPort
+		want     error
+	}{
+		"first is dead":  {[]netip.AddrPort{address, live}, nil},
+		"none is alive":  {[]netip.AddrPort{address}, client.ErrUnavailable},
+		"none was given": {nil, client.ErrUnavailable},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			c := client.New(client.Config{Managers: tc.managers, Key: operatorKey, Attempts: 2})
+			if _, err := c.Roster(context.Background()); !errors.Is(err, tc.want) {
+				t.Errorf("got %v, want %v", err, tc.want)
+			}
+		})
+	}
+}
+
+// must returns a function that fails the test on an error.
+func must[T any](value T, err error) func(testing.TB) T {
+	return func(t testing.TB) T {
+		t.Helper()
+		if err != nil {
+			t.Fatal(err)
+		}
+		return value
+	}
+}
--- a/internal/revision/transaction.go
+++ b/internal/revision/transaction.go
@@ -48,7 +48,7 @@
 
 // Operation identifies a change, so that it can be repeated after a lost answer.
 type Operation struct {
-	// ID is the operator's; an empty one is not remembered.
+	// ID is the operator's. Without one a lost answer cannot be settled.
 	ID string
 	// Digest identifies the change itself; a repeat must bring the same.
 	Digest string
@@ -159,6 +159,8 @@
 		switch {
 		case err == nil:
 			return change, nil
+		case table.IsUnknown(err) && op.ID == "":
+			return Change{}, err
 		case table.IsUnknown(err):
 			// The next attempt finds the operation in the head row, or takes
 			// the head's version, after which the lost one cannot commit.
--- a/internal/revision/transaction_test.go
+++ b/internal/revision/transaction_test.go
@@ -230,10 +230,14 @@
 // lateStore keeps a commit under way and then becomes unreachable.
 type lateStore struct {
 	*table.Memory
-	late table.Txn
+	late      table.Txn
+	reachable bool
 }
 
-func (s *lateStore) Commit(_ context.Context, txn table.Txn) error {
+func (s *lateStore) Commit(ctx context.Context, txn table.Txn) error {
+	if s.reachable {
+		return s.Memory.Commit(ctx, txn)
+	}
 	s.late = txn
 	return table.ErrUnknown
 }
