--- a/cmd/lovagedyke/cmd_entry.go
+++ b/cmd/lovagedyke/cmd_entry.go
@@ -2,9 +2,7 @@
 
 import (
 	"context"
-	"os"
 
-	"github.com/lovagedyke/lovagedyke/internal/logging"
 	"github.com/lovagedyke/lovagedyke/internal/process"
 	"github.com/lovagedyke/lovagedyke/internal/settings"
 )
--- a/internal/entry/endpoints.go
+++ b/internal/entry/endpoints.go
@@ -28,7 +28,7 @@
 	hosts, err := e.config.Hosts.Hosts(ctx)
 	if err != nil {
 		if ctx.Err() == nil {
-			e.config.Log.Debug("host list not read", "reason", err)
+			e.config.Log.Debug("host list not read", "reason", err.Error())
 		}
 		return
 	}
--- a/internal/manager/configuration.go
+++ b/internal/manager/configuration.go
@@ -11,54 +11,43 @@
 	"github.com/lovagedyke/lovagedyke/internal/revision"
 	"github.com/lovagedyke/lovagedyke/internal/roster"
 	"github.com/lovagedyke/lovagedyke/internal/table"
+	"github.com/lovagedyke/lovagedyke/pkg/api"
 )
 
 const (
 	// pushTimeout bounds one push of a change to a member.
 	pushTimeout = 2 * time.Second
-	// settlePause is the time between two attempts to settle a lost commit.
-	settlePause = 500 * time.Millisecond
+	// settleInterval is the time between two attempts to settle lost commits.
+	settleInterval = 500 * time.Millisecond
 	// fencedRetries bounds how often a commit is tried on a newer roster.
 	fencedRetries = 5
 )
 
-// ErrNotAdmitted means that not every member knows this manager yet.
-var ErrNotAdmitted = errors.New("this manager has not been heard by every member yet")
+// newAuthor returns the author of this manager's commits.
+func (m *Manager) newAuthor() *revision.Author {
+	return revision.NewAuthor(revision.AuthorConfig{
+		Store:  m.node.Store(),
+		Holder: m.node.Configuration(),
+		Ready:  m.admitted,
+		Guard:  m.guard,
+	})
+}
 
-// Commit changes the configuration and pushes the change to every member. It
-// returns once the change is accepted; InForce tells who has confirmed it.
-// Errors: those of revision.Transaction, and ErrNotAdmitted.
-func (m *Manager) Commit(ctx context.Context, op revision.Operation, edit revision.Edit) (revision.Change, error) {
-	if !m.admitted() {
-		return revision.Change{}, ErrNotAdmitted
-	}
-	configuration := m.node.Configuration()
-	configuration.Begin()
-	change, err := m.transact(ctx, op, edit)
-	if table.IsUnknown(err) {
-		m.settling.Go(func() { m.settle() })
-		return change, err
-	}
-	configuration.Settled(change.Revision)
-	if err != nil {
-		return change, err
-	}
-	m.push(ctx, change)
-	return change, nil
+// guard is the condition that the roster is the one in which this manager is
+// known to be a member.
+func (m *Manager) guard() []table.Condition {
+	_, rowVersion := m.node.Roster()
+	return []table.Condition{{Key: roster.Key, Version: rowVersion}}
 }
 
-// transact commits on condition that this manager is a member, and reads the
-// roster again when that row has changed for another reason.
-func (m *Manager) transact(ctx context.Context, op revision.Operation, edit revision.Edit) (revision.Change, error) {
+// Commit changes the configuration. It reads the roster again and repeats the
+// commit when that row has changed while this manager is still a member.
+// Errors: those of revision.Author.
+func (m *Manager) Commit(ctx context.Context, op revision.Operation, edit revision.Edit) (revision.Change, error) {
 	var change revision.Change
 	var err error
 	for range fencedRetries {
-		members, rowVersion := m.node.Roster()
-		if !members.Contains(m.node.Self().Identity) {
-			return change, revision.ErrFenced
-		}
-		op.Guard = []table.Condition{{Key: roster.Key, Version: rowVersion}}
-		change, err = revision.Transaction(ctx, m.node.Store(), op, edit)
+		change, err = m.author.Commit(ctx, op, edit)
 		if !errors.Is(err, revision.ErrFenced) {
 			return change, err
 		}
@@ -69,54 +58,63 @@
 	return change, err
 }
 
-// settle makes sure that a commit whose answer was lost takes effect no more,
-// or has, and learns its revision.
-func (m *Manager) settle() {
+// settleLoop makes sure that commits whose answer was lost take effect no
+// more, or learns that they did.
+func (m *Manager) settleLoop(ctx context.Context) {
 	for {
-		newest, err := revision.Settle(m.stopping, m.node.Store())
-		if err == nil {
-			m.node.Configuration().Settled(newest)
-			m.node.PollNow()
-			return
-		}
 		select {
-		case <-m.stopping.Done():
+		case <-ctx.Done():
 			return
-		case <-time.After(settlePause):
+		case <-time.After(settleInterval):
+		}
+		if err := m.author.Settle(ctx); err != nil && ctx.Err() == nil {
+			m.config.Log.Debug("lost commits not settled", "reason", err.Error())
 		}
 	}
 }
 
-// push sends the change to every member; who misses it polls the table.
-func (m *Manager) push(ctx context.Context, change revision.Change) {
-	if change.Empty() {
-		return
-	}
-	m.node.Configuration().OfferChange(change)
+// Push sends a committed change to every member, without waiting; who misses
+// it polls the table.
+func (m *Manager) Push(_ context.Context, change revision.Change) {
 	members, _ := m.node.Roster()
 	message := peer.ChangeMessage(change)
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), pushTimeout)
-	defer cancel()
-	var pushes conc.WaitGroup
-	defer pushes.Wait()
-	for _, member := range members.Members {
-		if member.Identity == m.node.Self().Identity {
-			continue
-		}
-		pushes.Go(func() {
-			reply, err := m.node.Dial(member).Push(ctx, message)
-			if err == nil {
-				m.node.NoteInForce(member.Identity, reply.GetRevision())
+	m.pushes.Go(func() {
+		ctx, cancel := context.WithTimeout(context.Background(), pushTimeout)
+		defer cancel()
+		var pushes conc.WaitGroup
+		defer pushes.Wait()
+		for _, member := range members.Members {
+			if member.Identity == m.node.Self().Identity {
+				continue
 			}
-		})
-	}
+			pushes.Go(func() {
+				reply, err := m.node.Dial(member).Push(ctx, message)
+				if err == nil {
+					m.node.NoteInForce(member.Identity, reply.GetRevision())
+				}
+			})
+		}
+	})
 }
 
 // InForce returns the members that have confirmed the revision and the others.
-func (m *Manager) InForce(revision uint64) (confirmed, missing []string) {
+func (m *Manager) InForce(_ context.Context, revision uint64) (confirmed, missing []string) {
 	return m.node.InForce(revision)
 }
 
+// Roster returns the members for the operators' API.
+func (m *Manager) Roster(context.Context) ([]api.Member, error) {
+	members, _ := m.node.Roster()
+	list := make([]api.Member, 0, len(members.Members))
+	for _, member := range members.Members {
+		list = append(list, api.Member{
+			Name: member.Name, Incarnation: member.Incarnation, Role: string(member.Role),
+			Address: member.Address.String(), DataCentre: member.DataCentre, State: string(member.State),
+		})
+	}
+	return list, nil
+}
+
 // admitted reports whether every member that was in the roster when this
 // manager joined has answered it since, or has left.
 func (m *Manager) admitted() bool {
--- a/internal/manager/limits.go
+++ b/internal/manager/limits.go
@@ -33,7 +33,7 @@
 		case <-ticker.C:
 		}
 		if err := m.divide(ctx, planner); err != nil && ctx.Err() == nil {
-			m.config.Log.Debug("permits not divided", "reason", err)
+			m.config.Log.Debug("permits not divided", "reason", err.Error())
 		}
 	}
 }
@@ -115,7 +115,7 @@
 	}
 	message, err := peer.FreezeMessage(request)
 	if err != nil {
-		m.config.Log.Error("freeze not sent", "reason", err)
+		m.config.Log.Error("freeze not sent", "reason", err.Error())
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, freezeTimeout)
--- a/internal/manager/manager.go
+++ b/internal/manager/manager.go
@@ -67,10 +67,9 @@
 	reports chan limit.Report
 	wake    chan struct{}
 
-	// stopping ends with Run; settling tracks what goes on after an answer.
-	stopping context.Context
-	stop     context.CancelFunc
-	settling conc.WaitGroup
+	author *revision.Author
+	// pushes tracks what goes on after an operator was answered.
+	pushes conc.WaitGroup
 
 	mu     sync.Mutex
 	joiner *revision.Joiner
@@ -78,15 +77,14 @@
 
 // New returns a manager over the node.
 func New(config Config) *Manager {
-	stopping, stop := context.WithCancel(context.Background())
-	return &Manager{
-		config:   config,
-		node:     config.Node,
-		reports:  make(chan limit.Report, reportQueue),
-		wake:     make(chan struct{}, 1),
-		stopping: stopping,
-		stop:     stop,
+	m := &Manager{
+		config:  config,
+		node:    config.Node,
+		reports: make(chan limit.Report, reportQueue),
+		wake:    make(chan struct{}, 1),
 	}
+	m.author = m.newAuthor()
+	return m
 }
 
 // Run does the periodic work until the context ends, then delivers one error.
@@ -96,9 +94,9 @@
 		var loops conc.WaitGroup
 		loops.Go(func() { m.limitLoop(ctx) })
 		loops.Go(func() { m.rosterLoop(ctx) })
+		loops.Go(func() { m.settleLoop(ctx) })
 		loops.Wait()
-		m.stop()
-		m.settling.Wait()
+		m.pushes.Wait()
 		done <- ctx.Err()
 	}()
 	return done
--- a/internal/manager/members.go
+++ b/internal/manager/members.go
@@ -20,7 +20,7 @@
 		case <-time.After(rosterInterval):
 		}
 		if err := m.tendRoster(ctx, watch); err != nil && ctx.Err() == nil {
-			m.config.Log.Debug("roster not tended", "reason", err)
+			m.config.Log.Debug("roster not tended", "reason", err.Error())
 		}
 	}
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -162,7 +162,7 @@
 		if err == nil {
 			return nil
 		}
-		n.config.Log.Warn("not joined yet", "reason", err)
+		n.config.Log.Warn("not joined yet", "reason", err.Error())
 		select {
 		case <-ctx.Done():
 			return errors.Wrap(ctx.Err(), "join the roster")
--- a/internal/node/poll.go
+++ b/internal/node/poll.go
@@ -36,7 +36,7 @@
 		case <-timer.C:
 		}
 		if err := n.poll(ctx); err != nil && ctx.Err() == nil {
-			n.config.Log.Debug("table not read", "reason", err)
+			n.config.Log.Debug("table not read", "reason", err.Error())
 		}
 	}
 }
--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -159,7 +159,7 @@
 	}
 	changed, err := files.Reload()
 	if err != nil {
-		p.log.Error("certificates not reloaded", "port", name, "reason", err)
+		p.log.Error("certificates not reloaded", "port", name, "reason", err.Error())
 	} else if changed {
 		p.log.Info("certificates reloaded", "port", name)
 	}
@@ -177,7 +177,7 @@
 // it, which happens once others answer for its keys.
 func (p *process) leave(ctx context.Context) {
 	if err := p.node.Leave(ctx); err != nil {
-		p.log.Warn("left without telling the roster", "reason", err)
+		p.log.Warn("left without telling the roster", "reason", err.Error())
 		return
 	}
 	for ctx.Err() == nil {
