Add the operators' commands and example files

Cause: operators drive the system by the catalogue, keys and their state. Ruled out: flags after arguments, which the standard flag syntax lacks; the message for a wrong number of arguments says so. Conclusion: scenarios run the commands in process against the API's handler; exit codes are tested one by one; the examples are checked in a test.

--- /dev/null
+++ b/cmd/lovagedyke/cmd_catalogue_apply.go
@@ -0,0 +1,72 @@
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"os"
+
+	"github.com/lovagedyke/lovagedyke/internal/catalogue"
+	"github.com/lovagedyke/lovagedyke/pkg/api"
+)
+
+var cmdCatalogueApply = &Cmd{
+	Name:  "apply",
+	Args:  "[flags] <file>",
+	Desc:  "make the catalogue equal to an INI file, after showing the difference",
+	Setup: setupCatalogueApply,
+}
+
+func setupCatalogueApply(flags *flag.FlagSet, env *Env) Action {
+	var c change
+	c.declare(flags, env)
+	dryRun := flags.Bool("dry-run", false, "show the difference and change nothing")
+	return func(ctx context.Context, env *Env, args []string) error {
+		file, err := oneArgument(args, "a catalogue file")
+		if err != nil {
+			return err
+		}
+		desired, err := readCatalogue(file)
+		if err != nil {
+			return err
+		}
+		return c.apply(ctx, env, desired.API(), *dryRun)
+	}
+}
+
+func readCatalogue(name string) (catalogue.Catalogue, error) {
+	file, err := os.Open(name)
+	if err != nil {
+		return catalogue.Catalogue{}, err
+	}
+	defer file.Close()
+	desired, problems := catalogue.Parse(name, file)
+	return desired, problems.Err()
+}
+
+// apply shows the difference and commits it on the revision it was shown for.
+func (c *change) apply(ctx context.Context, env *Env, desired api.Catalogue, dryRun bool) error {
+	managers, err := c.client()
+	if err != nil {
+		return err
+	}
+	request := api.ApplyRequest{Catalogue: desired, DryRun: true}
+	seen, err := managers.Apply(ctx, request)
+	if err != nil {
+		return err
+	}
+	for _, difference := range seen.Changes {
+		fmt.Fprintln(env.Stdout, difference)
+	}
+	if dryRun {
+		env.say("%d changes against revision %d, nothing applied", len(seen.Changes), seen.Revision)
+		return nil
+	}
+	c.begin()
+	request.DryRun, request.Operation, request.Expected = false, c.operation, &seen.Revision
+	answer, err := managers.Apply(ctx, request)
+	if err != nil {
+		return c.explain(err)
+	}
+	return c.finish(ctx, env, managers, answer)
+}
--- /dev/null
+++ b/cmd/lovagedyke/cmd_charge.go
@@ -0,0 +1,91 @@
+package main
+
+import (
+	"context"
+	"flag"
+	"time"
+
+	"github.com/lovagedyke/lovagedyke/pkg/api"
+)
+
+var cmdCharge = &Cmd{
+	Name:        "charge",
+	Args:        "trace|unproven",
+	Desc:        "show the runs behind charges",
+	Subcommands: []*Cmd{cmdChargeTrace, cmdChargeUnproven},
+}
+
+var runHeader = []string{"RUN", "ENTRY", "TEAM", "ENDPOINT", "PROCESS", "STARTED", "ENDED", "EVIDENCE"}
+
+var cmdChargeTrace = &Cmd{
+	Name:  "trace",
+	Args:  "[flags] <id>",
+	Desc:  "show the run that a charge rests on",
+	Setup: setupChargeTrace,
+}
+
+func setupChargeTrace(flags *flag.FlagSet, env *Env) Action {
+	var conn connection
+	var out output
+	conn.declare(flags, env)
+	out.declare(flags)
+	return func(ctx context.Context, env *Env, args []string) error {
+		id, err := oneArgument(args, "the id of a charge")
+		if err != nil {
+			return err
+		}
+		managers, err := conn.client()
+		if err != nil {
+			return err
+		}
+		charge, err := managers.Charge(ctx, id)
+		if err != nil {
+			return err
+		}
+		row := append([]string{charge.ID}, runRow(charge.Run)...)
+		return out.write(env.Stdout, charge, append([]string{"CHARGE"}, runHeader...), [][]string{row})
+	}
+}
+
+var cmdChargeUnproven = &Cmd{
+	Name:  "unproven",
+	Args:  "[flags]",
+	Desc:  "list runs that cannot be proved and are not charged",
+	Setup: setupChargeUnproven,
+}
+
+func setupChargeUnproven(flags *flag.FlagSet, env *Env) Action {
+	var conn connection
+	var out output
+	conn.declare(flags, env)
+	out.declare(flags)
+	return func(ctx context.Context, env *Env, _ []string) error {
+		managers, err := conn.client()
+		if err != nil {
+			return err
+		}
+		runs, err := managers.Unproven(ctx)
+		if err != nil {
+			return err
+		}
+		var rows [][]string
+		for _, run := range runs {
+			rows = append(rows, runRow(run))
+		}
+		return out.write(env.Stdout, runs, runHeader, rows)
+	}
+}
+
+func runRow(run api.Run) []string {
+	return []string{
+		run.Run, run.Entry, run.Team, run.Endpoint, run.Process,
+		formatTime(run.Started), formatTime(run.Ended), run.Evidence,
+	}
+}
+
+func formatTime(t time.Time) string {
+	if t.IsZero() {
+		return "-"
+	}
+	return t.UTC().Format(time.RFC3339)
+}
--- /dev/null
+++ b/cmd/lovagedyke/cmd_key.go
@@ -0,0 +1,110 @@
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"strconv"
+
+	"github.com/lovagedyke/lovagedyke/pkg/api"
+)
+
+var cmdKey = &Cmd{
+	Name:        "key",
+	Args:        "give|withdraw|list",
+	Desc:        "give, withdraw or list teams' keys",
+	Subcommands: []*Cmd{cmdKeyGive, cmdKeyWithdraw, cmdKeyList},
+}
+
+var cmdKeyGive = &Cmd{
+	Name:  "give",
+	Args:  "[flags] <team>",
+	Desc:  "make a key for a team and print it, this once",
+	Setup: setupKeyGive,
+}
+
+func setupKeyGive(flags *flag.FlagSet, env *Env) Action {
+	var c change
+	c.connection.declare(flags, env)
+	flags.DurationVar(&c.wait, "wait", 0, "how long to wait until the key works everywhere")
+	return func(ctx context.Context, env *Env, args []string) error {
+		team, err := oneArgument(args, "a team")
+		if err != nil {
+			return err
+		}
+		managers, err := c.client()
+		if err != nil {
+			return err
+		}
+		key, answer, err := managers.GiveKey(ctx, team)
+		if err != nil {
+			return err
+		}
+		fmt.Fprintln(env.Stdout, key)
+		return c.finish(ctx, env, managers, answer)
+	}
+}
+
+var cmdKeyWithdraw = &Cmd{
+	Name:  "withdraw",
+	Args:  "[flags] <id>",
+	Desc:  "withdraw a key for good",
+	Setup: setupKeyWithdraw,
+}
+
+func setupKeyWithdraw(flags *flag.FlagSet, env *Env) Action {
+	var c change
+	c.declare(flags, env)
+	return func(ctx context.Context, env *Env, args []string) error {
+		id, err := oneArgument(args, "the id of a key")
+		if err != nil {
+			return err
+		}
+		managers, err := c.client()
+		if err != nil {
+			return err
+		}
+		c.begin()
+		answer, err := managers.WithdrawKey(ctx, id, c.operation)
+		if err != nil {
+			return c.explain(err)
+		}
+		return c.finish(ctx, env, managers, answer)
+	}
+}
+
+var cmdKeyList = &Cmd{
+	Name:  "list",
+	Args:  "[flags]",
+	Desc:  "list keys by id, without their secrets",
+	Setup: setupKeyList,
+}
+
+func setupKeyList(flags *flag.FlagSet, env *Env) Action {
+	var conn connection
+	var out output
+	conn.declare(flags, env)
+	out.declare(flags)
+	return func(ctx context.Context, env *Env, _ []string) error {
+		managers, err := conn.client()
+		if err != nil {
+			return err
+		}
+		keys, err := managers.Keys(ctx)
+		if err != nil {
+			return err
+		}
+		var rows [][]string
+		for _, key := range keys {
+			rows = append(rows, []string{key.ID, key.Team, keyState(key), strconv.FormatUint(key.Revision, 10)})
+		}
+		return out.write(env.Stdout, keys, []string{"ID", "TEAM", "STATE", "REVISION"}, rows)
+	}
+}
+
+func keyState(key api.Key) string {
+	if key.Withdrawn {
+		return "withdrawn"
+	}
+	return "in-force"
+}
--- /dev/null
+++ b/cmd/lovagedyke/cmd_test.go
@@ -0,0 +1,206 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/lovagedyke/lovagedyke/internal/operator"
+	"github.com/lovagedyke/lovagedyke/internal/revision"
+	"github.com/lovagedyke/lovagedyke/internal/table"
+	"github.com/lovagedyke/lovagedyke/pkg/api"
+)
+
+const testKey = "operator key of the commands' tests"
+
+// fleet is one entry, which confirms unless it is deaf.
+type fleet struct {
+	deaf bool
+}
+
+func (f *fleet) Push(context.Context, revision.Change) {}
+
+func (f *fleet) InForce(context.Context, uint64) (confirmed, missing []string) {
+	if f.deaf {
+		return nil, []string{"entry-1"}
+	}
+	return []string{"entry-1"}, nil
+}
+
+func (f *fleet) Roster(context.Context) ([]api.Member, error) {
+	return []api.Member{{Name: "entry-1", Role: "entry", DataCentre: "west", Address: "127.0.0.1:1", Revision: 2, State: "live"}}, nil
+}
+
+func (f *fleet) Charge(_ context.Context, id string) (api.Charge, error) {
+	if id != "c1" {
+		return api.Charge{}, operator.ErrNotFound
+	}
+	return api.Charge{ID: "c1", Run: api.Run{Run: "r1", Entry: "orders", Team: "acme"}}, nil
+}
+
+func (f *fleet) Unproven(context.Context) ([]api.Run, error) {
+	return nil, nil
+}
+
+// shell runs commands against one manager.
+type shell struct {
+	store       *table.Memory
+	fleet       *fleet
+	environment map[string]string
+	dir         string
+}
+
+func newShell(t *testing.T) *shell {
+	s := &shell{store: table.NewMemory(), fleet: &fleet{}, dir: t.TempDir()}
+	author := revision.NewAuthor(revision.AuthorConfig{
+		Store:  s.store,
+		Holder: revision.NewHolder(revision.HolderConfig{}),
+		Ready:  func() bool { return true },
+		Guard:  func() []table.Condition { return nil },
+	})
+	server := httptest.NewServer(operator.New(operator.Config{
+		Store: s.store, Author: author, Fleet: s.fleet, Records: s.fleet,
+		Keys: func() [][]byte { return [][]byte{[]byte(testKey)} },
+	}))
+	t.Cleanup(server.Close)
+	s.environment = map[string]string{
+		"LOVAGEDYKE_MANAGER":           server.Listener.Addr().String(),
+		"LOVAGEDYKE_OPERATOR_KEY_FILE": s.file(t, "operator.key", testKey+"\n"),
+	}
+	return s
+}
+
+func (s *shell) file(t *testing.T, name, text string) string {
+	t.Helper()
+	path := filepath.Join(s.dir, name)
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	return path
+}
+
+// run returns the exit code and what the command printed.
+func (s *shell) run(args ...string) (code int, stdout, stderr string) {
+	var out, messages bytes.Buffer
+	env := &Env{Stdout: &out, Stderr: &messages, Getenv: func(name string) string { return s.environment[name] }}
+	code = run(context.Background(), env, commands, args)
+	return code, out.String(), messages.String()
+}
+
+// expect checks the exit code and a part of the output.
+func (s *shell) expect(t *testing.T, wantCode int, want string, args ...string) string {
+	t.Helper()
+	code, stdout, stderr := s.run(args...)
+	if code != wantCode || !strings.Contains(stdout+stderr, want) {
+		t.Errorf("%s: got code %d, %q, %q, want code %d and %q", strings.Join(args, " "), code, stdout, stderr, wantCode, want)
+	}
+	return stdout
+}
+
+const catalogueText = "[team acme]\nupper-limit = 4\n[service orders]\nteam = acme\nlimit = 2\n"
+
+func TestOperatorsDay(t *testing.T) {
+	s := newShell(t)
+	file := s.file(t, "catalogue.ini", catalogueText)
+	s.expect(t, exitOK, "+ service orders", "catalogue", "apply", "-dry-run", file)
+	s.expect(t, exitOK, "accepted as revision 1", "catalogue", "apply", "-operation", "first", file)
+	s.expect(t, exitOK, "nothing to change, revision 1", "catalogue", "apply", "-operation", "first", file)
+	changed := s.file(t, "changed.ini", strings.Replace(catalogueText, "limit = 2", "limit = 3", 1))
+	s.expect(t, exitOK, "~ service orders (limit: 2 -> 3)", "catalogue", "apply", "-wait", "1s", changed)
+	s.expect(t, exitConflict, "was used for another change", "catalogue", "apply", "-operation", "first", changed)
+	s.expect(t, exitOK, "limit = 3", "catalogue", "show", "orders")
+	s.expect(t, exitOK, "orders  service  acme", "catalogue", "list")
+
+	key := strings.TrimSpace(s.expect(t, exitOK, "in force on all 1 processes", "key", "give", "-wait", "1s", "acme"))
+	id := strings.Split(key, "_")[1]
+	listed := s.expect(t, exitOK, "in-force", "key", "list")
+	if strings.Contains(listed, key) {
+		t.Errorf("got the secret in %q", listed)
+	}
+	s.fleet.deaf = true
+	s.expect(t, exitNotInForce, "not confirmed by entry-1", "key", "withdraw", "-wait", "50ms", id)
+	s.expect(t, exitOK, "withdrawn", "key", "list")
+	s.expect(t, exitOK, "accepted as revision 5", "catalogue", "remove", "orders")
+	s.expect(t, exitFailed, `"orders" is unknown`, "catalogue", "remove", "orders")
+
+	s.expect(t, exitOK, "entry-1  entry", "roster")
+	s.expect(t, exitOK, "c1      r1   orders", "charge", "trace", "c1")
+	s.expect(t, exitFailed, "no such record", "charge", "trace", "c2")
+	var runs []api.Run
+	if err := json.Unmarshal([]byte(s.expect(t, exitOK, "", "charge", "unproven", "-output", "json")), &runs); err != nil {
+		t.Error(err)
+	}
+}
+
+func TestExitCodes(t *testing.T) {
+	tests := map[string]struct {
+		faults   table.Faults
+		manager  string
+		args     []string
+		wantCode int
+		want     string
+	}{
+		"no command":         {args: nil, wantCode: exitUsage, want: "a command is missing"},
+		"unknown command":    {args: []string{"keys"}, wantCode: exitUsage, want: "a command is missing or unknown"},
+		"unknown flag":       {args: []string{"key", "list", "-outptu=x"}, wantCode: exitUsage, want: "not defined"},
+		"help":               {args: []string{"key", "list", "-h"}, wantCode: exitOK, want: "-output"},
+		"unknown output":     {args: []string{"key", "list", "-output=xml"}, wantCode: exitUsage, want: "want table or json"},
+		"missing argument":   {args: []string{"key", "give"}, wantCode: exitUsage, want: "want a team"},
+		"malformed manager":  {manager: "localhost:1", args: []string{"roster"}, wantCode: exitUsage, want: "want an IP number"},
+		"unknown team":       {args: []string{"key", "give", "acme"}, wantCode: exitFailed, want: `"acme" is unknown`},
+		"dump of no process": {args: []string{"dump", "127.0.0.1:1"}, wantCode: exitUnavailable, want: "refused"},
+		"table is down":      {faults: table.Faults{Down: true}, args: []string{"key", "list"}, wantCode: exitUnavailable, want: "table is unavailable"},
+		"version":            {args: []string{"version"}, wantCode: exitOK, want: "lovagedyke"},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			s := newShell(t)
+			s.store.SetFaults(tc.faults)
+			if tc.manager != "" {
+				s.environment["LOVAGEDYKE_MANAGER"] = tc.manager
+			}
+			s.expect(t, tc.wantCode, tc.want, tc.args...)
+		})
+	}
+}
+
+func TestCheckPrintsAllMistakes(t *testing.T) {
+	s := newShell(t)
+	settingsFile := s.file(t, "s.ini", "[process]\nnam = a\n")
+	catalogueFile := s.file(t, "c.ini", "[service a]\nteam = b\nlimit = x\n")
+	code, _, stderr := s.run("check", "-settings", settingsFile, "-role", "entry", catalogueFile)
+	if code != exitFailed {
+		t.Errorf("got code %d, want %d", code, exitFailed)
+	}
+	for _, want := range []string{`s.ini:2: nam is unknown (want "name")`, "s.ini: caller-address is missing", `c.ini:2: [service a] team "b" is unknown`, `c.ini:3: [service a] limit "x" is malformed`} {
+		if !strings.Contains(stderr, want) {
+			t.Errorf("got %q, want %q in it", stderr, want)
+		}
+	}
+}
+
+func TestExamplesAreValid(t *testing.T) {
+	s := newShell(t)
+	t.Chdir(filepath.Join("..", "..", "examples"))
+	s.expect(t, exitOK, "no mistakes found", "check", "catalogue.ini")
+	for _, role := range []string{"entry", "manager"} {
+		code, _, stderr := s.run("check", "-settings", role+".ini")
+		if lines := strings.Split(strings.TrimSpace(stderr), "\n"); code != exitFailed || len(lines) > 2 || !strings.Contains(stderr, "is unreadable") {
+			t.Errorf("%s.ini: got code %d, %q, want only missing secrets", role, code, stderr)
+		}
+	}
+}
+
+func TestDump(t *testing.T) {
+	process := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = w.Write([]byte(`{"revision":1}`))
+	}))
+	defer process.Close()
+	newShell(t).expect(t, exitOK, "\"revision\": 1", "dump", process.Listener.Addr().String())
+}
