--- a/cmd/lovagedyke/cmd_test.go
+++ b/cmd/lovagedyke/cmd_test.go
@@ -197,6 +197,20 @@
 	}
 }
 
+func TestEveryCommandHasItsPage(t *testing.T) {
+	for _, cmd := range commands {
+		page, err := os.ReadFile(filepath.Join("..", "..", "man", "lovagedyke-"+cmd.Name+".md"))
+		if err != nil {
+			t.Error(err)
+		}
+		for _, sub := range cmd.Subcommands {
+			if want := programName + " " + cmd.Name + " " + sub.Name; !strings.Contains(string(page), want) {
+				t.Errorf("page of %s: got no %q", cmd.Name, want)
+			}
+		}
+	}
+}
+
 func TestDump(t *testing.T) {
 	process := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		_, _ = w.Write([]byte(`{"revision":1}`))
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -121,6 +121,21 @@
 	}
 }
 
+func TestManualNamesEverySetting(t *testing.T) {
+	page, err := os.ReadFile(filepath.Join("..", "..", "man", "lovagedyke-settings.md"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	var usage bytes.Buffer
+	settings.Usage(&usage)
+	for line := range strings.Lines(usage.String()) {
+		flag, _, _ := strings.Cut(strings.TrimSpace(line), " ")
+		if want := strings.TrimPrefix(flag, "-"); !strings.Contains(string(page), want) {
+			t.Errorf("got no %s on the page", want)
+		}
+	}
+}
+
 func TestLogIsJSON(t *testing.T) {
 	var out bytes.Buffer
 	logger := logging.New(logging.Config{Writer: &out, Format: settings.LogJSON, Level: "warn", Fields: []any{"name", "a"}})
