--- /dev/null
+++ b/internal/task/dump.go
@@ -0,0 +1,73 @@
+package task
+
+import (
+	"time"
+
+	"github.com/lovagedyke/lovagedyke/internal/place"
+)
+
+// Summary is an open task as the dump shows it, without its body.
+type Summary struct {
+	Task     string    `json:"task"`
+	Team     string    `json:"team"`
+	State    State     `json:"state"`
+	Cancel   bool      `json:"cancel,omitempty"`
+	Once     bool      `json:"once,omitempty"`
+	Attempt  *Attempt  `json:"attempt,omitempty"`
+	Failures []Failure `json:"failures,omitempty"`
+	Unsaved  bool      `json:"unsaved,omitempty"`
+	LostAt   time.Time `json:"lost-at,omitzero"`
+}
+
+// LaneState is one team's part of a queue as the dump shows it.
+type LaneState struct {
+	LaneKey
+	Class   place.Class `json:"class"`
+	Waiting int         `json:"waiting"`
+	Running int         `json:"running"`
+}
+
+// Dump is the controller's whole state, in a stable order.
+type Dump struct {
+	Shard     string      `json:"shard"`
+	Epoch     uint64      `json:"epoch"`
+	Deposed   bool        `json:"deposed"`
+	Unsettled int         `json:"unsettled-rows"`
+	Unwritten int         `json:"unwritten-rows"`
+	Lanes     []LaneState `json:"lanes"`
+	Tasks     []Summary   `json:"tasks"`
+}
+
+// Dump returns the state; ended tasks are left out.
+func (c *Controller) Dump() Dump {
+	dump := Dump{Shard: c.cfg.Shard, Epoch: c.cfg.Epoch, Deposed: c.deposed, Lanes: []LaneState{}, Tasks: []Summary{}}
+	if c.batch != nil {
+		dump.Unsettled = len(c.batch.items)
+	}
+	for rank, class := range place.Classes() {
+		dump.Unwritten += len(c.dirty[rank])
+		for _, key := range c.lanes[class].keys {
+			dump.Lanes = append(dump.Lanes, LaneState{
+				LaneKey: key, Class: class, Waiting: c.lanes[class].len(key), Running: c.running[key],
+			})
+		}
+	}
+	for _, name := range sortedNames(c.items) {
+		it := c.items[name]
+		if it.record.State.Final() {
+			continue
+		}
+		dump.Tasks = append(dump.Tasks, Summary{
+			Task:     name,
+			Team:     it.record.Team,
+			State:    it.record.State,
+			Cancel:   it.record.Cancel,
+			Once:     it.record.Once,
+			Attempt:  it.record.Attempt,
+			Failures: it.record.Failures,
+			Unsaved:  it.next != nil,
+			LostAt:   it.lostAt,
+		})
+	}
+	return dump
+}
