Move tasks away when throttling frees too little for urgent work

Cause: an urgent task as large as the worker never started: throttling to a quarter frees three quarters, and checkpoints were planned for memory alone (TestUrgentStartsSoon/processors: none after 2.1 s).

--- a/internal/place/choose.go
+++ b/internal/place/choose.go
@@ -121,33 +121,48 @@
 	return decision
 }
 
-// makeRoom plans which tasks of lower classes make room: throttling suffices for
-// processors, memory takes checkpoints.
+// makeRoom plans which tasks of lower classes make room: throttling them, or else
+// checkpoints, which free all that a task has.
 func makeRoom(w *worker, d Demand, need Size) (plan, bool) {
+	victims := w.victims(d.Class)
+	if found, ok := byThrottling(w, victims, need); ok {
+		return found, true
+	}
+	return byCheckpoints(w, victims, need)
+}
+
+// byThrottling frees processors alone.
+func byThrottling(w *worker, victims []*held, need Size) (plan, bool) {
 	found := plan{worker: w}
 	room := w.room()
-	victims := w.victims(d.Class)
 	for _, victim := range victims {
-		if need.Memory <= room.Memory && need.Accelerators <= room.Accelerators {
+		if need.Fits(room) {
 			break
 		}
-		if !victim.demand.Movable || victim.going {
+		if victim.throttled || victim.going {
 			continue
 		}
-		found.checkpoint = append(found.checkpoint, victim)
-		found.cost += checkpointCost
-		room = room.Plus(victim.need)
+		found.throttle = append(found.throttle, victim)
+		found.cost++
+		room.CPUs += victim.need.CPUs * (1 - throttledRate)
 	}
+	return found, need.Fits(room)
+}
+
+// byCheckpoints moves tasks away.
+func byCheckpoints(w *worker, victims []*held, need Size) (plan, bool) {
+	found := plan{worker: w}
+	room := w.room()
 	for _, victim := range victims {
 		if need.Fits(room) {
 			break
 		}
-		if victim.throttled || victim.going || slices.Contains(found.checkpoint, victim) {
+		if !victim.demand.Movable || victim.going {
 			continue
 		}
-		found.throttle = append(found.throttle, victim)
-		found.cost++
-		room.CPUs += victim.need.CPUs * (1 - throttledRate)
+		found.checkpoint = append(found.checkpoint, victim)
+		found.cost += checkpointCost
+		room = room.Plus(victim.need)
 	}
 	return found, need.Fits(room)
 }
--- a/internal/place/place_test.go
+++ b/internal/place/place_test.go
@@ -55,16 +55,17 @@
 		wantThrottle   int
 		wantCheckpoint int
 	}{
-		"empty pool":           {demand: demand("a", place.Normal, 1, 1), want: place.Waits},
-		"room":                 {workers: 1, demand: demand("a", place.Normal, 16, 64), want: place.Placed},
-		"full":                 {workers: 1, held: []place.Demand{demand("b", place.Normal, 10, 1)}, demand: demand("a", place.Normal, 10, 1), want: place.Waits},
-		"leaving":              {workers: 1, demand: demand("a", place.Normal, 1, 1), change: func(p *place.Placer) { p.Leave("worker-0") }, want: place.Waits},
-		"silent":               {workers: 1, demand: demand("a", place.Normal, 1, 1), change: func(p *place.Placer) { p.Silent("worker-0", true) }, want: place.Waits},
-		"gone":                 {workers: 1, demand: demand("a", place.Normal, 1, 1), change: func(p *place.Placer) { p.Gone("worker-0") }, want: place.Waits},
-		"avoided everywhere":   {workers: 1, demand: place.Demand{Task: "a", Avoid: []string{"worker-0"}}, want: place.Exhausted},
-		"urgent throttles":     {workers: 1, held: []place.Demand{demand("b", place.Batch, 16, 1)}, demand: demand("a", place.Urgent, 10, 1), want: place.Placed, wantThrottle: 1},
-		"urgent checkpoints":   {workers: 1, held: []place.Demand{demand("b", place.Normal, 1, 60)}, demand: demand("a", place.Urgent, 1, 10), want: place.Preempts, wantCheckpoint: 1},
-		"urgent against peers": {workers: 1, held: []place.Demand{demand("b", place.Urgent, 16, 1)}, demand: demand("a", place.Urgent, 10, 1), want: place.Waits},
+		"empty pool":             {demand: demand("a", place.Normal, 1, 1), want: place.Waits},
+		"room":                   {workers: 1, demand: demand("a", place.Normal, 16, 64), want: place.Placed},
+		"full":                   {workers: 1, held: []place.Demand{demand("b", place.Normal, 10, 1)}, demand: demand("a", place.Normal, 10, 1), want: place.Waits},
+		"leaving":                {workers: 1, demand: demand("a", place.Normal, 1, 1), change: func(p *place.Placer) { p.Leave("worker-0") }, want: place.Waits},
+		"silent":                 {workers: 1, demand: demand("a", place.Normal, 1, 1), change: func(p *place.Placer) { p.Silent("worker-0", true) }, want: place.Waits},
+		"gone":                   {workers: 1, demand: demand("a", place.Normal, 1, 1), change: func(p *place.Placer) { p.Gone("worker-0") }, want: place.Waits},
+		"avoided everywhere":     {workers: 1, demand: place.Demand{Task: "a", Avoid: []string{"worker-0"}}, want: place.Exhausted},
+		"urgent throttles":       {workers: 1, held: []place.Demand{demand("b", place.Batch, 16, 1)}, demand: demand("a", place.Urgent, 10, 1), want: place.Placed, wantThrottle: 1},
+		"urgent checkpoints":     {workers: 1, held: []place.Demand{demand("b", place.Normal, 1, 60)}, demand: demand("a", place.Urgent, 1, 10), want: place.Preempts, wantCheckpoint: 1},
+		"throttling falls short": {workers: 1, held: []place.Demand{demand("b", place.Batch, 16, 1)}, demand: demand("a", place.Urgent, 16, 1), want: place.Preempts, wantCheckpoint: 1},
+		"urgent against peers":   {workers: 1, held: []place.Demand{demand("b", place.Urgent, 16, 1)}, demand: demand("a", place.Urgent, 10, 1), want: place.Waits},
 		"batch first": {
 			workers: 1, held: []place.Demand{demand("b", place.Normal, 8, 1), demand("c", place.Batch, 8, 1)},
 			demand: demand("a", place.Urgent, 6, 1), want: place.Placed, wantThrottle: 1,
