--- a/cmd/lovagedyke/cmd_entry.go
+++ b/cmd/lovagedyke/cmd_entry.go
@@ -3,21 +3,40 @@
 import (
 	"context"
 
+	"github.com/lovagedyke/lovagedyke/internal/logging"
 	"github.com/lovagedyke/lovagedyke/internal/process"
 	"github.com/lovagedyke/lovagedyke/internal/settings"
 )
 
-// CmdEntry runs the callers' side.
-var CmdEntry = &Cmd{
+var cmdEntry = &Cmd{
 	Name:   "entry",
+	Args:   "[settings]",
 	Desc:   "take callers' requests and send them to endpoints",
-	Action: cmdEntryAction,
+	Action: entry,
 }
 
-func cmdEntryAction(ctx context.Context, args []string) error {
-	config, err := loadSettings(args, settings.RoleEntry)
+func entry(ctx context.Context, env *Env, args []string) error {
+	config, err := loadSettings(env, args, settings.RoleEntry)
 	if err != nil {
 		return err
 	}
-	return process.RunEntry(ctx, config, newLogger(config))
+	return process.RunEntry(ctx, config, logging.New(logging.Config{
+		Writer: env.Stderr, Format: config.LogFormat, Level: config.LogLevel,
+		Fields: []any{"process", config.Name},
+	}))
+}
+
+// loadSettings reads the settings of a long-running program.
+func loadSettings(env *Env, args []string, role settings.Role) (settings.Config, error) {
+	config, rest, err := settings.Load(args, env.Getenv)
+	if err == nil {
+		err = config.Require(role)
+	}
+	if err != nil {
+		return config, usageError{err}
+	}
+	if len(rest) > 0 {
+		return config, usagef("argument %q is not a flag", rest[0])
+	}
+	return config, nil
 }
--- a/cmd/lovagedyke/cmd_manager.go
+++ b/cmd/lovagedyke/cmd_manager.go
@@ -3,21 +3,25 @@
 import (
 	"context"
 
+	"github.com/lovagedyke/lovagedyke/internal/logging"
 	"github.com/lovagedyke/lovagedyke/internal/process"
 	"github.com/lovagedyke/lovagedyke/internal/settings"
 )
 
-// CmdManager runs the operators' side.
-var CmdManager = &Cmd{
+var cmdManager = &Cmd{
 	Name:   "manager",
+	Args:   "[settings]",
 	Desc:   "take operators' changes and keep pools, permits and members",
-	Action: cmdManagerAction,
+	Action: manager,
 }
 
-func cmdManagerAction(ctx context.Context, args []string) error {
-	config, err := loadSettings(args, settings.RoleManager)
+func manager(ctx context.Context, env *Env, args []string) error {
+	config, err := loadSettings(env, args, settings.RoleManager)
 	if err != nil {
 		return err
 	}
-	return process.RunManager(ctx, config, newLogger(config))
+	return process.RunManager(ctx, config, logging.New(logging.Config{
+		Writer: env.Stderr, Format: config.LogFormat, Level: config.LogLevel,
+		Fields: []any{"process", config.Name},
+	}))
 }
--- a/cmd/lovagedyke/main.go
+++ b/cmd/lovagedyke/main.go
@@ -17,6 +17,8 @@
 
 // commands lists the commands in the order of the help.
 var commands = []*Cmd{
+	cmdEntry,
+	cmdManager,
 	cmdCatalogue,
 	cmdKey,
 	cmdRoster,
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -83,6 +83,7 @@
 		found.Add(problem.Problem{Field: "role", Message: fmt.Sprintf("is %s", c.Role), Want: string(role)})
 	}
 	need(c.Name != "", "name")
+	need(c.Host != "", "host")
 	need(c.DataCentre != "", "data-centre")
 	need(c.PeerAddress.IsValid(), "peer-address")
 	need(c.OperationsAddress.IsValid(), "operations-address")
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -92,7 +92,7 @@
 func TestRequire(t *testing.T) {
 	address := netip.MustParseAddrPort("127.0.0.1:1")
 	whole := settings.Config{
-		Name: "a", DataCentre: "b", CallerAddress: address, PeerAddress: address,
+		Name: "a", Host: "h", DataCentre: "b", CallerAddress: address, PeerAddress: address,
 		OperatorAddress: address, OperationsAddress: address, PlatformAddress: address, OperatorKeyFile: "k",
 	}
 	entry, wrong := whole, whole
