--- /dev/null
+++ b/cmd/lovagedyke-standin/cmd_report.go
@@ -0,0 +1,168 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"flag"
+	"fmt"
+	"net/http"
+	"net/netip"
+	"os"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/peterbourgon/ff/v3/ffcli"
+
+	"github.com/lovagedyke/lovagedyke/internal/platform"
+	"github.com/lovagedyke/lovagedyke/internal/standin/endpoint"
+	"github.com/lovagedyke/lovagedyke/internal/standin/load"
+	"github.com/lovagedyke/lovagedyke/internal/standin/report"
+	"github.com/lovagedyke/lovagedyke/internal/standin/worker"
+)
+
+// Prefixes of the rows that name runs in their last part.
+const (
+	chargePrefix   = "charge/"
+	unprovenPrefix = "charge-unproven/"
+)
+
+// errChecksFailed ends the program with a failure after the table was printed.
+var errChecksFailed = errors.New("checks failed")
+
+// reportSources says where the evidence is.
+type reportSources struct {
+	evidence  report.Evidence
+	platform  string
+	endpoints []string
+	workers   []string
+}
+
+func reportCommand() *ffcli.Command {
+	flags := flag.NewFlagSet("report", flag.ContinueOnError)
+	s := &reportSources{evidence: report.Evidence{
+		Loads: make(map[string]load.Report), Limits: make(map[string]int), RunsPerTask: make(map[string]int),
+	}}
+	flags.StringVar(&s.platform, "platform", "", "address of the platform stand-in")
+	flags.Func("endpoint", "address of an endpoint; repeatable", appendTo(&s.endpoints))
+	flags.Func("worker", "address of a worker; repeatable", appendTo(&s.workers))
+	flags.Func("load", "name=file of a load report; repeatable", s.addLoad)
+	flags.Func("limit", "team=limit; repeatable", s.addLimit)
+	flags.Func("withdrawn", "load=time at which the withdrawal of its key was accepted", s.setWithdrawn)
+	return &ffcli.Command{
+		Name:      "report",
+		ShortHelp: "compare what ran with what was answered and charged",
+		FlagSet:   flags,
+		Exec:      s.run,
+	}
+}
+
+func appendTo(list *[]string) func(string) error {
+	return func(text string) error {
+		*list = append(*list, text)
+		return nil
+	}
+}
+
+func (s *reportSources) addLoad(text string) error {
+	name, file, _ := strings.Cut(text, "=")
+	content, err := os.ReadFile(file)
+	if err != nil {
+		return err
+	}
+	var l load.Report
+	if err := json.Unmarshal(content, &l); err != nil {
+		return errors.Wrapf(err, "decode %q", file)
+	}
+	s.evidence.Loads[name] = l
+	return nil
+}
+
+func (s *reportSources) addLimit(text string) error {
+	team, number, _ := strings.Cut(text, "=")
+	limit, err := strconv.Atoi(number)
+	s.evidence.Limits[team] = limit
+	return err
+}
+
+func (s *reportSources) setWithdrawn(text string) error {
+	name, at, _ := strings.Cut(text, "=")
+	parsed, err := time.Parse(time.RFC3339Nano, at)
+	s.evidence.Withdrawn, s.evidence.WithdrawnAt = name, parsed
+	return err
+}
+
+// run collects the evidence, prints the table and fails if a check does.
+func (s *reportSources) run(ctx context.Context, _ []string) error {
+	if err := s.collect(ctx); err != nil {
+		return err
+	}
+	if !report.Print(os.Stdout, report.Check(s.evidence)) {
+		return errChecksFailed
+	}
+	return nil
+}
+
+func (s *reportSources) collect(ctx context.Context) error {
+	for _, address := range s.endpoints {
+		var stats endpoint.Stats
+		if err := getStats(ctx, address, &stats); err != nil {
+			return err
+		}
+		s.evidence.Endpoints = append(s.evidence.Endpoints, stats)
+	}
+	for _, address := range s.workers {
+		var stats worker.Stats
+		if err := getStats(ctx, address, &stats); err != nil {
+			return err
+		}
+		for _, run := range stats.Runs {
+			s.evidence.Tasks = append(s.evidence.Tasks, report.Interval{Team: run.Team, Start: run.Start, End: run.End})
+		}
+		for task, runs := range stats.RunsPerTask {
+			s.evidence.RunsPerTask[task] += runs
+		}
+	}
+	return s.collectCharges(ctx)
+}
+
+func (s *reportSources) collectCharges(ctx context.Context) error {
+	address, err := netip.ParseAddrPort(s.platform)
+	if err != nil {
+		return errors.Wrap(err, "platform")
+	}
+	client := platform.New(platform.Config{Address: address, Process: "report"})
+	defer client.Close()
+	if s.evidence.Charged, err = runsUnder(ctx, client, chargePrefix); err != nil {
+		return err
+	}
+	s.evidence.Unproven, err = runsUnder(ctx, client, unprovenPrefix)
+	return err
+}
+
+// runsUnder returns the run ids of the rows with the prefix.
+func runsUnder(ctx context.Context, client *platform.Client, prefix string) ([]string, error) {
+	rows, err := client.Scan(ctx, prefix)
+	if err != nil {
+		return nil, err
+	}
+	var ids []string
+	for _, row := range rows {
+		ids = append(ids, row.Key[strings.LastIndexByte(row.Key, '/')+1:])
+	}
+	return ids, nil
+}
+
+func getStats(ctx context.Context, address string, into any) error {
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, fmt.Sprintf("http://%s/standin/stats", address), nil)
+	if err != nil {
+		return err
+	}
+	answer, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = answer.Body.Close() }()
+	return errors.Wrapf(json.NewDecoder(answer.Body).Decode(into), "stats of %s", address)
+}
--- a/cmd/lovagedyke-standin/main.go
+++ b/cmd/lovagedyke-standin/main.go
@@ -25,6 +25,7 @@
 			endpointCommand(logger),
 			workerCommand(logger),
 			loadCommand(),
+			reportCommand(),
 		},
 		Exec: func(context.Context, []string) error { return errors.New("a subcommand is missing") },
 	}
--- a/internal/standin/load/load.go
+++ b/internal/standin/load/load.go
@@ -31,6 +31,7 @@
 	maxConcurrency     = 4096
 	defaultTimeout     = 30 * time.Second
 	deadlineHeader     = "Lovagedyke-Deadline"
+	outcomeNotRun      = "not-run"
 )
 
 // Config says what to send. The run ends after Duration or Requests, whichever
@@ -154,12 +155,22 @@
 	}
 	// All copies are the same request, as a caller's repeat is.
 	q := request{nonce: newID(), body: newBody(index, g.cfg.BodyBytes), behaviour: g.cfg.Behaviour}
+	var refused atomic.Int64
 	var group conc.WaitGroup
 	for i := range g.cfg.Copies {
 		target := g.cfg.Targets[(int(index)+i)%len(g.cfg.Targets)]
-		group.Go(func() { g.samples.add(g.exchange(ctx, target, key, q)) })
+		group.Go(func() {
+			s := g.exchange(ctx, target, key, q)
+			if s.problem.Outcome == outcomeNotRun {
+				refused.Add(1)
+			}
+			g.samples.add(s)
+		})
 	}
 	group.Wait()
+	if g.cfg.Marked && int(refused.Load()) == g.cfg.Copies {
+		g.samples.refuse(key)
+	}
 }
 
 // exchange sends one request and judges its answer.
--- a/internal/standin/load/report.go
+++ b/internal/standin/load/report.go
@@ -25,8 +25,11 @@
 	// Statuses counts the endpoints' error statuses.
 	Statuses map[int]int `json:"statuses"`
 	Wrong    int         `json:"wrong"`
-	Cut      int         `json:"cut"`
-	Errors   int         `json:"errors"`
+	// RefusedKeys are the idempotency keys all of whose copies were answered
+	// with the outcome not-run.
+	RefusedKeys []string `json:"refused-keys,omitempty"`
+	Cut         int      `json:"cut"`
+	Errors      int      `json:"errors"`
 	// LastError is an example of what made a request fail without an answer.
 	LastError string        `json:"last-error,omitempty"`
 	P50       duration.Text `json:"p50"`
@@ -66,6 +69,13 @@
 	}
 }
 
+// refuse notes an idempotency key that the entries say did not run.
+func (c *collector) refuse(key string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.report.RefusedKeys = append(c.report.RefusedKeys, key)
+}
+
 // add counts one sample.
 func (c *collector) add(s sample) {
 	c.mu.Lock()
