--- a/cmd/lovagedyke-standin/cmd_load.go
+++ b/cmd/lovagedyke-standin/cmd_load.go
@@ -21,6 +21,11 @@
 		cfg.Targets = append(cfg.Targets, target)
 		return err
 	})
+	flags.Func("probe", "operations address of the target before it, to pass over it while it is not ready", func(text string) error {
+		probe, err := netip.ParseAddrPort(text)
+		cfg.Probes = append(cfg.Probes, probe)
+		return err
+	})
 	flags.StringVar(&cfg.Service, "service", "", "service to call")
 	flags.StringVar(&cfg.Key, "key", os.Getenv("LOVAGEDYKE_KEY"), "team key; LOVAGEDYKE_KEY by default")
 	flags.StringVar(&cfg.Method, "method", "POST", "HTTP method")
--- a/internal/entry/claims.go
+++ b/internal/entry/claims.go
@@ -19,6 +19,9 @@
 const (
 	// claimTick is the interval of a holder's timers.
 	claimTick = 50 * time.Millisecond
+	// claimProbeInterval is the time between acknowledgements of a roster, and
+	// so how long claims on moved ids wait.
+	claimProbeInterval = 100 * time.Millisecond
 	// claimCallTimeout bounds one call to the table or a peer about claims.
 	claimCallTimeout = 2 * time.Second
 	// claimRetries bounds how often a moved claim is asked for again.
@@ -60,7 +63,9 @@
 func newClaims(node claimNode, retention time.Duration) *claims {
 	return &claims{
 		node:      node,
-		holder:    claim.New(claim.Config{Self: node.Self().Identity, Retention: retention}),
+		holder: claim.New(claim.Config{
+			Self: node.Self().Identity, Retention: retention, ProbeInterval: claimProbeInterval,
+		}),
 		events:    make(chan func(time.Time) []claim.Effect, claimQueue),
 		stopped:   make(chan struct{}),
 		claimants: make(map[claim.Token]chan claim.Answer),
--- a/internal/entry/endpoints.go
+++ b/internal/entry/endpoints.go
@@ -43,7 +43,9 @@
 		s := e.service(name)
 		s.setEndpoints(now, endpoints[name], entries)
 		s.setWeights(now, weights(state.Catalogue, entry))
+		s.tick(now)
 	}
+	e.hostsOnce.Do(func() { close(e.hostsRead) })
 }
 
 // activeEntries returns how many entries share the endpoints' connections.
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -40,6 +40,10 @@
 	scheduleTick = 10 * time.Millisecond
 	// hostsInterval is the time between two readings of the platform's list.
 	hostsInterval = 500 * time.Millisecond
+	// permitsPatience bounds the wait for the teams' permits at the start.
+	permitsPatience = 5 * time.Second
+	// permitsPoll is the time between two looks at them.
+	permitsPoll = 100 * time.Millisecond
 	// connectionsPerEndpoint bounds this entry's connections to one endpoint;
 	// the picker's bound is the one that counts.
 	connectionsPerEndpoint = 64
@@ -79,6 +83,10 @@
 	mu       sync.RWMutex
 	services map[string]*service
 
+	// hostsRead is closed when the endpoints are known.
+	hostsRead chan struct{}
+	hostsOnce sync.Once
+
 	metrics *meters
 }
 
@@ -94,6 +102,7 @@
 		runs:      runs,
 		stopRuns:  stopRuns,
 		services:  make(map[string]*service),
+		hostsRead: make(chan struct{}),
 		metrics:   newMeters(),
 	}
 	e.charges = newCharges(config.Node, config.Log)
@@ -125,6 +134,36 @@
 	return done
 }
 
+// AwaitReady waits until the entry knows endpoints, and for a bounded time
+// until peers may pass it permits of every team.
+func (e *Entry) AwaitReady(ctx context.Context) error {
+	select {
+	case <-e.hostsRead:
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+	until := e.now().Add(permitsPatience)
+	for !e.knownToTeams() && e.now().Before(until) {
+		e.node.PollNow()
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-time.After(permitsPoll):
+		}
+	}
+	return nil
+}
+
+// knownToTeams reports whether every team's row of permits lists this entry.
+func (e *Entry) knownToTeams() bool {
+	for team := range e.node.Configuration().View().State.Catalogue.Teams {
+		if !e.node.Ledger().Known(team) {
+			return false
+		}
+	}
+	return true
+}
+
 // Drain waits for attempts that nobody waits for any more, until the context
 // ends, and then gives up those that are left.
 func (e *Entry) Drain(ctx context.Context) error {
--- a/internal/process/entry.go
+++ b/internal/process/entry.go
@@ -35,12 +35,15 @@
 	var running conc.WaitGroup
 	defer running.Wait()
 	defer stopLoops()
-	running.Go(func() { <-e.Run(loops) })
 	running.Go(func() { p.reloadLoop(loops) })
 	if err := p.node.Join(ctx); err != nil {
 		return err
 	}
+	running.Go(func() { <-e.Run(loops) })
 	running.Go(func() { <-p.node.Run(loops) })
+	if err := e.AwaitReady(ctx); err != nil {
+		return err
+	}
 	callers, err := p.open(port.Config{Name: "caller", Address: config.CallerAddress, Handler: e})
 	if err != nil {
 		return err
--- a/internal/standin/load/load.go
+++ b/internal/standin/load/load.go
@@ -37,7 +37,10 @@
 // Config says what to send. The run ends after Duration or Requests, whichever
 // is first.
 type Config struct {
-	Targets     []netip.AddrPort
+	Targets []netip.AddrPort
+	// Probes are the operations addresses of the targets, in their order. With
+	// them the tool acts as a balancer: it passes over targets that are not ready.
+	Probes      []netip.AddrPort
 	Service     string
 	Key         string
 	Method      string
@@ -63,6 +66,7 @@
 	samples *collector
 	begin   time.Time
 	next    atomic.Int64
+	balance *balancer
 }
 
 // Run sends the load and returns what came back; it ends early with ctx.
@@ -78,12 +82,18 @@
 		client:  &http.Client{Transport: transport, Timeout: cfg.Timeout},
 		samples: newCollector(),
 		begin:   time.Now(),
+		balance: newBalancer(cfg),
 	}
+	probing, stopProbing := context.WithCancel(ctx)
+	defer stopProbing()
+	probed := g.balance.run(probing)
 	var group conc.WaitGroup
 	for range cfg.Concurrency {
 		group.Go(func() { g.send(ctx) })
 	}
 	group.Wait()
+	stopProbing()
+	<-probed
 	return g.samples.finish(time.Since(g.begin)), nil
 }
 
@@ -97,6 +107,9 @@
 			return cfg, errors.Newf("targets: %s is not on loopback", target)
 		}
 	}
+	if len(cfg.Probes) > 0 && len(cfg.Probes) != len(cfg.Targets) {
+		return cfg, errors.Newf("probes: %d for %d targets", len(cfg.Probes), len(cfg.Targets))
+	}
 	if cfg.Duration <= 0 && cfg.Requests <= 0 {
 		return cfg, errors.New("duration or requests must be set")
 	}
@@ -158,7 +171,7 @@
 	var refused atomic.Int64
 	var group conc.WaitGroup
 	for i := range g.cfg.Copies {
-		target := g.cfg.Targets[(int(index)+i)%len(g.cfg.Targets)]
+		target := g.balance.target(int(index) + i)
 		group.Go(func() {
 			s := g.exchange(ctx, target, key, q)
 			if s.problem.Outcome == outcomeNotRun {
--- a/test/demo.sh
+++ b/test/demo.sh
@@ -108,7 +108,8 @@
 load() {
 	local name=$1
 	shift
-	"$bin/lovagedyke-standin" load -target "${addr[caller-1]}" -target "${addr[caller-2]}" -target "${addr[caller-3]}" \
+	"$bin/lovagedyke-standin" load -target "${addr[caller-1]}" -probe "${addr[entry-ops-1]}" \
+		-target "${addr[caller-2]}" -probe "${addr[entry-ops-2]}" -target "${addr[caller-3]}" -probe "${addr[entry-ops-3]}" \
 		"$@" >"$work/$name.json" 2>"$work/$name.err" &
 	pids+=($!)
 	printf '%s' $! >"$work/$name.pid"
