--- /dev/null
+++ b/model/permits-broken-debit.pml
@@ -0,0 +1,3 @@
+/* A member gives without subtracting. */
+#define NO_DEBIT
+#include "permits.pml"
--- /dev/null
+++ b/model/permits-broken-freeze.pml
@@ -0,0 +1,3 @@
+/* A member accepts transfers after its report. */
+#define NO_FREEZE
+#include "permits.pml"
