--- a/internal/platform/api.go
+++ b/internal/platform/api.go
@@ -5,6 +5,9 @@
 // ProcessHeader names the calling process in every request to the platform.
 const ProcessHeader = "Lovagedyke-Process"
 
+// WorkerService is the service name under which the host list shows a worker.
+const WorkerService = "worker"
+
 // Paths of the platform's HTTP interface.
 const (
 	GetPath    = "/table/get"
--- a/internal/task/answer.go
+++ b/internal/task/answer.go
@@ -77,7 +77,7 @@
 
 // heard notes whether the worker answers.
 func (c *Controller) heard(worker string, kind AnswerKind) {
-	c.cfg.Placer.Silent(worker, kind == AnswerNone)
+	c.setSilent(worker, kind == AnswerNone)
 }
 
 // takeAnswer takes in what a worker said of the item's present attempt.
--- a/internal/task/link.go
+++ b/internal/task/link.go
@@ -25,6 +25,7 @@
 	pollAt      time.Time
 	// outstanding is set while a poll has not ended.
 	outstanding bool
+	silent      bool
 	gone        bool
 }
 
@@ -83,7 +84,7 @@
 func (c *Controller) Join(now time.Time, worker place.Worker, incarnation string) {
 	known := c.link(worker.Name)
 	c.cfg.Placer.Join(worker)
-	c.cfg.Placer.Silent(worker.Name, false)
+	c.setSilent(worker.Name, false)
 	if known.incarnation == incarnation && !known.gone {
 		return
 	}
@@ -97,12 +98,27 @@
 	}
 }
 
-// Workers names the workers that hold attempts, so that those which the
-// platform lists no more can be reported gone.
+// Silent reports whether the worker has stopped answering or has not joined; a
+// report of it is then wanted.
+func (c *Controller) Silent(worker string) bool {
+	known, ok := c.links[worker]
+	return !ok || known.silent || known.incarnation == ""
+}
+
+// setSilent notes whether the worker answers.
+func (c *Controller) setSilent(worker string, silent bool) {
+	if known, ok := c.links[worker]; ok {
+		known.silent = silent
+	}
+	c.cfg.Placer.Silent(worker, silent)
+}
+
+// Workers names the workers that are not known to be gone, so that those which
+// the platform lists no more can be reported.
 func (c *Controller) Workers() []string {
 	var names []string
 	for _, name := range c.names {
-		if len(c.links[name].items) > 0 {
+		if !c.links[name].gone {
 			names = append(names, name)
 		}
 	}
