--- a/internal/place/placement.go
+++ b/internal/place/placement.go
@@ -52,8 +52,10 @@
 	if !ok || p.cfg.TrustDeclared {
 		return
 	}
+	before := known.need
 	known.observe(now, usage, p.estimate(known.demand.Queue).need(known.demand.Declared))
-	known.worker.recount()
+	// The sum's rounding errors go with the next task that leaves.
+	known.worker.used = known.worker.used.Minus(before).Plus(known.need)
 }
 
 // Release ends a task's placement and learns from how it went.
