--- a/internal/place/bench_test.go
+++ b/internal/place/bench_test.go
@@ -35,7 +35,6 @@
 	actual place.Size
 	left   float64
 	total  float64
-	worker string
 	failed int
 }
 
