Be ready only with permits in hand; ask again when a peer has not read of a new member

Cause: a restarted entry was ready before its peers had read that the teams' rows list it, and refused 47 to 63 requests as team-at-limit while 26 of 40 permits were idle. Ruled out: the limit itself (greatest running 14).

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -135,7 +135,7 @@
 }
 
 // AwaitReady waits until the entry knows endpoints, and for a bounded time
-// until peers may pass it permits of every team.
+// until it holds permits of every team; there may be none to spare.
 func (e *Entry) AwaitReady(ctx context.Context) error {
 	select {
 	case <-e.hostsRead:
@@ -143,8 +143,7 @@
 		return ctx.Err()
 	}
 	until := e.now().Add(permitsPatience)
-	for !e.knownToTeams() && e.now().Before(until) {
-		e.node.PollNow()
+	for !e.hasPermits() && e.now().Before(until) {
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
@@ -154,14 +153,25 @@
 	return nil
 }
 
-// knownToTeams reports whether every team's row of permits lists this entry.
-func (e *Entry) knownToTeams() bool {
+// hasPermits reports whether the entry holds permits of every team, and asks
+// for those that it lacks.
+func (e *Entry) hasPermits() bool {
+	all := true
 	for team := range e.node.Configuration().View().State.Catalogue.Teams {
-		if !e.node.Ledger().Known(team) {
-			return false
+		if available(e.node.Ledger(), team) {
+			continue
 		}
+		all = false
+		if !e.node.Ledger().Lists(team, e.node.Member()) {
+			e.node.PollNow()
+			continue
+		}
+		if e.node.Ledger().Acquire(team) {
+			e.node.Ledger().Release(team)
+		}
+		e.node.Short(team)
 	}
-	return true
+	return all
 }
 
 // Drain waits for attempts that nobody waits for any more, until the context
--- a/internal/limit/known.go
+++ b/internal/limit/known.go
@@ -1,12 +1,12 @@
 package limit
 
-// Known reports whether the team's row lists this member, so that peers may
+// Lists reports whether the team's row lists the member, so that others may
 // pass it permits.
-func (l *Ledger) Known(team string) bool {
+func (l *Ledger) Lists(team string, member Member) bool {
 	a := l.lock(team)
 	if a == nil {
 		return false
 	}
 	defer a.mu.Unlock()
-	return a.members[l.self]
+	return a.members[member]
 }
--- a/internal/node/service.go
+++ b/internal/node/service.go
@@ -45,7 +45,12 @@
 
 // Ask gives permits to a peer.
 func (s *Service) Ask(_ context.Context, request *peerpb.AskRequest) (*peerpb.AskReply, error) {
-	transfer, ok := s.node.ledger.Give(peer.Ask(request))
+	ask := peer.Ask(request)
+	transfer, ok := s.node.ledger.Give(ask)
+	if !ok && !s.node.ledger.Lists(ask.Team, ask.From) {
+		// The team's row lists a new member that this process has not read of.
+		s.node.PollNow()
+	}
 	if !ok {
 		return &peerpb.AskReply{}, nil
 	}
