--- a/internal/entry/claims.go
+++ b/internal/entry/claims.go
@@ -62,7 +62,7 @@
 // newClaims returns claims that answer once run is called.
 func newClaims(node claimNode, retention time.Duration) *claims {
 	return &claims{
-		node:      node,
+		node: node,
 		holder: claim.New(claim.Config{
 			Self: node.Self().Identity, Retention: retention, ProbeInterval: claimProbeInterval,
 		}),
--- /dev/null
+++ b/test/failure_test.go
@@ -0,0 +1,244 @@
+package test
+
+import (
+	"context"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/lovagedyke/lovagedyke/internal/standin/load"
+)
+
+// checkMarked asserts what holds of marked requests whatever fails.
+func (f *fleet) checkMarked(report load.Report) {
+	f.t.Helper()
+	runs := f.runsPerKey()
+	for key, got := range runs {
+		if got > 1 {
+			f.t.Errorf("runs of key %s: got %d, want at most 1", key, got)
+		}
+	}
+	for _, key := range report.RefusedKeys {
+		if got := runs[key]; got != 0 {
+			f.t.Errorf("runs of key %s, answered not-run: got %d, want 0", key, got)
+		}
+	}
+}
+
+// checkWhole asserts that every request had its own whole answer.
+func (f *fleet) checkWhole(report load.Report) {
+	f.t.Helper()
+	if report.OK == 0 {
+		f.t.Errorf("served: got 0 of %d, want some", report.Sent)
+	}
+	if got := report.Wrong + report.Cut + report.Errors; got != 0 {
+		f.t.Errorf("wrong, cut or lost answers: got %d (%s), want 0", got, report.LastError)
+	}
+}
+
+// checkLimit asserts that the team never ran more than its upper limit.
+func (f *fleet) checkLimit(limit int) {
+	f.t.Helper()
+	got := f.greatestRunning()
+	if got > limit {
+		f.t.Errorf("greatest running: got %d, want at most %d", got, limit)
+	}
+	if got == 0 {
+		f.t.Error("greatest running: got 0, want some")
+	}
+}
+
+// Entries are replaced one after the other; nobody's request is cut.
+func TestReplacingAllEntriesCutsNothing(t *testing.T) {
+	f := newFleet(t, 3, 2)
+	names := []string{"entry-1", "entry-2", "entry-3"}
+	config := f.loadOn(names...)
+	config.Rate = 200
+	stop := f.background(config)
+	for i, name := range names {
+		f.stop(name)
+		f.start("entry", i+1)
+		f.ready()
+	}
+	report := stop()
+	f.checkWhole(report)
+	f.checkLimit(teamLimit)
+	t.Logf("%d of %d served, reasons %v", report.OK, report.Sent, report.Reasons)
+}
+
+// An entry dies with work running. The limit holds while that work may run on,
+// and its permits come back on evidence.
+func TestKilledEntryKeepsTheLimitAndFreesItsPermits(t *testing.T) {
+	f := newFleet(t, 3, 2)
+	long := f.loadOn("entry-1")
+	long.RunTime, long.Concurrency = 2*time.Second, 12
+	stopLong := f.background(long)
+	f.eventually("entry 1 runs much of the limit", func() bool { return f.permits("entry-1").InUse >= teamLimit/2 })
+	f.kill("entry-1")
+	short := f.loadOn("entry-2", "entry-3")
+	short.RunTime = 200 * time.Millisecond
+	stopShort := f.background(short)
+	f.unlistHost("host-entry-1")
+	killed := time.Now()
+	f.eventually("the others hold the whole limit", func() bool { return f.held("entry-2", "entry-3") == teamLimit })
+	t.Logf("permits stood idle for %s", time.Since(killed).Round(time.Millisecond))
+	stopLong()
+	report := stopShort()
+	f.checkLimit(teamLimit)
+	if report.OK == 0 {
+		t.Errorf("served by the others: got 0 of %d, want some", report.Sent)
+	}
+}
+
+// One entry takes all of a team's load and gets nearly all of its limit.
+func TestOneEntryCanUseTheLimit(t *testing.T) {
+	f := newFleet(t, 3, 1)
+	config := f.loadOn("entry-1")
+	config.RunTime = 300 * time.Millisecond
+	stop := f.background(config)
+	// 95% of 12 permits, rounded down.
+	f.eventually("entry 1 runs 95% of the limit", func() bool { return f.permits("entry-1").InUse >= 11 })
+	stop()
+	f.checkLimit(teamLimit)
+}
+
+// The limit is lowered under load: nothing new starts until what runs is
+// within it, and nothing is cut.
+func TestLoweredLimit(t *testing.T) {
+	f := newFleet(t, 2, 2)
+	config := f.loadOn("entry-1", "entry-2")
+	config.RunTime = 50 * time.Millisecond
+	stop := f.background(config)
+	f.eventually("load uses the limit", func() bool { return f.greatestRunning() > 4 })
+	f.apply(4)
+	f.eventually("entries hold the new limit", func() bool { return f.held("entry-1", "entry-2") == 4 })
+	lowered := time.Now()
+	time.Sleep(500 * time.Millisecond)
+	report := stop()
+	f.checkWhole(report)
+	var after []interval
+	for _, server := range f.endpoints {
+		for _, run := range server.Stats().Runs {
+			if run.Start.After(lowered) {
+				after = append(after, interval{run.Start, run.End})
+			}
+		}
+	}
+	if got := overlap(after); got > 4 || got == 0 {
+		t.Errorf("greatest running after the change: got %d, want 1 to 4", got)
+	}
+}
+
+// The table is away: marked and unmarked work goes on, with a copy of each
+// marked request at another entry, and an entry dies meanwhile.
+func TestTableOutage(t *testing.T) {
+	f := newFleet(t, 3, 2)
+	config := f.loadOn("entry-1", "entry-2", "entry-3")
+	config.Marked, config.Copies, config.Rate = true, 2, 60
+	stop := f.background(config)
+	time.Sleep(time.Second)
+	f.faults(`{"down":true}`)
+	time.Sleep(5 * time.Second)
+	during := f.loadOn("entry-1", "entry-2", "entry-3")
+	during.Marked, during.Requests = true, 100
+	duringReport := f.run(during)
+	f.faults(`{"lose-answers":true}`)
+	time.Sleep(time.Second)
+	f.faults(`{}`)
+	time.Sleep(time.Second)
+	report := stop()
+	f.checkMarked(report)
+	f.checkMarked(duringReport)
+	f.checkWhole(report)
+	if got, want := duringReport.OK, 95; got < want {
+		t.Errorf("marked requests served during the outage: got %d of 100 (%v), want %d", got, duringReport.Reasons, want)
+	}
+}
+
+// A home of claims dies during an outage; its ids are refused or unknown, and
+// none runs twice, also when the table is back.
+func TestEntryDiesDuringTableOutage(t *testing.T) {
+	f := newFleet(t, 3, 2)
+	config := f.loadOn("entry-1", "entry-2")
+	config.Marked, config.Copies, config.Rate = true, 2, 60
+	stop := f.background(config)
+	time.Sleep(time.Second)
+	f.faults(`{"down":true}`)
+	time.Sleep(time.Second)
+	f.kill("entry-3")
+	time.Sleep(2 * time.Second)
+	f.start("entry", 3)
+	time.Sleep(time.Second)
+	f.faults(`{}`)
+	f.ready()
+	time.Sleep(time.Second)
+	report := stop()
+	f.checkMarked(report)
+	f.checkWhole(report)
+	f.checkLimit(teamLimit)
+	t.Logf("%d of %d served, reasons %v", report.OK, report.Sent, report.Reasons)
+}
+
+// A key is withdrawn while an entry is paused; the entry refuses it on waking.
+func TestWithdrawnKeyAtAPausedEntry(t *testing.T) {
+	f := newFleet(t, 2, 2)
+	spare := f.giveKey()
+	f.signal("entry-2", syscall.SIGSTOP)
+	id := strings.SplitN(strings.TrimPrefix(spare, "lk_"), "_", 2)[0]
+	if _, err := f.operators.WithdrawKey(context.Background(), id, ""); err != nil {
+		t.Fatal(err)
+	}
+	// Longer than the freshness bound: the entry cannot have confirmed its copy.
+	time.Sleep(4 * time.Second)
+	f.signal("entry-2", syscall.SIGCONT)
+	config := f.loadOn("entry-2")
+	config.Probes = nil
+	config.Key, config.Requests = spare, 50
+	report := f.run(config)
+	if got := report.OK; got != 0 {
+		t.Errorf("requests with the withdrawn key: got %d served, want 0", got)
+	}
+	f.eventually("entry 2 serves valid keys again", func() bool {
+		config.Key, config.Requests = f.key, 1
+		return f.run(config).OK == 1
+	})
+}
+
+// An entry is cut off from the table alone: a withdrawal still reaches it
+// through its peers.
+func TestWithdrawnKeyAtAnEntryWithoutTable(t *testing.T) {
+	f := newFleet(t, 2, 2)
+	spare := f.giveKey()
+	f.faults(`{"down":true,"processes":["entry-2"]}`)
+	id := strings.SplitN(strings.TrimPrefix(spare, "lk_"), "_", 2)[0]
+	if _, err := f.operators.WithdrawKey(context.Background(), id, ""); err != nil {
+		t.Fatal(err)
+	}
+	config := f.loadOn("entry-2")
+	config.Key, config.Requests = spare, 1
+	f.eventually("entry 2 refuses the key", func() bool { return f.run(config).OK == 0 })
+	valid := f.loadOn("entry-2")
+	valid.Requests = 20
+	report := f.run(valid)
+	if got, want := report.OK, 20; got != want {
+		t.Errorf("valid key without the table: got %d served (%v), want %d", got, report.Reasons, want)
+	}
+}
+
+// A manager dies in the middle; another goes on, and a repeated change has one
+// result.
+func TestManagerDies(t *testing.T) {
+	f := newFleet(t, 2, 3)
+	f.kill("manager-1")
+	f.unlistHost("host-manager-1")
+	f.apply(9)
+	f.eventually("entries hold the new limit", func() bool { return f.held("entry-1", "entry-2") == 9 })
+	answer, err := f.operators.Catalogue(context.Background())
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got, want := answer.Catalogue.Teams[0].UpperLimit, 9; got != want {
+		t.Errorf("upper limit: got %d, want %d", got, want)
+	}
+}
