Bind a claim token to one home; model the claims in Promela

Cause: spin found that a home which gave a pending claim up could say 'not run', while the next home, to which the claimant presented the same token, found the token in the table and granted it.

Ruled out: a standing check before a repeated grant (the former home may still flush its withdrawal later); a 'mirrored' mark on records of the second, which is covered by the token's home and is removed.

--- a/internal/claim/bucket.go
+++ b/internal/claim/bucket.go
@@ -38,11 +38,9 @@
 	dirty bool
 	// owed is the roster version under which record was granted or mirrored
 	// without the table; 0 if it was not.
-	owed uint64
-	// mirrored means that only the home knows whether record was granted.
-	mirrored bool
-	queued   bool
-	busy     bool
+	owed   uint64
+	queued bool
+	busy   bool
 }
 
 // pending is a claim on its way to become durable.
@@ -73,6 +71,5 @@
 func (e *entry) clean() {
 	if !e.dirty {
 		e.owed = 0
-		e.mirrored = false
 	}
 }
--- a/internal/claim/claim.go
+++ b/internal/claim/claim.go
@@ -31,7 +31,8 @@
 //
 // A claimant dispatches on an Answer with OutcomeGranted only, and only once
 // for each Token. If it gives up before, it never dispatches for that Token
-// and calls Release; after the run it calls Finish.
+// and calls Release; after the run it calls Finish. On OutcomeMoved it gives
+// the Token up and asks the new home under another one.
 package claim
 
 import (
@@ -130,9 +131,11 @@
 	}
 }
 
-// Token names one attempt of one claimant.
+// Token names one attempt of one claimant at one home. Were it presented to two
+// homes, one could withdraw what the other grants.
 type Token struct {
 	Claimant roster.Identity `json:"claimant"`
+	Home     roster.Identity `json:"home"`
 	Sequence uint64          `json:"sequence"`
 }
 
--- a/internal/claim/holder.go
+++ b/internal/claim/holder.go
@@ -112,7 +112,8 @@
 	if request.Version > h.roster.Version {
 		h.emit(StaleRoster{})
 	}
-	if b.home.Identity != h.config.Self || request.Version > h.roster.Version {
+	self := h.config.Self
+	if b.home.Identity != self || request.Token.Home != self || request.Version > h.roster.Version {
 		answer.Outcome = OutcomeMoved
 		h.answer(answer)
 		return
@@ -167,10 +168,6 @@
 	if e.record.open(now) {
 		return false
 	}
-	if e.mirrored && e.record.Token == request.Token && e.record.State == StateClaimed {
-		h.refuse(now, e.bucket, answer, ReasonNotSynced)
-		return true
-	}
 	h.answer(h.recorded(now, answer, request.Digest))
 	return true
 }
--- a/internal/claim/mirror.go
+++ b/internal/claim/mirror.go
@@ -75,7 +75,6 @@
 		return false
 	}
 	e.record = merged
-	e.mirrored = true
 	h.owe(e)
 	return true
 }
--- /dev/null
+++ b/model/claim-broken-cutoff.pml
@@ -0,0 +1,3 @@
+/* Taken out: a home that is only cut off keeps its ids waiting. */
+#define BROKEN_CUTOFF
+#include "claim.pml"
--- /dev/null
+++ b/model/claim-broken-restart.pml
@@ -0,0 +1,3 @@
+/* Taken out: a restarted process is another incarnation without loaded claims. */
+#define BROKEN_RESTART
+#include "claim.pml"
--- /dev/null
+++ b/model/claim-broken-token.pml
@@ -0,0 +1,3 @@
+/* Taken out: a token is presented to one home only. */
+#define BROKEN_TOKEN
+#include "claim.pml"
--- /dev/null
+++ b/model/claim-broken-unflushed.pml
@@ -0,0 +1,3 @@
+/* Taken out: a new home waits until the former pairs are settled. */
+#define BROKEN_UNFLUSHED
+#include "claim.pml"
