--- a/internal/claim/claim.go
+++ b/internal/claim/claim.go
@@ -71,8 +71,8 @@
 	return hex.EncodeToString(sum[:])
 }
 
-// rowKey is the id's row in the table.
-func (id ID) rowKey() string {
+// RowKey is the id's row in the table.
+func (id ID) RowKey() string {
 	return bucketPrefix(id.Bucket()) + id.Hash()
 }
 
--- a/internal/claim/membership.go
+++ b/internal/claim/membership.go
@@ -190,7 +190,7 @@
 // loadRow merges one row; false if memory is full.
 func (h *Holder) loadRow(now time.Time, b *bucket, key string, value []byte, version uint64) bool {
 	record := decode(ID{}, value, now.Add(h.config.Retention))
-	if record.ID.rowKey() != key {
+	if record.ID.RowKey() != key {
 		return true
 	}
 	e := b.entries[record.ID]
--- a/internal/claim/round.go
+++ b/internal/claim/round.go
@@ -88,7 +88,7 @@
 	var keys []string
 	for _, e := range h.round.entries {
 		if !e.rowKnown {
-			keys = append(keys, e.id.rowKey())
+			keys = append(keys, e.id.RowKey())
 		}
 	}
 	if len(keys) == 0 {
@@ -105,7 +105,7 @@
 		byKey[row.Key] = row
 	}
 	for _, e := range h.round.entries {
-		row, ok := byKey[e.id.rowKey()]
+		row, ok := byKey[e.id.RowKey()]
 		if !ok {
 			continue
 		}
@@ -180,7 +180,7 @@
 
 // write returns the row change that the entry needs, if any.
 func (h *Holder) write(now time.Time, e *entry) (write table.Write, record Record, ok bool) {
-	write.Key = e.id.rowKey()
+	write.Key = e.id.RowKey()
 	switch {
 	case e.pending != nil && !h.stale:
 		e.pending.tried = true
