Assess only a home's own buckets; focus the claim fuzz on fewer ids

Ids were so many that few were claimed by several homes. Acknowledgement rows of identities that no roster mentions can be deleted now.

--- a/internal/claim/bucket.go
+++ b/internal/claim/bucket.go
@@ -9,6 +9,7 @@
 // bucket is the state of one part of the ids.
 type bucket struct {
 	number   int
+	key      string
 	home     roster.Member
 	second   roster.Member
 	standing roster.Standing
@@ -21,7 +22,7 @@
 
 // newBucket returns an empty bucket.
 func newBucket(number int) *bucket {
-	return &bucket{number: number, standing: roster.Waiting, entries: make(map[ID]*entry)}
+	return &bucket{number: number, key: BucketKey(number), standing: roster.Waiting, entries: make(map[ID]*entry)}
 }
 
 // entry is what this process holds of one id.
--- a/internal/claim/fuzz_test.go
+++ b/internal/claim/fuzz_test.go
@@ -61,7 +61,7 @@
 		}
 	}},
 	{"drain", 8, func(w *world) { w.drain() }},
-	{"settle", 5, func(w *world) { w.settle() }},
+	{"settle", 9, func(w *world) { w.settle() }},
 	{"tick", 10, func(w *world) {
 		w.now = w.now.Add(time.Duration(w.pick(700)) * time.Millisecond)
 		if p := w.any(); p != nil {
@@ -90,7 +90,7 @@
 			}
 		})
 	}},
-	{"crash", 3, func(w *world) {
+	{"crash", 2, func(w *world) {
 		if p := w.any(); p != nil {
 			p.alive = false
 		}
@@ -201,10 +201,11 @@
 	return up[w.pick(len(up))]
 }
 
-// id returns one of the ids in use, or a new one; every second is a UUIDv7.
+// id returns one of the ids in use, or a new one; every second is a UUIDv7. A
+// focused world keeps to one id for longer.
 func (w *world) id() claim.ID {
-	if n := len(w.ids); n > 0 && w.pick(3) > 0 {
-		return w.ids[max(0, n-1-w.pick(4))]
+	if n := len(w.ids); n > 0 && w.pick(3*w.focus) > 0 {
+		return w.ids[max(0, n-1-w.pick(4/w.focus))]
 	}
 	n := len(w.ids)
 	key := fmt.Sprintf("order-%d", n)
--- a/internal/claim/membership.go
+++ b/internal/claim/membership.go
@@ -12,15 +12,18 @@
 	if next.Version < h.roster.Version || rowVersion < h.rowVersion {
 		return h.flush(now)
 	}
+	h.stale = false
+	if rowVersion == h.rowVersion {
+		return h.flush(now)
+	}
 	changed := next.Version > h.roster.Version
 	successive := next.Version == h.roster.Version+1
 	h.roster = next
 	h.rowVersion = rowVersion
-	h.stale = false
 	if changed {
 		h.assign(successive)
 	}
-	h.assess(now)
+	h.assess()
 	if changed {
 		h.reroute(now)
 	}
@@ -32,7 +35,7 @@
 func (h *Holder) assign(successive bool) {
 	for _, b := range h.buckets {
 		was := b.home.Identity == h.config.Self
-		b.home, b.second = h.roster.Pair(BucketKey(b.number))
+		b.home, b.second = h.roster.Pair(b.key)
 		is := b.home.Identity == h.config.Self
 		b.loaded = b.loaded && was && is && successive
 		b.loading = false
@@ -46,12 +49,15 @@
 	}
 }
 
-// assess sets the buckets' standings. What this process granted itself it
+// assess sets the standings of this home's buckets. What this process granted itself it
 // knows, so its own acknowledgement needs no row.
-func (h *Holder) assess(_ time.Time) {
+func (h *Holder) assess() {
 	h.acks[h.config.Self] = h.roster.Version
 	for _, b := range h.buckets {
-		b.standing, b.lostAt = h.roster.Status(BucketKey(b.number), h.acks)
+		b.standing = roster.Waiting
+		if b.home.Identity == h.config.Self {
+			b.standing, b.lostAt = h.roster.Status(b.key, h.acks)
+		}
 	}
 }
 
--- a/internal/claim/poll.go
+++ b/internal/claim/poll.go
@@ -36,7 +36,7 @@
 }
 
 // pollAnswered takes the results of probes, acknowledgements and their reads.
-func (h *Holder) pollAnswered(now time.Time, c call, answer TableAnswer) {
+func (h *Holder) pollAnswered(c call, answer TableAnswer) {
 	switch c.kind {
 	case callProbe:
 		h.probing = false
@@ -48,7 +48,7 @@
 		}
 	case callPoll:
 		h.polling = false
-		h.acksRead(now, answer)
+		h.acksRead(answer)
 	}
 }
 
@@ -63,7 +63,7 @@
 }
 
 // acksRead takes the others' acknowledgements.
-func (h *Holder) acksRead(now time.Time, answer TableAnswer) {
+func (h *Holder) acksRead(answer TableAnswer) {
 	if answer.Err != nil {
 		return
 	}
@@ -75,7 +75,7 @@
 			h.checkOwn(row.Value)
 		}
 	}
-	h.assess(now)
+	h.assess()
 }
 
 // checkOwn has the acknowledgement written again if an older commit overtook it.
--- a/internal/claim/round.go
+++ b/internal/claim/round.go
@@ -254,7 +254,7 @@
 	case callLoad:
 		h.loadAnswered(now, c, answer)
 	default:
-		h.pollAnswered(now, c, answer)
+		h.pollAnswered(c, answer)
 	}
 	return h.flush(now)
 }
--- a/internal/claim/world_test.go
+++ b/internal/claim/world_test.go
@@ -87,6 +87,7 @@
 	runs     map[claim.ID]int
 	counts   map[string]int
 	sequence uint64
+	focus    int
 }
 
 var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
@@ -103,6 +104,7 @@
 		w.join(w.procs[i])
 	}
 	w.settle()
+	w.focus = 1 << w.pick(3)
 	return w
 }
 
--- a/internal/roster/roster_test.go
+++ b/internal/roster/roster_test.go
@@ -135,6 +135,14 @@
 	}
 }
 
+func TestObsolete(t *testing.T) {
+	r, _ := roster.Join(joined("a", "b"), entry("a", 2), epoch)
+	acks := roster.Acks{entry("a", 1).Identity: 2, entry("a", 2).Identity: 3, entry("b", 1).Identity: 3, entry("c", 1).Identity: 1}
+	if got := fmt.Sprint(r.Obsolete(acks)); got != "[c/1]" {
+		t.Errorf("got %s, want [c/1]: a/1 is part of a former generation", got)
+	}
+}
+
 func keyOf(r roster.Roster, home, second string) string {
 	for i := 0; ; i++ {
 		key := fmt.Sprint(i)
--- a/internal/roster/status.go
+++ b/internal/roster/status.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"slices"
+	"strings"
 	"time"
 )
 
@@ -44,6 +45,19 @@
 	return nil
 }
 
+// Obsolete returns the identities whose acknowledgement rows can be deleted:
+// they are neither members nor part of a former generation.
+func (r Roster) Obsolete(acks Acks) []Identity {
+	var obsolete []Identity
+	for id := range acks {
+		if !r.Contains(id) && !mentions(r.Past, id) {
+			obsolete = append(obsolete, id)
+		}
+	}
+	slices.SortFunc(obsolete, func(a, b Identity) int { return strings.Compare(a.String(), b.String()) })
+	return obsolete
+}
+
 // Standing tells whether the present home of a key may act on it.
 type Standing int
 
