--- a/internal/claim/bucket.go
+++ b/internal/claim/bucket.go
@@ -9,6 +9,7 @@
 // bucket is the state of one part of the ids.
 type bucket struct {
 	number   int
+	key      string
 	home     roster.Member
 	second   roster.Member
 	standing roster.Standing
@@ -21,7 +22,7 @@
 
 // newBucket returns an empty bucket.
 func newBucket(number int) *bucket {
-	return &bucket{number: number, standing: roster.Waiting, entries: make(map[ID]*entry)}
+	return &bucket{number: number, key: BucketKey(number), standing: roster.Waiting, entries: make(map[ID]*entry)}
 }
 
 // entry is what this process holds of one id.
@@ -38,11 +39,9 @@
 	dirty bool
 	// owed is the roster version under which record was granted or mirrored
 	// without the table; 0 if it was not.
-	owed uint64
-	// mirrored means that only the home knows whether record was granted.
-	mirrored bool
-	queued   bool
-	busy     bool
+	owed   uint64
+	queued bool
+	busy   bool
 }
 
 // pending is a claim on its way to become durable.
@@ -73,6 +72,5 @@
 func (e *entry) clean() {
 	if !e.dirty {
 		e.owed = 0
-		e.mirrored = false
 	}
 }
