limit: use the whole limit from one member, and share it between two

Cause: a member that was refused once asked for one permit a round, so that one member with all the load came to 3.5-32% of the limit in 10 gossip rounds; and a busy member never had an idle permit for a starved peer (the peer held 0 of 40). Without the pledge its test fails with "second member holds 0 of 40".

--- a/internal/limit/account.go
+++ b/internal/limit/account.go
@@ -7,8 +7,8 @@
 	"time"
 )
 
-// needDecayShift lets the remembered need fall by a quarter with each tick.
-const needDecayShift = 2
+// needDecayShift halves the remembered need with each tick.
+const needDecayShift = 1
 
 // account is one team's part of a Ledger. Should inUse exceed holding, then
 // nothing starts until enough has ended.
@@ -30,6 +30,9 @@
 	// refused counts the refusals since the last tick.
 	refused int
 	need    int
+	// pledged permits are kept for a peer until two ticks after its last Ask.
+	pledged int
+	renewed bool
 }
 
 func newAccount() *account {
@@ -90,6 +93,7 @@
 	a.generation = generation
 	a.frozen = false
 	a.held = false
+	a.pledged = 0
 	clear(a.sent)
 	clear(a.received)
 	clear(a.members)
@@ -102,7 +106,7 @@
 }
 
 func (a *account) acquire() bool {
-	if a.held || a.inUse >= a.holding {
+	if a.held || a.inUse >= a.holding-a.pledged {
 		a.refused++
 		return false
 	}
@@ -131,25 +135,53 @@
 	})
 }
 
-// observe updates the remembered need from this tick's use and refusals.
+// current estimates how many permits could be in use now. A refusal doubles it
+// at least, because a caller may stop asking after the first one.
+func (a *account) current() int {
+	if a.refused == 0 {
+		return a.inUse
+	}
+	return max(a.inUse+a.refused, 2*a.inUse)
+}
+
+// demand is the current or the recent need, whichever is greater.
+func (a *account) demand() int {
+	return max(a.current(), a.need)
+}
+
+// observe ages the remembered need and the pledge at the end of a tick.
 func (a *account) observe() {
-	a.need = max(a.inUse+a.refused, a.need-(a.need+1<<needDecayShift-1)>>needDecayShift)
+	a.need = max(a.current(), a.need>>needDecayShift)
 	a.refused = 0
+	if !a.renewed {
+		a.pledged = 0
+	}
+	a.renewed = false
 }
 
 // spare returns how many of want permits the account parts with: all that it
-// has not needed lately, and at least half of what is idle.
+// has not needed lately, at least half of what is idle, and what it pledged.
 func (a *account) spare(want int) int {
 	idle := a.holding - a.inUse
 	if a.frozen || idle <= 0 {
 		return 0
 	}
-	wanted := max(a.need, a.inUse+a.refused) - a.inUse
-	return min(want, max(idle-wanted, idle/2))
+	unneeded := idle - (a.demand() - a.inUse)
+	return min(want, max(unneeded, idle/2, min(idle, a.pledged)))
+}
+
+// pledge keeps permits back, as work ends, for a peer that holds fewer and got
+// less than it asked for; without it a busy member would starve the peer.
+func (a *account) pledge(want, peerHolding int) {
+	if ahead := a.holding - peerHolding; want > 0 && ahead > 1 && !a.frozen {
+		a.pledged = max(a.pledged, min(want, ahead/2))
+		a.renewed = true
+	}
 }
 
 func (a *account) give(to Member, n int) int {
 	a.holding -= n
+	a.pledged = max(0, a.pledged-n)
 	a.sent[to] += n
 	return a.sent[to]
 }
@@ -167,6 +199,7 @@
 // freeze ends the trade of the current generation for good.
 func (a *account) freeze(mode FreezeMode, keep int) {
 	a.frozen = true
+	a.pledged = 0
 	switch mode {
 	case FreezeTrim:
 		a.holding = min(a.holding, max(a.inUse, keep))
--- a/internal/limit/grant.go
+++ b/internal/limit/grant.go
@@ -1,6 +1,10 @@
 package limit
 
-import "slices"
+import (
+	"encoding/json"
+	"fmt"
+	"slices"
+)
 
 // keyPrefix starts the key of every limit row in the table.
 const keyPrefix = "limit/"
@@ -31,6 +35,27 @@
 	Carried map[Member]Carry `json:"carried,omitempty"`
 }
 
+// ParseGrant decodes a row's value and refuses one that would mint more than
+// its limit, since work must not start on a row that another hand has spoilt.
+func ParseGrant(value []byte) (Grant, error) {
+	var g Grant
+	if err := json.Unmarshal(value, &g); err != nil {
+		return Grant{}, fmt.Errorf("limit row is not valid JSON: %w", err)
+	}
+	if g.Team == "" || g.Generation == 0 {
+		return Grant{}, fmt.Errorf("limit row of team %q has generation %d", g.Team, g.Generation)
+	}
+	for m, n := range g.Granted {
+		if n < 0 {
+			return Grant{}, fmt.Errorf("limit row of team %q grants %d permits to %q", g.Team, n, m)
+		}
+	}
+	if minted := g.Minted(); minted > g.Limit {
+		return Grant{}, fmt.Errorf("limit row of team %q mints %d permits above its limit of %d", g.Team, minted, g.Limit)
+	}
+	return g, nil
+}
+
 // Carry bounds what unreported members hold in a generation that has ended.
 // Only the sum over all members with the same generation is a bound: they may
 // have traded among each other, so that a single value may even be negative.
--- a/internal/limit/ledger.go
+++ b/internal/limit/ledger.go
@@ -40,6 +40,7 @@
 package limit
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"sync"
@@ -126,6 +127,14 @@
 	return ok
 }
 
+// Expect tells how many requests of the team wait for a permit; it counts as
+// need until the next Tick.
+func (l *Ledger) Expect(team string, waiting int) {
+	a := l.open(team)
+	defer a.mu.Unlock()
+	a.refused = max(a.refused, waiting)
+}
+
 // Release returns a permit whose work is known to have ended. It panics when
 // no permit of the team is in use.
 func (l *Ledger) Release(team string) {
@@ -164,46 +173,70 @@
 	})
 }
 
-// Wanted returns the requests for permits to send, given the idle permits that
-// the peers last told of, the largest first.
-func (l *Ledger) Wanted(team string, idle map[Member]int) []Ask {
+// Wanted returns the requests for permits to send, given what each peer last
+// told: for idle permits, the most idle peer first, and for the rest to the
+// peer that holds most.
+func (l *Ledger) Wanted(team string, peers map[Member]Status) []Ask {
 	a := l.lock(team)
 	if a == nil {
 		return nil
 	}
 	defer a.mu.Unlock()
-	short := max(a.need, a.inUse+a.refused) - a.holding
+	short := a.demand() - a.holding
 	if a.frozen || short <= 0 {
 		return nil
 	}
-	peers := slices.Collect(maps.Keys(idle))
-	slices.SortFunc(peers, func(p, q Member) int {
-		if idle[p] != idle[q] {
-			return idle[q] - idle[p]
-		}
-		return slices.Compare([]byte(p), []byte(q))
-	})
 	var asks []Ask
-	for _, peer := range peers {
-		want := min(short, idle[peer])
-		if want <= 0 {
-			break
+	for _, peer := range byIdle(peers) {
+		want := min(short, peers[peer].Idle)
+		if want > 0 {
+			asks = append(asks, l.ask(team, a, peer, want))
+			short -= want
 		}
-		asks = append(asks, Ask{Team: team, Generation: a.generation, From: l.self, To: peer, Want: want})
-		short -= want
+	}
+	if richest, ok := richest(peers); ok && len(asks) == 0 && peers[richest].Holding > a.holding+1 {
+		asks = append(asks, l.ask(team, a, richest, short))
 	}
 	return asks
 }
 
+func (l *Ledger) ask(team string, a *account, to Member, want int) Ask {
+	return Ask{Team: team, Generation: a.generation, From: l.self, To: to, Want: want, Holding: a.holding}
+}
+
+// byIdle returns the peers in order of their idle permits, the most first.
+func byIdle(peers map[Member]Status) []Member {
+	return slices.SortedFunc(maps.Keys(peers), func(p, q Member) int {
+		return cmp.Or(peers[q].Idle-peers[p].Idle, cmp.Compare(p, q))
+	})
+}
+
+// richest returns the peer that holds most permits.
+func richest(peers map[Member]Status) (Member, bool) {
+	order := slices.SortedFunc(maps.Keys(peers), func(p, q Member) int {
+		return cmp.Or(peers[q].Holding-peers[p].Holding, cmp.Compare(p, q))
+	})
+	if len(order) == 0 {
+		return "", false
+	}
+	return order[0], true
+}
+
 // Give answers a peer's request with a transfer, or false when it has nothing
-// to spare or the peer is not a member of the same generation.
+// to spare now or the peer is not a member of the same generation.
 func (l *Ledger) Give(ask Ask) (Transfer, bool) {
 	a := l.lock(ask.Team)
 	if a == nil {
 		return Transfer{}, false
 	}
 	defer a.mu.Unlock()
-	return l.give(a, ask, a.spare(ask.Want))
+	if !l.trades(a, ask) {
+		return Transfer{}, false
+	}
+	n := max(0, a.spare(ask.Want))
+	transfer, ok := l.give(a, ask, n)
+	a.pledge(ask.Want-n, ask.Holding+n)
+	return transfer, ok
 }
 
 // Leave passes all idle permits to the peer, for a planned stop.
@@ -220,8 +253,13 @@
 	return l.give(a, Ask{Team: team, Generation: a.generation, From: to}, n)
 }
 
+// trades reports whether the asker is another member of the same generation.
+func (l *Ledger) trades(a *account, ask Ask) bool {
+	return ask.Generation == a.generation && ask.From != l.self && a.members[ask.From]
+}
+
 func (l *Ledger) give(a *account, ask Ask, n int) (Transfer, bool) {
-	if n <= 0 || ask.Generation != a.generation || ask.From == l.self || !a.members[ask.From] {
+	if n <= 0 || !l.trades(a, ask) {
 		return Transfer{}, false
 	}
 	return Transfer{
@@ -308,6 +346,7 @@
 			Status:   a.status(team),
 			Granted:  a.granted,
 			Need:     a.need,
+			Pledged:  a.pledged,
 			Sent:     maps.Clone(a.sent),
 			Received: maps.Clone(a.received),
 		})
--- /dev/null
+++ b/internal/limit/ledger_test.go
@@ -0,0 +1,249 @@
+package limit_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/lovagedyke/lovagedyke/internal/limit"
+)
+
+const gossipRound = 200 * time.Millisecond
+
+// fleet is a number of ledgers with one planner and a faultless network.
+type fleet struct {
+	now     time.Time
+	row     limit.Grant
+	view    limit.View
+	planner *limit.Planner
+	ledgers map[limit.Member]*limit.Ledger
+}
+
+func newFleet(members, permits int) *fleet {
+	f := &fleet{
+		now:     time.Unix(1000, 0),
+		row:     limit.Grant{Team: team},
+		view:    limit.View{Limit: permits, LongestRun: longestRun},
+		planner: limit.NewPlanner(limit.PlannerConfig{ReportTimeout: time.Second}),
+		ledgers: make(map[limit.Member]*limit.Ledger),
+	}
+	for i := range members {
+		m := limit.Member(fmt.Sprintf("entry-%d/1", i))
+		f.view.Live = append(f.view.Live, m)
+		f.ledgers[m] = limit.New(limit.Config{Self: m})
+	}
+	f.round()
+	return f
+}
+
+// member returns the ledger of the i-th live member.
+func (f *fleet) member(i int) *limit.Ledger {
+	return f.ledgers[f.view.Live[i]]
+}
+
+// crash ends the last member, with evidence at once.
+func (f *fleet) crash() {
+	last := len(f.view.Live) - 1
+	f.view.Ended = append(f.view.Ended, f.view.Live[last])
+	delete(f.ledgers, f.view.Live[last])
+	f.view.Live = f.view.Live[:last]
+}
+
+// round is one gossip round and one step of the planner.
+func (f *fleet) round() {
+	f.now = f.now.Add(gossipRound)
+	for _, m := range f.view.Live {
+		f.ledgers[m].Tick(f.now)
+		peers := make(map[limit.Member]limit.Status)
+		for _, peer := range f.view.Live {
+			if peer != m {
+				peers[peer] = f.ledgers[peer].Status(team)
+			}
+		}
+		for _, ask := range f.ledgers[m].Wanted(team, peers) {
+			if transfer, ok := f.ledgers[ask.To].Give(ask); ok {
+				f.ledgers[m].Receive(transfer)
+			}
+		}
+	}
+	f.view.Row = f.row
+	decision := f.planner.Step(f.now, f.view)
+	for _, request := range decision.Freezes {
+		if ledger, ok := f.ledgers[request.To]; ok {
+			if report, ok := ledger.Freeze(request); ok {
+				f.planner.Handle(report)
+			}
+		}
+	}
+	if decision.Verdict == limit.Commit {
+		f.row = decision.Next
+	}
+	for _, ledger := range f.ledgers {
+		ledger.Adopt(f.row)
+	}
+}
+
+// start acquires up to n permits at the i-th member.
+func (f *fleet) start(i, n int) int {
+	for started := range n {
+		if !f.member(i).Acquire(team) {
+			return started
+		}
+	}
+	return n
+}
+
+// finish ends one piece of work of the i-th member, if any runs.
+func (f *fleet) finish(i int) {
+	if f.member(i).Status(team).InUse > 0 {
+		f.member(i).Release(team)
+	}
+}
+
+func (f *fleet) holding() int {
+	sum := 0
+	for _, ledger := range f.ledgers {
+		sum += ledger.Status(team).Holding
+	}
+	return sum
+}
+
+func TestOneMemberUsesLimit(t *testing.T) {
+	const maxRounds, wantShare = 10, 0.95
+	tests := map[string]struct {
+		members, permits int
+		// busy is the load that the other members had before, in permits each.
+		busy int
+	}{
+		"7 members, 56 permits, idle before":    {members: 7, permits: 56},
+		"7 members, 56 permits, busy before":    {members: 7, permits: 56, busy: 8},
+		"7 members, 400 permits, idle before":   {members: 7, permits: 400},
+		"7 members, 400 permits, busy before":   {members: 7, permits: 400, busy: 57},
+		"32 members, 2700 permits, idle before": {members: 32, permits: 2700},
+		"32 members, 2700 permits, busy before": {members: 32, permits: 2700, busy: 84},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			f := newFleet(tc.members, tc.permits)
+			for i := 1; i < tc.members; i++ {
+				f.start(i, tc.busy)
+			}
+			f.round()
+			for i := 1; i < tc.members; i++ {
+				for range f.member(i).Status(team).InUse {
+					f.member(i).Release(team)
+				}
+			}
+			rounds, running := 0, f.start(0, tc.permits)
+			for float64(running) < wantShare*float64(tc.permits) && rounds < maxRounds {
+				f.round()
+				running += f.start(0, tc.permits)
+				rounds++
+			}
+			got := float64(running) / float64(tc.permits)
+			t.Logf("share of the limit %.3f after %d gossip rounds", got, rounds)
+			if got < wantShare {
+				t.Errorf("share of the limit: got %.3f, want %.2f", got, wantShare)
+			}
+		})
+	}
+}
+
+// TestBusyMemberSharesWithPeer lets one member hold and use the whole limit
+// before a second one is flooded too: both must come to about half.
+func TestBusyMemberSharesWithPeer(t *testing.T) {
+	f := newFleet(2, 40)
+	for range 5 {
+		f.start(0, 40)
+		f.round()
+	}
+	for range 20 {
+		for range 10 {
+			f.finish(0)
+			f.start(0, 40)
+			f.finish(1)
+			f.start(1, 40)
+		}
+		f.round()
+	}
+	if got := f.member(1).Status(team).Holding; got < 18 || got > 22 {
+		t.Errorf("second member holds %d of 40, want about half", got)
+	}
+}
+
+func TestIdleAfterCrash(t *testing.T) {
+	f := newFleet(7, 56)
+	f.crash()
+	lost := 56 - f.holding()
+	ended := f.now
+	for f.holding() < 56 && f.now.Sub(ended) < 2*longestRun {
+		f.round()
+	}
+	got := f.now.Sub(ended)
+	t.Logf("%d of 56 permits idle for %v after the evidence; longest run %v", lost, got, longestRun)
+	if want := longestRun + 3*gossipRound; got > want {
+		t.Errorf("idle time: got %v, want at most %v", got, want)
+	}
+}
+
+// TestLowerLimit lowers a limit under load: nothing that runs is cut, and
+// nothing starts until what runs is below the new limit.
+func TestLowerLimit(t *testing.T) {
+	f := newFleet(3, 12)
+	running := []int{f.start(0, 4), f.start(1, 4), f.start(2, 2)}
+	f.view.Limit = 5
+	f.round() // asks for reports
+	f.round() // holds
+	total := running[0] + running[1] + running[2]
+	for total > 5 {
+		for i := range running {
+			if got := f.start(i, 1); got != 0 {
+				t.Fatalf("member %d started with %d running, want nothing above 5", i, total)
+			}
+		}
+		i := total % 3
+		if running[i] == 0 {
+			i = (i + 1) % 3
+		}
+		f.member(i).Release(team)
+		running[i]--
+		total--
+		f.round()
+	}
+	f.round()
+	f.member(0).Release(team)
+	for range 3 {
+		f.round()
+		f.start(0, 12)
+	}
+	got := 0
+	for i := range running {
+		got += f.member(i).Status(team).InUse
+	}
+	if want := 5; got != want || f.row.Limit != want {
+		t.Errorf("running %d under limit %d, want %d", got, f.row.Limit, want)
+	}
+}
+
+func BenchmarkAcquireRelease(b *testing.B) {
+	const teams = 130
+	ledger := limit.New(limit.Config{Self: "entry-1/1"})
+	names := make([]string, teams)
+	for i := range names {
+		names[i] = fmt.Sprintf("team-%d", i)
+		ledger.Adopt(limit.Grant{Team: names[i], Generation: 1, Limit: 1000, Granted: map[limit.Member]int{"entry-1/1": 1000}})
+	}
+	for name, spread := range map[string]int{"one-team": 1, "130-teams": teams} {
+		b.Run(name, func(b *testing.B) {
+			b.ReportAllocs()
+			b.RunParallel(func(pb *testing.PB) {
+				for i := 0; pb.Next(); i++ {
+					name := names[i%spread]
+					if ledger.Acquire(name) {
+						ledger.Release(name)
+					}
+				}
+			})
+		})
+	}
+}
--- a/internal/limit/message.go
+++ b/internal/limit/message.go
@@ -1,12 +1,13 @@
 package limit
 
-// Ask requests permits from a peer.
+// Ask requests permits from a peer; Holding is what the asker has already.
 type Ask struct {
 	Team       string `json:"team"`
 	Generation uint64 `json:"generation"`
 	From       Member `json:"from"`
 	To         Member `json:"to"`
 	Want       int    `json:"want"`
+	Holding    int    `json:"holding"`
 }
 
 // Transfer tells how many permits From has given To in a generation in total.
@@ -64,7 +65,7 @@
 	Holding    int    `json:"holding"`
 	InUse      int    `json:"in-use"`
 	Lingering  int    `json:"lingering"`
-	// Idle is what a peer may ask for; 0 while frozen.
+	// Idle is what a peer may ask for at once; 0 while frozen.
 	Idle   int  `json:"idle"`
 	Frozen bool `json:"frozen"`
 	Held   bool `json:"held"`
@@ -81,6 +82,7 @@
 	Status
 	Granted  int            `json:"granted"`
 	Need     int            `json:"need"`
+	Pledged  int            `json:"pledged"`
 	Sent     map[Member]int `json:"sent,omitempty"`
 	Received map[Member]int `json:"received,omitempty"`
 }
