--- a/cmd/lovagedyke/cmd_test.go
+++ b/cmd/lovagedyke/cmd_test.go
@@ -4,6 +4,9 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"encoding/pem"
+	"io"
+	"log"
 	"net/http"
 	"net/http/httptest"
 	"os"
@@ -211,6 +214,34 @@
 	}
 }
 
+// An authority turns TLS on.
+func TestTLS(t *testing.T) {
+	s := newShell(t)
+	server := httptest.NewTLSServer(operator.New(operator.Config{
+		Fleet: s.fleet,
+		Keys:  func() [][]byte { return [][]byte{[]byte(testKey)} },
+	}))
+	defer server.Close()
+	server.Config.ErrorLog = log.New(io.Discard, "", 0)
+	own := pem.EncodeToMemory(&pem.Block{Type: "CERTIFICATE", Bytes: server.Certificate().Raw})
+	tests := map[string]struct {
+		authority string
+		wantCode  int
+		want      string
+	}{
+		"signed":         {s.file(t, "own.pem", string(own)), exitOK, "entry-1"},
+		"no certificate": {s.file(t, "empty.pem", "x"), exitFailed, "holds no PEM certificate"},
+		"missing file":   {"missing.pem", exitFailed, "no such file"},
+		"without TLS":    {"", exitFailed, "400"},
+	}
+	s.environment["LOVAGEDYKE_MANAGER"] = server.Listener.Addr().String()
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			s.expect(t, tc.wantCode, tc.want, "roster", "-operator-authority", tc.authority)
+		})
+	}
+}
+
 func TestDump(t *testing.T) {
 	process := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		_, _ = w.Write([]byte(`{"revision":1}`))
--- a/internal/catalogue/catalogue_test.go
+++ b/internal/catalogue/catalogue_test.go
@@ -11,6 +11,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/lovagedyke/lovagedyke/internal/catalogue"
+	"github.com/lovagedyke/lovagedyke/pkg/api"
 )
 
 const sample = `# shop
@@ -187,3 +188,27 @@
 		}
 	})
 }
+
+// Whatever the API accepts can be written to a file and read back.
+func FuzzFromAPI(f *testing.F) {
+	f.Add([]byte(`{"teams":[{"name":"a","upper-limit":1}],"entries":[{"name":"b","kind":"queue","team":"a","open":true,"deadline":"2s","shares":{"a":2}}]}`))
+	f.Add([]byte(`{"teams":[{"name":""}],"entries":[{"name":"b","max-body":-1,"availability":1e-320,"longest-run":"1ns"}]}`))
+	f.Fuzz(func(t *testing.T, text []byte) {
+		var in api.Catalogue
+		if json.Unmarshal(text, &in) != nil {
+			return
+		}
+		want, problems := catalogue.FromAPI(in)
+		if len(problems) > 0 {
+			return
+		}
+		for name, entry := range want.Entries {
+			entry.Revision = 0
+			want.Entries[name] = entry
+		}
+		got, problems := catalogue.Parse("f", bytes.NewReader(catalogue.Format(want)))
+		if err := problems.Err(); err != nil || !reflect.DeepEqual(got, want) {
+			t.Fatalf("got %+v (%v), want %+v", got, err, want)
+		}
+	})
+}
--- a/internal/settings/load.go
+++ b/internal/settings/load.go
@@ -159,7 +159,7 @@
 	var config Config
 	for _, d := range definitions {
 		v := l.values[d.name]
-		if v.text == "" {
+		if v.text == "" && !v.set {
 			continue
 		}
 		if err := d.parse(&config, v.text); err != nil {
