experiment: bound shares by the load alone

Cause: the bound counted a request as demand while the policy held it back, so waiting lowered or raised the bound with the policy. Conclusion: demand below the share is what would run if started on arrival.

--- a/internal/experiment/share.go
+++ b/internal/experiment/share.go
@@ -34,6 +34,8 @@
 	flow    int
 	entry   int
 	arrived time.Time
+	started time.Time // by the policy; it may still wait for a slot
+	runTime time.Duration
 	ticket  share.Ticket
 }
 
@@ -50,7 +52,8 @@
 type shareBench struct {
 	*engine
 	deployment Deployment
-	random     *rand.Rand
+	random     *rand.Rand // of the load, the same under each policy
+	delays     *rand.Rand // of the gossip
 	loads      []load
 	saturated  []bool
 	policy     sharePolicy
@@ -60,7 +63,7 @@
 	busy    int
 	pending []*request // started beyond the slots
 	running []int      // by flow
-	inside  []int      // by flow: waiting or running
+	wanted  []int      // by flow: would run if each had started on arrival
 	waiting int        // held back by the policy
 	measure *shareMeasure
 }
@@ -70,10 +73,11 @@
 		engine:     newEngine(),
 		deployment: d,
 		random:     newRandom(seed),
+		delays:     newRandom(^seed),
 		loads:      loads,
 		requests:   map[uint64]*request{},
 		running:    make([]int, len(loads)),
-		inside:     make([]int, len(loads)),
+		wanted:     make([]int, len(loads)),
 		measure:    newShareMeasure(len(loads)),
 	}
 	claims := b.claims(func(i int) float64 { return loads[i].slots })
@@ -125,7 +129,9 @@
 		ID: r.id, Team: b.deployment.team(l.team), Class: l.class, Deadline: b.now.Add(patience),
 	}
 	b.requests[r.id] = r
-	b.inside[flow]++
+	r.runTime = b.deployment.runTime(b.random)
+	b.wanted[flow]++
+	b.after(r.runTime, func() { b.wanted[flow]-- })
 	b.waiting++
 	b.policy.submit(r)
 }
@@ -133,6 +139,7 @@
 // start hands a request to the endpoints; beyond the slots it waits there.
 func (b *shareBench) start(r *request) {
 	b.waiting--
+	r.started = b.now
 	b.measure.starts++
 	if b.busy >= b.deployment.slots() {
 		b.measure.overloads++
@@ -147,11 +154,12 @@
 	b.running[r.flow]++
 	if b.elapsed() > shareWarmUp {
 		b.measure.waited(b.loads[r.flow].class, b.saturated[r.flow], b.now.Sub(r.arrived))
+		record(b.measure.waits[waitForSlot], b.now.Sub(r.started))
 	}
-	b.after(b.deployment.runTime(b.random), func() {
+	b.after(r.runTime, func() {
 		b.busy--
 		b.running[r.flow]--
-		b.leave(r)
+		delete(b.requests, r.id)
 		if len(b.pending) > 0 {
 			next := b.pending[0]
 			b.pending = b.pending[1:]
@@ -164,11 +172,6 @@
 func (b *shareBench) refuse(r *request) {
 	b.waiting--
 	b.measure.refused++
-	b.leave(r)
-}
-
-func (b *shareBench) leave(r *request) {
-	b.inside[r.flow]--
 	delete(b.requests, r.id)
 }
 
@@ -182,14 +185,15 @@
 	}
 }
 
-// sample compares what runs with the bound. A flow that asks for more than its
-// part counts with unlimited demand, so that refusals can't lower the bound.
+// sample compares what runs with the bound, which depends on the load alone: a
+// flow that asks for more than its part counts with unlimited demand, another
+// with what would run if each request had started on arrival.
 func (b *shareBench) sample() {
 	bound := maxMinBound(float64(b.deployment.slots()), b.claims(func(i int) float64 {
 		if b.saturated[i] {
 			return math.Inf(1)
 		}
-		return float64(b.inside[i])
+		return float64(b.wanted[i])
 	}))
 	b.measure.sample(b.running, bound)
 	idle := min(b.deployment.slots()-b.busy, b.waiting)
@@ -220,17 +224,19 @@
 		bound: make([]float64, flows),
 		waits: map[string]*hdrhistogram.Histogram{},
 	}
-	for _, kind := range []string{waitUrgent, waitWithin, waitBeyond} {
+	for _, kind := range []string{waitUrgent, waitWithin, waitBeyond, waitForSlot} {
 		m.waits[kind] = newHistogram()
 	}
 	return m
 }
 
-// Kinds of wait: urgent work, teams within their share, teams beyond it.
+// Kinds of wait: urgent work, teams within their share, teams beyond it, and
+// the wait at the endpoints of requests that were started.
 const (
-	waitUrgent = "urgent"
-	waitWithin = "within-share"
-	waitBeyond = "beyond-share"
+	waitUrgent  = "urgent"
+	waitWithin  = "within-share"
+	waitBeyond  = "beyond-share"
+	waitForSlot = "for-slot"
 )
 
 func (m *shareMeasure) waited(class share.Class, saturated bool, wait time.Duration) {
--- a/internal/experiment/sharepolicy.go
+++ b/internal/experiment/sharepolicy.go
@@ -18,7 +18,7 @@
 func newFleetSharing(b *shareBench) sharePolicy {
 	p := newSchedulers(b, func(int) int { return b.deployment.slots() })
 	for from := range p.entries {
-		phase := time.Duration(b.random.Int64N(int64(gossipInterval)))
+		phase := time.Duration(b.delays.Int64N(int64(gossipInterval)))
 		b.every(phase, gossipInterval, func() { p.gossip(from) })
 	}
 	return p
@@ -46,7 +46,7 @@
 func (p *schedulers) gossip(from int) {
 	demand := p.entries[from].Demand()
 	for to := range p.entries {
-		if to == from || p.bench.random.Float64() < gossipLoss {
+		if to == from || p.bench.delays.Float64() < gossipLoss {
 			continue
 		}
 		p.bench.after(p.bench.deployment.delay(from, to), func() {
--- a/internal/experiment/sharetrials.go
+++ b/internal/experiment/sharetrials.go
@@ -120,6 +120,7 @@
 		{"share error 10 s", "%", 100 * m.long.largest},
 		{"idle while work waits", "%", 100 * m.idle / float64(m.samples)},
 		{"beyond slots", "%", 100 * float64(m.overloads) / starts},
+		{"slot wait p99", "ms", quantile(m.waits[waitForSlot], 99)},
 		{"refused", "%", 100 * float64(m.refused) / (starts + float64(m.refused))},
 		{"within share wait p50", "ms", quantile(m.waits[waitWithin], 50)},
 		{"within share wait p99", "ms", quantile(m.waits[waitWithin], 99)},
