--- a/internal/experiment/sharepolicy.go
+++ b/internal/experiment/sharepolicy.go
@@ -15,13 +15,15 @@
 	entries []*share.Scheduler
 }
 
-func newFleetSharing(b *shareBench) sharePolicy {
-	p := newSchedulers(b, func(int) int { return b.deployment.slots() })
-	for from := range p.entries {
-		phase := time.Duration(b.delays.Int64N(int64(gossipInterval)))
-		b.every(phase, gossipInterval, func() { p.gossip(from) })
+func newFleetSharing(interval time.Duration) func(*shareBench) sharePolicy {
+	return func(b *shareBench) sharePolicy {
+		p := newSchedulers(b, func(int) int { return b.deployment.slots() })
+		for from := range p.entries {
+			phase := time.Duration(b.delays.Int64N(int64(interval)))
+			b.every(phase, interval, func() { p.gossip(from) })
+		}
+		return p
 	}
-	return p
 }
 
 func newLocalSharing(b *shareBench) sharePolicy {
--- a/internal/experiment/sharetrials.go
+++ b/internal/experiment/sharetrials.go
@@ -1,12 +1,14 @@
 package experiment
 
 import (
+	"fmt"
 	"time"
 
 	"github.com/lovagedyke/lovagedyke/internal/share"
 )
 
 const (
+	slowGossip   = 100 * time.Millisecond
 	homeFraction = 0.7             // of a team's load meets its home entry
 	moveInterval = 2 * time.Second // between changes of the home entry
 )
@@ -93,7 +95,8 @@
 		name string
 		make func(*shareBench) sharePolicy
 	}{
-		{"fleet max-min by gossip", newFleetSharing},
+		{"fleet max-min by gossip", newFleetSharing(gossipInterval)},
+		{"same, gossip each 100 ms", newFleetSharing(slowGossip)},
 		{"local-only max-min", newLocalSharing},
 		{"first come first served", newFirstCome},
 		{"static division", newStatic},
@@ -126,5 +129,11 @@
 		{"within share wait p99", "ms", quantile(m.waits[waitWithin], 99)},
 		{"urgent wait p99", "ms", quantile(m.waits[waitUrgent], 99)},
 	}
-	return outcome{values: values, curve: m.curve}
+	var slots, bound []value
+	for flow := range m.used {
+		name := fmt.Sprintf("flow %d", flow)
+		slots = append(slots, value{name, "slots", m.used[flow] / float64(m.samples)})
+		bound = append(bound, value{name, "slots", m.bound[flow] / float64(m.samples)})
+	}
+	return outcome{values: values, curve: m.curve, slots: slots, bound: bound}
 }
--- a/internal/route/endpoint.go
+++ b/internal/route/endpoint.go
@@ -17,7 +17,6 @@
 // endpoint is what this entry knows of an endpoint.
 type endpoint struct {
 	Endpoint
-	home     float64
 	gone     bool
 	inFlight int
 	peers    int // in flight from other entries
@@ -38,7 +37,7 @@
 }
 
 func (e *endpoint) relativeLoad() float64 {
-	return float64(e.inFlight+e.peers+1) / float64(max(1, e.Slots))
+	return float64(e.inFlight+1) / float64(max(1, e.Slots))
 }
 
 func (e *endpoint) ejected(now time.Time) bool {
--- a/internal/route/picker.go
+++ b/internal/route/picker.go
@@ -5,13 +5,11 @@
 	"net/netip"
 	"slices"
 	"time"
-
-	"github.com/cespare/xxhash/v2"
 )
 
 // Config constructs a Picker. Zero values take the defaults below.
 type Config struct {
-	// Entry is this entry's name, from which its home endpoints follow.
+	// Entry is this entry's name.
 	Entry string
 	// DataCentre is this entry's data centre.
 	DataCentre string
@@ -20,9 +18,10 @@
 	// RemotePenalty is the load, in slots, that a remote data centre adds;
 	// negative is none.
 	RemotePenalty float64
-	// HomeBias is the largest load, in slots, that another's home adds;
-	// negative is none.
-	HomeBias float64
+	// PeerWeight is how much a peer's request counts beside one of this entry.
+	// Peers' counts are old by a gossip interval and the same at each entry, so
+	// that at full weight all entries choose the same endpoint.
+	PeerWeight float64
 	// MaxEjected is the largest fraction of endpoints ejected at a time.
 	MaxEjected float64
 	// EjectAfter is the consecutive failures that eject an endpoint.
@@ -38,7 +37,7 @@
 // Defaults of Config.
 const (
 	DefaultRemotePenalty = 1.0
-	DefaultHomeBias      = 1.0
+	DefaultPeerWeight    = 0.2
 	DefaultMaxEjected    = 0.5
 	DefaultEjectAfter    = 5
 	DefaultBaseEjection  = time.Second
@@ -48,7 +47,7 @@
 
 func (c *Config) setDefaults() {
 	c.RemotePenalty = max(0, cmp.Or(c.RemotePenalty, DefaultRemotePenalty))
-	c.HomeBias = max(0, cmp.Or(c.HomeBias, DefaultHomeBias))
+	c.PeerWeight = max(0, cmp.Or(c.PeerWeight, DefaultPeerWeight))
 	c.MaxEjected = cmp.Or(c.MaxEjected, DefaultMaxEjected)
 	c.EjectAfter = cmp.Or(c.EjectAfter, DefaultEjectAfter)
 	c.BaseEjection = cmp.Or(c.BaseEjection, DefaultBaseEjection)
@@ -86,7 +85,7 @@
 	for _, spec := range list {
 		e, known := p.byAddress[spec.Address]
 		if !known {
-			e = &endpoint{home: homeRank(p.cfg.Entry, spec.Address)}
+			e = &endpoint{}
 			p.byAddress[spec.Address] = e
 			p.endpoints = append(p.endpoints, e)
 		}
@@ -238,13 +237,13 @@
 // worse by distance, slowness and failures. When most fail, only load counts:
 // small differences between failing endpoints would draw all work to one.
 func (p *Picker) score(now time.Time, e *endpoint) float64 {
-	load := float64(e.inFlight+e.peers+1) + p.cfg.HomeBias*e.home
+	load := float64(e.inFlight+1) + p.cfg.PeerWeight*float64(e.peers)
 	if e.DataCentre != p.cfg.DataCentre {
 		load += p.cfg.RemotePenalty
 	}
 	slots := float64(max(1, e.Slots))
 	score := load / slots * e.slowness(now, p.median) * (1 + failurePenalty*e.failures)
-	if e.inFlight+e.peers >= e.Slots || e.refusedUntil.After(now) {
+	if e.inFlight >= e.Slots || e.refusedUntil.After(now) {
 		score += fullPenalty
 	}
 	return score
@@ -347,9 +346,3 @@
 	heard time.Time
 	load  []EndpointLoad
 }
-
-// homeRank spreads the entries' preferences, so that entries which see the
-// same load do not all choose the same endpoint. It is between 0 and 1.
-func homeRank(entry string, address netip.AddrPort) float64 {
-	return float64(xxhash.Sum64String(entry+"/"+address.String())>>11) / (1 << 53)
-}
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -1,10 +1,9 @@
 // Package route chooses the endpoint for a request of one service.
 //
 // The choice is the least loaded of the usable endpoints, where load is the
-// requests in flight from this entry and, by gossip, from its peers, relative
-// to the endpoint's slots. Slow endpoints, endpoints that fail, remote data
-// centres and other entries' home endpoints count as more loaded. An endpoint
-// that keeps failing is ejected for a time and returns slowly; when most fail
+// requests in flight from this entry and, by gossip and at a lower weight, from
+// its peers, relative to the endpoint's slots. Slow endpoints, endpoints that
+// fail and remote data centres count as more loaded. An endpoint that keeps failing is ejected for a time and returns slowly; when most fail
 // together nothing is ejected, so that the load stays even.
 //
 // # Usage
