--- a/internal/experiment/share.go
+++ b/internal/experiment/share.go
@@ -98,9 +98,7 @@
 func (b *shareBench) run(policy sharePolicy) *shareMeasure {
 	b.policy = policy
 	for flow := range b.loads {
-		for entry := range b.deployment.Entries {
-			b.arrive(flow, entry)
-		}
+		b.arrive(flow)
 	}
 	b.every(tickInterval, tickInterval, policy.tick)
 	b.every(shareWarmUp, sampleInterval, b.sample)
@@ -108,19 +106,27 @@
 	return b.measure
 }
 
-// arrive plans the next request of a flow at an entry. It thins a Poisson
-// process at the flow's whole rate by the entry's fraction at that time.
-func (b *shareBench) arrive(flow, entry int) {
+// arrive plans the next request of a flow: a Poisson process, each request at
+// an entry drawn by the flow's fractions at that time.
+func (b *shareBench) arrive(flow int) {
 	l := b.loads[flow]
 	mean := time.Duration(b.deployment.RunTime.Seconds() / l.slots * float64(time.Second))
 	b.after(exponential(b.random, mean), func() {
-		if b.random.Float64() < l.entries(entry, b.elapsed()) {
-			b.submit(flow, entry)
-		}
-		b.arrive(flow, entry)
+		b.submit(flow, b.drawEntry(l))
+		b.arrive(flow)
 	})
 }
 
+func (b *shareBench) drawEntry(l load) int {
+	rest := b.random.Float64()
+	for entry := range b.deployment.Entries - 1 {
+		if rest -= l.entries(entry, b.elapsed()); rest < 0 {
+			return entry
+		}
+	}
+	return b.deployment.Entries - 1
+}
+
 func (b *shareBench) submit(flow, entry int) {
 	b.lastID++
 	l := b.loads[flow]
