share: correct the weights of flows that lag behind their part across the fleet

Cause: at an entry where one flow alone waits, slots that come and go with the others' load fall to it; no local deficit can tell.

--- a/internal/share/divide.go
+++ b/internal/share/divide.go
@@ -41,6 +41,7 @@
 // row is one entry's part of a division: demand and quota by flow.
 type row struct {
 	demand []float64
+	lag    []float64
 	quota  []float64
 	total  float64
 	debt   float64
@@ -50,15 +51,18 @@
 func (r *row) fill(flows []Flow, demands []FlowDemand) {
 	r.resize(len(flows))
 	clear(r.demand)
+	clear(r.lag)
 	for _, d := range demands {
 		if i, ok := slices.BinarySearchFunc(flows, d.Flow, compareFlows); ok {
 			r.demand[i] += float64(max(0, d.InFlight) + max(0, d.Queued))
+			r.lag[i] += d.Lag
 		}
 	}
 }
 
 func (r *row) resize(n int) {
 	r.demand = slices.Grow(r.demand[:0], n)[:n]
+	r.lag = slices.Grow(r.lag[:0], n)[:n]
 	r.quota = slices.Grow(r.quota[:0], n)[:n]
 }
 
@@ -66,7 +70,9 @@
 // allocate.
 type divider struct {
 	total  []float64
-	alloc  []float64
+	fair   []float64 // the max-min division
+	weight []float64 // corrected by lag
+	alloc  []float64 // the division by corrected weights
 	column []float64
 	part   []float64
 	ones   []float64
@@ -89,7 +95,9 @@
 		for last < len(flows) && flows[last].Class == flows[first].Class {
 			last++
 		}
-		maxMin(remaining, weights[first:last], d.total[first:last], d.alloc[first:last])
+		maxMin(remaining, weights[first:last], d.total[first:last], d.fair[first:last])
+		d.correct(first, last, weights, rows)
+		maxMin(remaining, d.weight[first:last], d.total[first:last], d.alloc[first:last])
 		for _, part := range d.alloc[first:last] {
 			remaining -= part
 		}
@@ -102,8 +110,38 @@
 	d.round(capacity, rows)
 }
 
+// correct raises the weight of a flow that has lagged behind its part across
+// the fleet, and lowers that of one ahead. Only a flow that wants more than its
+// part is corrected.
+func (d *divider) correct(first, last int, weights []float64, rows []row) {
+	for f := first; f < last; f++ {
+		d.weight[f] = weights[f]
+		if !d.limited(f) || d.fair[f] == 0 {
+			continue
+		}
+		lag := 0.0
+		for i := range rows {
+			lag += rows[i].lag[f]
+		}
+		factor := 1 + lagGain*lag/d.fair[f]
+		d.weight[f] *= min(max(factor, 1/maxCorrection), maxCorrection)
+	}
+}
+
+const (
+	lagGain       = 1 // per second
+	maxCorrection = 1.25
+)
+
+// limited reports whether the flow wants more than its part.
+func (d *divider) limited(f int) bool {
+	return d.fair[f] < d.total[f]-roundingTolerance
+}
+
 func (d *divider) resize(flows, rows int) {
 	d.total = slices.Grow(d.total[:0], flows)[:flows]
+	d.fair = slices.Grow(d.fair[:0], flows)[:flows]
+	d.weight = slices.Grow(d.weight[:0], flows)[:flows]
 	d.alloc = slices.Grow(d.alloc[:0], flows)[:flows]
 	d.column = slices.Grow(d.column[:0], rows)[:rows]
 	d.part = slices.Grow(d.part[:0], rows)[:rows]
--- a/internal/share/flow.go
+++ b/internal/share/flow.go
@@ -18,6 +18,10 @@
 	divided  bool    // quota was computed with demand of this flow
 	credit   float64 // slot-seconds
 	accrued  time.Time
+	used     float64 // slot-seconds since the last division
+	lag      float64 // slot-seconds behind the part, fading
+	sentLag  float64 // as last published, which peers compute with
+	fair     float64 // this entry's part in slots without correction
 	duration float64 // mean run time in seconds
 }
 
@@ -33,6 +37,7 @@
 		elapsed = 0
 	}
 	f.accrued = now
+	f.used += float64(f.inFlight) * elapsed
 	if !contended {
 		f.credit = 0
 		return
@@ -50,6 +55,20 @@
 	return f.credit + (f.quota-float64(f.inFlight))*f.duration
 }
 
+// settleLag counts the time since the last division.
+func (f *flow) settleLag(elapsed float64) {
+	f.lag += f.fair*elapsed - f.used - f.lag*elapsed/lagFade.Seconds()
+	f.used = 0
+}
+
+// setFair sets the part to which the lag relates; without a limit there is none.
+func (f *flow) setFair(fair float64, limited bool) {
+	f.fair = fair
+	if !limited {
+		f.lag = 0
+	}
+}
+
 func (f *flow) observe(run time.Duration) {
 	f.duration += (max(0, run.Seconds()) - f.duration) / durationSmoothing
 }
@@ -75,6 +94,7 @@
 }
 
 const (
+	lagFade     = 5 * time.Second
 	minDuration = 100 * time.Microsecond
 	maxWait     = 24 * time.Hour
 )
--- a/internal/share/scheduler.go
+++ b/internal/share/scheduler.go
@@ -218,8 +218,11 @@
 	s.sent = s.debt
 	d := Demand{Entry: s.cfg.Entry, Debt: s.debt}
 	for _, f := range s.flows {
-		if f.inFlight+f.queue.size > 0 {
-			d.Flows = append(d.Flows, FlowDemand{Flow: f.Flow, InFlight: f.inFlight, Queued: f.queue.size})
+		f.sentLag = f.lag
+		if f.inFlight+f.queue.size > 0 || f.lag != 0 {
+			d.Flows = append(d.Flows, FlowDemand{
+				Flow: f.Flow, InFlight: f.inFlight, Queued: f.queue.size, Lag: f.lag,
+			})
 		}
 	}
 	return d
@@ -339,12 +342,19 @@
 	s.owe(own, elapsed)
 	for i, f := range s.flows {
 		f.accrue(now, s.queued > 0)
+		f.settleLag(elapsed)
+		own.lag[i] = f.sentLag
 		own.demand[i] = float64(f.inFlight + f.queue.size + f.newcomer)
 	}
 	s.balance()
 	own.debt = s.sent
 	s.divider.divide(s.cfg.Capacity, s.weights, s.keys, s.rows)
 	for i, f := range s.flows {
+		fair := 0.0
+		if s.divider.alloc[i] > 0 {
+			fair = own.quota[i] * s.divider.fair[i] / s.divider.alloc[i]
+		}
+		f.setFair(fair, s.divider.limited(i))
 		f.setQuota(own.quota[i], own.demand[i] > 0, elapsed)
 	}
 	s.slots = own.slots
--- a/internal/share/share.go
+++ b/internal/share/share.go
@@ -100,11 +100,13 @@
 	Refuse []Refusal
 }
 
-// FlowDemand is the load of one flow at one entry, in requests.
+// FlowDemand is the load of one flow at one entry, in requests. Lag is the
+// slot-seconds by which the flow has run less than its part of late.
 type FlowDemand struct {
 	Flow
-	InFlight int `json:"in-flight"`
-	Queued   int `json:"queued"`
+	InFlight int     `json:"in-flight"`
+	Queued   int     `json:"queued"`
+	Lag      float64 `json:"lag"`
 }
 
 // Demand is the load of one service at one entry, as gossiped. Debt is the
