Take a worker's silence about a start only from later polls

Cause: a poll that reached the worker before the start, and whose answer came after the start's, made a running task count as forgotten: it was stopped, and a task not to be repeated was given up as outcome-unknown. Ruled out: leaving forgotten starts alone; a worker that forgot one would run a late copy. Conclusion: polls carry their time. A start that was turned away by a new process of the worker, and was the only one, now waits again instead of being lost.

--- a/internal/task/action.go
+++ b/internal/task/action.go
@@ -57,6 +57,9 @@
 	Epoch    uint64
 	Lease    time.Duration
 	StartIDs []string
+	// At is when the poll was wanted. What it does not tell of an attempt that
+	// was first heard of later proves nothing.
+	At time.Time
 }
 
 // Store puts a large result into the object store; its end goes to
--- a/internal/task/answer.go
+++ b/internal/task/answer.go
@@ -17,12 +17,25 @@
 		return
 	}
 	answer.StartID = call.StartID
+	if answer.Kind == AnswerOtherIncarnation && c.onlyStart(it, call) {
+		// The one start that went out was turned away: nothing ran.
+		c.requeueOrCancel(now, it, it.current())
+		c.act(now, it)
+		return
+	}
 	if call.Order == OrderThrottle && answer.Kind == AnswerRunning {
 		it.rate = call.Rate
 	}
 	c.takeAnswer(now, it, answer)
 }
 
+// onlyStart reports whether the call is the first that any manager made about
+// the attempt.
+func (c *Controller) onlyStart(it *item, call Call) bool {
+	return call.Order == OrderStart && it.starts == 1 && !it.inflight &&
+		it.current().State == Placed && it.record.Attempt.Epoch == c.cfg.Epoch
+}
+
 // Polled reports how a Poll ended.
 func (c *Controller) Polled(now time.Time, poll Poll, result PollResult) {
 	known, ok := c.links[poll.Worker]
@@ -48,6 +61,9 @@
 			continue
 		}
 		answer, known := answers[id]
+		if !known && !it.runsAt.Before(poll.At) {
+			continue // The start may have arrived after the poll.
+		}
 		if !known {
 			answer = Answer{Kind: AnswerNoTask, StartID: id}
 		}
@@ -112,8 +128,8 @@
 	case AnswerOtherIncarnation:
 		c.lose(now, it)
 	case AnswerNoTask:
-		// A start is repeated by itself; a task that ran and is forgotten is
-		// stopped, so that no late start can run it again.
+		// A start is repeated by itself; a task that ran and has been forgotten
+		// since is stopped, so that no late start can run it again.
 		it.forgotten = record.State == Running
 	}
 	c.act(now, it)
@@ -125,6 +141,7 @@
 	if record.State == Running {
 		return
 	}
+	it.runsAt = now
 	record.State = Running
 	record.Ran = RanYes
 	c.propose(now, it, record)
--- a/internal/task/controller.go
+++ b/internal/task/controller.go
@@ -147,14 +147,17 @@
 	waiters   []uint64
 
 	// digest stands for the spec, whose body is not kept once the task has ended.
-	digest     uint64
-	open       bool
-	cancel     bool
-	waiting    bool
-	wakeAt     time.Time
-	counted    bool
-	heldAt     string
-	called     bool
+	digest  uint64
+	open    bool
+	cancel  bool
+	waiting bool
+	wakeAt  time.Time
+	counted bool
+	heldAt  string
+	// starts is the number of starts that this manager sent for the attempt.
+	starts int
+	// runsAt is when this manager learned that the attempt runs.
+	runsAt     time.Time
 	callAt     time.Time
 	lostAt     time.Time
 	checkpoint bool
--- a/internal/task/life.go
+++ b/internal/task/life.go
@@ -101,7 +101,7 @@
 	case OrderStart:
 		call.Lease = c.cfg.Lease
 		call.Record = it.record
-		it.called = true
+		it.starts++
 	case OrderThrottle:
 		call.Rate = it.wantRate
 	}
@@ -127,7 +127,7 @@
 	switch {
 	case record.State == Running:
 		record.Ran = RanYes
-	case !it.called && record.Attempt.Epoch == c.cfg.Epoch:
+	case it.starts == 0 && record.Attempt.Epoch == c.cfg.Epoch:
 		// No start went out: this manager placed it and called nobody.
 		c.requeue(now, it, record)
 		return
@@ -203,6 +203,9 @@
 	if record.Attempt != nil {
 		c.attach(now, it)
 	}
+	if record.State == Running && it.runsAt.IsZero() {
+		it.runsAt = now
+	}
 	it.digest = record.digest()
 	c.setOpen(it, !record.State.Final())
 	if record.State.Final() {
@@ -234,7 +237,8 @@
 	if before.Attempt != nil {
 		c.unlink(before.Attempt.Worker, it)
 	}
-	it.called = false
+	it.starts = 0
+	it.runsAt = time.Time{}
 	it.callAt = time.Time{}
 	it.lostAt = time.Time{}
 	it.checkpoint = false
--- a/internal/task/link.go
+++ b/internal/task/link.go
@@ -175,7 +175,7 @@
 		interval := c.cfg.Lease / renewals
 		for _, itemName := range sortedNames(known.items) {
 			it := known.items[itemName]
-			if it.record.State != Running && !it.called {
+			if it.record.State != Running && it.starts == 0 {
 				continue
 			}
 			ids = append(ids, it.record.StartID())
@@ -186,7 +186,7 @@
 		}
 		known.pollAt = now.Add(max(interval, shortestPoll))
 		known.outstanding = true
-		c.emit(Poll{Worker: name, Epoch: c.cfg.Epoch, Lease: c.cfg.Lease, StartIDs: ids})
+		c.emit(Poll{Worker: name, Epoch: c.cfg.Epoch, Lease: c.cfg.Lease, StartIDs: ids, At: now})
 	}
 }
 
--- a/internal/task/runner/runner_test.go
+++ b/internal/task/runner/runner_test.go
@@ -187,30 +187,75 @@
 	return runs
 }
 
-func TestTasksThroughFaults(t *testing.T) {
-	const tasks = 30
-	b := newBench(t, 2, 2)
-	b.submit("first", fakeworker.Job{}, true)
-	b.put(b.platform.URL+"/faults", map[string]any{"lose-answers": 3, "slow": "4ms"})
-	b.put(b.workers[0].URL+"/standin/faults", map[string]any{"lose-answers": 4})
-	for i := range tasks {
-		b.submit(fmt.Sprint("task-", i), fakeworker.Job{}, true)
-		if i == tasks/2 {
-			b.stops[0]() // The other runner takes over.
+// holder returns the index of the runner that manages the shard.
+func (b *bench) holder() int {
+	b.t.Helper()
+	for b.ctx.Err() == nil {
+		for i, r := range b.runners {
+			if !r.Dump().Deposed {
+				return i
+			}
 		}
+		time.Sleep(10 * time.Millisecond)
 	}
-	for i := range tasks {
-		record := b.await(fmt.Sprint("task-", i))
-		if got, want := record.State, task.Done; got != want {
-			t.Errorf("task %s: got %s (%s), want %s", record.ID, got, record.Reason, want)
-		}
+	b.t.Fatal("holder: got none, want one")
+	return 0
+}
+
+func (b *bench) faults(server *httptest.Server, path string, faults map[string]any) {
+	b.put(server.URL+path, faults)
+}
+
+// TestTasksThroughFaults submits tasks that must not be repeated, disturbs them
+// halfway, and wants each to end with exactly one run.
+func TestTasksThroughFaults(t *testing.T) {
+	const tasks = 24
+	tests := map[string]func(*bench){
+		"table and worker lose answers": func(b *bench) {
+			b.faults(b.platform, "/faults", map[string]any{"lose-answers": 3, "slow": "4ms"})
+			b.faults(b.workers[0], "/standin/faults", map[string]any{"lose-answers": 4})
+		},
+		"holder stops": func(b *bench) { b.stops[b.holder()]() },
+		"holder is cut off from the table": func(b *bench) {
+			b.faults(b.platform, "/faults", map[string]any{
+				"down": true, "processes": []string{fmt.Sprint("manager-", b.holder())},
+			})
+		},
+		"table is down": func(b *bench) {
+			b.faults(b.platform, "/faults", map[string]any{"down": true})
+			time.Sleep(2 * patience)
+			b.faults(b.platform, "/faults", map[string]any{"down": false})
+		},
+		"worker is paused": func(b *bench) {
+			b.faults(b.workers[0], "/standin/faults", map[string]any{"paused": true})
+			time.Sleep(2 * patience)
+			b.faults(b.workers[0], "/standin/faults", map[string]any{"paused": false})
+		},
 	}
-	runs := b.runs()
-	for i := range tasks {
-		name := fmt.Sprintf("plans/task-%d", i)
-		if got, want := runs[name], 1; got != want {
-			t.Errorf("runs of %s: got %d, want %d", name, got, want)
-		}
+	for name, disturb := range tests {
+		t.Run(name, func(t *testing.T) {
+			b := newBench(t, 2, 2)
+			for i := range tasks {
+				if i == tasks/2 {
+					disturb(b)
+				}
+				b.submit(fmt.Sprint("task-", i), fakeworker.Job{RunTime: duration.New(100 * time.Millisecond)}, true)
+			}
+			b.faults(b.platform, "/faults", map[string]any{"slow": "1ms"})
+			for i := range tasks {
+				record := b.await(fmt.Sprint("task-", i))
+				if got, want := record.State, task.Done; got != want {
+					t.Errorf("task %s: got %s (%s), want %s", record.ID, got, record.Reason, want)
+				}
+			}
+			runs := b.runs()
+			for i := range tasks {
+				name := fmt.Sprintf("plans/task-%d", i)
+				if got, want := runs[name], 1; got != want {
+					t.Errorf("runs of %s: got %d, want %d", name, got, want)
+				}
+			}
+		})
 	}
 }
 
--- a/internal/task/task_test.go
+++ b/internal/task/task_test.go
@@ -50,11 +50,8 @@
 		w.replace(n)
 	case event == 20:
 		n.bad = !n.bad
-	case event < 25 && len(w.late) > 0:
-		i := w.choose.intN("late message", len(w.late))
-		arrive := w.late[i]
-		w.late = slices.Delete(w.late, i, i+1)
-		arrive()
+	case event < 25:
+		w.deliverLate()
 	case event == 25:
 		w.faults["long wait"]++
 		w.now = w.now.Add(40 * time.Second)
@@ -66,6 +63,19 @@
 	w.now = w.now.Add(time.Duration(w.choose.intN("wait", 500)) * time.Millisecond)
 }
 
+// deliverLate lets some of the late messages arrive, in any order.
+func (w *world) deliverLate() {
+	for range w.choose.intN("late messages", 6) {
+		if len(w.late) == 0 {
+			return
+		}
+		i := w.choose.intN("which late message", len(w.late))
+		arrive := w.late[i]
+		w.late = slices.Delete(w.late, i, i+1)
+		arrive()
+	}
+}
+
 // finishOne ends the first run on the node.
 func (w *world) finishOne(n *node) {
 	for _, id := range sortedKeys(n.starts) {
@@ -88,7 +98,7 @@
 
 // crash restarts the worker's process, which ends all that ran there.
 func (w *world) crash(n *node) {
-	if !n.alive {
+	if !n.alive || w.steady {
 		return
 	}
 	w.faults["worker crash"]++
@@ -99,7 +109,7 @@
 
 // replace takes the host away and brings one of another name.
 func (w *world) replace(n *node) {
-	if n.gone || len(w.nodes) > 12 {
+	if n.gone || w.steady || len(w.nodes) > 12 {
 		return
 	}
 	w.faults["worker gone"]++
@@ -187,6 +197,9 @@
 		if record.Ran == task.RanYes && w.runs[id] == 0 {
 			w.violate("task %s is said to have run, and did not", id)
 		}
+		if w.steady && record.Reason == task.ReasonOutcomeUnknown {
+			w.violate("task %s: outcome unknown though no worker was lost", id)
+		}
 		if record.State == task.Done && w.good[id] == 0 {
 			w.violate("task %s is said to be done, and is not", id)
 		}
@@ -255,7 +268,7 @@
 	})
 	t.Logf("runs %d, tasks by state %v, faults %v", runs, finals, faults)
 	for _, fault := range []string{
-		"message lost", "answer lost", "message late", "manager race", "manager pause",
+		"message lost", "answer lost", "message late", "answer late", "manager race", "manager pause",
 		"worker crash", "worker pause", "worker gone", "table outage", "cancel", "long wait", "lease lapse",
 	} {
 		if faults[fault] == 0 {
@@ -281,10 +294,11 @@
 		"not read":     {broken: mutantNotRead},
 		"incarnation":  {broken: mutantIncarnation},
 		"repeat":       {broken: mutantRepeat},
-		"silence":      {broken: mutantSilence, seed: 30},
-		"no tombstone": {broken: mutantNoTombstone, seed: 203},
+		"silence":      {broken: mutantSilence, seed: 57},
+		"late poll":    {broken: mutantLatePoll, seed: 714},
+		"no tombstone": {broken: mutantNoTombstone, seed: 483},
 	}
-	const maxSeeds = 300
+	const maxSeeds = 1000
 	for name, tc := range tests {
 		t.Run(name, func(t *testing.T) {
 			broken := tc.broken
--- a/internal/task/world_test.go
+++ b/internal/task/world_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"slices"
-	"strings"
 	"time"
 
 	"github.com/lovagedyke/lovagedyke/internal/place"
@@ -29,6 +28,7 @@
 	mutantIncarnation mutant = "starts do not name the worker's process"
 	mutantRepeat      mutant = "tasks are not marked as not to be repeated"
 	mutantSilence     mutant = "a silent worker counts as gone"
+	mutantLatePoll    mutant = "an old poll proves that a start is forgotten"
 	mutantNoTombstone mutant = "a stop of an unknown start is forgotten"
 )
 
@@ -37,29 +37,6 @@
 	intN(label string, n int) int
 }
 
-// start is one start at a worker, as the worker knows it.
-type start struct {
-	task  string
-	state task.AnswerKind
-	ran   bool
-}
-
-// node is a worker. It knows nothing of the code under test but its messages.
-type node struct {
-	name        string
-	incarnation int
-	alive       bool
-	gone        bool
-	silent      bool
-	bad         bool
-	epoch       uint64
-	starts      map[string]*start
-}
-
-func (n *node) process() string {
-	return fmt.Sprintf("%s#%d", n.name, n.incarnation)
-}
-
 // manager is a controller with the actions that it wants carried out.
 type manager struct {
 	controller *task.Controller
@@ -80,6 +57,8 @@
 	managers []*manager
 	epoch    uint64
 	late     []func()
+	// steady worlds lose no worker, so that no outcome may stay unknown.
+	steady bool
 	// specs are the tasks submitted; runs and good count what took place.
 	specs    []task.Spec
 	runs     map[string]int
@@ -101,6 +80,7 @@
 	for i := range 4 {
 		w.nodes = append(w.nodes, &node{name: fmt.Sprintf("worker-%d", i), alive: true, starts: map[string]*start{}})
 	}
+	w.steady = choose.intN("steady", 3) == 0
 	w.takeOver()
 	return w
 }
@@ -168,14 +148,20 @@
 func (w *world) carryOut(m *manager, action task.Action) {
 	switch action := action.(type) {
 	case task.Commit:
-		m.controller.Committed(w.now, action.Number, w.commit(action.Txn))
+		result := w.commit(action.Txn)
+		w.tell(func() { m.controller.Committed(w.now, action.Number, result) })
 	case task.Read:
 		rows, err := w.store.Get(context.Background(), action.Keys...)
-		m.controller.Read(w.now, action.Number, rows, err == nil)
+		w.tell(func() { m.controller.Read(w.now, action.Number, rows, err == nil) })
 	case task.Call:
-		m.controller.Called(w.now, action, w.call(action))
+		answer := w.call(action)
+		w.tell(func() { m.controller.Called(w.now, action, answer) })
 	case task.Poll:
-		m.controller.Polled(w.now, action, w.poll(action))
+		result := w.poll(action)
+		if w.mutant == mutantLatePoll {
+			action.At = w.now.Add(time.Hour)
+		}
+		w.tell(func() { m.controller.Polled(w.now, action, result) })
 	case task.Store:
 		m.controller.Stored(w.now, action, !w.down)
 	case task.Reply:
@@ -183,6 +169,16 @@
 	}
 }
 
+// tell hands an answer to its manager, now or after others.
+func (w *world) tell(report func()) {
+	if w.choose.intN("answer late", 4) == 0 {
+		w.faults["answer late"]++
+		w.late = append(w.late, report)
+		return
+	}
+	report()
+}
+
 // fate decides what becomes of a message: it arrives, its answer is lost, it is
 // lost, or it arrives after its sender gave up.
 func (w *world) fate(apply func()) (answered bool) {
@@ -226,158 +222,6 @@
 	return task.CommitApplied
 }
 
-func (w *world) node(name string) *node {
-	for _, n := range w.nodes {
-		if n.name == name {
-			return n
-		}
-	}
-	return nil
-}
-
-func (w *world) call(call task.Call) task.Answer {
-	n := w.node(call.Worker)
-	if n == nil || !n.alive {
-		return task.Answer{Kind: task.AnswerNone}
-	}
-	if n.silent {
-		// The paused process takes the call when it wakes.
-		w.late = append(w.late, func() { w.arrive(n, call) })
-		return w.unanswered(call)
-	}
-	var answer task.Answer
-	if !w.fate(func() { answer = w.arrive(n, call) }) {
-		return w.unanswered(call)
-	}
-	return answer
-}
-
-func (w *world) unanswered(call task.Call) task.Answer {
-	if w.mutant == mutantElsewhere && call.Order == task.OrderStart {
-		return task.Answer{Kind: task.AnswerRefused}
-	}
-	return task.Answer{Kind: task.AnswerNone}
-}
-
-// arrive is the worker's side of a call.
-func (w *world) arrive(n *node, call task.Call) task.Answer {
-	if !n.alive {
-		return task.Answer{Kind: task.AnswerNone}
-	}
-	if call.Epoch < n.epoch {
-		return task.Answer{Kind: task.AnswerStale}
-	}
-	n.epoch = call.Epoch
-	known, ok := n.starts[call.StartID]
-	switch {
-	case call.Order == task.OrderStart && !ok:
-		return w.begin(n, call)
-	case call.Order == task.OrderStop && !ok:
-		known = &start{state: task.AnswerStopped}
-		if w.mutant != mutantNoTombstone {
-			n.starts[call.StartID] = known
-		}
-	case !ok:
-		return task.Answer{Kind: task.AnswerNoTask, Incarnation: w.process(n)}
-	case call.Order == task.OrderStop && known.state == task.AnswerRunning:
-		known.state = task.AnswerStopped
-	case call.Order == task.OrderCheckpoint && known.state == task.AnswerRunning:
-		known.state = task.AnswerCheckpointed
-	}
-	return w.answer(n, call.StartID, known)
-}
-
-func (w *world) process(n *node) string {
-	if w.mutant == mutantIncarnation {
-		return ""
-	}
-	return n.process()
-}
-
-func (w *world) answer(n *node, id string, known *start) task.Answer {
-	return task.Answer{Kind: known.state, StartID: id, Incarnation: w.process(n), Ran: known.ran, Reason: "bad"}
-}
-
-// begin runs a task and checks that it may run.
-func (w *world) begin(n *node, call task.Call) task.Answer {
-	if w.mutant != mutantIncarnation && call.Record.Attempt.Incarnation != n.process() {
-		return task.Answer{Kind: task.AnswerOtherIncarnation, Incarnation: n.process()}
-	}
-	name := call.Record.ID
-	n.starts[call.StartID] = &start{task: name, state: task.AnswerRunning, ran: true}
-	w.runs[name]++
-	if w.runs[name] > 1 && w.spec(name).Once {
-		w.violate("task %s, not to be repeated, ran %d times", name, w.runs[name])
-	}
-	if got := w.running(name); got > 1 {
-		w.violate("task %s runs %d times at once", name, got)
-	}
-	if got := w.running(""); got > laneLimit {
-		w.violate("%d tasks run, the limit is %d", got, laneLimit)
-	}
-	if w.refused[name] {
-		w.violate("task %s was refused and ran", name)
-	}
-	if n.bad {
-		w.finish(n, call.StartID, false)
-	}
-	return w.answer(n, call.StartID, n.starts[call.StartID])
-}
-
-// running counts the runs of a task, or of all, that go on now.
-func (w *world) running(name string) int {
-	count := 0
-	for _, n := range w.nodes {
-		for _, s := range n.starts {
-			if n.alive && s.state == task.AnswerRunning && (name == "" || s.task == name) {
-				count++
-			}
-		}
-	}
-	return count
-}
-
-func (w *world) spec(id string) task.Spec {
-	i := slices.IndexFunc(w.specs, func(s task.Spec) bool { return s.ID == id })
-	return w.specs[i]
-}
-
-// finish ends a run by itself.
-func (w *world) finish(n *node, id string, good bool) {
-	s := n.starts[id]
-	if good && !strings.HasPrefix(s.task, "poison") {
-		s.state = task.AnswerDone
-		w.good[s.task]++
-		return
-	}
-	s.state = task.AnswerFailed
-	if w.failedOn[s.task] == nil {
-		w.failedOn[s.task] = map[string]bool{}
-	}
-	w.failedOn[s.task][n.name] = true
-}
-
-func (w *world) poll(poll task.Poll) task.PollResult {
-	n := w.node(poll.Worker)
-	if n == nil || !n.alive || n.silent {
-		return task.PollResult{Kind: task.AnswerNone}
-	}
-	if poll.Epoch < n.epoch {
-		return task.PollResult{Kind: task.AnswerStale}
-	}
-	n.epoch = poll.Epoch
-	if w.choose.intN("poll lost", 10) == 0 {
-		return task.PollResult{Kind: task.AnswerNone}
-	}
-	result := task.PollResult{Kind: task.AnswerRunning, Incarnation: w.process(n)}
-	for _, id := range poll.StartIDs {
-		if known, ok := n.starts[id]; ok {
-			result.Answers = append(result.Answers, w.answer(n, id, known))
-		}
-	}
-	return result
-}
-
 func (w *world) takeReply(reply task.Reply) {
 	name, ok := w.requests[reply.Request]
 	if ok && reply.Outcome == task.Refused && reply.Reason == task.ReasonTableUnavailable {
