--- a/internal/entry/claims.go
+++ b/internal/entry/claims.go
@@ -182,13 +182,14 @@
 	})
 }
 
-// newToken names a new attempt of this process.
-func (c *claims) newToken() claim.Token {
-	return claim.Token{Claimant: c.node.Self().Identity, Sequence: c.sequence.Add(1)}
+// newToken names a new attempt of this process at the home.
+func (c *claims) newToken(home roster.Identity) claim.Token {
+	return claim.Token{Claimant: c.node.Self().Identity, Home: home, Sequence: c.sequence.Add(1)}
 }
 
-// claim asks the id's home for the right to dispatch, and again where the home
-// has moved. An error means that no answer came: the claim must be released.
+// claim asks the id's home for the right to dispatch, and again, under another
+// token, where the home has moved. An error means that no answer came: the
+// claim of the answer's token must be released.
 func (c *claims) claim(ctx context.Context, request claim.Request) (claim.Answer, error) {
 	var answer claim.Answer
 	for range claimRetries {
@@ -198,6 +199,7 @@
 			return claim.Answer{Outcome: claim.OutcomeMoved}, nil
 		}
 		request.Version = members.Version
+		request.Token = c.newToken(home.Identity)
 		var err error
 		answer, err = c.askHome(ctx, home, request)
 		if err != nil || answer.Outcome != claim.OutcomeMoved {
@@ -215,12 +217,13 @@
 
 // askHome asks this process or a peer.
 func (c *claims) askHome(ctx context.Context, home roster.Member, request claim.Request) (claim.Answer, error) {
+	unanswered := claim.Answer{Token: request.Token}
 	if home.Identity == c.node.Self().Identity {
 		return c.decide(ctx, request)
 	}
 	reply, err := c.node.Dial(home).Claim(ctx, peer.ClaimMessage(request))
 	if err != nil {
-		return claim.Answer{}, errors.Wrapf(err, "ask %s for a claim", home.Name)
+		return unanswered, errors.Wrapf(err, "ask %s for a claim", home.Name)
 	}
 	return peer.Answer(request.Token, reply)
 }
@@ -232,8 +235,9 @@
 		c.claimants[request.Token] = waiter
 		return c.holder.Request(now, request)
 	})
+	unanswered := claim.Answer{Token: request.Token}
 	if !posted {
-		return claim.Answer{}, errClaimsStopped
+		return unanswered, errClaimsStopped
 	}
 	select {
 	case answer := <-waiter:
@@ -243,9 +247,9 @@
 			delete(c.claimants, request.Token)
 			return nil
 		})
-		return claim.Answer{}, ctx.Err()
+		return unanswered, ctx.Err()
 	case <-c.stopped:
-		return claim.Answer{}, errClaimsStopped
+		return unanswered, errClaimsStopped
 	}
 }
 
@@ -374,9 +378,8 @@
 }
 
 // claimRequest is the request for a marked call's only attempt.
-func claimRequest(c *call, token claim.Token) claim.Request {
+func claimRequest(c *call) claim.Request {
 	return claim.Request{
-		ID: claimID(c), Digest: hex.EncodeToString(c.digest[:]),
-		Token: token, RunLimit: c.entry.LongestRun,
+		ID: claimID(c), Digest: hex.EncodeToString(c.digest[:]), RunLimit: c.entry.LongestRun,
 	}
 }
--- a/internal/entry/marked.go
+++ b/internal/entry/marked.go
@@ -13,13 +13,12 @@
 // serveMarked claims the call's only attempt before it is admitted: a refusal
 // for lack of room must not say "not run" of a request that ran before.
 func (e *Entry) serveMarked(w http.ResponseWriter, c *call) *api.Problem {
-	token := e.claims.newToken()
-	request := claimRequest(c, token)
+	request := claimRequest(c)
 	ctx, cancel := context.WithDeadline(c.request.Context(), c.deadline)
 	defer cancel()
 	answer, err := e.claims.claim(ctx, request)
 	if err != nil {
-		e.releaseLater(request.ID, token)
+		e.releaseLater(request.ID, answer.Token)
 		return uncertain(http.StatusServiceUnavailable, "claim-unanswered",
 			"this attempt was not sent; whether an earlier one ran is not known")
 	}
@@ -29,7 +28,7 @@
 	c.claim = &answer.Record
 	adm, refusal := e.admit(c, e.service(c.entry.Name))
 	if refusal != nil {
-		e.releaseLater(request.ID, token)
+		e.releaseLater(request.ID, answer.Token)
 		return refusal
 	}
 	return e.run(w, c, adm, newID())
--- a/internal/entry/permits_test.go
+++ b/internal/entry/permits_test.go
@@ -66,12 +66,12 @@
 	p.acquire(team, now, now.Add(time.Minute))
 	p.acquire(team, now, now.Add(time.Minute))
 	p.ledger.Tick(now)
-	before := p.ledger.Wanted(team, map[limit.Member]int{"entry-2/1": 100})
+	before := p.ledger.Wanted(team, map[limit.Member]limit.Status{"entry-2/1": {Idle: 100}})
 	for range 50 {
 		p.pump(team)
 	}
 	p.ledger.Tick(now)
-	after := p.ledger.Wanted(team, map[limit.Member]int{"entry-2/1": 100})
+	after := p.ledger.Wanted(team, map[limit.Member]limit.Status{"entry-2/1": {Idle: 100}})
 	if got, want := wanted(after), wanted(before); got > want {
 		t.Errorf("permits asked for: got %d, want at most %d", got, want)
 	}
--- a/internal/node/gossip.go
+++ b/internal/node/gossip.go
@@ -21,7 +21,9 @@
 	answered bool
 	heard    time.Time
 	inForce  uint64
-	idle     map[string]int
+	permits  map[string]limit.Status
+	// confirms are transfers that the member may stop repeating.
+	confirms []*peerpb.Transfer
 }
 
 // PeerStatus is one other member in the state dump.
@@ -69,7 +71,7 @@
 	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
 	defer cancel()
 	started := time.Now()
-	reply, err := n.Dial(member).Exchange(ctx, n.state(started))
+	reply, err := n.Dial(member).Exchange(ctx, n.state(started, member.Identity, 0))
 	if err != nil {
 		return
 	}
@@ -82,25 +84,26 @@
 	n.absorb(reply)
 }
 
-// state returns what this process tells a peer.
-func (n *Node) state(now time.Time) *peerpb.State {
+// state returns what this process tells the peer, whose digest of the managers
+// is given, or 0.
+func (n *Node) state(now time.Time, to roster.Identity, digest uint64) *peerpb.State {
 	members, _ := n.Roster()
 	view := n.configuration.View()
 	state := &peerpb.State{
-		From:          peer.IdentityMessage(n.config.Self.Identity),
-		RosterVersion: members.Version,
-		Configuration: peer.StatementMessage(n.configuration.Statement(now), view.State.Revision),
-		Manager:       n.config.Self.Role == roster.RoleManager,
-	}
-	for team := range view.State.Catalogue.Teams {
-		status := n.ledger.Status(team)
-		state.Permits = append(state.Permits, &peerpb.Permits{
-			Team: team, Generation: status.Generation,
-			Holding: int32(status.Holding), InUse: int32(status.InUse), Idle: int32(status.Idle),
-		})
+		From:           peer.IdentityMessage(n.config.Self.Identity),
+		RosterVersion:  members.Version,
+		Configuration:  peer.StatementMessage(n.configuration.Statement(now, digest), view.State.Revision),
+		Manager:        n.config.Self.Role == roster.RoleManager,
+		ManagersDigest: n.configuration.Digest(),
+		Confirmed:      n.takeConfirms(to),
+	}
+	for _, status := range n.ledger.Statuses() {
+		state.Permits = append(state.Permits, peer.PermitsMessage(status))
 	}
 	for _, transfer := range n.ledger.Resend() {
-		state.Transfers = append(state.Transfers, peer.TransferMessage(transfer))
+		if transfer.To == limit.Member(to.String()) {
+			state.Transfers = append(state.Transfers, peer.TransferMessage(transfer))
+		}
 	}
 	for _, report := range n.ledger.Reports() {
 		state.Reports = append(state.Reports, peer.ReportMessage(report))
@@ -125,12 +128,7 @@
 	if state.GetConfiguration().GetRevision() > n.configuration.View().State.Revision {
 		n.PollNow()
 	}
-	for _, transfer := range state.GetTransfers() {
-		n.ledger.Receive(peer.Transfer(transfer))
-	}
-	if len(state.GetTransfers()) > 0 {
-		n.permitsChanged()
-	}
+	n.trade(from, state)
 	for _, part := range n.parts {
 		part.Absorb(from, state)
 	}
@@ -157,18 +155,54 @@
 	return ids
 }
 
+// trade takes the permits that the peer passed, and its word on those passed
+// to it.
+func (n *Node) trade(from roster.Identity, state *peerpb.State) {
+	for _, confirmed := range state.GetConfirmed() {
+		n.ledger.Confirm(peer.Transfer(confirmed))
+	}
+	for _, transfer := range state.GetTransfers() {
+		n.receive(from, transfer)
+	}
+	if len(state.GetTransfers()) > 0 {
+		n.permitsChanged()
+	}
+}
+
+// receive takes over one transfer and notes that the peer may stop repeating it.
+func (n *Node) receive(from roster.Identity, transfer *peerpb.Transfer) {
+	if !n.ledger.Receive(peer.Transfer(transfer)) {
+		return
+	}
+	view := n.view(from)
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	view.confirms = append(view.confirms, transfer)
+}
+
+// takeConfirms returns what the peer may stop repeating. When it is lost on the
+// way the peer repeats the transfer, and it is confirmed again.
+func (n *Node) takeConfirms(to roster.Identity) []*peerpb.Transfer {
+	view := n.view(to)
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	confirms := view.confirms
+	view.confirms = nil
+	return confirms
+}
+
 // note keeps what the peer said of itself.
 func (n *Node) note(from roster.Identity, state *peerpb.State) {
-	idle := make(map[string]int, len(state.GetPermits()))
-	for _, permits := range state.GetPermits() {
-		idle[permits.GetTeam()] = int(permits.GetIdle())
+	permits := make(map[string]limit.Status, len(state.GetPermits()))
+	for _, status := range state.GetPermits() {
+		permits[status.GetTeam()] = peer.Permits(status)
 	}
 	view := n.view(from)
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	view.heard = time.Now()
 	view.inForce = max(view.inForce, state.GetConfiguration().GetInForce())
-	view.idle = idle
+	view.permits = permits
 }
 
 // view returns what is known of a member.
@@ -238,15 +272,15 @@
 	return peers
 }
 
-// idlePermits returns the team's idle permits at each peer.
-func (n *Node) idlePermits(team string) map[limit.Member]int {
+// peerPermits returns what each peer last told of the team's permits.
+func (n *Node) peerPermits(team string) map[limit.Member]limit.Status {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	idle := make(map[limit.Member]int, len(n.peers))
+	statuses := make(map[limit.Member]limit.Status, len(n.peers))
 	for id, view := range n.peers {
-		if count := view.idle[team]; count > 0 {
-			idle[limit.Member(id.String())] = count
+		if status, ok := view.permits[team]; ok {
+			statuses[limit.Member(id.String())] = status
 		}
 	}
-	return idle
+	return statuses
 }
--- a/internal/node/permits.go
+++ b/internal/node/permits.go
@@ -42,11 +42,7 @@
 
 // ask requests permits of a team from the peers that have idle ones.
 func (n *Node) ask(ctx context.Context, team string) {
-	idle := n.idlePermits(team)
-	if len(idle) == 0 {
-		return
-	}
-	for _, ask := range n.ledger.Wanted(team, idle) {
+	for _, ask := range n.ledger.Wanted(team, n.peerPermits(team)) {
 		member, ok := n.findMember(ask.To)
 		if !ok {
 			continue
@@ -65,7 +61,7 @@
 		// What was given comes again with the next exchange.
 		return
 	}
-	n.ledger.Receive(peer.Transfer(reply.GetTransfer()))
+	n.receive(member.Identity, reply.GetTransfer())
 	n.permitsChanged()
 }
 
@@ -74,7 +70,9 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if view, ok := n.peers[id]; ok {
-		view.idle[team] -= count
+		status := view.permits[team]
+		status.Idle = max(0, status.Idle-count)
+		view.permits[team] = status
 	}
 }
 
--- a/internal/node/poll.go
+++ b/internal/node/poll.go
@@ -67,7 +67,7 @@
 		return err
 	}
 	n.seeRoster(members, rows[1].Version)
-	n.configuration.Read(started, newest, managersOf(members))
+	n.configuration.Read(started, managersOf(members), newest)
 	if newest > n.configuration.View().State.Revision {
 		return n.load(ctx)
 	}
--- a/internal/node/service.go
+++ b/internal/node/service.go
@@ -29,7 +29,7 @@
 		s.node.configuration.Admit(revision.Member(peer.Identity(state.GetFrom())), now)
 	}
 	s.node.absorb(state)
-	return s.node.state(now), nil
+	return s.node.state(now, peer.Identity(state.GetFrom()), state.GetManagersDigest()), nil
 }
 
 // Push takes a committed change of the configuration.
--- a/internal/peer/claims.go
+++ b/internal/peer/claims.go
@@ -25,12 +25,16 @@
 
 // TokenMessage encodes the name of an attempt.
 func TokenMessage(t claim.Token) *peerpb.Token {
-	return &peerpb.Token{Claimant: IdentityMessage(t.Claimant), Sequence: t.Sequence}
+	return &peerpb.Token{
+		Claimant: IdentityMessage(t.Claimant), Home: IdentityMessage(t.Home), Sequence: t.Sequence,
+	}
 }
 
 // Token decodes the name of an attempt.
 func Token(m *peerpb.Token) claim.Token {
-	return claim.Token{Claimant: Identity(m.GetClaimant()), Sequence: m.GetSequence()}
+	return claim.Token{
+		Claimant: Identity(m.GetClaimant()), Home: Identity(m.GetHome()), Sequence: m.GetSequence(),
+	}
 }
 
 // ClaimIDMessage encodes what a caller repeats.
--- a/internal/peer/limits.go
+++ b/internal/peer/limits.go
@@ -29,7 +29,7 @@
 func AskMessage(a limit.Ask) *peerpb.AskRequest {
 	return &peerpb.AskRequest{
 		Team: a.Team, Generation: a.Generation,
-		From: string(a.From), To: string(a.To), Want: int32(a.Want),
+		From: string(a.From), To: string(a.To), Want: int32(a.Want), Holding: int32(a.Holding),
 	}
 }
 
@@ -37,7 +37,23 @@
 func Ask(m *peerpb.AskRequest) limit.Ask {
 	return limit.Ask{
 		Team: m.GetTeam(), Generation: m.GetGeneration(),
-		From: limit.Member(m.GetFrom()), To: limit.Member(m.GetTo()), Want: int(m.GetWant()),
+		From: limit.Member(m.GetFrom()), To: limit.Member(m.GetTo()), Want: int(m.GetWant()), Holding: int(m.GetHolding()),
+	}
+}
+
+// PermitsMessage encodes what a member tells its peers of one team.
+func PermitsMessage(s limit.Status) *peerpb.Permits {
+	return &peerpb.Permits{
+		Team: s.Team, Generation: s.Generation,
+		Holding: int32(s.Holding), InUse: int32(s.InUse), Idle: int32(s.Idle),
+	}
+}
+
+// Permits decodes what a peer tells of one team.
+func Permits(m *peerpb.Permits) limit.Status {
+	return limit.Status{
+		Team: m.GetTeam(), Generation: m.GetGeneration(),
+		Holding: int(m.GetHolding()), InUse: int(m.GetInUse()), Idle: int(m.GetIdle()),
 	}
 }
 
