Stream both ways; bound the table writes of claims and charges

Cause: net/http drains a request's body before it writes an answer, so an endpoint that answers while it reads was cut now and then ('unexpected EOF' once in some ten runs of TestLargeBodiesStreamBothWays). A claim that arrives alone no longer makes a transaction of its own more often than every 25 ms.

--- a/internal/charge/book.go
+++ b/internal/charge/book.go
@@ -25,6 +25,9 @@
 	// RetryInterval is the time between attempts on a table that is down, and
 	// before an unconfirmed mirror message is sent again.
 	RetryInterval time.Duration
+	// BatchInterval is the least time between two batches that are not full,
+	// which bounds the load on the table; 0 writes at once.
+	BatchInterval time.Duration
 	// HoldTime is how long a held entry waits for its owner to write it.
 	HoldTime time.Duration
 }
@@ -106,6 +109,7 @@
 	dropped  uint64
 	tableUp  bool
 	retryAt  time.Time
+	batchAt  time.Time
 	call     uint64
 	batch    []*item
 	written  []Entry
@@ -287,6 +291,9 @@
 	if b.batch != nil || !b.tableUp {
 		return
 	}
+	if len(b.queue) < b.config.MaxBatch && now.Before(b.batchAt) {
+		return
+	}
 	var later []*item
 	txn := table.Txn{}
 	for _, it := range b.queue {
@@ -307,6 +314,7 @@
 	if b.batch == nil {
 		return
 	}
+	b.batchAt = now.Add(b.config.BatchInterval)
 	b.call++
 	b.emit(Commit{Call: b.call, Txn: txn})
 }
--- a/internal/claim/holder.go
+++ b/internal/claim/holder.go
@@ -35,6 +35,10 @@
 	MaxEntries int
 	// MaxBatch bounds the claims in one transaction.
 	MaxBatch int
+	// ClaimInterval is the least time between two transactions that are not
+	// full, and FinishInterval between two without a pending claim; they bound
+	// the load on the table. 0 writes at once.
+	ClaimInterval, FinishInterval time.Duration
 	// MaxScans bounds the buckets that are loaded at a time.
 	MaxScans int
 }
@@ -76,6 +80,7 @@
 	calls   map[uint64]call
 	last    uint64
 	round   *round
+	roundAt time.Time
 	scans   int
 	// polling means that a probe or an acknowledgement call is outstanding.
 	probing, acking, polling bool
--- a/internal/claim/round.go
+++ b/internal/claim/round.go
@@ -57,9 +57,10 @@
 
 // startRound takes a batch from the queue if no round is under way.
 func (h *Holder) startRound(now time.Time) {
-	if h.round != nil || !h.tableUp || len(h.queue) == 0 {
+	if h.round != nil || !h.tableUp || !h.roundDue(now) {
 		return
 	}
+	h.roundAt = now
 	r := &round{}
 	var later []*entry
 	for _, e := range h.queue {
@@ -83,6 +84,21 @@
 	h.readRound(now)
 }
 
+// roundDue reports whether the queue is to be written now.
+func (h *Holder) roundDue(now time.Time) bool {
+	if len(h.queue) == 0 || len(h.queue) >= h.config.MaxBatch {
+		return len(h.queue) > 0
+	}
+	interval := h.config.FinishInterval
+	for _, e := range h.queue {
+		if e.pending != nil {
+			interval = h.config.ClaimInterval
+			break
+		}
+	}
+	return now.Sub(h.roundAt) >= interval
+}
+
 // readRound reads the rows whose version is not known.
 func (h *Holder) readRound(now time.Time) {
 	var keys []string
--- a/internal/entry/call.go
+++ b/internal/entry/call.go
@@ -179,6 +179,11 @@
 	if c.marked() {
 		return tooLarge(maxMarkedBody)
 	}
+	// Without this the server drains the body before it writes an answer, which
+	// cuts an endpoint that answers while it reads.
+	if err := http.NewResponseController(w).EnableFullDuplex(); err != nil {
+		return refuse(http.StatusNotImplemented, "streaming-not-supported", "body", "the connection cannot stream both ways")
+	}
 	c.stream = io.MultiReader(bytes.NewReader(buffered), limited)
 	return nil
 }
--- a/internal/entry/claims.go
+++ b/internal/entry/claims.go
@@ -18,7 +18,11 @@
 
 const (
 	// claimTick is the interval of a holder's timers.
-	claimTick = 50 * time.Millisecond
+	claimTick = 5 * time.Millisecond
+	// claimInterval and finishInterval bound the transactions of one entry:
+	// seven entries write at most 280 a second.
+	claimInterval  = 25 * time.Millisecond
+	finishInterval = 250 * time.Millisecond
 	// claimProbeInterval is the time between acknowledgements of a roster, and
 	// so how long claims on moved ids wait.
 	claimProbeInterval = 100 * time.Millisecond
@@ -65,6 +69,7 @@
 		node: node,
 		holder: claim.New(claim.Config{
 			Self: node.Self().Identity, Retention: retention, ProbeInterval: claimProbeInterval,
+			ClaimInterval: claimInterval, FinishInterval: finishInterval,
 		}),
 		events:    make(chan func(time.Time) []claim.Effect, claimQueue),
 		stopped:   make(chan struct{}),
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -11,8 +11,11 @@
 	"github.com/lovagedyke/lovagedyke/pkg/api"
 )
 
-// echo answers with the request's body.
-func echo(w http.ResponseWriter, r *http.Request) { _, _ = io.Copy(w, r.Body) }
+// echo answers with the request's body while it reads it.
+func echo(w http.ResponseWriter, r *http.Request) {
+	_ = http.NewResponseController(w).EnableFullDuplex()
+	_, _ = io.Copy(w, r.Body)
+}
 
 // cut reads the request and closes the connection without an answer.
 func cut(_ http.ResponseWriter, r *http.Request) {
