--- a/cmd/lovagedyke-standin/cmd_report.go
+++ b/cmd/lovagedyke-standin/cmd_report.go
@@ -22,7 +22,7 @@
 	"github.com/lovagedyke/lovagedyke/internal/standin/worker"
 )
 
-// Prefixes of the rows that name runs in their last part.
+// Prefixes of the rows that are named after runs.
 const (
 	chargePrefix   = "charge/"
 	unprovenPrefix = "charge-unproven/"
@@ -149,7 +149,7 @@
 	}
 	var ids []string
 	for _, row := range rows {
-		ids = append(ids, row.Key[strings.LastIndexByte(row.Key, '/')+1:])
+		ids = append(ids, strings.TrimPrefix(row.Key, prefix))
 	}
 	return ids, nil
 }
--- a/internal/charge/book_test.go
+++ b/internal/charge/book_test.go
@@ -448,3 +448,16 @@
 		})
 	}
 }
+
+func TestRunIDReadsBack(t *testing.T) {
+	want := charge.RunID{Entry: roster.Identity{Name: "entry-1", Incarnation: 17}, Sequence: 4}
+	got, err := charge.ParseRunID(want.String())
+	if err != nil || got != want {
+		t.Errorf("got %v, %v, want %v", got, err, want)
+	}
+	for _, text := range []string{"", "entry-1", "entry-1.x.4", "entry-1.17.y", "entry-1.17.4.5"} {
+		if got, err := charge.ParseRunID(text); err == nil {
+			t.Errorf("%q: got %v, want an error", text, got)
+		}
+	}
+}
--- a/internal/charge/charge.go
+++ b/internal/charge/charge.go
@@ -33,6 +33,8 @@
 import (
 	"encoding/json"
 	"fmt"
+	"strconv"
+	"strings"
 	"time"
 
 	"github.com/lovagedyke/lovagedyke/internal/roster"
@@ -51,9 +53,30 @@
 	Sequence uint64          `json:"sequence"`
 }
 
-// String returns the id as it stands in row keys.
+// runIDParts are entry, incarnation and sequence.
+const runIDParts = 3
+
+// ParseRunID reads what String returns.
+func ParseRunID(text string) (RunID, error) {
+	parts := strings.Split(text, ".")
+	if len(parts) != runIDParts {
+		return RunID{}, fmt.Errorf("run id %q is malformed, want <entry>.<incarnation>.<sequence>", text)
+	}
+	incarnation, err := strconv.ParseUint(parts[1], 10, 64)
+	if err != nil {
+		return RunID{}, fmt.Errorf("run id %q has no incarnation", text)
+	}
+	sequence, err := strconv.ParseUint(parts[2], 10, 64)
+	if err != nil {
+		return RunID{}, fmt.Errorf("run id %q has no sequence", text)
+	}
+	entry := roster.Identity{Name: parts[0], Incarnation: incarnation}
+	return RunID{Entry: entry, Sequence: sequence}, nil
+}
+
+// String returns the id as it stands in row keys and headers.
 func (id RunID) String() string {
-	return fmt.Sprintf("%s/%d", id.Entry, id.Sequence)
+	return fmt.Sprintf("%s.%d.%d", id.Entry.Name, id.Entry.Incarnation, id.Sequence)
 }
 
 // Outcome tells how a proven run ended.
--- a/internal/entry/books.go
+++ b/internal/entry/books.go
@@ -5,6 +5,9 @@
 	"net/http"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
+	"github.com/lovagedyke/lovagedyke/internal/charge"
 	"github.com/lovagedyke/lovagedyke/internal/claim"
 )
 
@@ -12,21 +15,10 @@
 // header and body, in bytes; it travels in table rows.
 const maxRecorded = 16 << 10
 
-// run is what is known of one attempt that may have run.
-type finishedRun struct {
-	id       string
-	team     string
-	service  string
-	endpoint string
-	started  time.Time
-	duration time.Duration
-	status   int
-}
-
 // charger takes the runs that are to be charged or listed as unproven.
 type charger interface {
-	proven(run finishedRun)
-	unproven(run finishedRun)
+	proven(run charge.Charge)
+	unproven(run charge.Charge, reason charge.Reason)
 }
 
 // books records how each attempt ended: charges, and the claims of marked calls.
@@ -41,7 +33,7 @@
 // before the caller has the answer.
 func (b *books) proven(ctx context.Context, c *call, a *attempt, rep reply, now time.Time) {
 	if !refused(rep.response) {
-		b.charges.proven(newRun(c, a, now, rep.response.StatusCode))
+		b.charges.proven(newCharge(c, a, now, outcomeOf(rep.response.StatusCode)))
 	}
 	if c.claim == nil {
 		return
@@ -75,8 +67,8 @@
 }
 
 // unproven records an attempt that was sent and has no whole answer.
-func (b *books) unproven(c *call, a *attempt, now time.Time) {
-	b.charges.unproven(newRun(c, a, now, 0))
+func (b *books) unproven(c *call, a *attempt, err error, now time.Time) {
+	b.charges.unproven(newCharge(c, a, now, ""), reasonOfFailure(err))
 	if c.claim == nil {
 		return
 	}
@@ -95,10 +87,30 @@
 	b.background(func(ctx context.Context) { b.claims.release(ctx, id, token) })
 }
 
-// newRun describes an attempt that ended now.
-func newRun(c *call, a *attempt, now time.Time, status int) finishedRun {
-	return finishedRun{
-		id: a.run, team: c.team, service: c.entry.Name, endpoint: a.endpoint.String(),
-		started: a.started, duration: now.Sub(a.started), status: status,
+// newCharge describes an attempt that ended now.
+func newCharge(c *call, a *attempt, now time.Time, outcome charge.Outcome) charge.Charge {
+	run := charge.Charge{
+		Run: a.run, Team: c.team, Service: c.entry.Name, Endpoint: a.endpoint.String(),
+		Started: a.started, Duration: now.Sub(a.started), Outcome: outcome,
+	}
+	if c.claim != nil {
+		run.ClaimRow = c.claim.ID.RowKey()
+	}
+	return run
+}
+
+// outcomeOf tells how a run with that status ended.
+func outcomeOf(status int) charge.Outcome {
+	if status >= http.StatusInternalServerError {
+		return charge.OutcomeFailed
+	}
+	return charge.OutcomeSucceeded
+}
+
+// reasonOfFailure tells why a run is not proven.
+func reasonOfFailure(err error) charge.Reason {
+	if errors.Is(err, context.DeadlineExceeded) {
+		return charge.ReasonTimedOut
 	}
+	return charge.ReasonCut
 }
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -227,7 +227,7 @@
 	if refusal != nil {
 		return c, refusal
 	}
-	return c, e.run(w, c, adm, newID())
+	return c, e.run(w, c, adm)
 }
 
 // service returns the service's state, made at its first use.
@@ -282,6 +282,7 @@
 // RosterChanged implements node.Part.
 func (e *Entry) RosterChanged(members roster.Roster, rowVersion uint64) {
 	e.claims.rosterChanged(members, rowVersion)
+	e.charges.rosterChanged(members)
 }
 
 // HandOver passes the idle permits to another entry, for a planned stop.
--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -14,6 +14,8 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/sourcegraph/conc"
+
+	"github.com/lovagedyke/lovagedyke/internal/charge"
 )
 
 const (
@@ -53,7 +55,7 @@
 
 // attempt is one request to one endpoint.
 type attempt struct {
-	run      string
+	run      charge.RunID
 	endpoint netip.AddrPort
 	started  time.Time
 
@@ -154,7 +156,7 @@
 	}
 	header := endToEnd(c.request.Header)
 	header.Del("Authorization")
-	header.Set(headerRun, a.run)
+	header.Set(headerRun, a.run.String())
 	header.Set(headerTeam, c.team)
 	header.Set(headerRequest, c.id)
 	out := &http.Request{
--- a/internal/entry/marked.go
+++ b/internal/entry/marked.go
@@ -31,7 +31,7 @@
 		e.releaseLater(request.ID, answer.Token)
 		return refusal
 	}
-	return e.run(w, c, adm, newID())
+	return e.run(w, c, adm)
 }
 
 // releaseLater gives a claim back without holding up the caller.
--- a/internal/entry/peers.go
+++ b/internal/entry/peers.go
@@ -71,6 +71,23 @@
 	return &peerpb.MirrorReply{RosterVersion: confirm.Version, Record: encoded, Recorded: confirm.Recorded}, nil
 }
 
+// KeepCharges holds a peer's charges until the table has them.
+func (s *peerService) KeepCharges(_ context.Context, request *peerpb.KeepChargesRequest) (*peerpb.KeepChargesReply, error) {
+	entries, err := peer.Charges(request.GetEntries())
+	if err != nil {
+		return nil, twirp.InvalidArgumentError("entries", err.Error())
+	}
+	forgotten, err := peer.Charges(request.GetForgotten())
+	if err != nil {
+		return nil, twirp.InvalidArgumentError("forgotten", err.Error())
+	}
+	held, err := peer.ChargeMessages(s.entry.charges.hold(peer.Identity(request.GetFrom()), entries, forgotten))
+	if err != nil {
+		return nil, twirp.InternalErrorWith(err)
+	}
+	return &peerpb.KeepChargesReply{Held: held}, nil
+}
+
 // unavailable tells a peer that this process cannot answer now.
 func unavailable(err error) error {
 	return twirp.NewError(twirp.Unavailable, err.Error())
--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -12,11 +12,11 @@
 )
 
 // run sends the call to endpoints until one answers, and passes the answer on.
-// It owns the admission and the first run id.
-func (e *Entry) run(w http.ResponseWriter, c *call, adm *admission, firstRun string) *api.Problem {
+// It owns the admission.
+func (e *Entry) run(w http.ResponseWriter, c *call, adm *admission) *api.Problem {
 	trial := &trial{entry: e, call: c, service: adm.service, admission: adm}
-	for runID := firstRun; ; runID = newID() {
-		a, refusal := trial.begin(runID)
+	for {
+		a, refusal := trial.begin()
 		if refusal != nil {
 			return refusal
 		}
@@ -46,7 +46,7 @@
 }
 
 // begin picks an endpoint for the next attempt. Without one the admission ends.
-func (t *trial) begin(runID string) (*attempt, *api.Problem) {
+func (t *trial) begin() (*attempt, *api.Problem) {
 	now := t.entry.now()
 	endpoint, ok := t.service.pick(now, t.attempts == 0, t.tried)
 	if !ok {
@@ -55,7 +55,7 @@
 	}
 	t.attempts++
 	t.tried = append(t.tried, endpoint)
-	return &attempt{run: runID, endpoint: endpoint, started: now}, nil
+	return &attempt{run: t.entry.charges.newRunID(), endpoint: endpoint, started: now}, nil
 }
 
 // await sends the attempt and waits for its reply until the deadline. When the
@@ -198,7 +198,7 @@
 		t.admission.end(now)
 		return
 	}
-	t.entry.books.unproven(t.call, a, now)
+	t.entry.books.unproven(t.call, a, rep.err, now)
 	t.admission.linger(now, a.started.Add(t.call.entry.LongestRun))
 }
 
--- a/internal/entry/snapshot.go
+++ b/internal/entry/snapshot.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"github.com/lovagedyke/lovagedyke/internal/charge"
 	"github.com/lovagedyke/lovagedyke/internal/claim"
 	"github.com/lovagedyke/lovagedyke/internal/node"
 	"github.com/lovagedyke/lovagedyke/internal/retry"
@@ -13,6 +14,7 @@
 	Node     node.Snapshot              `json:"node"`
 	Services map[string]ServiceSnapshot `json:"services"`
 	Claims   claim.Snapshot             `json:"claims"`
+	Charges  charge.Snapshot            `json:"charges"`
 }
 
 // ServiceSnapshot is one service's part of a Snapshot.
@@ -30,6 +32,7 @@
 		Node:     e.node.Snapshot(),
 		Services: make(map[string]ServiceSnapshot),
 		Claims:   e.claims.snapshot(),
+		Charges:  e.charges.snapshot(),
 	}
 	now := e.now()
 	e.eachService(func(name string, s *service) {
