Act on an acknowledged commit before its rows are read

Cause: with a table of 300 ms a call urgent work started 2094 ms (median of 8) after submission, at the bound of 2.1 s. Ruled out: a version in the commit's answer, which the table port does not give; commits in parallel, which would need an order among them. Conclusion: the read overlaps with what follows from the write.

--- a/internal/standin/platform/faults.go
+++ b/internal/standin/platform/faults.go
@@ -17,8 +17,8 @@
 	Slow duration.Text `json:"slow,omitzero"`
 	// LoseAnswers cuts the connection after a commit took effect.
 	LoseAnswers LossCount `json:"lose-answers,omitzero"`
-	// ListLag is how far the host list lags; it holds for all processes.
-	ListLag duration.Text `json:"list-lag,omitzero"`
+	// ListLag, if set, is how far the host list lags from now on, for all.
+	ListLag *duration.Text `json:"list-lag,omitempty"`
 	// Processes limits the faults to callers of these names.
 	Processes []string `json:"processes,omitempty"`
 }
@@ -79,7 +79,7 @@
 // set puts faults in force: for the processes they name, or else for everybody,
 // which clears those of single processes.
 func (s *faultSet) set(faults Faults) {
-	if faults.ListLag.Duration > 0 {
+	if faults.ListLag != nil {
 		s.lag = faults.ListLag.Duration
 	}
 	if len(faults.Processes) == 0 {
--- a/internal/standin/platform/platform_test.go
+++ b/internal/standin/platform/platform_test.go
@@ -168,6 +168,7 @@
 	b.do(http.MethodPut, "/hosts/host-1", `{"data-centre":"suva","endpoints":[{"service":"orders","address":"127.0.0.1:9","slots":8,"connections":64}]}`)
 	steps := []struct {
 		advance time.Duration
+		faults  string
 		change  string
 		want    []api.State
 	}{
@@ -176,9 +177,13 @@
 		{change: `{"state":"leaving"}`, want: []api.State{api.Live}},
 		{advance: time.Second, want: []api.State{api.Live}},
 		{advance: time.Second, want: []api.State{api.Leaving}},
+		{faults: `{"list-lag":"0s"}`, change: `{"state":"live"}`, want: []api.State{api.Live}},
 	}
 	for i, step := range steps {
 		b.now = b.now.Add(step.advance)
+		if step.faults != "" {
+			b.do(http.MethodPut, "/faults", step.faults)
+		}
 		if step.change != "" {
 			b.do(http.MethodPut, "/hosts/host-1", step.change)
 		}
--- a/internal/task/commit.go
+++ b/internal/task/commit.go
@@ -7,6 +7,9 @@
 	"github.com/lovagedyke/lovagedyke/internal/table"
 )
 
+// unread is the version of a row that was written and has not been read since.
+const unread = ^uint64(0)
+
 const (
 	firstBackoff   = 50 * time.Millisecond
 	longestBackoff = 2 * time.Second
@@ -98,6 +101,11 @@
 			it.uncertain = true
 		}
 	}
+	if result == CommitApplied {
+		for _, it := range c.batch.items {
+			c.applied(now, it)
+		}
+	}
 	if result != CommitUnavailable {
 		// Also after success the rows are read, for their new versions.
 		c.batch.settle = true
@@ -119,6 +127,26 @@
 	}
 }
 
+// applied acts on a write that is known to be in the table. The row's version,
+// which the next write needs, is read afterwards.
+func (c *Controller) applied(now time.Time, it *item) {
+	if it.remove {
+		return
+	}
+	it.inflight = false
+	c.adopt(now, it, *it.next, unread)
+	c.replyWritten(it)
+	c.act(now, it)
+}
+
+// replyWritten answers the requests whose wish is in the table.
+func (c *Controller) replyWritten(it *item) {
+	if it.cancel && !it.record.Cancel && !it.record.State.Final() {
+		return // The cancellation is still to be written.
+	}
+	c.reply(it, Accepted, "", 0)
+}
+
 // delay waits longer after each call that the table did not take.
 func (c *Controller) delay(now time.Time) {
 	c.backoff = min(max(2*c.backoff, firstBackoff), longestBackoff)
@@ -193,6 +221,10 @@
 	}
 	wanted := it.next
 	ours := wanted != nil && wanted.Stamp == record.Stamp
+	if it.version == unread && record.Stamp == it.record.Stamp {
+		it.version = row.Version
+		return
+	}
 	first := it.version == table.Absent
 	it.remove = false
 	c.adopt(now, it, record, row.Version)
@@ -201,10 +233,8 @@
 		c.reply(it, Refused, ReasonOtherSpec, 0)
 	case first && !ours:
 		c.reply(it, Exists, "", 0)
-	case it.cancel && !record.Cancel && !record.State.Final():
-		// The cancellation is still to be written.
 	default:
-		c.reply(it, Accepted, "", 0)
+		c.replyWritten(it)
 	}
 }
 
--- a/internal/task/runner/runner_test.go
+++ b/internal/task/runner/runner_test.go
@@ -38,7 +38,7 @@
 
 // bench is a platform with workers and the runners of one shard.
 type bench struct {
-	t        *testing.T
+	t        testing.TB
 	ctx      context.Context
 	platform *httptest.Server
 	workers  []*httptest.Server
@@ -46,7 +46,7 @@
 	stops    []func()
 }
 
-func newBench(t *testing.T, workers, runners int) *bench {
+func newBench(t testing.TB, workers, runners int) *bench {
 	ctx, cancel := context.WithTimeout(context.Background(), testTime)
 	t.Cleanup(cancel)
 	b := &bench{t: t, ctx: ctx, platform: httptest.NewServer(fakeplatform.New(fakeplatform.Config{}).Handler())}
@@ -165,22 +165,27 @@
 	return task.Record{}
 }
 
+// stats is what a worker says took place there.
+func (b *bench) stats(server *httptest.Server) fakeworker.Stats {
+	b.t.Helper()
+	response, err := server.Client().Get(server.URL + "/standin/stats")
+	if err != nil {
+		b.t.Fatal(err)
+	}
+	defer func() { _ = response.Body.Close() }()
+	var stats fakeworker.Stats
+	if err := json.NewDecoder(response.Body).Decode(&stats); err != nil {
+		b.t.Fatal(err)
+	}
+	return stats
+}
+
 // runs counts the runs of each task at all workers.
 func (b *bench) runs() map[string]int {
 	b.t.Helper()
 	runs := map[string]int{}
 	for _, server := range b.workers {
-		response, err := server.Client().Get(server.URL + "/standin/stats")
-		if err != nil {
-			b.t.Fatal(err)
-		}
-		var stats fakeworker.Stats
-		err = json.NewDecoder(response.Body).Decode(&stats)
-		_ = response.Body.Close()
-		if err != nil {
-			b.t.Fatal(err)
-		}
-		for name, count := range stats.RunsPerTask {
+		for name, count := range b.stats(server).RunsPerTask {
 			runs[name] += count
 		}
 	}
--- a/internal/task/task_test.go
+++ b/internal/task/task_test.go
@@ -25,7 +25,9 @@
 		w.submit()
 	case event < 8 && len(w.specs) > 0:
 		w.request++
-		spec := w.specs[w.choose.intN("cancelled task", len(w.specs))]
+		// The youngest are the most likely to have a start under way.
+		youngest := w.specs[max(0, len(w.specs)-4):]
+		spec := youngest[w.choose.intN("cancelled task", len(youngest))]
 		w.faults["cancel"]++
 		w.current().controller.Cancel(w.now, w.request, queue, spec.ID)
 	case event < 14:
@@ -294,9 +296,9 @@
 		"not read":     {broken: mutantNotRead},
 		"incarnation":  {broken: mutantIncarnation},
 		"repeat":       {broken: mutantRepeat},
-		"silence":      {broken: mutantSilence, seed: 57},
-		"late poll":    {broken: mutantLatePoll, seed: 714},
-		"no tombstone": {broken: mutantNoTombstone, seed: 483},
+		"silence":      {broken: mutantSilence, seed: 87},
+		"late poll":    {broken: mutantLatePoll},
+		"no tombstone": {broken: mutantNoTombstone, seed: 382},
 	}
 	const maxSeeds = 1000
 	for name, tc := range tests {
