Let workers leave a shard, and say when they are drained

Cause: pools and maintenance must know that a host holds no task and gets none, also when managers change in between. Ruled out: an answer without a fence; a manager that was deposed without knowing would call a worker drained that its successor fills. Conclusion: Runner.SetLeaving and Runner.Drained, whose fence the move's transaction takes as a condition.

--- a/internal/task/controller.go
+++ b/internal/task/controller.go
@@ -112,11 +112,13 @@
 
 // Controller holds the tasks of one shard.
 type Controller struct {
-	cfg      Config
-	items    map[string]*item
-	lanes    map[place.Class]*laneSet
-	running  map[LaneKey]int
-	open     map[LaneKey]int
+	cfg     Config
+	items   map[string]*item
+	lanes   map[place.Class]*laneSet
+	running map[LaneKey]int
+	open    map[LaneKey]int
+	// heldAt counts the attempts on each worker that may run or be started there.
+	heldAt   map[string]int
 	limits   map[LaneKey]Limit
 	links    map[string]*link
 	names    []string
@@ -184,6 +186,7 @@
 		lanes:   make(map[place.Class]*laneSet),
 		running: make(map[LaneKey]int),
 		open:    make(map[LaneKey]int),
+		heldAt:  make(map[string]int),
 		links:   make(map[string]*link),
 		dirty:   make([][]*item, len(place.Classes())),
 	}
--- a/internal/task/life.go
+++ b/internal/task/life.go
@@ -250,18 +250,32 @@
 // hold counts the attempt on its worker and against its team's limit.
 func (c *Controller) hold(now time.Time, it *item, record Record) {
 	c.cfg.Placer.Place(now, demand(now, record), record.Attempt.Worker)
-	it.heldAt = record.Attempt.Worker
+	c.setHeldAt(it, record.Attempt.Worker)
 	if !it.counted {
 		it.counted = true
 		c.running[laneKey(record)]++
 	}
 }
 
+// setHeldAt moves the item's count to another worker, or to none.
+func (c *Controller) setHeldAt(it *item, worker string) {
+	if it.heldAt != "" {
+		c.heldAt[it.heldAt]--
+		if c.heldAt[it.heldAt] == 0 {
+			delete(c.heldAt, it.heldAt)
+		}
+	}
+	it.heldAt = worker
+	if worker != "" {
+		c.heldAt[worker]++
+	}
+}
+
 // release ends what hold began.
 func (c *Controller) release(now time.Time, it *item, result place.Result) {
 	if it.heldAt != "" {
 		c.cfg.Placer.Release(now, it.record.Name(), result)
-		it.heldAt = ""
+		c.setHeldAt(it, "")
 		c.scheduleAt = time.Time{}
 	}
 	if it.counted {
--- a/internal/task/link.go
+++ b/internal/task/link.go
@@ -98,6 +98,12 @@
 	}
 }
 
+// Held is the number of attempts that may run or be started on the worker. Once
+// it is 0 for a worker that was told to leave, it stays so under this epoch.
+func (c *Controller) Held(worker string) int {
+	return c.heldAt[worker]
+}
+
 // Silent reports whether the worker has stopped answering or has not joined; a
 // report of it is then wanted.
 func (c *Controller) Silent(worker string) bool {
--- a/internal/task/runner/hosts.go
+++ b/internal/task/runner/hosts.go
@@ -61,7 +61,7 @@
 		}
 		listed[host.Name] = true
 		w.reign.setAddress(host.Name, address)
-		if host.Pool != w.reign.cfg.Pool || host.State != platform.Live {
+		if host.Pool != w.reign.cfg.Pool || host.State != platform.Live || w.reign.isLeaving(host.Name) {
 			w.leave(host.Name)
 			continue
 		}
@@ -136,6 +136,9 @@
 		return
 	}
 	r.step(func(c *task.Controller, now time.Time) {
+		if r.leaving[host.Name] {
+			return // It was told to leave while it reported.
+		}
 		c.Join(now, place.Worker{
 			Name:       host.Name,
 			DataCentre: host.DataCentre,
--- a/internal/task/runner/reign.go
+++ b/internal/task/runner/reign.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"maps"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
@@ -16,15 +18,18 @@
 
 // reign is the time of one process as the manager of a shard.
 type reign struct {
-	cfg Config
+	cfg   Config
+	fence table.Condition
 	// wake asks for a step before the next tick.
 	wake chan struct{}
 
 	mu         sync.Mutex
 	controller *task.Controller
+	placer     *place.Placer
 	requests   uint64
 	replies    map[uint64]chan task.Reply
 	addresses  map[string]netip.AddrPort
+	leaving    map[string]bool
 	// pending are calls to workers beyond those that are on their way.
 	pending []task.Action
 	calls   int
@@ -36,7 +41,8 @@
 	taskConfig.Shard = cfg.Shard
 	taskConfig.Fence = fence
 	taskConfig.Epoch = epoch
-	taskConfig.Placer = place.New(place.Config{})
+	placer := place.New(place.Config{})
+	taskConfig.Placer = placer
 	controller := task.New(taskConfig)
 	for _, queue := range cfg.Queues {
 		rows, err := cfg.Store.Scan(ctx, task.Prefix(queue))
@@ -49,8 +55,10 @@
 	}
 	return &reign{
 		cfg:        cfg,
+		fence:      fence,
 		wake:       make(chan struct{}, 1),
 		controller: controller,
+		placer:     placer,
 		replies:    make(map[uint64]chan task.Reply),
 		addresses:  make(map[string]netip.AddrPort),
 	}, nil
@@ -64,6 +72,37 @@
 	r.poke()
 }
 
+// setLeaving replaces the workers that must get nothing new.
+func (r *reign) setLeaving(leaving map[string]bool) {
+	r.step(func(c *task.Controller, now time.Time) {
+		r.leaving = leaving
+		for _, name := range slices.Sorted(maps.Keys(leaving)) {
+			c.Leave(now, name, true)
+		}
+	})
+}
+
+// drained reports whether a leaving worker holds nothing.
+func (r *reign) drained(worker string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.leaving[worker] && r.controller.Held(worker) == 0
+}
+
+// isLeaving reports whether the worker must get nothing new.
+func (r *reign) isLeaving(worker string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.leaving[worker]
+}
+
+// dump returns the state of the controller and of the placer.
+func (r *reign) dump() Dump {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return Dump{Dump: r.controller.Dump(), Workers: r.placer.Dump()}
+}
+
 // poke wakes the loop without waiting for it.
 func (r *reign) poke() {
 	select {
--- a/internal/task/runner/runner.go
+++ b/internal/task/runner/runner.go
@@ -26,6 +26,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/sourcegraph/conc"
 
+	"github.com/lovagedyke/lovagedyke/internal/place"
 	"github.com/lovagedyke/lovagedyke/internal/platform"
 	"github.com/lovagedyke/lovagedyke/internal/table"
 	"github.com/lovagedyke/lovagedyke/internal/task"
@@ -84,6 +85,9 @@
 	// ListLag is the most that the host list lags behind the truth.
 	ListLag time.Duration
 	Tick    time.Duration
+	// Handicap, if set, is how long to let others claim a free shard first; it
+	// should grow with the number of shards that this process holds.
+	Handicap func() time.Duration
 	// Task is handed to the controller; shard, epoch, fence and placer are set.
 	Task task.Config
 }
@@ -96,6 +100,8 @@
 	mu     sync.Mutex
 	reign  *reign
 	limits map[task.LaneKey]task.Limit
+	// leaving are the workers that must get nothing new.
+	leaving map[string]bool
 }
 
 // New returns a runner that does nothing until Run.
@@ -150,6 +156,10 @@
 	if !claims {
 		return table.Condition{}, 0, false
 	}
+	if r.cfg.Handicap != nil {
+		// A claim that another made meanwhile makes this one's conditions fail.
+		r.pause(ctx, r.cfg.Handicap())
+	}
 	if err := r.cfg.Store.Commit(ctx, txn); err != nil && !table.IsUnknown(err) {
 		return table.Condition{}, 0, false
 	}
@@ -170,6 +180,7 @@
 	}
 	r.mu.Lock()
 	current.controller.SetLimits(maps.Clone(r.limits))
+	current.leaving = maps.Clone(r.leaving)
 	r.reign = current
 	r.mu.Unlock()
 	ctx, stop := context.WithCancel(ctx)
@@ -263,13 +274,45 @@
 	}
 }
 
-// Dump returns the controller's state; it is empty unless the shard is held.
-func (r *Runner) Dump() task.Dump {
+// SetLeaving replaces the set of workers that must get nothing new, whatever the
+// host list says. Their tasks are checkpointed and go elsewhere, but for those
+// not to be repeated, which end where they are.
+func (r *Runner) SetLeaving(workers []string) {
+	leaving := make(map[string]bool, len(workers))
+	for _, name := range workers {
+		leaving[name] = true
+	}
+	r.mu.Lock()
+	r.leaving = leaving
+	current := r.reign
+	r.mu.Unlock()
+	if current != nil {
+		current.setLeaving(maps.Clone(leaving))
+	}
+}
+
+// Drained reports whether the worker, which must have been told to leave, holds
+// nothing of this shard and will be given nothing. That is so as long as the
+// returned fence stands: a transaction that relies on it takes it as a condition.
+func (r *Runner) Drained(worker string) (fence table.Condition, drained bool, err error) {
+	current, err := r.current()
+	if err != nil {
+		return table.Condition{}, false, err
+	}
+	return current.fence, current.drained(worker), nil
+}
+
+// Dump is a shard's whole state in this process.
+type Dump struct {
+	task.Dump
+	Workers []place.WorkerState `json:"workers"`
+}
+
+// Dump returns the state; it is empty unless the shard is held.
+func (r *Runner) Dump() Dump {
 	current, err := r.current()
 	if err != nil {
-		return task.Dump{Shard: r.cfg.Shard, Deposed: true}
+		return Dump{Dump: task.Dump{Shard: r.cfg.Shard, Deposed: true}}
 	}
-	var dump task.Dump
-	current.step(func(c *task.Controller, _ time.Time) { dump = c.Dump() })
-	return dump
+	return current.dump()
 }
--- a/internal/task/runner/runner_test.go
+++ b/internal/task/runner/runner_test.go
@@ -264,6 +264,72 @@
 	}
 }
 
+// TestBadWorker wants the tasks done elsewhere when a worker fails everything.
+func TestBadWorker(t *testing.T) {
+	const (
+		tasks  = 40
+		wasted = 8
+	)
+	b := newBench(t, 3, 1)
+	b.faults(b.workers[0], "/standin/faults", map[string]any{"fail-everything": true})
+	for i := range tasks {
+		b.submit(fmt.Sprint("task-", i), fakeworker.Job{RunTime: duration.New(20 * time.Millisecond)}, false)
+	}
+	for i := range tasks {
+		record := b.await(fmt.Sprint("task-", i))
+		if got, want := record.State, task.Done; got != want {
+			t.Errorf("task %s: got %s (%s), want %s", record.ID, got, record.Reason, want)
+		}
+	}
+	if got, want := len(b.stats(b.workers[0]).Runs), wasted; got > want {
+		t.Errorf("runs on the bad worker: got %d, want at most %d", got, want)
+	}
+}
+
+// TestDrain moves the tasks off a worker that is told to leave, but for one that
+// must not be repeated, and wants it drained only when that has ended.
+func TestDrain(t *testing.T) {
+	b := newBench(t, 2, 1)
+	for i := range 4 {
+		b.submit(fmt.Sprint("task-", i), fakeworker.Job{RunTime: duration.New(time.Hour)}, false)
+	}
+	b.submit("once", fakeworker.Job{RunTime: duration.New(500 * time.Millisecond)}, true)
+	for len(b.runs()) < 5 && b.ctx.Err() == nil {
+		time.Sleep(10 * time.Millisecond)
+	}
+	r := b.runners[0]
+	record, _, err := r.Task(b.ctx, "plans", "once")
+	if err != nil || record.Attempt == nil {
+		t.Fatalf("task: got %+v, %v, want it on a worker", record, err)
+	}
+	leaving := record.Attempt.Worker
+	if _, drained, err := r.Drained(leaving); drained || err != nil {
+		t.Errorf("drained before it left: got %v, %v, want false", drained, err)
+	}
+	r.SetLeaving([]string{leaving})
+	for b.ctx.Err() == nil {
+		fence, drained, err := r.Drained(leaving)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if drained && fence.Version != 0 {
+			break
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	if got, want := b.await("once").State, task.Done; got != want {
+		t.Errorf("task not to be repeated: got %s, want %s", got, want)
+	}
+	for _, open := range r.Dump().Tasks {
+		if open.Attempt != nil && open.Attempt.Worker == leaving {
+			t.Errorf("task %s is still on the worker that left", open.Task)
+		}
+	}
+	if got, want := b.runs()["plans/once"], 1; got != want {
+		t.Errorf("runs: got %d, want %d", got, want)
+	}
+}
+
 func TestEnds(t *testing.T) {
 	tests := map[string]struct {
 		job        fakeworker.Job
