Recall placements from leaving workers and name a shard's holder

Cause: a placement whose row was written while its worker began to leave was still started there; for a task not to be repeated that holds the host for as long as the task runs.

--- a/internal/task/election.go
+++ b/internal/task/election.go
@@ -86,6 +86,11 @@
 	return fence, claim.Epoch, claim.Holder == e.cfg.Holder && claim.Epoch > 0
 }
 
+// Current is the last claim that the rows show.
+func (e *Election) Current(rows []table.Row) Claim {
+	return claimOf(rows[0])
+}
+
 // Beat is the heartbeat that a holder commits, at several times the rate that
 // the others' patience asks for; with release, others may claim at once.
 func (e *Election) Beat(fence table.Condition, release bool) table.Txn {
--- a/internal/task/life.go
+++ b/internal/task/life.go
@@ -67,6 +67,10 @@
 	if !wanted {
 		return
 	}
+	if order == OrderStart && c.mayRecall(it) {
+		c.requeue(now, it, record)
+		return
+	}
 	if now.Before(it.callAt) {
 		c.wake(it, it.callAt)
 		return
@@ -74,6 +78,18 @@
 	c.call(now, it, order)
 }
 
+// mayRecall reports whether the attempt, of which no start went out, is on a
+// worker that has begun to leave.
+func (c *Controller) mayRecall(it *item) bool {
+	known, ok := c.links[it.record.Attempt.Worker]
+	return ok && known.leaving && it.unstarted(c.cfg.Epoch)
+}
+
+// unstarted reports whether no manager can have sent a start of the attempt.
+func (it *item) unstarted(epoch uint64) bool {
+	return it.starts == 0 && it.record.State == Placed && it.record.Attempt.Epoch == epoch
+}
+
 // wantedOrder is the order that the worker should get next.
 func (it *item) wantedOrder() (Order, bool) {
 	switch {
@@ -127,8 +143,7 @@
 	switch {
 	case record.State == Running:
 		record.Ran = RanYes
-	case it.starts == 0 && record.Attempt.Epoch == c.cfg.Epoch:
-		// No start went out: this manager placed it and called nobody.
+	case it.unstarted(c.cfg.Epoch):
 		c.requeue(now, it, record)
 		return
 	case record.Ran == RanNo:
--- a/internal/task/link.go
+++ b/internal/task/link.go
@@ -26,6 +26,7 @@
 	// outstanding is set while a poll has not ended.
 	outstanding bool
 	silent      bool
+	leaving     bool
 	gone        bool
 }
 
@@ -83,6 +84,7 @@
 // is called after each report of a worker that is not leaving.
 func (c *Controller) Join(now time.Time, worker place.Worker, incarnation string) {
 	known := c.link(worker.Name)
+	known.leaving = false
 	c.cfg.Placer.Join(worker)
 	c.setSilent(worker.Name, false)
 	if known.incarnation == incarnation && !known.gone {
@@ -136,7 +138,11 @@
 func (c *Controller) Leave(now time.Time, worker string, drain bool) {
 	c.cfg.Placer.Leave(worker)
 	known, ok := c.links[worker]
-	if !ok || !drain {
+	if !ok {
+		return
+	}
+	known.leaving = true
+	if !drain {
 		return
 	}
 	for _, name := range sortedNames(known.items) {
--- a/internal/task/runner/runner.go
+++ b/internal/task/runner/runner.go
@@ -253,6 +253,16 @@
 	return current.ask(ctx, request)
 }
 
+// Holder returns the claim in force, so that a request can be passed on. Its
+// holder may have stopped since.
+func (r *Runner) Holder(ctx context.Context) (task.Claim, error) {
+	rows, err := r.cfg.Store.Get(ctx, r.election.Keys()...)
+	if err != nil {
+		return task.Claim{}, err
+	}
+	return r.election.Current(rows), nil
+}
+
 // Task returns a task's row, whoever manages the shard.
 func (r *Runner) Task(ctx context.Context, queue, id string) (task.Record, bool, error) {
 	rows, err := r.cfg.Store.Get(ctx, task.Key(queue, id))
--- a/internal/task/runner/runner_test.go
+++ b/internal/task/runner/runner_test.go
@@ -317,6 +317,9 @@
 		}
 		time.Sleep(10 * time.Millisecond)
 	}
+	if claim, err := r.Holder(b.ctx); claim.Holder != "manager-0" || err != nil {
+		t.Errorf("holder: got %+v, %v, want manager-0", claim, err)
+	}
 	if got, want := b.await("once").State, task.Done; got != want {
 		t.Errorf("task not to be repeated: got %s, want %s", got, want)
 	}
