--- a/internal/task/link.go
+++ b/internal/task/link.go
@@ -26,6 +26,7 @@
 	// outstanding is set while a poll has not ended.
 	outstanding bool
 	silent      bool
+	leaving     bool
 	gone        bool
 }
 
@@ -83,6 +84,7 @@
 // is called after each report of a worker that is not leaving.
 func (c *Controller) Join(now time.Time, worker place.Worker, incarnation string) {
 	known := c.link(worker.Name)
+	known.leaving = false
 	c.cfg.Placer.Join(worker)
 	c.setSilent(worker.Name, false)
 	if known.incarnation == incarnation && !known.gone {
@@ -98,6 +100,12 @@
 	}
 }
 
+// Held is the number of attempts that may run or be started on the worker. Once
+// it is 0 for a worker that was told to leave, it stays so under this epoch.
+func (c *Controller) Held(worker string) int {
+	return c.heldAt[worker]
+}
+
 // Silent reports whether the worker has stopped answering or has not joined; a
 // report of it is then wanted.
 func (c *Controller) Silent(worker string) bool {
@@ -130,7 +138,11 @@
 func (c *Controller) Leave(now time.Time, worker string, drain bool) {
 	c.cfg.Placer.Leave(worker)
 	known, ok := c.links[worker]
-	if !ok || !drain {
+	if !ok {
+		return
+	}
+	known.leaving = true
+	if !drain {
 		return
 	}
 	for _, name := range sortedNames(known.items) {
