Run queues: submit, watch, cancel and fetch through entries, under the teams' permits

A manager that holds a pool's shard takes a permit for each task that waits or runs, and bounds its lanes by what it has in hand; a permit goes back only after the bound was lowered. A task that ends as done is charged in the same transaction.

--- a/cmd/lovagedyke-standin/cmd_report.go
+++ b/cmd/lovagedyke-standin/cmd_report.go
@@ -20,6 +20,7 @@
 	"github.com/lovagedyke/lovagedyke/internal/standin/load"
 	"github.com/lovagedyke/lovagedyke/internal/standin/report"
 	"github.com/lovagedyke/lovagedyke/internal/standin/worker"
+	api "github.com/lovagedyke/lovagedyke/internal/worker"
 )
 
 // Prefixes of the rows that are named after runs.
@@ -119,6 +120,9 @@
 		}
 		for _, run := range stats.Runs {
 			s.evidence.Tasks = append(s.evidence.Tasks, report.Interval{Team: run.Team, Start: run.Start, End: run.End})
+			if run.State == api.Done {
+				s.evidence.TasksDone = append(s.evidence.TasksDone, chargedAs(run.ID))
+			}
 		}
 		for task, runs := range stats.RunsPerTask {
 			s.evidence.RunsPerTask[task] += runs
@@ -127,6 +131,12 @@
 	return s.collectCharges(ctx)
 }
 
+// chargedAs returns the run id on the charge of a start "<queue>/<task>.<attempt>".
+func chargedAs(start string) string {
+	name, attempt, _ := strings.Cut(start, ".")
+	return strings.Replace(name, "/", "-", 1) + ".0." + attempt
+}
+
 func (s *reportSources) collectCharges(ctx context.Context) error {
 	address, err := netip.ParseAddrPort(s.platform)
 	if err != nil {
--- a/internal/entry/call.go
+++ b/internal/entry/call.go
@@ -96,8 +96,8 @@
 func (c *call) route(state *revision.State) *api.Problem {
 	name, rest, _ := strings.Cut(strings.TrimPrefix(c.request.URL.Path, "/"), "/")
 	entry, ok := state.Catalogue.Entries[name]
-	if !ok || entry.Kind != catalogue.KindService {
-		return refuse(http.StatusNotFound, "unknown-service", "path", fmt.Sprintf("service %q is not in the catalogue", name))
+	if !ok {
+		return refuse(http.StatusNotFound, "unknown-service", "path", fmt.Sprintf("%.64q is not in the catalogue", name))
 	}
 	if c.request.Header.Get("Upgrade") != "" {
 		return refuse(http.StatusNotImplemented, "upgrade-not-supported", "Upgrade", "protocol upgrades are not forwarded")
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -10,7 +10,7 @@
 //
 // # Usage
 //
-//	e := entry.New(entry.Config{Node: n, Hosts: platform, Log: log})
+//	e := entry.New(entry.Config{Node: n, Hosts: platform, Objects: platform, Log: log})
 //	n.Add(e)
 //	done := e.Run(ctx)
 //	server.Handler = e
@@ -29,6 +29,7 @@
 	"github.com/charmbracelet/log"
 	"github.com/sourcegraph/conc"
 
+	"github.com/lovagedyke/lovagedyke/internal/catalogue"
 	"github.com/lovagedyke/lovagedyke/internal/node"
 	"github.com/lovagedyke/lovagedyke/internal/platform"
 	"github.com/lovagedyke/lovagedyke/internal/roster"
@@ -58,7 +59,9 @@
 type Config struct {
 	Node  *node.Node
 	Hosts HostLister
-	Log   *log.Logger
+	// Objects holds large results of tasks.
+	Objects ObjectGetter
+	Log     *log.Logger
 	// ClaimRetention is how long a repeat of a marked request is recognised.
 	ClaimRetention time.Duration
 }
@@ -220,6 +223,9 @@
 	if refusal != nil {
 		return c, refusal
 	}
+	if c.entry.Kind == catalogue.KindQueue {
+		return c, e.serveQueue(w, c)
+	}
 	if c.marked() {
 		return c, e.serveMarked(w, c)
 	}
--- a/internal/manager/limits.go
+++ b/internal/manager/limits.go
@@ -137,11 +137,12 @@
 	return roster.Member{}, false
 }
 
-// live returns the processes that should hold permits: those that dispatch work.
+// live returns the processes that should hold permits: those that dispatch
+// requests or tasks.
 func live(members roster.Roster) []limit.Member {
 	var names []limit.Member
 	for _, member := range members.Members {
-		if member.State == roster.StateActive && member.Role == roster.RoleEntry {
+		if member.State == roster.StateActive {
 			names = append(names, limit.Member(member.Identity.String()))
 		}
 	}
--- a/internal/manager/manager.go
+++ b/internal/manager/manager.go
@@ -8,7 +8,7 @@
 //
 // # Usage
 //
-//	m := manager.New(manager.Config{Node: n, Hosts: platform, ListLag: 5 * time.Second, Log: log})
+//	m := manager.New(manager.Config{Node: n, Platform: platform, ListLag: 5 * time.Second, Log: log})
 //	n.Add(m)
 //	done := m.Run(ctx)
 package manager
@@ -51,8 +51,8 @@
 
 // Config constructs a Manager.
 type Config struct {
-	Node  *node.Node
-	Hosts HostLister
+	Node     *node.Node
+	Platform Platform
 	// ListLag is how far the platform's list may be behind the truth.
 	ListLag time.Duration
 	// ClaimRetention is how long former generations of the roster may matter.
@@ -68,6 +68,7 @@
 	wake    chan struct{}
 
 	author *revision.Author
+	shards *shards
 	// pushes tracks what goes on after an operator was answered.
 	pushes conc.WaitGroup
 
@@ -84,6 +85,7 @@
 		wake:    make(chan struct{}, 1),
 	}
 	m.author = m.newAuthor()
+	m.shards = newShards(m)
 	return m
 }
 
@@ -95,6 +97,7 @@
 		loops.Go(func() { m.limitLoop(ctx) })
 		loops.Go(func() { m.rosterLoop(ctx) })
 		loops.Go(func() { m.settleLoop(ctx) })
+		loops.Go(func() { m.shards.run(ctx) })
 		loops.Wait()
 		m.pushes.Wait()
 		done <- ctx.Err()
@@ -102,9 +105,6 @@
 	return done
 }
 
-// Service returns the manager's answers to peers.
-func (m *Manager) Service() peerpb.Peer { return m.node.Service() }
-
 // Fill implements node.Part.
 func (m *Manager) Fill(*peerpb.State) {}
 
--- a/internal/manager/members.go
+++ b/internal/manager/members.go
@@ -27,7 +27,7 @@
 
 // tendRoster makes one round over the roster.
 func (m *Manager) tendRoster(ctx context.Context, watch *hostWatch) error {
-	hosts, err := m.config.Hosts.Hosts(ctx)
+	hosts, err := m.config.Platform.Hosts(ctx)
 	if err != nil {
 		return errors.Wrap(err, "read the host list")
 	}
--- a/internal/node/service.go
+++ b/internal/node/service.go
@@ -70,6 +70,19 @@
 	return &peerpb.FreezeReply{Report: peer.ReportMessage(report)}, nil
 }
 
+// errNoTasks answers calls on tasks at a process that manages none.
+var errNoTasks = twirp.NewError(twirp.Unimplemented, "this process manages no tasks")
+
+// SubmitTask implements peerpb.Peer.
+func (s *Service) SubmitTask(context.Context, *peerpb.SubmitTaskRequest) (*peerpb.TaskReply, error) {
+	return nil, errNoTasks
+}
+
+// CancelTask implements peerpb.Peer.
+func (s *Service) CancelTask(context.Context, *peerpb.CancelTaskRequest) (*peerpb.TaskReply, error) {
+	return nil, errNoTasks
+}
+
 // errNoClaims answers calls on claims at a process that holds none.
 var errNoClaims = twirp.NewError(twirp.Unimplemented, "this process holds no claims")
 
--- a/internal/process/manager.go
+++ b/internal/process/manager.go
@@ -27,7 +27,7 @@
 		return errors.Wrap(err, "read the operator key")
 	}
 	m := manager.New(manager.Config{
-		Node: p.node, Hosts: p.platform, ListLag: config.ListLag,
+		Node: p.node, Platform: p.platform, ListLag: config.ListLag,
 		ClaimRetention: config.ClaimRetention, Log: logger,
 	})
 	p.node.Add(m)
@@ -82,6 +82,7 @@
 	m.Finish()
 	handOver, cancel := context.WithTimeout(context.Background(), p.config.Grace/leaveShare+time.Second)
 	defer cancel()
+	p.node.HandOver(handOver)
 	p.leave(handOver)
 	return errors.Wrap(err, "requests outlived the grace")
 }
--- a/internal/standin/report/report.go
+++ b/internal/standin/report/report.go
@@ -28,6 +28,8 @@
 	// Tasks are the runs that the workers saw, and RunsPerTask their number.
 	Tasks       []Interval
 	RunsPerTask map[string]int
+	// TasksDone are the run ids of the tasks that workers completed.
+	TasksDone []string
 	// Loads are the load tool's reports by name.
 	Loads map[string]load.Report
 	// Limits are the teams' upper limits.
@@ -249,7 +251,7 @@
 	return Verdict{"runs without a charge", got, "0", missing == 0}
 }
 
-// runIDs returns the runs that endpoints completed.
+// runIDs returns the runs that endpoints and workers completed.
 func (e Evidence) runIDs() map[string]bool {
 	ran := make(map[string]bool)
 	for _, stats := range e.Endpoints {
@@ -257,6 +259,9 @@
 			ran[run.ID] = true
 		}
 	}
+	for _, id := range e.TasksDone {
+		ran[id] = true
+	}
 	return ran
 }
 
--- a/internal/task/runner/reign.go
+++ b/internal/task/runner/reign.go
@@ -173,7 +173,7 @@
 
 // commit applies a transaction.
 func (r *reign) commit(ctx context.Context, action task.Commit) {
-	err := r.cfg.Store.Commit(ctx, action.Txn)
+	err := r.cfg.Store.Commit(ctx, withCharges(action.Txn))
 	result := commitResult(err)
 	r.step(func(c *task.Controller, now time.Time) { c.Committed(now, action.Number, result) })
 }
--- a/internal/task/schedule.go
+++ b/internal/task/schedule.go
@@ -29,6 +29,8 @@
 type Limit struct {
 	// Running is the greatest number of tasks that are placed or running.
 	Running int
+	// Closed lets no further task start, whatever Running says.
+	Closed  bool
 	MaxOpen int
 	// Weight is the lane's share when tasks compete.
 	Weight float64
@@ -166,8 +168,8 @@
 
 // placeOne places the first of the lane's next tasks that finds a worker.
 func (c *Controller) placeOne(now time.Time, set *laneSet, key LaneKey) bool {
-	limit := c.limit(key).Running
-	if limit > 0 && c.running[key] >= limit {
+	limit := c.limit(key)
+	if limit.Closed || limit.Running > 0 && c.running[key] >= limit.Running {
 		return false
 	}
 	for _, it := range set.head(key) {
--- a/test/demo.sh
+++ b/test/demo.sh
@@ -133,7 +133,7 @@
 head -c 24 /dev/urandom | od -An -tx1 | tr -d ' \n' >"$work/operator.key"
 reserve platform
 for i in 1 2 3 4; do reserve "orders-$i" "bookings-$i"; done
-reserve orders-5
+reserve orders-5 worker-1 worker-2
 for i in 1 2 3; do
 	reserve "caller-$i" "entry-peer-$i" "entry-ops-$i" "operator-$i" "manager-peer-$i" "manager-ops-$i"
 done
@@ -146,6 +146,10 @@
 		endpoint_host "$i" "$service" live
 	done
 done
+for i in 1 2; do
+	start "worker-$i" "$bin/lovagedyke-standin" worker -listen "${addr[worker-$i]}" -name "host-worker-$i"
+	list_host "host-worker-$i" "{\"data-centre\":\"dc-$i\",\"rack\":\"rack-9\",\"pool\":\"plans\",\"state\":\"live\",\"endpoints\":[{\"service\":\"worker\",\"address\":\"${addr[worker-$i]}\",\"slots\":16,\"connections\":64}]}"
+done
 for i in 1 2 3; do
 	start_entry "$i"
 	start_manager "$i"
@@ -171,6 +175,17 @@
 load withdrawn -service orders -key "$spare" -rate 100 -duration 12s -deadline 3s
 sleep 3
 
+say "submit tasks, every third of them twice through two entries"
+submit() { # <entry> <key>
+	curl -sf -X POST "http://${addr[caller-$1]}/plans/tasks" -H "Authorization: Bearer $charters" \
+		-H "Idempotency-Key: $2" -d '{"cpus":1,"memory":1048576,"run-time":"300ms"}' >>"$work/tasks.json"
+}
+tasks=24
+for ((i = 1; i <= tasks; i++)); do
+	submit 1 "plan-$i"
+	[ $((i % 3)) -ne 0 ] || submit 3 "plan-$i"
+done
+
 say "withdraw a key under load"
 spare_id=${spare#lk_}
 spare_id=${spare_id%%_*}
@@ -193,6 +208,13 @@
 sleep 10
 curl -sf -X PUT "http://${addr[platform]}/faults" -d '{}' >/dev/null
 
+say "fetch the tasks' results"
+for id in $(grep -o '"id":"[0-9a-f]*"' "$work/tasks.json" | cut -d'"' -f4 | sort -u); do
+	curl -sf "http://${addr[caller-1]}/plans/tasks/$id?wait=10s" -H "Authorization: Bearer $charters" | grep -q '"state":"done"' ||
+		{ say "task $id is not done"; exit 1; }
+	curl -sf "http://${addr[caller-3]}/plans/tasks/$id/result" -H "Authorization: Bearer $charters" >/dev/null
+done
+
 await tackle charters marked withdrawn
 sleep 2
 
@@ -202,6 +224,7 @@
 endpoints+=(-endpoint "${addr[orders-5]}")
 status=0
 "$bin/lovagedyke-standin" report -platform "${addr[platform]}" "${endpoints[@]}" \
+	-worker "${addr[worker-1]}" -worker "${addr[worker-2]}" \
 	-load tackle="$work/tackle.json" -load charters="$work/charters.json" \
 	-load marked="$work/marked.json" -load withdrawn="$work/withdrawn.json" \
 	-withdrawn "withdrawn=$withdrawn_at" -limit tackle=40 -limit charters=20 || status=$?
