--- a/internal/claim/holder.go
+++ b/internal/claim/holder.go
@@ -13,7 +13,7 @@
 	defaultConfirmTimeout = 500 * time.Millisecond
 	defaultSlowTable      = 300 * time.Millisecond
 	defaultProbeInterval  = 500 * time.Millisecond
-	defaultMaxEntries     = 100_000
+	defaultMaxEntries     = 50_000
 	defaultMaxBatch       = 64
 	defaultMaxScans       = 8
 )
