--- a/internal/claim/fuzz_test.go
+++ b/internal/claim/fuzz_test.go
@@ -174,6 +174,40 @@
 			p.cut = false
 		}
 	}},
+	{"grant-in-outage", 5, func(w *world) {
+		w.setDown(true)
+		if p := w.any(); p != nil {
+			w.submit(p, w.id())
+		}
+		w.drain()
+		w.setDown(false)
+	}},
+	{"holder-dies", 3, func(w *world) {
+		if p := w.holder(); p != nil {
+			p.alive = false
+			w.change(func(r roster.Roster) (roster.Roster, bool) {
+				return roster.Remove(r, p.self, roster.EvidenceHostGone, w.now)
+			})
+		}
+	}},
+	{"holder-cut-off", 2, func(w *world) {
+		if p := w.holder(); p != nil {
+			p.cut = true
+		}
+	}},
+	{"all-refresh", 5, func(w *world) {
+		for _, p := range w.procs {
+			if p.alive {
+				w.refresh(p)
+			}
+		}
+	}},
+	{"repeat", 6, func(w *world) {
+		if p := w.any(); p != nil && len(w.ids) > 0 {
+			w.submit(p, w.ids[len(w.ids)-1])
+			w.drain()
+		}
+	}},
 	{"outage", 4, func(w *world) { w.setDown(true) }},
 	{"outage-ends", 4, func(w *world) { w.setDown(false) }},
 	{"lose-answers", 3, func(w *world) { w.lose = true }},
@@ -222,6 +256,19 @@
 	return fmt.Sprintf("%s-%s-7000-8000-%012d", stamp[:8], stamp[8:], n)
 }
 
+// holder returns home or second of the newest id, as one process sees them.
+func (w *world) holder() *process {
+	p := w.any()
+	if p == nil || len(w.ids) == 0 {
+		return nil
+	}
+	home, second := p.view.Pair(claim.BucketKey(w.ids[len(w.ids)-1].Bucket()))
+	if w.pick(2) == 0 {
+		return w.find(home.Identity)
+	}
+	return w.find(second.Identity)
+}
+
 // attempt runs f on a claimant's attempt in the state, if there is one.
 func (w *world) attempt(state string, f func(*process, claim.Token, *attempt)) {
 	p := w.any()
