--- a/internal/share/divide_test.go
+++ b/internal/share/divide_test.go
@@ -103,3 +103,33 @@
 		}
 	}
 }
+
+// TestLagIsMadeUpWithinBounds compares a division with and without lag.
+func TestLagIsMadeUpWithinBounds(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		demands := drawDemands(t)
+		capacity := rapid.IntRange(1, 120).Draw(t, "capacity")
+		before := totals(Divide(capacity, nil, demands))
+		late := demands[0].Flows[0].Flow
+		demands[0].Flows[0].Lag = rapid.Float64Range(0, 1000).Draw(t, "lag")
+		after := totals(Divide(capacity, nil, demands))
+		if after[late] < before[late]-tolerance || after[late] > before[late]*maxCorrection+tolerance {
+			t.Fatalf("got %v slots for the flow that lags, had %v", after[late], before[late])
+		}
+		for flow := range before {
+			if flow != late && after[flow] < before[flow]/maxCorrection-tolerance {
+				t.Fatalf("%v: got %v slots, had %v", flow, after[flow], before[flow])
+			}
+		}
+	})
+}
+
+func totals(division Division) map[Flow]float64 {
+	out := map[Flow]float64{}
+	for _, quotas := range division.Quota {
+		for flow, quota := range quotas {
+			out[flow] += quota
+		}
+	}
+	return out
+}
