--- a/internal/share/divide.go
+++ b/internal/share/divide.go
@@ -22,7 +22,7 @@
 	flows := flowsOf(sorted)
 	rows := make([]row, len(sorted))
 	for i, demand := range sorted {
-		rows[i] = row{debt: demand.Debt}
+		rows[i] = row{debt: bounded(demand.Debt)}
 		rows[i].fill(flows, demand.Flows)
 	}
 	var div divider
@@ -55,7 +55,7 @@
 	for _, d := range demands {
 		if i, ok := slices.BinarySearchFunc(flows, d.Flow, compareFlows); ok {
 			r.demand[i] += float64(max(0, d.InFlight) + max(0, d.Queued))
-			r.lag[i] += d.Lag
+			r.lag[i] += bounded(d.Lag)
 		}
 	}
 }
@@ -66,6 +66,16 @@
 	r.quota = slices.Grow(r.quota[:0], n)[:n]
 }
 
+// bounded keeps what a peer sent from spoiling the sums of a division.
+func bounded(slotSeconds float64) float64 {
+	if math.IsNaN(slotSeconds) {
+		return 0
+	}
+	return min(max(slotSeconds, -maxSlotSeconds), maxSlotSeconds)
+}
+
+const maxSlotSeconds = 1e6
+
 // divider holds the scratch space of a division, so that repeating it does not
 // allocate.
 type divider struct {
--- a/internal/share/flow.go
+++ b/internal/share/flow.go
@@ -57,7 +57,11 @@
 
 // settleLag counts the time since the last division.
 func (f *flow) settleLag(elapsed float64) {
-	f.lag += f.fair*elapsed - f.used - f.lag*elapsed/lagFade.Seconds()
+	fade := lagFade.Seconds()
+	f.lag = f.lag*math.Exp(-elapsed/fade) + f.fair*elapsed - f.used
+	// A process that was paused has not divided for long.
+	limit := fade * max(1, f.fair)
+	f.lag = min(max(f.lag, -limit), limit)
 	f.used = 0
 }
 
--- a/internal/share/scheduler.go
+++ b/internal/share/scheduler.go
@@ -140,7 +140,8 @@
 	return true
 }
 
-// SetPeer takes a peer's gossiped demand. A message from itself is ignored.
+// SetPeer takes a peer's gossiped demand, which it keeps: the caller must not
+// change d.Flows afterwards. A message from itself is ignored.
 func (s *Scheduler) SetPeer(now time.Time, d Demand) Actions {
 	s.reset()
 	if d.Entry == s.cfg.Entry {
@@ -180,7 +181,10 @@
 // SetCapacity sets the slots of the service's healthy endpoints, fleet-wide.
 func (s *Scheduler) SetCapacity(now time.Time, slots int) Actions {
 	s.reset()
-	s.cfg.Capacity = max(0, slots)
+	if slots = max(0, slots); slots == s.cfg.Capacity {
+		return s.acts
+	}
+	s.cfg.Capacity = slots
 	s.divide(now)
 	s.fill(now)
 	return s.acts
@@ -427,7 +431,7 @@
 	if i >= s.self {
 		r = &s.rows[i+1]
 	}
-	r.debt = s.peers[i].demand.Debt
+	r.debt = bounded(s.peers[i].demand.Debt)
 	r.fill(s.keys, s.peers[i].demand.Flows)
 }
 
--- a/internal/share/scheduler_test.go
+++ b/internal/share/scheduler_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"testing"
 	"time"
 
@@ -260,6 +261,27 @@
 	}
 }
 
+func TestPauseDoesNotPileUpLag(t *testing.T) {
+	s := New(Config{Entry: "e0", Capacity: 2})
+	for id := range uint64(9) {
+		s.Submit(epoch, Ticket{ID: id, Team: []string{"a", "b"}[id%2], Deadline: epoch.Add(time.Hour)})
+	}
+	s.SetPeer(epoch, Demand{Entry: "e1", Debt: math.NaN(), Flows: []FlowDemand{
+		{Flow: Flow{Team: "a"}, Queued: 9, Lag: math.NaN()},
+	}})
+	for _, pause := range []time.Duration{10 * time.Millisecond, 10 * time.Minute} {
+		s.Tick(epoch.Add(pause))
+	}
+	for _, d := range s.Demand().Flows {
+		if limit := lagFade.Seconds(); math.IsNaN(d.Lag) || math.Abs(d.Lag) > limit {
+			t.Errorf("%s: got a lag of %v slot-seconds, want at most %v", d.Team, d.Lag, limit)
+		}
+	}
+	if got := s.State().Slots; got < 0 || got > 2 {
+		t.Errorf("got %d slots of 2", got)
+	}
+}
+
 func BenchmarkSubmitFinish(b *testing.B) {
 	b.ReportAllocs()
 	b.RunParallel(func(pb *testing.PB) {
