Bound the room kept for starving tasks

Cause: in an overloaded pool every waiting task asked for a worker's room to be kept, also small ones; and room kept on a worker that left was waited for until the hold ran out, up to 10 minutes. Conclusion: an eighth of the workers at most, for tasks of a quarter of a worker or more; TestHoldEndsWithItsWorker.

--- a/internal/place/choose.go
+++ b/internal/place/choose.go
@@ -15,6 +15,10 @@
 	// does not make room at once.
 	preemptHold  = time.Second
 	starvingHold = 10 * time.Minute
+	// largePart is the part of a worker from which a task counts as large.
+	largePart = 0.25
+	// workersPerHold bounds the workers held for starving tasks.
+	workersPerHold = 8
 	// checkpointCost is what a checkpoint weighs against a throttling.
 	checkpointCost = 10
 )
@@ -29,9 +33,10 @@
 	if p.exhausted(d) {
 		return Decision{Outcome: Exhausted}
 	}
-	if w, ok := p.holds[d.Task]; ok && w.hold.inForce(now) {
+	if w, ok := p.holds[d.Task]; ok && w.hold.inForce(now) && w.open(now, d) {
 		return Decision{Outcome: Waits}
 	}
+	p.releaseHold(d.Task)
 	if d.Class == Urgent {
 		return p.preempt(now, d, need)
 	}
@@ -180,14 +185,22 @@
 	return victims
 }
 
-// keepRoom holds the emptiest fitting worker for a starving task.
+// keepRoom holds the emptiest fitting worker for a starving task. Small tasks
+// need none, for room for them comes of itself; and held room may stand idle, so
+// that few workers are held.
 func (p *Placer) keepRoom(now time.Time, d Demand, need Size) {
+	if len(p.holds) >= max(1, len(p.names)/workersPerHold) {
+		return
+	}
 	var emptiest *worker
 	for _, name := range p.names {
 		w := p.workers[name]
 		if !need.Fits(w.Size) || w.hold.inForce(now) || !w.open(now, d) {
 			continue
 		}
+		if need.fraction(w.Size) < largePart {
+			continue
+		}
 		if emptiest == nil || w.used.fraction(w.Size) < emptiest.used.fraction(emptiest.Size) {
 			emptiest = w
 		}
--- a/internal/place/place_test.go
+++ b/internal/place/place_test.go
@@ -129,6 +129,24 @@
 	}
 }
 
+// TestHoldEndsWithItsWorker wants room kept elsewhere when the worker whose room
+// was kept leaves.
+func TestHoldEndsWithItsWorker(t *testing.T) {
+	placer := pool(place.Config{}, 2)
+	for i := range 2 {
+		placer.Place(start, demand(fmt.Sprint("held-", i), place.Normal, 8, 1), fmt.Sprint("worker-", i))
+	}
+	large := demand("large", place.Normal, 16, 1)
+	large.Waited = time.Minute
+	placer.Choose(start, large)
+	placer.Leave("worker-0")
+	placer.Choose(start, large)
+	states := placer.Dump()
+	if got, want := []string{states[0].Hold, states[1].Hold}, []string{"", "large"}; !slices.Equal(got, want) {
+		t.Errorf("holds: got %q, want %q", got, want)
+	}
+}
+
 func TestNeedLearns(t *testing.T) {
 	tests := map[string]struct {
 		cfg   place.Config
--- a/internal/task/bench_test.go
+++ b/internal/task/bench_test.go
@@ -1,6 +1,7 @@
 package task_test
 
 import (
+	"context"
 	"encoding/json"
 	"fmt"
 	"runtime"
@@ -72,6 +73,93 @@
 	}
 }
 
+// BenchmarkBacklog measures a second of a full shard with waiting tasks of 130
+// teams, in which ten tasks end and ten others take their places. Carrying the
+// actions out is not counted.
+func BenchmarkBacklog(b *testing.B) {
+	for _, waiting := range []int{130, 1300, 2600, 5200} {
+		b.Run(fmt.Sprintf("waiting-%d", waiting), func(b *testing.B) {
+			now := time.Unix(1_000_000, 0)
+			shard := newFullShard(now, waiting)
+			for b.Loop() {
+				for range 10 {
+					now = now.Add(100 * time.Millisecond)
+					shard.endOne(now)
+					actions := shard.controller.Step(now)
+					b.StopTimer()
+					shard.carryOut(now, actions)
+					b.StartTimer()
+				}
+			}
+			b.ReportMetric(float64(shard.ended)/float64(b.N), "ended/second")
+		})
+	}
+}
+
+// fullShard is a controller whose workers take every start.
+type fullShard struct {
+	controller *task.Controller
+	store      *table.Memory
+	running    []task.Call
+	submitted  int
+	ended      int
+}
+
+func newFullShard(now time.Time, waiting int) *fullShard {
+	s := &fullShard{store: table.NewMemory(), controller: task.New(task.Config{
+		Shard: "pool-a", Epoch: 1, Fence: table.Condition{Key: "fence"}, Placer: place.New(place.Config{}),
+		CommitEvery: time.Millisecond, Retain: time.Second,
+	})}
+	for i := range benchWorkers {
+		s.controller.Join(now, place.Worker{Name: fmt.Sprintf("worker-%02d", i), Size: place.Size{CPUs: 16, Memory: 64 << 30}}, "a")
+	}
+	for range waiting + 8*benchWorkers {
+		s.submit(now)
+	}
+	for range 200 {
+		s.carryOut(now, s.controller.Step(now))
+		now = now.Add(time.Millisecond)
+	}
+	return s
+}
+
+func (s *fullShard) submit(now time.Time) {
+	next := spec(fmt.Sprintf("task-%06d", s.submitted), place.Normal, 2)
+	next.Team = fmt.Sprint("team-", s.submitted%130)
+	s.submitted++
+	s.controller.Submit(now, 0, next)
+}
+
+// endOne ends the oldest running task and submits another in its place.
+func (s *fullShard) endOne(now time.Time) {
+	if len(s.running) == 0 {
+		return
+	}
+	oldest := s.running[0]
+	s.running = s.running[1:]
+	s.ended++
+	s.controller.Called(now, oldest, task.Answer{Kind: task.AnswerDone, Incarnation: "a"})
+	s.submit(now)
+}
+
+func (s *fullShard) carryOut(now time.Time, actions []task.Action) {
+	for _, action := range actions {
+		switch action := action.(type) {
+		case task.Commit:
+			_ = s.store.Commit(context.Background(), action.Txn)
+			s.controller.Committed(now, action.Number, task.CommitApplied)
+		case task.Read:
+			rows, _ := s.store.Get(context.Background(), action.Keys...)
+			s.controller.Read(now, action.Number, rows, true)
+		case task.Call:
+			s.running = append(s.running, action)
+			s.controller.Called(now, action, task.Answer{Kind: task.AnswerRunning, Incarnation: "a"})
+		case task.Poll:
+			s.controller.Polled(now, action, stillRunning(action))
+		}
+	}
+}
+
 // stillRunning answers that all polled tasks run.
 func stillRunning(poll task.Poll) task.PollResult {
 	result := task.PollResult{Kind: task.AnswerRunning, Incarnation: "a"}
--- a/internal/task/record.go
+++ b/internal/task/record.go
@@ -2,7 +2,7 @@
 
 import (
 	"encoding/json"
-	"fmt"
+	"strconv"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -131,7 +131,7 @@
 	if r.Attempt == nil {
 		return ""
 	}
-	return fmt.Sprintf("%s/%s.%d", r.Queue, r.ID, r.Attempt.Number)
+	return r.Name() + "." + strconv.Itoa(r.Attempt.Number)
 }
 
 // Name is the task's name among all queues.
