limit: a settled row costs the planner a seventh

Planner.Step on a settled row, 32 members: 51.4 us and 12,104 B before, 7.4 us and 1,104 B after (same busy machine): it sorted all members three times.

--- a/internal/limit/plan.go
+++ b/internal/limit/plan.go
@@ -1,6 +1,9 @@
 package limit
 
-import "slices"
+import (
+	"maps"
+	"slices"
+)
 
 // Verdict is what a manager should do with a team's row now.
 type Verdict string
@@ -86,27 +89,35 @@
 // Extend works out what can be added to a row within its generation: new
 // members and a raised limit. It needs no reports.
 func Extend(in PlanInput) Outcome {
+	limit := max(in.Limit, in.Row.Limit)
+	free := limit - in.Row.Minted()
+	takers := takers(in, in.Row)
+	if limit == in.Row.Limit && !grows(in.Row, takers, free) {
+		return Outcome{Verdict: Settled}
+	}
 	next := Grant{
 		Team:       in.Row.Team,
 		Generation: in.Row.Generation,
-		Limit:      max(in.Limit, in.Row.Limit),
+		Limit:      limit,
 		Granted:    make(map[Member]int),
 		Carried:    in.Row.Carried,
 	}
-	for m, n := range in.Row.Granted {
-		next.Granted[m] = n
-	}
-	takers := takers(in, in.Row)
-	for _, m := range takers {
-		next.Granted[m] += 0
-	}
-	divide(next.Granted, takers, next.Limit-in.Row.Minted())
-	if next.Limit == in.Row.Limit && len(next.Granted) == len(in.Row.Granted) && next.Minted() == in.Row.Minted() {
-		return Outcome{Verdict: Settled}
-	}
+	maps.Copy(next.Granted, in.Row.Granted)
+	divide(next.Granted, takers, free)
 	return Outcome{Verdict: Commit, Next: next}
 }
 
+// grows reports whether the takers would add to the row.
+func grows(row Grant, takers []Member, free int) bool {
+	if free > 0 && len(takers) > 0 {
+		return true
+	}
+	return slices.ContainsFunc(takers, func(m Member) bool {
+		_, known := row.Granted[m]
+		return !known
+	})
+}
+
 // create returns a team's first row.
 func create(in PlanInput) Outcome {
 	if len(in.Live) == 0 {
--- a/internal/limit/planner.go
+++ b/internal/limit/planner.go
@@ -1,9 +1,6 @@
 package limit
 
-import (
-	"slices"
-	"time"
-)
+import "time"
 
 // PlannerConfig constructs a Planner.
 type PlannerConfig struct {
@@ -105,6 +102,9 @@
 	p.teams[in.Row.Team].since = time.Time{}
 	outcome := Extend(in)
 	decision := Decision{Verdict: outcome.Verdict, Next: outcome.Next}
+	if len(in.Row.Carried) == 0 {
+		return decision
+	}
 	for _, request := range missing(in) {
 		if _, carried := in.Row.Carried[request.To]; carried {
 			decision.Freezes = append(decision.Freezes, request)
@@ -154,20 +154,25 @@
 	if in.Limit < in.Row.Limit {
 		return true
 	}
-	for _, m := range in.Row.members() {
+	for m := range in.Reports {
 		// A report means that the member's trade has ended, or that a carried
 		// member can come back.
 		if _, ok := reportOf(in, m); ok {
 			return true
 		}
 	}
-	return slices.ContainsFunc(in.Row.members(), func(m Member) bool { return reclaimable(in, m) })
+	for m := range in.Gone {
+		if reclaimable(in, m) {
+			return true
+		}
+	}
+	return false
 }
 
 // reclaimable reports whether a rebase would strike the member off: it is
 // gone, and in its generation nobody is known to be silent.
 func reclaimable(in PlanInput, m Member) bool {
-	if !in.Gone[m] {
+	if _, known := in.Row.expects(m); !known || !in.Gone[m] {
 		return false
 	}
 	carry, carried := in.Row.Carried[m]
