--- a/internal/entry/endpoints.go
+++ b/internal/entry/endpoints.go
@@ -2,14 +2,28 @@
 
 import (
 	"context"
+	"net/netip"
+	"sync"
 	"time"
 
 	"github.com/lovagedyke/lovagedyke/internal/catalogue"
+	"github.com/lovagedyke/lovagedyke/internal/peer/peerpb"
 	"github.com/lovagedyke/lovagedyke/internal/platform"
+	"github.com/lovagedyke/lovagedyke/internal/pool"
 	"github.com/lovagedyke/lovagedyke/internal/roster"
 	"github.com/lovagedyke/lovagedyke/internal/route"
 )
 
+// hostView is what the entry knows of hosts: the platform's list, which lags,
+// and our own assignments, which are known at once.
+type hostView struct {
+	mu          sync.Mutex
+	hosts       []platform.Host
+	assignments map[string]pool.Assignment
+	// obeyed are the assignments that the pickers follow by now.
+	obeyed map[string]pool.Assignment
+}
+
 // hostsLoop follows the platform's list of hosts.
 func (e *Entry) hostsLoop(ctx context.Context) {
 	for {
@@ -22,8 +36,8 @@
 	}
 }
 
-// readHosts takes the endpoints and shares of every service. When the list
-// cannot be read the last one stays in force.
+// readHosts takes the platform's list. When it cannot be read the last one
+// stays in force.
 func (e *Entry) readHosts(ctx context.Context) {
 	hosts, err := e.config.Hosts.Hosts(ctx)
 	if err != nil {
@@ -32,8 +46,28 @@
 		}
 		return
 	}
+	e.view.mu.Lock()
+	e.view.hosts = hosts
+	e.view.mu.Unlock()
+	e.follow()
+	e.hostsOnce.Do(func() { close(e.hostsRead) })
+}
+
+// HostsChanged implements node.Part.
+func (e *Entry) HostsChanged(assignments map[string]pool.Assignment) {
+	e.view.mu.Lock()
+	e.view.assignments = assignments
+	e.view.mu.Unlock()
+	e.follow()
+}
+
+// follow gives the pickers the endpoints and the schedulers the shares, and
+// notes which assignments are obeyed by then.
+func (e *Entry) follow() {
+	e.view.mu.Lock()
+	defer e.view.mu.Unlock()
 	now := e.now()
-	endpoints := endpointsByService(hosts)
+	endpoints := e.view.endpoints()
 	entries := e.activeEntries()
 	state := e.node.Configuration().View().State
 	for name, entry := range state.Catalogue.Entries {
@@ -45,30 +79,67 @@
 		s.setWeights(now, weights(state.Catalogue, entry))
 		s.tick(now)
 	}
-	e.hostsOnce.Do(func() { close(e.hostsRead) })
+	e.view.obeyed = e.view.assignments
 }
 
-// activeEntries returns how many entries share the endpoints' connections.
-func (e *Entry) activeEntries() int {
-	members, _ := e.node.Roster()
-	return max(1, len(members.Active()))
-}
-
-// endpointsByService groups the hosts' endpoints.
-func endpointsByService(hosts []platform.Host) map[string][]route.Endpoint {
+// endpoints groups the endpoints by service; those of a host that the platform
+// or we take out of service are leaving.
+func (v *hostView) endpoints() map[string][]route.Endpoint {
 	grouped := make(map[string][]route.Endpoint)
-	for _, host := range hosts {
+	for _, host := range v.hosts {
+		leaving := host.State != platform.Live
+		if assignment, ok := v.assignments[host.Name]; ok && assignment.Phase != pool.Serving {
+			leaving = true
+		}
 		for _, endpoint := range host.Endpoints {
 			grouped[endpoint.Service] = append(grouped[endpoint.Service], route.Endpoint{
 				Address: endpoint.Address, DataCentre: host.DataCentre,
-				Slots: endpoint.Slots, Connections: endpoint.Connections,
-				Leaving: host.State == platform.Leaving,
+				Slots: endpoint.Slots, Connections: endpoint.Connections, Leaving: leaving,
 			})
 		}
 	}
 	return grouped
 }
 
+// confirmations tells of each host out of service how much may still run there.
+func (e *Entry) confirmations() []*peerpb.HostConfirmation {
+	e.view.mu.Lock()
+	defer e.view.mu.Unlock()
+	now := e.now()
+	addresses := e.view.addresses()
+	var confirmations []*peerpb.HostConfirmation
+	for name, assignment := range e.view.obeyed {
+		if assignment.Phase == pool.Serving {
+			continue
+		}
+		inFlight := 0
+		for _, address := range addresses[name] {
+			inFlight += e.outstanding.at(address, now)
+		}
+		confirmations = append(confirmations, &peerpb.HostConfirmation{
+			Host: name, Epoch: assignment.Epoch, InFlight: int32(inFlight),
+		})
+	}
+	return confirmations
+}
+
+// addresses returns the endpoints' addresses by host.
+func (v *hostView) addresses() map[string][]netip.AddrPort {
+	byHost := make(map[string][]netip.AddrPort)
+	for _, host := range v.hosts {
+		for _, endpoint := range host.Endpoints {
+			byHost[host.Name] = append(byHost[host.Name], endpoint.Address)
+		}
+	}
+	return byHost
+}
+
+// activeEntries returns how many entries share the endpoints' connections.
+func (e *Entry) activeEntries() int {
+	members, _ := e.node.Roster()
+	return max(1, len(members.Active()))
+}
+
 // weights returns each admitted team's weight for the entry.
 func weights(c catalogue.Catalogue, entry catalogue.Entry) map[string]float64 {
 	byTeam := make(map[string]float64)
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -76,6 +76,9 @@
 	charges   *charges
 	forwarder *forwarder
 	tickets   atomic.Uint64
+	// outstanding counts attempts at endpoints, for drains.
+	outstanding *outstanding
+	view        hostView
 
 	// runs ends when attempts under way must be given up.
 	runs     context.Context
@@ -97,16 +100,17 @@
 func New(config Config) *Entry {
 	runs, stopRuns := context.WithCancel(context.Background())
 	e := &Entry{
-		config:    config,
-		node:      config.Node,
-		permits:   newPermits(config.Node.Ledger(), config.Node.Short),
-		claims:    newClaims(config.Node, config.ClaimRetention),
-		forwarder: newForwarder(connectionsPerEndpoint),
-		runs:      runs,
-		stopRuns:  stopRuns,
-		services:  make(map[string]*service),
-		hostsRead: make(chan struct{}),
-		metrics:   newMeters(),
+		config:      config,
+		node:        config.Node,
+		permits:     newPermits(config.Node.Ledger(), config.Node.Short),
+		claims:      newClaims(config.Node, config.ClaimRetention),
+		forwarder:   newForwarder(connectionsPerEndpoint),
+		runs:        runs,
+		stopRuns:    stopRuns,
+		services:    make(map[string]*service),
+		hostsRead:   make(chan struct{}),
+		outstanding: newOutstanding(),
+		metrics:     newMeters(),
 	}
 	e.charges = newCharges(config.Node, config.Log)
 	e.books = &books{claims: e.claims, charges: e.charges, background: e.background}
@@ -250,7 +254,7 @@
 		return s
 	}
 	self := e.node.Self()
-	s = newService(self.Name, self.DataCentre, self.Incarnation+uint64(len(e.services)))
+	s = newService(self.Name, self.DataCentre, self.Incarnation+uint64(len(e.services)), e.outstanding)
 	e.services[name] = s
 	return s
 }
--- a/internal/entry/gossip.go
+++ b/internal/entry/gossip.go
@@ -9,8 +9,9 @@
 	"github.com/lovagedyke/lovagedyke/internal/share"
 )
 
-// Fill implements node.Part: it adds demand and load.
+// Fill implements node.Part: it adds demand, load and what draining hosts run.
 func (e *Entry) Fill(state *peerpb.State) {
+	state.Hosts = e.confirmations()
 	e.eachService(func(name string, s *service) {
 		demand, loads := s.gossip()
 		state.Demands = append(state.Demands, demandMessage(name, demand))
--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -131,6 +131,7 @@
 	if again && !sent {
 		// Nothing ran: slot and permit serve for the next attempt.
 		t.service.done(now, a.endpoint, route.Failed, now.Sub(a.started))
+		t.entry.outstanding.end(a.endpoint)
 		a.cancel()
 		return nil
 	}
@@ -146,6 +147,7 @@
 func (t *trial) failDeclined(a *attempt, rep reply, verdict retry.Verdict) *api.Problem {
 	now := t.entry.now()
 	t.service.done(now, a.endpoint, route.Refused, now.Sub(a.started))
+	t.entry.outstanding.end(a.endpoint)
 	a.cancel()
 	if verdict == retry.Again {
 		return nil
@@ -184,6 +186,7 @@
 	now := t.entry.now()
 	t.entry.books.proven(t.entry.runs, t.call, a, rep, now)
 	t.service.done(now, a.endpoint, resultOf(rep.response.StatusCode), now.Sub(a.started))
+	t.entry.outstanding.end(a.endpoint)
 	t.admission.end(now)
 	a.cancel()
 }
@@ -195,11 +198,14 @@
 	a.cancel()
 	if !a.sent.Load() {
 		t.entry.books.notRun(t.call)
+		t.entry.outstanding.end(a.endpoint)
 		t.admission.end(now)
 		return
 	}
+	until := a.started.Add(t.call.entry.LongestRun)
 	t.entry.books.unproven(t.call, a, rep.err, now)
-	t.admission.linger(now, a.started.Add(t.call.entry.LongestRun))
+	t.entry.outstanding.linger(a.endpoint, until)
+	t.admission.linger(now, until)
 }
 
 // resultOf tells what a status says of the endpoint's health.
--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -23,6 +23,8 @@
 	random    *rand.Rand
 	waiting   map[uint64]chan turn
 	capacity  int
+	// outstanding is shared by all services of the entry.
+	outstanding *outstanding
 }
 
 // turn ends a request's wait for a slot.
@@ -32,13 +34,14 @@
 }
 
 // newService returns the service's state at the entry of that name.
-func newService(entry, dataCentre string, seed uint64) *service {
+func newService(entry, dataCentre string, seed uint64, counts *outstanding) *service {
 	return &service{
-		scheduler: share.New(share.Config{Entry: entry}),
-		picker:    route.New(route.Config{Entry: entry, DataCentre: dataCentre}),
-		budget:    retry.New(retry.Config{}),
-		random:    rand.New(rand.NewPCG(seed, seed)),
-		waiting:   make(map[uint64]chan turn),
+		outstanding: counts,
+		scheduler:   share.New(share.Config{Entry: entry}),
+		picker:      route.New(route.Config{Entry: entry, DataCentre: dataCentre}),
+		budget:      retry.New(retry.Config{}),
+		random:      rand.New(rand.NewPCG(seed, seed)),
+		waiting:     make(map[uint64]chan turn),
 	}
 }
 
@@ -90,7 +93,13 @@
 	if fresh {
 		s.budget.Fresh()
 	}
-	return s.picker.Pick(now, s.random, tried)
+	endpoint, ok := s.picker.Pick(now, s.random, tried)
+	if ok {
+		// Counted under the same lock as a drain is obeyed, so that no attempt
+		// can slip between the drain and its confirmation.
+		s.outstanding.begin(endpoint)
+	}
+	return endpoint, ok
 }
 
 // done tells how an attempt at the endpoint ended.
--- a/internal/manager/manager.go
+++ b/internal/manager/manager.go
@@ -66,6 +66,7 @@
 	node    *node.Node
 	reports chan limit.Report
 	wake    chan struct{}
+	words   chan hostWord
 
 	author *revision.Author
 	shards *shards
@@ -83,6 +84,7 @@
 		node:    config.Node,
 		reports: make(chan limit.Report, reportQueue),
 		wake:    make(chan struct{}, 1),
+		words:   make(chan hostWord, reportQueue),
 	}
 	m.author = m.newAuthor()
 	m.shards = newShards(m)
@@ -98,6 +100,7 @@
 		loops.Go(func() { m.rosterLoop(ctx) })
 		loops.Go(func() { m.settleLoop(ctx) })
 		loops.Go(func() { m.shards.run(ctx) })
+		loops.Go(func() { m.hostLoop(ctx) })
 		loops.Wait()
 		m.pushes.Wait()
 		done <- ctx.Err()
@@ -108,8 +111,9 @@
 // Fill implements node.Part.
 func (m *Manager) Fill(*peerpb.State) {}
 
-// Absorb implements node.Part: it takes reports on permits.
-func (m *Manager) Absorb(_ roster.Identity, state *peerpb.State) {
+// Absorb implements node.Part: it takes reports on permits and words on hosts.
+func (m *Manager) Absorb(from roster.Identity, state *peerpb.State) {
+	m.takeWords(from, state.GetHosts())
 	for _, report := range state.GetReports() {
 		m.takeReport(peer.Report(report))
 	}
--- a/internal/manager/shards.go
+++ b/internal/manager/shards.go
@@ -13,6 +13,7 @@
 
 	"github.com/lovagedyke/lovagedyke/internal/catalogue"
 	"github.com/lovagedyke/lovagedyke/internal/platform"
+	"github.com/lovagedyke/lovagedyke/internal/table"
 	"github.com/lovagedyke/lovagedyke/internal/task"
 	"github.com/lovagedyke/lovagedyke/internal/task/runner"
 	"github.com/lovagedyke/lovagedyke/internal/worker"
@@ -289,3 +290,28 @@
 	}
 	return slices.Sorted(maps.Keys(teams))
 }
+
+// setLeaving has the workers of these hosts get nothing new.
+func (s *shards) setLeaving(hosts []string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, current := range s.byPool {
+		current.runner.SetLeaving(hosts)
+	}
+}
+
+// drained reports whether no shard has work at the host's worker, under the
+// fences of those that this process manages. A host whose worker belongs to a
+// shard that another process manages is that process's to settle.
+func (s *shards) drained(host string) (fences []table.Condition, drained bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, current := range s.byPool {
+		fence, empty, err := current.runner.Drained(host)
+		if err != nil || !empty {
+			return nil, false
+		}
+		fences = append(fences, fence)
+	}
+	return fences, true
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -29,6 +29,7 @@
 	"github.com/lovagedyke/lovagedyke/internal/limit"
 	"github.com/lovagedyke/lovagedyke/internal/peer"
 	"github.com/lovagedyke/lovagedyke/internal/peer/peerpb"
+	"github.com/lovagedyke/lovagedyke/internal/pool"
 	"github.com/lovagedyke/lovagedyke/internal/revision"
 	"github.com/lovagedyke/lovagedyke/internal/roster"
 	"github.com/lovagedyke/lovagedyke/internal/table"
@@ -52,6 +53,8 @@
 	Absorb(from roster.Identity, state *peerpb.State)
 	// RosterChanged takes a roster with the version of its row.
 	RosterChanged(members roster.Roster, rowVersion uint64)
+	// HostsChanged takes the hosts' assignments to pools, by host.
+	HostsChanged(assignments map[string]pool.Assignment)
 	// PermitsChanged tells that the ledger may hold more permits than before.
 	PermitsChanged()
 }
--- a/internal/node/poll.go
+++ b/internal/node/poll.go
@@ -8,6 +8,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/lovagedyke/lovagedyke/internal/limit"
+	"github.com/lovagedyke/lovagedyke/internal/pool"
 	"github.com/lovagedyke/lovagedyke/internal/revision"
 	"github.com/lovagedyke/lovagedyke/internal/roster"
 )
@@ -48,7 +49,10 @@
 	if err := n.pollHead(ctx); err != nil {
 		return err
 	}
-	return n.pollLimits(ctx)
+	if err := n.pollLimits(ctx); err != nil {
+		return err
+	}
+	return n.pollHosts(ctx)
 }
 
 // pollHead reads roster and revision in one consistent call.
@@ -103,6 +107,26 @@
 	return nil
 }
 
+// pollHosts reads the hosts' assignments.
+func (n *Node) pollHosts(ctx context.Context) error {
+	rows, err := n.config.Store.Scan(ctx, pool.KeyPrefix)
+	if err != nil {
+		return errors.Wrap(err, "read the hosts' assignments")
+	}
+	assignments := make(map[string]pool.Assignment, len(rows))
+	for _, row := range rows {
+		assignment, err := pool.Decode(row)
+		if err != nil {
+			return err
+		}
+		assignments[assignment.Host] = assignment
+	}
+	for _, part := range n.parts {
+		part.HostsChanged(assignments)
+	}
+	return nil
+}
+
 // permitsChanged tells the parts that permits may have come in.
 func (n *Node) permitsChanged() {
 	for _, part := range n.parts {
