Drain, move and return hosts

A host's row goes from one pool to the next only once every entry has confirmed the drain with nothing in flight, counted under the same lock that a drain is obeyed under; a worker's host rests on its shard's fence too.

--- /dev/null
+++ b/cmd/lovagedyke/cmd_host.go
@@ -0,0 +1,153 @@
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/lovagedyke/lovagedyke/pkg/api"
+	"github.com/lovagedyke/lovagedyke/pkg/client"
+)
+
+// hostPoll is the time between two looks at a host that drains.
+const hostPoll = 100 * time.Millisecond
+
+var cmdHost = &Cmd{
+	Name:        "host",
+	Args:        "list|drain|move|return",
+	Desc:        "list hosts, take them out of service and back, and move them",
+	Subcommands: []*Cmd{cmdHostList, cmdHostDrain, cmdHostMove, cmdHostReturn},
+}
+
+var cmdHostList = &Cmd{
+	Name:  "list",
+	Args:  "[flags]",
+	Desc:  "list the hosts with their pools",
+	Setup: setupHostList,
+}
+
+func setupHostList(flags *flag.FlagSet, env *Env) Action {
+	var conn connection
+	var out output
+	conn.declare(flags, env)
+	out.declare(flags)
+	return func(ctx context.Context, env *Env, _ []string) error {
+		managers, err := conn.client()
+		if err != nil {
+			return err
+		}
+		hosts, err := managers.Hosts(ctx)
+		if err != nil {
+			return err
+		}
+		var rows [][]string
+		for _, host := range hosts {
+			rows = append(rows, []string{host.Name, host.DataCentre, host.Rack, host.Pool, host.Phase, host.Target, host.State})
+		}
+		header := []string{"HOST", "DATA CENTRE", "RACK", "POOL", "PHASE", "TARGET", "STATE"}
+		return out.write(env.Stdout, hosts, header, rows)
+	}
+}
+
+var cmdHostDrain = &Cmd{
+	Name:  "drain",
+	Args:  "[flags] <host>",
+	Desc:  "take a host out of service for maintenance",
+	Setup: setupHostDrain,
+}
+
+func setupHostDrain(flags *flag.FlagSet, env *Env) Action {
+	return setupHostChange(flags, env, func(ctx context.Context, managers *client.Client, args []string) (api.Host, error) {
+		name, err := oneArgument(args, "a host")
+		if err != nil {
+			return api.Host{}, err
+		}
+		return managers.DrainHost(ctx, name, api.DrainRequest{Purpose: "maintenance"})
+	}, "drained")
+}
+
+var cmdHostMove = &Cmd{
+	Name:  "move",
+	Args:  "[flags] <host> <pool>",
+	Desc:  "drain a host and have it serve another pool",
+	Setup: setupHostMove,
+}
+
+func setupHostMove(flags *flag.FlagSet, env *Env) Action {
+	return setupHostChange(flags, env, func(ctx context.Context, managers *client.Client, args []string) (api.Host, error) {
+		if len(args) != 2 {
+			return api.Host{}, usagef("got %q, want a host and a pool", strings.Join(args, " "))
+		}
+		return managers.DrainHost(ctx, args[0], api.DrainRequest{Purpose: "move", Target: args[1]})
+	}, "serving")
+}
+
+var cmdHostReturn = &Cmd{
+	Name:  "return",
+	Args:  "[flags] <host>",
+	Desc:  "have a host serve its pool again",
+	Setup: setupHostReturn,
+}
+
+func setupHostReturn(flags *flag.FlagSet, env *Env) Action {
+	return setupHostChange(flags, env, func(ctx context.Context, managers *client.Client, args []string) (api.Host, error) {
+		name, err := oneArgument(args, "a host")
+		if err != nil {
+			return api.Host{}, err
+		}
+		return managers.ReturnHost(ctx, name)
+	}, "serving")
+}
+
+// hostChange asks a manager for a change of a host.
+type hostChange func(ctx context.Context, managers *client.Client, args []string) (api.Host, error)
+
+// setupHostChange declares the flags of a change, which with -wait ends once
+// the host has reached the phase.
+func setupHostChange(flags *flag.FlagSet, env *Env, change hostChange, phase string) Action {
+	var conn connection
+	conn.declare(flags, env)
+	wait := flags.Duration("wait", 0, "how long to wait until the host is "+phase)
+	return func(ctx context.Context, env *Env, args []string) error {
+		managers, err := conn.client()
+		if err != nil {
+			return err
+		}
+		host, err := change(ctx, managers, args)
+		if err != nil {
+			return err
+		}
+		env.say("host %s of pool %s is %s", host.Name, host.Pool, host.Phase)
+		if *wait == 0 {
+			return nil
+		}
+		return awaitPhase(ctx, env, managers, host, phase, *wait)
+	}
+}
+
+// awaitPhase waits until the host has reached the phase at a later epoch than
+// that of a drain, or the time is over.
+func awaitPhase(ctx context.Context, env *Env, managers *client.Client, from api.Host, phase string, wait time.Duration) error {
+	ctx, cancel := context.WithTimeout(ctx, wait)
+	defer cancel()
+	for {
+		hosts, err := managers.Hosts(ctx)
+		if err == nil {
+			for _, host := range hosts {
+				if host.Name == from.Name && host.Phase == phase && host.Epoch >= from.Epoch {
+					env.say("host %s of pool %s is %s", host.Name, host.Pool, host.Phase)
+					return nil
+				}
+			}
+		}
+		select {
+		case <-ctx.Done():
+			return errors.Wrap(errNotInForce, fmt.Sprintf("host %s is not %s", from.Name, phase))
+		case <-time.After(hostPoll):
+		}
+	}
+}
--- a/cmd/lovagedyke/main.go
+++ b/cmd/lovagedyke/main.go
@@ -21,6 +21,7 @@
 	cmdManager,
 	cmdCatalogue,
 	cmdKey,
+	cmdHost,
 	cmdRoster,
 	cmdCharge,
 	cmdDump,
--- a/internal/manager/handler.go
+++ b/internal/manager/handler.go
@@ -12,6 +12,7 @@
 		Store:   m.node.Store(),
 		Author:  m,
 		Fleet:   m,
+		Hosts:   m,
 		Records: records{store: m.node.Store()},
 		Keys:    func() [][]byte { return [][]byte{operatorKey} },
 		Dump:    func() any { return m.Snapshot() },
--- a/internal/manager/hosts.go
+++ b/internal/manager/hosts.go
@@ -71,7 +71,11 @@
 	if err != nil {
 		return errors.Wrap(err, "read the hosts' assignments")
 	}
-	now := time.Now()
+	listed, err := m.config.Platform.Hosts(ctx)
+	if err != nil {
+		return errors.Wrap(err, "read the host list")
+	}
+	workers := workersOf(listed)
 	var leaving []string
 	for _, row := range rows {
 		current, err := pool.Decode(row)
@@ -81,10 +85,10 @@
 		if current.Phase != pool.Serving {
 			leaving = append(leaving, current.Host)
 		}
-		if current.Phase != pool.Draining || !m.leads(row.Key, now) {
+		if current.Phase != pool.Draining {
 			continue
 		}
-		if err := m.settleHost(ctx, drains, row, current); err != nil {
+		if err := m.settleHost(ctx, drains, row, current, workers[current.Host]); err != nil {
 			return err
 		}
 	}
@@ -94,17 +98,17 @@
 
 // settleHost commits the end of a drain if nothing runs at the host. The commit
 // rests on the roster's row, so that an entry that joined unseen is not missed.
-func (m *Manager) settleHost(ctx context.Context, drains *pool.Drains, row table.Row, current pool.Assignment) error {
+func (m *Manager) settleHost(ctx context.Context, drains *pool.Drains, row table.Row, current pool.Assignment, worker bool) error {
+	fences, ours := m.settles(row.Key, current, worker)
+	if !ours {
+		return nil
+	}
 	members, rowVersion := m.node.Roster()
 	senders, gone := entriesOf(members)
 	c := m.node.Configuration().View().State.Catalogue
 	if !drains.Quiet(time.Now(), current, senders, gone, longestOfAll(c)) {
 		return nil
 	}
-	fences, drained := m.shards.drained(current.Host)
-	if !drained {
-		return nil
-	}
 	next, err := pool.Settle(current)
 	if err != nil {
 		return err
@@ -127,6 +131,54 @@
 	return nil
 }
 
+// settles reports whether it is this manager's part to settle the host: a
+// worker's is that of the process that manages its shard, which must have
+// nothing there; the fence says that it still does.
+func (m *Manager) settles(row string, current pool.Assignment, worker bool) (fences []table.Condition, ours bool) {
+	if !worker || !m.shards.has(current.Pool) {
+		return nil, m.leads(row, time.Now())
+	}
+	fence, drained := m.shards.drained(current.Pool, current.Host)
+	return []table.Condition{fence}, drained
+}
+
+// workersOf returns the hosts that run tasks.
+func workersOf(hosts []platform.Host) map[string]bool {
+	workers := make(map[string]bool)
+	for _, host := range hosts {
+		for _, endpoint := range host.Endpoints {
+			if endpoint.Service == platform.WorkerService {
+				workers[host.Name] = true
+			}
+		}
+	}
+	return workers
+}
+
+// assignedHosts is the platform's list with the pools of our own rows, which do
+// not lag.
+type assignedHosts struct {
+	manager *Manager
+}
+
+// Hosts implements runner.Hosts.
+func (a assignedHosts) Hosts(ctx context.Context) ([]platform.Host, error) {
+	listed, err := a.manager.config.Platform.Hosts(ctx)
+	if err != nil {
+		return nil, err
+	}
+	assignments := a.manager.assignments.Load()
+	if assignments == nil {
+		return listed, nil
+	}
+	for i := range listed {
+		if assignment, ok := (*assignments)[listed[i].Name]; ok {
+			listed[i].Pool = assignment.Pool
+		}
+	}
+	return listed, nil
+}
+
 // entriesOf returns the processes that send requests to endpoints, and those
 // that did and are proven gone.
 func entriesOf(members roster.Roster) (senders, gone []pool.Sender) {
@@ -151,7 +203,9 @@
 }
 
 // HostsChanged implements node.Part.
-func (m *Manager) HostsChanged(map[string]pool.Assignment) {}
+func (m *Manager) HostsChanged(assignments map[string]pool.Assignment) {
+	m.assignments.Store(&assignments)
+}
 
 // Hosts returns the platform's hosts with their assignments.
 func (m *Manager) Hosts(ctx context.Context) ([]api.Host, error) {
--- a/internal/manager/manager.go
+++ b/internal/manager/manager.go
@@ -16,6 +16,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -27,6 +28,7 @@
 	"github.com/lovagedyke/lovagedyke/internal/peer"
 	"github.com/lovagedyke/lovagedyke/internal/peer/peerpb"
 	"github.com/lovagedyke/lovagedyke/internal/platform"
+	"github.com/lovagedyke/lovagedyke/internal/pool"
 	"github.com/lovagedyke/lovagedyke/internal/revision"
 	"github.com/lovagedyke/lovagedyke/internal/roster"
 )
@@ -67,6 +69,8 @@
 	reports chan limit.Report
 	wake    chan struct{}
 	words   chan hostWord
+	// assignments are the hosts' rows as last read.
+	assignments atomic.Pointer[map[string]pool.Assignment]
 
 	author *revision.Author
 	shards *shards
--- a/internal/manager/shards.go
+++ b/internal/manager/shards.go
@@ -109,7 +109,7 @@
 	m := s.manager
 	r := runner.New(runner.Config{
 		Shard: pool, Pool: pool, Queues: queues, Holder: m.node.Self().Identity.String(),
-		Store: m.node.Store(), Objects: m.config.Platform, Hosts: m.config.Platform,
+		Store: m.node.Store(), Objects: m.config.Platform, Hosts: assignedHosts{m},
 		Workers: s.workers, Log: m.config.Log, ListLag: m.config.ListLag,
 	})
 	ctx, stop := context.WithCancel(ctx)
@@ -300,18 +300,23 @@
 	}
 }
 
-// drained reports whether no shard has work at the host's worker, under the
-// fences of those that this process manages. A host whose worker belongs to a
-// shard that another process manages is that process's to settle.
-func (s *shards) drained(host string) (fences []table.Condition, drained bool) {
+// drained reports whether the pool's shard has no work at the host's worker,
+// under the fence that is returned. It is false where another process manages
+// the shard: the host is that process's to settle.
+func (s *shards) drained(pool, host string) (fence table.Condition, drained bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for _, current := range s.byPool {
-		fence, empty, err := current.runner.Drained(host)
-		if err != nil || !empty {
-			return nil, false
-		}
-		fences = append(fences, fence)
+	current := s.byPool[pool]
+	if current == nil {
+		return fence, false
 	}
-	return fences, true
+	fence, drained, err := current.runner.Drained(host)
+	return fence, drained && err == nil
+}
+
+// has reports whether the pool has queues, and so a shard.
+func (s *shards) has(pool string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.byPool[pool] != nil
 }
--- a/internal/operator/answer.go
+++ b/internal/operator/answer.go
@@ -11,6 +11,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/lovagedyke/lovagedyke/internal/pool"
 	"github.com/lovagedyke/lovagedyke/internal/revision"
 	"github.com/lovagedyke/lovagedyke/internal/table"
 	"github.com/lovagedyke/lovagedyke/pkg/api"
@@ -45,6 +46,7 @@
 	var given *api.Problem
 	var race *revision.RaceError
 	var reused *revision.ReusedError
+	var phase *pool.PhaseError
 	p := api.Problem{Status: http.StatusServiceUnavailable, Title: err.Error(), Outcome: api.OutcomeNotRun, RetryAfter: retryAfter}
 	switch {
 	case errors.As(err, &given):
@@ -65,6 +67,8 @@
 		p.Reason = api.ReasonJoining
 	case errors.Is(err, revision.ErrFenced):
 		p.Reason = api.ReasonNotMember
+	case errors.As(err, &phase):
+		p.Status, p.Reason, p.Field, p.RetryAfter = http.StatusConflict, api.ReasonPhase, "phase", 0
 	case errors.Is(err, ErrNotFound):
 		p.Status, p.Reason, p.Field, p.RetryAfter = http.StatusNotFound, api.ReasonNotFound, "id", 0
 	default:
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -26,6 +26,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/julienschmidt/httprouter"
 
+	"github.com/lovagedyke/lovagedyke/internal/pool"
 	"github.com/lovagedyke/lovagedyke/internal/revision"
 	"github.com/lovagedyke/lovagedyke/internal/table"
 	"github.com/lovagedyke/lovagedyke/pkg/api"
@@ -68,12 +69,22 @@
 	Unproven(ctx context.Context) ([]api.Run, error)
 }
 
+// Hosts drains and returns hosts.
+type Hosts interface {
+	Hosts(ctx context.Context) ([]api.Host, error)
+	// DrainHost and ReturnHost return ErrNotFound for a host that the platform
+	// does not list, and *pool.PhaseError for a step that its phase forbids.
+	DrainHost(ctx context.Context, name string, purpose pool.Purpose, target string) (api.Host, error)
+	ReturnHost(ctx context.Context, name string) (api.Host, error)
+}
+
 // Config configures a handler.
 type Config struct {
 	Store   table.Store
 	Author  Author
 	Fleet   Fleet
 	Records Records
+	Hosts   Hosts
 	// Keys returns the operator keys in force.
 	Keys func() [][]byte
 	// Dump returns the process's state, without secrets; optional.
@@ -100,6 +111,9 @@
 	h.router.GET("/v1/unproven", h.listUnproven)
 	h.router.GET("/v1/roster", h.listRoster)
 	h.router.GET("/v1/dump", h.getDump)
+	h.router.GET("/v1/hosts", h.listHosts)
+	h.router.POST("/v1/hosts/:name/drain", h.drainHost)
+	h.router.POST("/v1/hosts/:name/return", h.returnHost)
 	h.router.NotFound = http.HandlerFunc(notFound)
 	h.router.MethodNotAllowed = http.HandlerFunc(wrongMethod)
 	h.router.PanicHandler = nil
--- a/pkg/api/operator.go
+++ b/pkg/api/operator.go
@@ -18,6 +18,7 @@
 	ReasonContended        = "contended"
 	ReasonJoining          = "manager-joining"
 	ReasonNotMember        = "manager-not-member"
+	ReasonPhase            = "wrong-phase"
 	ReasonInternal         = "internal-error"
 )
 
--- a/pkg/client/client.go
+++ b/pkg/client/client.go
@@ -139,6 +139,21 @@
 	return call[[]api.Run](ctx, c, request{method: http.MethodGet, path: "/v1/unproven"})
 }
 
+// Hosts lists the platform's hosts with their pools.
+func (c *Client) Hosts(ctx context.Context) ([]api.Host, error) {
+	return call[[]api.Host](ctx, c, request{method: http.MethodGet, path: "/v1/hosts"})
+}
+
+// DrainHost has a host take no new work; a repeat changes nothing.
+func (c *Client) DrainHost(ctx context.Context, name string, in api.DrainRequest) (api.Host, error) {
+	return call[api.Host](ctx, c, request{method: http.MethodPost, path: "/v1/hosts/" + url.PathEscape(name) + "/drain", body: in})
+}
+
+// ReturnHost has a host serve its pool again; a repeat changes nothing.
+func (c *Client) ReturnHost(ctx context.Context, name string) (api.Host, error) {
+	return call[api.Host](ctx, c, request{method: http.MethodPost, path: "/v1/hosts/" + url.PathEscape(name) + "/return"})
+}
+
 // Roster lists the system's processes.
 func (c *Client) Roster(ctx context.Context) ([]api.Member, error) {
 	return call[[]api.Member](ctx, c, request{method: http.MethodGet, path: "/v1/roster"})
--- a/test/failure_test.go
+++ b/test/failure_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/lovagedyke/lovagedyke/internal/standin/load"
+	"github.com/lovagedyke/lovagedyke/pkg/api"
 )
 
 // checkMarked asserts what holds of marked requests whatever fails.
@@ -242,3 +243,53 @@
 		t.Errorf("upper limit: got %d, want %d", got, want)
 	}
 }
+
+// A host drains under load while the platform's list still calls it live: it
+// gets nothing new after a few seconds, nothing is cut, and it returns.
+func TestDrainedHostGetsNothingNew(t *testing.T) {
+	f := newFleet(t, 3, 2)
+	config := f.loadOn("entry-1", "entry-2", "entry-3")
+	config.Rate, config.RunTime = 100, 50*time.Millisecond
+	stop := f.background(config)
+	f.eventually("the host has work", func() bool { return f.endpoints[0].Stats().Total.Started > 20 })
+	if _, err := f.operators.DrainHost(context.Background(), "host-orders-1", api.DrainRequest{Purpose: "maintenance"}); err != nil {
+		t.Fatal(err)
+	}
+	asked := time.Now()
+	f.eventually("the host is drained", func() bool { return f.hostPhase("host-orders-1") == "drained" })
+	t.Logf("drained after %s", time.Since(asked).Round(time.Millisecond))
+	before := f.endpoints[0].Stats().Total
+	time.Sleep(500 * time.Millisecond)
+	after := f.endpoints[0].Stats().Total
+	if got, want := after.Started, before.Started; got != want {
+		t.Errorf("started at a drained host: got %d, want %d", got, want)
+	}
+	if got := before.Running; got != 0 {
+		t.Errorf("running at a drained host: got %d, want 0", got)
+	}
+	if _, err := f.operators.ReturnHost(context.Background(), "host-orders-1"); err != nil {
+		t.Fatal(err)
+	}
+	f.eventually("the host has work again", func() bool { return f.endpoints[0].Stats().Total.Started > after.Started })
+	f.checkWhole(stop())
+}
+
+// A host moves while an entry is paused: it stays where it is until the entry
+// has confirmed, or is proven gone and its longest run is over.
+func TestHostMovesOnlyOnceEveryEntryConfirmed(t *testing.T) {
+	f := newFleet(t, 2, 2)
+	f.signal("entry-2", syscall.SIGSTOP)
+	request := api.DrainRequest{Purpose: "move", Target: "spare"}
+	if _, err := f.operators.DrainHost(context.Background(), "host-orders-1", request); err != nil {
+		t.Fatal(err)
+	}
+	time.Sleep(2 * time.Second)
+	if got, want := f.hostPhase("host-orders-1"), "draining"; got != want {
+		t.Errorf("while an entry is paused: got %s, want %s", got, want)
+	}
+	f.signal("entry-2", syscall.SIGCONT)
+	f.eventually("the host serves its new pool", func() bool {
+		host := f.host("host-orders-1")
+		return host.Pool == "spare" && host.Phase == "serving"
+	})
+}
--- a/test/fleet_test.go
+++ b/test/fleet_test.go
@@ -413,3 +413,20 @@
 	}
 	return greatest
 }
+
+// host returns a host as the managers know it.
+func (f *fleet) host(name string) api.Host {
+	hosts, err := f.operators.Hosts(context.Background())
+	if err != nil {
+		return api.Host{}
+	}
+	for _, host := range hosts {
+		if host.Name == name {
+			return host
+		}
+	}
+	return api.Host{}
+}
+
+// hostPhase returns where a host's assignment stands.
+func (f *fleet) hostPhase(name string) string { return f.host(name).Phase }
