--- a/cmd/lovagedyke-standin/cmd_platform.go
+++ b/cmd/lovagedyke-standin/cmd_platform.go
@@ -18,6 +18,7 @@
 	address := addressFlag(flags)
 	var cfg platform.Config
 	flags.DurationVar(&cfg.ListLag, "list-lag", 2*time.Second, "lag of the host list")
+	flags.DurationVar(&cfg.RebootTime, "reboot-time", time.Second, "time that a reboot takes")
 	flags.IntVar(&cfg.WritesPerSecond, "writes", 0, "writes a second; 400 if zero")
 	flags.IntVar(&cfg.ReadsPerSecond, "reads", 0, "reads a second; 2000 if zero")
 	return &ffcli.Command{
--- /dev/null
+++ b/cmd/lovagedyke/cmd_wave.go
@@ -0,0 +1,129 @@
+package main
+
+import (
+	"context"
+	"flag"
+	"slices"
+	"strconv"
+	"strings"
+
+	"github.com/lovagedyke/lovagedyke/pkg/api"
+	"github.com/lovagedyke/lovagedyke/pkg/client"
+)
+
+var cmdWave = &Cmd{
+	Name:        "wave",
+	Args:        "list|start|resume|stop",
+	Desc:        "run maintenance over the hosts of a pool",
+	Subcommands: []*Cmd{cmdWaveList, cmdWaveStart, cmdWaveResume, cmdWaveStop},
+}
+
+var cmdWaveList = &Cmd{
+	Name:  "list",
+	Args:  "[flags]",
+	Desc:  "list the waves",
+	Setup: setupWaveList,
+}
+
+func setupWaveList(flags *flag.FlagSet, env *Env) Action {
+	var conn connection
+	var out output
+	conn.declare(flags, env)
+	out.declare(flags)
+	return func(ctx context.Context, env *Env, _ []string) error {
+		managers, err := conn.client()
+		if err != nil {
+			return err
+		}
+		waves, err := managers.Waves(ctx)
+		if err != nil {
+			return err
+		}
+		var rows [][]string
+		for _, wave := range waves {
+			rows = append(rows, []string{wave.Pool, strconv.Itoa(wave.Need), wave.Verdict, wave.Reason, hostStates(wave)})
+		}
+		return out.write(env.Stdout, waves, []string{"POOL", "NEED", "VERDICT", "REASON", "HOSTS"}, rows)
+	}
+}
+
+// hostStates counts the wave's hosts by state, as "2 done, 1 down".
+func hostStates(wave api.Wave) string {
+	counts := make(map[string]int)
+	for _, state := range wave.Hosts {
+		counts[state]++
+	}
+	var parts []string
+	for state, n := range counts {
+		parts = append(parts, strconv.Itoa(n)+" "+state)
+	}
+	slices.Sort(parts)
+	return strings.Join(parts, ", ")
+}
+
+var cmdWaveStart = &Cmd{
+	Name:  "start",
+	Args:  "-need <hosts> [flags] <pool>",
+	Desc:  "start a wave over a pool",
+	Setup: setupWaveStart,
+}
+
+func setupWaveStart(flags *flag.FlagSet, env *Env) Action {
+	need := flags.Int("need", -1, "hosts that carry the pool's load")
+	return setupWaveChange(flags, env, func(ctx context.Context, managers *client.Client, pool string) (api.Wave, error) {
+		if *need < 0 {
+			return api.Wave{}, usagef("flag -need is missing")
+		}
+		return managers.StartWave(ctx, api.WaveRequest{Pool: pool, Need: *need})
+	})
+}
+
+var cmdWaveResume = &Cmd{
+	Name:  "resume",
+	Args:  "[flags] <pool>",
+	Desc:  "have a wave go on that stopped because hosts failed",
+	Setup: setupWaveResume,
+}
+
+func setupWaveResume(flags *flag.FlagSet, env *Env) Action {
+	return setupWaveChange(flags, env, func(ctx context.Context, managers *client.Client, pool string) (api.Wave, error) {
+		return managers.ResumeWave(ctx, pool)
+	})
+}
+
+var cmdWaveStop = &Cmd{
+	Name:  "stop",
+	Args:  "[flags] <pool>",
+	Desc:  "end a wave; no further host is taken down",
+	Setup: setupWaveStop,
+}
+
+func setupWaveStop(flags *flag.FlagSet, env *Env) Action {
+	return setupWaveChange(flags, env, func(ctx context.Context, managers *client.Client, pool string) (api.Wave, error) {
+		return managers.StopWave(ctx, pool)
+	})
+}
+
+// waveChange asks a manager for a change of a pool's wave.
+type waveChange func(ctx context.Context, managers *client.Client, pool string) (api.Wave, error)
+
+func setupWaveChange(flags *flag.FlagSet, env *Env, change waveChange) Action {
+	var conn connection
+	conn.declare(flags, env)
+	return func(ctx context.Context, env *Env, args []string) error {
+		pool, err := oneArgument(args, "a pool")
+		if err != nil {
+			return err
+		}
+		managers, err := conn.client()
+		if err != nil {
+			return err
+		}
+		wave, err := change(ctx, managers, pool)
+		if err != nil {
+			return err
+		}
+		env.say("wave of pool %s: %s %s", wave.Pool, wave.Verdict, wave.Reason)
+		return nil
+	}
+}
--- a/cmd/lovagedyke/main.go
+++ b/cmd/lovagedyke/main.go
@@ -22,6 +22,7 @@
 	cmdCatalogue,
 	cmdKey,
 	cmdHost,
+	cmdWave,
 	cmdRoster,
 	cmdCharge,
 	cmdDump,
--- a/internal/manager/handler.go
+++ b/internal/manager/handler.go
@@ -13,6 +13,7 @@
 		Author:  m,
 		Fleet:   m,
 		Hosts:   m,
+		Waves:   m,
 		Records: records{store: m.node.Store()},
 		Keys:    func() [][]byte { return [][]byte{operatorKey} },
 		Dump:    func() any { return m.Snapshot() },
--- a/internal/manager/manager.go
+++ b/internal/manager/manager.go
@@ -57,6 +57,8 @@
 	Platform Platform
 	// ListLag is how far the platform's list may be behind the truth.
 	ListLag time.Duration
+	// RebootLimit is how long a host may take to come back in a wave.
+	RebootLimit time.Duration
 	// ClaimRetention is how long former generations of the roster may matter.
 	ClaimRetention time.Duration
 	Log            *log.Logger
@@ -105,6 +107,7 @@
 		loops.Go(func() { m.settleLoop(ctx) })
 		loops.Go(func() { m.shards.run(ctx) })
 		loops.Go(func() { m.hostLoop(ctx) })
+		loops.Go(func() { m.waveLoop(ctx) })
 		loops.Wait()
 		m.pushes.Wait()
 		done <- ctx.Err()
--- a/internal/manager/shards.go
+++ b/internal/manager/shards.go
@@ -32,6 +32,7 @@
 // Platform is what tasks need of the platform besides the table.
 type Platform interface {
 	HostLister
+	Rebooter
 	runner.Objects
 }
 
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -78,6 +78,14 @@
 	ReturnHost(ctx context.Context, name string) (api.Host, error)
 }
 
+// Waves runs maintenance waves; unknown pools are ErrNotFound.
+type Waves interface {
+	Waves(ctx context.Context) ([]api.Wave, error)
+	StartWave(ctx context.Context, request api.WaveRequest) (api.Wave, error)
+	ResumeWave(ctx context.Context, pool string) (api.Wave, error)
+	StopWave(ctx context.Context, pool string) (api.Wave, error)
+}
+
 // Config configures a handler.
 type Config struct {
 	Store   table.Store
@@ -85,6 +93,7 @@
 	Fleet   Fleet
 	Records Records
 	Hosts   Hosts
+	Waves   Waves
 	// Keys returns the operator keys in force.
 	Keys func() [][]byte
 	// Dump returns the process's state, without secrets; optional.
@@ -111,6 +120,10 @@
 	h.router.GET("/v1/unproven", h.listUnproven)
 	h.router.GET("/v1/roster", h.listRoster)
 	h.router.GET("/v1/dump", h.getDump)
+	h.router.GET("/v1/waves", h.listWaves)
+	h.router.POST("/v1/waves", h.startWave)
+	h.router.POST("/v1/waves/:pool/resume", h.resumeWave)
+	h.router.DELETE("/v1/waves/:pool", h.stopWave)
 	h.router.GET("/v1/hosts", h.listHosts)
 	h.router.POST("/v1/hosts/:name/drain", h.drainHost)
 	h.router.POST("/v1/hosts/:name/return", h.returnHost)
--- a/internal/platform/api.go
+++ b/internal/platform/api.go
@@ -14,7 +14,9 @@
 	ScanPath   = "/table/scan"
 	CommitPath = "/table/commit"
 	HostsPath  = "/hosts"
-	ObjectPath = "/objects/"
+	// RebootAction follows a host's path.
+	RebootAction = "/reboot"
+	ObjectPath   = "/objects/"
 )
 
 // GetRequest is the body of a POST to GetPath.
--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -108,6 +108,19 @@
 	return answer.Hosts, nil
 }
 
+// Reboot has the platform restart a host. The list shows a greater Boot once
+// the host is back; asking again while it restarts changes nothing.
+func (c *Client) Reboot(ctx context.Context, name string) error {
+	answer, err := c.caller.Do(ctx, http.MethodPost, c.base+HostsPath+"/"+url.PathEscape(name)+RebootAction, nil)
+	switch {
+	case errors.Is(err, call.ErrNotSent):
+		return errors.Wrapf(table.ErrUnavailable, "reboot %q: %v", name, err)
+	case err != nil:
+		return errors.Wrapf(table.ErrUnknown, "reboot %q: %v", name, err)
+	}
+	return errors.Wrapf(commitOutcome(answer), "reboot %q", name)
+}
+
 // PutObject stores an object under name; storing it again replaces it.
 func (c *Client) PutObject(ctx context.Context, name string, data []byte) error {
 	answer, err := c.caller.Do(ctx, http.MethodPut, c.base+objectPath(name), data)
--- a/internal/platform/host.go
+++ b/internal/platform/host.go
@@ -7,8 +7,9 @@
 
 // States of a host in the platform's list.
 const (
-	Live    State = "live"
-	Leaving State = "leaving"
+	Live      State = "live"
+	Leaving   State = "leaving"
+	Rebooting State = "rebooting"
 )
 
 // Endpoint is one service's listener on a host.
@@ -21,10 +22,12 @@
 
 // Host is one host as the platform lists it. The list lags behind the truth.
 type Host struct {
-	Name       string     `json:"name"`
-	DataCentre string     `json:"data-centre"`
-	Rack       string     `json:"rack"`
-	Pool       string     `json:"pool"`
-	State      State      `json:"state"`
-	Endpoints  []Endpoint `json:"endpoints,omitempty"`
+	Name       string `json:"name"`
+	DataCentre string `json:"data-centre"`
+	Rack       string `json:"rack"`
+	Pool       string `json:"pool"`
+	State      State  `json:"state"`
+	// Boot counts the host's starts.
+	Boot      uint64     `json:"boot,omitempty"`
+	Endpoints []Endpoint `json:"endpoints,omitempty"`
 }
--- a/internal/settings/definitions.go
+++ b/internal/settings/definitions.go
@@ -70,6 +70,8 @@
 
 	{"agreement", "list-lag", "10s", "how far the platform's list of hosts may be behind", wantDuration, duration(func(c *Config) *time.Duration { return &c.ListLag })},
 
+	{"maintenance", "reboot-limit", "10m", "how long a host may take to come back in a wave", wantDuration, duration(func(c *Config) *time.Duration { return &c.RebootLimit })},
+
 	{"weights", "buffer-cost", "1", "weight of idle spare hosts", wantWeight, weight(func(c *Config) *float64 { return &c.Weights.BufferCost })},
 	{"weights", "moves", "1", "weight of hosts' moves between pools", wantWeight, weight(func(c *Config) *float64 { return &c.Weights.Moves })},
 	{"weights", "share-nearness", "1", "weight of how near each team comes to its share", wantWeight, weight(func(c *Config) *float64 { return &c.Weights.ShareNearness })},
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -92,6 +92,7 @@
 	FreshBound     time.Duration
 	ClaimRetention time.Duration
 	ListLag        time.Duration
+	RebootLimit    time.Duration
 
 	Weights Weights
 }
--- a/internal/standin/platform/faults.go
+++ b/internal/standin/platform/faults.go
@@ -19,6 +19,8 @@
 	LoseAnswers LossCount `json:"lose-answers,omitzero"`
 	// ListLag, if set, is how far the host list lags from now on, for all.
 	ListLag *duration.Text `json:"list-lag,omitempty"`
+	// BrokenReboots names hosts that do not come back from a reboot.
+	BrokenReboots []string `json:"broken-reboots,omitempty"`
 	// Processes limits the faults to callers of these names.
 	Processes []string `json:"processes,omitempty"`
 }
--- a/internal/standin/platform/hostlist.go
+++ b/internal/standin/platform/hostlist.go
@@ -26,9 +26,21 @@
 	return &hostList{shown: make(map[string]api.Host)}
 }
 
-// change records a change made at now.
-func (l *hostList) change(now time.Time, host api.Host, remove bool) {
-	l.pending = append(l.pending, hostChange{at: now, host: host, remove: remove})
+// change records a change made at that time, which may be in the future.
+func (l *hostList) change(at time.Time, host api.Host, remove bool) {
+	l.pending = append(l.pending, hostChange{at: at, host: host, remove: remove})
+	slices.SortStableFunc(l.pending, func(a, b hostChange) int { return a.at.Compare(b.at) })
+}
+
+// latest returns a host as it is, whatever the list shows by now.
+func (l *hostList) latest(name string) (api.Host, bool) {
+	for _, change := range slices.Backward(l.pending) {
+		if change.host.Name == name {
+			return change.host, !change.remove
+		}
+	}
+	host, ok := l.shown[name]
+	return host, ok
 }
 
 // list returns the hosts as a reader with that lag sees them, in name order.
--- a/internal/standin/platform/platform.go
+++ b/internal/standin/platform/platform.go
@@ -14,6 +14,7 @@
 import (
 	"io"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -28,6 +29,7 @@
 const (
 	defaultWritesPerSecond = 400
 	defaultReadsPerSecond  = 2000
+	defaultRebootTime      = time.Second
 	rowsPerOperation       = 100
 	maxObjectBytes         = 64 << 20
 )
@@ -37,6 +39,8 @@
 	WritesPerSecond int
 	ReadsPerSecond  int
 	ListLag         time.Duration
+	// RebootTime is how long a reboot takes; 1 s if zero.
+	RebootTime time.Duration
 	// Now is the clock; time.Now if nil.
 	Now func() time.Time
 }
@@ -57,8 +61,9 @@
 
 // Server is the fake. It is safe for concurrent use.
 type Server struct {
-	now   func() time.Time
-	store *table.Memory
+	now        func() time.Time
+	rebootTime time.Duration
+	store      *table.Memory
 
 	mu      sync.Mutex
 	writes  *bucket
@@ -77,18 +82,22 @@
 	if cfg.ReadsPerSecond == 0 {
 		cfg.ReadsPerSecond = defaultReadsPerSecond
 	}
+	if cfg.RebootTime == 0 {
+		cfg.RebootTime = defaultRebootTime
+	}
 	if cfg.Now == nil {
 		cfg.Now = time.Now
 	}
 	return &Server{
-		now:     cfg.Now,
-		store:   table.NewMemory(),
-		writes:  newBucket(cfg.WritesPerSecond),
-		reads:   newBucket(cfg.ReadsPerSecond),
-		faults:  newFaultSet(cfg.ListLag),
-		hosts:   newHostList(),
-		objects: make(map[string][]byte),
-		callers: make(map[string]*CallerStats),
+		now:        cfg.Now,
+		rebootTime: cfg.RebootTime,
+		store:      table.NewMemory(),
+		writes:     newBucket(cfg.WritesPerSecond),
+		reads:      newBucket(cfg.ReadsPerSecond),
+		faults:     newFaultSet(cfg.ListLag),
+		hosts:      newHostList(),
+		objects:    make(map[string][]byte),
+		callers:    make(map[string]*CallerStats),
 	}
 }
 
@@ -101,6 +110,7 @@
 	router.GET(api.HostsPath, s.faulty(s.listHosts))
 	router.PUT(api.HostsPath+"/:name", s.putHost)
 	router.DELETE(api.HostsPath+"/:name", s.deleteHost)
+	router.POST(api.HostsPath+"/:name"+api.RebootAction, s.faulty(s.rebootHost))
 	router.PUT(api.ObjectPath+"*name", s.faulty(s.putObject))
 	router.GET(api.ObjectPath+"*name", s.faulty(s.getObject))
 	router.DELETE(api.ObjectPath+"*name", s.faulty(s.deleteObject))
@@ -215,6 +225,31 @@
 	s.changeHost(w, api.Host{Name: params.ByName("name")}, true)
 }
 
+// rebootHost takes a host down and has it come back, unless a fault keeps it.
+func (s *Server) rebootHost(w http.ResponseWriter, r *http.Request, params httprouter.Params) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.now()
+	name := params.ByName("name")
+	host, ok := s.hosts.latest(name)
+	if !ok {
+		http.Error(w, "no such host", http.StatusNotFound)
+		return
+	}
+	w.WriteHeader(http.StatusNoContent)
+	if host.State == api.Rebooting {
+		return
+	}
+	host.State = api.Rebooting
+	s.hosts.change(now, host, false)
+	if slices.Contains(s.faults.of(r.Header.Get(api.ProcessHeader)).BrokenReboots, name) {
+		return
+	}
+	host.State = api.Live
+	host.Boot++
+	s.hosts.change(now.Add(s.rebootTime), host, false)
+}
+
 func (s *Server) changeHost(w http.ResponseWriter, host api.Host, remove bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/pkg/client/client.go
+++ b/pkg/client/client.go
@@ -139,6 +139,26 @@
 	return call[[]api.Run](ctx, c, request{method: http.MethodGet, path: "/v1/unproven"})
 }
 
+// Waves lists the maintenance waves.
+func (c *Client) Waves(ctx context.Context) ([]api.Wave, error) {
+	return call[[]api.Wave](ctx, c, request{method: http.MethodGet, path: "/v1/waves"})
+}
+
+// StartWave starts a wave over a pool; one that has not finished goes on.
+func (c *Client) StartWave(ctx context.Context, in api.WaveRequest) (api.Wave, error) {
+	return call[api.Wave](ctx, c, request{method: http.MethodPost, path: "/v1/waves", body: in})
+}
+
+// ResumeWave has a stopped wave go on.
+func (c *Client) ResumeWave(ctx context.Context, pool string) (api.Wave, error) {
+	return call[api.Wave](ctx, c, request{method: http.MethodPost, path: "/v1/waves/" + url.PathEscape(pool) + "/resume"})
+}
+
+// StopWave ends a wave; hosts that are down stay down.
+func (c *Client) StopWave(ctx context.Context, pool string) (api.Wave, error) {
+	return call[api.Wave](ctx, c, request{method: http.MethodDelete, path: "/v1/waves/" + url.PathEscape(pool)})
+}
+
 // Hosts lists the platform's hosts with their pools.
 func (c *Client) Hosts(ctx context.Context) ([]api.Host, error) {
 	return call[[]api.Host](ctx, c, request{method: http.MethodGet, path: "/v1/hosts"})
--- a/test/failure_test.go
+++ b/test/failure_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"strings"
 	"syscall"
 	"testing"
@@ -293,3 +294,57 @@
 		return host.Pool == "spare" && host.Phase == "serving"
 	})
 }
+
+// A wave maintains every host under load: nothing is cut, and never more hosts
+// are down than leave the needed ones after the loss of the largest rack.
+func TestWaveUnderLoad(t *testing.T) {
+	f := newFleet(t, 2, 2)
+	for i := range 4 {
+		f.addEndpoint(fmt.Sprintf("orders-%d", i+3))
+	}
+	f.eventually("managers see six hosts", func() bool { return len(f.poolHosts("p")) == 6 })
+	config := f.loadOn("entry-1", "entry-2")
+	config.Rate = 100
+	stop := f.background(config)
+	if _, err := f.operators.StartWave(context.Background(), api.WaveRequest{Pool: "p", Need: 3}); err != nil {
+		t.Fatal(err)
+	}
+	least := 6
+	f.eventually("wave is finished", func() bool {
+		serving := 0
+		for _, host := range f.poolHosts("p") {
+			if host.Phase == "serving" && host.State == "live" {
+				serving++
+			}
+		}
+		least = min(least, serving)
+		return f.waveVerdict("p") == "finished"
+	})
+	// Each host stands in a rack of its own here, so one is held in reserve.
+	if got, want := least, 4; got < want {
+		t.Errorf("least hosts serving: got %d, want %d", got, want)
+	}
+	report := stop()
+	f.checkWhole(report)
+	if got, want := report.OK, report.Sent; got != want {
+		t.Errorf("served during the wave: got %d (%v), want %d", got, report.Reasons, want)
+	}
+}
+
+// Hosts do not come back: the wave stops after two, and goes on at an
+// operator's word.
+func TestWaveStopsWhenHostsFail(t *testing.T) {
+	f := newFleet(t, 1, 2)
+	for i := range 4 {
+		f.addEndpoint(fmt.Sprintf("orders-%d", i+3))
+	}
+	f.eventually("managers see six hosts", func() bool { return len(f.poolHosts("p")) == 6 })
+	f.faults(`{"broken-reboots":["host-orders-1","host-orders-2","host-orders-3","host-orders-4","host-orders-5","host-orders-6"]}`)
+	if _, err := f.operators.StartWave(context.Background(), api.WaveRequest{Pool: "p", Need: 3}); err != nil {
+		t.Fatal(err)
+	}
+	f.eventually("wave is stopped", func() bool { return f.waveVerdict("p") == "stopped" })
+	if got, want := f.hostsDown("p"), 2; got != want {
+		t.Errorf("hosts taken down before the wave stopped: got %d, want %d", got, want)
+	}
+}
--- a/test/fleet_test.go
+++ b/test/fleet_test.go
@@ -173,7 +173,7 @@
 		role, "-name", name, "-host", p.host, "-data-centre", fmt.Sprintf("dc-%d", index),
 		"-peer-address", p.peers.String(), "-operations-address", p.operations.String(),
 		"-platform-address", strings.TrimPrefix(f.platform.URL, "http://"), "-peer-secret-file", file,
-		"-grace", "20s", "-balancer-delay", "300ms", "-list-lag", "1s",
+		"-grace", "20s", "-balancer-delay", "300ms", "-list-lag", "1s", "-reboot-limit", "4s",
 	}
 	if role == "entry" {
 		args = append(args, "-caller-address", p.callers.String())
@@ -430,3 +430,41 @@
 
 // hostPhase returns where a host's assignment stands.
 func (f *fleet) hostPhase(name string) string { return f.host(name).Phase }
+
+// poolHosts returns the hosts of a pool that serve endpoints.
+func (f *fleet) poolHosts(pool string) []api.Host {
+	hosts, err := f.operators.Hosts(context.Background())
+	if err != nil {
+		return nil
+	}
+	var serving []api.Host
+	for _, host := range hosts {
+		if host.Pool == pool && strings.HasPrefix(host.Name, "host-orders") {
+			serving = append(serving, host)
+		}
+	}
+	return serving
+}
+
+// waveVerdict returns how the wave of a pool stands.
+func (f *fleet) waveVerdict(pool string) string {
+	waves, err := f.operators.Waves(context.Background())
+	if err != nil {
+		return ""
+	}
+	for _, wave := range waves {
+		if wave.Pool == pool {
+			return wave.Verdict
+		}
+	}
+	return ""
+}
+
+// hostsDown returns how many hosts the wave of a pool has begun with.
+func (f *fleet) hostsDown(pool string) int {
+	waves, err := f.operators.Waves(context.Background())
+	if err != nil || len(waves) != 1 || waves[0].Pool != pool {
+		return -1
+	}
+	return len(waves[0].Hosts)
+}
