--- a/internal/claim/fuzz_test.go
+++ b/internal/claim/fuzz_test.go
@@ -353,6 +353,7 @@
 
 // A marked request runs at most once, and "not run" is true when it is said.
 func TestAtMostOnce(t *testing.T) {
+	t.Parallel()
 	totals := make(map[string]int)
 	rapid.Check(t, func(t *rapid.T) {
 		pick := drawn(t)
@@ -375,6 +376,7 @@
 
 // The same oracle notices each rule that is taken out.
 func TestOracleCatchesNaiveWays(t *testing.T) {
+	t.Parallel()
 	const (
 		maxSeeds = 4000
 		steps    = 250
