--- a/model/claim.pml
+++ b/model/claim.pml
@@ -29,6 +29,12 @@
 #define MAY_ACK(n) (owed[n] == 0 || owed[n] == view[n])
 #endif
 
+#ifdef BROKEN_VERSION
+#define SAME_VERSION(n, v) true
+#else
+#define SAME_VERSION(n, v) (view[n] == v)
+#endif
+
 #ifdef BROKEN_TOKEN
 #define FOR_HOME(t, n) true
 #else
@@ -101,7 +107,7 @@
 	for (t : 1 .. 2) {
 		for (v : 1 .. 3) {
 			if
-			:: !alive[SECOND(v)] || view[SECOND(v)] > v -> ask[AT(t, v)] = 0
+			:: !alive[SECOND(v)] || (view[SECOND(v)] > v && !SAME_VERSION(SECOND(v), v)) -> ask[AT(t, v)] = 0
 			:: else
 			fi;
 			if
@@ -250,10 +256,10 @@
 		pick_claimant();
 		pick_version();
 		if
-		:: ask[AT(t, v)] && alive[SECOND(v)] && view[SECOND(v)] == v && (memory[SECOND(v)] == 0 || memory[SECOND(v)] == t) ->
+		:: ask[AT(t, v)] && alive[SECOND(v)] && SAME_VERSION(SECOND(v), v) && (memory[SECOND(v)] == 0 || memory[SECOND(v)] == t) ->
 			n = SECOND(v);
 			memory[n] = t;
-			owed[n] = (owed[n] == 0 -> v : owed[n]);
+			owed[n] = (owed[n] == 0 -> view[n] : owed[n]);
 			confirm[AT(t, v)] = 1;
 			discard()
 		:: else
