--- a/internal/claim/recovery_test.go
+++ b/internal/claim/recovery_test.go
@@ -52,7 +52,7 @@
 		"planned leave": func(w *world) {
 			w.change(func(r roster.Roster) (roster.Roster, bool) { return roster.Leave(r, w.procs[0].self) })
 		},
-		"join": func(w *world) { w.join(w.procs[3]) },
+		"join":               func(w *world) { w.join(w.procs[3]) },
 		"outage that begins": func(w *world) { w.setDown(true) },
 		"outage that ends": func(w *world) {
 			w.setDown(true)
