--- a/internal/limit/ledger.go
+++ b/internal/limit/ledger.go
@@ -195,8 +195,8 @@
 			short -= want
 		}
 	}
-	if richest, ok := richest(peers); ok && len(asks) == 0 && peers[richest].Holding > a.holding+1 {
-		asks = append(asks, l.ask(team, a, richest, short))
+	if peer, ok := richest(peers); ok && len(asks) == 0 && peers[peer].Holding > a.holding+1 {
+		asks = append(asks, l.ask(team, a, peer, short))
 	}
 	return asks
 }
--- a/internal/limit/plan.go
+++ b/internal/limit/plan.go
@@ -78,7 +78,7 @@
 	for _, m := range t.reported {
 		next.Granted[m] = in.Reports[m].Holding
 	}
-	takers := takers(in, next)
+	takers := takersOf(in, next)
 	divide(next.Granted, takers, in.Limit-t.held-t.bound)
 	if len(next.Granted) == 0 {
 		return Outcome{Verdict: Wait}
@@ -89,16 +89,16 @@
 // Extend works out what can be added to a row within its generation: new
 // members and a raised limit. It needs no reports.
 func Extend(in PlanInput) Outcome {
-	limit := max(in.Limit, in.Row.Limit)
-	free := limit - in.Row.Minted()
-	takers := takers(in, in.Row)
-	if limit == in.Row.Limit && !grows(in.Row, takers, free) {
+	raised := max(in.Limit, in.Row.Limit)
+	free := raised - in.Row.Minted()
+	takers := takersOf(in, in.Row)
+	if raised == in.Row.Limit && !grows(in.Row, takers, free) {
 		return Outcome{Verdict: Settled}
 	}
 	next := Grant{
 		Team:       in.Row.Team,
 		Generation: in.Row.Generation,
-		Limit:      limit,
+		Limit:      raised,
 		Granted:    make(map[Member]int),
 		Carried:    in.Row.Carried,
 	}
@@ -128,8 +128,8 @@
 	return Outcome{Verdict: Commit, Next: next}
 }
 
-// takers returns the live members that may be granted more in the row.
-func takers(in PlanInput, row Grant) []Member {
+// takersOf returns the live members that may be granted more in the row.
+func takersOf(in PlanInput, row Grant) []Member {
 	var takers []Member
 	for _, m := range in.Live {
 		if _, carried := row.Carried[m]; !carried && !in.Gone[m] {
