share: split the scheduler's file, settle to a fixed point in the test, lag in the dump

Cause: 5000 checks found entries with different slots after two exchanges: the test took demand anew for each peer, and a queue that empties clears the debt that was sent before.

--- a/internal/share/scheduler.go
+++ b/internal/share/scheduler.go
@@ -1,53 +1,10 @@
 package share
 
 import (
-	"cmp"
 	"slices"
 	"time"
 )
 
-// Config constructs a Scheduler. Zero values take the defaults below.
-type Config struct {
-	// Entry is this entry's name, unique in the fleet.
-	Entry string
-	// Weights gives each team's share; a missing team counts as 1.
-	Weights map[string]float64
-	// Capacity is the service's slots at healthy endpoints, fleet-wide.
-	Capacity int
-	// QueueLimit bounds the queued tickets of one flow at this entry.
-	QueueLimit int
-	// ExpectedDuration stands for the run time until one is measured.
-	ExpectedDuration time.Duration
-	// PeerTimeout is the silence after which a peer's demand is dropped.
-	PeerTimeout time.Duration
-	// MaxRetryAfter caps RetryAfter, also for a flow that gets no slots.
-	MaxRetryAfter time.Duration
-}
-
-// Defaults of Config.
-const (
-	DefaultQueueLimit       = 256
-	DefaultExpectedDuration = 100 * time.Millisecond
-	DefaultPeerTimeout      = time.Second
-	DefaultMaxRetryAfter    = 30 * time.Second
-)
-
-const (
-	minRetryAfter     = 10 * time.Millisecond
-	minRecompute      = 2 * time.Millisecond
-	creditLimit       = 500 * time.Millisecond
-	quotaSmoothing    = 2 * time.Second
-	durationSmoothing = 16 // samples
-	debtLimit         = 1  // slot-seconds
-)
-
-func (c *Config) setDefaults() {
-	c.QueueLimit = cmp.Or(c.QueueLimit, DefaultQueueLimit)
-	c.ExpectedDuration = cmp.Or(c.ExpectedDuration, DefaultExpectedDuration)
-	c.PeerTimeout = cmp.Or(c.PeerTimeout, DefaultPeerTimeout)
-	c.MaxRetryAfter = cmp.Or(c.MaxRetryAfter, DefaultMaxRetryAfter)
-}
-
 // Scheduler decides, for one service at one entry, which tickets start, wait
 // or are refused. It is not safe for concurrent use: callers lock per service.
 type Scheduler struct {
@@ -140,44 +97,6 @@
 	return true
 }
 
-// SetPeer takes a peer's gossiped demand, which it keeps: the caller must not
-// change d.Flows afterwards. A message from itself is ignored.
-func (s *Scheduler) SetPeer(now time.Time, d Demand) Actions {
-	s.reset()
-	if d.Entry == s.cfg.Entry {
-		return s.acts
-	}
-	i, ok := slices.BinarySearchFunc(s.peers, d.Entry, comparePeers)
-	if !ok {
-		s.peers = slices.Insert(s.peers, i, peer{})
-	}
-	s.peers[i] = peer{heard: now, demand: d}
-	grown := false
-	for _, fd := range d.Flows {
-		_, known := s.byFlow[fd.Flow]
-		grown = grown || !known
-		s.flow(fd.Flow)
-	}
-	if !ok || grown {
-		s.layout()
-	} else {
-		s.fillRow(i)
-	}
-	s.divide(now)
-	s.fill(now)
-	return s.acts
-}
-
-// RemovePeer drops the demand of a peer that has left.
-func (s *Scheduler) RemovePeer(now time.Time, entry string) Actions {
-	s.reset()
-	s.peers = slices.DeleteFunc(s.peers, func(p peer) bool { return p.demand.Entry == entry })
-	s.layout()
-	s.divide(now)
-	s.fill(now)
-	return s.acts
-}
-
 // SetCapacity sets the slots of the service's healthy endpoints, fleet-wide.
 func (s *Scheduler) SetCapacity(now time.Time, slots int) Actions {
 	s.reset()
@@ -217,7 +136,8 @@
 	return s.acts
 }
 
-// Demand reports this entry's load for gossip.
+// Demand reports this entry's load for gossip. Until the next call this entry
+// divides with the debt and lag of this message: all peers must get the same.
 func (s *Scheduler) Demand() Demand {
 	s.sent = s.debt
 	d := Demand{Entry: s.cfg.Entry, Debt: s.debt}
@@ -409,38 +329,3 @@
 	s.layout()
 	return f
 }
-
-// layout rebuilds the dense rows after a change of the peers or flows.
-func (s *Scheduler) layout() {
-	s.weights = weightsOf(s.keys, s.cfg.Weights)
-	s.self, _ = slices.BinarySearchFunc(s.peers, s.cfg.Entry, comparePeers)
-	var old row
-	if s.self < len(s.rows) {
-		old = s.rows[s.self]
-	}
-	s.rows = make([]row, len(s.peers)+1)
-	s.rows[s.self].resize(len(s.keys))
-	s.rows[s.self].total, s.rows[s.self].slots = old.total, old.slots
-	for i := range s.peers {
-		s.fillRow(i)
-	}
-}
-
-func (s *Scheduler) fillRow(i int) {
-	r := &s.rows[i]
-	if i >= s.self {
-		r = &s.rows[i+1]
-	}
-	r.debt = bounded(s.peers[i].demand.Debt)
-	r.fill(s.keys, s.peers[i].demand.Flows)
-}
-
-// peer is the last message of another entry.
-type peer struct {
-	heard  time.Time
-	demand Demand
-}
-
-func comparePeers(p peer, entry string) int {
-	return cmp.Compare(p.demand.Entry, entry)
-}
--- a/internal/share/scheduler_test.go
+++ b/internal/share/scheduler_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math"
+	"reflect"
 	"testing"
 	"time"
 
@@ -135,18 +136,29 @@
 	}
 }
 
-// settle exchanges demand until every entry knows all of it.
+// maxSettleRounds bounds how often demand is exchanged while time stands still.
+const maxSettleRounds = 5
+
+// settle exchanges demand until no entry has anything new to tell.
 func (f *fleet) settle() {
-	for range 2 {
-		for i := range f.nodes {
+	var last []Demand
+	for range maxSettleRounds {
+		var demands []Demand
+		for i, s := range f.nodes {
 			f.tick(i)
+			demands = append(demands, s.Demand())
+		}
+		if reflect.DeepEqual(demands, last) {
+			return
 		}
-		for i := range f.nodes {
-			for j := range f.nodes {
-				f.take(i, f.nodes[i].SetPeer(f.now, f.nodes[j].Demand()))
+		last = demands
+		for i, s := range f.nodes {
+			for _, demand := range demands {
+				f.take(i, s.SetPeer(f.now, demand))
 			}
 		}
 	}
+	f.t.Fatalf("got new demand after %d exchanges: %v", maxSettleRounds, last)
 }
 
 func TestSchedulers(t *testing.T) {
--- a/internal/share/state.go
+++ b/internal/share/state.go
@@ -27,6 +27,7 @@
 	Queued       int     `json:"queued"`
 	Quota        float64 `json:"quota-slots"`
 	Credit       float64 `json:"deficit-slot-seconds"`
+	Lag          float64 `json:"lag-slot-seconds"`
 	MeanDuration string  `json:"mean-duration"`
 }
 
@@ -50,6 +51,7 @@
 			Queued:       f.queue.size,
 			Quota:        f.quota,
 			Credit:       f.credit,
+			Lag:          f.lag,
 			MeanDuration: time.Duration(f.duration * float64(time.Second)).String(),
 		})
 	}
