share: space the refused out by the drain rate

Cause: Retry-After told only the queue's drain time, so that all refused requests came back together into the same burst.

--- a/internal/experiment/share.go
+++ b/internal/experiment/share.go
@@ -34,6 +34,7 @@
 	flow    int
 	entry   int
 	arrived time.Time
+	repeat  bool      // comes back after a refusal
 	started time.Time // by the policy; it may still wait for a slot
 	runTime time.Duration
 	ticket  share.Ticket
@@ -66,6 +67,11 @@
 	wanted  []int      // by flow: would run if each had started on arrival
 	waiting int        // held back by the policy
 	measure *shareMeasure
+
+	// rate thins the arrivals by the time, comeBack gives the time until a
+	// refused request comes back once; nil is a steady load, and never.
+	rate     func(elapsed time.Duration) float64
+	comeBack func(retryAfter time.Duration) time.Duration
 }
 
 func newShareBench(d Deployment, loads []load, seed uint64) *shareBench {
@@ -112,7 +118,9 @@
 	l := b.loads[flow]
 	mean := time.Duration(b.deployment.RunTime.Seconds() / l.slots * float64(time.Second))
 	b.after(exponential(b.random, mean), func() {
-		b.submit(flow, b.drawEntry(l))
+		if b.rate == nil || b.random.Float64() < b.rate(b.elapsed()) {
+			b.submit(flow, b.drawEntry(l), false)
+		}
 		b.arrive(flow)
 	})
 }
@@ -127,10 +135,10 @@
 	return b.deployment.Entries - 1
 }
 
-func (b *shareBench) submit(flow, entry int) {
+func (b *shareBench) submit(flow, entry int, repeat bool) {
 	b.lastID++
 	l := b.loads[flow]
-	r := &request{id: b.lastID, flow: flow, entry: entry, arrived: b.now}
+	r := &request{id: b.lastID, flow: flow, entry: entry, arrived: b.now, repeat: repeat}
 	r.ticket = share.Ticket{
 		ID: r.id, Team: b.deployment.team(l.team), Class: l.class, Deadline: b.now.Add(patience),
 	}
@@ -147,6 +155,9 @@
 	b.waiting--
 	r.started = b.now
 	b.measure.starts++
+	if r.repeat {
+		b.measure.repeatsStarted++
+	}
 	if b.busy >= b.deployment.slots() {
 		b.measure.overloads++
 		b.pending = append(b.pending, r)
@@ -175,10 +186,17 @@
 	})
 }
 
-func (b *shareBench) refuse(r *request) {
+func (b *shareBench) refuse(r *request, retryAfter time.Duration) {
 	b.waiting--
 	b.measure.refused++
 	delete(b.requests, r.id)
+	if b.comeBack == nil || r.repeat {
+		return
+	}
+	b.after(b.comeBack(retryAfter), func() {
+		b.measure.repeats++
+		b.submit(r.flow, r.entry, true)
+	})
 }
 
 // apply carries out a scheduler's actions.
@@ -187,7 +205,7 @@
 		b.start(b.requests[id])
 	}
 	for _, refusal := range acts.Refuse {
-		b.refuse(b.requests[refusal.ID])
+		b.refuse(b.requests[refusal.ID], refusal.RetryAfter)
 	}
 }
 
@@ -210,16 +228,18 @@
 
 // shareMeasure collects the measures of one run.
 type shareMeasure struct {
-	short, long window
-	curve       [][]float64 // by short window: used over bound, by flow
-	samples     int
-	idle        float64
-	starts      int
-	overloads   int
-	refused     int
-	used        []float64 // slot samples over the run, by flow
-	bound       []float64
-	waits       map[string]*hdrhistogram.Histogram
+	short, long    window
+	curve          [][]float64 // by short window: used over bound, by flow
+	samples        int
+	idle           float64
+	starts         int
+	overloads      int
+	refused        int
+	repeats        int
+	repeatsStarted int
+	used           []float64 // slot samples over the run, by flow
+	bound          []float64
+	waits          map[string]*hdrhistogram.Histogram
 }
 
 func newShareMeasure(flows int) *shareMeasure {
--- a/internal/experiment/sharepolicy.go
+++ b/internal/experiment/sharepolicy.go
@@ -72,11 +72,12 @@
 }
 
 func submitTo(b *shareBench, s *share.Scheduler, r *request) {
-	switch s.Submit(b.now, r.ticket).Decision {
+	out := s.Submit(b.now, r.ticket)
+	switch out.Decision {
 	case share.Start:
 		b.start(r)
 	case share.Refused:
-		b.refuse(r)
+		b.refuse(r, out.RetryAfter)
 	case share.Queued:
 	}
 }
@@ -156,7 +157,7 @@
 		}
 		p.queue = p.queue[1:]
 		if late {
-			p.bench.refuse(r)
+			p.bench.refuse(r, 0)
 		} else {
 			p.bench.start(r)
 		}
--- a/internal/experiment/sharetrials.go
+++ b/internal/experiment/sharetrials.go
@@ -113,7 +113,7 @@
 			})
 		}
 	}
-	return trials
+	return append(trials, burstTrials(d)...)
 }
 
 func (m *shareMeasure) outcome() outcome {
--- a/internal/share/flow.go
+++ b/internal/share/flow.go
@@ -18,11 +18,12 @@
 	divided  bool    // quota was computed with demand of this flow
 	credit   float64 // slot-seconds
 	accrued  time.Time
-	used     float64 // slot-seconds since the last division
-	lag      float64 // slot-seconds behind the part, fading
-	sentLag  float64 // as last published, which peers compute with
-	fair     float64 // this entry's part in slots without correction
-	duration float64 // mean run time in seconds
+	used     float64   // slot-seconds since the last division
+	lag      float64   // slot-seconds behind the part, fading
+	sentLag  float64   // as last published, which peers compute with
+	fair     float64   // this entry's part in slots without correction
+	duration float64   // mean run time in seconds
+	promised time.Time // when the next refused request may come back
 }
 
 func newFlow(key Flow, expected time.Duration) *flow {
@@ -97,6 +98,22 @@
 	return time.Duration(seconds * float64(time.Second)), true
 }
 
+// promise returns when a refused request may come back: after the queue has
+// drained, and after the requests that were refused before it, so that they do
+// not all return at once.
+func (f *flow) promise(now time.Time, wait, limit time.Duration) time.Duration {
+	at := now.Add(min(max(wait, minRetryAfter), limit))
+	if f.promised.After(at) {
+		at = f.promised
+	}
+	next, _ := f.wait(1)
+	f.promised = at.Add(next)
+	if last := now.Add(limit); f.promised.After(last) {
+		f.promised = last
+	}
+	return at.Sub(now)
+}
+
 const (
 	lagFade     = 5 * time.Second
 	minDuration = 100 * time.Microsecond
--- a/internal/share/scheduler.go
+++ b/internal/share/scheduler.go
@@ -51,13 +51,14 @@
 		f.newcomer = 0
 	}
 	if s.inFlight < s.slots && !s.waitsUpTo(t.Class) {
+		f.promised = time.Time{}
 		s.start(now, f, s.admit(t, f))
 		return Outcome{Decision: Start}
 	}
 	wait, known := f.wait(f.queue.size + 1)
 	full := f.queue.size >= s.cfg.QueueLimit
 	if full || (known && now.Add(wait).After(t.Deadline)) || !t.Deadline.After(now) {
-		return Outcome{Decision: Refused, RetryAfter: s.retryAfter(wait)}
+		return Outcome{Decision: Refused, RetryAfter: f.promise(now, wait, s.cfg.MaxRetryAfter)}
 	}
 	f.queue.push(&s.nodes, s.admit(t, f))
 	s.queued++
@@ -203,7 +204,7 @@
 		f.accrue(now, true)
 		s.dequeue(f, index)
 		if !n.deadline.After(now) {
-			s.refuse(f, index)
+			s.refuse(now, f, index)
 			continue
 		}
 		s.start(now, f, index)
@@ -230,10 +231,11 @@
 }
 
 // refuse ends a ticket that has left its queue.
-func (s *Scheduler) refuse(f *flow, index int32) {
+func (s *Scheduler) refuse(now time.Time, f *flow, index int32) {
 	id := s.nodes.slab[index].id
 	wait, _ := f.wait(f.queue.size + 1)
-	s.acts.Refuse = append(s.acts.Refuse, Refusal{ID: id, RetryAfter: s.retryAfter(wait)})
+	retryAfter := f.promise(now, wait, s.cfg.MaxRetryAfter)
+	s.acts.Refuse = append(s.acts.Refuse, Refusal{ID: id, RetryAfter: retryAfter})
 	s.drop(id, index)
 }
 
@@ -244,7 +246,7 @@
 		wait, known := f.wait(position)
 		if !deadline.After(now) || (known && now.Add(wait).After(deadline)) {
 			s.dequeue(f, index)
-			s.refuse(f, index)
+			s.refuse(now, f, index)
 		} else {
 			position++
 		}
@@ -252,10 +254,6 @@
 	}
 }
 
-func (s *Scheduler) retryAfter(wait time.Duration) time.Duration {
-	return min(max(wait, minRetryAfter), s.cfg.MaxRetryAfter)
-}
-
 // divide computes this entry's quotas and slots from all known demand.
 func (s *Scheduler) divide(now time.Time) {
 	elapsed := now.Sub(s.divided).Seconds()
--- a/internal/share/scheduler_test.go
+++ b/internal/share/scheduler_test.go
@@ -247,6 +247,7 @@
 		{Decision: Queued},
 		{Decision: Queued},
 		{Decision: Refused, RetryAfter: 3 * time.Second},
+		{Decision: Refused, RetryAfter: 4 * time.Second},
 	} {
 		ticket := Ticket{ID: uint64(i), Team: "a", Deadline: epoch.Add(2500 * time.Millisecond)}
 		if got := s.Submit(epoch, ticket); got != want {
--- a/internal/share/share.go
+++ b/internal/share/share.go
@@ -81,7 +81,7 @@
 )
 
 // Outcome answers Submit. RetryAfter is set for Refused: the time in which the
-// queue ahead drains at its present rate.
+// queue ahead and the requests refused before drain at the present rate.
 type Outcome struct {
 	Decision   Decision
 	RetryAfter time.Duration
