--- a/internal/share/scheduler.go
+++ b/internal/share/scheduler.go
@@ -1,53 +1,10 @@
 package share
 
 import (
-	"cmp"
 	"slices"
 	"time"
 )
 
-// Config constructs a Scheduler. Zero values take the defaults below.
-type Config struct {
-	// Entry is this entry's name, unique in the fleet.
-	Entry string
-	// Weights gives each team's share; a missing team counts as 1.
-	Weights map[string]float64
-	// Capacity is the service's slots at healthy endpoints, fleet-wide.
-	Capacity int
-	// QueueLimit bounds the queued tickets of one flow at this entry.
-	QueueLimit int
-	// ExpectedDuration stands for the run time until one is measured.
-	ExpectedDuration time.Duration
-	// PeerTimeout is the silence after which a peer's demand is dropped.
-	PeerTimeout time.Duration
-	// MaxRetryAfter caps RetryAfter, also for a flow that gets no slots.
-	MaxRetryAfter time.Duration
-}
-
-// Defaults of Config.
-const (
-	DefaultQueueLimit       = 256
-	DefaultExpectedDuration = 100 * time.Millisecond
-	DefaultPeerTimeout      = time.Second
-	DefaultMaxRetryAfter    = 30 * time.Second
-)
-
-const (
-	minRetryAfter     = 10 * time.Millisecond
-	minRecompute      = 2 * time.Millisecond
-	creditLimit       = 500 * time.Millisecond
-	quotaSmoothing    = 2 * time.Second
-	durationSmoothing = 16 // samples
-	debtLimit         = 1  // slot-seconds
-)
-
-func (c *Config) setDefaults() {
-	c.QueueLimit = cmp.Or(c.QueueLimit, DefaultQueueLimit)
-	c.ExpectedDuration = cmp.Or(c.ExpectedDuration, DefaultExpectedDuration)
-	c.PeerTimeout = cmp.Or(c.PeerTimeout, DefaultPeerTimeout)
-	c.MaxRetryAfter = cmp.Or(c.MaxRetryAfter, DefaultMaxRetryAfter)
-}
-
 // Scheduler decides, for one service at one entry, which tickets start, wait
 // or are refused. It is not safe for concurrent use: callers lock per service.
 type Scheduler struct {
@@ -94,13 +51,14 @@
 		f.newcomer = 0
 	}
 	if s.inFlight < s.slots && !s.waitsUpTo(t.Class) {
+		f.promised = time.Time{}
 		s.start(now, f, s.admit(t, f))
 		return Outcome{Decision: Start}
 	}
 	wait, known := f.wait(f.queue.size + 1)
 	full := f.queue.size >= s.cfg.QueueLimit
 	if full || (known && now.Add(wait).After(t.Deadline)) || !t.Deadline.After(now) {
-		return Outcome{Decision: Refused, RetryAfter: s.retryAfter(wait)}
+		return Outcome{Decision: Refused, RetryAfter: f.promise(now, wait, s.cfg.MaxRetryAfter)}
 	}
 	f.queue.push(&s.nodes, s.admit(t, f))
 	s.queued++
@@ -140,44 +98,6 @@
 	return true
 }
 
-// SetPeer takes a peer's gossiped demand, which it keeps: the caller must not
-// change d.Flows afterwards. A message from itself is ignored.
-func (s *Scheduler) SetPeer(now time.Time, d Demand) Actions {
-	s.reset()
-	if d.Entry == s.cfg.Entry {
-		return s.acts
-	}
-	i, ok := slices.BinarySearchFunc(s.peers, d.Entry, comparePeers)
-	if !ok {
-		s.peers = slices.Insert(s.peers, i, peer{})
-	}
-	s.peers[i] = peer{heard: now, demand: d}
-	grown := false
-	for _, fd := range d.Flows {
-		_, known := s.byFlow[fd.Flow]
-		grown = grown || !known
-		s.flow(fd.Flow)
-	}
-	if !ok || grown {
-		s.layout()
-	} else {
-		s.fillRow(i)
-	}
-	s.divide(now)
-	s.fill(now)
-	return s.acts
-}
-
-// RemovePeer drops the demand of a peer that has left.
-func (s *Scheduler) RemovePeer(now time.Time, entry string) Actions {
-	s.reset()
-	s.peers = slices.DeleteFunc(s.peers, func(p peer) bool { return p.demand.Entry == entry })
-	s.layout()
-	s.divide(now)
-	s.fill(now)
-	return s.acts
-}
-
 // SetCapacity sets the slots of the service's healthy endpoints, fleet-wide.
 func (s *Scheduler) SetCapacity(now time.Time, slots int) Actions {
 	s.reset()
@@ -217,7 +137,8 @@
 	return s.acts
 }
 
-// Demand reports this entry's load for gossip.
+// Demand reports this entry's load for gossip. Until the next call this entry
+// divides with the debt and lag of this message: all peers must get the same.
 func (s *Scheduler) Demand() Demand {
 	s.sent = s.debt
 	d := Demand{Entry: s.cfg.Entry, Debt: s.debt}
@@ -283,7 +204,7 @@
 		f.accrue(now, true)
 		s.dequeue(f, index)
 		if !n.deadline.After(now) {
-			s.refuse(f, index)
+			s.refuse(now, f, index)
 			continue
 		}
 		s.start(now, f, index)
@@ -310,10 +231,11 @@
 }
 
 // refuse ends a ticket that has left its queue.
-func (s *Scheduler) refuse(f *flow, index int32) {
+func (s *Scheduler) refuse(now time.Time, f *flow, index int32) {
 	id := s.nodes.slab[index].id
 	wait, _ := f.wait(f.queue.size + 1)
-	s.acts.Refuse = append(s.acts.Refuse, Refusal{ID: id, RetryAfter: s.retryAfter(wait)})
+	retryAfter := f.promise(now, wait, s.cfg.MaxRetryAfter)
+	s.acts.Refuse = append(s.acts.Refuse, Refusal{ID: id, RetryAfter: retryAfter})
 	s.drop(id, index)
 }
 
@@ -324,7 +246,7 @@
 		wait, known := f.wait(position)
 		if !deadline.After(now) || (known && now.Add(wait).After(deadline)) {
 			s.dequeue(f, index)
-			s.refuse(f, index)
+			s.refuse(now, f, index)
 		} else {
 			position++
 		}
@@ -332,10 +254,6 @@
 	}
 }
 
-func (s *Scheduler) retryAfter(wait time.Duration) time.Duration {
-	return min(max(wait, minRetryAfter), s.cfg.MaxRetryAfter)
-}
-
 // divide computes this entry's quotas and slots from all known demand.
 func (s *Scheduler) divide(now time.Time) {
 	elapsed := now.Sub(s.divided).Seconds()
@@ -409,38 +327,3 @@
 	s.layout()
 	return f
 }
-
-// layout rebuilds the dense rows after a change of the peers or flows.
-func (s *Scheduler) layout() {
-	s.weights = weightsOf(s.keys, s.cfg.Weights)
-	s.self, _ = slices.BinarySearchFunc(s.peers, s.cfg.Entry, comparePeers)
-	var old row
-	if s.self < len(s.rows) {
-		old = s.rows[s.self]
-	}
-	s.rows = make([]row, len(s.peers)+1)
-	s.rows[s.self].resize(len(s.keys))
-	s.rows[s.self].total, s.rows[s.self].slots = old.total, old.slots
-	for i := range s.peers {
-		s.fillRow(i)
-	}
-}
-
-func (s *Scheduler) fillRow(i int) {
-	r := &s.rows[i]
-	if i >= s.self {
-		r = &s.rows[i+1]
-	}
-	r.debt = bounded(s.peers[i].demand.Debt)
-	r.fill(s.keys, s.peers[i].demand.Flows)
-}
-
-// peer is the last message of another entry.
-type peer struct {
-	heard  time.Time
-	demand Demand
-}
-
-func comparePeers(p peer, entry string) int {
-	return cmp.Compare(p.demand.Entry, entry)
-}
