--- a/internal/manager/waves.go
+++ b/internal/manager/waves.go
@@ -192,8 +192,10 @@
 func stateOf(host poolHost, begun waveHost) wave.State {
 	serving := host.live && host.Phase == string(pool.Serving)
 	switch {
-	case begun.State == wave.StateDone && !serving:
+	case begun.State == wave.StateDone && !host.live:
 		return wave.StateFailed
+	case begun.State == wave.StateDone && !serving:
+		return wave.StateLost
 	case begun.State != "":
 		return begun.State
 	case serving:
@@ -208,12 +210,12 @@
 	m := w.manager
 	switch {
 	case begun.State == wave.StateDone:
+	case host.boot > begun.Boot && host.live && host.Phase == string(pool.Serving):
+		begun.State = wave.StateDone
 	case host.boot > begun.Boot && host.live:
 		if _, err := m.ReturnHost(ctx, host.Name); err != nil {
 			m.config.Log.Warn("host not returned", "host", host.Name, "reason", err.Error())
-			return begun
 		}
-		begun.State = wave.StateDone
 	case now.Sub(begun.DownAt) > m.config.RebootLimit:
 		begun.State = wave.StateFailed
 	case host.Phase == string(pool.Serving):
