--- a/internal/entry/claims.go
+++ b/internal/entry/claims.go
@@ -57,6 +57,8 @@
 	stopped  chan struct{}
 	calls    conc.WaitGroup
 	sequence atomic.Uint64
+	// background runs what need not hold up a caller.
+	background func(func(ctx context.Context))
 
 	// Owned by the loop.
 	claimants map[claim.Token]chan claim.Answer
@@ -210,6 +212,9 @@
 		if err != nil || answer.Outcome != claim.OutcomeMoved {
 			return answer, err
 		}
+		// The former home may have begun to record the claim.
+		former := request.Token
+		c.background(func(ctx context.Context) { c.release(ctx, request.ID, former) })
 		c.node.PollNow()
 		select {
 		case <-ctx.Done():
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -45,6 +45,9 @@
 	permitsPatience = 5 * time.Second
 	// permitsPoll is the time between two looks at them.
 	permitsPoll = 100 * time.Millisecond
+	// sayingsShare is the part of a gossip interval, in percent, for which all
+	// peers are told the same; intervals vary by a tenth.
+	sayingsShare = 80
 	// connectionsPerEndpoint bounds this entry's connections to one endpoint;
 	// the picker's bound is the one that counts.
 	connectionsPerEndpoint = 64
@@ -79,6 +82,7 @@
 	// outstanding counts attempts at endpoints, for drains.
 	outstanding *outstanding
 	view        hostView
+	said        sayingsCache
 
 	// runs ends when attempts under way must be given up.
 	runs     context.Context
@@ -112,6 +116,8 @@
 		outstanding: newOutstanding(),
 		metrics:     newMeters(),
 	}
+	e.said.interval = config.Node.GossipInterval() * sayingsShare / 100
+	e.claims.background = e.background
 	e.charges = newCharges(config.Node, config.Log)
 	e.books = &books{claims: e.claims, charges: e.charges, background: e.background}
 	return e
--- a/internal/entry/gossip.go
+++ b/internal/entry/gossip.go
@@ -2,6 +2,8 @@
 
 import (
 	"net/netip"
+	"sync"
+	"time"
 
 	"github.com/lovagedyke/lovagedyke/internal/peer/peerpb"
 	"github.com/lovagedyke/lovagedyke/internal/roster"
@@ -12,15 +14,51 @@
 // Fill implements node.Part: it adds demand, load and what draining hosts run.
 func (e *Entry) Fill(state *peerpb.State) {
 	state.Hosts = e.confirmations()
+	said := e.said.get(e.now(), e.collect)
+	state.Demands = said.demands
+	state.Loads = said.loads
+}
+
+// sayings is what the entry tells all its peers in one gossip interval. A
+// scheduler divides by the demand that it last published, so that all peers
+// must get the same.
+type sayings struct {
+	at      time.Time
+	demands []*peerpb.Demand
+	loads   []*peerpb.EndpointLoad
+}
+
+// sayingsCache keeps the sayings of the present interval.
+type sayingsCache struct {
+	mu       sync.Mutex
+	interval time.Duration
+	current  sayings
+}
+
+// get returns the sayings of the interval, collected anew when it is over.
+func (c *sayingsCache) get(now time.Time, collect func() sayings) sayings {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if now.Sub(c.current.at) >= c.interval {
+		c.current = collect()
+		c.current.at = now
+	}
+	return c.current
+}
+
+// collect takes the services' demand and load.
+func (e *Entry) collect() sayings {
+	var said sayings
 	e.eachService(func(name string, s *service) {
 		demand, loads := s.gossip()
-		state.Demands = append(state.Demands, demandMessage(name, demand))
+		said.demands = append(said.demands, demandMessage(name, demand))
 		for _, load := range loads {
-			state.Loads = append(state.Loads, &peerpb.EndpointLoad{
+			said.loads = append(said.loads, &peerpb.EndpointLoad{
 				Service: name, Address: load.Address.String(), InFlight: int32(load.InFlight),
 			})
 		}
 	})
+	return said
 }
 
 // Absorb implements node.Part: it takes another entry's demand and load.
@@ -42,7 +80,7 @@
 	for _, flow := range demand.Flows {
 		m.Flows = append(m.Flows, &peerpb.Flow{
 			Team: flow.Team, Class: uint32(flow.Class),
-			InFlight: int32(flow.InFlight), Queued: int32(flow.Queued),
+			InFlight: int32(flow.InFlight), Queued: int32(flow.Queued), Lag: flow.Lag,
 		})
 	}
 	return m
@@ -54,7 +92,7 @@
 	for _, flow := range m.GetFlows() {
 		demand.Flows = append(demand.Flows, share.FlowDemand{
 			Flow:     share.Flow{Team: flow.GetTeam(), Class: share.Class(flow.GetClass())},
-			InFlight: int(flow.GetInFlight()), Queued: int(flow.GetQueued()),
+			InFlight: int(flow.GetInFlight()), Queued: int(flow.GetQueued()), Lag: flow.GetLag(),
 		})
 	}
 	return demand
--- a/internal/manager/members.go
+++ b/internal/manager/members.go
@@ -8,6 +8,7 @@
 
 	"github.com/lovagedyke/lovagedyke/internal/claim"
 	"github.com/lovagedyke/lovagedyke/internal/roster"
+	"github.com/lovagedyke/lovagedyke/internal/table"
 )
 
 // rosterLoop removes members on evidence and settles former generations.
@@ -50,9 +51,26 @@
 			return err
 		}
 	}
-	return m.node.ChangeRoster(ctx, func(current roster.Roster) (roster.Roster, bool) {
+	err = m.node.ChangeRoster(ctx, func(current roster.Roster) (roster.Roster, bool) {
 		return roster.Prune(current, claim.BucketKeys(), acks, time.Now(), m.config.ClaimRetention)
 	})
+	if err != nil {
+		return err
+	}
+	return m.dropAcks(ctx, members.Obsolete(acks))
+}
+
+// dropAcks deletes the acknowledgements of processes that no generation of the
+// roster mentions.
+func (m *Manager) dropAcks(ctx context.Context, obsolete []roster.Identity) error {
+	if len(obsolete) == 0 {
+		return nil
+	}
+	var txn table.Txn
+	for _, id := range obsolete {
+		txn.Writes = append(txn.Writes, table.Write{Key: roster.AckKey(id), Delete: true})
+	}
+	return errors.Wrap(m.node.Store().Commit(ctx, txn), "delete acknowledgements")
 }
 
 // readAcks reads which roster versions the members have acknowledged.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -147,6 +147,9 @@
 	return seen.Roster, seen.rowVersion
 }
 
+// GossipInterval returns the time between two exchanges with a peer.
+func (n *Node) GossipInterval() time.Duration { return n.config.GossipInterval }
+
 // Store returns the table.
 func (n *Node) Store() table.Store { return n.config.Store }
 
