--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"net/http"
@@ -251,3 +252,97 @@
 		}
 	}
 }
+
+func TestTrailersArePassedOn(t *testing.T) {
+	f := newFixture(t, func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Trailer", "Checksum")
+		_, _ = io.WriteString(w, strings.Repeat("x", 100_000))
+		w.Header().Set("Checksum", "17")
+	})
+	request, err := http.NewRequest(http.MethodGet, f.server.URL+"/orders/plan", nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	request.Header.Set("Authorization", "Bearer "+f.keys["tackle"])
+	answer, err := f.client.Do(request)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer answer.Body.Close()
+	body, err := io.ReadAll(answer.Body)
+	if err != nil || len(body) != 100_000 {
+		t.Errorf("body: got %d bytes, %v, want 100000", len(body), err)
+	}
+	if got, want := answer.Trailer.Get("Checksum"), "17"; got != want {
+		t.Errorf("trailer: got %q, want %q", got, want)
+	}
+}
+
+// The caller hangs up while its request runs: the run is settled, and a repeat
+// gets the answer.
+func TestCallerHangsUp(t *testing.T) {
+	release := make(chan struct{})
+	f := newFixture(t, func(w http.ResponseWriter, _ *http.Request) {
+		<-release
+		_, _ = io.WriteString(w, "done")
+	})
+	ctx, hangUp := context.WithCancel(context.Background())
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, f.server.URL+"/orders/restock", nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	request.Header.Set("Authorization", "Bearer "+f.keys["tackle"])
+	request.Header.Set(headerKey, "order-10")
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		if answer, err := f.client.Do(request); err == nil {
+			_ = answer.Body.Close()
+		}
+	}()
+	f.eventually("the request runs", func() bool { return f.handled.Load() == 1 })
+	hangUp()
+	<-ended
+	close(release)
+	f.eventually("permit is free", func() bool { return f.inUse() == 0 })
+	f.eventually("repeat has the answer", func() bool {
+		_, body, _, err := f.do(testCall{header: map[string]string{headerKey: "order-10"}})
+		return err == nil && body == "done"
+	})
+	if got, want := f.handled.Load(), int64(1); got != want {
+		t.Errorf("runs: got %d, want %d", got, want)
+	}
+}
+
+// Answers that come in another order than the requests reach their own callers.
+func TestCrossedAnswers(t *testing.T) {
+	const callers = 8
+	arrived := make(chan struct{}, callers)
+	release := make([]chan struct{}, callers)
+	for i := range release {
+		release[i] = make(chan struct{})
+	}
+	f := newFixture(t, func(w http.ResponseWriter, r *http.Request) {
+		body, _ := io.ReadAll(r.Body)
+		arrived <- struct{}{}
+		<-release[int(body[0]-'0')]
+		_, _ = w.Write(body)
+	})
+	answers := make([]chan string, callers)
+	for i := range callers {
+		answers[i] = make(chan string, 1)
+		go func() {
+			_, body, _, _ := f.do(testCall{body: fmt.Sprint(i)})
+			answers[i] <- body
+		}()
+	}
+	for range callers {
+		<-arrived
+	}
+	for i := callers - 1; i >= 0; i-- {
+		close(release[i])
+		if got, want := <-answers[i], fmt.Sprint(i); got != want {
+			t.Errorf("answer to caller %d: got %q, want %q", i, got, want)
+		}
+	}
+}
--- a/internal/standin/worker/worker.go
+++ b/internal/standin/worker/worker.go
@@ -201,10 +201,15 @@
 	w.WriteHeader(http.StatusNoContent)
 }
 
-func (s *Server) getStats(w http.ResponseWriter, _ *http.Request, _ httprouter.Params) {
+// Stats returns the truth about what ran.
+func (s *Server) Stats() Stats {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	web.WriteJSON(w, http.StatusOK, s.runner.stats(s.now()))
+	return s.runner.stats(s.now())
+}
+
+func (s *Server) getStats(w http.ResponseWriter, _ *http.Request, _ httprouter.Params) {
+	web.WriteJSON(w, http.StatusOK, s.Stats())
 }
 
 // stats returns the truth about what ran.
--- a/test/failure_test.go
+++ b/test/failure_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/lovagedyke/lovagedyke/internal/standin/load"
+	"github.com/lovagedyke/lovagedyke/internal/standin/worker"
 	"github.com/lovagedyke/lovagedyke/pkg/api"
 )
 
@@ -350,3 +351,80 @@
 		t.Errorf("hosts taken down before the wave stopped: got %d, want %d", got, want)
 	}
 }
+
+// Charges are exactly the runs that took place, through cut answers, requests
+// given up on, an outage and lost answers; what is not proven is listed.
+func TestChargesAreRuns(t *testing.T) {
+	f := newFleet(t, 2, 2)
+	good := f.loadOn("entry-1", "entry-2")
+	good.Rate = 80
+	stopGood := f.background(good)
+	cut := f.loadOn("entry-1", "entry-2")
+	cut.Behaviour, cut.Requests, cut.Marked, cut.Rate = "truncate", 40, true, 40
+	f.run(cut)
+	late := f.loadOn("entry-1", "entry-2")
+	late.RunTime, late.Deadline, late.Requests, late.Marked, late.Rate = 400*time.Millisecond, 100*time.Millisecond, 20, true, 20
+	f.run(late)
+	f.faults(`{"down":true}`)
+	time.Sleep(2 * time.Second)
+	f.faults(`{"lose-answers":true}`)
+	time.Sleep(time.Second)
+	f.faults(`{}`)
+	f.checkWhole(stopGood())
+	f.eventually("every run is charged or listed", func() bool {
+		charged, unproven := f.rowsUnder("charge/"), f.rowsUnder("charge-unproven/")
+		for id := range f.runs() {
+			if !charged[id] && !unproven[id] {
+				return false
+			}
+		}
+		return true
+	})
+	charged, unproven, runs := f.rowsUnder("charge/"), f.rowsUnder("charge-unproven/"), f.runs()
+	for id := range charged {
+		if !runs[id] {
+			t.Errorf("charge %s: got no run, want one", id)
+		}
+		if unproven[id] {
+			t.Errorf("run %s: got a charge and an entry in the list of unproven runs, want one of them", id)
+		}
+	}
+	if len(unproven) == 0 {
+		t.Error("unproven runs: got 0, want those whose answers were cut")
+	}
+	t.Logf("%d runs, %d charged, %d unproven", len(runs), len(charged), len(unproven))
+}
+
+// The manager that holds the queue's shard dies with tasks running; another
+// takes over, and each task runs once and is charged once.
+func TestTasksThroughAManagersDeath(t *testing.T) {
+	f := newFleet(t, 2, 2)
+	workers := []*worker.Server{f.addWorker("worker-1"), f.addWorker("worker-2")}
+	f.applyQueue()
+	const tasks = 20
+	for i := range tasks {
+		f.submit("entry-1", fmt.Sprint("plan-", i))
+	}
+	holder := f.shardHolder("tasks")
+	f.kill(holder)
+	f.unlistHost("host-" + holder)
+	for i := range tasks {
+		// A repeat through another entry is the same task.
+		f.submit("entry-2", fmt.Sprint("plan-", i))
+	}
+	f.eventually("all tasks are charged", func() bool { return len(f.rowsUnder("charge/")) == tasks })
+	runs := make(map[string]int)
+	for _, server := range workers {
+		for task, n := range server.Stats().RunsPerTask {
+			runs[task] += n
+		}
+	}
+	if got, want := len(runs), tasks; got != want {
+		t.Errorf("tasks that ran: got %d, want %d", got, want)
+	}
+	for task, got := range runs {
+		if got != 1 {
+			t.Errorf("runs of %s: got %d, want 1", task, got)
+		}
+	}
+}
--- a/test/fleet_test.go
+++ b/test/fleet_test.go
@@ -6,6 +6,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"io"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -19,9 +20,11 @@
 	"testing"
 	"time"
 
+	platformclient "github.com/lovagedyke/lovagedyke/internal/platform"
 	"github.com/lovagedyke/lovagedyke/internal/standin/endpoint"
 	"github.com/lovagedyke/lovagedyke/internal/standin/load"
 	"github.com/lovagedyke/lovagedyke/internal/standin/platform"
+	"github.com/lovagedyke/lovagedyke/internal/standin/worker"
 	"github.com/lovagedyke/lovagedyke/pkg/api"
 	"github.com/lovagedyke/lovagedyke/pkg/client"
 )
@@ -281,7 +284,55 @@
 // apply declares the catalogue with that upper limit.
 func (f *fleet) apply(limit int) {
 	f.t.Helper()
-	catalogue := api.Catalogue{
+	f.declare(catalogueOf(limit))
+}
+
+// applyQueue adds queue "plans", whose pool is "tasks", to the catalogue.
+func (f *fleet) applyQueue() {
+	f.t.Helper()
+	catalogue := catalogueOf(teamLimit)
+	catalogue.Entries = append(catalogue.Entries, api.Entry{
+		Name: "plans", Kind: "queue", Team: "tackle", Class: "batch", MaxBody: 1 << 16,
+		Deadline: api.Duration(5 * time.Second), LongestRun: api.Duration(longestRun),
+		Availability: 0.99, Pool: "tasks",
+	})
+	f.declare(catalogue)
+}
+
+// shardHolder returns the manager that manages a pool's tasks.
+func (f *fleet) shardHolder(pool string) string {
+	f.t.Helper()
+	var holder string
+	f.eventually("shard "+pool+" has a holder", func() bool {
+		for name, p := range f.processes {
+			if strings.HasPrefix(name, "manager") && f.holds(p, pool) {
+				holder = name
+				return true
+			}
+		}
+		return false
+	})
+	return holder
+}
+
+// holds reports whether a manager's dump shows the shard as its own.
+func (f *fleet) holds(p *process, pool string) bool {
+	var dump struct {
+		Shards map[string]struct {
+			Epoch uint64 `json:"epoch"`
+		} `json:"shards"`
+	}
+	answer, err := http.Get("http://" + p.operations.String() + "/dump")
+	if err != nil {
+		return false
+	}
+	defer func() { _ = answer.Body.Close() }()
+	return json.NewDecoder(answer.Body).Decode(&dump) == nil && dump.Shards[pool].Epoch > 0
+}
+
+// catalogueOf returns the catalogue of team "tackle" with an upper limit.
+func catalogueOf(limit int) api.Catalogue {
+	return api.Catalogue{
 		Teams: []api.Team{{Name: "tackle", UpperLimit: limit, Share: 1}},
 		Entries: []api.Entry{{
 			Name: "orders", Kind: "service", Team: "tackle", Class: "urgent", MaxBody: 1 << 20,
@@ -289,6 +340,11 @@
 			Availability: 0.999, Pool: "p",
 		}},
 	}
+}
+
+// declare applies a catalogue and waits until it is in force everywhere.
+func (f *fleet) declare(catalogue api.Catalogue) {
+	f.t.Helper()
 	f.eventually("catalogue is accepted", func() bool {
 		answer, err := f.operators.Apply(context.Background(), api.ApplyRequest{Catalogue: catalogue})
 		return err == nil && f.inForce(answer.Revision)
@@ -479,3 +535,72 @@
 	}
 	return len(waves[0].Hosts)
 }
+
+// rowsUnder returns the run ids of the table's rows with a prefix.
+func (f *fleet) rowsUnder(prefix string) map[string]bool {
+	f.t.Helper()
+	store := platformclient.New(platformclient.Config{
+		Address: netip.MustParseAddrPort(strings.TrimPrefix(f.platform.URL, "http://")), Process: "test",
+	})
+	defer store.Close()
+	rows, err := store.Scan(context.Background(), prefix)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	ids := make(map[string]bool, len(rows))
+	for _, row := range rows {
+		ids[strings.TrimPrefix(row.Key, prefix)] = true
+	}
+	return ids
+}
+
+// runs returns the ids of the runs that the endpoints completed.
+func (f *fleet) runs() map[string]bool {
+	ids := make(map[string]bool)
+	for _, server := range f.endpoints {
+		for _, run := range server.Stats().Runs {
+			ids[run.ID] = true
+		}
+	}
+	return ids
+}
+
+// addWorker serves a worker on a host of its own in pool "tasks".
+func (f *fleet) addWorker(name string) *worker.Server {
+	server := worker.New(worker.Config{Name: name, Incarnation: "1", UsageLag: 100 * time.Millisecond})
+	port := httptest.NewServer(server.Handler())
+	f.t.Cleanup(port.Close)
+	f.listHost(name, "tasks", fmt.Sprintf(`{"service":"worker","address":%q,"slots":16,"connections":64}`,
+		strings.TrimPrefix(port.URL, "http://")))
+	return server
+}
+
+// submit hands a task to queue "plans" through an entry, under a key, until it
+// is taken.
+func (f *fleet) submit(entry, key string) {
+	f.t.Helper()
+	f.eventually("task "+key+" is taken", func() bool {
+		status, _ := f.ask(entry, http.MethodPost, "/plans/tasks", key, `{"cpus":1,"memory":1048576,"run-time":"500ms"}`)
+		return status == http.StatusAccepted || status == http.StatusOK
+	})
+}
+
+// ask sends one request through an entry.
+func (f *fleet) ask(entry, method, path, key, body string) (status int, answer string) {
+	f.t.Helper()
+	request, err := http.NewRequest(method, "http://"+f.processes[entry].callers.String()+path, strings.NewReader(body))
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	request.Header.Set("Authorization", "Bearer "+f.key)
+	if key != "" {
+		request.Header.Set("Idempotency-Key", key)
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return 0, ""
+	}
+	defer func() { _ = response.Body.Close() }()
+	text, _ := io.ReadAll(response.Body)
+	return response.StatusCode, string(text)
+}
