--- a/internal/entry/fixture_test.go
+++ b/internal/entry/fixture_test.go
@@ -32,7 +32,7 @@
 
 // fixture is one entry over a table in memory and endpoints of the test's.
 type fixture struct {
-	t       *testing.T
+	t       testing.TB
 	store   *table.Memory
 	node    *node.Node
 	entry   *Entry
@@ -48,7 +48,7 @@
 
 // newFixture starts an entry for service "orders" of team "tackle", whose
 // endpoints are served by the handlers.
-func newFixture(t *testing.T, endpoints ...http.HandlerFunc) *fixture {
+func newFixture(t testing.TB, endpoints ...http.HandlerFunc) *fixture {
 	t.Helper()
 	f := &fixture{t: t, store: table.NewMemory(), keys: make(map[string]string)}
 	self := roster.Member{
--- /dev/null
+++ b/internal/entry/forward_bench_test.go
@@ -0,0 +1,162 @@
+package entry
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"runtime"
+	"sync"
+	"testing"
+	"time"
+
+	hdr "github.com/HdrHistogram/hdrhistogram-go"
+)
+
+const (
+	// endpointTime is how long the endpoint of a benchmark works.
+	endpointTime = 5 * time.Millisecond
+	// halfLoad is half of the endpoint's slots.
+	halfLoad = 4
+)
+
+// BenchmarkThrough sends requests by turns through an entry and straight to
+// the endpoint, at half of the endpoint's slots.
+func BenchmarkThrough(b *testing.B) {
+	f := newFixture(b, func(w http.ResponseWriter, _ *http.Request) {
+		time.Sleep(endpointTime)
+		_, _ = io.WriteString(w, "stocked")
+	})
+	straight := "http://" + f.hosts[0].Endpoints[0].Address.String() + "/restock"
+	targets := map[string]string{"straight": straight, "through": f.server.URL + "/orders/restock"}
+	var mu sync.Mutex
+	took := map[string]*hdr.Histogram{}
+	for name := range targets {
+		took[name] = hdr.New(1, int64(time.Minute), 3)
+	}
+	f.client.Transport = &http.Transport{MaxIdleConnsPerHost: halfLoad}
+	var callers sync.WaitGroup
+	b.ResetTimer()
+	for range halfLoad {
+		callers.Go(func() {
+			for range max(1, b.N/halfLoad) {
+				for name, url := range targets {
+					started := time.Now()
+					f.get(url)
+					elapsed := time.Since(started)
+					mu.Lock()
+					_ = took[name].RecordValue(int64(elapsed))
+					mu.Unlock()
+				}
+			}
+		})
+	}
+	callers.Wait()
+	for name, histogram := range took {
+		b.ReportMetric(float64(histogram.ValueAtQuantile(50))/1e6, name+"-median-ms")
+		b.ReportMetric(float64(histogram.ValueAtQuantile(99))/1e6, name+"-p99-ms")
+	}
+	for _, q := range []float64{50, 99} {
+		added := took["through"].ValueAtQuantile(q) - took["straight"].ValueAtQuantile(q)
+		b.ReportMetric(float64(added)/1e6, fmt.Sprintf("added-p%.0f-ms", q))
+	}
+}
+
+// get makes one request with the team's key.
+func (f *fixture) get(url string) {
+	request, err := http.NewRequest(http.MethodGet, url, nil)
+	if err != nil {
+		f.t.Error(err)
+		return
+	}
+	request.Header.Set("Authorization", "Bearer "+f.keys["tackle"])
+	answer, err := f.client.Do(request)
+	if err != nil {
+		f.t.Error(err)
+		return
+	}
+	defer answer.Body.Close()
+	if _, err := io.Copy(io.Discard, answer.Body); err != nil || answer.StatusCode != http.StatusOK {
+		f.t.Errorf("got status %d and %v, want 200", answer.StatusCode, err)
+	}
+}
+
+// zeros is an endless body.
+type zeros struct{}
+
+// Read implements io.Reader.
+func (zeros) Read(p []byte) (int, error) {
+	clear(p)
+	return len(p), nil
+}
+
+// BenchmarkBody sends a body through an entry and reports the greatest heap
+// meanwhile, of caller, entry and endpoint together, over the heap before.
+func BenchmarkBody(b *testing.B) {
+	for _, way := range []string{"request", "answer"} {
+		for _, megabytes := range []int64{25, 50, 100, 200} {
+			b.Run(fmt.Sprintf("%s/MB=%03d", way, megabytes), func(b *testing.B) {
+				benchmarkBody(b, way == "answer", megabytes<<20)
+			})
+		}
+	}
+}
+
+func benchmarkBody(b *testing.B, answer bool, size int64) {
+	f := newFixture(b, func(w http.ResponseWriter, r *http.Request) {
+		if answer {
+			w.Header().Set("Content-Length", fmt.Sprint(size))
+			_, _ = io.CopyN(w, zeros{}, size)
+			return
+		}
+		if n, err := io.Copy(io.Discard, r.Body); err != nil || n != size {
+			b.Errorf("got %d bytes and %v, want %d", n, err, size)
+		}
+	})
+	sent := size
+	if answer {
+		sent = 0
+	}
+	var before runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&before)
+	greatest := uint64(0)
+	b.SetBytes(size)
+	for b.Loop() {
+		stop := make(chan struct{})
+		seen := make(chan uint64)
+		go func() { seen <- greatestHeap(stop) }()
+		request, err := http.NewRequest(http.MethodPost, f.server.URL+"/orders/plan", io.LimitReader(zeros{}, sent))
+		if err != nil {
+			b.Fatal(err)
+		}
+		request.ContentLength = sent
+		request.Header.Set("Authorization", "Bearer "+f.keys["tackle"])
+		response, err := f.client.Do(request)
+		if err != nil {
+			b.Fatal(err)
+		}
+		n, err := io.Copy(io.Discard, response.Body)
+		if err != nil || response.StatusCode != http.StatusOK || answer && n != size {
+			b.Errorf("got status %d, %d bytes and %v, want 200", response.StatusCode, n, err)
+		}
+		_ = response.Body.Close()
+		close(stop)
+		greatest = max(greatest, <-seen)
+	}
+	b.ReportMetric((float64(greatest)-float64(before.HeapInuse))/1e6, "heap-growth-MB")
+}
+
+// greatestHeap samples the heap until stop is closed.
+func greatestHeap(stop <-chan struct{}) uint64 {
+	var stats runtime.MemStats
+	greatest := uint64(0)
+	for {
+		runtime.ReadMemStats(&stats)
+		greatest = max(greatest, stats.HeapInuse)
+		select {
+		case <-stop:
+			return greatest
+		case <-time.After(5 * time.Millisecond):
+		}
+	}
+}
--- /dev/null
+++ b/internal/platform/bench_test.go
@@ -0,0 +1,42 @@
+package platform_test
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/netip"
+	"testing"
+
+	"github.com/lovagedyke/lovagedyke/internal/platform"
+)
+
+// BenchmarkHosts decodes the platform's list, as every process does at each
+// reading.
+func BenchmarkHosts(b *testing.B) {
+	for _, n := range []int{50, 200, 600, 1700} {
+		b.Run(fmt.Sprintf("hosts=%d", n), func(b *testing.B) {
+			var answer platform.HostsAnswer
+			for i := range n {
+				answer.Hosts = append(answer.Hosts, platform.Host{
+					Name: fmt.Sprintf("worker-%04d", i), DataCentre: fmt.Sprintf("dc-%d", i%8),
+					Rack: fmt.Sprintf("rack-%03d", i/4), Pool: fmt.Sprintf("pool-%02d", i%27), State: platform.Live,
+					Endpoints: []platform.Endpoint{{
+						Service: platform.WorkerService, Slots: 8, Connections: 64,
+						Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 1, byte(i >> 8), byte(i)}), 9000),
+					}},
+				})
+			}
+			encoded, err := json.Marshal(answer)
+			if err != nil {
+				b.Fatal(err)
+			}
+			b.ReportAllocs()
+			for b.Loop() {
+				var got platform.HostsAnswer
+				if err := json.Unmarshal(encoded, &got); err != nil {
+					b.Fatal(err)
+				}
+			}
+			b.ReportMetric(float64(len(encoded)), "list-bytes")
+		})
+	}
+}
