--- a/internal/entry/bench_test.go
+++ b/internal/entry/bench_test.go
@@ -39,7 +39,7 @@
 	return roster.Member{
 		Identity: roster.Identity{Name: fmt.Sprintf("entry-%02d", i), Incarnation: 1}, Host: fmt.Sprintf("host-%02d", i),
 		Role: roster.RoleEntry, DataCentre: fmt.Sprintf("dc-%d", i%8), State: roster.StateActive,
-		Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i)}), 8000),
+		Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, 1}), uint16(8000+i)),
 	}
 }
 
@@ -201,7 +201,35 @@
 	b.ReportMetric(float64(len(encoded)), "state-bytes")
 }
 
-// BenchmarkEntryHeap is what an entry keeps in memory of a deployment.
+// hear takes the states of all other members, each like the entry's own.
+func (e *benchEntry) hear(b testing.TB) {
+	b.Helper()
+	service := e.node.Service()
+	state := &peerpb.State{}
+	for i := 1; i < e.shape.members; i++ {
+		state.From = peer.IdentityMessage(member(i).Identity)
+		reply, err := service.Exchange(context.Background(), state)
+		if err != nil {
+			b.Fatal(err)
+		}
+		encoded, err := proto.Marshal(reply)
+		if err != nil {
+			b.Fatal(err)
+		}
+		// A decoded copy shares no memory with the entry's own.
+		state = &peerpb.State{}
+		if err := proto.Unmarshal(encoded, state); err != nil {
+			b.Fatal(err)
+		}
+		state.From = peer.IdentityMessage(member(i).Identity)
+		if _, err := service.Exchange(context.Background(), state); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
+
+// BenchmarkEntryHeap is what an entry keeps in memory of a deployment whose
+// other members have told their states.
 func BenchmarkEntryHeap(b *testing.B) {
 	for _, s := range []shape{{7, 6, 5, 10}, {14, 32, 10, 20}, {24, 65, 20, 40}, {24, 130, 27, 63}} {
 		b.Run(fmt.Sprintf("members=%d/teams=%d/services=%d/endpoints=%d", s.members, s.teams, s.services, s.endpoints), func(b *testing.B) {
@@ -211,7 +239,7 @@
 				runtime.ReadMemStats(&before)
 				e := newBenchEntry(b, s)
 				e.fill(time.Now())
-				e.store = nil
+				e.hear(b)
 				runtime.GC()
 				runtime.ReadMemStats(&after)
 				runtime.KeepAlive(e)
--- a/internal/platform/bench_test.go
+++ b/internal/platform/bench_test.go
@@ -7,6 +7,7 @@
 	"testing"
 
 	"github.com/lovagedyke/lovagedyke/internal/platform"
+	"github.com/lovagedyke/lovagedyke/internal/table"
 )
 
 // BenchmarkHosts decodes the platform's list, as every process does at each
@@ -40,3 +41,30 @@
 		})
 	}
 }
+
+// BenchmarkRows decodes the answer to a scan of rows as small as a host's
+// assignment.
+func BenchmarkRows(b *testing.B) {
+	for _, n := range []int{50, 200, 600, 1700} {
+		b.Run(fmt.Sprintf("rows=%d", n), func(b *testing.B) {
+			var answer platform.RowsAnswer
+			for i := range n {
+				answer.Rows = append(answer.Rows, table.Row{
+					Key: fmt.Sprintf("pool/host/worker-%04d", i), Value: make([]byte, 70), Version: uint64(i + 1),
+				})
+			}
+			encoded, err := json.Marshal(answer)
+			if err != nil {
+				b.Fatal(err)
+			}
+			b.ReportAllocs()
+			for b.Loop() {
+				var got platform.RowsAnswer
+				if err := json.Unmarshal(encoded, &got); err != nil {
+					b.Fatal(err)
+				}
+			}
+			b.ReportMetric(float64(len(encoded)), "answer-bytes")
+		})
+	}
+}
