--- a/internal/share/bench_test.go
+++ b/internal/share/bench_test.go
@@ -6,8 +6,8 @@
 	"time"
 )
 
-// BenchmarkDivision takes one peer's demand, and divides anew, at a full
-// service.
+// BenchmarkDivision takes one peer's demand and a tick at a full service: two
+// divisions.
 func BenchmarkDivision(b *testing.B) {
 	for _, n := range []struct{ entries, flows int }{{7, 6}, {7, 30}, {7, 65}, {7, 130}, {14, 130}, {24, 130}, {48, 130}} {
 		b.Run(fmt.Sprintf("entries=%d/flows=%d", n.entries, n.flows), func(b *testing.B) {
