Refuse a task's row whose state lacks its attempt

Cause: FuzzDecode found that a row in a placed, running or unknown state without an attempt panics in Controller.Load, so that one spoilt row ends each manager that takes the shard over. Ruled out: a check in Load alone; the entry and the runner decode such rows too.

--- a/internal/task/record.go
+++ b/internal/task/record.go
@@ -149,12 +149,17 @@
 	return Prefix(queue) + id
 }
 
-// Decode reads a task's row.
+// Decode reads a task's row. It refuses a state that is unknown, or that needs
+// an attempt and has none.
 func Decode(row table.Row) (Record, error) {
 	var record Record
 	if err := json.Unmarshal(row.Value, &record); err != nil {
 		return Record{}, errors.Wrapf(err, "row %q is not a task", row.Key)
 	}
+	placed := record.State == Placed || record.State == Running
+	if placed && record.Attempt == nil || !placed && record.State != Submitted && !record.State.Final() {
+		return Record{}, errors.Newf("row %q holds a task in state %q without what that state needs", row.Key, record.State)
+	}
 	return record, nil
 }
 
