pool: plan moves by their value, with learnt bursts

The planner weighs each move: late work that it saves against the cost of the move and of idle hosts; it learns the order, length and size of bursts. Experiment 'pools' steps it beside fixed pools and threshold moves.

--- a/cmd/lovagedyke-experiment/cmd_run.go
+++ b/cmd/lovagedyke-experiment/cmd_run.go
@@ -26,7 +26,7 @@
 func newRootCommand(out io.Writer) *ffcli.Command {
 	root := &ffcli.Command{
 		Name:       "lovagedyke-experiment",
-		ShortUsage: "lovagedyke-experiment <share|route|retry|all> [flags]",
+		ShortUsage: "lovagedyke-experiment <share|route|retry|pools|waves|all> [flags]",
 		ShortHelp:  "measure the policies beside their baselines in virtual time",
 		Exec:       func(context.Context, []string) error { return flag.ErrHelp },
 	}
--- a/internal/experiment/experiment.go
+++ b/internal/experiment/experiment.go
@@ -30,10 +30,12 @@
 	Share Part = "share"
 	Route Part = "route"
 	Retry Part = "retry"
+	Pools Part = "pools"
+	Waves Part = "waves"
 )
 
 // Parts are all parts.
-var Parts = []Part{Share, Route, Retry}
+var Parts = []Part{Share, Route, Retry, Pools, Waves}
 
 // maxConcurrentRuns leaves most of a machine to others.
 const maxConcurrentRuns = 4
@@ -143,6 +145,10 @@
 		return routeTrials(d)
 	case Retry:
 		return retryTrials(d)
+	case Pools:
+		return poolTrials(d)
+	case Waves:
+		return waveTrials(d)
 	}
 	return nil
 }
--- a/internal/experiment/plot.go
+++ b/internal/experiment/plot.go
@@ -24,6 +24,9 @@
 	if err := os.MkdirAll(dir, 0o755); err != nil {
 		return errors.Wrapf(err, "making the directory %q", dir)
 	}
+	if err := r.writeMovePlots(dir); err != nil {
+		return err
+	}
 	for _, curve := range r.Curves {
 		if err := curve.write(dir); err != nil {
 			return err
--- /dev/null
+++ b/internal/experiment/pooltrials.go
@@ -0,0 +1,125 @@
+package experiment
+
+import (
+	"fmt"
+)
+
+var poolScenarios = []poolScenario{
+	{name: "turns in order"},
+	{name: "turns in any order", anyOrder: true},
+	{name: "a rack is lost", loseRack: true},
+}
+
+// poolPolicyNamed makes a policy for each run.
+type poolPolicyNamed struct {
+	name string
+	make func(*poolBench) poolPolicy
+}
+
+// plannerPolicies are the planner with the deployment's weights, and with ever
+// larger weights of moves: its trade of moves for late work.
+func plannerPolicies(d Deployment) []poolPolicyNamed {
+	weights := measureWeights[d.Name]
+	policies := []poolPolicyNamed{{"planner", newPlannerPolicy(weights)}}
+	for _, factor := range []float64{2, 4, 8, 16} {
+		w := weights
+		w.Moves *= factor
+		policies = append(policies, poolPolicyNamed{fmt.Sprintf("planner, moves %g-fold", factor), newPlannerPolicy(w)})
+	}
+	return policies
+}
+
+func thresholdPolicies() []poolPolicyNamed {
+	var policies []poolPolicyNamed
+	for _, u := range []float64{0.5, 0.7, 0.85, 1} {
+		policies = append(policies, poolPolicyNamed{fmt.Sprintf("threshold %.2g", u), newThreshold(u)})
+	}
+	return policies
+}
+
+func poolTrials(d Deployment) []trial {
+	policies := append(plannerPolicies(d), poolPolicyNamed{"fixed pools", newFixedPools})
+	policies = append(policies, thresholdPolicies()...)
+	var trials, targets []trial
+	for _, scenario := range poolScenarios {
+		for _, policy := range policies {
+			trials = append(trials, trial{
+				part: Pools, deployment: d.Name, scenario: scenario.name, policy: policy.name,
+				run: func(seed uint64) outcome { return runPools(scenario, seed, policy.make).outcome() },
+			})
+		}
+		trials = append(trials, trial{
+			part: Pools, deployment: d.Name, scenario: scenario.name, policy: "bound: offline, no late work",
+			run: func(seed uint64) outcome { return outcome{values: poolBound(scenario, seed)} },
+		})
+		targets = append(targets, trial{
+			part: Pools, deployment: d.Name, scenario: scenario.name, policy: "planner against baselines",
+			run: func(seed uint64) outcome { return outcome{values: comparePools(d, scenario, seed)} },
+		})
+	}
+	return append(trials, targets...)
+}
+
+func runPools(scenario poolScenario, seed uint64, make func(*poolBench) poolPolicy) *poolMeasure {
+	bench := newPoolBench(scenario, seed)
+	return bench.run(make(bench))
+}
+
+func (m *poolMeasure) latePercent() float64 { return 100 * m.late / m.inBursts }
+
+func (m *poolMeasure) outcome() outcome {
+	seconds := poolRun.Seconds()
+	return outcome{values: []value{
+		{"late work", "% of bursts", m.latePercent()},
+		{"moves", "a minute", float64(m.moves) / poolRun.Minutes()},
+		{"idle outside spare", "hosts", m.idle / seconds},
+		{"idle in spare", "hosts", m.idleSpare / seconds},
+		{"moves below minimum", "moves", float64(m.below)},
+	}}
+}
+
+// poolBound is what knowledge of all turns would give: the pools together have
+// more hosts than all queues ever need, so that no work has to be late.
+func poolBound(scenario poolScenario, seed uint64) []value {
+	b := newPoolBench(scenario, seed)
+	idle := leastIdle(b.turns) / poolRun.Seconds()
+	busy := 0.0
+	for _, t := range b.turns {
+		busy += t.load * t.ends.Sub(t.begins).Seconds() / poolRun.Seconds()
+		for queue := range queueHosts {
+			if queue != t.queue {
+				busy += troughOfMean * meanLoad(queue) * t.ends.Sub(t.begins).Seconds() / poolRun.Seconds()
+			}
+		}
+	}
+	return []value{
+		{"late work", "% of bursts", 0},
+		{"moves", "a minute", float64(leastMoves(b.turns)) / poolRun.Minutes()},
+		{"idle outside spare", "hosts", idle},
+		{"idle in spare", "hosts", float64(len(b.hosts)) - idle - busy},
+		{"moves below minimum", "moves", 0},
+	}
+}
+
+// comparePools holds the planner against its targets: late work of fixed pools
+// over its own, and moves of each threshold over those of the planner that moves
+// least while it is no later. 0 means that no planner was as little late.
+func comparePools(d Deployment, scenario poolScenario, seed uint64) []value {
+	var planners []*poolMeasure
+	for _, policy := range plannerPolicies(d) {
+		planners = append(planners, runPools(scenario, seed, policy.make))
+	}
+	fixed := runPools(scenario, seed, newFixedPools)
+	values := []value{{"late: fixed over planner", "ratio", fixed.late / max(planners[0].late, 1)}}
+	for _, policy := range thresholdPolicies() {
+		base := runPools(scenario, seed, policy.make)
+		ratio := 0.0
+		for _, p := range planners {
+			if p.late <= base.late {
+				ratio = max(ratio, float64(base.moves)/float64(max(1, p.moves)))
+			}
+		}
+		values = append(values, value{"moves: " + policy.name + " over planner", "ratio", ratio})
+	}
+	return values
+}
--- /dev/null
+++ b/internal/experiment/wavetrials.go
@@ -0,0 +1,3 @@
+package experiment
+
+func waveTrials(Deployment) []trial { return nil }
--- a/internal/pool/assignment.go
+++ b/internal/pool/assignment.go
@@ -17,6 +17,14 @@
 //	if pool.Quiet(current, members, confirmations) {
 //		next, err = pool.Settle(current)
 //	}
+//
+// A Planner decides which moves to start. It is stepped with what was observed:
+//
+//	planner := pool.NewPlanner(pool.PlannerConfig{Spare: "spare", Weights: weights})
+//	plan := planner.Step(now, pool.View{Pools: pools, Hosts: hosts, Observed: at, MoveTime: p90})
+//	for _, move := range plan.Moves {
+//		// read the row of move.Host, compute pool.Drain, commit
+//	}
 package pool
 
 import (
