--- a/internal/experiment/poolbench.go
+++ b/internal/experiment/poolbench.go
@@ -29,6 +29,7 @@
 	spareHosts       = 10
 	minimumSurvivors = 2
 	sparePool        = "spare"
+	learningTime     = 2 * time.Minute // two rounds and a little more
 	rackLostAt       = 5 * time.Minute
 	rackBackAt       = 7 * time.Minute
 )
@@ -71,14 +72,16 @@
 
 // poolMeasure is what one run gave.
 type poolMeasure struct {
-	arrived, inBursts  float64 // host-seconds
-	late               float64 // host-seconds that began after the patience
-	idle, idleSpare    float64 // host-seconds outside the spare pool and in it
-	moves              int
-	below              int // moves that left a pool below its minimum
-	hostsByTurn        [][]float64
-	movesEachTurn      []float64
-	movesBeforeTheTurn int
+	arrived, inBursts float64 // host-seconds
+	late              float64 // host-seconds that began after the patience
+	// What remains of both once two rounds were seen.
+	inBurstsLearnt, lateLearnt float64
+	idle, idleSpare            float64 // host-seconds outside the spare pool and in it
+	moves                      int
+	below                      int // moves that left a pool below its minimum
+	hostsByTurn                [][]float64
+	movesEachTurn              []float64
+	movesBeforeTheTurn         int
 }
 
 func newPoolBench(scenario poolScenario, seed uint64) *poolBench {
@@ -194,6 +197,9 @@
 		b.measure.arrived += work
 		if queue == now.queue {
 			b.measure.inBursts += work
+			if b.learnt() {
+				b.measure.inBurstsLearnt += work
+			}
 		}
 	}
 }
@@ -215,10 +221,16 @@
 		capacity := float64(serving[queueName(queue)]) * poolTick.Seconds()
 		served, late := q.serve(b.now, capacity)
 		b.measure.late += late
+		if b.learnt() {
+			b.measure.lateLearnt += late
+		}
 		b.measure.idle += capacity - served
 	}
 }
 
+// learnt reports whether two rounds are over.
+func (b *poolBench) learnt() bool { return b.now.Sub(epoch) >= learningTime }
+
 // view is what a policy sees: hosts at once, loads with their lag.
 func (b *poolBench) view() pool.View {
 	view := pool.View{Observed: b.now.Add(-observationLag), MoveTime: moveNinetieth}
--- a/internal/experiment/poolplot.go
+++ b/internal/experiment/poolplot.go
@@ -23,7 +23,7 @@
 		}
 		done[row.Deployment] = true
 		planner := runPools(poolScenarios[0], 1, newPlannerPolicy(measureWeights[row.Deployment]))
-		threshold := runPools(poolScenarios[0], 1, newThreshold(0.7))
+		threshold := runPools(poolScenarios[0], 1, newThreshold(0.7, true))
 		if err := plotHosts(planner, row.Deployment, dir); err != nil {
 			return err
 		}
--- a/internal/experiment/poolpolicy.go
+++ b/internal/experiment/poolpolicy.go
@@ -2,7 +2,6 @@
 
 import (
 	"math"
-	"slices"
 	"time"
 
 	"github.com/lovagedyke/lovagedyke/internal/pool"
@@ -25,7 +24,7 @@
 func newPlannerPolicy(weights pool.Weights) func(*poolBench) poolPolicy {
 	return func(*poolBench) poolPolicy {
 		return plannerPolicy{pool.NewPlanner(pool.PlannerConfig{
-			Spare: sparePool, Weights: weights, Lag: observationLag,
+			Spare: sparePool, Weights: weights, Lag: observationLag, Patience: poolPatience,
 		})}
 	}
 }
@@ -52,55 +51,83 @@
 func (fixedPools) plan(time.Time, pool.View) []pool.PlannedMove { return nil }
 
 // threshold gives each pool the hosts that its load asks for now, without
-// hysteresis: from the spare pool, else from the pool with the lowest load.
+// hysteresis: from the spare pool, else from the pool with the most beyond its
+// own target. Eager thresholds give back at once what a pool does not need.
 type threshold struct {
-	bench       *poolBench
 	utilisation float64
+	eager       bool
 }
 
-func newThreshold(utilisation float64) func(*poolBench) poolPolicy {
-	return func(b *poolBench) poolPolicy { return threshold{bench: b, utilisation: utilisation} }
+func newThreshold(utilisation float64, eager bool) func(*poolBench) poolPolicy {
+	return func(*poolBench) poolPolicy { return threshold{utilisation: utilisation, eager: eager} }
 }
 
 func (p threshold) plan(_ time.Time, view pool.View) []pool.PlannedMove {
-	var moves []pool.PlannedMove
-	byPool, incoming := make(map[string][]pool.HostView), make(map[string]int)
+	s := &thresholdStep{serving: make(map[string][]pool.HostView), incoming: make(map[string]int)}
 	for _, h := range view.Hosts {
-		if h.Down {
-			continue
+		switch {
+		case h.Down:
+		case h.Target != "":
+			s.incoming[h.Target]++
+		default:
+			s.serving[h.Pool] = append(s.serving[h.Pool], h)
 		}
-		if h.Target != "" {
-			incoming[h.Target]++
-			continue
-		}
-		byPool[h.Pool] = append(byPool[h.Pool], h)
-	}
-	target := func(v pool.Observation) int {
-		return max(int(math.Ceil(v.Load/p.utilisation)), v.Minimum+2)
 	}
-	take := func(from, to string) {
-		last := len(byPool[from]) - 1
-		moves = append(moves, pool.PlannedMove{Host: byPool[from][last].Name, From: from, To: to})
-		byPool[from] = byPool[from][:last]
-		incoming[to]++
+	for _, v := range view.Pools {
+		for p.eager && s.beyond(v.Name, p.target(v)) > 0 && keeps(s.serving[v.Name]) {
+			s.take(v.Name, sparePool)
+		}
 	}
-	pools := slices.Clone(view.Pools)
-	slices.SortStableFunc(pools, func(a, b pool.Observation) int { return int(1000 * (a.Load - b.Load)) })
-	for _, v := range pools {
-		for len(byPool[v.Name]) > target(v) && p.keeps(byPool[v.Name]) {
-			take(v.Name, sparePool)
+	for _, v := range view.Pools {
+		for s.beyond(v.Name, p.target(v))+s.incoming[v.Name] < 0 {
+			from := p.donor(s, view)
+			if from == "" {
+				break
+			}
+			s.take(from, v.Name)
 		}
 	}
-	for _, v := range slices.Backward(pools) {
-		for len(byPool[v.Name])+incoming[v.Name] < target(v) && len(byPool[sparePool]) > 0 {
-			take(sparePool, v.Name)
+	return s.moves
+}
+
+// target is the number of hosts for the load: never less than the minimum and
+// what a rack holds of so small a pool.
+func (p threshold) target(v pool.Observation) int {
+	return max(int(math.Ceil(v.Load/p.utilisation)), v.Minimum+1)
+}
+
+func (p threshold) donor(s *thresholdStep, view pool.View) string {
+	if len(s.serving[sparePool]) > 0 {
+		return sparePool
+	}
+	best, most := "", 0
+	for _, v := range view.Pools {
+		if n := s.beyond(v.Name, p.target(v)); n > most && keeps(s.serving[v.Name]) {
+			best, most = v.Name, n
 		}
 	}
-	return moves
+	return best
+}
+
+// thresholdStep is the state of one step.
+type thresholdStep struct {
+	serving  map[string][]pool.HostView
+	incoming map[string]int
+	moves    []pool.PlannedMove
+}
+
+func (s *thresholdStep) beyond(name string, target int) int { return len(s.serving[name]) - target }
+
+// take moves the pool's last host.
+func (s *thresholdStep) take(from, to string) {
+	last := len(s.serving[from]) - 1
+	s.moves = append(s.moves, pool.PlannedMove{Host: s.serving[from][last].Name, From: from, To: to})
+	s.serving[from] = s.serving[from][:last]
+	s.incoming[to]++
 }
 
-// keeps reports whether the pool may lose its last host.
-func (p threshold) keeps(hosts []pool.HostView) bool {
+// keeps reports whether a pool may lose its last host.
+func keeps(hosts []pool.HostView) bool {
 	racks, largest := make(map[string]int), 0
 	rest := hosts[:len(hosts)-1]
 	for _, h := range rest {
--- a/internal/experiment/pooltrials.go
+++ b/internal/experiment/pooltrials.go
@@ -31,8 +31,11 @@
 
 func thresholdPolicies() []poolPolicyNamed {
 	var policies []poolPolicyNamed
-	for _, u := range []float64{0.5, 0.7, 0.85, 1} {
-		policies = append(policies, poolPolicyNamed{fmt.Sprintf("threshold %.2g", u), newThreshold(u)})
+	for _, u := range []float64{0.5, 0.7, 0.9} {
+		policies = append(policies, poolPolicyNamed{fmt.Sprintf("threshold %.2g", u), newThreshold(u, true)})
+	}
+	for _, u := range []float64{0.5, 0.7, 0.9} {
+		policies = append(policies, poolPolicyNamed{fmt.Sprintf("threshold %.2g, lazy", u), newThreshold(u, false)})
 	}
 	return policies
 }
@@ -71,6 +74,7 @@
 	seconds := poolRun.Seconds()
 	return outcome{values: []value{
 		{"late work", "% of bursts", m.latePercent()},
+		{"late once learnt", "% of bursts", 100 * m.lateLearnt / m.inBurstsLearnt},
 		{"moves", "a minute", float64(m.moves) / poolRun.Minutes()},
 		{"idle outside spare", "hosts", m.idle / seconds},
 		{"idle in spare", "hosts", m.idleSpare / seconds},
@@ -94,6 +98,7 @@
 	}
 	return []value{
 		{"late work", "% of bursts", 0},
+		{"late once learnt", "% of bursts", 0},
 		{"moves", "a minute", float64(leastMoves(b.turns)) / poolRun.Minutes()},
 		{"idle outside spare", "hosts", idle},
 		{"idle in spare", "hosts", float64(len(b.hosts)) - idle - busy},
--- a/internal/pool/planner.go
+++ b/internal/pool/planner.go
@@ -83,10 +83,11 @@
 
 // Defaults of PlannerConfig.
 const (
-	DefaultUtilisation = 0.85
+	DefaultUtilisation = 0.9
 	DefaultLag         = time.Second
 	DefaultStaleAfter  = 10 * time.Second
 	DefaultFirstBurst  = 15 * time.Second
+	DefaultPatience    = time.Second
 )
 
 // PlannerConfig constructs a Planner; zero values take the defaults.
@@ -102,6 +103,9 @@
 	StaleAfter time.Duration
 	// FirstBurst is the length that is assumed of bursts before one was seen.
 	FirstBurst time.Duration
+	// Patience is how long work may wait before it is late. It lets a pool with
+	// fewer hosts than the load asks for carry a short burst.
+	Patience time.Duration
 }
 
 // Planner decides which hosts to move between pools and the spare pool. Each
@@ -127,6 +131,7 @@
 	config.Lag = cmp.Or(config.Lag, DefaultLag)
 	config.StaleAfter = cmp.Or(config.StaleAfter, DefaultStaleAfter)
 	config.FirstBurst = cmp.Or(config.FirstBurst, DefaultFirstBurst)
+	config.Patience = cmp.Or(config.Patience, DefaultPatience)
 	return &Planner{
 		config: config, weights: config.Weights.normal(),
 		rhythm: newRhythm(), needed: make(map[string][]neededAt),
--- a/internal/pool/value.go
+++ b/internal/pool/value.go
@@ -16,28 +16,37 @@
 }
 
 // overloaded is how long one more host would be of use, from its arrival on, to
-// the observed burst and the work that waits.
+// the observed burst and the work that waits; 0 if no work will be late.
 func (s *step) overloaded(pool Observation) time.Duration {
-	hosts := float64(s.members[pool.Name].count())
-	busy := hosts * s.planner.config.Utilisation
-	excess := pool.Load - busy
-	remaining := time.Duration(0)
-	if b := s.planner.rhythm.byPool[pool.Name]; excess > 0 && b != nil {
-		remaining = s.planner.config.FirstBurst
-		if b.bursting {
-			elapsed := s.now.Sub(b.began.Add(-s.planner.config.Lag))
-			remaining = max(s.view.MoveTime, b.length(s.planner.config.FirstBurst)-elapsed)
-		}
+	hosts := max(1, float64(s.members[pool.Name].count()))
+	excess := pool.Load - hosts*s.planner.config.Utilisation
+	remaining := s.remaining(pool.Name, excess)
+	waiting := pool.Backlog.Seconds() + excess*remaining.Seconds()
+	late := waiting - hosts*s.planner.config.Patience.Seconds()
+	if late <= 0 {
+		return 0
 	}
-	waiting := pool.Backlog.Seconds() + max(0, excess)*remaining.Seconds()
-	capacity := max(1, hosts)
+	catchUp := late / hosts
 	if remaining == 0 {
-		capacity = max(1, hosts-pool.Load)
+		catchUp = late / max(1, -excess)
 	}
-	useful := remaining.Seconds() + waiting/capacity - s.view.MoveTime.Seconds()
+	useful := remaining.Seconds() + catchUp - s.view.MoveTime.Seconds()
 	return time.Duration(max(0, useful) * float64(time.Second))
 }
 
+// remaining is how long a load beyond the pool's hosts is expected to last.
+func (s *step) remaining(name string, excess float64) time.Duration {
+	b := s.planner.rhythm.byPool[name]
+	if excess <= 0 || b == nil {
+		return 0
+	}
+	if !b.bursting {
+		return s.planner.config.FirstBurst
+	}
+	elapsed := s.now.Sub(b.began.Add(-s.planner.config.Lag))
+	return max(s.view.MoveTime, b.length(s.planner.config.FirstBurst)-elapsed)
+}
+
 // expected is how many seconds one more host would be of use to the burst that
 // is expected by the time that the host arrives.
 func (s *step) expected(name string) float64 {
@@ -51,7 +60,8 @@
 		return 0
 	}
 	useful := f.Ends.Sub(later(arrival, f.Begins)).Seconds()
-	level := float64(s.members[name].count()) * s.planner.config.Utilisation
+	slack := 1 + s.planner.config.Patience.Seconds()/max(1, f.Ends.Sub(f.Begins).Seconds())
+	level := float64(s.members[name].count()) * s.planner.config.Utilisation * slack
 	return max(0, useful) * f.Confidence * b.reaches(level)
 }
 
