--- a/internal/pool/rhythm.go
+++ b/internal/pool/rhythm.go
@@ -16,6 +16,8 @@
 	rememberedBursts = 8
 	// overdueLimit is how late a burst may be before it is no longer expected.
 	overdueLimit = 10 * time.Second
+	// leastConfidence is what a forecast must have to keep hosts in a pool.
+	leastConfidence = 0.5
 )
 
 // rhythm learns from observed load which pool's burst follows which, when, for
--- a/internal/pool/step.go
+++ b/internal/pool/step.go
@@ -120,7 +120,8 @@
 	if b := s.planner.rhythm.byPool[pool.Name]; b != nil && b.bursting {
 		return false
 	}
-	return s.nextUse(pool.Name).Sub(s.now) > 2*s.view.MoveTime
+	sure := s.forecasts[pool.Name].Confidence >= leastConfidence
+	return !sure || s.nextUse(pool.Name).Sub(s.now) > 2*s.view.MoveTime
 }
 
 // nextUse is when a pool is expected to burst; far away when that is not known.
