wave: begin with canaries, stop on failures close in time

Found in review: failures counted over the whole wave, so that two hosts weeks apart stopped it; a bad image took down as many hosts as the reserve allowed before the first result; a budget that is not a number let the wave go on; an excused host stayed excused after its repair; a finished wave did not say which hosts it had left out.

--- a/internal/wave/wave.go
+++ b/internal/wave/wave.go
@@ -2,9 +2,10 @@
 //
 // A wave takes down as many hosts at once as leaves the pool able to carry its
 // load even when its largest remaining failure domain is lost on top. Hosts
-// that failed, in the wave or outside it, count as down. The wave stops when
-// several of its hosts do not come back, because a fault of the maintenance
-// itself would take down every host in turn.
+// that failed, in the wave or outside it, count as down. A wave begins with a
+// few hosts and opens up when they came back. It stops when several of its hosts
+// fail within a short time, because a fault of the maintenance itself would take
+// down every host in turn.
 //
 // # Usage
 //
@@ -50,6 +51,9 @@
 	Rack       string `json:"rack"`
 	DataCentre string `json:"data-centre"`
 	State      State  `json:"state"`
+	// Since is when the host entered its state; if it is zero, the wave takes
+	// the first step that saw it.
+	Since time.Time `json:"since,omitzero"`
 }
 
 // Domain is the kind of failure domain whose loss the pool must survive
@@ -111,6 +115,8 @@
 	Verdict Verdict  `json:"verdict"`
 	Reason  string   `json:"reason,omitempty"`
 	Start   []string `json:"start,omitempty"`
+	// Left are the hosts that a finished wave did not maintain.
+	Left []string `json:"left,omitempty"`
 }
 
 // Defaults of Config.
@@ -118,6 +124,7 @@
 	DefaultBudgetReserve = 0.1
 	DefaultMaxFailures   = 2
 	DefaultCoolDown      = 30 * time.Minute
+	DefaultFailureWindow = time.Hour
 )
 
 // Config constructs a Wave; zero values take the defaults.
@@ -126,8 +133,13 @@
 	Reserve Domain
 	// BudgetReserve is the part of the availability budget that waves leave.
 	BudgetReserve float64
-	// MaxFailures is the number of hosts that may fail before the wave stops.
-	MaxFailures int
+	// MaxFailures is the number of failures within FailureWindow that stops the
+	// wave. Hosts that fail further apart do so by themselves.
+	MaxFailures   int
+	FailureWindow time.Duration
+	// Canaries is the number of hosts that must come back before more than
+	// these are in maintenance; MaxFailures by default.
+	Canaries int
 	// CoolDown is how long the wave stays stopped once its failed hosts are
 	// repaired.
 	CoolDown time.Duration
@@ -137,8 +149,12 @@
 type Wave struct {
 	config Config
 	// excused holds failures that an operator has looked at.
-	excused   map[string]bool
-	stoppedAt time.Time
+	excused map[string]bool
+	// failedAt is when the hosts that failed did so.
+	failedAt map[string]time.Time
+	// correlated holds the failures that stopped the wave.
+	correlated map[string]bool
+	stoppedAt  time.Time
 }
 
 // New returns a wave that has not begun.
@@ -155,7 +171,16 @@
 	if config.CoolDown == 0 {
 		config.CoolDown = DefaultCoolDown
 	}
-	return &Wave{config: config, excused: make(map[string]bool)}
+	if config.FailureWindow == 0 {
+		config.FailureWindow = DefaultFailureWindow
+	}
+	if config.Canaries == 0 {
+		config.Canaries = config.MaxFailures
+	}
+	return &Wave{
+		config: config, excused: make(map[string]bool),
+		failedAt: make(map[string]time.Time), correlated: make(map[string]bool),
+	}
 }
 
 // Resume lets a stopped wave go on, at an operator's word: the hosts that
@@ -166,6 +191,7 @@
 			w.excused[host.Name] = true
 		}
 	}
+	clear(w.correlated)
 	w.stoppedAt = time.Time{}
 }
 
@@ -176,36 +202,77 @@
 	}
 	pending, down := count(view.Hosts, StatePending), count(view.Hosts, StateDown)
 	if pending == 0 && down == 0 {
-		return Decision{Verdict: Finished}
+		return Decision{Verdict: Finished, Left: left(view.Hosts)}
 	}
 	if pending == 0 {
 		return Decision{Verdict: Go}
 	}
-	if view.BudgetLeft <= w.config.BudgetReserve {
+	// The negation holds too when the budget is not a number.
+	if !(view.BudgetLeft > w.config.BudgetReserve) {
 		return Decision{Verdict: Hold, Reason: ReasonBudget}
 	}
 	start := w.choose(view)
+	start = start[:min(len(start), w.allowed(view, down))]
 	if len(start) == 0 && down == 0 {
 		return Decision{Verdict: Hold, Reason: ReasonCapacity}
 	}
 	return Decision{Verdict: Go, Start: start}
 }
 
+// allowed is the number of hosts that may be taken down by what earlier ones
+// have proven.
+func (w *Wave) allowed(view View, down int) int {
+	if count(view.Hosts, StateDone) >= w.config.Canaries {
+		return len(view.Hosts)
+	}
+	return max(0, w.config.Canaries-down)
+}
+
 // stopped reports whether the wave must not take down any more: too many of
-// its hosts have failed, or did so less than the cool-down ago.
+// its hosts failed within a short time, and still do or did so less than the
+// cool-down ago.
 func (w *Wave) stopped(now time.Time, view View) bool {
-	failures := 0
-	for _, host := range view.Hosts {
-		if host.State == StateFailed && !w.excused[host.Name] {
-			failures++
+	w.takeFailures(now, view)
+	var recent []string
+	for name, at := range w.failedAt {
+		if now.Sub(at) <= w.config.FailureWindow {
+			recent = append(recent, name)
+		}
+	}
+	if len(recent) >= w.config.MaxFailures {
+		for _, name := range recent {
+			w.correlated[name] = true
 		}
 	}
-	if failures >= w.config.MaxFailures {
+	if len(w.correlated) > 0 {
 		w.stoppedAt = now
 	}
 	return !w.stoppedAt.IsZero() && now.Sub(w.stoppedAt) < w.config.CoolDown
 }
 
+// takeFailures notes which hosts failed when, and forgets those that serve again.
+func (w *Wave) takeFailures(now time.Time, view View) {
+	for _, host := range view.Hosts {
+		if host.State != StateFailed {
+			delete(w.excused, host.Name)
+			delete(w.failedAt, host.Name)
+			delete(w.correlated, host.Name)
+			continue
+		}
+		if w.excused[host.Name] {
+			delete(w.failedAt, host.Name)
+			continue
+		}
+		if _, known := w.failedAt[host.Name]; known {
+			continue
+		}
+		w.failedAt[host.Name] = host.Since
+		if host.Since.IsZero() {
+			w.failedAt[host.Name] = now
+		}
+	}
+}
+
 // choose returns the hosts to take down: each time one of the domain with the
 // most serving hosts, which leaves the smallest largest domain and so lets the
 // most hosts go at once.
@@ -299,3 +366,15 @@
 	}
 	return n
 }
+
+// left returns the hosts that were not maintained.
+func left(hosts []Host) []string {
+	var names []string
+	for _, host := range hosts {
+		if host.State == StateFailed || host.State == StateLost {
+			names = append(names, host.Name)
+		}
+	}
+	slices.Sort(names)
+	return names
+}
