--- a/internal/experiment/wavebench.go
+++ b/internal/experiment/wavebench.go
@@ -51,7 +51,9 @@
 	random     *rand.Rand
 	pools      []*wavePool
 	// grace reboots hosts that long after the drain began, confirmed or not.
-	grace  time.Duration
+	grace time.Duration
+	// apart keeps each pool from knowing of the others' results.
+	apart  bool
 	cut    int
 	lost   int
 	repair time.Time
@@ -148,8 +150,30 @@
 	return view
 }
 
+// elsewhere counts the results of the other pools.
+func (b *waveBench) elsewhere(p *wavePool) wave.Results {
+	var r wave.Results
+	for _, other := range b.pools {
+		if other == p {
+			continue
+		}
+		for _, h := range other.hosts {
+			switch h.State {
+			case wave.StateDone:
+				r.Done++
+			case wave.StateFailed:
+				r.Failed++
+			}
+		}
+	}
+	return r
+}
+
 func (b *waveBench) step(p *wavePool) {
 	view := p.view()
+	if !b.apart {
+		view.Elsewhere = b.elsewhere(p)
+	}
 	serving := 0
 	for _, h := range view.Hosts {
 		if h.State == wave.StatePending || h.State == wave.StateDone {
--- a/internal/wave/wave.go
+++ b/internal/wave/wave.go
@@ -20,6 +20,7 @@
 package wave
 
 import (
+	"math"
 	"slices"
 	"strings"
 	"time"
@@ -86,6 +87,14 @@
 	Need int
 	// BudgetLeft is the part of the availability budget that is not spent, 0 to 1.
 	BudgetLeft float64
+	// Elsewhere is how the same maintenance went in other pools.
+	Elsewhere Results
+}
+
+// Results counts hosts by how their maintenance ended.
+type Results struct {
+	Done   int `json:"done"`
+	Failed int `json:"failed"`
 }
 
 // Verdict says how a wave goes on.
@@ -108,6 +117,7 @@
 	ReasonBudget     = "budget-spent"
 	ReasonCapacity   = "no-spare-capacity"
 	ReasonCorrelated = "failures-correlate"
+	ReasonCanaries   = "canaries-failed"
 )
 
 // Decision is what to do now.
@@ -137,8 +147,12 @@
 	// wave. Hosts that fail further apart do so by themselves.
 	MaxFailures   int
 	FailureWindow time.Duration
-	// Canaries is the number of hosts that must come back before more than
-	// these are in maintenance; MaxFailures by default.
+	// RollOutTime is the deployment's weight of roll-out time over the mean of
+	// its weights, 1 by default.
+	RollOutTime float64
+	// Canaries is the number of hosts in maintenance at most until some came
+	// back, here or elsewhere: MaxFailures by default, more as roll-out time
+	// weighs more than the other measures.
 	Canaries int
 	// CoolDown is how long the wave stays stopped once its failed hosts are
 	// repaired.
@@ -152,6 +166,8 @@
 	excused map[string]bool
 	// failedAt is when the hosts that failed did so.
 	failedAt map[string]time.Time
+	// recent are the failures within the window, at the last step.
+	recent []string
 	// correlated holds the failures that stopped the wave.
 	correlated map[string]bool
 	stoppedAt  time.Time
@@ -175,7 +191,7 @@
 		config.FailureWindow = DefaultFailureWindow
 	}
 	if config.Canaries == 0 {
-		config.Canaries = config.MaxFailures
+		config.Canaries = int(math.Ceil(float64(config.MaxFailures) * max(1, config.RollOutTime)))
 	}
 	return &Wave{
 		config: config, excused: make(map[string]bool),
@@ -212,20 +228,31 @@
 		return Decision{Verdict: Hold, Reason: ReasonBudget}
 	}
 	start := w.choose(view)
-	start = start[:min(len(start), w.allowed(view, down))]
 	if len(start) == 0 && down == 0 {
 		return Decision{Verdict: Hold, Reason: ReasonCapacity}
 	}
+	start = start[:min(len(start), w.allowed(view, down))]
+	if len(start) == 0 && down == 0 {
+		return Decision{Verdict: Hold, Reason: ReasonCanaries}
+	}
 	return Decision{Verdict: Go, Start: start}
 }
 
 // allowed is the number of hosts that may be taken down by what earlier ones
-// have proven.
+// have proven. Failed canaries are not replaced while others are under way.
 func (w *Wave) allowed(view View, down int) int {
-	if count(view.Hosts, StateDone) >= w.config.Canaries {
+	proof := min(w.config.Canaries, w.config.MaxFailures)
+	if count(view.Hosts, StateDone)+view.Elsewhere.Done >= proof {
 		return len(view.Hosts)
 	}
-	return max(0, w.config.Canaries-down)
+	failed := len(w.recent)
+	if failed+view.Elsewhere.Failed >= w.config.MaxFailures {
+		return 0
+	}
+	if down == 0 {
+		return max(1, w.config.Canaries-failed)
+	}
+	return max(0, w.config.Canaries-down-failed)
 }
 
 // stopped reports whether the wave must not take down any more: too many of
@@ -233,14 +260,14 @@
 // cool-down ago.
 func (w *Wave) stopped(now time.Time, view View) bool {
 	w.takeFailures(now, view)
-	var recent []string
+	w.recent = w.recent[:0]
 	for name, at := range w.failedAt {
 		if now.Sub(at) <= w.config.FailureWindow {
-			recent = append(recent, name)
+			w.recent = append(w.recent, name)
 		}
 	}
-	if len(recent) >= w.config.MaxFailures {
-		for _, name := range recent {
+	if len(w.recent) >= w.config.MaxFailures {
+		for _, name := range w.recent {
 			w.correlated[name] = true
 		}
 	}
