pool: a planner's memory outlives it

Hosts of the manager are replaced at any time, and a planner that begins anew is late for two rounds.

--- a/internal/experiment/poolbench.go
+++ b/internal/experiment/poolbench.go
@@ -58,6 +58,7 @@
 type poolBench struct {
 	now      time.Time
 	scenario poolScenario
+	seed     uint64
 	random   *rand.Rand
 	queues   []*fluidQueue
 	hosts    []*poolHost
@@ -86,7 +87,7 @@
 }
 
 func newPoolBench(scenario poolScenario, seed uint64) *poolBench {
-	b := &poolBench{now: epoch, scenario: scenario, random: newRandom(seed)}
+	b := &poolBench{now: epoch, scenario: scenario, seed: seed, random: newRandom(seed)}
 	for range queueHosts {
 		b.queues = append(b.queues, &fluidQueue{})
 	}
--- a/internal/experiment/poolpolicy.go
+++ b/internal/experiment/poolpolicy.go
@@ -29,6 +29,22 @@
 	}
 }
 
+// newHeir is a planner with the memory of another, which saw other turns.
+func newHeir(weights pool.Weights) func(*poolBench) poolPolicy {
+	return func(b *poolBench) poolPolicy {
+		before := newPoolBench(b.scenario, b.seed+heirSeeds)
+		first := newPlannerPolicy(weights)(before).(plannerPolicy)
+		before.run(first)
+		return plannerPolicy{pool.NewPlanner(pool.PlannerConfig{
+			Spare: sparePool, Weights: weights, Lag: observationLag, Patience: poolPatience,
+			Memory: first.planner.Memory(),
+		})}
+	}
+}
+
+// heirSeeds keeps the turns of an heir's forerunner apart from all others.
+const heirSeeds = 1000
+
 func (p plannerPolicy) plan(now time.Time, view pool.View) []pool.PlannedMove {
 	return p.planner.Step(now, view).Moves
 }
--- a/internal/experiment/pooltrials.go
+++ b/internal/experiment/pooltrials.go
@@ -41,7 +41,9 @@
 }
 
 func poolTrials(d Deployment) []trial {
-	policies := append(plannerPolicies(d), poolPolicyNamed{"fixed pools", newFixedPools})
+	policies := append(plannerPolicies(d),
+		poolPolicyNamed{"planner with a memory", newHeir(measureWeights[d.Name])},
+		poolPolicyNamed{"fixed pools", newFixedPools})
 	policies = append(policies, thresholdPolicies()...)
 	var trials, targets []trial
 	for _, scenario := range poolScenarios {
--- a/internal/pool/planner.go
+++ b/internal/pool/planner.go
@@ -106,6 +106,8 @@
 	// Patience is how long work may wait before it is late. It lets a pool with
 	// fewer hosts than the load asks for carry a short burst.
 	Patience time.Duration
+	// Memory is what an earlier planner has learnt, empty for none.
+	Memory Memory
 }
 
 // Planner decides which hosts to move between pools and the spare pool. Each
@@ -132,10 +134,12 @@
 	config.StaleAfter = cmp.Or(config.StaleAfter, DefaultStaleAfter)
 	config.FirstBurst = cmp.Or(config.FirstBurst, DefaultFirstBurst)
 	config.Patience = cmp.Or(config.Patience, DefaultPatience)
-	return &Planner{
+	p := &Planner{
 		config: config, weights: config.Weights.normal(),
 		rhythm: newRhythm(), needed: make(map[string][]neededAt),
 	}
+	p.rhythm.recall(config.Memory)
+	return p
 }
 
 // Step takes the newest observation and returns the moves to start now.
--- a/internal/pool/planner_test.go
+++ b/internal/pool/planner_test.go
@@ -1,6 +1,7 @@
 package pool_test
 
 import (
+	"encoding/json"
 	"fmt"
 	"slices"
 	"testing"
@@ -258,6 +259,20 @@
 	if later > first/3 {
 		t.Errorf("late work once the order is known: got %.0f, want at most a third of %.0f", later, first)
 	}
+	text, err := json.Marshal(f.planner.Memory())
+	if err != nil {
+		t.Fatal(err)
+	}
+	config := pool.PlannerConfig{Spare: "spare"}
+	if err := json.Unmarshal(text, &config.Memory); err != nil {
+		t.Fatal(err)
+	}
+	heir := newFleet(pool.Weights{}, 4, 8, 8)
+	heir.planner = pool.NewPlanner(config)
+	heir.turns(1, 14, 10*time.Second)
+	if _, got := heir.turns(4, 14, 10*time.Second); got > first/2 {
+		t.Errorf("late work with the memory of another planner: got %.0f, want at most half of %.0f", got, first)
+	}
 }
 
 func TestPlannerFailures(t *testing.T) {
--- a/internal/pool/rhythm.go
+++ b/internal/pool/rhythm.go
@@ -58,6 +58,10 @@
 		r.byPool[pool] = &bursts{mean: load, seen: at}
 		return
 	}
+	if b.seen.IsZero() {
+		// Recalled from a memory.
+		b.seen = at
+	}
 	elapsed := at.Sub(b.seen)
 	if elapsed <= 0 {
 		return
--- a/internal/pool/step.go
+++ b/internal/pool/step.go
@@ -23,10 +23,7 @@
 	if s.needs == nil {
 		s.needs = make(map[string]int)
 	}
-	load := pool.Load
-	if math.IsNaN(load) || load < 0 || math.IsInf(load, 0) {
-		load = 0
-	}
+	load := sane(pool.Load)
 	if !s.plan.Stale {
 		s.planner.rhythm.observe(s.view.Observed, pool.Name, load)
 	}
