--- a/internal/experiment/poolbench.go
+++ b/internal/experiment/poolbench.go
@@ -81,7 +81,7 @@
 	idle, idleSpare            float64 // host-seconds outside the spare pool and in it
 	moves                      int
 	below                      int // moves that left a pool below its minimum
-	hostsByTurn                [][]float64
+	hostsByStep                [][]float64
 	movesEachTurn              []float64
 	movesBeforeTheTurn         int
 }
@@ -293,7 +293,7 @@
 	for _, h := range b.hosts {
 		row[poolIndex(h.HostView)]++
 	}
-	b.measure.hostsByTurn = append(b.measure.hostsByTurn, row)
+	b.measure.hostsByStep = append(b.measure.hostsByStep, row)
 }
 
 // poolIndex counts the queues, then the spare pool, then hosts that move.
--- a/internal/experiment/poolplot.go
+++ b/internal/experiment/poolplot.go
@@ -9,7 +9,7 @@
 	"gonum.org/v1/plot/plotutil"
 )
 
-// plotted is how many turns of the first run the plots of moves show.
+// plottedTurns is how many turns of the first run the plots of moves show.
 const plottedTurns = 20
 
 // writeMovePlots writes a PNG for each deployment whose pools were measured:
@@ -41,12 +41,12 @@
 	p.Y.Label.Text = "hosts"
 	p.Legend.Top = true
 	p.Add(plotter.NewGrid())
-	shown := min(len(m.hostsByTurn), plottedTurns*int(turnLength/poolStep))
+	shown := min(len(m.hostsByStep), plottedTurns*int(turnLength/poolStep))
 	var lines []any
-	for i := range m.hostsByTurn[0] {
+	for i := range m.hostsByStep[0] {
 		points := make(plotter.XYs, shown)
 		for step := range shown {
-			points[step] = plotter.XY{X: float64(step) * poolStep.Seconds(), Y: m.hostsByTurn[step][i]}
+			points[step] = plotter.XY{X: float64(step) * poolStep.Seconds(), Y: m.hostsByStep[step][i]}
 		}
 		lines = append(lines, plotName(i), points)
 	}
