--- a/internal/wave/wave.go
+++ b/internal/wave/wave.go
@@ -2,9 +2,10 @@
 //
 // A wave takes down as many hosts at once as leaves the pool able to carry its
 // load even when its largest remaining failure domain is lost on top. Hosts
-// that failed, in the wave or outside it, count as down. The wave stops when
-// several of its hosts do not come back, because a fault of the maintenance
-// itself would take down every host in turn.
+// that failed, in the wave or outside it, count as down. A wave begins with a
+// few hosts and opens up when they came back. It stops when several of its hosts
+// fail within a short time, because a fault of the maintenance itself would take
+// down every host in turn.
 //
 // # Usage
 //
@@ -19,6 +20,7 @@
 package wave
 
 import (
+	"math"
 	"slices"
 	"strings"
 	"time"
@@ -50,6 +52,9 @@
 	Rack       string `json:"rack"`
 	DataCentre string `json:"data-centre"`
 	State      State  `json:"state"`
+	// Since is when the host entered its state; if it is zero, the wave takes
+	// the first step that saw it.
+	Since time.Time `json:"since,omitzero"`
 }
 
 // Domain is the kind of failure domain whose loss the pool must survive
@@ -82,6 +87,14 @@
 	Need int
 	// BudgetLeft is the part of the availability budget that is not spent, 0 to 1.
 	BudgetLeft float64
+	// Elsewhere is how the same maintenance went in other pools.
+	Elsewhere Results
+}
+
+// Results counts hosts by how their maintenance ended.
+type Results struct {
+	Done   int `json:"done"`
+	Failed int `json:"failed"`
 }
 
 // Verdict says how a wave goes on.
@@ -104,6 +117,7 @@
 	ReasonBudget     = "budget-spent"
 	ReasonCapacity   = "no-spare-capacity"
 	ReasonCorrelated = "failures-correlate"
+	ReasonCanaries   = "canaries-failed"
 )
 
 // Decision is what to do now.
@@ -111,6 +125,8 @@
 	Verdict Verdict  `json:"verdict"`
 	Reason  string   `json:"reason,omitempty"`
 	Start   []string `json:"start,omitempty"`
+	// Left are the hosts that a finished wave did not maintain.
+	Left []string `json:"left,omitempty"`
 }
 
 // Defaults of Config.
@@ -118,6 +134,7 @@
 	DefaultBudgetReserve = 0.1
 	DefaultMaxFailures   = 2
 	DefaultCoolDown      = 30 * time.Minute
+	DefaultFailureWindow = time.Hour
 )
 
 // Config constructs a Wave; zero values take the defaults.
@@ -126,8 +143,17 @@
 	Reserve Domain
 	// BudgetReserve is the part of the availability budget that waves leave.
 	BudgetReserve float64
-	// MaxFailures is the number of hosts that may fail before the wave stops.
-	MaxFailures int
+	// MaxFailures is the number of failures within FailureWindow that stops the
+	// wave. Hosts that fail further apart do so by themselves.
+	MaxFailures   int
+	FailureWindow time.Duration
+	// RollOutTime is the deployment's weight of roll-out time over the mean of
+	// its weights, 1 by default.
+	RollOutTime float64
+	// Canaries is the number of hosts in maintenance at most until some came
+	// back, here or elsewhere: MaxFailures by default, more as roll-out time
+	// weighs more than the other measures.
+	Canaries int
 	// CoolDown is how long the wave stays stopped once its failed hosts are
 	// repaired.
 	CoolDown time.Duration
@@ -137,8 +163,14 @@
 type Wave struct {
 	config Config
 	// excused holds failures that an operator has looked at.
-	excused   map[string]bool
-	stoppedAt time.Time
+	excused map[string]bool
+	// failedAt is when the hosts that failed did so.
+	failedAt map[string]time.Time
+	// recent are the failures within the window, at the last step.
+	recent []string
+	// correlated holds the failures that stopped the wave.
+	correlated map[string]bool
+	stoppedAt  time.Time
 }
 
 // New returns a wave that has not begun.
@@ -155,7 +187,16 @@
 	if config.CoolDown == 0 {
 		config.CoolDown = DefaultCoolDown
 	}
-	return &Wave{config: config, excused: make(map[string]bool)}
+	if config.FailureWindow == 0 {
+		config.FailureWindow = DefaultFailureWindow
+	}
+	if config.Canaries == 0 {
+		config.Canaries = int(math.Ceil(float64(config.MaxFailures) * max(1, config.RollOutTime)))
+	}
+	return &Wave{
+		config: config, excused: make(map[string]bool),
+		failedAt: make(map[string]time.Time), correlated: make(map[string]bool),
+	}
 }
 
 // Resume lets a stopped wave go on, at an operator's word: the hosts that
@@ -166,6 +207,7 @@
 			w.excused[host.Name] = true
 		}
 	}
+	clear(w.correlated)
 	w.stoppedAt = time.Time{}
 }
 
@@ -176,36 +218,88 @@
 	}
 	pending, down := count(view.Hosts, StatePending), count(view.Hosts, StateDown)
 	if pending == 0 && down == 0 {
-		return Decision{Verdict: Finished}
+		return Decision{Verdict: Finished, Left: left(view.Hosts)}
 	}
 	if pending == 0 {
 		return Decision{Verdict: Go}
 	}
-	if view.BudgetLeft <= w.config.BudgetReserve {
+	// The negation holds too when the budget is not a number.
+	if !(view.BudgetLeft > w.config.BudgetReserve) {
 		return Decision{Verdict: Hold, Reason: ReasonBudget}
 	}
 	start := w.choose(view)
 	if len(start) == 0 && down == 0 {
 		return Decision{Verdict: Hold, Reason: ReasonCapacity}
 	}
+	start = start[:min(len(start), w.allowed(view, down))]
+	if len(start) == 0 && down == 0 {
+		return Decision{Verdict: Hold, Reason: ReasonCanaries}
+	}
 	return Decision{Verdict: Go, Start: start}
 }
 
+// allowed is the number of hosts that may be taken down by what earlier ones
+// have proven. Failed canaries are not replaced while others are under way.
+func (w *Wave) allowed(view View, down int) int {
+	proof := min(w.config.Canaries, w.config.MaxFailures)
+	if count(view.Hosts, StateDone)+view.Elsewhere.Done >= proof {
+		return len(view.Hosts)
+	}
+	failed := len(w.recent)
+	if failed+view.Elsewhere.Failed >= w.config.MaxFailures {
+		return 0
+	}
+	if down == 0 {
+		return max(1, w.config.Canaries-failed)
+	}
+	return max(0, w.config.Canaries-down-failed)
+}
+
 // stopped reports whether the wave must not take down any more: too many of
-// its hosts have failed, or did so less than the cool-down ago.
+// its hosts failed within a short time, and still do or did so less than the
+// cool-down ago.
 func (w *Wave) stopped(now time.Time, view View) bool {
-	failures := 0
-	for _, host := range view.Hosts {
-		if host.State == StateFailed && !w.excused[host.Name] {
-			failures++
+	w.takeFailures(now, view)
+	w.recent = w.recent[:0]
+	for name, at := range w.failedAt {
+		if now.Sub(at) <= w.config.FailureWindow {
+			w.recent = append(w.recent, name)
 		}
 	}
-	if failures >= w.config.MaxFailures {
+	if len(w.recent) >= w.config.MaxFailures {
+		for _, name := range w.recent {
+			w.correlated[name] = true
+		}
+	}
+	if len(w.correlated) > 0 {
 		w.stoppedAt = now
 	}
 	return !w.stoppedAt.IsZero() && now.Sub(w.stoppedAt) < w.config.CoolDown
 }
 
+// takeFailures notes which hosts failed when, and forgets those that serve again.
+func (w *Wave) takeFailures(now time.Time, view View) {
+	for _, host := range view.Hosts {
+		if host.State != StateFailed {
+			delete(w.excused, host.Name)
+			delete(w.failedAt, host.Name)
+			delete(w.correlated, host.Name)
+			continue
+		}
+		if w.excused[host.Name] {
+			delete(w.failedAt, host.Name)
+			continue
+		}
+		if _, known := w.failedAt[host.Name]; known {
+			continue
+		}
+		w.failedAt[host.Name] = host.Since
+		if host.Since.IsZero() {
+			w.failedAt[host.Name] = now
+		}
+	}
+}
+
 // choose returns the hosts to take down: each time one of the domain with the
 // most serving hosts, which leaves the smallest largest domain and so lets the
 // most hosts go at once.
@@ -299,3 +393,15 @@
 	}
 	return n
 }
+
+// left returns the hosts that were not maintained.
+func left(hosts []Host) []string {
+	var names []string
+	for _, host := range hosts {
+		if host.State == StateFailed || host.State == StateLost {
+			names = append(names, host.Name)
+		}
+	}
+	slices.Sort(names)
+	return names
+}
