Queue a request again when endpoints have no slot

Ruled out: a larger budget, which would multiply load when everything fails; a decline costs no work, so it needs none. Now a declined request tries up to three endpoints and then waits for its turn again; work is not started when an ordinary run no longer fits before its deadline. A declined marked request is not sent again: its claim is given back and the caller is told.

--- a/internal/entry/admission.go
+++ b/internal/entry/admission.go
@@ -46,7 +46,10 @@
 
 // takeSlot submits the ticket and waits for its turn.
 func (e *Entry) takeSlot(c *call, a *admission) *api.Problem {
-	ticket := share.Ticket{ID: a.ticket, Team: c.team, Class: shareClass(c.entry.Class), Deadline: c.deadline}
+	ticket := share.Ticket{
+		ID: a.ticket, Team: c.team, Class: shareClass(c.entry.Class),
+		Deadline: a.service.latestStart(c.deadline),
+	}
 	outcome, turns := a.service.submit(e.now(), ticket)
 	switch outcome.Decision {
 	case share.Start:
--- a/internal/entry/books.go
+++ b/internal/entry/books.go
@@ -32,9 +32,7 @@
 // proven records a run with its endpoint's whole answer. The claim is settled
 // before the caller has the answer.
 func (b *books) proven(ctx context.Context, c *call, a *attempt, rep reply, now time.Time) {
-	if !refused(rep.response) {
-		b.charges.proven(newCharge(c, a, now, outcomeOf(rep.response.StatusCode)))
-	}
+	b.charges.proven(newCharge(c, a, now, outcomeOf(rep.response.StatusCode)))
 	if c.claim == nil {
 		return
 	}
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -240,6 +241,58 @@
 	}
 }
 
+// refuseFirst answers n requests with an endpoint's word that it has no slot.
+func refuseFirst(n int64) http.HandlerFunc {
+	var seen atomic.Int64
+	return func(w http.ResponseWriter, r *http.Request) {
+		if seen.Add(1) <= n {
+			w.Header().Set(headerRefused, "slots")
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		echo(w, r)
+	}
+}
+
+func TestEndpointsWithoutSlots(t *testing.T) {
+	marked := map[string]string{headerKey: "order-11"}
+	tests := map[string]struct {
+		refusals   int64
+		header     map[string]string
+		wantReason string
+		want       api.Outcome
+	}{
+		"a slot comes free":           {refusals: 4},
+		"none in time":                {refusals: 1 << 40, header: map[string]string{headerDeadline: "100ms"}, wantReason: "endpoints-full", want: api.OutcomeNotRun},
+		"marked: the caller's to ask": {refusals: 1, header: marked, wantReason: "endpoint-full", want: api.OutcomeNotRun},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(t, refuseFirst(tc.refusals))
+			_, body, problem, err := f.do(testCall{body: "line", header: tc.header})
+			if err != nil {
+				t.Fatal(err)
+			}
+			if got := problem.Reason; got != tc.wantReason {
+				t.Errorf("reason: got %q (%s), want %q", got, body, tc.wantReason)
+			}
+			if got := problem.Outcome; got != tc.want {
+				t.Errorf("outcome: got %q, want %q", got, tc.want)
+			}
+			if got := f.inUse(); got != 0 {
+				t.Errorf("permits in use: got %d, want 0", got)
+			}
+			if tc.header == nil || tc.header[headerKey] == "" {
+				return
+			}
+			f.eventually("the claim is given back", func() bool {
+				_, body, _, err := f.do(testCall{body: "line", header: tc.header})
+				return err == nil && body == "line"
+			})
+		})
+	}
+}
+
 func TestUnmarkedRequestMovesToAnotherEndpoint(t *testing.T) {
 	f := newFixture(t, cut, echo, echo)
 	for range 10 {
--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -20,14 +20,23 @@
 		if refusal != nil {
 			return refusal
 		}
+		if a == nil {
+			continue
+		}
 		rep, ended := trial.await(a)
 		if !ended {
 			return uncertain(http.StatusGatewayTimeout, "deadline-passed", "the deadline passed before the endpoint answered")
 		}
-		if rep.err == nil && !trial.declined(rep) {
+		var problem *api.Problem
+		switch {
+		case rep.err != nil:
+			problem = trial.fail(a, rep)
+		case refused(rep.response):
+			problem = trial.decline(a, rep)
+		default:
 			return trial.deliver(w, a, rep)
 		}
-		if problem := trial.fail(a, rep); problem != nil {
+		if problem != nil {
 			return problem
 		}
 	}
@@ -40,15 +49,22 @@
 	service   *service
 	admission *admission
 	attempts  int
-	tried     []netip.AddrPort
+	// declined counts the attempts that an endpoint had no slot for.
+	declined int
+	tried    []netip.AddrPort
 	// mayHaveRun is true once an attempt without a whole answer was sent.
 	mayHaveRun bool
 }
 
-// begin picks an endpoint for the next attempt. Without one the admission ends.
+// begin picks an endpoint for the next attempt. Without one the admission ends,
+// or, when all declined, the call has queued again and there is no attempt yet.
 func (t *trial) begin() (*attempt, *api.Problem) {
 	now := t.entry.now()
 	endpoint, ok := t.service.pick(now, t.attempts == 0, t.tried)
+	if !ok && t.declined > 0 && t.call.repeatable() {
+		t.admission.end(now)
+		return nil, t.requeue()
+	}
 	if !ok {
 		t.admission.end(now)
 		return nil, t.giveUp("no-endpoint", "no endpoint of the service takes work")
@@ -87,14 +103,8 @@
 	t.settleAnswer(a, rep, whole)
 }
 
-// declined reports whether the endpoint said that it did not run the call, and
-// the call may be repeated elsewhere.
-func (t *trial) declined(rep reply) bool {
-	return refused(rep.response) && t.call.repeatable()
-}
-
-// refused reports whether an answer is an endpoint's word that it did not run
-// the request.
+// refused reports whether an answer is an endpoint's word that it had no slot
+// and did not run the request.
 func refused(response *http.Response) bool {
 	return response.StatusCode == http.StatusServiceUnavailable && response.Header.Get(headerRefused) != ""
 }
@@ -123,16 +133,11 @@
 	verdict := t.service.retry(now, retry.Attempt{
 		Number: t.attempts, Marked: !t.call.repeatable(), Sent: sent, Deadline: t.call.deadline,
 	})
-	if rep.err == nil {
-		return t.failDeclined(a, rep, verdict)
-	}
 	t.mayHaveRun = t.mayHaveRun || sent
 	again := verdict == retry.Again
 	if again && !sent {
 		// Nothing ran: slot and permit serve for the next attempt.
-		t.service.done(now, a.endpoint, route.Failed, now.Sub(a.started))
-		t.entry.outstanding.end(a.endpoint)
-		a.cancel()
+		t.leave(a, now, route.Failed)
 		return nil
 	}
 	t.settleFailure(a, rep)
@@ -142,18 +147,65 @@
 	return t.readmit()
 }
 
-// failDeclined repeats a call that an endpoint declined, or passes the
-// endpoint's refusal on as its answer.
-func (t *trial) failDeclined(a *attempt, rep reply, verdict retry.Verdict) *api.Problem {
+// decline tries a declined call at another endpoint, at once while there are
+// some and then when a slot has come free; nil means that another attempt
+// follows. A declined attempt costs its endpoint no work, so it takes nothing
+// from the retry budget. A call that is not repeatable ends here: it is the
+// caller's to send it again.
+func (t *trial) decline(a *attempt, rep reply) *api.Problem {
+	closeBody(rep.response)
 	now := t.entry.now()
-	t.service.done(now, a.endpoint, route.Refused, now.Sub(a.started))
-	t.entry.outstanding.end(a.endpoint)
-	a.cancel()
-	if verdict == retry.Again {
+	t.declined++
+	if t.call.repeatable() && t.declined%maxDeclines != 0 {
+		t.leave(a, now, route.Refused)
 		return nil
 	}
+	t.settleDeclined(a)
+	if !t.call.repeatable() {
+		return t.giveUp("endpoint-full", "the endpoint had no free slot")
+	}
+	return t.requeue()
+}
+
+// requeue has a call that endpoints declined wait for its turn again; nil means
+// that it may try them anew.
+func (t *trial) requeue() *api.Problem {
+	t.tried = nil
+	if !t.pause(declinePause) {
+		return t.giveUp("endpoints-full", "the endpoints have no free slot")
+	}
+	return t.readmit()
+}
+
+// pause waits before a declined call queues again; false when the deadline
+// leaves no time for that, or the caller has left.
+func (t *trial) pause(d time.Duration) bool {
+	if t.entry.now().Add(2 * d).After(t.call.deadline) {
+		return false
+	}
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-t.call.request.Context().Done():
+		return false
+	}
+}
+
+// leave ends an attempt of which nothing ran; slot and permit stay.
+func (t *trial) leave(a *attempt, now time.Time, result route.Result) {
+	t.service.done(now, a.endpoint, result, now.Sub(a.started))
+	t.entry.outstanding.end(a.endpoint)
+	a.cancel()
+}
+
+// settleDeclined books an attempt that the endpoint did not run.
+func (t *trial) settleDeclined(a *attempt) {
+	now := t.entry.now()
+	t.leave(a, now, route.Refused)
+	t.entry.books.notRun(t.call)
 	t.admission.end(now)
-	return t.giveUp("endpoints-full", "the endpoints have no free slot")
 }
 
 // readmit takes slot and permit anew after an attempt that may still run.
@@ -174,6 +226,14 @@
 	return busy(reason, detail, comeBackSoon)
 }
 
+const (
+	// maxDeclines is the number of endpoints that a call is tried at before it
+	// queues again.
+	maxDeclines = 3
+	// declinePause lets slots come free before a declined call queues again.
+	declinePause = 10 * time.Millisecond
+)
+
 // comeBackSoon is told where nothing better is known.
 const comeBackSoon = time.Second
 
@@ -183,26 +243,28 @@
 		t.settleFailure(a, rep)
 		return
 	}
+	if refused(rep.response) {
+		t.settleDeclined(a)
+		return
+	}
 	now := t.entry.now()
 	t.entry.books.proven(t.entry.runs, t.call, a, rep, now)
-	t.service.done(now, a.endpoint, resultOf(rep.response.StatusCode), now.Sub(a.started))
-	t.entry.outstanding.end(a.endpoint)
+	t.leave(a, now, resultOf(rep.response.StatusCode))
 	t.admission.end(now)
-	a.cancel()
 }
 
 // settleFailure books an attempt without a whole answer.
 func (t *trial) settleFailure(a *attempt, rep reply) {
 	now := t.entry.now()
-	t.service.done(now, a.endpoint, route.Failed, now.Sub(a.started))
-	a.cancel()
 	if !a.sent.Load() {
+		t.leave(a, now, route.Failed)
 		t.entry.books.notRun(t.call)
-		t.entry.outstanding.end(a.endpoint)
 		t.admission.end(now)
 		return
 	}
 	until := a.started.Add(t.call.entry.LongestRun)
+	t.service.done(now, a.endpoint, route.Failed, now.Sub(a.started))
+	a.cancel()
 	t.entry.books.unproven(t.call, a, rep.err, now)
 	t.entry.outstanding.linger(a.endpoint, until)
 	t.admission.linger(now, until)
--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -23,10 +23,15 @@
 	random    *rand.Rand
 	waiting   map[uint64]chan turn
 	capacity  int
+	// meanRun is the mean time of answered attempts.
+	meanRun time.Duration
 	// outstanding is shared by all services of the entry.
 	outstanding *outstanding
 }
 
+// runSmoothing is the number of attempts over which their time is averaged.
+const runSmoothing = 16
+
 // turn ends a request's wait for a slot.
 type turn struct {
 	start      bool
@@ -107,6 +112,17 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.picker.Done(now, endpoint, result, took)
+	if result == route.Succeeded {
+		s.meanRun += (took - s.meanRun) / runSmoothing
+	}
+}
+
+// latestStart is the latest time at which work with that deadline is worth
+// starting: an ordinary run must still fit.
+func (s *service) latestStart(deadline time.Time) time.Time {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return deadline.Add(-s.meanRun - s.meanRun/2)
 }
 
 // retry decides whether a failed attempt is followed by another.
