Load the keys once; refuse spoilt limit rows; exchange states less often when quiet

Rows of limits went past ParseGrant, so a spoilt one was adopted. Entries without a caller exchanged states ten times a second for nothing.

--- a/internal/entry/gossip.go
+++ b/internal/entry/gossip.go
@@ -61,6 +61,16 @@
 	return said
 }
 
+// Busy implements node.Part: work runs or waits, or a host drains.
+func (e *Entry) Busy() bool {
+	if len(e.confirmations()) > 0 {
+		return true
+	}
+	busy := false
+	e.eachService(func(_ string, s *service) { busy = busy || s.busy() })
+	return busy
+}
+
 // Absorb implements node.Part: it takes another entry's demand and load.
 func (e *Entry) Absorb(from roster.Identity, state *peerpb.State) {
 	if !e.isEntry(from) {
--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -172,6 +172,13 @@
 	return s.scheduler.Demand(), s.picker.Load(nil)
 }
 
+// busy reports whether anything of the service runs or waits here.
+func (s *service) busy() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.scheduler.Busy()
+}
+
 // act delivers turns; the caller holds the lock.
 func (s *service) act(actions share.Actions) {
 	for _, id := range actions.Start {
--- a/internal/keyring/keyring.go
+++ b/internal/keyring/keyring.go
@@ -123,18 +123,22 @@
 	return ring
 }
 
-// With returns a copy in which key replaces the one of the same id.
-func (r Keyring) With(key Key) Keyring {
-	next := Keyring{keys: make(map[string]Key, len(r.keys)+1)}
+// With returns a ring with the keys added or replaced.
+func (r Keyring) With(keys ...Key) Keyring {
+	next := Keyring{keys: make(map[string]Key, len(r.keys)+len(keys))}
 	maps.Copy(next.keys, r.keys)
-	next.keys[key.ID] = key
+	for _, key := range keys {
+		next.keys[key.ID] = key
+	}
 	return next
 }
 
-// Without returns a copy that lacks the key.
-func (r Keyring) Without(id string) Keyring {
+// Without returns a ring without the ids.
+func (r Keyring) Without(ids ...string) Keyring {
 	next := Keyring{keys: maps.Clone(r.keys)}
-	delete(next.keys, id)
+	for _, id := range ids {
+		delete(next.keys, id)
+	}
 	return next
 }
 
--- a/internal/manager/hosts.go
+++ b/internal/manager/hosts.go
@@ -207,6 +207,9 @@
 	m.assignments.Store(&assignments)
 }
 
+// Busy implements node.Part.
+func (m *Manager) Busy() bool { return m.shards.busy() }
+
 // Hosts returns the platform's hosts with their assignments.
 func (m *Manager) Hosts(ctx context.Context) ([]api.Host, error) {
 	listed, err := m.config.Platform.Hosts(ctx)
--- a/internal/manager/limits.go
+++ b/internal/manager/limits.go
@@ -65,7 +65,8 @@
 func (m *Manager) divideTeam(ctx context.Context, planner *limit.Planner, c catalogue.Catalogue, team catalogue.Team, row table.Row) error {
 	grant := limit.Grant{Team: team.Name}
 	if row.Version != table.Absent {
-		if err := json.Unmarshal(row.Value, &grant); err != nil {
+		var err error
+		if grant, err = limit.ParseGrant(row.Value); err != nil {
 			return errors.Wrapf(err, "decode row %q", row.Key)
 		}
 	}
--- a/internal/manager/shards.go
+++ b/internal/manager/shards.go
@@ -321,3 +321,15 @@
 	defer s.mu.Unlock()
 	return s.byPool[pool] != nil
 }
+
+// busy reports whether this process holds permits for tasks.
+func (s *shards) busy() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, n := range s.reserved {
+		if n > 0 {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/node/gossip.go
+++ b/internal/node/gossip.go
@@ -11,6 +11,14 @@
 	"github.com/lovagedyke/lovagedyke/internal/roster"
 )
 
+const (
+	// quietRounds is the number of gossip intervals between two exchanges while
+	// nothing is urgent.
+	quietRounds = 4
+	// activeTime is how long a change of the roster counts as urgent.
+	activeTime = 3 * time.Second
+)
+
 // exchangeTimeout bounds one exchange of states.
 const exchangeTimeout = time.Second
 
@@ -35,7 +43,7 @@
 
 // gossipLoop exchanges states with every other member each interval.
 func (n *Node) gossipLoop(ctx context.Context) {
-	for {
+	for round := 0; ; round++ {
 		select {
 		case <-ctx.Done():
 			return
@@ -43,11 +51,28 @@
 		}
 		n.ledger.Tick(time.Now())
 		n.permitsChanged()
+		if round%quietRounds != 0 && n.quiet() {
+			continue
+		}
 		n.gossip(ctx)
 		n.askForAll(ctx)
 	}
 }
 
+// quiet reports whether nothing here is urgent for the peers to know. A peer
+// that is busy exchanges states with this process of its own accord.
+func (n *Node) quiet() bool {
+	if time.Now().UnixNano() < n.activeUntil.Load() || len(n.ledger.Resend()) > 0 || len(n.ledger.Reports()) > 0 {
+		return false
+	}
+	for _, part := range n.parts {
+		if part.Busy() {
+			return false
+		}
+	}
+	return true
+}
+
 // gossip starts an exchange with each member that has none under way.
 func (n *Node) gossip(ctx context.Context) {
 	members, _ := n.Roster()
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -55,6 +55,8 @@
 	RosterChanged(members roster.Roster, rowVersion uint64)
 	// HostsChanged takes the hosts' assignments to pools, by host.
 	HostsChanged(assignments map[string]pool.Assignment)
+	// Busy reports whether peers should hear of this process without delay.
+	Busy() bool
 	// PermitsChanged tells that the ledger may hold more permits than before.
 	PermitsChanged()
 }
@@ -99,6 +101,9 @@
 	peers map[roster.Identity]*peerView
 
 	exchanges conc.WaitGroup
+	// activeUntil is the end of urgent gossip after a change of the roster, in
+	// nanoseconds of the Unix epoch.
+	activeUntil atomic.Int64
 }
 
 // seenRoster is a roster with the version of its row.
@@ -241,6 +246,7 @@
 			break
 		}
 	}
+	n.activeUntil.Store(time.Now().Add(activeTime).UnixNano())
 	n.forgetPeers(members)
 	for _, part := range n.parts {
 		part.RosterChanged(members, rowVersion)
--- a/internal/node/poll.go
+++ b/internal/node/poll.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -97,8 +96,8 @@
 		return errors.Wrap(err, "read the limits")
 	}
 	for _, row := range rows {
-		var grant limit.Grant
-		if err := json.Unmarshal(row.Value, &grant); err != nil {
+		grant, err := limit.ParseGrant(row.Value)
+		if err != nil {
 			return errors.Wrapf(err, "decode row %q", row.Key)
 		}
 		n.ledger.Adopt(grant)
--- a/internal/peer/limits.go
+++ b/internal/peer/limits.go
@@ -86,8 +86,8 @@
 
 // Freeze decodes a request to end a generation's trade.
 func Freeze(m *peerpb.FreezeRequest) (limit.FreezeRequest, error) {
-	var row limit.Grant
-	if err := json.Unmarshal(m.GetRow(), &row); err != nil {
+	row, err := limit.ParseGrant(m.GetRow())
+	if err != nil {
 		return limit.FreezeRequest{}, errors.Wrap(err, "decode limit row")
 	}
 	return limit.FreezeRequest{
--- a/internal/revision/state.go
+++ b/internal/revision/state.go
@@ -4,6 +4,8 @@
 	"bytes"
 	"encoding/json"
 	"fmt"
+	"maps"
+	"slices"
 	"strings"
 
 	"github.com/lovagedyke/lovagedyke/internal/catalogue"
@@ -104,36 +106,40 @@
 	default:
 		next = State{Catalogue: state.Catalogue.Clone(), Keys: state.Keys}
 	}
-	for _, row := range change.Rows {
-		if err := next.applyRow(row); err != nil {
-			return state, false
-		}
+	if err := next.applyRows(change.Rows); err != nil {
+		return state, false
 	}
 	next.Revision = change.Revision
 	return next, true
 }
 
-// applyRow changes the maps of s in place; the caller owns them.
-func (s *State) applyRow(row table.Write) error {
-	kind, name, _ := strings.Cut(strings.TrimPrefix(row.Key, Prefix), "/")
-	switch kind + "/" {
-	case strings.TrimPrefix(teamPrefix, Prefix):
-		return applyTo(s.Catalogue.Teams, name, row)
-	case strings.TrimPrefix(entryPrefix, Prefix):
-		return applyTo(s.Catalogue.Entries, name, row)
-	case strings.TrimPrefix(keyPrefix, Prefix):
-		if row.Delete {
-			s.Keys = s.Keys.Without(name)
-			return nil
+// applyRows changes the maps of s in place; the caller owns them. The ring of
+// keys is replaced once for all rows, since each replacement copies it.
+func (s *State) applyRows(rows []table.Write) error {
+	keys := make(map[string]keyring.Key)
+	var removed []string
+	for _, row := range rows {
+		kind, name, _ := strings.Cut(strings.TrimPrefix(row.Key, Prefix), "/")
+		var err error
+		switch kind + "/" {
+		case strings.TrimPrefix(teamPrefix, Prefix):
+			err = applyTo(s.Catalogue.Teams, name, row)
+		case strings.TrimPrefix(entryPrefix, Prefix):
+			err = applyTo(s.Catalogue.Entries, name, row)
+		case strings.TrimPrefix(keyPrefix, Prefix):
+			removed = append(removed, name)
+			err = applyTo(keys, name, row)
+		default:
+			err = fmt.Errorf("row %q has an unknown kind", row.Key)
 		}
-		var key keyring.Key
-		if err := json.Unmarshal(row.Value, &key); err != nil {
-			return fmt.Errorf("row %q is malformed: %w", row.Key, err)
+		if err != nil {
+			return err
 		}
-		s.Keys = s.Keys.With(key)
-		return nil
 	}
-	return fmt.Errorf("row %q has an unknown kind", row.Key)
+	if len(removed) > 0 {
+		s.Keys = s.Keys.Without(removed...).With(slices.Collect(maps.Values(keys))...)
+	}
+	return nil
 }
 
 func applyTo[V any](values map[string]V, name string, row table.Write) error {
@@ -194,13 +200,15 @@
 		}
 		out.Catalogue.Entries[name] = entry
 	}
-	for _, key := range s.Keys.Keys() {
+	keys := s.Keys.Keys()
+	for i, key := range keys {
 		old, known := before.Keys.Get(key.ID)
 		key.Revision = old.Revision
 		if !known || key.Team != old.Team || key.Withdrawn != old.Withdrawn || !bytes.Equal(key.Hash, old.Hash) {
 			key.Revision = next
 		}
-		out.Keys = out.Keys.With(key)
+		keys[i] = key
 	}
+	out.Keys = keyring.Of(keys...)
 	return out
 }
--- a/internal/revision/transaction.go
+++ b/internal/revision/transaction.go
@@ -142,6 +142,7 @@
 		return loaded{}, err
 	}
 	config := loaded{state: Empty()}
+	var writes []table.Write
 	for _, row := range rows {
 		switch row.Key {
 		case headKey:
@@ -149,12 +150,15 @@
 		case operationsKey:
 			err = decodeRow(row, &config.done)
 		default:
-			err = config.state.applyRow(table.Write{Key: row.Key, Value: row.Value})
+			writes = append(writes, table.Write{Key: row.Key, Value: row.Value})
 		}
 		if err != nil {
 			return loaded{}, err
 		}
 	}
+	if err := config.state.applyRows(writes); err != nil {
+		return loaded{}, err
+	}
 	config.state.Revision = config.head.Revision
 	return config, nil
 }
--- a/internal/share/scheduler.go
+++ b/internal/share/scheduler.go
@@ -153,6 +153,9 @@
 	return d
 }
 
+// Busy reports whether anything runs or waits.
+func (s *Scheduler) Busy() bool { return s.inFlight+s.queued > 0 }
+
 func (s *Scheduler) reset() {
 	s.acts.Start = s.acts.Start[:0]
 	s.acts.Refuse = s.acts.Refuse[:0]
