--- a/internal/entry/claims.go
+++ b/internal/entry/claims.go
@@ -18,7 +18,7 @@
 
 const (
 	// claimTick is the interval of a holder's timers.
-	claimTick = 5 * time.Millisecond
+	claimTick = 25 * time.Millisecond
 	// claimInterval and finishInterval bound the transactions of one entry:
 	// seven entries write at most 280 a second.
 	claimInterval  = 25 * time.Millisecond
