--- a/internal/manager/manager.go
+++ b/internal/manager/manager.go
@@ -57,6 +57,9 @@
 	Platform Platform
 	// ListLag is how far the platform's list may be behind the truth.
 	ListLag time.Duration
+	// RollOutTime is the weight of waves' time over the mean of the
+	// deployment's weights.
+	RollOutTime float64
 	// RebootLimit is how long a host may take to come back in a wave.
 	RebootLimit time.Duration
 	// ClaimRetention is how long former generations of the roster may matter.
--- a/internal/manager/waves.go
+++ b/internal/manager/waves.go
@@ -85,6 +85,10 @@
 	if err != nil {
 		return errors.Wrap(err, "read the waves")
 	}
+	total, err := resultsOf(rows)
+	if err != nil {
+		return err
+	}
 	for _, row := range rows {
 		current, err := decodeWave(row)
 		if err != nil {
@@ -94,16 +98,51 @@
 			delete(w.byPool, current.Pool)
 			continue
 		}
-		if err := w.step(ctx, row, current); err != nil {
+		own := current.results()
+		elsewhere := wave.Results{Done: total.Done - own.Done, Failed: total.Failed - own.Failed}
+		if err := w.step(ctx, row, current, elsewhere); err != nil {
 			return err
 		}
 	}
 	return nil
 }
 
+// resultsOf counts how maintenance went in the waves that are under way.
+func resultsOf(rows []table.Row) (wave.Results, error) {
+	var total wave.Results
+	for _, row := range rows {
+		current, err := decodeWave(row)
+		if err != nil {
+			return total, err
+		}
+		own := current.results()
+		total.Done += own.Done
+		total.Failed += own.Failed
+	}
+	return total, nil
+}
+
+// results counts how maintenance went in this wave; one that has finished says
+// nothing of the next.
+func (r waveRow) results() wave.Results {
+	var results wave.Results
+	if r.Finished {
+		return results
+	}
+	for _, host := range r.Hosts {
+		switch host.State {
+		case wave.StateDone:
+			results.Done++
+		case wave.StateFailed:
+			results.Failed++
+		}
+	}
+	return results
+}
+
 // step brings one wave forward. The row is written before a host is taken
 // down, so that a manager that takes over knows of it.
-func (w *waves) step(ctx context.Context, row table.Row, current waveRow) error {
+func (w *waves) step(ctx context.Context, row table.Row, current waveRow, elsewhere wave.Results) error {
 	hosts, err := w.poolHosts(ctx, current.Pool)
 	if err != nil {
 		return err
@@ -111,6 +150,7 @@
 	next := current.clone()
 	now := time.Now()
 	view := w.observe(ctx, now, hosts, &next)
+	view.Elsewhere = elsewhere
 	decision := w.decide(now, view, next)
 	for _, name := range decision.Start {
 		next.Hosts[name] = waveHost{State: wave.StateDown, Boot: hosts[name].boot, DownAt: now}
@@ -133,7 +173,7 @@
 func (w *waves) decide(now time.Time, view wave.View, row waveRow) wave.Decision {
 	running := w.byPool[row.Pool]
 	if running == nil {
-		running = &runningWave{wave: wave.New(wave.Config{Reserve: wave.Rack})}
+		running = &runningWave{wave: wave.New(wave.Config{Reserve: wave.Rack, RollOutTime: w.manager.config.RollOutTime})}
 		w.byPool[row.Pool] = running
 	}
 	if row.Resumed > running.resumed {
--- a/internal/process/manager.go
+++ b/internal/process/manager.go
@@ -27,7 +27,7 @@
 		return errors.Wrap(err, "read the operator key")
 	}
 	m := manager.New(manager.Config{
-		Node: p.node, Platform: p.platform, ListLag: config.ListLag, RebootLimit: config.RebootLimit,
+		Node: p.node, Platform: p.platform, ListLag: config.ListLag, RebootLimit: config.RebootLimit, RollOutTime: config.Weights.RelativeRollOutTime(),
 		ClaimRetention: config.ClaimRetention, Log: logger,
 	})
 	p.node.Add(m)
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -52,6 +52,19 @@
 	BufferCost, Moves, ShareNearness, RollOutTime float64
 }
 
+// measures is the number of weights.
+const measures = 4
+
+// RelativeRollOutTime is the weight of roll-out time over the mean of all
+// weights, 1 when none is set.
+func (w Weights) RelativeRollOutTime() float64 {
+	mean := (w.BufferCost + w.Moves + w.ShareNearness + w.RollOutTime) / measures
+	if mean == 0 {
+		return 1
+	}
+	return w.RollOutTime / mean
+}
+
 // Config holds the settings of a long-running process. Names, units and
 // defaults stand in definitions.
 type Config struct {
