--- a/internal/entry/charges.go
+++ b/internal/entry/charges.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"github.com/charmbracelet/log"
-	"github.com/sourcegraph/conc"
 
 	"github.com/lovagedyke/lovagedyke/internal/charge"
 	"github.com/lovagedyke/lovagedyke/internal/peer"
@@ -33,58 +32,28 @@
 // charges drives a charge.Book: one goroutine owns it, and each table or peer
 // call that the book asks for runs in a goroutine of its own.
 type charges struct {
+	*owner[charge.Effect]
 	node     chargeNode
 	log      *log.Logger
 	book     *charge.Book
-	events   chan func(now time.Time) []charge.Effect
-	stopped  chan struct{}
-	calls    conc.WaitGroup
 	sequence atomic.Uint64
 }
 
 // newCharges returns charges that are written once run is called.
 func newCharges(node chargeNode, logger *log.Logger) *charges {
 	return &charges{
-		node: node,
-		log:  logger,
+		owner: newOwner[charge.Effect](chargeQueue),
+		node:  node,
+		log:   logger,
 		book: charge.New(charge.Config{
 			Self: node.Self().Identity, MaxBatch: chargeBatch, BatchInterval: chargeInterval,
 		}),
-		events:  make(chan func(time.Time) []charge.Effect, chargeQueue),
-		stopped: make(chan struct{}),
 	}
 }
 
 // run owns the book until the context ends.
 func (c *charges) run(ctx context.Context) {
-	defer c.calls.Wait()
-	defer close(c.stopped)
-	ticker := time.NewTicker(chargeTick)
-	defer ticker.Stop()
-	for {
-		var effects []charge.Effect
-		select {
-		case <-ctx.Done():
-			return
-		case event := <-c.events:
-			effects = event(time.Now())
-		case now := <-ticker.C:
-			effects = c.book.Tick(now)
-		}
-		for _, effect := range effects {
-			c.carryOut(ctx, effect)
-		}
-	}
-}
-
-// post hands an event to the loop; it waits while the queue is full.
-func (c *charges) post(event func(now time.Time) []charge.Effect) bool {
-	select {
-	case c.events <- event:
-		return true
-	case <-c.stopped:
-		return false
-	}
+	c.owner.run(ctx, chargeTick, c.book.Tick, c.carryOut)
 }
 
 // carryOut does what the book asks for.
@@ -151,22 +120,12 @@
 
 // hold keeps a peer's entries and returns those that have room.
 func (c *charges) hold(from roster.Identity, entries, forgotten []charge.Entry) []charge.Entry {
-	held := make(chan []charge.Entry, 1)
-	posted := c.post(func(now time.Time) []charge.Effect {
+	held, _ := query(c.owner, func(now time.Time) ([]charge.Entry, []charge.Effect) {
 		effects := c.book.Forgotten(now, charge.Forget{To: c.node.Self().Identity, Entries: forgotten})
 		confirmed, rest := takeConfirm(c.book.Hold(now, charge.Mirror{To: c.node.Self(), From: from, Entries: entries}))
-		held <- confirmed.Held
-		return append(effects, rest...)
+		return confirmed.Held, append(effects, rest...)
 	})
-	if !posted {
-		return nil
-	}
-	select {
-	case entries := <-held:
-		return entries
-	case <-c.stopped:
-		return nil
-	}
+	return held
 }
 
 // takeConfirm separates the confirmation, which is the peer's answer, from the
@@ -205,8 +164,8 @@
 // flush waits until the table has all charges, or the context ends.
 func (c *charges) flush(ctx context.Context) {
 	for ctx.Err() == nil {
-		drained := make(chan bool, 1)
-		if !c.post(func(time.Time) []charge.Effect { drained <- c.book.Drained(); return nil }) || <-drained {
+		drained, ok := query(c.owner, func(time.Time) (bool, []charge.Effect) { return c.book.Drained(), nil })
+		if drained || !ok {
 			return
 		}
 		select {
@@ -219,14 +178,6 @@
 
 // snapshot returns the book's state for the dump.
 func (c *charges) snapshot() charge.Snapshot {
-	result := make(chan charge.Snapshot, 1)
-	if !c.post(func(time.Time) []charge.Effect { result <- c.book.Snapshot(); return nil }) {
-		return charge.Snapshot{}
-	}
-	select {
-	case snapshot := <-result:
-		return snapshot
-	case <-c.stopped:
-		return charge.Snapshot{}
-	}
+	snapshot, _ := query(c.owner, func(time.Time) (charge.Snapshot, []charge.Effect) { return c.book.Snapshot(), nil })
+	return snapshot
 }
--- a/internal/entry/claims.go
+++ b/internal/entry/claims.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
-	"github.com/sourcegraph/conc"
 
 	"github.com/lovagedyke/lovagedyke/internal/claim"
 	"github.com/lovagedyke/lovagedyke/internal/peer"
@@ -51,11 +50,9 @@
 // claims drives a claim.Holder: one goroutine owns it, and each table or peer
 // call that the holder asks for runs in a goroutine of its own.
 type claims struct {
+	*owner[claim.Effect]
 	node     claimNode
 	holder   *claim.Holder
-	events   chan func(now time.Time) []claim.Effect
-	stopped  chan struct{}
-	calls    conc.WaitGroup
 	sequence atomic.Uint64
 	// background runs what need not hold up a caller.
 	background func(func(ctx context.Context))
@@ -68,13 +65,12 @@
 // newClaims returns claims that answer once run is called.
 func newClaims(node claimNode, retention time.Duration) *claims {
 	return &claims{
-		node: node,
+		owner: newOwner[claim.Effect](claimQueue),
+		node:  node,
 		holder: claim.New(claim.Config{
 			Self: node.Self().Identity, Retention: retention, ProbeInterval: claimProbeInterval,
 			ClaimInterval: claimInterval, FinishInterval: finishInterval,
 		}),
-		events:    make(chan func(time.Time) []claim.Effect, claimQueue),
-		stopped:   make(chan struct{}),
 		claimants: make(map[claim.Token]chan claim.Answer),
 		confirms:  make(map[claim.Token]chan claim.Confirm),
 	}
@@ -82,34 +78,7 @@
 
 // run owns the holder until the context ends.
 func (c *claims) run(ctx context.Context) {
-	defer c.calls.Wait()
-	defer close(c.stopped)
-	ticker := time.NewTicker(claimTick)
-	defer ticker.Stop()
-	for {
-		var effects []claim.Effect
-		select {
-		case <-ctx.Done():
-			return
-		case event := <-c.events:
-			effects = event(time.Now())
-		case now := <-ticker.C:
-			effects = c.holder.Tick(now)
-		}
-		for _, effect := range effects {
-			c.carryOut(ctx, effect)
-		}
-	}
-}
-
-// post hands an event to the loop; false when it has ended.
-func (c *claims) post(event func(now time.Time) []claim.Effect) bool {
-	select {
-	case c.events <- event:
-		return true
-	case <-c.stopped:
-		return false
-	}
+	c.owner.run(ctx, claimTick, c.holder.Tick, c.carryOut)
 }
 
 // carryOut does what the holder asks for.
@@ -307,21 +276,10 @@
 
 // finishHere records an end at this process's holder and waits until it did.
 func (c *claims) finishHere(record claim.Record, state claim.State, result *claim.Result) bool {
-	done := make(chan bool, 1)
-	posted := c.post(func(now time.Time) []claim.Effect {
-		recorded, effects := c.holder.Finish(now, record, state, result)
-		done <- recorded
-		return effects
+	recorded, _ := query(c.owner, func(now time.Time) (bool, []claim.Effect) {
+		return c.holder.Finish(now, record, state, result)
 	})
-	if !posted {
-		return false
-	}
-	select {
-	case recorded := <-done:
-		return recorded
-	case <-c.stopped:
-		return false
-	}
+	return recorded
 }
 
 // release tells the home that the attempt will never be dispatched, and again
@@ -370,16 +328,8 @@
 
 // snapshot returns the holder's state for the dump.
 func (c *claims) snapshot() claim.Snapshot {
-	result := make(chan claim.Snapshot, 1)
-	if !c.post(func(time.Time) []claim.Effect { result <- c.holder.Snapshot(); return nil }) {
-		return claim.Snapshot{}
-	}
-	select {
-	case snapshot := <-result:
-		return snapshot
-	case <-c.stopped:
-		return claim.Snapshot{}
-	}
+	snapshot, _ := query(c.owner, func(time.Time) (claim.Snapshot, []claim.Effect) { return c.holder.Snapshot(), nil })
+	return snapshot
 }
 
 // claimID is the identity of a marked call.
