--- a/cmd/lovagedyke/cmd_catalogue.go
+++ b/cmd/lovagedyke/cmd_catalogue.go
@@ -9,6 +9,7 @@
 	"github.com/lovagedyke/lovagedyke/internal/catalogue"
 	"github.com/lovagedyke/lovagedyke/internal/problem"
 	"github.com/lovagedyke/lovagedyke/pkg/api"
+	"github.com/lovagedyke/lovagedyke/pkg/client"
 )
 
 var cmdCatalogue = &Cmd{
@@ -19,29 +20,14 @@
 }
 
 var cmdCatalogueList = &Cmd{
-	Name:  "list",
-	Args:  "[flags]",
-	Desc:  "list services and queues",
-	Setup: setupCatalogueList,
-}
-
-func setupCatalogueList(flags *flag.FlagSet, env *Env) Action {
-	var conn connection
-	var out output
-	conn.declare(flags, env)
-	out.declare(flags)
-	return func(ctx context.Context, env *Env, _ []string) error {
-		managers, err := conn.client()
-		if err != nil {
-			return err
-		}
-		answer, err := managers.Catalogue(ctx)
-		if err != nil {
-			return err
-		}
-		header := []string{"NAME", "KIND", "TEAM", "CLASS", "LIMIT", "DEADLINE", "AVAILABILITY", "POOL", "REVISION"}
-		return out.write(env.Stdout, answer, header, entryRows(answer.Catalogue.Entries))
-	}
+	Name: "list",
+	Args: "[flags]",
+	Desc: "list services and queues",
+	Setup: listing[api.CatalogueAnswer]{
+		header: []string{"NAME", "KIND", "TEAM", "CLASS", "LIMIT", "DEADLINE", "AVAILABILITY", "POOL", "REVISION"},
+		fetch:  (*client.Client).Catalogue,
+		rows:   func(answer api.CatalogueAnswer) [][]string { return entryRows(answer.Catalogue.Entries) },
+	}.setup,
 }
 
 func entryRows(entries []api.Entry) [][]string {
--- a/cmd/lovagedyke/cmd_charge.go
+++ b/cmd/lovagedyke/cmd_charge.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/lovagedyke/lovagedyke/pkg/api"
+	"github.com/lovagedyke/lovagedyke/pkg/client"
 )
 
 var cmdCharge = &Cmd{
@@ -48,32 +49,22 @@
 }
 
 var cmdChargeUnproven = &Cmd{
-	Name:  "unproven",
-	Args:  "[flags]",
-	Desc:  "list runs that cannot be proved and are not charged",
-	Setup: setupChargeUnproven,
+	Name: "unproven",
+	Args: "[flags]",
+	Desc: "list runs that cannot be proved and are not charged",
+	Setup: listing[[]api.Run]{
+		header: runHeader,
+		fetch:  (*client.Client).Unproven,
+		rows:   runRows,
+	}.setup,
 }
 
-func setupChargeUnproven(flags *flag.FlagSet, env *Env) Action {
-	var conn connection
-	var out output
-	conn.declare(flags, env)
-	out.declare(flags)
-	return func(ctx context.Context, env *Env, _ []string) error {
-		managers, err := conn.client()
-		if err != nil {
-			return err
-		}
-		runs, err := managers.Unproven(ctx)
-		if err != nil {
-			return err
-		}
-		var rows [][]string
-		for _, run := range runs {
-			rows = append(rows, runRow(run))
-		}
-		return out.write(env.Stdout, runs, runHeader, rows)
+func runRows(runs []api.Run) [][]string {
+	var rows [][]string
+	for _, run := range runs {
+		rows = append(rows, runRow(run))
 	}
+	return rows
 }
 
 func runRow(run api.Run) []string {
--- a/cmd/lovagedyke/cmd_host.go
+++ b/cmd/lovagedyke/cmd_host.go
@@ -24,33 +24,22 @@
 }
 
 var cmdHostList = &Cmd{
-	Name:  "list",
-	Args:  "[flags]",
-	Desc:  "list the hosts with their pools",
-	Setup: setupHostList,
+	Name: "list",
+	Args: "[flags]",
+	Desc: "list the hosts with their pools",
+	Setup: listing[[]api.Host]{
+		header: []string{"HOST", "DATA-CENTRE", "RACK", "POOL", "PHASE", "TARGET", "STATE"},
+		fetch:  (*client.Client).Hosts,
+		rows:   hostRows,
+	}.setup,
 }
 
-func setupHostList(flags *flag.FlagSet, env *Env) Action {
-	var conn connection
-	var out output
-	conn.declare(flags, env)
-	out.declare(flags)
-	return func(ctx context.Context, env *Env, _ []string) error {
-		managers, err := conn.client()
-		if err != nil {
-			return err
-		}
-		hosts, err := managers.Hosts(ctx)
-		if err != nil {
-			return err
-		}
-		var rows [][]string
-		for _, host := range hosts {
-			rows = append(rows, []string{host.Name, host.DataCentre, host.Rack, host.Pool, host.Phase, host.Target, host.State})
-		}
-		header := []string{"HOST", "DATA CENTRE", "RACK", "POOL", "PHASE", "TARGET", "STATE"}
-		return out.write(env.Stdout, hosts, header, rows)
+func hostRows(hosts []api.Host) [][]string {
+	var rows [][]string
+	for _, host := range hosts {
+		rows = append(rows, []string{host.Name, host.DataCentre, host.Rack, host.Pool, host.Phase, host.Target, host.State})
 	}
+	return rows
 }
 
 var cmdHostDrain = &Cmd{
--- a/cmd/lovagedyke/cmd_key.go
+++ b/cmd/lovagedyke/cmd_key.go
@@ -7,6 +7,7 @@
 	"strconv"
 
 	"github.com/lovagedyke/lovagedyke/pkg/api"
+	"github.com/lovagedyke/lovagedyke/pkg/client"
 )
 
 var cmdKey = &Cmd{
@@ -74,32 +75,22 @@
 }
 
 var cmdKeyList = &Cmd{
-	Name:  "list",
-	Args:  "[flags]",
-	Desc:  "list keys by id, without their secrets",
-	Setup: setupKeyList,
+	Name: "list",
+	Args: "[flags]",
+	Desc: "list keys by id, without their secrets",
+	Setup: listing[[]api.Key]{
+		header: []string{"ID", "TEAM", "STATE", "REVISION"},
+		fetch:  (*client.Client).Keys,
+		rows:   keyRows,
+	}.setup,
 }
 
-func setupKeyList(flags *flag.FlagSet, env *Env) Action {
-	var conn connection
-	var out output
-	conn.declare(flags, env)
-	out.declare(flags)
-	return func(ctx context.Context, env *Env, _ []string) error {
-		managers, err := conn.client()
-		if err != nil {
-			return err
-		}
-		keys, err := managers.Keys(ctx)
-		if err != nil {
-			return err
-		}
-		var rows [][]string
-		for _, key := range keys {
-			rows = append(rows, []string{key.ID, key.Team, keyState(key), strconv.FormatUint(key.Revision, 10)})
-		}
-		return out.write(env.Stdout, keys, []string{"ID", "TEAM", "STATE", "REVISION"}, rows)
+func keyRows(keys []api.Key) [][]string {
+	var rows [][]string
+	for _, key := range keys {
+		rows = append(rows, []string{key.ID, key.Team, keyState(key), strconv.FormatUint(key.Revision, 10)})
 	}
+	return rows
 }
 
 func keyState(key api.Key) string {
--- a/cmd/lovagedyke/cmd_wave.go
+++ b/cmd/lovagedyke/cmd_wave.go
@@ -19,32 +19,22 @@
 }
 
 var cmdWaveList = &Cmd{
-	Name:  "list",
-	Args:  "[flags]",
-	Desc:  "list the waves",
-	Setup: setupWaveList,
+	Name: "list",
+	Args: "[flags]",
+	Desc: "list the waves",
+	Setup: listing[[]api.Wave]{
+		header: []string{"POOL", "NEED", "VERDICT", "REASON", "HOSTS"},
+		fetch:  (*client.Client).Waves,
+		rows:   waveRows,
+	}.setup,
 }
 
-func setupWaveList(flags *flag.FlagSet, env *Env) Action {
-	var conn connection
-	var out output
-	conn.declare(flags, env)
-	out.declare(flags)
-	return func(ctx context.Context, env *Env, _ []string) error {
-		managers, err := conn.client()
-		if err != nil {
-			return err
-		}
-		waves, err := managers.Waves(ctx)
-		if err != nil {
-			return err
-		}
-		var rows [][]string
-		for _, wave := range waves {
-			rows = append(rows, []string{wave.Pool, strconv.Itoa(wave.Need), wave.Verdict, wave.Reason, hostStates(wave)})
-		}
-		return out.write(env.Stdout, waves, []string{"POOL", "NEED", "VERDICT", "REASON", "HOSTS"}, rows)
+func waveRows(waves []api.Wave) [][]string {
+	var rows [][]string
+	for _, wave := range waves {
+		rows = append(rows, []string{wave.Pool, strconv.Itoa(wave.Need), wave.Verdict, wave.Reason, hostStates(wave)})
 	}
+	return rows
 }
 
 // hostStates counts the wave's hosts by state, as "2 done, 1 down".
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -21,6 +21,7 @@
 
 import (
 	"context"
+	"maps"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -90,8 +91,9 @@
 	// late tracks what goes on after a caller was answered.
 	late conc.WaitGroup
 
-	mu       sync.RWMutex
-	services map[string]*service
+	// grow serialises additions to services, which is replaced as a whole.
+	grow     sync.Mutex
+	services atomic.Pointer[map[string]*service]
 
 	// hostsRead is closed when the endpoints are known.
 	hostsRead chan struct{}
@@ -111,11 +113,11 @@
 		forwarder:   newForwarder(connectionsPerEndpoint),
 		runs:        runs,
 		stopRuns:    stopRuns,
-		services:    make(map[string]*service),
 		hostsRead:   make(chan struct{}),
-		outstanding: newOutstanding(),
+		outstanding: &outstanding{},
 		metrics:     newMeters(),
 	}
+	e.services.Store(&map[string]*service{})
 	e.said.interval = config.Node.GossipInterval() * sayingsShare / 100
 	e.claims.background = e.background
 	e.charges = newCharges(config.Node, config.Log)
@@ -248,32 +250,26 @@
 
 // service returns the service's state, made at its first use.
 func (e *Entry) service(name string) *service {
-	e.mu.RLock()
-	s, ok := e.services[name]
-	e.mu.RUnlock()
-	if ok {
+	if s, ok := (*e.services.Load())[name]; ok {
 		return s
 	}
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	if s, ok := e.services[name]; ok {
+	e.grow.Lock()
+	defer e.grow.Unlock()
+	services := *e.services.Load()
+	if s, ok := services[name]; ok {
 		return s
 	}
 	self := e.node.Self()
-	s = newService(self.Name, self.DataCentre, self.Incarnation+uint64(len(e.services)), e.outstanding)
-	e.services[name] = s
+	s := newService(self.Name, self.DataCentre, self.Incarnation+uint64(len(services)), e.outstanding)
+	grown := maps.Clone(services)
+	grown[name] = s
+	e.services.Store(&grown)
 	return s
 }
 
 // eachService calls do for every known service.
 func (e *Entry) eachService(do func(name string, s *service)) {
-	e.mu.RLock()
-	services := make(map[string]*service, len(e.services))
-	for name, s := range e.services {
-		services[name] = s
-	}
-	e.mu.RUnlock()
-	for name, s := range services {
+	for name, s := range *e.services.Load() {
 		do(name, s)
 	}
 }
--- a/internal/entry/outstanding.go
+++ b/internal/entry/outstanding.go
@@ -10,58 +10,57 @@
 // outstanding counts the attempts at each endpoint that may still run: those
 // under way, and those without a known end until their longest run is over.
 type outstanding struct {
-	mu        sync.Mutex
-	running   map[netip.AddrPort]int
-	lingering map[netip.AddrPort][]time.Time
+	// byEndpoint maps a netip.AddrPort to its *endpointWork, which has a lock of
+	// its own, so that requests to different endpoints share none.
+	byEndpoint sync.Map
 }
 
-// newOutstanding returns an empty count.
-func newOutstanding() *outstanding {
-	return &outstanding{
-		running:   make(map[netip.AddrPort]int),
-		lingering: make(map[netip.AddrPort][]time.Time),
+// of returns the endpoint's count, made at its first use.
+func (o *outstanding) of(endpoint netip.AddrPort) *endpointWork {
+	if work, ok := o.byEndpoint.Load(endpoint); ok {
+		return work.(*endpointWork)
 	}
+	work, _ := o.byEndpoint.LoadOrStore(endpoint, &endpointWork{})
+	return work.(*endpointWork)
 }
 
 // begin counts an attempt.
 func (o *outstanding) begin(endpoint netip.AddrPort) {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	o.running[endpoint]++
+	work := o.of(endpoint)
+	work.mu.Lock()
+	defer work.mu.Unlock()
+	work.running++
 }
 
 // end drops an attempt that is known to have ended.
 func (o *outstanding) end(endpoint netip.AddrPort) {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	o.drop(endpoint)
+	work := o.of(endpoint)
+	work.mu.Lock()
+	defer work.mu.Unlock()
+	work.running--
 }
 
 // linger keeps an attempt in the count until the given time.
 func (o *outstanding) linger(endpoint netip.AddrPort, until time.Time) {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	o.drop(endpoint)
-	o.lingering[endpoint] = append(o.lingering[endpoint], until)
-}
-
-// drop ends one attempt; the caller holds the lock.
-func (o *outstanding) drop(endpoint netip.AddrPort) {
-	o.running[endpoint]--
-	if o.running[endpoint] == 0 {
-		delete(o.running, endpoint)
-	}
+	work := o.of(endpoint)
+	work.mu.Lock()
+	defer work.mu.Unlock()
+	work.running--
+	work.lingering = append(work.lingering, until)
 }
 
 // at returns the attempts at the endpoint that may still run.
 func (o *outstanding) at(endpoint netip.AddrPort, now time.Time) int {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	left := slices.DeleteFunc(o.lingering[endpoint], func(until time.Time) bool { return !until.After(now) })
-	if len(left) == 0 {
-		delete(o.lingering, endpoint)
-	} else {
-		o.lingering[endpoint] = left
-	}
-	return o.running[endpoint] + len(left)
+	work := o.of(endpoint)
+	work.mu.Lock()
+	defer work.mu.Unlock()
+	work.lingering = slices.DeleteFunc(work.lingering, func(until time.Time) bool { return !until.After(now) })
+	return work.running + len(work.lingering)
+}
+
+// endpointWork is the count of one endpoint.
+type endpointWork struct {
+	mu        sync.Mutex
+	running   int
+	lingering []time.Time
 }
--- a/internal/manager/configuration.go
+++ b/internal/manager/configuration.go
@@ -110,6 +110,7 @@
 		list = append(list, api.Member{
 			Name: member.Name, Incarnation: member.Incarnation, Role: string(member.Role),
 			Address: member.Address.String(), DataCentre: member.DataCentre, State: string(member.State),
+			Revision: m.node.RevisionOf(member.Identity),
 		})
 	}
 	return list, nil
--- a/internal/node/gossip.go
+++ b/internal/node/gossip.go
@@ -256,17 +256,8 @@
 // InForce returns the members that have confirmed the revision and the others.
 func (n *Node) InForce(wanted uint64) (confirmed, missing []string) {
 	members, _ := n.Roster()
-	n.mu.Lock()
-	defer n.mu.Unlock()
 	for _, member := range members.Members {
-		inForce := n.configuration.View().State.Revision
-		if member.Identity != n.config.Self.Identity {
-			inForce = 0
-			if view, ok := n.peers[member.Identity]; ok {
-				inForce = view.inForce
-			}
-		}
-		if inForce >= wanted {
+		if n.RevisionOf(member.Identity) >= wanted {
 			confirmed = append(confirmed, member.Name)
 		} else {
 			missing = append(missing, member.Name)
@@ -275,6 +266,19 @@
 	return confirmed, missing
 }
 
+// RevisionOf returns the newest revision that a member has confirmed.
+func (n *Node) RevisionOf(id roster.Identity) uint64 {
+	if id == n.config.Self.Identity {
+		return n.configuration.View().State.Revision
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if view, ok := n.peers[id]; ok {
+		return view.inForce
+	}
+	return 0
+}
+
 // NoteInForce keeps that the member has confirmed the revision.
 func (n *Node) NoteInForce(id roster.Identity, confirmed uint64) {
 	view := n.view(id)
--- a/internal/wave/wave.go
+++ b/internal/wave/wave.go
@@ -26,60 +26,6 @@
 	"time"
 )
 
-// State is where a host stands in a wave.
-type State string
-
-// States of a host.
-const (
-	// StatePending hosts serve and wait for maintenance.
-	StatePending State = "pending"
-	// StateDown hosts are in maintenance.
-	StateDown State = "down"
-	// StateDone hosts serve after maintenance.
-	StateDone State = "done"
-	// StateFailed hosts did not come back from maintenance.
-	StateFailed State = "failed"
-	// StateLost hosts are down for another reason, before their maintenance.
-	StateLost State = "lost"
-)
-
-// serving reports whether a host in this state carries load.
-func (s State) serving() bool { return s == StatePending || s == StateDone }
-
-// Host is one host of the pool.
-type Host struct {
-	Name       string `json:"name"`
-	Rack       string `json:"rack"`
-	DataCentre string `json:"data-centre"`
-	State      State  `json:"state"`
-	// Since is when the host entered its state; if it is zero, the wave takes
-	// the first step that saw it.
-	Since time.Time `json:"since,omitzero"`
-}
-
-// Domain is the kind of failure domain whose loss the pool must survive
-// during a wave.
-type Domain string
-
-// Kinds of failure domains.
-const (
-	NoDomain   Domain = "none"
-	Rack       Domain = "rack"
-	DataCentre Domain = "data-centre"
-)
-
-// of returns the host's domain of this kind.
-func (d Domain) of(h Host) string {
-	switch d {
-	case Rack:
-		return h.DataCentre + "/" + h.Rack
-	case DataCentre:
-		return h.DataCentre
-	default:
-		return ""
-	}
-}
-
 // View is the state of the pool at one moment.
 type View struct {
 	Hosts []Host
