--- a/internal/entry/call.go
+++ b/internal/entry/call.go
@@ -73,9 +73,10 @@
 	return hex.EncodeToString(raw[:])
 }
 
-// checkCall authenticates the request and checks its headers and size. A
-// refusal means that the work did not run.
-func checkCall(state *revision.State, w http.ResponseWriter, r *http.Request, now time.Time) (*call, *api.Problem) {
+// checkCall authenticates the request and checks its headers and size, which is
+// bounded by the catalogue and by maxBody bytes. A refusal means that the work
+// did not run.
+func checkCall(state *revision.State, maxBody int64, w http.ResponseWriter, r *http.Request, now time.Time) (*call, *api.Problem) {
 	c := &call{id: newID(), request: r, arrived: now}
 	if refusal := c.route(state); refusal != nil {
 		return c, refusal
@@ -89,6 +90,7 @@
 	if refusal := c.readKey(); refusal != nil {
 		return c, refusal
 	}
+	c.entry.MaxBody = min(c.entry.MaxBody, maxBody)
 	return c, c.readBody(w)
 }
 
--- a/internal/entry/endpoints.go
+++ b/internal/entry/endpoints.go
@@ -75,7 +75,7 @@
 			continue
 		}
 		s := e.service(name)
-		s.setEndpoints(now, endpoints[name], entries)
+		s.setEndpoints(now, endpoints[name], entries, entry.Limit)
 		s.setWeights(now, weights(state.Catalogue, entry))
 		s.tick(now)
 	}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -22,6 +22,7 @@
 import (
 	"context"
 	"maps"
+	"math"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -66,6 +67,9 @@
 	// Objects holds large results of tasks.
 	Objects ObjectGetter
 	Log     *log.Logger
+	// MaxBody bounds a request's body, in bytes, whatever the catalogue says;
+	// 0 sets no bound.
+	MaxBody int64
 	// ClaimRetention is how long a repeat of a marked request is recognised.
 	ClaimRetention time.Duration
 }
@@ -104,6 +108,9 @@
 
 // New returns an entry over the node.
 func New(config Config) *Entry {
+	if config.MaxBody == 0 {
+		config.MaxBody = math.MaxInt64
+	}
 	runs, stopRuns := context.WithCancel(context.Background())
 	e := &Entry{
 		config:      config,
@@ -231,7 +238,7 @@
 		c := &call{id: newID()}
 		return c, busy("configuration-stale", "it is not known whether keys were withdrawn", comeBackSoon)
 	}
-	c, refusal := checkCall(&view.State, w, r, now)
+	c, refusal := checkCall(&view.State, e.config.MaxBody, w, r, now)
 	if refusal != nil {
 		return c, refusal
 	}
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -399,3 +399,25 @@
 		}
 	}
 }
+
+// The catalogue's limit bounds what a service runs at once, though slots are free.
+func TestServiceLimit(t *testing.T) {
+	release := make(chan struct{})
+	f := newFixture(t, func(http.ResponseWriter, *http.Request) { <-release })
+	f.limitOrders(2)
+	answered := make(chan struct{}, 4)
+	for range 4 {
+		go func() {
+			_, _, _, _ = f.do(testCall{})
+			answered <- struct{}{}
+		}()
+	}
+	f.eventually("two wait", func() bool { return f.entry.Snapshot().Services["orders"].Waiting == 2 })
+	if got, want := f.handled.Load(), int64(2); got != want {
+		t.Errorf("running at once: got %d, want %d", got, want)
+	}
+	close(release)
+	for range 4 {
+		<-answered
+	}
+}
--- a/internal/entry/fixture_test.go
+++ b/internal/entry/fixture_test.go
@@ -96,6 +96,26 @@
 	}
 }
 
+// limitOrders bounds what service "orders" runs at once, and waits until the
+// entry follows.
+func (f *fixture) limitOrders(limit int) {
+	f.t.Helper()
+	_, err := revision.Transaction(context.Background(), f.store, revision.Operation{}, func(state revision.State) (revision.State, error) {
+		state.Catalogue = state.Catalogue.Clone()
+		orders := state.Catalogue.Entries["orders"]
+		orders.Limit = limit
+		state.Catalogue.Entries["orders"] = orders
+		return state, nil
+	})
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	f.node.PollNow()
+	f.eventually("the entry follows the limit", func() bool {
+		return f.entry.Snapshot().Services["orders"].Capacity == limit
+	})
+}
+
 // grant mints the team's permits to the entry.
 func (f *fixture) grant(n int) {
 	row, err := json.Marshal(limit.Grant{
--- a/internal/entry/fuzz_test.go
+++ b/internal/entry/fuzz_test.go
@@ -66,7 +66,7 @@
 			r.Header.Set(name, value)
 		}
 		now := time.Unix(1_000_000, 0)
-		c, refusal := checkCall(&state, httptest.NewRecorder(), r, now)
+		c, refusal := checkCall(&state, 1<<20, httptest.NewRecorder(), r, now)
 		if refusal != nil {
 			checkRefusal(t, refusal)
 			return
--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -23,6 +23,8 @@
 	random    *rand.Rand
 	waiting   map[uint64]chan turn
 	capacity  int
+	// limit bounds what runs at once over all entries; 0 sets no bound.
+	limit int
 	// meanRun is the mean time of answered attempts.
 	meanRun time.Duration
 	// outstanding is shared by all services of the entry.
@@ -137,15 +139,19 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.capacity = s.picker.Capacity(now)
+	if s.limit > 0 {
+		s.capacity = min(s.capacity, s.limit)
+	}
 	s.act(s.scheduler.SetCapacity(now, s.capacity))
 	s.act(s.scheduler.Tick(now))
 }
 
-// setEndpoints takes the service's endpoints and the number of entries that
-// share their connections.
-func (s *service) setEndpoints(now time.Time, endpoints []route.Endpoint, entries int) {
+// setEndpoints takes the service's endpoints, the number of entries that share
+// their connections, and the catalogue's bound on what runs at once, 0 for none.
+func (s *service) setEndpoints(now time.Time, endpoints []route.Endpoint, entries, limit int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.limit = limit
 	s.picker.SetEntries(entries)
 	s.picker.SetEndpoints(now, endpoints)
 }
--- a/internal/process/entry.go
+++ b/internal/process/entry.go
@@ -24,6 +24,7 @@
 	defer p.close()
 	e := entry.New(entry.Config{
 		Node: p.node, Hosts: p.platform, Objects: p.platform, Log: logger, ClaimRetention: config.ClaimRetention,
+		MaxBody: config.MaxBody,
 	})
 	p.node.Add(e)
 	if err := p.openInner(e.Service(), func() any { return e.Snapshot() }); err != nil {
