Do not hold an answer for a slow claims' home, nor a stop for one that is away

Found by reading: an answer waited up to two seconds for a home that is paused, and a claim that could not be given back held up a planned stop for the whole grace. No test provokes either yet.

--- a/internal/entry/books.go
+++ b/internal/entry/books.go
@@ -29,14 +29,28 @@
 	background func(func(ctx context.Context))
 }
 
+// finishPatience is how long an answer waits for its claim's home to record it.
+const finishPatience = 100 * time.Millisecond
+
 // proven records a run with its endpoint's whole answer. The claim is settled
-// before the caller has the answer.
-func (b *books) proven(ctx context.Context, c *call, a *attempt, rep reply, now time.Time) {
+// before the caller has the answer, unless the home is slow to record it.
+func (b *books) proven(c *call, a *attempt, rep reply, now time.Time) {
 	b.charges.proven(newCharge(c, a, now, outcomeOf(rep.response.StatusCode)))
 	if c.claim == nil {
 		return
 	}
-	b.claims.finish(ctx, *c.claim, claim.StateRan, recordedResult(rep))
+	record, result := *c.claim, recordedResult(rep)
+	recorded := make(chan struct{})
+	b.background(func(ctx context.Context) {
+		defer close(recorded)
+		b.claims.finish(ctx, record, claim.StateRan, result)
+	})
+	timer := time.NewTimer(finishPatience)
+	defer timer.Stop()
+	select {
+	case <-recorded:
+	case <-timer.C:
+	}
 }
 
 // recordedResult returns what is kept of an answer for repeats: all of it, or
--- a/internal/entry/claims.go
+++ b/internal/entry/claims.go
@@ -27,6 +27,8 @@
 	claimProbeInterval = 100 * time.Millisecond
 	// claimCallTimeout bounds one call to the table or a peer about claims.
 	claimCallTimeout = 2 * time.Second
+	// releasePatience bounds the attempts to give a claim back.
+	releasePatience = 10 * time.Second
 	// claimRetries bounds how often a moved claim is asked for again.
 	claimRetries = 5
 	// claimRetryPause lets a roster change spread before asking again.
@@ -283,8 +285,11 @@
 }
 
 // release tells the home that the attempt will never be dispatched, and again
-// until the home has taken it.
+// until the home has taken it. A home that cannot be reached for long keeps the
+// claim, which reads as unknown once its run limit is over.
 func (c *claims) release(ctx context.Context, id claim.ID, token claim.Token) {
+	ctx, cancel := context.WithTimeout(ctx, releasePatience)
+	defer cancel()
 	for ctx.Err() == nil {
 		home, ok := c.home(id)
 		if ok && c.releaseAt(ctx, home, id, token) {
--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -208,12 +208,15 @@
 	t.admission.end(now)
 }
 
-// readmit takes slot and permit anew after an attempt that may still run.
+// readmit takes slot and permit anew for another attempt.
 func (t *trial) readmit() *api.Problem {
 	adm, refusal := t.entry.admit(t.call, t.service)
-	if refusal != nil {
+	if refusal != nil && t.mayHaveRun {
 		return t.giveUp(refusal.Reason, refusal.Detail)
 	}
+	if refusal != nil {
+		return refusal
+	}
 	t.admission = adm
 	return nil
 }
@@ -248,7 +251,7 @@
 		return
 	}
 	now := t.entry.now()
-	t.entry.books.proven(t.entry.runs, t.call, a, rep, now)
+	t.entry.books.proven(t.call, a, rep, now)
 	t.leave(a, now, resultOf(rep.response.StatusCode))
 	t.admission.end(now)
 }
