--- a/test/fleet_test.go
+++ b/test/fleet_test.go
@@ -69,6 +69,8 @@
 	processes map[string]*process
 	operators *client.Client
 	key       string
+	// flags are added to those of every process.
+	flags []string
 }
 
 // process is one run of the binary.
@@ -84,12 +86,16 @@
 
 // newFleet starts the platform, two endpoints of service "orders", and as many
 // entries and managers as asked for. Team "tackle" has the limit teamLimit.
-func newFleet(t *testing.T, entries, managers int) *fleet {
+// Options return flags for every process.
+func newFleet(t *testing.T, entries, managers int, options ...func(*fleet) []string) *fleet {
 	t.Helper()
 	f := &fleet{t: t, dir: t.TempDir(), processes: make(map[string]*process)}
 	f.platform = httptest.NewServer(platform.New(platform.Config{ListLag: listLag}).Handler())
 	t.Cleanup(f.platform.Close)
 	f.write("secret", secret)
+	for _, option := range options {
+		f.flags = append(f.flags, option(f)...)
+	}
 	for i := range 2 {
 		f.addEndpoint(fmt.Sprintf("orders-%d", i+1))
 	}
@@ -189,6 +195,7 @@
 		"-platform-address", strings.TrimPrefix(f.platform.URL, "http://"), "-peer-secret-file", file,
 		"-grace", "20s", "-balancer-delay", "300ms", "-list-lag", "1s", "-reboot-limit", "4s",
 	}
+	args = append(args, f.flags...)
 	if role == "entry" {
 		args = append(args, "-caller-address", p.callers.String())
 	} else {
