Have a broken invariant stop the process

Cause: a panic in a loop was kept until the process stopped, since the group that caught it waited for the other loops, and net/http recovers those of handlers and drops them. Found by reading; so was a write to a peer's figures before it had told any. Loops that belong together now end together and pass the panic on.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -29,9 +29,9 @@
 	"time"
 
 	"github.com/charmbracelet/log"
-	"github.com/sourcegraph/conc"
 
 	"github.com/lovagedyke/lovagedyke/internal/catalogue"
+	"github.com/lovagedyke/lovagedyke/internal/loops"
 	"github.com/lovagedyke/lovagedyke/internal/node"
 	"github.com/lovagedyke/lovagedyke/internal/platform"
 	"github.com/lovagedyke/lovagedyke/internal/roster"
@@ -93,7 +93,7 @@
 	runs     context.Context
 	stopRuns context.CancelFunc
 	// late tracks what goes on after a caller was answered.
-	late conc.WaitGroup
+	late sync.WaitGroup
 
 	// grow serialises additions to services, which is replaced as a whole.
 	grow     sync.Mutex
@@ -145,12 +145,12 @@
 func (e *Entry) Run(ctx context.Context) <-chan error {
 	done := make(chan error, 1)
 	go func() {
-		var loops conc.WaitGroup
-		loops.Go(func() { e.claims.run(ctx) })
-		loops.Go(func() { e.charges.run(ctx) })
-		loops.Go(func() { e.scheduleLoop(ctx) })
-		loops.Go(func() { e.hostsLoop(ctx) })
-		loops.Wait()
+		group := loops.New(ctx)
+		group.Go(e.claims.run)
+		group.Go(e.charges.run)
+		group.Go(e.scheduleLoop)
+		group.Go(e.hostsLoop)
+		group.Wait()
 		done <- ctx.Err()
 	}()
 	return done
--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -9,11 +9,11 @@
 	"net/http/httptrace"
 	"net/netip"
 	"net/url"
+	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
-	"github.com/sourcegraph/conc"
 
 	"github.com/lovagedyke/lovagedyke/internal/charge"
 )
@@ -36,7 +36,7 @@
 // forwarder sends attempts to endpoints.
 type forwarder struct {
 	transport *http.Transport
-	flights   conc.WaitGroup
+	flights   sync.WaitGroup
 }
 
 // newForwarder returns a forwarder that opens at most maxConns connections to
--- a/internal/entry/owner.go
+++ b/internal/entry/owner.go
@@ -2,9 +2,8 @@
 
 import (
 	"context"
+	"sync"
 	"time"
-
-	"github.com/sourcegraph/conc"
 )
 
 // owner is the one goroutine that drives a decision object without a lock.
@@ -13,7 +12,7 @@
 type owner[Effect any] struct {
 	events  chan func(now time.Time) []Effect
 	stopped chan struct{}
-	calls   conc.WaitGroup
+	calls   sync.WaitGroup
 }
 
 // newOwner returns an owner whose queue holds that many events.
--- a/internal/manager/configuration.go
+++ b/internal/manager/configuration.go
@@ -2,10 +2,10 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
-	"github.com/sourcegraph/conc"
 
 	"github.com/lovagedyke/lovagedyke/internal/peer"
 	"github.com/lovagedyke/lovagedyke/internal/revision"
@@ -81,7 +81,7 @@
 	m.pushes.Go(func() {
 		ctx, cancel := context.WithTimeout(context.Background(), pushTimeout)
 		defer cancel()
-		var pushes conc.WaitGroup
+		var pushes sync.WaitGroup
 		defer pushes.Wait()
 		for _, member := range members.Members {
 			if member.Identity == m.node.Self().Identity {
--- a/internal/manager/manager.go
+++ b/internal/manager/manager.go
@@ -21,9 +21,9 @@
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/charmbracelet/log"
-	"github.com/sourcegraph/conc"
 
 	"github.com/lovagedyke/lovagedyke/internal/limit"
+	"github.com/lovagedyke/lovagedyke/internal/loops"
 	"github.com/lovagedyke/lovagedyke/internal/node"
 	"github.com/lovagedyke/lovagedyke/internal/peer"
 	"github.com/lovagedyke/lovagedyke/internal/peer/peerpb"
@@ -80,7 +80,7 @@
 	author *revision.Author
 	shards *shards
 	// pushes tracks what goes on after an operator was answered.
-	pushes conc.WaitGroup
+	pushes sync.WaitGroup
 
 	mu     sync.Mutex
 	joiner *revision.Joiner
@@ -104,14 +104,14 @@
 func (m *Manager) Run(ctx context.Context) <-chan error {
 	done := make(chan error, 1)
 	go func() {
-		var loops conc.WaitGroup
-		loops.Go(func() { m.limitLoop(ctx) })
-		loops.Go(func() { m.rosterLoop(ctx) })
-		loops.Go(func() { m.settleLoop(ctx) })
-		loops.Go(func() { m.shards.run(ctx) })
-		loops.Go(func() { m.hostLoop(ctx) })
-		loops.Go(func() { m.waveLoop(ctx) })
-		loops.Wait()
+		group := loops.New(ctx)
+		group.Go(m.limitLoop)
+		group.Go(m.rosterLoop)
+		group.Go(m.settleLoop)
+		group.Go(m.shards.run)
+		group.Go(m.hostLoop)
+		group.Go(m.waveLoop)
+		group.Wait()
 		m.pushes.Wait()
 		done <- ctx.Err()
 	}()
--- a/internal/manager/shards.go
+++ b/internal/manager/shards.go
@@ -9,7 +9,6 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
-	"github.com/sourcegraph/conc"
 
 	"github.com/lovagedyke/lovagedyke/internal/catalogue"
 	"github.com/lovagedyke/lovagedyke/internal/platform"
@@ -43,7 +42,7 @@
 type shards struct {
 	manager *Manager
 	workers *worker.Client
-	running conc.WaitGroup
+	running sync.WaitGroup
 
 	mu     sync.Mutex
 	byPool map[string]*shard
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -24,9 +24,9 @@
 
 	"github.com/charmbracelet/log"
 	"github.com/cockroachdb/errors"
-	"github.com/sourcegraph/conc"
 
 	"github.com/lovagedyke/lovagedyke/internal/limit"
+	"github.com/lovagedyke/lovagedyke/internal/loops"
 	"github.com/lovagedyke/lovagedyke/internal/peer"
 	"github.com/lovagedyke/lovagedyke/internal/peer/peerpb"
 	"github.com/lovagedyke/lovagedyke/internal/pool"
@@ -100,7 +100,7 @@
 	mu    sync.Mutex
 	peers map[roster.Identity]*peerView
 
-	exchanges conc.WaitGroup
+	exchanges sync.WaitGroup
 	// activeUntil is the end of urgent gossip after a change of the roster, in
 	// nanoseconds of the Unix epoch.
 	activeUntil atomic.Int64
@@ -257,11 +257,11 @@
 func (n *Node) Run(ctx context.Context) <-chan error {
 	done := make(chan error, 1)
 	go func() {
-		var loops conc.WaitGroup
-		loops.Go(func() { n.pollLoop(ctx) })
-		loops.Go(func() { n.gossipLoop(ctx) })
-		loops.Go(func() { n.askLoop(ctx) })
-		loops.Wait()
+		group := loops.New(ctx)
+		group.Go(n.pollLoop)
+		group.Go(n.gossipLoop)
+		group.Go(n.askLoop)
+		group.Wait()
 		n.exchanges.Wait()
 		done <- ctx.Err()
 	}()
--- a/internal/node/permits.go
+++ b/internal/node/permits.go
@@ -69,7 +69,7 @@
 func (n *Node) spend(id roster.Identity, team string, count int) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if view, ok := n.peers[id]; ok {
+	if view, ok := n.peers[id]; ok && view.permits != nil {
 		status := view.permits[team]
 		status.Idle = max(0, status.Idle-count)
 		view.permits[team] = status
--- a/internal/port/port.go
+++ b/internal/port/port.go
@@ -111,8 +111,20 @@
 	return errors.Wrapf(err, "serve the %s port", p.config.Name)
 }
 
-// serve passes a request on; while draining it asks the caller to close.
+// serve passes a request on; while draining it asks the caller to close. A
+// handler's panic means a broken invariant and stops the process, which net/http
+// would keep it from doing.
 func (p *Port) serve(w http.ResponseWriter, r *http.Request) {
+	defer func() {
+		reason := recover()
+		if reason == nil {
+			return
+		}
+		if err, ok := reason.(error); ok && errors.Is(err, http.ErrAbortHandler) {
+			panic(http.ErrAbortHandler)
+		}
+		go panic(reason)
+	}()
 	if p.draining.Load() {
 		w.Header().Set("Connection", "close")
 	}
--- a/internal/task/runner/hosts.go
+++ b/internal/task/runner/hosts.go
@@ -3,10 +3,9 @@
 import (
 	"context"
 	"net/netip"
+	"sync"
 	"time"
 
-	"github.com/sourcegraph/conc"
-
 	"github.com/lovagedyke/lovagedyke/internal/place"
 	"github.com/lovagedyke/lovagedyke/internal/platform"
 	"github.com/lovagedyke/lovagedyke/internal/task"
@@ -52,7 +51,7 @@
 	}
 	now := time.Now()
 	listed := make(map[string]bool, len(hosts))
-	var group conc.WaitGroup
+	var group sync.WaitGroup
 	defer group.Wait()
 	for _, host := range hosts {
 		address, isWorker := workerAddress(host)
--- a/internal/task/runner/reign.go
+++ b/internal/task/runner/reign.go
@@ -9,7 +9,6 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
-	"github.com/sourcegraph/conc"
 
 	"github.com/lovagedyke/lovagedyke/internal/place"
 	"github.com/lovagedyke/lovagedyke/internal/table"
@@ -115,7 +114,7 @@
 func (r *reign) run(ctx context.Context) {
 	ticker := time.NewTicker(r.cfg.Tick)
 	defer ticker.Stop()
-	var group conc.WaitGroup
+	var group sync.WaitGroup
 	defer group.Wait()
 	defer r.abandon()
 	for {
@@ -133,7 +132,7 @@
 }
 
 // turn steps the controller once and starts its actions.
-func (r *reign) turn(ctx context.Context, group *conc.WaitGroup) (deposed bool) {
+func (r *reign) turn(ctx context.Context, group *sync.WaitGroup) (deposed bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for _, action := range r.controller.Step(time.Now()) {
--- a/internal/task/runner/runner.go
+++ b/internal/task/runner/runner.go
@@ -24,7 +24,6 @@
 
 	"github.com/charmbracelet/log"
 	"github.com/cockroachdb/errors"
-	"github.com/sourcegraph/conc"
 
 	"github.com/lovagedyke/lovagedyke/internal/place"
 	"github.com/lovagedyke/lovagedyke/internal/platform"
@@ -185,7 +184,7 @@
 	r.mu.Unlock()
 	ctx, stop := context.WithCancel(ctx)
 	defer stop()
-	var group conc.WaitGroup
+	var group sync.WaitGroup
 	group.Go(func() { current.watchHosts(ctx) })
 	group.Go(func() {
 		defer stop()
