--- a/internal/entry/claims.go
+++ b/internal/entry/claims.go
@@ -248,6 +248,10 @@
 	case confirm := <-waiter:
 		return confirm, nil
 	case <-ctx.Done():
+		c.post(func(time.Time) []claim.Effect {
+			delete(c.confirms, ask.Record.Token)
+			return nil
+		})
 		return claim.Confirm{}, ctx.Err()
 	case <-c.stopped:
 		return claim.Confirm{}, errClaimsStopped
