Do not let a peer that is paused delay gossip

Found by reading: each round asked peers for permits one after the other, half a second each for a paused one, so that with six short teams the next exchange came after three seconds, the bound after which the configuration goes stale. The asking has its own loop now, and a peer that did not answer is not asked again until it is heard. No test provokes it: with few teams the delay stays under the bound.

--- a/internal/manager/shards.go
+++ b/internal/manager/shards.go
@@ -138,11 +138,9 @@
 func (s *shards) balance(c catalogue.Catalogue) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	dumps := make(map[string][]task.LaneState)
 	byTeam := make(map[string][]task.LaneState)
-	for pool, current := range s.byPool {
-		dumps[pool] = current.runner.Dump().Lanes
-		for _, lane := range dumps[pool] {
+	for _, current := range s.byPool {
+		for _, lane := range current.runner.Dump().Lanes {
 			byTeam[lane.Team] = append(byTeam[lane.Team], lane)
 		}
 	}
--- a/internal/node/gossip.go
+++ b/internal/node/gossip.go
@@ -55,7 +55,7 @@
 			continue
 		}
 		n.gossip(ctx)
-		n.askForAll(ctx)
+		n.askForAll()
 	}
 }
 
--- a/internal/node/permits.go
+++ b/internal/node/permits.go
@@ -33,10 +33,11 @@
 	}
 }
 
-// askForAll asks for every team that needs more than it holds.
-func (n *Node) askForAll(ctx context.Context) {
+// askForAll has every team that needs more than it holds asked for. The asking
+// is left to its own loop: a peer that does not answer must not delay gossip.
+func (n *Node) askForAll() {
 	for team := range n.configuration.View().State.Catalogue.Teams {
-		n.ask(ctx, team)
+		n.Short(team)
 	}
 }
 
@@ -57,8 +58,13 @@
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
 	reply, err := n.Dial(member).Ask(ctx, peer.AskMessage(ask))
-	if err != nil || reply.GetTransfer() == nil {
-		// What was given comes again with the next exchange.
+	if err != nil {
+		// Ask no more until the peer is heard again. What it gave comes with
+		// the next exchange.
+		n.forgetPermits(member.Identity)
+		return
+	}
+	if reply.GetTransfer() == nil {
 		return
 	}
 	n.receive(member.Identity, reply.GetTransfer())
@@ -76,6 +82,15 @@
 	}
 }
 
+// forgetPermits drops what a peer told of its permits.
+func (n *Node) forgetPermits(id roster.Identity) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if view, ok := n.peers[id]; ok {
+		view.permits = nil
+	}
+}
+
 // findMember returns the roster's member of that name in the permits' rows.
 func (n *Node) findMember(name limit.Member) (roster.Member, bool) {
 	members, _ := n.Roster()
