Count the tasks of lanes that only run

Cause: TestLimitHoldsOverRequestsAndTasks failed in one of four runs: 'greatest running: got 14, want at most 12'. The dump left out a lane once none of its tasks waited, so that the manager gave back the permits of tasks that ran. Ruled out: ends that the stand-ins report late (an endpoint books the end before its answer is flushed). Without the mend TestDumpShowsLanesThatOnlyRun fails: 'got 0, want 5'.

--- a/internal/task/controller_test.go
+++ b/internal/task/controller_test.go
@@ -270,3 +270,33 @@
 		t.Error("task: got one after its time, want none")
 	}
 }
+
+// A lane whose tasks all run is in the dump: permits are counted from it.
+func TestDumpShowsLanesThatOnlyRun(t *testing.T) {
+	w := newWorld(calm{}, mutantNone)
+	w.current().controller.SetLimits(nil)
+	const tasks = 5
+	for i := range tasks {
+		s := spec(fmt.Sprintf("reef-%d", i), place.Normal, 1)
+		s.Team = "reef"
+		w.specs = append(w.specs, s)
+		w.current().controller.Submit(w.now, 0, s)
+	}
+	w.settle(50*time.Millisecond, 60)
+	want := 0
+	for _, record := range w.records() {
+		if record.State == task.Running {
+			want++
+		}
+	}
+	if want != tasks {
+		t.Fatalf("tasks that run: got %d, want %d", want, tasks)
+	}
+	got := 0
+	for _, lane := range w.current().controller.Dump().Lanes {
+		got += lane.Running
+	}
+	if got != want {
+		t.Errorf("running in the dump's lanes: got %d, want %d", got, want)
+	}
+}
--- a/internal/task/dump.go
+++ b/internal/task/dump.go
@@ -1,6 +1,8 @@
 package task
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/lovagedyke/lovagedyke/internal/place"
@@ -52,6 +54,7 @@
 			})
 		}
 	}
+	dump.Lanes = append(dump.Lanes, c.runningLanes(dump.Lanes)...)
 	for _, name := range sortedNames(c.items) {
 		it := c.items[name]
 		if it.record.State.Final() {
@@ -71,3 +74,19 @@
 	}
 	return dump
 }
+
+// runningLanes returns the lanes in which tasks run and none waits, which the
+// waiting lanes leave out.
+func (c *Controller) runningLanes(listed []LaneState) []LaneState {
+	known := make(map[LaneKey]bool, len(listed))
+	for _, lane := range listed {
+		known[lane.LaneKey] = true
+	}
+	var lanes []LaneState
+	for _, key := range slices.SortedFunc(maps.Keys(c.running), compareLanes) {
+		if !known[key] {
+			lanes = append(lanes, LaneState{LaneKey: key, Running: c.running[key]})
+		}
+	}
+	return lanes
+}
