--- a/internal/entry/charges.go
+++ b/internal/entry/charges.go
@@ -26,21 +26,18 @@
 	chargeQueue = 16384
 )
 
-// chargeNode is what charges need of the node.
-type chargeNode = claimNode
-
 // charges drives a charge.Book: one goroutine owns it, and each table or peer
 // call that the book asks for runs in a goroutine of its own.
 type charges struct {
 	*owner[charge.Effect]
-	node     chargeNode
+	node     peerNode
 	log      *log.Logger
 	book     *charge.Book
 	sequence atomic.Uint64
 }
 
 // newCharges returns charges that are written once run is called.
-func newCharges(node chargeNode, logger *log.Logger) *charges {
+func newCharges(node peerNode, logger *log.Logger) *charges {
 	return &charges{
 		owner: newOwner[charge.Effect](chargeQueue),
 		node:  node,
--- a/internal/entry/claims.go
+++ b/internal/entry/claims.go
@@ -40,8 +40,8 @@
 // errClaimsStopped ends calls on claims when the process stops.
 var errClaimsStopped = errors.New("claims have stopped")
 
-// claimNode is what claims need of the node.
-type claimNode interface {
+// peerNode is what claims and charges need of the node.
+type peerNode interface {
 	Self() roster.Member
 	Store() table.Store
 	Roster() (roster.Roster, uint64)
@@ -53,7 +53,7 @@
 // call that the holder asks for runs in a goroutine of its own.
 type claims struct {
 	*owner[claim.Effect]
-	node     claimNode
+	node     peerNode
 	holder   *claim.Holder
 	sequence atomic.Uint64
 	// background runs what need not hold up a caller.
@@ -65,7 +65,7 @@
 }
 
 // newClaims returns claims that answer once run is called.
-func newClaims(node claimNode, retention time.Duration) *claims {
+func newClaims(node peerNode, retention time.Duration) *claims {
 	return &claims{
 		owner: newOwner[claim.Effect](claimQueue),
 		node:  node,
--- a/internal/manager/limits.go
+++ b/internal/manager/limits.go
@@ -110,7 +110,7 @@
 		}
 		return
 	}
-	member, ok := m.findMember(request.To)
+	member, ok := m.node.FindMember(request.To)
 	if !ok {
 		return
 	}
@@ -127,17 +127,6 @@
 	}
 }
 
-// findMember returns the roster's member of that name in the permits' rows.
-func (m *Manager) findMember(name limit.Member) (roster.Member, bool) {
-	members, _ := m.node.Roster()
-	for _, member := range members.Members {
-		if member.Identity.String() == string(name) {
-			return member, true
-		}
-	}
-	return roster.Member{}, false
-}
-
 // live returns the processes that should hold permits: those that dispatch
 // requests or tasks.
 func live(members roster.Roster) []limit.Member {
--- a/internal/node/permits.go
+++ b/internal/node/permits.go
@@ -44,7 +44,7 @@
 // ask requests permits of a team from the peers that have idle ones.
 func (n *Node) ask(ctx context.Context, team string) {
 	for _, ask := range n.ledger.Wanted(team, n.peerPermits(team)) {
-		member, ok := n.findMember(ask.To)
+		member, ok := n.FindMember(ask.To)
 		if !ok {
 			continue
 		}
@@ -91,8 +91,8 @@
 	}
 }
 
-// findMember returns the roster's member of that name in the permits' rows.
-func (n *Node) findMember(name limit.Member) (roster.Member, bool) {
+// FindMember returns the roster's member of that name in the permits' rows.
+func (n *Node) FindMember(name limit.Member) (roster.Member, bool) {
 	members, _ := n.Roster()
 	for _, member := range members.Members {
 		if member.Identity.String() == string(name) {
