--- a/Makefile
+++ b/Makefile
@@ -45,4 +45,4 @@
 
 generate:
 	cd tools && GOBIN=$(BIN)/tools go install github.com/twitchtv/twirp/protoc-gen-twirp google.golang.org/protobuf/cmd/protoc-gen-go
-	PATH=$(BIN)/tools:$$PATH protoc --proto_path=. --go_out=paths=source_relative:. --twirp_out=paths=source_relative:. internal/peer/peerpb/peer.proto
+	PATH=$(BIN)/tools:$$PATH protoc --proto_path=. --go_out=paths=source_relative:. --twirp_out=paths=source_relative:. internal/peer/peerpb/peer.proto internal/member/memberpb/member.proto
--- /dev/null
+++ b/cmd/lovagedyke/cgo.go
@@ -0,0 +1,6 @@
+package main
+
+// The platform runs programs that are linked with the C library.
+
+// #include <stdlib.h>
+import "C"
--- /dev/null
+++ b/cmd/lovagedyke/cmd_node.go
@@ -0,0 +1,50 @@
+package main
+
+import (
+	"context"
+	"flag"
+	"net/netip"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/lovagedyke/lovagedyke/internal/journal"
+	"github.com/lovagedyke/lovagedyke/internal/loops"
+	"github.com/lovagedyke/lovagedyke/internal/process"
+	"github.com/lovagedyke/lovagedyke/platform"
+)
+
+var cmdNode = &Cmd{
+	Name: "node",
+	Desc: "take callers' jobs and run the fleet on the platform; settings: $" + platform.SettingsVariable,
+	Setup: func(flags *flag.FlagSet, env *Env) Action {
+		level := flags.String("log-level", "info", "debug, info, warn or error")
+		port := flags.Uint("metrics-port", 0, "port of metrics and dump on this host's address; 0 is none")
+		return func(ctx context.Context, env *Env, _ []string) error {
+			return node(ctx, env, *level, uint16(*port))
+		}
+	},
+}
+
+func node(ctx context.Context, env *Env, level string, metricsPort uint16) error {
+	path := env.Getenv(platform.SettingsVariable)
+	if path == "" {
+		return usageError{errors.Newf("the environment variable %s does not name a settings file", platform.SettingsVariable)}
+	}
+	settings, err := platform.LoadSettings(path)
+	if err != nil {
+		return err
+	}
+	config := process.NodeConfig{Settings: settings, SettingsPath: path}
+	if metricsPort != 0 {
+		config.Metrics = netip.AddrPortFrom(settings.Peers.Addr(), metricsPort)
+	}
+	config.Journal = journal.New(journal.Config{Writer: env.Stdout, Level: level, Fields: []any{"process", settings.Name}})
+	// The log goes on until everything else has ended.
+	logCtx, endLog := context.WithCancel(context.WithoutCancel(ctx))
+	group := loops.New(logCtx)
+	group.Go(config.Journal.Run)
+	err = process.RunNode(ctx, config)
+	endLog()
+	group.Wait()
+	return err
+}
--- a/cmd/lovagedyke/main.go
+++ b/cmd/lovagedyke/main.go
@@ -19,6 +19,7 @@
 var commands = []*Cmd{
 	cmdEntry,
 	cmdManager,
+	cmdNode,
 	cmdCatalogue,
 	cmdKey,
 	cmdHost,
--- /dev/null
+++ b/internal/control/feeds.go
@@ -0,0 +1,145 @@
+package control
+
+import (
+	"context"
+	"strconv"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/lovagedyke/lovagedyke/internal/fleet"
+	"github.com/lovagedyke/lovagedyke/internal/record"
+	"github.com/lovagedyke/lovagedyke/internal/table"
+)
+
+const (
+	// hostFeedPause is the time between two answers of the hosts' feed: each host
+	// writes every second or two, and each answer is charged.
+	hostFeedPause = 400 * time.Millisecond
+	// rowFeedPause is the same for jobs, which their ingress tells us of directly.
+	rowFeedPause = 700 * time.Millisecond
+	// feedWait is how long the store may wait for a change.
+	feedWait = 2 * time.Second
+	// feedRetry is the time before a feed that failed is asked again.
+	feedRetry = 200 * time.Millisecond
+)
+
+func parseNumber(text string) (int64, bool) {
+	number, err := strconv.ParseInt(text, 10, 64)
+	return number, err == nil
+}
+
+// hostFeed follows the platform's list of hosts.
+func (r *reign) hostFeed(ctx context.Context) {
+	version, known := uint64(0), false
+	for ctx.Err() == nil {
+		var err error
+		if known {
+			version, err = r.followHosts(ctx, version)
+		} else {
+			version, err = r.listHosts(ctx)
+		}
+		r.config.StoreAnswered(err)
+		known = err == nil || known && !errors.Is(err, table.ErrHistoryLost)
+		pause := hostFeedPause
+		if err != nil {
+			r.config.Journal.Note("host list not read", "version", version, "error", err.Error())
+			pause = feedRetry
+		}
+		if !sleep(ctx, pause) {
+			return
+		}
+	}
+}
+
+// listHosts reads the whole list.
+func (r *reign) listHosts(ctx context.Context) (uint64, error) {
+	hosts, version, err := r.config.HostList.All(ctx)
+	if err != nil {
+		return 0, err
+	}
+	now := time.Now()
+	r.mu.Lock()
+	listed := map[fleet.HostID]bool{}
+	for _, host := range hosts {
+		listed[host.ID] = true
+		r.leader.HostListed(host, now)
+	}
+	for _, id := range r.leader.HostIDs() {
+		if !listed[id] {
+			r.leader.HostUnlisted(id, now)
+		}
+	}
+	r.mu.Unlock()
+	r.kick()
+	return version, nil
+}
+
+// followHosts reads what has changed.
+func (r *reign) followHosts(ctx context.Context, after uint64) (uint64, error) {
+	listed, gone, next, err := r.config.HostList.Changes(ctx, after, feedWait)
+	if err != nil {
+		return after, err
+	}
+	now := time.Now()
+	r.mu.Lock()
+	for _, host := range listed {
+		r.leader.HostListed(host, now)
+	}
+	for _, id := range gone {
+		r.leader.HostUnlisted(id, now)
+	}
+	r.mu.Unlock()
+	r.kick()
+	return next, nil
+}
+
+// rowFeed follows one of our tables; each change goes to take.
+func (r *reign) rowFeed(ctx context.Context, tableName string, take func(table.Change)) {
+	version, known := uint64(0), false
+	for ctx.Err() == nil {
+		var changes []table.Change
+		var err error
+		if known {
+			changes, version, err = r.config.Feed.Follow(ctx, tableName, version, feedWait)
+		} else {
+			changes, version, err = r.scanAll(ctx, tableName)
+		}
+		r.config.StoreAnswered(err)
+		for _, change := range changes {
+			take(change)
+		}
+		known = err == nil || known && !errors.Is(err, table.ErrHistoryLost)
+		pause := rowFeedPause
+		if err != nil {
+			pause = feedRetry
+		}
+		if !sleep(ctx, pause) {
+			return
+		}
+	}
+}
+
+// scanAll reads all parts of a table, and the version to follow from: the
+// oldest of the parts', so that nothing is missed in between.
+func (r *reign) scanAll(ctx context.Context, tableName string) ([]table.Change, uint64, error) {
+	var changes []table.Change
+	first := uint64(0)
+	for shard := range record.JobShards {
+		prefix := record.JobPrefix(shard)
+		if tableName == record.CancelTable {
+			prefix = record.CancelPrefix(shard)
+		}
+		rows, version, err := r.config.Feed.ScanAt(ctx, prefix)
+		if err != nil {
+			return nil, 0, err
+		}
+		if first == 0 {
+			first = version
+		}
+		for _, row := range rows {
+			changes = append(changes, table.Change{Row: row})
+		}
+	}
+	return changes, first, nil
+}
--- /dev/null
+++ b/internal/control/hosts.go
@@ -0,0 +1,209 @@
+package control
+
+import (
+	"context"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"github.com/lovagedyke/lovagedyke/internal/fleet"
+)
+
+const (
+	// orderSenders is how many orders are under way to one host at a time.
+	orderSenders = 3
+	// pendingOrders is how many orders wait for one host.
+	pendingOrders = 256
+	// lookPause is the time before a host is asked again that did not answer.
+	lookPause = 150 * time.Millisecond
+	// idlePause is the longest time between two checks whether a look is due.
+	idlePause = 500 * time.Millisecond
+	// endsPause gathers ends: a host with many short tasks would answer each one alone.
+	endsPause = 15 * time.Millisecond
+)
+
+// order is one order to a host; one field is set.
+type order struct {
+	start *fleet.Start
+	stop  *fleet.Stop
+	pace  *fleet.Pace
+}
+
+// hostWorker speaks with one host.
+type hostWorker struct {
+	reign  *reign
+	id     fleet.HostID
+	orders chan order
+	wake   chan struct{}
+	cancel context.CancelFunc
+}
+
+// syncWorkers starts workers for new hosts and ends those of forgotten ones;
+// r.mu is held.
+func (r *reign) syncWorkers() {
+	known := map[fleet.HostID]bool{}
+	for _, id := range r.leader.HostIDs() {
+		known[id] = true
+		if r.hosts[id] == nil {
+			r.startWorker(id)
+		}
+	}
+	for id, worker := range r.hosts {
+		if !known[id] {
+			worker.cancel()
+			delete(r.hosts, id)
+		}
+	}
+}
+
+// startWorker starts the loops for one host.
+func (r *reign) startWorker(id fleet.HostID) {
+	ctx, cancel := context.WithCancel(r.ctx)
+	worker := &hostWorker{reign: r, id: id, orders: make(chan order, pendingOrders), wake: make(chan struct{}, 1), cancel: cancel}
+	r.hosts[id] = worker
+	r.group.Go(func(context.Context) { worker.lookLoop(ctx) })
+	for range orderSenders {
+		r.group.Go(func(context.Context) { worker.orderLoop(ctx) })
+	}
+}
+
+// send queues an order; r.mu is held. An order without a place in the queue
+// was not sent.
+func (r *reign) send(worker *hostWorker, next order) {
+	if worker != nil {
+		select {
+		case worker.orders <- next:
+			signal(worker.wake)
+			return
+		default:
+		}
+	}
+	if next.start != nil {
+		r.leader.StartAnswered(*next.start, fleet.Reply{Outcome: fleet.OrderUnsent}, time.Now())
+	}
+}
+
+// wakeHosts lets the workers look whether ends can be acknowledged.
+func (r *reign) wakeHosts() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, worker := range r.hosts {
+		signal(worker.wake)
+	}
+}
+
+// address returns where the host is.
+func (w *hostWorker) address() (fleet.HostAddress, bool) {
+	w.reign.mu.Lock()
+	defer w.reign.mu.Unlock()
+	return w.reign.leader.AddressOf(w.id)
+}
+
+// orderLoop sends orders one after the other.
+func (w *hostWorker) orderLoop(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case next := <-w.orders:
+			w.carryOut(ctx, next)
+		}
+	}
+}
+
+// carryOut sends an order and reports its outcome.
+func (w *hostWorker) carryOut(ctx context.Context, next order) {
+	r := w.reign
+	to, ok := w.address()
+	reply := fleet.Reply{Outcome: fleet.OrderUnsent}
+	kind := "pace"
+	isOurs := true
+	switch {
+	case next.start != nil:
+		kind = "start"
+		if ok {
+			reply = r.config.Hosts.Start(ctx, to, r.claim.Token, *next.start)
+		}
+		r.mu.Lock()
+		isOurs = r.leader.StartAnswered(*next.start, reply, time.Now())
+		r.mu.Unlock()
+	case next.stop != nil:
+		kind = "stop"
+		if ok {
+			reply = r.config.Hosts.Stop(ctx, to, r.claim.Token, *next.stop)
+		}
+		r.mu.Lock()
+		isOurs = r.leader.StopAnswered(*next.stop, reply, time.Now())
+		r.mu.Unlock()
+	default:
+		if ok {
+			reply = r.config.Hosts.Pace(ctx, to, r.claim.Token, *next.pace)
+		}
+	}
+	metrics.GetOrCreateCounter(`orders_total{kind="` + kind + `",outcome="` + string(reply.Outcome) + `"}`).Inc()
+	if !isOurs {
+		r.config.Lost(r.claim.Token, "a host knows a later leader")
+	}
+	if reply.Outcome != fleet.OrderTaken {
+		signal(w.wake)
+		r.kick()
+	}
+}
+
+// lookLoop looks at the host whenever the leader wants it.
+func (w *hostWorker) lookLoop(ctx context.Context) {
+	for ctx.Err() == nil {
+		w.reign.mu.Lock()
+		hold, due := w.reign.leader.NextLook(w.id, time.Now())
+		w.reign.mu.Unlock()
+		if !due {
+			w.rest(ctx, idlePause)
+			continue
+		}
+		if !w.look(ctx, hold) {
+			sleep(ctx, lookPause)
+		}
+	}
+}
+
+// rest waits until something has changed, or for a while.
+func (w *hostWorker) rest(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-w.wake:
+	case <-timer.C:
+	}
+}
+
+// look makes one look. It reports whether the host answered.
+func (w *hostWorker) look(ctx context.Context, hold fleet.Hold) bool {
+	r := w.reign
+	to, ok := w.address()
+	if !ok {
+		return false
+	}
+	sentAt := time.Now()
+	look, reply := r.config.Hosts.Look(ctx, to, r.claim.Token, hold)
+	if ctx.Err() != nil {
+		return false
+	}
+	now := time.Now()
+	metrics.GetOrCreateCounter(`orders_total{kind="look",outcome="` + string(reply.Outcome) + `"}`).Inc()
+	r.mu.Lock()
+	if reply.Outcome == fleet.OrderTaken {
+		r.leader.Looked(w.id, hold, sentAt, look, now)
+	} else {
+		r.leader.LookFailed(w.id, reply, now)
+	}
+	r.mu.Unlock()
+	r.kick()
+	if reply.Outcome == fleet.OrderFenced {
+		r.config.Lost(r.claim.Token, "a host knows a later leader")
+	}
+	if len(look.Ended) > 0 {
+		sleep(ctx, endsPause)
+	}
+	return reply.Outcome == fleet.OrderTaken
+}
--- /dev/null
+++ b/internal/control/machines.go
@@ -0,0 +1,142 @@
+package control
+
+import (
+	"context"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"github.com/lovagedyke/lovagedyke/internal/fleet"
+)
+
+const (
+	// machineOrders is how many changes of machines wait; the platform takes some 60 a second.
+	machineOrders = 128
+	// pendingAsks is how many questions wait for the advice service.
+	pendingAsks = 64
+	// adviceCallers is how many questions are under way: the service answers one
+	// at a time for each machine, and refuses beyond 32 waiting ones.
+	adviceCallers = 4
+	// machinesSlow and machinesQuick are the times between two readings of the
+	// machines, without and with changes under way.
+	machinesSlow  = 4 * time.Second
+	machinesQuick = 300 * time.Millisecond
+)
+
+// machineOrder is a change of a machine; one field is set.
+type machineOrder struct {
+	move   *fleet.Move
+	upkeep *fleet.Upkeep
+}
+
+// sendMachine queues a change; r.mu is held.
+func (r *reign) sendMachine(next machineOrder) {
+	select {
+	case r.orders <- next:
+	default:
+		r.machineAnswered(next, fleet.ChangeRefused)
+	}
+}
+
+// sendAsk queues a question; r.mu is held.
+func (r *reign) sendAsk(ask fleet.Ask) {
+	select {
+	case r.asks <- ask:
+	default:
+		r.leader.Advised(ask, fleet.Granted{}, false, time.Now())
+	}
+}
+
+// machineAnswered reports an outcome; r.mu is held.
+func (r *reign) machineAnswered(done machineOrder, outcome fleet.ChangeOutcome) {
+	now := time.Now()
+	if done.move != nil {
+		r.leader.MoveAnswered(*done.move, outcome, now)
+		return
+	}
+	r.leader.UpkeepAnswered(*done.upkeep, outcome, now)
+}
+
+// machineLoop sends changes one after the other.
+func (r *reign) machineLoop(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case next := <-r.orders:
+			r.changeMachine(ctx, next)
+		}
+	}
+}
+
+func (r *reign) changeMachine(ctx context.Context, next machineOrder) {
+	kind := "upkeep"
+	var outcome fleet.ChangeOutcome
+	if next.move != nil {
+		kind = "move"
+		outcome = r.config.Machines.Move(ctx, r.claim.Token, next.move.Machine, next.move.Pool)
+	} else {
+		outcome = r.config.Machines.Upkeep(ctx, r.claim.Token, next.upkeep.Machine, next.upkeep.Wave)
+	}
+	metrics.GetOrCreateCounter(`machine_changes_total{kind="` + kind + `",outcome="` + string(outcome) + `"}`).Inc()
+	r.mu.Lock()
+	r.machineAnswered(next, outcome)
+	r.mu.Unlock()
+	if outcome == fleet.ChangeFenced {
+		r.config.Lost(r.claim.Token, "the machine interface knows a later leader")
+	}
+	r.kick()
+}
+
+// machineFeed reads the machines, more often while changes are under way.
+func (r *reign) machineFeed(ctx context.Context) {
+	for ctx.Err() == nil {
+		sentAt := time.Now()
+		list, err := r.config.Machines.List(ctx)
+		now := time.Now()
+		r.mu.Lock()
+		if err == nil {
+			r.leader.MachinesListed(list, sentAt, now)
+		}
+		isBusy := r.leader.MachinesChanging(now) || err != nil
+		r.mu.Unlock()
+		if err != nil {
+			r.config.Journal.Note("machines not read", "error", err.Error())
+		} else {
+			r.kick()
+		}
+		for waited := time.Duration(0); waited < machinesSlow; waited += machinesQuick {
+			if !sleep(ctx, machinesQuick) {
+				return
+			}
+			r.mu.Lock()
+			isBusy = isBusy || r.leader.MachinesChanging(time.Now())
+			r.mu.Unlock()
+			if isBusy {
+				break
+			}
+		}
+	}
+}
+
+// adviceLoop asks the advice service.
+func (r *reign) adviceLoop(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case ask := <-r.asks:
+			asking, cancel := context.WithTimeout(ctx, adviceTimeout)
+			granted, err := r.config.Advice.Ask(asking, ask)
+			cancel()
+			r.mu.Lock()
+			r.leader.Advised(ask, granted, err == nil, time.Now())
+			r.mu.Unlock()
+			r.kick()
+		}
+	}
+}
+
+// adviceTimeout bounds a question; it takes what the queue's advice says for
+// each host, after the questions before it.
+const adviceTimeout = 10 * time.Second
--- /dev/null
+++ b/internal/control/reign.go
@@ -0,0 +1,482 @@
+package control
+
+import (
+	"context"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/cockroachdb/errors"
+
+	"github.com/lovagedyke/lovagedyke/internal/fleet"
+	"github.com/lovagedyke/lovagedyke/internal/job"
+	"github.com/lovagedyke/lovagedyke/internal/loops"
+	"github.com/lovagedyke/lovagedyke/internal/policy"
+	"github.com/lovagedyke/lovagedyke/internal/record"
+	"github.com/lovagedyke/lovagedyke/internal/table"
+)
+
+const (
+	// stepEvery is the longest time between two steps, for what depends on time alone.
+	stepEvery = 100 * time.Millisecond
+	// stepPause gathers events that arrive together into one step.
+	stepPause = 8 * time.Millisecond
+	// batchPause is the shortest time between two batches, since each call to the store is charged.
+	batchPause = 30 * time.Millisecond
+	// batchRetry is the time before a batch that was not written is tried again.
+	batchRetry = 100 * time.Millisecond
+	// renewEvery is the time between two renewals of the claim.
+	renewEvery = time.Second
+	// loadRetry is the time before the rows are read again after a failure.
+	loadRetry = 150 * time.Millisecond
+	// forgetEvery is the time between two removals of old rows, and forgetMost
+	// how many jobs one removes: a transaction has 100 entries.
+	forgetEvery = 5 * time.Second
+	forgetMost  = 40
+)
+
+// reign is one leadership.
+type reign struct {
+	control *Control
+	config  Config
+	ctx     context.Context
+	claim   record.Claim
+	version uint64
+	group   *loops.Group
+
+	mu     sync.Mutex
+	leader *fleet.Leader
+	loaded bool
+	hosts  map[fleet.HostID]*hostWorker
+	// kicks wakes the step loop, dirty the batch loop.
+	kicks, dirty chan struct{}
+	orders       chan machineOrder
+	asks         chan fleet.Ask
+}
+
+func newReign(ctx context.Context, c *Control, claim record.Claim, version uint64) *reign {
+	return &reign{
+		control: c, config: c.config, ctx: ctx, claim: claim, version: version,
+		leader: fleet.New(fleet.Config{
+			Token: claim.Token, Now: time.Now(), Bounds: c.config.Bounds, Journal: c.config.Journal,
+		}),
+		hosts: map[fleet.HostID]*hostWorker{},
+		kicks: make(chan struct{}, 1), dirty: make(chan struct{}, 1),
+		orders: make(chan machineOrder, machineOrders), asks: make(chan fleet.Ask, pendingAsks),
+	}
+}
+
+// run leads until the leadership's context ends.
+func (r *reign) run() {
+	if !r.load() {
+		return
+	}
+	r.group = loops.New(r.ctx)
+	r.group.Go(r.hostFeed)
+	r.group.Go(func(ctx context.Context) { r.rowFeed(ctx, record.JobTable, r.jobRow) })
+	r.group.Go(func(ctx context.Context) { r.rowFeed(ctx, record.CancelTable, r.cancelRow) })
+	r.group.Go(r.batchLoop)
+	r.group.Go(r.stepLoop)
+	r.group.Go(r.machineFeed)
+	r.group.Go(r.machineLoop)
+	r.group.Go(r.forgetLoop)
+	if r.config.Advice != nil {
+		for range adviceCallers {
+			r.group.Go(r.adviceLoop)
+		}
+	}
+	r.group.Wait()
+}
+
+// kick asks for a step.
+func (r *reign) kick() {
+	signal(r.kicks)
+	signal(r.dirty)
+}
+
+func signal(c chan struct{}) {
+	select {
+	case c <- struct{}{}:
+	default:
+	}
+}
+
+// sleep waits; it reports whether ctx still lives.
+func sleep(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
+
+// load reads all rows of before, until it works or the leadership ends.
+func (r *reign) load() bool {
+	for r.ctx.Err() == nil {
+		started := time.Now()
+		jobs, waves, err := r.readRows()
+		if err == nil {
+			r.begin(jobs, waves)
+			metrics.GetOrCreateHistogram("leader_load_seconds").UpdateDuration(started)
+			return true
+		}
+		r.config.Journal.Note("rows not loaded", "error", err.Error())
+		if !sleep(r.ctx, loadRetry) {
+			return false
+		}
+	}
+	return false
+}
+
+// begin starts the leader's state from the rows.
+func (r *reign) begin(jobs []fleet.Stored, waves map[int64]record.Wave) {
+	r.control.mu.Lock()
+	current, rows := r.control.policy, r.control.waves
+	r.control.mu.Unlock()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := time.Now()
+	if current != nil {
+		r.leader.SetPolicy(current)
+	}
+	for _, wave := range rows {
+		r.leader.WaveListed(wave, now)
+	}
+	for number, wave := range waves {
+		r.leader.WaveLoaded(number, wave.Done, wave.Complete)
+	}
+	r.leader.Load(jobs, now, now)
+	r.loaded = true
+}
+
+func (r *reign) isLoaded() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.loaded
+}
+
+// readRows reads jobs, cancels, progress and waves.
+func (r *reign) readRows() ([]fleet.Stored, map[int64]record.Wave, error) {
+	cancelled := map[job.ID]bool{}
+	stored := map[job.ID]*fleet.Stored{}
+	for shard := range record.JobShards {
+		if err := r.readShard(shard, stored, cancelled); err != nil {
+			return nil, nil, err
+		}
+	}
+	rows, err := r.config.Store.Scan(r.ctx, record.ProgressPrefix)
+	if err != nil {
+		return nil, nil, err
+	}
+	for _, row := range rows {
+		r.addProgress(stored, row)
+	}
+	var jobs []fleet.Stored
+	for id, entry := range stored {
+		entry.Cancelled = cancelled[id]
+		jobs = append(jobs, *entry)
+	}
+	waves, err := r.readWaves()
+	return jobs, waves, err
+}
+
+// readShard reads one part of the jobs and cancels.
+func (r *reign) readShard(shard int, stored map[job.ID]*fleet.Stored, cancelled map[job.ID]bool) error {
+	rows, err := r.config.Store.Scan(r.ctx, record.JobPrefix(shard))
+	if err != nil {
+		return err
+	}
+	for _, row := range rows {
+		submission, err := job.DecodeSubmission(row.Value)
+		if err != nil {
+			r.config.Journal.Note("job not readable", "key", row.Key, "version", row.Version, "error", err.Error())
+			continue
+		}
+		stored[submission.ID] = &fleet.Stored{Submission: submission}
+	}
+	rows, err = r.config.Store.Scan(r.ctx, record.CancelPrefix(shard))
+	for _, row := range rows {
+		cancelled[job.ID(record.IDOf(row.Key))] = true
+	}
+	return err
+}
+
+// addProgress decodes a progress row.
+func (r *reign) addProgress(stored map[job.ID]*fleet.Stored, row table.Row) {
+	entry := stored[job.ID(record.IDOf(row.Key))]
+	if entry == nil {
+		return
+	}
+	progress := job.NewProgress()
+	if err := progress.UnmarshalJSON(row.Value); err != nil {
+		r.config.Journal.Note("progress not readable", "key", row.Key, "version", row.Version, "error", err.Error())
+		return
+	}
+	entry.Progress = progress
+}
+
+// readWaves reads what has been done of each wave.
+func (r *reign) readWaves() (map[int64]record.Wave, error) {
+	rows, err := r.config.Store.Scan(r.ctx, record.WavePrefix)
+	if err != nil {
+		return nil, err
+	}
+	waves := map[int64]record.Wave{}
+	for _, row := range rows {
+		wave, err := record.Decode[record.Wave](row.Value)
+		number, ok := waveNumber(row.Key)
+		if err != nil || !ok {
+			r.config.Journal.Note("wave not readable", "key", row.Key, "version", row.Version)
+			continue
+		}
+		waves[number] = wave
+	}
+	return waves, nil
+}
+
+// setPolicy puts a configuration in force.
+func (r *reign) setPolicy(current *policy.Policy) {
+	r.mu.Lock()
+	r.leader.SetPolicy(current)
+	r.mu.Unlock()
+	r.kick()
+}
+
+// setWave takes a wave.
+func (r *reign) setWave(wave fleet.WaveRow) {
+	r.mu.Lock()
+	r.leader.WaveListed(wave, time.Now())
+	r.mu.Unlock()
+	r.kick()
+}
+
+// accept takes a job that the store holds.
+func (r *reign) accept(submission *job.Submission) {
+	now := time.Now()
+	r.mu.Lock()
+	r.leader.Accepted(submission, now, now)
+	r.mu.Unlock()
+	r.kick()
+}
+
+// cancelled takes a cancel that the store holds.
+func (r *reign) cancelled(id job.ID) {
+	r.mu.Lock()
+	r.leader.Cancelled(id, time.Now())
+	r.mu.Unlock()
+	r.kick()
+}
+
+// jobRow takes a job's row from the feed.
+func (r *reign) jobRow(change table.Change) {
+	if change.Removed {
+		return
+	}
+	submission, err := job.DecodeSubmission(change.Row.Value)
+	if err != nil {
+		r.config.Journal.Note("job not readable", "key", change.Row.Key, "version", change.Row.Version, "error", err.Error())
+		return
+	}
+	r.accept(submission)
+}
+
+// cancelRow takes a cancel's row from the feed.
+func (r *reign) cancelRow(change table.Change) {
+	if !change.Removed {
+		r.cancelled(job.ID(record.IDOf(change.Row.Key)))
+	}
+}
+
+// stepLoop lets the leader decide, and sends its orders.
+func (r *reign) stepLoop(ctx context.Context) {
+	for {
+		timer := time.NewTimer(stepEvery)
+		select {
+		case <-ctx.Done():
+			timer.Stop()
+			return
+		case <-r.kicks:
+		case <-timer.C:
+		}
+		timer.Stop()
+		r.step()
+		if !sleep(ctx, stepPause) {
+			return
+		}
+	}
+}
+
+// step decides once.
+func (r *reign) step() {
+	started := time.Now()
+	r.mu.Lock()
+	orders := r.leader.Step(started, started)
+	r.syncWorkers()
+	workers := r.hosts
+	for _, start := range orders.Starts {
+		r.send(workers[start.Host], order{start: &start})
+	}
+	for _, stop := range orders.Stops {
+		r.send(workers[stop.Host], order{stop: &stop})
+	}
+	for _, pace := range orders.Paces {
+		r.send(workers[pace.Host], order{pace: &pace})
+	}
+	for _, ask := range orders.Asks {
+		r.sendAsk(ask)
+	}
+	for _, move := range orders.Moves {
+		r.sendMachine(machineOrder{move: &move})
+	}
+	for _, upkeep := range orders.Upkeeps {
+		r.sendMachine(machineOrder{upkeep: &upkeep})
+	}
+	r.mu.Unlock()
+	metrics.GetOrCreateHistogram("leader_step_seconds").UpdateDuration(started)
+}
+
+// batchLoop writes the leader's rows and renews its claim.
+func (r *reign) batchLoop(ctx context.Context) {
+	renewed := time.Now()
+	for {
+		timer := time.NewTimer(max(0, renewEvery-time.Since(renewed)))
+		select {
+		case <-ctx.Done():
+			timer.Stop()
+			return
+		case <-r.dirty:
+		case <-timer.C:
+		}
+		timer.Stop()
+		due := time.Since(renewed) >= renewEvery
+		if r.writeNext(ctx, due) && due {
+			renewed = time.Now()
+		}
+		if !sleep(ctx, batchPause) {
+			return
+		}
+	}
+}
+
+// writeNext writes the next batch, and the renewal if it is due. It reports
+// whether the store has taken both.
+func (r *reign) writeNext(ctx context.Context, renew bool) bool {
+	r.mu.Lock()
+	batch, hasNews := r.leader.NextBatch()
+	waves := r.leader.WaveNews()
+	r.mu.Unlock()
+	if !hasNews && len(waves) == 0 && !renew {
+		return true
+	}
+	txn := table.Txn{Conditions: []table.Condition{{Key: record.ClaimKey, Version: r.version}}}
+	for id, value := range batch.Rows {
+		txn.Writes = append(txn.Writes, table.Write{Key: record.ProgressKey(id), Value: value})
+	}
+	for _, wave := range waves {
+		row := record.Wave{Done: wave.Done, Complete: wave.Complete}
+		txn.Writes = append(txn.Writes, table.Write{Key: record.WaveKey(wave.Number), Value: record.Encode(row)})
+	}
+	if renew {
+		txn.Writes = append(txn.Writes, table.Write{Key: record.RenewalKey, Value: record.Encode(r.claim)})
+	}
+	if !r.commit(ctx, txn, len(txn.Writes) > 1 || !renew) {
+		return false
+	}
+	r.tellWaves(ctx, waves)
+	if hasNews {
+		r.mu.Lock()
+		r.leader.BatchWritten(batch, time.Now())
+		r.mu.Unlock()
+		r.wakeHosts()
+		r.kick()
+	}
+	return true
+}
+
+// commit writes a transaction under the condition of our claim. News is tried
+// again until it is written or the leadership is over; the same rows may be
+// written twice.
+func (r *reign) commit(ctx context.Context, txn table.Txn, isNews bool) bool {
+	for ctx.Err() == nil {
+		err := r.config.Store.Commit(ctx, txn)
+		switch {
+		case err == nil:
+			return true
+		case table.IsConflict(err):
+			r.config.Lost(r.claim.Token, "the claim has changed")
+			return false
+		case !errors.Is(err, table.ErrUnavailable) && !errors.Is(err, table.ErrUnknown):
+			// The store does not take these rows at all.
+			r.config.Journal.Note("rows refused", "rows", len(txn.Writes), "error", err.Error())
+		}
+		metrics.GetOrCreateCounter("leader_commit_failures_total").Inc()
+		if !isNews || !sleep(ctx, batchRetry) {
+			return false
+		}
+	}
+	return false
+}
+
+// tellWaves writes the rows in which operators read the waves' states.
+func (r *reign) tellWaves(ctx context.Context, waves []fleet.WaveNews) {
+	for _, wave := range waves {
+		txn := table.Txn{Writes: []table.Write{{
+			Key: r.config.WaveStatus.Key(wave.Number), Value: r.config.WaveStatus.Encode(wave.Number, wave.Complete),
+		}}}
+		for ctx.Err() == nil {
+			if err := r.config.Store.Commit(ctx, txn); err == nil {
+				break
+			}
+			if !sleep(ctx, batchRetry) {
+				return
+			}
+		}
+	}
+}
+
+// forgetLoop removes the rows of jobs that ended long ago.
+func (r *reign) forgetLoop(ctx context.Context) {
+	for sleep(ctx, forgetEvery) {
+		r.mu.Lock()
+		ids := r.leader.Forgettable(time.Now(), forgetMost)
+		r.mu.Unlock()
+		if len(ids) > 0 && r.removeRows(ctx, ids) {
+			r.mu.Lock()
+			r.leader.Forget(ids)
+			r.mu.Unlock()
+		}
+	}
+}
+
+// removeRows removes jobs before their progress: progress without a job means
+// nothing, but a job without its progress would run again.
+func (r *reign) removeRows(ctx context.Context, ids []job.ID) bool {
+	byShard := map[int][]table.Write{}
+	progress := table.Txn{Conditions: []table.Condition{{Key: record.ClaimKey, Version: r.version}}}
+	for _, id := range ids {
+		shard := record.Shard(id)
+		byShard[shard] = append(byShard[shard],
+			table.Write{Key: record.JobKey(id), Delete: true}, table.Write{Key: record.CancelKey(id), Delete: true})
+		progress.Writes = append(progress.Writes, table.Write{Key: record.ProgressKey(id), Delete: true})
+	}
+	for _, writes := range byShard {
+		if err := r.config.Store.Commit(ctx, table.Txn{Writes: writes}); err != nil {
+			r.config.Journal.Note("old rows not removed", "rows", len(writes), "error", err.Error())
+			return false
+		}
+	}
+	if err := r.config.Store.Commit(ctx, progress); err != nil {
+		r.config.Journal.Note("old rows not removed", "rows", len(progress.Writes), "error", err.Error())
+		return false
+	}
+	return true
+}
+
+// waveNumber returns the wave that a key names.
+func waveNumber(key string) (int64, bool) {
+	return parseNumber(strings.TrimPrefix(key, record.WavePrefix))
+}
--- /dev/null
+++ b/internal/fleet/dump.go
@@ -0,0 +1,67 @@
+package fleet
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/lovagedyke/lovagedyke/internal/job"
+	"github.com/lovagedyke/lovagedyke/internal/policy"
+)
+
+// Dump is the leader's state for operators.
+type Dump struct {
+	Token uint64     `json:"token"`
+	Hosts []HostDump `json:"hosts"`
+	Jobs  []JobDump  `json:"jobs"`
+	Waves []WaveNews `json:"waves,omitempty"`
+}
+
+// HostDump is a host in a dump.
+type HostDump struct {
+	ID       HostID           `json:"id"`
+	Pool     string           `json:"pool"`
+	Listed   bool             `json:"listed"`
+	Reached  bool             `json:"reached"`
+	Draining bool             `json:"draining"`
+	Leaving  bool             `json:"leaving"`
+	Runs     int              `json:"runs"`
+	Room     policy.Resources `json:"room"`
+}
+
+// JobDump is a job that is not over in a dump.
+type JobDump struct {
+	ID      job.ID    `json:"id"`
+	Queue   string    `json:"queue"`
+	Account string    `json:"account,omitempty"`
+	Shown   job.State `json:"shown"`
+	Pending int       `json:"pending"`
+	Active  int       `json:"active"`
+}
+
+// Dump returns the state. It holds no specs and no keys.
+func (l *Leader) Dump() Dump {
+	out := Dump{Token: l.config.Token}
+	for id, h := range l.hosts {
+		out.Hosts = append(out.Hosts, HostDump{
+			ID: id, Pool: h.row.Pool, Listed: h.listed, Reached: h.reached, Draining: h.row.Draining,
+			Leaving: h.leaving, Runs: len(h.runs), Room: h.room(),
+		})
+	}
+	for id, j := range l.jobs {
+		if j.over() {
+			continue
+		}
+		entry := JobDump{ID: id, Queue: j.submission.Queue, Account: j.submission.Account, Shown: j.shown, Active: len(j.active)}
+		for _, step := range j.steps {
+			entry.Pending += len(step.pending)
+		}
+		out.Jobs = append(out.Jobs, entry)
+	}
+	slices.SortFunc(out.Hosts, func(a, b HostDump) int { return cmp.Compare(a.ID, b.ID) })
+	slices.SortFunc(out.Jobs, func(a, b JobDump) int { return cmp.Compare(a.ID, b.ID) })
+	for _, number := range l.waveNumbers() {
+		wave := l.machines.waves[number]
+		out.Waves = append(out.Waves, WaveNews{Number: number, Complete: wave.complete})
+	}
+	return out
+}
--- /dev/null
+++ b/internal/fleet/evacuate.go
@@ -0,0 +1,65 @@
+package fleet
+
+import (
+	"time"
+
+	"github.com/lovagedyke/lovagedyke/internal/job"
+)
+
+// evacuate moves lasting tasks off hosts that are leaving or draining, as far
+// as their steps may miss some: each is stopped and starts elsewhere.
+func (l *Leader) evacuate(now time.Time) {
+	for _, h := range l.hosts {
+		if !h.leaving && !h.row.Draining {
+			continue
+		}
+		for _, r := range h.runs {
+			if r.isLasting() && r.state == runLive && l.mayStop(r, now) && l.hasPlace(r, now) {
+				l.stopRun(r, "host is leaving", now)
+			}
+		}
+	}
+}
+
+// mayStop reports whether another of the step's tasks may be away.
+func (l *Leader) mayStop(r *run, now time.Time) bool {
+	key := job.StepKey{Occurrence: r.key.task.Occurrence, Step: r.key.task.Step}
+	return l.awayOf(r.job, key) < max(1, r.step().MayMiss)
+}
+
+// awayOf counts the tasks of a lasting step that are not at work.
+func (l *Leader) awayOf(j *jobState, key job.StepKey) int {
+	away := 0
+	for index := range j.submission.Steps[key.Step].Count {
+		isAtWork := false
+		for _, r := range j.active[j.taskAt(key, index)] {
+			isAtWork = isAtWork || r.state == runLive && r.isAtWork()
+		}
+		if !isAtWork {
+			away++
+		}
+	}
+	return away
+}
+
+// isAtWork reports whether the host said that the run has its full speed; a
+// paced filler does what it was told.
+func (r *run) isAtWork() bool {
+	return !r.atWorkAt.IsZero() && r.share >= min(100, r.percent)
+}
+
+// hasPlace reports whether another host of the pool can take the run's task now.
+func (l *Leader) hasPlace(r *run, now time.Time) bool {
+	key := job.StepKey{Occurrence: r.key.task.Occurrence, Step: r.key.task.Step}
+	opened := r.job.steps[key]
+	if opened == nil {
+		return false
+	}
+	g := group{job: r.job, step: opened}
+	for _, room := range l.rooms(r.host.row.Pool, now) {
+		if room.host != r.host && g.allows(room) {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/fleet/fleet.go
@@ -0,0 +1,148 @@
+package fleet
+
+import (
+	"time"
+
+	"github.com/lovagedyke/lovagedyke/internal/job"
+	"github.com/lovagedyke/lovagedyke/internal/policy"
+)
+
+const (
+	// leaseTime is how long a host's lease is: longer than it takes to replace
+	// all processes, shorter than a caller waits for a lost lasting task.
+	leaseTime = 5 * time.Second
+	// clockSlowness is how much slower a host's clock may be than ours (the
+	// platform's page of calls).
+	clockSlowness = 0.02
+	// leaseMargin covers the rounding of clocks to milliseconds.
+	leaseMargin = 100 * time.Millisecond
+	// runsPerToken keeps the runs of different leaders apart: a run is above
+	// each run of an earlier leader without a row that remembers it.
+	runsPerToken = 1 << 16
+	// retryPause is the time before a task starts again after its run was refused.
+	retryPause = 50 * time.Millisecond
+)
+
+// Journal takes the decisions that explain what became of a request.
+type Journal interface {
+	// Note records one decision, with pairs of names and values.
+	Note(event string, fields ...any)
+}
+
+// Config is what a Leader is built from.
+type Config struct {
+	// Token orders leaders; hosts refuse orders with a lower one.
+	Token uint64
+	// Now is when the leader took over.
+	Now     time.Time
+	Bounds  Bounds
+	Journal Journal
+}
+
+// Bounds holds the platform's periods that decisions rest on.
+type Bounds struct {
+	// LeaseMost is the longest lease that a host grants.
+	LeaseMost time.Duration
+	// GangWait is how long a gang's member waits for the others.
+	GangWait time.Duration
+	// StatusKept is how long a job's state can be asked for after its end.
+	StatusKept time.Duration
+	// Early is how much earlier than its due time an occurrence may start.
+	Early time.Duration
+	// Move and Upkeep are how long a machine is away for either.
+	Move, Upkeep time.Duration
+	// TurnWithin is the time within which two leaders must not change one machine.
+	TurnWithin time.Duration
+	// Notice is how long a lasting task may be away before it counts as missed.
+	Notice time.Duration
+	// FarFactor is how much longer a task takes away from its data.
+	FarFactor float64
+	// HarmAfter is how long a serving task may be over its target beside fillers.
+	HarmAfter time.Duration
+}
+
+// Leader is the state of the process that leads the fleet. It is not safe for
+// concurrent use; its owner locks it.
+type Leader struct {
+	config   Config
+	policy   *policy.Policy
+	hosts    map[HostID]*host
+	jobs     map[job.ID]*jobState
+	machines machines
+	rhythms  map[string]*rhythm
+	// earlyCancels holds cancels of jobs that are not known yet.
+	earlyCancels map[job.ID]time.Time
+	// inUse is what each client account has running over all pools.
+	inUse map[string]policy.Resources
+	// loaded is true when all rows of before the takeover are known.
+	loaded bool
+	ledger ledger
+}
+
+// New returns a leader that knows nothing yet.
+func New(config Config) *Leader {
+	leader := &Leader{
+		config: config, policy: policy.New(policy.Config{}),
+		hosts: map[HostID]*host{}, jobs: map[job.ID]*jobState{}, inUse: map[string]policy.Resources{},
+		earlyCancels: map[job.ID]time.Time{},
+		machines:     newMachines(), rhythms: map[string]*rhythm{}, ledger: newLedger(),
+	}
+	if config.Token > 1 {
+		// Two holders must not take turns at a machine within this time.
+		leader.machines.firstAt = config.Now.Add(config.Bounds.TurnWithin + leaseMargin)
+	}
+	return leader
+}
+
+// SetPolicy puts a configuration in force.
+func (l *Leader) SetPolicy(current *policy.Policy) {
+	l.policy = current
+}
+
+// Policy returns the configuration in force.
+func (l *Leader) Policy() *policy.Policy {
+	return l.policy
+}
+
+// poolOf returns the pool that runs a job's tasks.
+func (l *Leader) poolOf(j *jobState) string {
+	if queue, ok := l.policy.Queues[j.submission.Queue]; ok {
+		return queue.Pool
+	}
+	return j.submission.Pool
+}
+
+// attemptsOf returns how often a job's task may fail.
+func (l *Leader) attemptsOf(j *jobState) int {
+	if queue, ok := l.policy.Queues[j.submission.Queue]; ok {
+		return queue.MaxAttempts
+	}
+	return max(1, j.submission.MaxAttempts)
+}
+
+// covered reports whether no host can hold a run of an earlier leader that is
+// not known here: each was reached, or its lease is over.
+func (l *Leader) covered(now time.Time) bool {
+	if !l.loaded {
+		return false
+	}
+	if now.After(l.inheritedUntil()) {
+		return true
+	}
+	for _, h := range l.hosts {
+		if !h.reached {
+			return false
+		}
+	}
+	return len(l.hosts) > 0
+}
+
+// inheritedUntil is when the last lease that an earlier leader gave is over.
+func (l *Leader) inheritedUntil() time.Time {
+	return l.config.Now.Add(stretched(leaseTime) + leaseMargin)
+}
+
+// stretched is the longest that a period on a host's clock takes on ours.
+func stretched(d time.Duration) time.Duration {
+	return time.Duration(float64(d) * (1 + 2*clockSlowness))
+}
--- /dev/null
+++ b/internal/fleet/hoststate.go
@@ -0,0 +1,404 @@
+package fleet
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/lovagedyke/lovagedyke/internal/job"
+	"github.com/lovagedyke/lovagedyke/internal/policy"
+)
+
+const (
+	// looksEvery is the time between two looks at a host on which something runs.
+	looksEvery = 1500 * time.Millisecond
+	// listedEnds is how many ends one report lists at most (the platform's page of calls).
+	listedEnds = 500
+	// unhealthyPause is how long a host that refuses or fails work gets none.
+	unhealthyPause = 700 * time.Millisecond
+	// troubleLimit is how many runs of different jobs fail in a row before a host counts as failing.
+	troubleLimit = 3
+	// troublePause is how long a failing host gets no work; it doubles up to troubleMost.
+	troublePause = 2 * time.Second
+	troubleMost  = 16 * time.Second
+)
+
+// host is what the leader knows of a host.
+type host struct {
+	row HostRow
+	// listed is false once the host has left the platform's list.
+	listed bool
+	// reached is true once this life of the host has answered under our token.
+	reached bool
+	born    time.Time
+	clock   time.Duration
+	clockAt time.Time
+	// leaseUntil is the latest lease that was ever sent, on the host's clock.
+	leaseUntil time.Duration
+	runs       map[runKey]*run
+	// seen is the number of the newest end that was read; ackable is the newest
+	// that may be acknowledged, and acked the newest that was.
+	seen, ackable, acked int64
+	unwritten            []unwrittenEnd
+	// pausedUntil is when the host gets work again.
+	pausedUntil time.Time
+	trouble     trouble
+	lookedAt    time.Time
+	// fullUntil keeps work away after the host had less room than expected.
+	fullUntil time.Time
+	// leaving is set while the machine is being emptied for a move or upkeep.
+	leaving bool
+	tail    tailState
+}
+
+// trouble counts runs that failed on a host without a success in between.
+type trouble struct {
+	jobs  map[job.ID]bool
+	pause time.Duration
+}
+
+// unwrittenEnd is an end whose row is part of a batch that is not written yet.
+type unwrittenEnd struct {
+	number int64
+	batch  uint64
+}
+
+// runKey names a run on a host.
+type runKey struct {
+	task job.Task
+	run  int64
+}
+
+// runState is how much is known of a run.
+type runState int
+
+const (
+	// runStarting runs were ordered, and not answered yet.
+	runStarting runState = iota
+	// runLive runs are on the host.
+	runLive
+	// runDoubtful runs were ordered and the answer was lost.
+	runDoubtful
+	// runStopping runs are being stopped.
+	runStopping
+)
+
+// run is a run that is or may be on a host.
+type run struct {
+	key   runKey
+	host  *host
+	job   *jobState
+	state runState
+	// orderedAt is when the start was decided, answeredAt when the host said yes.
+	orderedAt, answeredAt time.Time
+	// stopAt is when the next stop is sent to a stopping run.
+	stopAt time.Time
+	// away is why a stop was ordered; it is for the journal.
+	why   string
+	share int
+	saved string
+	// percent is the pace that was ordered.
+	percent  int
+	pacedAt  time.Time
+	tail     time.Duration
+	reserved policy.Resources
+	// atWorkAt is when the host first reported the run at work.
+	atWorkAt time.Time
+}
+
+// newHost returns a host of which only its row is known.
+func newHost(row HostRow) *host {
+	return &host{row: row, listed: true, born: row.Born, runs: map[runKey]*run{}}
+}
+
+// used is what the host's runs take of its capacity.
+func (h *host) used() policy.Resources {
+	var sum policy.Resources
+	for _, r := range h.runs {
+		sum = sum.Plus(r.reserved)
+	}
+	return sum
+}
+
+// room is what the host has left.
+func (h *host) room() policy.Resources {
+	return h.row.Capacity.Minus(h.used())
+}
+
+// rack returns the host's rack, by its labels: the kind stands first.
+func (h *host) rack() string {
+	for _, label := range h.row.Labels {
+		if strings.HasPrefix(label, "r") && strings.Contains(label, "-") {
+			return label
+		}
+	}
+	return ""
+}
+
+// hasLabel reports whether the host carries a label.
+func (h *host) hasLabel(label string) bool {
+	return label == "" || slices.Contains(h.row.Labels, label)
+}
+
+// takesWork reports whether the host may get new runs.
+func (h *host) takesWork(now time.Time) bool {
+	return h.listed && h.reached && !h.row.Draining && !h.leaving &&
+		!now.Before(h.pausedUntil) && !now.Before(h.fullUntil) && now.Sub(h.lookedAt) < 2*looksEvery+time.Second
+}
+
+// clockNow estimates the host's clock.
+func (h *host) clockNow(now time.Time) time.Duration {
+	return h.clock + now.Sub(h.clockAt)
+}
+
+// nextLease returns the lease to send now, on the host's clock.
+func (h *host) nextLease(now time.Time) time.Duration {
+	if h.clockAt.IsZero() {
+		return 0
+	}
+	h.leaseUntil = max(h.leaseUntil, h.clockNow(now)+leaseTime)
+	return h.leaseUntil
+}
+
+// leaseOver reports whether nothing that we started can still run, even if the
+// host's clock is as slow as it may be.
+func (h *host) leaseOver(now time.Time) bool {
+	least := h.clock + time.Duration(float64(now.Sub(h.clockAt))*(1-clockSlowness))
+	return least > h.leaseUntil+leaseMargin
+}
+
+// HostListed notes a host's row in the platform's list.
+func (l *Leader) HostListed(row HostRow, now time.Time) {
+	known, ok := l.hosts[row.ID]
+	if !ok {
+		l.hosts[row.ID] = newHost(row)
+		l.note("host listed", "host", row.ID, "pool", row.Pool, "draining", row.Draining)
+		return
+	}
+	if !row.Born.Equal(known.born) && row.Born.After(known.born) {
+		l.newLife(known, row.Born, "list", now)
+	}
+	if row.Draining != known.row.Draining {
+		l.note("host draining", "host", row.ID, "pool", row.Pool, "draining", row.Draining, "runs", len(known.runs))
+	}
+	known.row = row
+	if !known.listed {
+		known.listed = true
+		l.note("host listed again", "host", row.ID, "pool", row.Pool)
+	}
+}
+
+// HostUnlisted notes that a host has left the platform's list. Its runs count
+// until their lease is over.
+func (l *Leader) HostUnlisted(id HostID, now time.Time) {
+	h, ok := l.hosts[id]
+	if !ok || !h.listed {
+		return
+	}
+	h.listed = false
+	l.note("host unlisted", "host", id, "pool", h.row.Pool, "runs", len(h.runs))
+	l.forgetHost(h, now)
+}
+
+// forgetHost drops a host that is gone and on which nothing can run any more.
+func (l *Leader) forgetHost(h *host, now time.Time) {
+	if h.listed || len(h.runs) > 0 {
+		return
+	}
+	if !h.reached && now.Before(l.inheritedUntil()) {
+		return
+	}
+	delete(l.hosts, h.row.ID)
+}
+
+// newLife notes that a host has started again: nothing of before runs there.
+func (l *Leader) newLife(h *host, born time.Time, source string, now time.Time) {
+	l.note("host has a new life", "host", h.row.ID, "source", source, "lost-runs", len(h.runs))
+	for _, r := range h.runs {
+		l.runLost(r, "host began a new life", now)
+	}
+	h.born = born
+	h.reached = false
+	h.clock, h.clockAt, h.leaseUntil = 0, time.Time{}, 0
+	h.seen, h.ackable, h.acked, h.unwritten = 0, 0, 0, nil
+	h.trouble = trouble{}
+}
+
+// HostIDs lists the hosts that are known.
+func (l *Leader) HostIDs() []HostID {
+	ids := make([]HostID, 0, len(l.hosts))
+	for id := range l.hosts {
+		ids = append(ids, id)
+	}
+	return ids
+}
+
+// AddressOf returns where a host is, or false if it is not known.
+func (l *Leader) AddressOf(id HostID) (HostAddress, bool) {
+	h, ok := l.hosts[id]
+	if !ok {
+		return HostAddress{}, false
+	}
+	return HostAddress{ID: id, Address: h.row.Address}, true
+}
+
+// lookWait is how long a host may wait for an end before it answers a look.
+const lookWait = 1200 * time.Millisecond
+
+// NextLook tells whether a host should be looked at now, and with what. The
+// host must not have another look under way.
+func (l *Leader) NextLook(id HostID, now time.Time) (Hold, bool) {
+	h, ok := l.hosts[id]
+	if !ok {
+		return Hold{}, false
+	}
+	hold := Hold{AckedUpTo: h.ackable}
+	switch {
+	case !h.reached:
+		return hold, true
+	case len(h.unwritten) > 0 && now.Sub(h.lookedAt) < looksEvery:
+		// Ends that cannot be acknowledged yet would be listed again at once.
+		return hold, false
+	case len(h.runs) == 0 && h.ackable == h.acked:
+		return hold, false
+	}
+	hold.Lease = h.nextLease(now)
+	if len(h.runs) > 0 && len(h.unwritten) == 0 {
+		hold.Wait = lookWait
+	}
+	return hold, true
+}
+
+// LookFailed notes that a host did not answer a look.
+func (l *Leader) LookFailed(id HostID, reply Reply, now time.Time) {
+	h, ok := l.hosts[id]
+	if !ok {
+		return
+	}
+	if reply.Outcome == OrderOtherLife {
+		// The ID at this address is another one: the host that we mean is gone.
+		l.newLife(h, h.born, "refusal", now)
+		h.listed = false
+		l.forgetHost(h, now)
+		return
+	}
+	h.pausedUntil = now.Add(unhealthyPause)
+	if h.clockAt.IsZero() || !h.leaseOver(now) {
+		return
+	}
+	for _, r := range h.runs {
+		l.runLost(r, "lease is over", now)
+	}
+	l.forgetHost(h, now)
+}
+
+// Looked takes a host's report. sentAt is when the look was sent: runs that
+// were answered later may be missing in it.
+func (l *Leader) Looked(id HostID, hold Hold, sentAt time.Time, look Look, now time.Time) {
+	h, ok := l.hosts[id]
+	if !ok {
+		return
+	}
+	if look.Born.After(h.born) {
+		l.newLife(h, look.Born, "report", now)
+		hold.AckedUpTo = 0
+	}
+	if !h.reached {
+		l.note("host reached", "host", id, "pool", h.row.Pool, "running", len(look.Running), "ended", len(look.Ended))
+	}
+	h.reached = true
+	h.clock, h.clockAt = look.Clock, now
+	h.lookedAt = now
+	h.acked = max(h.acked, hold.AckedUpTo)
+	// Ends go first, so that a run that has ended is not taken for a lost one.
+	for _, ended := range look.Ended {
+		l.ended(h, ended, now)
+	}
+	h.advanceAcks(l.ledger.written)
+	present := make(map[runKey]bool, len(look.Running))
+	for _, running := range look.Running {
+		key := runKey{running.Task, running.Run}
+		present[key] = true
+		l.reported(h, key, running, now)
+	}
+	if len(look.Ended) >= listedEnds {
+		return
+	}
+	for key, r := range h.runs {
+		isMissing := !present[key] && (r.state == runLive || r.state == runStopping)
+		if isMissing && !r.answeredAt.IsZero() && r.answeredAt.Before(sentAt) {
+			l.runLost(r, "host no longer lists it", now)
+		}
+	}
+}
+
+// advanceAcks moves ackable over the ends whose rows are written.
+func (h *host) advanceAcks(written uint64) {
+	for len(h.unwritten) > 0 && h.unwritten[0].batch <= written {
+		h.ackable = h.unwritten[0].number
+		h.unwritten = h.unwritten[1:]
+	}
+}
+
+// reported takes a run that a host lists.
+func (l *Leader) reported(h *host, key runKey, running RunningTask, now time.Time) {
+	r, ok := h.runs[key]
+	if !ok {
+		r = l.adopt(h, key, now)
+	}
+	if r == nil {
+		return
+	}
+	if r.state == runStarting || r.state == runDoubtful {
+		r.state = runLive
+		r.answeredAt = now
+	}
+	if running.Saved != "" {
+		r.saved = running.Saved
+	}
+	r.share = running.Share
+	r.tail = running.Tail
+	if r.atWorkAt.IsZero() && running.Share >= 100 {
+		r.atWorkAt = now
+	}
+}
+
+// adopt takes over a run that an earlier leader started, or whose order was
+// carried out late. Runs that should not be there are stopped.
+func (l *Leader) adopt(h *host, key runKey, now time.Time) *run {
+	if !l.loaded {
+		return nil
+	}
+	r := &run{key: key, host: h, state: runLive, orderedAt: now, answeredAt: now, percent: 100}
+	j := l.jobs[key.task.Job]
+	if j == nil {
+		// The job's row may be on its way, or have been removed: stop what nobody asked for.
+		r.reserved = policy.Resources{}
+		h.runs[key] = r
+		l.stopRun(r, "job is not known", now)
+		return r
+	}
+	step, ok := j.stepOf(key.task)
+	if !ok {
+		return nil
+	}
+	r.job = j
+	r.reserved = step.Reserved()
+	h.runs[key] = r
+	duplicate := len(j.active[key.task]) > 0
+	l.claim(r)
+	j.begun = true
+	j.noteRun(key)
+	l.note("run adopted", "job", key.task.Job, "step", key.task.Step, "index", key.task.Index, "run", key.run, "host", h.row.ID)
+	switch {
+	case j.over():
+		l.stopRun(r, "job is over", now)
+	case j.progress.IsDone(key.task):
+		l.stopRun(r, "task is done", now)
+	case duplicate && !step.Speculative:
+		l.stopRun(r, "task runs elsewhere", now)
+	default:
+		j.dropPending(key.task)
+	}
+	return r
+}
--- /dev/null
+++ b/internal/fleet/jobstate.go
@@ -0,0 +1,486 @@
+package fleet
+
+import (
+	"slices"
+	"time"
+
+	"github.com/lovagedyke/lovagedyke/internal/job"
+	"github.com/lovagedyke/lovagedyke/internal/policy"
+)
+
+// jobState is what the leader knows of a job.
+type jobState struct {
+	submission *job.Submission
+	progress   *job.Progress
+	// shown is the newest state that is written, which callers may be told.
+	shown     job.State
+	cancelled bool
+	// inherited jobs were accepted before the leader took over.
+	inherited bool
+	// begun is true once a task was started.
+	begun bool
+	// due is the next occurrence that has not been opened.
+	due int
+	// steps holds the steps that are ready and not done.
+	steps map[job.StepKey]*stepState
+	// active lists the runs that are or may be there, by task.
+	active map[job.Task][]*run
+	// lastRun is the highest run of each task that is known.
+	lastRun map[job.Task]int64
+	saved   map[job.Task]string
+	// avoid lists the hosts on which a task failed.
+	avoid map[job.Task][]HostID
+	// overAt is when the final state was written.
+	overAt time.Time
+	dirty  bool
+}
+
+// stepState is a step of which tasks wait or run.
+type stepState struct {
+	key  job.StepKey
+	step job.Step
+	// pending lists the tasks that wait for a host.
+	pending []int
+	// notBefore holds back tasks whose last run was refused.
+	notBefore time.Time
+	openedAt  time.Time
+	// took holds the durations of runs that ended as done.
+	took []time.Duration
+	// granted holds the advice service's tickets, until grantedUntil.
+	granted      map[HostID]string
+	grantedUntil time.Time
+	asked        bool
+	askedAt      time.Time
+	// missedSince is when tasks of a lasting step began to be away.
+	firstMiss time.Time
+}
+
+func newJobState(submission *job.Submission) *jobState {
+	return &jobState{
+		submission: submission, progress: job.NewProgress(), shown: job.Queued,
+		steps: map[job.StepKey]*stepState{}, active: map[job.Task][]*run{}, lastRun: map[job.Task]int64{},
+		saved: map[job.Task]string{}, avoid: map[job.Task][]HostID{},
+	}
+}
+
+// over reports whether nothing of the job may start any more.
+func (j *jobState) over() bool {
+	return j.cancelled || j.progress.State.Final()
+}
+
+// stepOf returns the step of a task, or false if the job has no such task.
+func (j *jobState) stepOf(task job.Task) (job.Step, bool) {
+	if task.Step >= len(j.submission.Steps) || task.Occurrence >= j.submission.Occurrences() {
+		return job.Step{}, false
+	}
+	step := j.submission.Steps[task.Step]
+	return step, task.Index < step.Count
+}
+
+// noteRun keeps run numbers rising.
+func (j *jobState) noteRun(key runKey) {
+	j.lastRun[key.task] = max(j.lastRun[key.task], key.run)
+}
+
+// dropPending takes a task out of those that wait.
+func (j *jobState) dropPending(task job.Task) {
+	if step := j.steps[job.StepKey{Occurrence: task.Occurrence, Step: task.Step}]; step != nil {
+		step.pending = slices.DeleteFunc(step.pending, func(index int) bool { return index == task.Index })
+	}
+}
+
+// open makes the steps whose predecessors are done ready to start.
+func (l *Leader) open(j *jobState, now, wall time.Time) {
+	for !j.over() && j.due < j.submission.Occurrences() {
+		due := j.submission.Due(j.due)
+		if !due.IsZero() && wall.Before(due) {
+			break
+		}
+		j.due++
+	}
+	for occurrence := range j.due {
+		if j.progress.OccurrenceDone(j.submission, occurrence) {
+			continue
+		}
+		for number := range j.submission.Steps {
+			l.openStep(j, job.StepKey{Occurrence: occurrence, Step: number}, now)
+		}
+	}
+}
+
+// openStep makes one step ready if its predecessors are done.
+func (l *Leader) openStep(j *jobState, key job.StepKey, now time.Time) {
+	if j.steps[key] != nil || j.over() || j.progress.StepDone(j.submission, key) || !j.progress.StepReady(j.submission, key) {
+		return
+	}
+	opened := &stepState{key: key, step: j.submission.Steps[key.Step], openedAt: now}
+	for index := range opened.step.Count {
+		task := job.Task{Job: j.submission.ID, Occurrence: key.Occurrence, Step: key.Step, Index: index}
+		if !j.progress.IsDone(task) && len(j.active[task]) == 0 {
+			opened.pending = append(opened.pending, index)
+		}
+	}
+	j.steps[key] = opened
+}
+
+// Stored is what the store holds of a job.
+type Stored struct {
+	Submission *job.Submission
+	// Progress is nil if nothing of it has ended.
+	Progress  *job.Progress
+	Cancelled bool
+}
+
+// Load takes the jobs that were accepted before the takeover.
+func (l *Leader) Load(jobs []Stored, now, wall time.Time) {
+	for _, stored := range jobs {
+		j := newJobState(stored.Submission)
+		j.inherited = true
+		if stored.Progress != nil {
+			j.progress = stored.Progress
+			j.shown = stored.Progress.State
+			j.begun = len(stored.Progress.Steps) > 0
+		}
+		l.jobs[stored.Submission.ID] = j
+		if j.progress.State.Final() {
+			j.overAt = now
+		}
+		if stored.Cancelled && !j.progress.State.Final() {
+			l.cancel(j, now)
+		}
+		l.settle(j, now)
+		l.open(j, now, wall)
+	}
+	l.loaded = true
+	l.note("jobs loaded", "jobs", len(jobs))
+}
+
+// Accepted takes a job that the store holds. It may come more than once.
+func (l *Leader) Accepted(submission *job.Submission, now, wall time.Time) {
+	if _, ok := l.jobs[submission.ID]; ok {
+		return
+	}
+	j := newJobState(submission)
+	l.jobs[submission.ID] = j
+	l.rhythmOf(l.poolOf(j)).arrived(j, now)
+	if _, ok := l.earlyCancels[submission.ID]; ok {
+		delete(l.earlyCancels, submission.ID)
+		l.cancel(j, now)
+	}
+	l.open(j, now, wall)
+	l.note("job taken", "job", submission.ID, "queue", submission.Queue, "pool", l.poolOf(j), "tasks", taskCount(submission))
+}
+
+func taskCount(submission *job.Submission) int {
+	tasks := 0
+	for _, step := range submission.Steps {
+		tasks += step.Count
+	}
+	return tasks
+}
+
+// Cancelled takes the cancel of a job, which the store holds. The job itself
+// may be told later.
+func (l *Leader) Cancelled(id job.ID, now time.Time) {
+	j := l.jobs[id]
+	if j == nil {
+		l.earlyCancels[id] = now
+		return
+	}
+	if !j.over() {
+		l.cancel(j, now)
+	}
+}
+
+// cancel ends a job on its caller's wish.
+func (l *Leader) cancel(j *jobState, now time.Time) {
+	j.cancelled = true
+	j.progress.State = job.Cancelled
+	l.note("job cancelled", "job", j.submission.ID, "runs", len(j.active))
+	l.endJob(j, "job is cancelled", now)
+}
+
+// endJob stops what still runs of a job whose state is final.
+func (l *Leader) endJob(j *jobState, why string, now time.Time) {
+	j.steps = map[job.StepKey]*stepState{}
+	l.markDirty(j)
+	for _, runs := range j.active {
+		for _, r := range runs {
+			l.stopRun(r, why, now)
+		}
+	}
+}
+
+// settle gives a job its final state once all its tasks are done.
+func (l *Leader) settle(j *jobState, now time.Time) {
+	if j.over() || j.submission.Lasting() || !j.progress.AllDone(j.submission) {
+		return
+	}
+	j.progress.State = job.Complete
+	l.note("job complete", "job", j.submission.ID, "queue", j.submission.Queue, "took", now.Sub(j.submission.Accepted).Round(time.Millisecond).String())
+	l.endJob(j, "job is complete", now)
+}
+
+// fail gives a job its final state after a task failed too often.
+func (l *Leader) fail(j *jobState, task job.Task, failures int, now time.Time) {
+	j.progress.State = job.Failed
+	l.note("job failed", "job", j.submission.ID, "step", task.Step, "index", task.Index, "failed-runs", failures, "most", l.attemptsOf(j))
+	l.endJob(j, "job has failed", now)
+}
+
+// claim counts a run against its client account and its task.
+func (l *Leader) claim(r *run) {
+	task := r.key.task
+	r.job.active[task] = append(r.job.active[task], r)
+	account := r.job.submission.Account
+	l.inUse[account] = l.inUse[account].Plus(r.capUse())
+}
+
+// release ends what claim counted, and takes the run off its host.
+func (l *Leader) release(r *run) {
+	if r.host.runs[r.key] != r {
+		return
+	}
+	delete(r.host.runs, r.key)
+	if r.job == nil {
+		return
+	}
+	task := r.key.task
+	left := slices.DeleteFunc(r.job.active[task], func(other *run) bool { return other == r })
+	if len(left) == 0 {
+		delete(r.job.active, task)
+	} else {
+		r.job.active[task] = left
+	}
+	account := r.job.submission.Account
+	l.inUse[account] = l.inUse[account].Minus(r.capUse())
+}
+
+// capUse is what a run counts against its client account's cap: what it asks
+// for, reserved or not.
+func (r *run) capUse() policy.Resources {
+	if r.job == nil {
+		return policy.Resources{}
+	}
+	return r.job.submission.Steps[r.key.task.Step].Resources
+}
+
+// requeue lets a task wait for a host again, if nothing of it runs.
+func (l *Leader) requeue(j *jobState, task job.Task, notBefore time.Time) {
+	if j == nil || j.over() || len(j.active[task]) > 0 || j.progress.IsDone(task) {
+		return
+	}
+	step := j.steps[job.StepKey{Occurrence: task.Occurrence, Step: task.Step}]
+	if step == nil || slices.Contains(step.pending, task.Index) {
+		return
+	}
+	step.pending = append(step.pending, task.Index)
+	if notBefore.After(step.notBefore) {
+		step.notBefore = notBefore
+	}
+}
+
+// runLost notes that a run is over without an end that the host listed.
+func (l *Leader) runLost(r *run, why string, now time.Time) {
+	l.note("run lost", "job", r.key.task.Job, "step", r.key.task.Step, "index", r.key.task.Index, "run", r.key.run, "host", r.host.row.ID, "why", why)
+	l.release(r)
+	if r.job == nil {
+		return
+	}
+	l.keepSaved(r, r.saved)
+	l.requeue(r.job, r.key.task, now)
+}
+
+// keepSaved remembers a checkpoint for the next run, or for the gang's.
+func (l *Leader) keepSaved(r *run, saved string) {
+	if saved != "" && r.job != nil {
+		r.job.saved[r.key.task] = saved
+	}
+}
+
+// ended takes an end that a host lists. Ends are listed until acknowledged.
+func (l *Leader) ended(h *host, ended EndedTask, now time.Time) {
+	if ended.Number <= h.seen {
+		return
+	}
+	h.seen = ended.Number
+	batch := l.applyEnd(h, ended, now)
+	h.unwritten = append(h.unwritten, unwrittenEnd{number: ended.Number, batch: batch})
+}
+
+// applyEnd returns the number of the batch that has to be written before the
+// end may be acknowledged, or 0.
+func (l *Leader) applyEnd(h *host, ended EndedTask, now time.Time) uint64 {
+	key := runKey{ended.Task, ended.Run}
+	known := h.runs[key]
+	var took time.Duration
+	if known != nil {
+		took = now.Sub(known.orderedAt)
+		if ended.Saved == "" {
+			ended.Saved = known.saved
+		}
+		l.release(known)
+	}
+	j := l.jobs[ended.Task.Job]
+	if j == nil {
+		return 0
+	}
+	if _, ok := j.stepOf(ended.Task); !ok {
+		return 0
+	}
+	j.noteRun(key)
+	l.note("run ended", "job", ended.Task.Job, "step", ended.Task.Step, "index", ended.Task.Index, "run", ended.Run,
+		"host", h.row.ID, "how", string(ended.Kind), "took", took.Round(time.Millisecond).String())
+	switch ended.Kind {
+	case EndDone:
+		return l.taskDone(h, j, ended, took, now)
+	case EndFailed:
+		return l.taskFailed(h, j, ended, now)
+	default:
+		if ended.Saved != "" {
+			j.saved[ended.Task] = ended.Saved
+		}
+		l.requeue(j, ended.Task, now)
+		return 0
+	}
+}
+
+// taskDone records a task's success, which for a gang is that of all members.
+func (l *Leader) taskDone(h *host, j *jobState, ended EndedTask, took time.Duration, now time.Time) uint64 {
+	h.trouble = trouble{}
+	key := job.StepKey{Occurrence: ended.Task.Occurrence, Step: ended.Task.Step}
+	step := j.submission.Steps[key.Step]
+	if step.Lasting {
+		// A lasting task has to be there again, however it ended.
+		l.requeue(j, ended.Task, now)
+		return 0
+	}
+	if opened := j.steps[key]; opened != nil && took > 0 {
+		opened.took = append(opened.took, took)
+		l.rhythmOf(l.poolOf(j)).tookFor(step, took)
+	}
+	indexes := []int{ended.Task.Index}
+	if step.Gang {
+		// One end represents all members.
+		indexes = nil
+		for index := range step.Count {
+			indexes = append(indexes, index)
+		}
+	}
+	news := false
+	for _, index := range indexes {
+		task := ended.Task
+		task.Index = index
+		news = j.progress.MarkDone(task) || news
+		j.dropPending(task)
+		for _, copied := range slices.Clone(j.active[task]) {
+			if !step.Gang {
+				l.stopRun(copied, "another run is done", now)
+			}
+		}
+	}
+	if !news {
+		return l.ledger.batchOf(j)
+	}
+	if j.progress.State == job.Queued {
+		j.progress.State = job.Running
+	}
+	batch := l.markDirty(j)
+	if j.progress.StepDone(j.submission, key) {
+		delete(j.steps, key)
+		for number := range j.submission.Steps {
+			l.openStep(j, job.StepKey{Occurrence: key.Occurrence, Step: number}, now)
+		}
+	}
+	l.settle(j, now)
+	return batch
+}
+
+// taskFailed records a failed run.
+func (l *Leader) taskFailed(h *host, j *jobState, ended EndedTask, now time.Time) uint64 {
+	l.suspect(h, ended.Task.Job, now)
+	step := j.submission.Steps[ended.Task.Step]
+	if ended.Saved != "" {
+		j.saved[ended.Task] = ended.Saved
+	}
+	if !slices.Contains(j.avoid[ended.Task], h.row.ID) {
+		j.avoid[ended.Task] = append(j.avoid[ended.Task], h.row.ID)
+	}
+	if step.Lasting {
+		l.requeue(j, ended.Task, now)
+		return 0
+	}
+	counted := ended.Task
+	if step.Gang {
+		// The gang fails as one.
+		counted.Index = 0
+	}
+	failures, news := j.progress.MarkFailed(counted, ended.Run)
+	if !news {
+		return l.ledger.batchOf(j)
+	}
+	batch := l.markDirty(j)
+	if failures >= l.attemptsOf(j) && !j.over() {
+		l.fail(j, ended.Task, failures, now)
+		return batch
+	}
+	l.requeue(j, ended.Task, now)
+	return batch
+}
+
+// suspect counts a failure against a host, which gets a pause after failures
+// of several jobs in a row.
+func (l *Leader) suspect(h *host, id job.ID, now time.Time) {
+	if h.trouble.jobs == nil {
+		h.trouble.jobs = map[job.ID]bool{}
+	}
+	h.trouble.jobs[id] = true
+	if len(h.trouble.jobs) < troubleLimit {
+		return
+	}
+	h.trouble.pause = min(troubleMost, max(troublePause, 2*h.trouble.pause))
+	h.trouble.jobs = nil
+	h.pausedUntil = now.Add(h.trouble.pause)
+	l.note("host suspected", "host", h.row.ID, "pool", h.row.Pool, "pause", h.trouble.pause.String())
+}
+
+// stopRun ends a run, or makes sure that it never begins.
+func (l *Leader) stopRun(r *run, why string, now time.Time) {
+	if r.state == runStopping {
+		return
+	}
+	r.state = runStopping
+	r.why = why
+	r.stopAt = now
+}
+
+// StateOf returns the state that a caller may be told, or false if the job is
+// not known here.
+func (l *Leader) StateOf(id job.ID) (job.State, bool) {
+	j, ok := l.jobs[id]
+	if !ok {
+		return "", false
+	}
+	if !j.shown.Final() && j.begun {
+		return job.Running, true
+	}
+	return j.shown, true
+}
+
+// Waiting counts, by queue, the jobs of which no task has started.
+func (l *Leader) Waiting() map[string]int {
+	waiting := map[string]int{}
+	for _, j := range l.jobs {
+		if !j.begun && !j.over() {
+			waiting[j.submission.Queue]++
+		}
+	}
+	return waiting
+}
+
+// note writes to the journal.
+func (l *Leader) note(event string, fields ...any) {
+	if l.config.Journal != nil {
+		l.config.Journal.Note(event, fields...)
+	}
+}
--- /dev/null
+++ b/internal/fleet/machines.go
@@ -0,0 +1,243 @@
+package fleet
+
+import (
+	"slices"
+	"time"
+)
+
+const (
+	// changeLost is how long a change without an answer is waited for in the
+	// machines' list before it is ordered again.
+	changeLost = 3 * time.Second
+	// changeRetry is the time before a refused change is ordered again.
+	changeRetry = 400 * time.Millisecond
+	// listSlack is how much later than expected a machine may be back before it
+	// is looked up without haste.
+	listSlack = 2 * time.Second
+)
+
+// machines is what the leader knows of the machines and waves of upkeep.
+type machines struct {
+	byID  map[MachineID]*machineState
+	waves map[int64]*waveState
+	// firstAt is the earliest time for a change: the leader before may have
+	// ordered one just now.
+	firstAt time.Time
+}
+
+func newMachines() machines {
+	return machines{byID: map[MachineID]*machineState{}, waves: map[int64]*waveState{}}
+}
+
+// change is a change of a machine that is under way.
+type change struct {
+	pool string
+	wave int64
+	// orderedAt is when it was decided, takenAt when the platform took it.
+	orderedAt, takenAt time.Time
+	isUnknown          bool
+}
+
+// machineState is a machine and what is being done with it.
+type machineState struct {
+	row    Machine
+	change *change
+	// notBefore holds back the next change after a refusal.
+	notBefore time.Time
+	// idleSince is when its host was last seen to become empty, or zero.
+	idleSince time.Time
+	listed    bool
+}
+
+// isFree reports whether a machine may be changed.
+func (m *machineState) isFree(now time.Time) bool {
+	return m.listed && m.change == nil && m.row.State == MachineUp && !now.Before(m.notBefore)
+}
+
+// hostOf returns the host that runs on a machine, or nil.
+func (l *Leader) hostOf(m *machineState) *host {
+	h := l.hosts[m.row.Host]
+	if h == nil || !h.listed {
+		return nil
+	}
+	return h
+}
+
+// MachinesListed takes the platform's list, which was asked for at sentAt.
+func (l *Leader) MachinesListed(list []Machine, sentAt, now time.Time) {
+	listed := map[MachineID]bool{}
+	for _, row := range list {
+		listed[row.ID] = true
+		m := l.machines.byID[row.ID]
+		if m == nil {
+			m = &machineState{}
+			l.machines.byID[row.ID] = m
+		}
+		m.listed = true
+		l.machineListed(m, row, sentAt, now)
+	}
+	for id, m := range l.machines.byID {
+		if !listed[id] {
+			m.listed = false
+		}
+	}
+}
+
+// machineListed takes a machine's row, unless it is from before its change.
+func (l *Leader) machineListed(m *machineState, row Machine, sentAt, now time.Time) {
+	c := m.change
+	if c == nil {
+		m.row = row
+		return
+	}
+	if c.takenAt.IsZero() && !c.isUnknown || sentAt.Before(c.takenAt) {
+		return
+	}
+	m.row = row
+	if c.isUnknown {
+		l.settleChange(m, now)
+		return
+	}
+	if row.State == MachineUp && (c.wave != 0 || row.Pool == c.pool) && now.Sub(c.takenAt) > l.awayTime(c)/2 {
+		l.note("machine back", "machine", row.ID, "pool", row.Pool, "wave", c.wave, "took", now.Sub(c.takenAt).Round(time.Millisecond).String())
+		m.change = nil
+	}
+}
+
+// settleChange finds out from the list whether a change without an answer was made.
+func (l *Leader) settleChange(m *machineState, now time.Time) {
+	c := m.change
+	isMade := c.wave != 0 && m.row.State == MachineUpkeep || c.wave == 0 && (m.row.State == MachineMoving || m.row.Pool == c.pool)
+	switch {
+	case isMade:
+		l.changeTaken(m, now)
+	case m.row.State == MachineUp && now.Sub(c.orderedAt) > changeLost:
+		m.change = nil
+	}
+}
+
+// awayTime is how long a change takes.
+func (l *Leader) awayTime(c *change) time.Duration {
+	if c.wave != 0 {
+		return l.config.Bounds.Upkeep
+	}
+	return l.config.Bounds.Move
+}
+
+// MachinesChanging reports whether a change is about to be over, so that the
+// list is worth reading soon.
+func (l *Leader) MachinesChanging(now time.Time) bool {
+	for _, m := range l.machines.byID {
+		c := m.change
+		if c == nil || !m.listed {
+			continue
+		}
+		if c.isUnknown {
+			return true
+		}
+		away := now.Sub(c.takenAt)
+		if !c.takenAt.IsZero() && away >= l.awayTime(c) && away < l.awayTime(c)+listSlack {
+			return true
+		}
+	}
+	return false
+}
+
+// changeTaken notes that a machine is away: what ran on it is over.
+func (l *Leader) changeTaken(m *machineState, now time.Time) {
+	c := m.change
+	c.takenAt, c.isUnknown = now, false
+	if h := l.hosts[m.row.Host]; h != nil {
+		for _, r := range h.runs {
+			l.runLost(r, "machine is changed", now)
+		}
+		h.listed = false
+		l.forgetHost(h, now)
+	}
+	m.idleSince = time.Time{}
+	if c.wave == 0 {
+		m.row.State = MachineMoving
+		return
+	}
+	m.row.State = MachineUpkeep
+	if wave := l.machines.waves[c.wave]; wave != nil {
+		wave.done[m.row.ID] = true
+		wave.dirty = true
+	}
+}
+
+// changeAnswered takes the platform's answer to a change.
+func (l *Leader) changeAnswered(id MachineID, outcome ChangeOutcome, now time.Time) {
+	m := l.machines.byID[id]
+	if m == nil || m.change == nil {
+		return
+	}
+	c := m.change
+	l.note("machine change answered", "machine", id, "to", c.pool, "wave", c.wave, "outcome", string(outcome))
+	switch outcome {
+	case ChangeTaken:
+		l.changeTaken(m, now)
+	case ChangeUnknown:
+		c.isUnknown = true
+	case ChangeOtherWave, ChangeImpossible:
+		if wave := l.machines.waves[c.wave]; wave != nil {
+			// It will never be part of this wave.
+			wave.done[id] = true
+			wave.dirty = true
+		}
+		m.change = nil
+		m.notBefore = now.Add(changeLost)
+	default:
+		m.change = nil
+		m.notBefore = now.Add(changeRetry)
+	}
+}
+
+// MoveAnswered takes the platform's answer to a move.
+func (l *Leader) MoveAnswered(move Move, outcome ChangeOutcome, now time.Time) {
+	l.changeAnswered(move.Machine, outcome, now)
+}
+
+// UpkeepAnswered takes the platform's answer to an upkeep.
+func (l *Leader) UpkeepAnswered(upkeep Upkeep, outcome ChangeOutcome, now time.Time) {
+	l.changeAnswered(upkeep.Machine, outcome, now)
+}
+
+// planMachines decides on upkeep and moves.
+func (l *Leader) planMachines(pools map[string][]*jobState, orders *Orders, now time.Time) {
+	if now.Before(l.machines.firstAt) {
+		return
+	}
+	for _, h := range l.hosts {
+		h.leaving = false
+	}
+	l.noteIdle(now)
+	for _, number := range l.waveNumbers() {
+		l.planWave(l.machines.waves[number], orders, now)
+	}
+	l.planMoves(pools, orders, now)
+}
+
+// noteIdle keeps since when each machine's host has been empty.
+func (l *Leader) noteIdle(now time.Time) {
+	for _, m := range l.machines.byID {
+		h := l.hostOf(m)
+		isEmpty := h != nil && h.reached && len(h.runs) == 0
+		switch {
+		case !isEmpty:
+			m.idleSince = time.Time{}
+		case m.idleSince.IsZero():
+			m.idleSince = now
+		}
+	}
+}
+
+// waveNumbers lists the waves in order.
+func (l *Leader) waveNumbers() []int64 {
+	var numbers []int64
+	for number := range l.machines.waves {
+		numbers = append(numbers, number)
+	}
+	slices.Sort(numbers)
+	return numbers
+}
--- /dev/null
+++ b/internal/fleet/move.go
@@ -0,0 +1,231 @@
+package fleet
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/lovagedyke/lovagedyke/internal/job"
+	"github.com/lovagedyke/lovagedyke/internal/policy"
+)
+
+const (
+	// idleGrace is how long a machine stays empty in its pool before it is given
+	// back: two moves cost about as much as two seconds of a machine.
+	idleGrace = 2 * time.Second
+	// poolLeast is the number of machines that a pool keeps for what comes next.
+	poolLeast = 3
+	// packing is how much more room than the sum of its tasks a pool needs,
+	// since tasks do not fill machines to the brim.
+	packing = 1.15
+	// movesAtOnce bounds the moves that one step orders.
+	movesAtOnce = 12
+)
+
+// poolNeed is what a pool has and needs, in machines.
+type poolNeed struct {
+	pool string
+	// have counts the machines that are up or on their way.
+	have int
+	need int
+}
+
+// lack is how many machines are missing; a negative one tells how many are too many.
+func (p poolNeed) lack() int {
+	return p.need - p.have
+}
+
+// planMoves takes machines to the pools that need them, and those that none
+// needs to the spare pool, where they cost nothing.
+func (l *Leader) planMoves(pools map[string][]*jobState, orders *Orders, now time.Time) {
+	spare, ok := l.policy.SparePool()
+	if !ok || len(l.machines.byID) == 0 {
+		return
+	}
+	needs := l.poolNeeds(pools)
+	givers := l.givers(needs, spare, now)
+	ordered := 0
+	for _, need := range needs {
+		for lack := need.lack(); lack > 0 && ordered < movesAtOnce; lack-- {
+			from := takeGiver(&givers, needs, need.pool)
+			if from == nil {
+				break
+			}
+			l.move(from, need.pool, orders, now)
+			ordered++
+		}
+	}
+	for _, m := range givers {
+		if ordered >= movesAtOnce {
+			return
+		}
+		own := needOf(needs, m.row.Pool)
+		if m.row.Pool == spare || own == nil || own.lack() >= 0 || now.Sub(m.idleSince) < idleGrace {
+			continue
+		}
+		own.have--
+		l.move(m, spare, orders, now)
+		ordered++
+	}
+}
+
+// move orders a move.
+func (l *Leader) move(m *machineState, pool string, orders *Orders, now time.Time) {
+	m.change = &change{pool: pool, orderedAt: now}
+	if h := l.hostOf(m); h != nil {
+		h.leaving = true
+	}
+	orders.Moves = append(orders.Moves, Move{Machine: m.row.ID, Pool: pool})
+	l.note("move", "machine", m.row.ID, "from", m.row.Pool, "to", pool)
+}
+
+// poolNeeds returns the pools that run tasks, the one that lacks most first.
+func (l *Leader) poolNeeds(pools map[string][]*jobState) []*poolNeed {
+	var needs []*poolNeed
+	size := l.machineSize()
+	for name, pool := range l.policy.Pools {
+		if pool.Spare {
+			continue
+		}
+		need := &poolNeed{pool: name, need: max(poolLeast, machinesFor(l.demand(pools[name]), size))}
+		for _, m := range l.machines.byID {
+			if m.listed && l.headsFor(m, name) {
+				need.have++
+			}
+		}
+		needs = append(needs, need)
+	}
+	slices.SortFunc(needs, func(a, b *poolNeed) int {
+		return cmp.Or(cmp.Compare(b.lack(), a.lack()), cmp.Compare(a.pool, b.pool))
+	})
+	return needs
+}
+
+// headsFor reports whether a machine is in a pool, or on its way there.
+func (l *Leader) headsFor(m *machineState, pool string) bool {
+	if m.change != nil && m.change.pool != "" {
+		return m.change.pool == pool
+	}
+	return m.row.Pool == pool && (m.row.State == MachineUp || m.row.State == MachineMoving || m.row.State == MachineUpkeep)
+}
+
+// machineSize is the mean size of a machine.
+func (l *Leader) machineSize() policy.Resources {
+	var sum policy.Resources
+	for _, m := range l.machines.byID {
+		sum = sum.Plus(m.row.Capacity)
+	}
+	count := int64(max(1, len(l.machines.byID)))
+	return policy.Resources{CPU: max(1, sum.CPU/count), Memory: max(1, sum.Memory/count)}
+}
+
+// machinesFor returns how many machines an amount of work needs.
+func machinesFor(demand, size policy.Resources) int {
+	share := max(float64(demand.CPU)/float64(size.CPU), float64(demand.Memory)/float64(size.Memory))
+	count := int(share * packing)
+	if float64(count) < share*packing {
+		count++
+	}
+	return count
+}
+
+// demand is what the pool's tasks that run or wait take.
+func (l *Leader) demand(jobs []*jobState) policy.Resources {
+	var sum policy.Resources
+	for _, j := range jobs {
+		for _, step := range j.steps {
+			each := step.step.Reserved()
+			count := int64(len(step.pending) + j.activeOf(step.key))
+			sum.CPU += each.CPU * count
+			sum.Memory += each.Memory * count
+		}
+	}
+	return sum
+}
+
+// activeOf counts the tasks of a step that run.
+func (j *jobState) activeOf(key job.StepKey) int {
+	count := 0
+	for task := range j.active {
+		if task.Step == key.Step && task.Occurrence == key.Occurrence {
+			count++
+		}
+	}
+	return count
+}
+
+// givers lists machines that can be moved without harm: spare ones first, then
+// the empty ones of pools that have too many.
+func (l *Leader) givers(needs []*poolNeed, spare string, now time.Time) []*machineState {
+	var givers []*machineState
+	for _, m := range l.machines.byID {
+		if !m.isFree(now) {
+			continue
+		}
+		if m.row.Pool == spare {
+			givers = append(givers, m)
+			continue
+		}
+		need := needOf(needs, m.row.Pool)
+		h := l.hostOf(m)
+		if need == nil || need.lack() >= 0 || h == nil || h.leaving || h.row.Draining || m.idleSince.IsZero() {
+			continue
+		}
+		givers = append(givers, m)
+	}
+	slices.SortFunc(givers, func(a, b *machineState) int {
+		isSpare := func(m *machineState) int {
+			if m.row.Pool == spare {
+				return 0
+			}
+			return 1
+		}
+		return cmp.Or(cmp.Compare(isSpare(a), isSpare(b)), a.idleSince.Compare(b.idleSince), cmp.Compare(a.row.ID, b.row.ID))
+	})
+	return givers
+}
+
+// takeGiver takes the first machine that its pool can do without.
+func takeGiver(givers *[]*machineState, needs []*poolNeed, to string) *machineState {
+	for i, m := range *givers {
+		if m.row.Pool == to {
+			continue
+		}
+		if own := needOf(needs, m.row.Pool); own != nil {
+			if own.lack() >= 0 {
+				continue
+			}
+			own.have--
+		}
+		*givers = slices.Delete(*givers, i, i+1)
+		return m
+	}
+	return nil
+}
+
+// needOf returns a pool's need, or nil for the spare pool.
+func needOf(needs []*poolNeed, pool string) *poolNeed {
+	for _, need := range needs {
+		if need.pool == pool {
+			return need
+		}
+	}
+	return nil
+}
+
+// Largest returns the most that one machine or host has of each resource.
+func (l *Leader) Largest() policy.Resources {
+	var largest policy.Resources
+	add := func(capacity policy.Resources) {
+		largest.CPU = max(largest.CPU, capacity.CPU)
+		largest.Memory = max(largest.Memory, capacity.Memory)
+		largest.GPU = max(largest.GPU, capacity.GPU)
+	}
+	for _, m := range l.machines.byID {
+		add(m.row.Capacity)
+	}
+	for _, h := range l.hosts {
+		add(h.row.Capacity)
+	}
+	return largest
+}
--- /dev/null
+++ b/internal/fleet/order.go
@@ -0,0 +1,80 @@
+package fleet
+
+import (
+	"time"
+
+	"github.com/lovagedyke/lovagedyke/internal/job"
+)
+
+// Start orders a run.
+type Start struct {
+	Host HostID
+	Task job.Task
+	Run  int64
+	Spec string
+	// Lease ends what runs on the host; it is a time on the host's clock.
+	Lease time.Duration
+	// Saved is the checkpoint to resume from, or "".
+	Saved string
+	// Ticket is the advice service's, or "".
+	Ticket string
+}
+
+// Stop ends a run, or prevents it if it has not begun.
+type Stop struct {
+	Host HostID
+	Task job.Task
+	Run  int64
+}
+
+// Pace lets a run work at a share of its speed.
+type Pace struct {
+	Host    HostID
+	Task    job.Task
+	Run     int64
+	Percent int
+}
+
+// Hold is what a look at a host carries.
+type Hold struct {
+	// Lease is a time on the host's clock, or 0 while the clock is not known.
+	Lease     time.Duration
+	AckedUpTo int64
+	// Wait is how long the host may wait for an end before it answers.
+	Wait time.Duration
+}
+
+// Ask asks the advice service which hosts may run a step.
+type Ask struct {
+	Job   job.ID
+	Step  job.StepKey
+	Hosts []HostID
+}
+
+// Granted is the advice service's answer.
+type Granted struct {
+	Tickets map[HostID]string
+	Valid   time.Duration
+}
+
+// Move takes a machine to another pool.
+type Move struct {
+	Machine MachineID
+	Pool    string
+}
+
+// Upkeep takes a machine down for its part of a wave.
+type Upkeep struct {
+	Machine MachineID
+	Wave    int64
+}
+
+// Orders is what Step decided.
+type Orders struct {
+	Starts  []Start
+	Stops   []Stop
+	Paces   []Pace
+	Asks    []Ask
+	Moves   []Move
+	Upkeeps []Upkeep
+}
--- /dev/null
+++ b/internal/fleet/wave.go
@@ -0,0 +1,149 @@
+package fleet
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// waveState is a wave of upkeep and how far it is.
+type waveState struct {
+	row      WaveRow
+	listedAt time.Time
+	// done holds the machines whose upkeep has begun.
+	done     map[MachineID]bool
+	complete bool
+	dirty    bool
+}
+
+// WaveNews is what has changed of a wave since it was last written.
+type WaveNews struct {
+	Number   int64
+	Done     []string
+	Complete bool
+}
+
+// wave returns a wave's state, which it creates.
+func (l *Leader) wave(number int64) *waveState {
+	wave := l.machines.waves[number]
+	if wave == nil {
+		wave = &waveState{done: map[MachineID]bool{}}
+		l.machines.waves[number] = wave
+	}
+	return wave
+}
+
+// WaveListed takes a wave as operators ask for it.
+func (l *Leader) WaveListed(row WaveRow, now time.Time) {
+	wave := l.wave(row.Number)
+	if wave.listedAt.IsZero() {
+		wave.listedAt = now
+		wave.dirty = true
+		l.note("wave listed", "wave", row.Number, "machines", len(row.Machines), "at-once", row.AtOnce, "within", row.Within.String())
+	}
+	wave.row = row
+}
+
+// WaveLoaded takes what an earlier leader has written of a wave.
+func (l *Leader) WaveLoaded(number int64, done []string, complete bool) {
+	wave := l.wave(number)
+	wave.complete = complete
+	for _, id := range done {
+		wave.done[MachineID(id)] = true
+	}
+}
+
+// WaveNews returns the waves that have to be written.
+func (l *Leader) WaveNews() []WaveNews {
+	var news []WaveNews
+	for _, number := range l.waveNumbers() {
+		wave := l.machines.waves[number]
+		if !wave.dirty {
+			continue
+		}
+		wave.dirty = false
+		entry := WaveNews{Number: number, Complete: wave.complete}
+		for id := range wave.done {
+			entry.Done = append(entry.Done, string(id))
+		}
+		slices.Sort(entry.Done)
+		news = append(news, entry)
+	}
+	return news
+}
+
+// planWave takes the wave's next machines down, those that cost least first,
+// and empties the ones after them.
+func (l *Leader) planWave(wave *waveState, orders *Orders, now time.Time) {
+	if wave.complete || wave.listedAt.IsZero() {
+		return
+	}
+	var due []*machineState
+	down, known := 0, 0
+	for _, id := range wave.row.Machines {
+		m := l.machines.byID[id]
+		if m == nil || !m.listed {
+			continue
+		}
+		known++
+		isDown := m.change != nil && m.change.wave == wave.row.Number || m.row.State == MachineUpkeep
+		if isDown {
+			down++
+		}
+		if !wave.done[id] && m.isFree(now) {
+			due = append(due, m)
+		}
+	}
+	if known > 0 && down == 0 && l.waveDone(wave) {
+		wave.complete, wave.dirty = true, true
+		l.note("wave complete", "wave", wave.row.Number, "took", now.Sub(wave.listedAt).Round(time.Millisecond).String())
+		return
+	}
+	slices.SortFunc(due, func(a, b *machineState) int {
+		return cmp.Or(cmp.Compare(l.upkeepCost(a), l.upkeepCost(b)), cmp.Compare(a.row.ID, b.row.ID))
+	})
+	// As many as may be down at once are emptied ahead.
+	for i, m := range due {
+		if i >= 2*wave.row.AtOnce-down {
+			return
+		}
+		h := l.hostOf(m)
+		if h != nil {
+			h.leaving = true
+		}
+		if down < wave.row.AtOnce && (h == nil || len(h.runs) == 0) {
+			down++
+			m.change = &change{wave: wave.row.Number, orderedAt: now}
+			orders.Upkeeps = append(orders.Upkeeps, Upkeep{Machine: m.row.ID, Wave: wave.row.Number})
+			l.note("upkeep", "machine", m.row.ID, "pool", m.row.Pool, "wave", wave.row.Number, "down", down, "at-once", wave.row.AtOnce)
+		}
+	}
+}
+
+// waveDone reports whether the upkeep of all the wave's machines has begun.
+func (l *Leader) waveDone(wave *waveState) bool {
+	for _, id := range wave.row.Machines {
+		m := l.machines.byID[id]
+		if m != nil && m.listed && !wave.done[id] {
+			return false
+		}
+	}
+	return true
+}
+
+// Weights of a run in the cost of taking its machine down: a lasting task has
+// to be started elsewhere, any other ends by itself.
+const (
+	costLasting = 1000
+	costRun     = 1
+)
+
+// upkeepCost ranks a machine by what its upkeep disturbs.
+func (l *Leader) upkeepCost(m *machineState) int {
+	h := l.hostOf(m)
+	if h == nil {
+		return 0
+	}
+	lasting := h.lastingRuns()
+	return lasting*costLasting + (len(h.runs)-lasting)*costRun
+}
--- /dev/null
+++ b/internal/ingress/stored.go
@@ -0,0 +1,35 @@
+package ingress
+
+import (
+	"context"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/lovagedyke/lovagedyke/internal/job"
+	"github.com/lovagedyke/lovagedyke/internal/record"
+	"github.com/lovagedyke/lovagedyke/internal/table"
+)
+
+// storedState reads a job's state from its rows.
+func (i *Ingress) storedState(ctx context.Context, id job.ID) (state job.State, known bool, err error) {
+	rows, err := i.config.Store.Get(ctx, record.JobKey(id), record.CancelKey(id), record.ProgressKey(id))
+	if err != nil {
+		return "", false, errors.Mark(err, errAway)
+	}
+	if rows[0].Version == table.Absent {
+		return "", false, nil
+	}
+	state = job.Queued
+	if rows[2].Version != table.Absent {
+		progress := job.NewProgress()
+		if err := progress.UnmarshalJSON(rows[2].Value); err != nil {
+			i.config.Journal.Note("progress not readable", "request-id", id, "version", rows[2].Version, "error", err.Error())
+			return "", false, err
+		}
+		state = progress.State
+	}
+	if rows[1].Version != table.Absent && !state.Final() {
+		state = job.Cancelled
+	}
+	return state, true, nil
+}
--- /dev/null
+++ b/internal/member/dialer.go
@@ -0,0 +1,52 @@
+package member
+
+import (
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/lovagedyke/lovagedyke/internal/member/memberpb"
+)
+
+const (
+	// peerTimeout bounds a call to another process.
+	peerTimeout = 1500 * time.Millisecond
+	// dialTimeout bounds the opening of a connection to one.
+	dialTimeout = 300 * time.Millisecond
+	// idlePeerConnections is how many connections to one process are kept.
+	idlePeerConnections = 4
+)
+
+// dialer keeps one client for each address.
+type dialer struct {
+	http    *http.Client
+	mu      sync.Mutex
+	clients map[netip.AddrPort]memberpb.Member
+}
+
+func newDialer() *dialer {
+	transport := &http.Transport{
+		DialContext:         (&net.Dialer{Timeout: dialTimeout, KeepAlive: -1}).DialContext,
+		MaxIdleConnsPerHost: idlePeerConnections,
+		IdleConnTimeout:     time.Minute,
+		DisableCompression:  true,
+	}
+	return &dialer{
+		http:    &http.Client{Transport: transport, Timeout: peerTimeout},
+		clients: map[netip.AddrPort]memberpb.Member{},
+	}
+}
+
+// dial returns the client for an address.
+func (d *dialer) dial(address netip.AddrPort) memberpb.Member {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	client, ok := d.clients[address]
+	if !ok {
+		client = memberpb.NewMemberProtobufClient("http://"+address.String(), d.http)
+		d.clients[address] = client
+	}
+	return client
+}
--- /dev/null
+++ b/internal/member/service.go
@@ -0,0 +1,129 @@
+package member
+
+import (
+	"context"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/lovagedyke/lovagedyke/internal/job"
+	"github.com/lovagedyke/lovagedyke/internal/member/memberpb"
+	"github.com/lovagedyke/lovagedyke/internal/table"
+)
+
+// Fleet is the leader's part in this process, as far as others ask for it.
+type Fleet interface {
+	// Leading reports whether the part runs and knows all jobs.
+	Leading() bool
+	Accept(submissions [][]byte) bool
+	Cancel(id job.ID) bool
+	State(id job.ID) (state job.State, known bool)
+	Waiting() map[string]int
+}
+
+// PolicyHolder is this process's copy of the operators' configuration.
+type PolicyHolder interface {
+	// Newer returns the configuration if it is newer than have.
+	Newer(have uint64) (version uint64, value []byte)
+	// Offer takes a configuration that may be newer.
+	Offer(value []byte, source string)
+}
+
+// ServiceConfig is what a Service is built from.
+type ServiceConfig struct {
+	Node   *Node
+	Fleet  Fleet
+	Policy PolicyHolder
+}
+
+// Service answers the other processes.
+type Service struct {
+	config ServiceConfig
+}
+
+// NewService returns the handler of calls between processes.
+func NewService(config ServiceConfig) *Service {
+	return &Service{config: config}
+}
+
+// Hello implements memberpb.Member.
+func (s *Service) Hello(_ context.Context, view *memberpb.View) (*memberpb.View, error) {
+	s.config.Node.takeView(view)
+	return s.config.Node.view(), nil
+}
+
+// Lead implements memberpb.Member.
+func (s *Service) Lead(_ context.Context, request *memberpb.LeadRequest) (*memberpb.LeadReply, error) {
+	s.config.Node.asked(request.Token)
+	return &memberpb.LeadReply{}, nil
+}
+
+// Accept implements memberpb.Member.
+func (s *Service) Accept(_ context.Context, request *memberpb.AcceptRequest) (*memberpb.LeaderReply, error) {
+	return &memberpb.LeaderReply{Leading: s.config.Fleet.Accept(request.Submissions)}, nil
+}
+
+// Cancel implements memberpb.Member.
+func (s *Service) Cancel(_ context.Context, request *memberpb.CancelRequest) (*memberpb.LeaderReply, error) {
+	return &memberpb.LeaderReply{Leading: s.config.Fleet.Cancel(job.ID(request.Id))}, nil
+}
+
+// State implements memberpb.Member.
+func (s *Service) State(_ context.Context, request *memberpb.StateRequest) (*memberpb.StateReply, error) {
+	if !s.config.Fleet.Leading() {
+		return &memberpb.StateReply{}, nil
+	}
+	state, known := s.config.Fleet.State(job.ID(request.Id))
+	return &memberpb.StateReply{Leading: true, Known: known, State: string(state)}, nil
+}
+
+// Waiting implements memberpb.Member.
+func (s *Service) Waiting(_ context.Context, _ *memberpb.WaitingRequest) (*memberpb.WaitingReply, error) {
+	if !s.config.Fleet.Leading() {
+		return &memberpb.WaitingReply{}, nil
+	}
+	reply := &memberpb.WaitingReply{Leading: true, Waiting: map[string]int64{}}
+	for queue, count := range s.config.Fleet.Waiting() {
+		reply.Waiting[queue] = int64(count)
+	}
+	return reply, nil
+}
+
+// Policy implements memberpb.Member.
+func (s *Service) Policy(_ context.Context, request *memberpb.PolicyRequest) (*memberpb.PolicyReply, error) {
+	version, value := s.config.Policy.Newer(request.Have)
+	return &memberpb.PolicyReply{Version: version, Value: value}, nil
+}
+
+// PushPolicy implements memberpb.Member.
+func (s *Service) PushPolicy(_ context.Context, reply *memberpb.PolicyReply) (*memberpb.LeadReply, error) {
+	s.config.Policy.Offer(reply.Value, "peer")
+	return &memberpb.LeadReply{}, nil
+}
+
+// Get implements memberpb.Member: the store as this process reaches it, and no
+// other process's relay.
+func (s *Service) Get(ctx context.Context, request *memberpb.GetRequest) (*memberpb.RowsReply, error) {
+	rows, err := s.config.Node.config.Store.Get(ctx, request.Keys...)
+	return s.rows(rows, err)
+}
+
+// Scan implements memberpb.Member.
+func (s *Service) Scan(ctx context.Context, request *memberpb.ScanRequest) (*memberpb.RowsReply, error) {
+	rows, err := s.config.Node.config.Store.Scan(ctx, request.Prefix)
+	return s.rows(rows, err)
+}
+
+func (s *Service) rows(rows []table.Row, err error) (*memberpb.RowsReply, error) {
+	s.config.Node.noteStore(err)
+	if errors.Is(err, table.ErrUnavailable) {
+		return &memberpb.RowsReply{Unavailable: true}, nil
+	}
+	return &memberpb.RowsReply{Rows: encodeRows(rows)}, err
+}
+
+// Commit implements memberpb.Member.
+func (s *Service) Commit(ctx context.Context, request *memberpb.CommitRequest) (*memberpb.CommitReply, error) {
+	err := s.config.Node.config.Store.Commit(ctx, decodeCommit(request))
+	s.config.Node.noteStore(err)
+	return encodeOutcome(err), nil
+}
--- /dev/null
+++ b/internal/member/store.go
@@ -0,0 +1,172 @@
+package member
+
+import (
+	"context"
+	"net"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/cockroachdb/errors"
+
+	"github.com/lovagedyke/lovagedyke/internal/member/memberpb"
+	"github.com/lovagedyke/lovagedyke/internal/table"
+)
+
+const (
+	// relayPeers is how many processes are asked to make a call to the store in
+	// our place; more would only add to the store's load while it is away.
+	relayPeers = 3
+	// directPause is how long the store is not asked directly after it turned us
+	// away while a peer reached it.
+	directPause = 500 * time.Millisecond
+)
+
+// Store reaches the platform's store, directly or through a peer that does.
+type Store struct {
+	node *Node
+}
+
+// Get implements table.Store.
+func (s *Store) Get(ctx context.Context, keys ...string) ([]table.Row, error) {
+	return s.read(ctx, func(ctx context.Context) ([]table.Row, error) {
+		return s.node.config.Store.Get(ctx, keys...)
+	}, func(ctx context.Context, peer memberpb.Member) (*memberpb.RowsReply, error) {
+		return peer.Get(ctx, &memberpb.GetRequest{Keys: keys})
+	})
+}
+
+// Scan implements table.Store.
+func (s *Store) Scan(ctx context.Context, prefix string) ([]table.Row, error) {
+	return s.read(ctx, func(ctx context.Context) ([]table.Row, error) {
+		return s.node.config.Store.Scan(ctx, prefix)
+	}, func(ctx context.Context, peer memberpb.Member) (*memberpb.RowsReply, error) {
+		return peer.Scan(ctx, &memberpb.ScanRequest{Prefix: prefix})
+	})
+}
+
+// read asks the store, and then peers.
+func (s *Store) read(ctx context.Context, direct func(context.Context) ([]table.Row, error),
+	relayed func(context.Context, memberpb.Member) (*memberpb.RowsReply, error),
+) ([]table.Row, error) {
+	if s.node.storeLikely() {
+		rows, err := direct(ctx)
+		s.node.noteStore(err)
+		if err == nil || !errors.Is(err, table.ErrUnavailable) {
+			return rows, err
+		}
+	}
+	for _, peer := range s.node.relays() {
+		reply, err := relayed(ctx, s.node.dialer.dial(peer.Address))
+		if err == nil && !reply.Unavailable {
+			metrics.GetOrCreateCounter(`store_relayed_total{kind="read"}`).Inc()
+			return decodeRows(reply.Rows), nil
+		}
+	}
+	return nil, errors.Mark(errors.New("neither we nor a peer reach the store"), table.ErrUnavailable)
+}
+
+// Commit implements table.Store. An outcome that is lost is not tried again
+// here: only the caller knows how to find out.
+func (s *Store) Commit(ctx context.Context, txn table.Txn) error {
+	if s.node.storeLikely() {
+		err := s.node.config.Store.Commit(ctx, txn)
+		s.node.noteStore(err)
+		if !errors.Is(err, table.ErrUnavailable) {
+			return err
+		}
+	}
+	request := encodeCommit(txn)
+	for _, peer := range s.node.relays() {
+		reply, err := s.node.dialer.dial(peer.Address).Commit(ctx, request)
+		if isDialFailure(err) {
+			continue
+		}
+		if err != nil {
+			// The peer may have passed it on.
+			return errors.Mark(errors.Wrap(err, "commit through a peer"), table.ErrUnknown)
+		}
+		if reply.Outcome == memberpb.Outcome_OUTCOME_UNAVAILABLE {
+			continue
+		}
+		metrics.GetOrCreateCounter(`store_relayed_total{kind="commit"}`).Inc()
+		return decodeOutcome(txn, reply)
+	}
+	return errors.Mark(errors.New("neither we nor a peer reach the store"), table.ErrUnavailable)
+}
+
+func encodeCommit(txn table.Txn) *memberpb.CommitRequest {
+	request := &memberpb.CommitRequest{}
+	for _, condition := range txn.Conditions {
+		request.Conditions = append(request.Conditions, &memberpb.Condition{Key: condition.Key, Version: condition.Version})
+	}
+	for _, write := range txn.Writes {
+		request.Writes = append(request.Writes, &memberpb.Write{Key: write.Key, Value: write.Value, Delete: write.Delete})
+	}
+	return request
+}
+
+func decodeCommit(request *memberpb.CommitRequest) table.Txn {
+	var txn table.Txn
+	for _, condition := range request.Conditions {
+		txn.Conditions = append(txn.Conditions, table.Condition{Key: condition.Key, Version: condition.Version})
+	}
+	for _, write := range request.Writes {
+		txn.Writes = append(txn.Writes, table.Write{Key: write.Key, Value: write.Value, Delete: write.Delete})
+	}
+	return txn
+}
+
+func decodeOutcome(txn table.Txn, reply *memberpb.CommitReply) error {
+	switch reply.Outcome {
+	case memberpb.Outcome_OUTCOME_DONE:
+		return nil
+	case memberpb.Outcome_OUTCOME_CONFLICT:
+		conflict := &table.ConflictError{Key: reply.ConflictKey, Got: reply.ConflictVersion}
+		for _, condition := range txn.Conditions {
+			if condition.Key == conflict.Key {
+				conflict.Want = condition.Version
+			}
+		}
+		return conflict
+	default:
+		return errors.Mark(errors.New("the peer's commit has an unknown outcome"), table.ErrUnknown)
+	}
+}
+
+func encodeOutcome(err error) *memberpb.CommitReply {
+	var conflict *table.ConflictError
+	switch {
+	case err == nil:
+		return &memberpb.CommitReply{Outcome: memberpb.Outcome_OUTCOME_DONE}
+	case errors.As(err, &conflict):
+		return &memberpb.CommitReply{
+			Outcome: memberpb.Outcome_OUTCOME_CONFLICT, ConflictKey: conflict.Key, ConflictVersion: conflict.Got,
+		}
+	case errors.Is(err, table.ErrUnknown):
+		return &memberpb.CommitReply{Outcome: memberpb.Outcome_OUTCOME_UNKNOWN}
+	default:
+		return &memberpb.CommitReply{Outcome: memberpb.Outcome_OUTCOME_UNAVAILABLE}
+	}
+}
+
+func decodeRows(rows []*memberpb.Row) []table.Row {
+	out := make([]table.Row, 0, len(rows))
+	for _, row := range rows {
+		out = append(out, table.Row{Key: row.Key, Value: row.Value, Version: row.Version})
+	}
+	return out
+}
+
+func encodeRows(rows []table.Row) []*memberpb.Row {
+	out := make([]*memberpb.Row, 0, len(rows))
+	for _, row := range rows {
+		out = append(out, &memberpb.Row{Key: row.Key, Value: row.Value, Version: row.Version})
+	}
+	return out
+}
+
+// isDialFailure reports whether a call failed before anything was sent.
+func isDialFailure(err error) bool {
+	var operation *net.OpError
+	return errors.As(err, &operation) && operation.Op == "dial"
+}
--- /dev/null
+++ b/internal/process/feeds.go
@@ -0,0 +1,154 @@
+package process
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/lovagedyke/lovagedyke/internal/member/memberpb"
+	"github.com/lovagedyke/lovagedyke/internal/policy"
+	"github.com/lovagedyke/lovagedyke/internal/record"
+	"github.com/lovagedyke/lovagedyke/internal/table"
+	"github.com/lovagedyke/lovagedyke/platform"
+)
+
+const (
+	// operatorWait is how long the store may wait for an operator's change. A
+	// feed that has gone silent is noticed shortly after it.
+	operatorWait = time.Second
+	// operatorRetry is the time before a feed that failed is asked again.
+	operatorRetry = 150 * time.Millisecond
+	// peerPolicyEvery is the time between two questions to peers for a newer
+	// configuration while the store does not answer.
+	peerPolicyEvery = 300 * time.Millisecond
+	// pushPeers is how many peers get a fresh configuration from each process
+	// that read it in the store.
+	pushPeers = 6
+	// peerCall bounds a call about the configuration.
+	peerCall = 500 * time.Millisecond
+)
+
+// memberClaim is the claim with which a leadership is won.
+type memberClaim = record.Claim
+
+// policyChanged passes a newer configuration on.
+func (n *frontNode) policyChanged(current *policy.Policy, value []byte, fresh bool) {
+	n.control.SetPolicy(current)
+	if !fresh {
+		return
+	}
+	select {
+	case <-n.news:
+	default:
+	}
+	n.news <- value
+}
+
+// pushLoop tells peers of configurations that we read in the store: some of
+// them may not reach it.
+func (n *frontNode) pushLoop(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case value := <-n.news:
+			n.push(ctx, value)
+		}
+	}
+}
+
+// push hands a configuration to some peers.
+func (n *frontNode) push(ctx context.Context, value []byte) {
+	peers := n.member.Peers()
+	rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
+	for _, peer := range peers[:min(len(peers), pushPeers)] {
+		call, cancel := context.WithTimeout(ctx, peerCall)
+		_, err := n.member.Dial(peer.Address).PushPolicy(call, &memberpb.PolicyReply{Version: n.holder.Version(), Value: value})
+		cancel()
+		if err != nil {
+			n.journal.Note("configuration not pushed", "peer", peer.Name, "error", err.Error())
+		}
+	}
+}
+
+// operatorFeed follows what the operators write.
+func (n *frontNode) operatorFeed(ctx context.Context) {
+	version, known := uint64(0), false
+	for ctx.Err() == nil {
+		var news platform.OperatorNews
+		var err error
+		if known {
+			news, version, err = n.operator.Changes(ctx, version, operatorWait)
+		} else {
+			news, version, err = n.operator.All(ctx)
+		}
+		if ctx.Err() != nil {
+			return
+		}
+		n.storeAnswered(err)
+		n.takeNews(news)
+		known = err == nil || known && !errors.Is(err, table.ErrHistoryLost)
+		if err != nil {
+			n.journal.Note("operators' rows not read", "version", version, "error", err.Error())
+			pause(ctx, operatorRetry)
+		}
+	}
+}
+
+// takeNews puts operators' rows in force.
+func (n *frontNode) takeNews(news platform.OperatorNews) {
+	n.holder.Offer(news.Policy, policy.SourceStore)
+	for _, wave := range news.Waves {
+		n.control.SetWave(wave)
+	}
+}
+
+// peerFeed asks peers for a newer configuration while the store does not answer us.
+func (n *frontNode) peerFeed(ctx context.Context) {
+	for ctx.Err() == nil {
+		pause(ctx, peerPolicyEvery)
+		if n.member.StoreReached() {
+			continue
+		}
+		for _, peer := range n.member.Peers() {
+			n.askPolicy(ctx, peer)
+			if ctx.Err() != nil {
+				return
+			}
+		}
+	}
+}
+
+// askPolicy asks one peer.
+func (n *frontNode) askPolicy(ctx context.Context, peer record.Member) {
+	call, cancel := context.WithTimeout(ctx, peerCall)
+	defer cancel()
+	reply, err := n.member.Dial(peer.Address).Policy(call, &memberpb.PolicyRequest{Have: n.holder.Version()})
+	if err != nil {
+		return
+	}
+	n.holder.Offer(reply.Value, "peer")
+}
+
+
+// dump is the process's state for operators.
+func (n *frontNode) dump() any {
+	leader, isSelf, known := n.member.Leader()
+	return struct {
+		Name          string          `json:"name"`
+		DataCentre    string          `json:"data-centre"`
+		Configuration uint64          `json:"configuration"`
+		Leader        string          `json:"leader"`
+		Leading       bool            `json:"leading"`
+		LeaderKnown   bool            `json:"leader-known"`
+		StoreReached  bool            `json:"store-reached"`
+		Members       []record.Member `json:"members"`
+		Fleet         any             `json:"fleet,omitempty"`
+	}{
+		Name: n.settings.Name, DataCentre: n.settings.DataCentre, Configuration: n.holder.Version(),
+		Leader: leader.Name, Leading: isSelf, LeaderKnown: known, StoreReached: n.member.StoreReached(),
+		Members: n.member.Peers(), Fleet: n.control.Dump(),
+	}
+}
--- a/internal/table/table.go
+++ b/internal/table/table.go
@@ -95,3 +95,13 @@
 func IsUnknown(err error) bool {
 	return errors.Is(err, ErrUnknown)
 }
+
+// ErrHistoryLost means that the changes since a version are no longer known:
+// read the rows anew.
+var ErrHistoryLost = errors.New("table no longer has these changes")
+
+// Change is a row that was written, or removed.
+type Change struct {
+	Row     Row
+	Removed bool
+}
