Let loops start others while their group is waited for

Cause: conc's pool closes its queue in Wait, so that the step loop's start of a host's worker panicked, and the listeners kept the process from ending. Ruled out: a lock that was not given back (all regions give it back on panic now).

--- a/internal/control/feeds.go
+++ b/internal/control/feeds.go
@@ -59,18 +59,18 @@
 		return 0, err
 	}
 	now := time.Now()
-	r.mu.Lock()
-	listed := map[fleet.HostID]bool{}
-	for _, host := range hosts {
-		listed[host.ID] = true
-		r.leader.HostListed(host, now)
-	}
-	for _, id := range r.leader.HostIDs() {
-		if !listed[id] {
-			r.leader.HostUnlisted(id, now)
+	r.locked(func() {
+		listed := map[fleet.HostID]bool{}
+		for _, host := range hosts {
+			listed[host.ID] = true
+			r.leader.HostListed(host, now)
 		}
-	}
-	r.mu.Unlock()
+		for _, id := range r.leader.HostIDs() {
+			if !listed[id] {
+				r.leader.HostUnlisted(id, now)
+			}
+		}
+	})
 	r.kick()
 	return version, nil
 }
@@ -82,14 +82,14 @@
 		return after, err
 	}
 	now := time.Now()
-	r.mu.Lock()
-	for _, host := range listed {
-		r.leader.HostListed(host, now)
-	}
-	for _, id := range gone {
-		r.leader.HostUnlisted(id, now)
-	}
-	r.mu.Unlock()
+	r.locked(func() {
+		for _, host := range listed {
+			r.leader.HostListed(host, now)
+		}
+		for _, id := range gone {
+			r.leader.HostUnlisted(id, now)
+		}
+	})
 	r.kick()
 	return next, nil
 }
--- a/internal/control/hosts.go
+++ b/internal/control/hosts.go
@@ -35,6 +35,8 @@
 	id     fleet.HostID
 	orders chan order
 	wake   chan struct{}
+	// ctx ends when the host is forgotten.
+	ctx    context.Context
 	cancel context.CancelFunc
 }
 
@@ -59,14 +61,23 @@
 // startWorker starts the loops for one host.
 func (r *reign) startWorker(id fleet.HostID) {
 	ctx, cancel := context.WithCancel(r.ctx)
-	worker := &hostWorker{reign: r, id: id, orders: make(chan order, pendingOrders), wake: make(chan struct{}, 1), cancel: cancel}
+	worker := &hostWorker{reign: r, id: id, ctx: ctx, orders: make(chan order, pendingOrders), wake: make(chan struct{}, 1), cancel: cancel}
 	r.hosts[id] = worker
-	r.group.Go(func(context.Context) { worker.lookLoop(ctx) })
+	r.group.Go(func(groupCtx context.Context) { worker.run(groupCtx, worker.lookLoop) })
 	for range orderSenders {
-		r.group.Go(func(context.Context) { worker.orderLoop(ctx) })
+		r.group.Go(func(groupCtx context.Context) { worker.run(groupCtx, worker.orderLoop) })
 	}
 }
 
+// run runs a loop until the host is forgotten, the leadership ends, or another
+// loop of the group has found a broken invariant.
+func (w *hostWorker) run(groupCtx context.Context, loop func(ctx context.Context)) {
+	ctx, cancel := context.WithCancel(groupCtx)
+	defer cancel()
+	defer context.AfterFunc(w.ctx, cancel)()
+	loop(ctx)
+}
+
 // send queues an order; r.mu is held. An order without a place in the queue
 // was not sent.
 func (r *reign) send(worker *hostWorker, next order) {
@@ -124,17 +135,17 @@
 		if ok {
 			reply = r.config.Hosts.Start(ctx, to, r.claim.Token, *next.start)
 		}
-		r.mu.Lock()
-		isOurs = r.leader.StartAnswered(*next.start, reply, time.Now())
-		r.mu.Unlock()
+		r.locked(func() {
+			isOurs = r.leader.StartAnswered(*next.start, reply, time.Now())
+		})
 	case next.stop != nil:
 		kind = "stop"
 		if ok {
 			reply = r.config.Hosts.Stop(ctx, to, r.claim.Token, *next.stop)
 		}
-		r.mu.Lock()
-		isOurs = r.leader.StopAnswered(*next.stop, reply, time.Now())
-		r.mu.Unlock()
+		r.locked(func() {
+			isOurs = r.leader.StopAnswered(*next.stop, reply, time.Now())
+		})
 	default:
 		if ok {
 			reply = r.config.Hosts.Pace(ctx, to, r.claim.Token, *next.pace)
@@ -153,9 +164,11 @@
 // lookLoop looks at the host whenever the leader wants it.
 func (w *hostWorker) lookLoop(ctx context.Context) {
 	for ctx.Err() == nil {
-		w.reign.mu.Lock()
-		hold, due := w.reign.leader.NextLook(w.id, time.Now())
-		w.reign.mu.Unlock()
+		var hold fleet.Hold
+		due := false
+		w.reign.locked(func() {
+			hold, due = w.reign.leader.NextLook(w.id, time.Now())
+		})
 		if !due {
 			w.rest(ctx, idlePause)
 			continue
@@ -191,13 +204,13 @@
 	}
 	now := time.Now()
 	metrics.GetOrCreateCounter(`orders_total{kind="look",outcome="` + string(reply.Outcome) + `"}`).Inc()
-	r.mu.Lock()
-	if reply.Outcome == fleet.OrderTaken {
-		r.leader.Looked(w.id, hold, sentAt, look, now)
-	} else {
-		r.leader.LookFailed(w.id, reply, now)
-	}
-	r.mu.Unlock()
+	r.locked(func() {
+		if reply.Outcome == fleet.OrderTaken {
+			r.leader.Looked(w.id, hold, sentAt, look, now)
+		} else {
+			r.leader.LookFailed(w.id, reply, now)
+		}
+	})
 	r.kick()
 	if reply.Outcome == fleet.OrderFenced {
 		r.config.Lost(r.claim.Token, "a host knows a later leader")
--- a/internal/control/machines.go
+++ b/internal/control/machines.go
@@ -79,9 +79,9 @@
 		outcome = r.config.Machines.Upkeep(ctx, r.claim.Token, next.upkeep.Machine, next.upkeep.Wave)
 	}
 	metrics.GetOrCreateCounter(`machine_changes_total{kind="` + kind + `",outcome="` + string(outcome) + `"}`).Inc()
-	r.mu.Lock()
-	r.machineAnswered(next, outcome)
-	r.mu.Unlock()
+	r.locked(func() {
+		r.machineAnswered(next, outcome)
+	})
 	if outcome == fleet.ChangeFenced {
 		r.config.Lost(r.claim.Token, "the machine interface knows a later leader")
 	}
@@ -94,12 +94,13 @@
 		sentAt := time.Now()
 		list, err := r.config.Machines.List(ctx)
 		now := time.Now()
-		r.mu.Lock()
-		if err == nil {
-			r.leader.MachinesListed(list, sentAt, now)
-		}
-		isBusy := r.leader.MachinesChanging(now) || err != nil
-		r.mu.Unlock()
+		isBusy := false
+		r.locked(func() {
+			if err == nil {
+				r.leader.MachinesListed(list, sentAt, now)
+			}
+			isBusy = r.leader.MachinesChanging(now) || err != nil
+		})
 		if err != nil {
 			r.config.Journal.Note("machines not read", "error", err.Error())
 		} else {
@@ -109,9 +110,9 @@
 			if !sleep(ctx, machinesQuick) {
 				return
 			}
-			r.mu.Lock()
-			isBusy = isBusy || r.leader.MachinesChanging(time.Now())
-			r.mu.Unlock()
+			r.locked(func() {
+				isBusy = isBusy || r.leader.MachinesChanging(time.Now())
+			})
 			if isBusy {
 				break
 			}
@@ -129,9 +130,9 @@
 			asking, cancel := context.WithTimeout(ctx, adviceTimeout)
 			granted, err := r.config.Advice.Ask(asking, ask)
 			cancel()
-			r.mu.Lock()
-			r.leader.Advised(ask, granted, err == nil, time.Now())
-			r.mu.Unlock()
+			r.locked(func() {
+				r.leader.Advised(ask, granted, err == nil, time.Now())
+			})
 			r.kick()
 		}
 	}
--- a/internal/control/reign.go
+++ b/internal/control/reign.go
@@ -89,6 +89,14 @@
 	r.group.Wait()
 }
 
+// locked runs f under the leader's lock, which it gives back also when f finds
+// a broken invariant: the process has to be able to end.
+func (r *reign) locked(f func()) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	f()
+}
+
 // kick asks for a step.
 func (r *reign) kick() {
 	signal(r.kicks)
@@ -240,34 +248,26 @@
 
 // setPolicy puts a configuration in force.
 func (r *reign) setPolicy(current *policy.Policy) {
-	r.mu.Lock()
-	r.leader.SetPolicy(current)
-	r.mu.Unlock()
+	r.locked(func() { r.leader.SetPolicy(current) })
 	r.kick()
 }
 
 // setWave takes a wave.
 func (r *reign) setWave(wave fleet.WaveRow) {
-	r.mu.Lock()
-	r.leader.WaveListed(wave, time.Now())
-	r.mu.Unlock()
+	r.locked(func() { r.leader.WaveListed(wave, time.Now()) })
 	r.kick()
 }
 
 // accept takes a job that the store holds.
 func (r *reign) accept(submission *job.Submission) {
 	now := time.Now()
-	r.mu.Lock()
-	r.leader.Accepted(submission, now, now)
-	r.mu.Unlock()
+	r.locked(func() { r.leader.Accepted(submission, now, now) })
 	r.kick()
 }
 
 // cancelled takes a cancel that the store holds.
 func (r *reign) cancelled(id job.ID) {
-	r.mu.Lock()
-	r.leader.Cancelled(id, time.Now())
-	r.mu.Unlock()
+	r.locked(func() { r.leader.Cancelled(id, time.Now()) })
 	r.kick()
 }
 
@@ -313,8 +313,12 @@
 // step decides once.
 func (r *reign) step() {
 	started := time.Now()
-	r.mu.Lock()
-	orders := r.leader.Step(started, started)
+	r.locked(func() { r.sendAll(r.leader.Step(started, started)) })
+	metrics.GetOrCreateHistogram("leader_step_seconds").UpdateDuration(started)
+}
+
+// sendAll queues orders; r.mu is held.
+func (r *reign) sendAll(orders fleet.Orders) {
 	r.syncWorkers()
 	workers := r.hosts
 	for _, start := range orders.Starts {
@@ -335,8 +339,6 @@
 	for _, upkeep := range orders.Upkeeps {
 		r.sendMachine(machineOrder{upkeep: &upkeep})
 	}
-	r.mu.Unlock()
-	metrics.GetOrCreateHistogram("leader_step_seconds").UpdateDuration(started)
 }
 
 // batchLoop writes the leader's rows and renews its claim.
@@ -365,10 +367,13 @@
 // writeNext writes the next batch, and the renewal if it is due. It reports
 // whether the store has taken both.
 func (r *reign) writeNext(ctx context.Context, renew bool) bool {
-	r.mu.Lock()
-	batch, hasNews := r.leader.NextBatch()
-	waves := r.leader.WaveNews()
-	r.mu.Unlock()
+	var batch fleet.Batch
+	var waves []fleet.WaveNews
+	hasNews := false
+	r.locked(func() {
+		batch, hasNews = r.leader.NextBatch()
+		waves = r.leader.WaveNews()
+	})
 	if !hasNews && len(waves) == 0 && !renew {
 		return true
 	}
@@ -388,9 +393,7 @@
 	}
 	r.tellWaves(ctx, waves)
 	if hasNews {
-		r.mu.Lock()
-		r.leader.BatchWritten(batch, time.Now())
-		r.mu.Unlock()
+		r.locked(func() { r.leader.BatchWritten(batch, time.Now()) })
 		r.wakeHosts()
 		r.kick()
 	}
@@ -441,13 +444,10 @@
 // forgetLoop removes the rows of jobs that ended long ago.
 func (r *reign) forgetLoop(ctx context.Context) {
 	for sleep(ctx, forgetEvery) {
-		r.mu.Lock()
-		ids := r.leader.Forgettable(time.Now(), forgetMost)
-		r.mu.Unlock()
+		var ids []job.ID
+		r.locked(func() { ids = r.leader.Forgettable(time.Now(), forgetMost) })
 		if len(ids) > 0 && r.removeRows(ctx, ids) {
-			r.mu.Lock()
-			r.leader.Forget(ids)
-			r.mu.Unlock()
+			r.locked(func() { r.leader.Forget(ids) })
 		}
 	}
 }
--- a/internal/loops/loops.go
+++ b/internal/loops/loops.go
@@ -13,29 +13,45 @@
 import (
 	"context"
 
-	"github.com/sourcegraph/conc/pool"
+	"github.com/sourcegraph/conc"
 )
 
 // Group is a set of loops with one context.
 type Group struct {
-	pool *pool.ContextPool
+	wait   conc.WaitGroup
+	ctx    context.Context
+	cancel context.CancelFunc
 }
 
 // New returns a group without loops.
 func New(ctx context.Context) *Group {
-	return &Group{pool: pool.New().WithContext(ctx).WithCancelOnError()}
+	ctx, cancel := context.WithCancel(ctx)
+	return &Group{ctx: ctx, cancel: cancel}
 }
 
-// Go starts a loop, which returns when its context ends.
+// Go starts a loop, which returns when its context ends. A loop may start others.
 func (g *Group) Go(loop func(ctx context.Context)) {
-	g.pool.Go(func(ctx context.Context) error {
-		loop(ctx)
-		return nil
+	g.wait.Go(func() {
+		defer g.endOnPanic()
+		loop(g.ctx)
 	})
 }
 
+// endOnPanic ends the other loops when one panics.
+func (g *Group) endOnPanic() {
+	if cause := recover(); cause != nil {
+		g.cancel()
+		panic(cause)
+	}
+}
+
+// Done is closed when the loops have to end.
+func (g *Group) Done() <-chan struct{} {
+	return g.ctx.Done()
+}
+
 // Wait waits for all loops, and panics if one of them did.
 func (g *Group) Wait() {
-	// Loops return no errors.
-	_ = g.pool.Wait()
+	defer g.cancel()
+	g.wait.Wait()
 }
--- a/internal/loops/loops_test.go
+++ b/internal/loops/loops_test.go
@@ -34,3 +34,24 @@
 	cancel()
 	group.Wait()
 }
+
+func TestLoopsMayStartOthersWhileWaited(t *testing.T) {
+	ctx, cancel := context.WithCancel(context.Background())
+	group := loops.New(ctx)
+	waiting, started := make(chan struct{}), make(chan struct{})
+	group.Go(func(context.Context) {
+		<-waiting
+		group.Go(func(context.Context) { close(started) })
+	})
+	go func() {
+		close(waiting)
+		<-started
+		cancel()
+	}()
+	group.Wait()
+	select {
+	case <-started:
+	default:
+		t.Error("loop started by a loop: got no start, want one")
+	}
+}
--- a/internal/process/node.go
+++ b/internal/process/node.go
@@ -152,8 +152,15 @@
 		group.Go(l.serve)
 	}
 	group.Go(n.reloadLoop)
-	<-ctx.Done()
-	n.stop(listeners)
+	select {
+	case <-ctx.Done():
+		n.stop(listeners)
+	case <-group.Done():
+		// A loop has found a broken invariant; Wait panics with it.
+		for _, l := range listeners {
+			_ = l.server.Close()
+		}
+	}
 	end()
 	group.Wait()
 	n.journal.Note("stopped")
