--- a/internal/fleet/evacuate.go
+++ b/internal/fleet/evacuate.go
@@ -24,16 +24,16 @@
 // mayStop reports whether another of the step's tasks may be away.
 func (l *Leader) mayStop(r *run, now time.Time) bool {
 	key := job.StepKey{Occurrence: r.key.task.Occurrence, Step: r.key.task.Step}
-	return l.awayOf(r.job, key) < max(1, r.step().MayMiss)
+	return l.awayOf(r.job, key, now) < max(1, r.step().MayMiss)
 }
 
 // awayOf counts the tasks of a lasting step that are not at work.
-func (l *Leader) awayOf(j *jobState, key job.StepKey) int {
+func (l *Leader) awayOf(j *jobState, key job.StepKey, now time.Time) int {
 	away := 0
 	for index := range j.submission.Steps[key.Step].Count {
 		isAtWork := false
 		for _, r := range j.active[j.taskAt(key, index)] {
-			isAtWork = isAtWork || r.state == runLive && r.isAtWork()
+			isAtWork = isAtWork || r.state == runLive && r.isAtWork(now)
 		}
 		if !isAtWork {
 			away++
@@ -42,10 +42,14 @@
 	return away
 }
 
-// isAtWork reports whether the host said that the run has its full speed; a
-// paced filler does what it was told.
-func (r *run) isAtWork() bool {
-	return !r.atWorkAt.IsZero() && r.share >= min(100, r.percent)
+// reportFresh is how old a host's report may be to count as what is true now:
+// a look waits for an end at most lookWait, and takes some time itself.
+const reportFresh = lookWait + 600*time.Millisecond
+
+// isAtWork reports whether the host said lately that the run has its full
+// speed; a paced filler does what it was told.
+func (r *run) isAtWork(now time.Time) bool {
+	return r.host.listed && now.Sub(r.host.lookedAt) < reportFresh && !r.atWorkAt.IsZero() && r.share >= min(100, r.percent)
 }
 
 // hasPlace reports whether another host of the pool can take the run's task now.
