--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -69,6 +69,8 @@
 	Journal    Journal
 	// Lost is called when a leadership turns out to be over.
 	Lost func(token uint64, why string)
+	// Followed returns when most of the other processes last said that we lead.
+	Followed func() time.Time
 	// StoreAnswered is told how each call of the feeds ended.
 	StoreAnswered func(err error)
 }
--- a/internal/control/reign.go
+++ b/internal/control/reign.go
@@ -313,7 +313,11 @@
 // step decides once.
 func (r *reign) step() {
 	started := time.Now()
-	r.locked(func() { r.sendAll(r.leader.Step(started, started)) })
+	followed := r.config.Followed()
+	r.locked(func() {
+		r.leader.Confirm(followed)
+		r.sendAll(r.leader.Step(started, started))
+	})
 	metrics.GetOrCreateHistogram("leader_step_seconds").UpdateDuration(started)
 }
 
@@ -405,9 +409,11 @@
 // written twice.
 func (r *reign) commit(ctx context.Context, txn table.Txn, isNews bool) bool {
 	for ctx.Err() == nil {
+		sentAt := time.Now()
 		err := r.config.Store.Commit(ctx, txn)
 		switch {
 		case err == nil:
+			r.locked(func() { r.leader.Confirm(sentAt) })
 			return true
 		case table.IsConflict(err):
 			r.config.Lost(r.claim.Token, "the claim has changed")
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -19,6 +19,9 @@
 	// runsPerToken keeps the runs of different leaders apart: a run is above
 	// each run of an earlier leader without a row that remembers it.
 	runsPerToken = 1 << 16
+	// confirmTime is how long a leader goes on without a sign that it still leads.
+	// Its successor waits that much longer for the leases that it may have given.
+	confirmTime = 1500 * time.Millisecond
 	// retryPause is the time before a task starts again after its run was refused.
 	retryPause = 50 * time.Millisecond
 )
@@ -74,6 +77,9 @@
 	earlyCancels map[job.ID]time.Time
 	// inUse is what each client account has running over all pools.
 	inUse map[string]policy.Resources
+	// confirmedAt is when the store, or most other processes, last showed that no
+	// other process leads.
+	confirmedAt time.Time
 	// loaded is true when all rows of before the takeover are known.
 	loaded bool
 	ledger ledger
@@ -82,7 +88,7 @@
 // New returns a leader that knows nothing yet.
 func New(config Config) *Leader {
 	leader := &Leader{
-		config: config, policy: policy.New(policy.Config{}),
+		config: config, confirmedAt: config.Now, policy: policy.New(policy.Config{}),
 		hosts: map[HostID]*host{}, jobs: map[job.ID]*jobState{}, inUse: map[string]policy.Resources{},
 		earlyCancels: map[job.ID]time.Time{},
 		machines:     newMachines(), rhythms: map[string]*rhythm{}, ledger: newLedger(),
@@ -139,7 +145,19 @@
 
 // inheritedUntil is when the last lease that an earlier leader gave is over.
 func (l *Leader) inheritedUntil() time.Time {
-	return l.config.Now.Add(stretched(leaseTime) + leaseMargin)
+	return l.config.Now.Add(confirmTime + stretched(leaseTime+idleDrift) + leaseMargin)
+}
+
+// Confirm notes a sign of the given time that no other process leads.
+func (l *Leader) Confirm(at time.Time) {
+	if at.After(l.confirmedAt) {
+		l.confirmedAt = at
+	}
+}
+
+// confirmed reports whether the leader may give leases and start tasks.
+func (l *Leader) confirmed(now time.Time) bool {
+	return now.Sub(l.confirmedAt) < confirmTime
 }
 
 // stretched is the longest that a period on a host's clock takes on ours.
--- a/internal/fleet/hoststate.go
+++ b/internal/fleet/hoststate.go
@@ -12,6 +12,11 @@
 const (
 	// looksEvery is the time between two looks at a host on which something runs.
 	looksEvery = 1500 * time.Millisecond
+	// idleLooksEvery is the same for an empty host: its clock, on which leases
+	// are, must not drift far from our estimate.
+	idleLooksEvery = 20 * time.Second
+	// idleDrift is the most that an empty host's clock has drifted when it gets work.
+	idleDrift = idleLooksEvery * 2 / 100
 	// listedEnds is how many ends one report lists at most (the platform's page of calls).
 	listedEnds = 500
 	// unhealthyPause is how long a host that refuses or fails work gets none.
@@ -44,6 +49,9 @@
 	pausedUntil time.Time
 	trouble     trouble
 	lookedAt    time.Time
+	// silent is true since a look got no answer: no lease is prolonged on a
+	// guess, or it would never be over.
+	silent bool
 	// fullUntil keeps work away after the host had less room than expected.
 	fullUntil time.Time
 	// leaving is set while the machine is being emptied for a move or upkeep.
@@ -142,8 +150,17 @@
 
 // takesWork reports whether the host may get new runs.
 func (h *host) takesWork(now time.Time) bool {
-	return h.listed && h.reached && !h.row.Draining && !h.leaving &&
-		!now.Before(h.pausedUntil) && !now.Before(h.fullUntil) && now.Sub(h.lookedAt) < 2*looksEvery+time.Second
+	return h.listed && h.reached && !h.silent && !h.row.Draining && !h.leaving &&
+		!now.Before(h.pausedUntil) && !now.Before(h.fullUntil) && h.isFresh(now)
+}
+
+// isFresh reports whether the host has answered lately. One on which nothing
+// runs is not looked at all the time: the platform's list tells when it is gone.
+func (h *host) isFresh(now time.Time) bool {
+	if len(h.runs) == 0 {
+		return true
+	}
+	return now.Sub(h.lookedAt) < 2*looksEvery+time.Second
 }
 
 // clockNow estimates the host's clock.
@@ -260,9 +277,11 @@
 		// Ends that cannot be acknowledged yet would be listed again at once.
 		return hold, false
 	case len(h.runs) == 0 && h.ackable == h.acked:
-		return hold, false
+		return hold, h.silent || now.Sub(h.lookedAt) > idleLooksEvery
+	}
+	if !h.silent && l.confirmed(now) {
+		hold.Lease = h.nextLease(now)
 	}
-	hold.Lease = h.nextLease(now)
 	if len(h.runs) > 0 && len(h.unwritten) == 0 {
 		hold.Wait = lookWait
 	}
@@ -283,6 +302,7 @@
 		return
 	}
 	h.pausedUntil = now.Add(unhealthyPause)
+	h.silent = true
 	if h.clockAt.IsZero() || !h.leaseOver(now) {
 		return
 	}
@@ -306,7 +326,7 @@
 	if !h.reached {
 		l.note("host reached", "host", id, "pool", h.row.Pool, "running", len(look.Running), "ended", len(look.Ended))
 	}
-	h.reached = true
+	h.reached, h.silent = true, false
 	h.clock, h.clockAt = look.Clock, now
 	h.lookedAt = now
 	h.acked = max(h.acked, hold.AckedUpTo)
--- a/internal/fleet/jobstate.go
+++ b/internal/fleet/jobstate.go
@@ -51,8 +51,8 @@
 	grantedUntil time.Time
 	asked        bool
 	askedAt      time.Time
-	// missedSince is when tasks of a lasting step began to be away.
-	firstMiss time.Time
+	// waitNotedAt is when the journal last said why tasks wait.
+	waitNotedAt time.Time
 }
 
 func newJobState(submission *job.Submission) *jobState {
--- a/internal/fleet/machines.go
+++ b/internal/fleet/machines.go
@@ -22,7 +22,8 @@
 	waves map[int64]*waveState
 	// firstAt is the earliest time for a change: the leader before may have
 	// ordered one just now.
-	firstAt time.Time
+	firstAt     time.Time
+	lackNotedAt time.Time
 }
 
 func newMachines() machines {
--- a/internal/fleet/move.go
+++ b/internal/fleet/move.go
@@ -49,6 +49,7 @@
 		for lack := need.lack(); lack > 0 && ordered < movesAtOnce; lack-- {
 			from := takeGiver(&givers, needs, need.pool)
 			if from == nil {
+				l.noteLack(need, len(givers), now)
 				break
 			}
 			l.move(from, need.pool, orders, now)
@@ -69,6 +70,18 @@
 	}
 }
 
+// noteLack notes, now and then, that a pool waits for machines.
+func (l *Leader) noteLack(need *poolNeed, givers int, now time.Time) {
+	if now.Sub(l.machines.lackNotedAt) < lackNoteEvery {
+		return
+	}
+	l.machines.lackNotedAt = now
+	l.note("pool lacks machines", "pool", need.pool, "have", need.have, "need", need.need, "givers", givers)
+}
+
+// lackNoteEvery is the time between two lines about pools that lack machines.
+const lackNoteEvery = time.Second
+
 // move orders a move.
 func (l *Leader) move(m *machineState, pool string, orders *Orders, now time.Time) {
 	m.change = &change{pool: pool, orderedAt: now}
--- a/internal/fleet/pace.go
+++ b/internal/fleet/pace.go
@@ -28,7 +28,7 @@
 // lets them work again.
 func (l *Leader) paceHost(h *host, orders *Orders, now time.Time) {
 	fillers := h.fillers()
-	if len(fillers) == 0 || now.Sub(h.tail.changedAt) < paceEvery || now.Sub(h.lookedAt) > looksEvery {
+	if len(fillers) == 0 || now.Sub(h.tail.changedAt) < paceEvery || now.Sub(h.lookedAt) > reportFresh {
 		return
 	}
 	worst := h.worstTail()
--- a/internal/fleet/step.go
+++ b/internal/fleet/step.go
@@ -29,10 +29,12 @@
 		pool := l.poolOf(j)
 		pools[pool] = append(pools[pool], j)
 	}
-	for pool, jobs := range pools {
-		l.schedule(pool, jobs, &orders, now)
+	if l.confirmed(now) {
+		for pool, jobs := range pools {
+			l.schedule(pool, jobs, &orders, now)
+		}
+		l.planMachines(pools, &orders, now)
 	}
-	l.planMachines(pools, &orders, now)
 	l.evacuate(now)
 	for _, h := range l.hosts {
 		l.stopsOn(h, &orders, now)
@@ -81,7 +83,36 @@
 	rooms := l.rooms(pool, now)
 	for _, g := range groups {
 		l.startGroup(g, rooms, orders, now)
+		l.noteWait(g, rooms, now)
+	}
+}
+
+const (
+	// waitNoteAfter is how long a step waits before its journal says why, and
+	// waitNoteEvery the time between two such lines.
+	waitNoteAfter = time.Second
+	waitNoteEvery = 2 * time.Second
+)
+
+// noteWait says why tasks of a step wait.
+func (l *Leader) noteWait(g group, rooms []*hostRoom, now time.Time) {
+	if len(g.step.pending) == 0 || now.Sub(g.step.openedAt) < waitNoteAfter || now.Sub(g.step.waitNotedAt) < waitNoteEvery {
+		return
 	}
+	g.step.waitNotedAt = now
+	cause := "no host has room"
+	switch {
+	case !l.underCap(g.job.submission.Account, g.step.step.Resources, 1):
+		cause = "the client account is at its cap"
+	case len(rooms) == 0:
+		cause = "no host takes work"
+	case g.step.granted == nil && g.step.asked:
+		cause = "advice is awaited"
+	}
+	l.note("tasks wait", "job", g.job.submission.ID, "step", g.step.key.Step, "tasks", len(g.step.pending), "cause", cause,
+		"pool", l.poolOf(g.job), "hosts", len(rooms), "account", g.job.submission.Account,
+		"account-cpu", l.inUse[g.job.submission.Account].CPU, "hope", int(g.rank.hope),
+		"waited", now.Sub(g.step.openedAt).Round(time.Millisecond).String())
 }
 
 // hostRoom is a host's room while starts are being decided.
--- a/internal/member/node.go
+++ b/internal/member/node.go
@@ -70,10 +70,12 @@
 	claim   record.Claim
 	// claimVersion is the claim row's version, if we know it.
 	claimVersion uint64
-	heardAt      time.Time
-	leading      bool
-	stopping     bool
-	resign       context.CancelFunc
+	// followedAt is when each other member last told us that we lead.
+	followedAt map[string]time.Time
+	heardAt    time.Time
+	leading    bool
+	stopping   bool
+	resign     context.CancelFunc
 	// storeOKAt and storeFailedAt are when the store last answered us, or did not.
 	storeOKAt, storeFailedAt time.Time
 	// renewedAt is when the leader's renewal last changed, as far as we have read it.
@@ -90,7 +92,7 @@
 func New(config Config) *Node {
 	return &Node{
 		config: config, dialer: newDialer(), members: map[string]record.Member{},
-		peersWithStore: map[string]time.Time{}, wake: make(chan struct{}, 1),
+		peersWithStore: map[string]time.Time{}, followedAt: map[string]time.Time{}, wake: make(chan struct{}, 1),
 	}
 }
 
@@ -150,7 +152,7 @@
 		n.config.Journal.Note("member row not written", "error", err.Error())
 	}
 	n.readMembers(ctx)
-	n.readClaim(ctx)
+	n.readClaim(ctx, n.Store())
 }
 
 // readMembers reads all members' rows.
@@ -172,9 +174,12 @@
 	}
 }
 
-// readClaim reads which process leads. It reports whether the store answered.
-func (n *Node) readClaim(ctx context.Context) bool {
-	rows, err := n.Store().Get(ctx, record.ClaimKey, record.RenewalKey)
+// readClaim reads in a store which process leads. It reports whether the store answered.
+func (n *Node) readClaim(ctx context.Context, store table.Store) bool {
+	rows, err := store.Get(ctx, record.ClaimKey, record.RenewalKey)
+	if store == n.config.Store {
+		n.noteStore(err)
+	}
 	if err != nil {
 		return false
 	}
@@ -328,6 +333,9 @@
 	if view.Leading && view.LargestCpu > 0 {
 		n.largest = policy.Resources{CPU: view.LargestCpu, Memory: view.LargestMemory, GPU: view.LargestGpu}
 	}
+	if n.leading && view.Token <= n.claim.Token {
+		n.followedAt[from.Name] = time.Now()
+	}
 	delete(n.peersWithStore, from.Name)
 	if view.StoreReached {
 		n.peersWithStore[from.Name] = time.Now()
@@ -350,7 +358,8 @@
 // succeed takes over if no one leads.
 func (n *Node) succeed(ctx context.Context) {
 	n.pause(ctx, rand.N(spreadMost))
-	if !n.readClaim(ctx) {
+	// Only a process that reaches the store itself can lead well.
+	if !n.readClaim(ctx, n.config.Store) {
 		return
 	}
 	n.mu.Lock()
@@ -416,13 +425,14 @@
 	if stopping {
 		return
 	}
-	err := n.Store().Commit(ctx, table.Txn{
+	err := n.config.Store.Commit(ctx, table.Txn{
 		Conditions: []table.Condition{{Key: record.ClaimKey, Version: version}},
 		Writes:     []table.Write{{Key: record.ClaimKey, Value: record.Encode(next)}},
 	})
+	n.noteStore(err)
 	if err != nil && !errors.Is(err, table.ErrUnknown) {
 		n.config.Journal.Note("claim not taken", "token", next.Token, "error", err.Error())
-		n.readClaim(ctx)
+		n.readClaim(ctx, n.config.Store)
 		return
 	}
 	// The row's new version is part of each later transaction. A lost answer is settled here, too.
@@ -609,6 +619,28 @@
 	return peers
 }
 
+// Followed returns since when most members have told us that we lead, ourselves
+// among them: of the newest signs of a majority, the oldest.
+func (n *Node) Followed() time.Time {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	needed := (len(n.members) + 1) / 2
+	if needed == 0 {
+		return time.Time{}
+	}
+	var signs []time.Time
+	for name := range n.members {
+		if at, ok := n.followedAt[name]; ok {
+			signs = append(signs, at)
+		}
+	}
+	if len(signs) < needed {
+		return time.Time{}
+	}
+	slices.SortFunc(signs, func(a, b time.Time) int { return b.Compare(a) })
+	return signs[needed-1]
+}
+
 // StoreReached reports whether the store answered our last call.
 func (n *Node) StoreReached() bool {
 	n.mu.Lock()
--- a/internal/process/feeds.go
+++ b/internal/process/feeds.go
@@ -132,7 +132,6 @@
 	n.holder.Offer(reply.Value, "peer")
 }
 
-
 // dump is the process's state for operators.
 func (n *frontNode) dump() any {
 	leader, isSelf, known := n.member.Leader()
--- a/internal/process/node.go
+++ b/internal/process/node.go
@@ -115,7 +115,7 @@
 			Client: client, Address: settings.Machines, Holder: settings.Name, Timeout: machineTimeout,
 		}),
 		Advice: advice, WaveStatus: platform.WaveStatus{}, Bounds: settings.Bounds.FleetBounds(), Journal: n.journal,
-		Lost: n.member.Lost, StoreAnswered: n.storeAnswered,
+		Lost: n.member.Lost, Followed: n.member.Followed, StoreAnswered: n.storeAnswered,
 	})
 	n.ingress = ingress.New(ingress.Config{
 		Policy: n.holder, Store: n.member.Store(), Fleet: member.NewFleetClient(n.member, n.control),
