--- a/internal/fleet/hoststate.go
+++ b/internal/fleet/hoststate.go
@@ -99,6 +99,10 @@
 	state runState
 	// orderedAt is when the start was decided, answeredAt when the host said yes.
 	orderedAt, answeredAt time.Time
+	// wasDoubtful is true once a start got no answer: it may be carried out late.
+	wasDoubtful bool
+	// stopTakenAt is when the host answered a stop.
+	stopTakenAt time.Time
 	// stopAt is when the next stop is sent to a stopping run.
 	stopAt time.Time
 	// away is why a stop was ordered; it is for the journal.
@@ -345,8 +349,28 @@
 		return
 	}
 	for key, r := range h.runs {
-		isMissing := !present[key] && (r.state == runLive || r.state == runStopping)
-		if isMissing && !r.answeredAt.IsZero() && r.answeredAt.Before(sentAt) {
+		if !present[key] {
+			l.missing(r, sentAt, now)
+		}
+	}
+}
+
+// missing takes that a report, for which the look was sent at sentAt, does not
+// list a run.
+func (l *Leader) missing(r *run, sentAt, now time.Time) {
+	switch r.state {
+	case runLive:
+		if r.answeredAt.Before(sentAt) {
+			l.runLost(r, "host no longer lists it", now)
+		}
+	case runDoubtful:
+		// The start may still be carried out: a stop that is answered prevents it.
+		if r.answeredAt.Before(sentAt) {
+			l.stopRun(r, "start was not answered", now)
+		}
+	case runStopping:
+		isSure := !r.wasDoubtful && !r.answeredAt.IsZero() && r.answeredAt.Before(sentAt)
+		if isSure || !r.stopTakenAt.IsZero() && r.stopTakenAt.Before(sentAt) {
 			l.runLost(r, "host no longer lists it", now)
 		}
 	}
--- a/internal/fleet/step.go
+++ b/internal/fleet/step.go
@@ -321,6 +321,7 @@
 		if r.state == runStarting {
 			r.state = runDoubtful
 			r.answeredAt = now
+			r.wasDoubtful = true
 		}
 	case OrderOtherLife:
 		l.newLife(h, h.born, "refusal", now)
@@ -390,9 +391,7 @@
 	case OrderTaken, OrderOld:
 		// Whether it ran or not, it cannot begin any more: the next report tells.
 		r.stopAt = now.Add(looksEvery)
-		if r.answeredAt.IsZero() {
-			r.answeredAt = now
-		}
+		r.stopTakenAt = now
 	case OrderOtherLife:
 		l.newLife(h, h.born, "refusal", now)
 		h.listed = false
