--- a/internal/control/feeds.go
+++ b/internal/control/feeds.go
@@ -16,6 +16,8 @@
 	// hostFeedPause is the time between two answers of the hosts' feed: each host
 	// writes every second or two, and each answer is charged.
 	hostFeedPause = 400 * time.Millisecond
+	// hostFeedQuick is the same while a machine is about to be back.
+	hostFeedQuick = 60 * time.Millisecond
 	// rowFeedPause is the same for jobs, which their ingress tells us of directly.
 	rowFeedPause = 700 * time.Millisecond
 	// feedWait is how long the store may wait for a change.
@@ -42,6 +44,11 @@
 		r.config.StoreAnswered(err)
 		known = err == nil || known && !errors.Is(err, table.ErrHistoryLost)
 		pause := hostFeedPause
+		r.locked(func() {
+			if r.leader.MachinesChanging(time.Now()) {
+				pause = hostFeedQuick
+			}
+		})
 		if err != nil {
 			r.config.Journal.Note("host list not read", "version", version, "error", err.Error())
 			pause = feedRetry
--- a/internal/fleet/machines.go
+++ b/internal/fleet/machines.go
@@ -24,6 +24,8 @@
 	// ordered one just now.
 	firstAt     time.Time
 	lackNotedAt time.Time
+	// needsNotedAt is when the journal last told the pools' sizes.
+	needsNotedAt time.Time
 }
 
 func newMachines() machines {
--- a/internal/fleet/move.go
+++ b/internal/fleet/move.go
@@ -12,7 +12,7 @@
 const (
 	// idleGrace is how long a machine stays empty in its pool before it is given
 	// back: two moves cost about as much as two seconds of a machine.
-	idleGrace = 2 * time.Second
+	idleGrace = 600 * time.Millisecond
 	// poolLeast is the number of machines that a pool keeps for what comes next.
 	poolLeast = 3
 	// packing is how much more room than the sum of its tasks a pool needs,
@@ -42,7 +42,9 @@
 	if !ok || len(l.machines.byID) == 0 {
 		return
 	}
-	needs := l.poolNeeds(pools)
+	needs := l.poolNeeds(pools, now)
+	l.noteNeeds(needs, now)
+	l.emptySurplus(needs)
 	givers := l.givers(needs, spare, now)
 	ordered := 0
 	for _, need := range needs {
@@ -70,6 +72,20 @@
 	}
 }
 
+// needsNoteEvery is the time between two lines about the pools' sizes.
+const needsNoteEvery = time.Second
+
+// noteNeeds notes the pools' sizes now and then.
+func (l *Leader) noteNeeds(needs []*poolNeed, now time.Time) {
+	if now.Sub(l.machines.needsNotedAt) < needsNoteEvery {
+		return
+	}
+	l.machines.needsNotedAt = now
+	for _, need := range needs {
+		l.note("pool size", "pool", need.pool, "machines", need.have, "needed", need.need)
+	}
+}
+
 // noteLack notes, now and then, that a pool waits for machines.
 func (l *Leader) noteLack(need *poolNeed, givers int, now time.Time) {
 	if now.Sub(l.machines.lackNotedAt) < lackNoteEvery {
@@ -93,14 +109,14 @@
 }
 
 // poolNeeds returns the pools that run tasks, the one that lacks most first.
-func (l *Leader) poolNeeds(pools map[string][]*jobState) []*poolNeed {
+func (l *Leader) poolNeeds(pools map[string][]*jobState, now time.Time) []*poolNeed {
 	var needs []*poolNeed
 	size := l.machineSize()
 	for name, pool := range l.policy.Pools {
 		if pool.Spare {
 			continue
 		}
-		need := &poolNeed{pool: name, need: max(poolLeast, machinesFor(l.demand(pools[name]), size))}
+		need := &poolNeed{pool: name, need: max(poolLeast, machinesFor(l.expected(name, pools[name], now), size))}
 		for _, m := range l.machines.byID {
 			if m.listed && l.headsFor(m, name) {
 				need.have++
@@ -142,6 +158,13 @@
 	return count
 }
 
+// expected is what a pool's tasks take now or, if that is more, soon: work that
+// has just begun to arrive faster has not yet opened its later steps.
+func (l *Leader) expected(pool string, jobs []*jobState, now time.Time) policy.Resources {
+	demand, flow := l.demand(jobs), l.rhythmOf(pool).flow(now)
+	return policy.Resources{CPU: max(demand.CPU, flow.CPU), Memory: max(demand.Memory, flow.Memory)}
+}
+
 // demand is what the pool's tasks that run or wait take.
 func (l *Leader) demand(jobs []*jobState) policy.Resources {
 	var sum policy.Resources
@@ -167,6 +190,29 @@
 	return count
 }
 
+// emptySurplus gives no more work to the machines that a pool has too many, so
+// that they can be moved once their tasks have ended: those with the fewest.
+func (l *Leader) emptySurplus(needs []*poolNeed) {
+	for _, need := range needs {
+		if need.lack() >= 0 {
+			continue
+		}
+		var surplus []*host
+		for _, m := range l.machines.byID {
+			h := l.hostOf(m)
+			if m.row.Pool == need.pool && m.change == nil && h != nil && len(h.runs) > 0 && h.lastingRuns() == 0 {
+				surplus = append(surplus, h)
+			}
+		}
+		slices.SortFunc(surplus, func(a, b *host) int {
+			return cmp.Or(cmp.Compare(len(a.runs), len(b.runs)), cmp.Compare(a.row.ID, b.row.ID))
+		})
+		for _, h := range surplus[:min(len(surplus), -need.lack())] {
+			h.leaving = true
+		}
+	}
+}
+
 // givers lists machines that can be moved without harm: spare ones first, then
 // the empty ones of pools that have too many.
 func (l *Leader) givers(needs []*poolNeed, spare string, now time.Time) []*machineState {
--- a/internal/fleet/rhythm.go
+++ b/internal/fleet/rhythm.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/lovagedyke/lovagedyke/internal/job"
+	"github.com/lovagedyke/lovagedyke/internal/policy"
 )
 
 const (
@@ -15,10 +16,21 @@
 	durationLeast = 200 * time.Millisecond
 )
 
+// arrivalWindow is the time over which a pool's arriving work is measured.
+const arrivalWindow = 800 * time.Millisecond
+
+// arrival is the work of a job that arrived.
+type arrival struct {
+	at time.Time
+	// cpu is in thousandths of a core times seconds, memory in MiB times seconds.
+	cpu, memory float64
+}
+
 // rhythm is what a pool's work has shown so far.
 type rhythm struct {
 	// ratio is the mean of duration over estimate.
-	ratio float64
+	ratio    float64
+	arrivals []arrival
 }
 
 // rhythmOf returns a pool's rhythm.
@@ -31,8 +43,39 @@
 	return known
 }
 
-// arrived notes a new job.
-func (r *rhythm) arrived(_ *jobState, _ time.Time) {}
+// arrived notes a new job's work.
+func (r *rhythm) arrived(j *jobState, now time.Time) {
+	var work arrival
+	for _, step := range j.submission.Steps {
+		if step.Lasting {
+			continue
+		}
+		each := step.Reserved()
+		taskSeconds := float64(step.Count) * r.estimate(step).Seconds()
+		work.cpu += float64(each.CPU) * taskSeconds
+		work.memory += float64(each.Memory) * taskSeconds
+	}
+	work.at = now
+	r.arrivals = append(r.arrivals, work)
+}
+
+// flow returns how much would run at one time if work went on arriving as it
+// did within the last window.
+func (r *rhythm) flow(now time.Time) policy.Resources {
+	var cpu, memory float64
+	first := len(r.arrivals)
+	for i, work := range r.arrivals {
+		if now.Sub(work.at) > arrivalWindow {
+			continue
+		}
+		first = min(first, i)
+		cpu += work.cpu
+		memory += work.memory
+	}
+	r.arrivals = r.arrivals[first:]
+	window := arrivalWindow.Seconds()
+	return policy.Resources{CPU: int64(cpu / window), Memory: int64(memory / window)}
+}
 
 // tookFor notes how long a task took.
 func (r *rhythm) tookFor(step job.Step, took time.Duration) {
