Announce changes of machines in the store, so that a new leader need not wait

Pattern: restart at the peak. Each change is now announced in a row under the claim's condition; only announced machines wait.

--- a/internal/control/machines.go
+++ b/internal/control/machines.go
@@ -5,13 +5,20 @@
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
+	"github.com/sourcegraph/conc/pool"
 
 	"github.com/lovagedyke/lovagedyke/internal/fleet"
+	"github.com/lovagedyke/lovagedyke/internal/record"
+	"github.com/lovagedyke/lovagedyke/internal/table"
 )
 
 const (
 	// machineOrders is how many changes of machines wait; the platform takes some 60 a second.
 	machineOrders = 128
+	// changesAtOnce is how many changes are announced in one transaction, and
+	// machineCallers how many are under way at a time.
+	changesAtOnce  = 40
+	machineCallers = 6
 	// pendingAsks is how many questions wait for the advice service.
 	pendingAsks = 64
 	// adviceCallers is how many questions are under way: the service answers one
@@ -29,6 +36,14 @@
 	upkeep *fleet.Upkeep
 }
 
+// machine is the machine that is changed.
+func (o machineOrder) machine() fleet.MachineID {
+	if o.move != nil {
+		return o.move.Machine
+	}
+	return o.upkeep.Machine
+}
+
 // sendMachine queues a change; r.mu is held.
 func (r *reign) sendMachine(next machineOrder) {
 	select {
@@ -57,16 +72,53 @@
 	r.leader.UpkeepAnswered(*done.upkeep, outcome, now)
 }
 
-// machineLoop sends changes one after the other.
+// machineLoop sends changes, after it has written which machines they are for:
+// a leader that comes after this one has to know.
 func (r *reign) machineLoop(ctx context.Context) {
 	for {
 		select {
 		case <-ctx.Done():
 			return
+		case first := <-r.orders:
+			r.changeMachines(ctx, r.gatherChanges(first))
+		}
+	}
+}
+
+// gatherChanges takes what waits, up to one transaction's size.
+func (r *reign) gatherChanges(first machineOrder) []machineOrder {
+	changes := []machineOrder{first}
+	for len(changes) < changesAtOnce {
+		select {
 		case next := <-r.orders:
-			r.changeMachine(ctx, next)
+			changes = append(changes, next)
+		default:
+			return changes
 		}
 	}
+	return changes
+}
+
+// changeMachines writes the intents and carries out the changes.
+func (r *reign) changeMachines(ctx context.Context, changes []machineOrder) {
+	txn := table.Txn{Conditions: []table.Condition{{Key: record.ClaimKey, Version: r.version}}}
+	for _, next := range changes {
+		row := record.Change{At: time.Now().Round(0)}
+		txn.Writes = append(txn.Writes, table.Write{Key: record.ChangeKey(string(next.machine())), Value: record.Encode(row)})
+	}
+	if !r.commit(ctx, txn, false) {
+		r.locked(func() {
+			for _, next := range changes {
+				r.machineAnswered(next, fleet.ChangeRefused)
+			}
+		})
+		return
+	}
+	callers := pool.New().WithMaxGoroutines(machineCallers)
+	for _, next := range changes {
+		callers.Go(func() { r.changeMachine(ctx, next) })
+	}
+	callers.Wait()
 }
 
 func (r *reign) changeMachine(ctx context.Context, next machineOrder) {
--- a/internal/control/reign.go
+++ b/internal/control/reign.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"strings"
 	"sync"
 	"time"
@@ -126,9 +127,9 @@
 func (r *reign) load() bool {
 	for r.ctx.Err() == nil {
 		started := time.Now()
-		jobs, waves, err := r.readRows()
+		rows, err := r.readRows()
 		if err == nil {
-			r.begin(jobs, waves)
+			r.begin(rows)
 			metrics.GetOrCreateHistogram("leader_load_seconds").UpdateDuration(started)
 			return true
 		}
@@ -141,9 +142,9 @@
 }
 
 // begin starts the leader's state from the rows.
-func (r *reign) begin(jobs []fleet.Stored, waves map[int64]record.Wave) {
+func (r *reign) begin(rows loadedRows) {
 	r.control.mu.Lock()
-	current, rows := r.control.policy, r.control.waves
+	current, waves := r.control.policy, maps.Clone(r.control.waves)
 	r.control.mu.Unlock()
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -151,13 +152,16 @@
 	if current != nil {
 		r.leader.SetPolicy(current)
 	}
-	for _, wave := range rows {
+	for _, wave := range waves {
 		r.leader.WaveListed(wave, now)
 	}
-	for number, wave := range waves {
+	for number, wave := range rows.waves {
 		r.leader.WaveLoaded(number, wave.Done, wave.Complete)
 	}
-	r.leader.Load(jobs, now, now)
+	for machine, change := range rows.changes {
+		r.leader.ChangeLoaded(machine, change.At, now.Round(0), now)
+	}
+	r.leader.Load(rows.jobs, now, now)
 	r.loaded = true
 }
 
@@ -167,29 +171,58 @@
 	return r.loaded
 }
 
-// readRows reads jobs, cancels, progress and waves.
-func (r *reign) readRows() ([]fleet.Stored, map[int64]record.Wave, error) {
+// loadedRows is what the store holds when a leadership begins.
+type loadedRows struct {
+	jobs    []fleet.Stored
+	waves   map[int64]record.Wave
+	changes map[fleet.MachineID]record.Change
+}
+
+// readRows reads jobs, cancels, progress, waves and changes of machines.
+func (r *reign) readRows() (loadedRows, error) {
 	cancelled := map[job.ID]bool{}
 	stored := map[job.ID]*fleet.Stored{}
 	for shard := range record.JobShards {
 		if err := r.readShard(shard, stored, cancelled); err != nil {
-			return nil, nil, err
+			return loadedRows{}, err
 		}
 	}
 	rows, err := r.config.Store.Scan(r.ctx, record.ProgressPrefix)
 	if err != nil {
-		return nil, nil, err
+		return loadedRows{}, err
 	}
 	for _, row := range rows {
 		r.addProgress(stored, row)
 	}
-	var jobs []fleet.Stored
+	var out loadedRows
 	for id, entry := range stored {
 		entry.Cancelled = cancelled[id]
-		jobs = append(jobs, *entry)
+		out.jobs = append(out.jobs, *entry)
+	}
+	if out.waves, err = r.readWaves(); err != nil {
+		return loadedRows{}, err
+	}
+	out.changes, err = r.readChanges()
+	return out, err
+}
+
+// readChanges reads when each machine was last about to be changed.
+func (r *reign) readChanges() (map[fleet.MachineID]record.Change, error) {
+	rows, err := r.config.Store.Scan(r.ctx, record.ChangePrefix)
+	if err != nil {
+		return nil, err
+	}
+	changes := map[fleet.MachineID]record.Change{}
+	for _, row := range rows {
+		change, err := record.Decode[record.Change](row.Value)
+		if err != nil {
+			r.config.Journal.Note("change not readable", "key", row.Key, "version", row.Version, "error", err.Error())
+			// As if it had been just now.
+			change.At = time.Now().Round(0)
+		}
+		changes[fleet.MachineID(record.IDOf(row.Key))] = change
 	}
-	waves, err := r.readWaves()
-	return jobs, waves, err
+	return changes, nil
 }
 
 // readShard reads one part of the jobs and cancels.
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -93,10 +93,6 @@
 		earlyCancels: map[job.ID]time.Time{},
 		machines:     newMachines(), rhythms: map[string]*rhythm{}, ledger: newLedger(),
 	}
-	if config.Token > 1 {
-		// Two holders must not take turns at a machine within this time.
-		leader.machines.firstAt = config.Now.Add(config.Bounds.TurnWithin + leaseMargin)
-	}
 	return leader
 }
 
--- a/internal/fleet/machines.go
+++ b/internal/fleet/machines.go
@@ -16,13 +16,13 @@
 	listSlack = 2 * time.Second
 )
 
+// wallTolerance is how far the times of day of two processes may be apart.
+const wallTolerance = 2500 * time.Millisecond
+
 // machines is what the leader knows of the machines and waves of upkeep.
 type machines struct {
-	byID  map[MachineID]*machineState
-	waves map[int64]*waveState
-	// firstAt is the earliest time for a change: the leader before may have
-	// ordered one just now.
-	firstAt     time.Time
+	byID        map[MachineID]*machineState
+	waves       map[int64]*waveState
 	lackNotedAt time.Time
 	// needsNotedAt is when the journal last told the pools' sizes.
 	needsNotedAt time.Time
@@ -206,11 +206,24 @@
 	l.changeAnswered(upkeep.Machine, outcome, now)
 }
 
-// planMachines decides on upkeep and moves.
-func (l *Leader) planMachines(pools map[string][]*jobState, orders *Orders, now time.Time) {
-	if now.Before(l.machines.firstAt) {
+// ChangeLoaded takes when, by the time of day of its process, an earlier leader
+// was about to change a machine. Two leaders must not take turns at a machine
+// within a short time.
+func (l *Leader) ChangeLoaded(id MachineID, at, wall, now time.Time) {
+	wait := l.config.Bounds.TurnWithin + wallTolerance - wall.Sub(at)
+	if wait <= 0 {
 		return
 	}
+	m := l.machines.byID[id]
+	if m == nil {
+		m = &machineState{}
+		l.machines.byID[id] = m
+	}
+	m.notBefore = now.Add(min(wait, l.config.Bounds.TurnWithin+2*wallTolerance))
+}
+
+// planMachines decides on upkeep and moves.
+func (l *Leader) planMachines(pools map[string][]*jobState, orders *Orders, now time.Time) {
 	for _, h := range l.hosts {
 		h.leaving = false
 	}
--- a/internal/fleet/move.go
+++ b/internal/fleet/move.go
@@ -39,7 +39,7 @@
 // needs to the spare pool, where they cost nothing.
 func (l *Leader) planMoves(pools map[string][]*jobState, orders *Orders, now time.Time) {
 	spare, ok := l.policy.SparePool()
-	if !ok || len(l.machines.byID) == 0 {
+	if !ok || l.machineSize() == (policy.Resources{}) {
 		return
 	}
 	needs := l.poolNeeds(pools, now)
@@ -138,13 +138,19 @@
 	return m.row.Pool == pool && (m.row.State == MachineUp || m.row.State == MachineMoving || m.row.State == MachineUpkeep)
 }
 
-// machineSize is the mean size of a machine.
+// machineSize is the mean size of the machines that are listed, or zeros.
 func (l *Leader) machineSize() policy.Resources {
 	var sum policy.Resources
+	count := int64(0)
 	for _, m := range l.machines.byID {
-		sum = sum.Plus(m.row.Capacity)
+		if m.listed {
+			sum = sum.Plus(m.row.Capacity)
+			count++
+		}
+	}
+	if count == 0 {
+		return policy.Resources{}
 	}
-	count := int64(max(1, len(l.machines.byID)))
 	return policy.Resources{CPU: max(1, sum.CPU/count), Memory: max(1, sum.Memory/count)}
 }
 
--- a/internal/record/record.go
+++ b/internal/record/record.go
@@ -20,6 +20,7 @@
 	"net/netip"
 	"strconv"
 	"strings"
+	"time"
 
 	"github.com/cockroachdb/errors"
 
@@ -43,6 +44,7 @@
 	RenewalKey     = "control/leader/renewal"
 	ProgressPrefix = "progress/leader/"
 	WavePrefix     = "waves/leader/"
+	ChangePrefix   = "changes/leader/"
 	MemberPrefix   = "members//"
 )
 
@@ -88,6 +90,16 @@
 	return WavePrefix + strconv.FormatInt(wave, 10)
 }
 
+// ChangeKey is the row that says when a machine was last about to be changed.
+func ChangeKey(machine string) string {
+	return ChangePrefix + machine
+}
+
+// Change is when, by the time of day of the leader, a machine was about to be changed.
+type Change struct {
+	At time.Time `json:"at"`
+}
+
 // MemberKey is the row of a process of the system.
 func MemberKey(name string) string {
 	return MemberPrefix + name
