End hosts that the machines' list shows to be gone

Pattern: rack lost at the peak, restart at the peak. Cause: a new leader waited up to 6.9 s for each listed host that did not answer, and a list of hosts holds those of moved machines for three heartbeats; and a crash was waited out for a whole lease. The platform's list of machines tells at once which hosts live.

--- a/internal/control/machines.go
+++ b/internal/control/machines.go
@@ -151,7 +151,7 @@
 			if err == nil {
 				r.leader.MachinesListed(list, sentAt, now)
 			}
-			isBusy = r.leader.MachinesChanging(now) || err != nil
+			isBusy = r.leader.WantsMachines(now) || err != nil
 		})
 		if err != nil {
 			r.config.Journal.Note("machines not read", "error", err.Error())
@@ -163,7 +163,7 @@
 				return
 			}
 			r.locked(func() {
-				isBusy = isBusy || r.leader.MachinesChanging(time.Now())
+				isBusy = isBusy || r.leader.WantsMachines(time.Now())
 			})
 			if isBusy {
 				break
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -132,7 +132,7 @@
 		return true
 	}
 	for _, h := range l.hosts {
-		if !h.reached {
+		if !h.reached && !h.gone {
 			return false
 		}
 	}
--- a/internal/fleet/hoststate.go
+++ b/internal/fleet/hoststate.go
@@ -33,6 +33,11 @@
 	row HostRow
 	// listed is false once the host has left the platform's list.
 	listed bool
+	// listedAt is when this life of the host was first listed.
+	listedAt time.Time
+	// gone is true once the platform's list of machines shows that nothing can
+	// run in this life of the host any more.
+	gone bool
 	// reached is true once this life of the host has answered under our token.
 	reached bool
 	born    time.Time
@@ -119,8 +124,8 @@
 }
 
 // newHost returns a host of which only its row is known.
-func newHost(row HostRow) *host {
-	return &host{row: row, listed: true, born: row.Born, runs: map[runKey]*run{}}
+func newHost(row HostRow, now time.Time) *host {
+	return &host{row: row, listed: true, listedAt: now, born: row.Born, runs: map[runKey]*run{}}
 }
 
 // used is what the host's runs take of its capacity.
@@ -154,7 +159,7 @@
 
 // takesWork reports whether the host may get new runs.
 func (h *host) takesWork(now time.Time) bool {
-	return h.listed && h.reached && !h.silent && !h.row.Draining && !h.leaving &&
+	return h.listed && h.reached && !h.gone && !h.silent && !h.row.Draining && !h.leaving &&
 		!now.Before(h.pausedUntil) && !now.Before(h.fullUntil) && h.isFresh(now)
 }
 
@@ -192,7 +197,7 @@
 func (l *Leader) HostListed(row HostRow, now time.Time) {
 	known, ok := l.hosts[row.ID]
 	if !ok {
-		l.hosts[row.ID] = newHost(row)
+		l.hosts[row.ID] = newHost(row, now)
 		l.note("host listed", "host", row.ID, "pool", row.Pool, "draining", row.Draining)
 		return
 	}
@@ -226,7 +231,7 @@
 	if h.listed || len(h.runs) > 0 {
 		return
 	}
-	if !h.reached && now.Before(l.inheritedUntil()) {
+	if !h.reached && !h.gone && now.Before(l.inheritedUntil()) {
 		return
 	}
 	delete(l.hosts, h.row.ID)
@@ -239,7 +244,7 @@
 		l.runLost(r, "host began a new life", now)
 	}
 	h.born = born
-	h.reached = false
+	h.reached, h.gone, h.listedAt = false, false, now
 	h.clock, h.clockAt, h.leaseUntil = 0, time.Time{}, 0
 	h.seen, h.ackable, h.acked, h.unwritten = 0, 0, 0, nil
 	h.trouble = trouble{}
@@ -275,6 +280,8 @@
 	}
 	hold := Hold{AckedUpTo: h.ackable}
 	switch {
+	case h.gone:
+		return hold, false
 	case !h.reached:
 		return hold, true
 	case len(h.unwritten) > 0 && now.Sub(h.lookedAt) < looksEvery:
@@ -330,7 +337,7 @@
 	if !h.reached {
 		l.note("host reached", "host", id, "pool", h.row.Pool, "running", len(look.Running), "ended", len(look.Ended))
 	}
-	h.reached, h.silent = true, false
+	h.reached, h.silent, h.gone = true, false, false
 	h.clock, h.clockAt = look.Clock, now
 	h.lookedAt = now
 	h.acked = max(h.acked, hold.AckedUpTo)
--- a/internal/fleet/machines.go
+++ b/internal/fleet/machines.go
@@ -84,12 +84,42 @@
 			m.listed = false
 		}
 	}
+	l.settleHosts(list, sentAt, now)
+}
+
+// settleHosts ends hosts that run on no machine any more: the platform knows of
+// a crash or a change before the host's lease is over. A host that is only cut
+// off is still on its machine.
+func (l *Leader) settleHosts(list []Machine, sentAt, now time.Time) {
+	onMachine := map[HostID]bool{}
+	for _, row := range list {
+		if row.Host != "" {
+			onMachine[row.Host] = true
+		}
+	}
+	if len(onMachine) == 0 {
+		return
+	}
+	for _, h := range l.hosts {
+		if h.gone || onMachine[h.row.ID] || !h.listedAt.Before(sentAt) || h.lookedAt.After(sentAt) {
+			continue
+		}
+		l.note("host gone", "host", h.row.ID, "pool", h.row.Pool, "runs", len(h.runs), "list-age", now.Sub(sentAt).Round(time.Millisecond).String())
+		h.gone = true
+		for _, r := range h.runs {
+			l.runLost(r, "machine no longer runs the host", now)
+		}
+		l.forgetHost(h, now)
+	}
 }
 
 // machineListed takes a machine's row, unless it is from before its change.
 func (l *Leader) machineListed(m *machineState, row Machine, sentAt, now time.Time) {
 	c := m.change
 	if c == nil {
+		if m.row.State != row.State || m.row.Host != row.Host {
+			l.note("machine listed", "machine", row.ID, "pool", row.Pool, "state", string(row.State), "host", row.Host)
+		}
 		m.row = row
 		return
 	}
@@ -127,8 +157,19 @@
 	return l.config.Bounds.Move
 }
 
-// MachinesChanging reports whether a change is about to be over, so that the
-// list is worth reading soon.
+// WantsMachines reports whether the list is worth reading soon: a change is
+// about to be over, or a host is silent that may have crashed.
+func (l *Leader) WantsMachines(now time.Time) bool {
+	for _, h := range l.hosts {
+		isSilent := h.silent && len(h.runs) > 0 || !h.reached && now.Before(l.inheritedUntil())
+		if isSilent && !h.gone && len(l.machines.byID) > 0 {
+			return true
+		}
+	}
+	return l.MachinesChanging(now)
+}
+
+// MachinesChanging reports whether a change is about to be over.
 func (l *Leader) MachinesChanging(now time.Time) bool {
 	for _, m := range l.machines.byID {
 		c := m.change
@@ -154,7 +195,7 @@
 		for _, r := range h.runs {
 			l.runLost(r, "machine is changed", now)
 		}
-		h.listed = false
+		h.listed, h.gone = false, true
 		l.forgetHost(h, now)
 	}
 	m.idleSince = time.Time{}
