--- a/internal/fleet/machines.go
+++ b/internal/fleet/machines.go
@@ -49,7 +49,9 @@
 	notBefore time.Time
 	// idleSince is when its host was last seen to become empty, or zero.
 	idleSince time.Time
-	listed    bool
+	// unknownSince is since when its host has not been listed or not answered, or zero.
+	unknownSince time.Time
+	listed       bool
 }
 
 // isFree reports whether a machine may be changed.
@@ -268,6 +270,11 @@
 	for _, h := range l.hosts {
 		h.leaving = false
 	}
+	for _, m := range l.machines.byID {
+		if h := l.hostOf(m); h != nil && m.change != nil {
+			h.leaving = true
+		}
+	}
 	l.noteIdle(now)
 	for _, number := range l.waveNumbers() {
 		l.planWave(l.machines.waves[number], orders, now)
@@ -275,18 +282,33 @@
 	l.planMoves(pools, orders, now)
 }
 
-// noteIdle keeps since when each machine's host has been empty.
+// noteIdle keeps since when each machine's host has been empty, or unknown.
 func (l *Leader) noteIdle(now time.Time) {
 	for _, m := range l.machines.byID {
 		h := l.hostOf(m)
-		isEmpty := h != nil && h.reached && len(h.runs) == 0
-		switch {
-		case !isEmpty:
-			m.idleSince = time.Time{}
-		case m.idleSince.IsZero():
-			m.idleSince = now
-		}
+		isKnown := h != nil && h.reached && !h.silent
+		keepSince(&m.idleSince, isKnown && len(h.runs) == 0, now)
+		keepSince(&m.unknownSince, !isKnown, now)
+	}
+}
+
+// keepSince keeps since when a condition has held, or the zero time.
+func keepSince(since *time.Time, holds bool, now time.Time) {
+	switch {
+	case !holds:
+		*since = time.Time{}
+	case since.IsZero():
+		*since = now
+	}
+}
+
+// isEmpty reports whether changing a machine ends nothing: no host is on it, it
+// is known to be empty, or it has been unknown for longer than leases last.
+func (l *Leader) isEmpty(m *machineState, now time.Time) bool {
+	if m.row.Host == "" || !m.idleSince.IsZero() {
+		return true
 	}
+	return !m.unknownSince.IsZero() && now.Sub(m.unknownSince) > stretched(leaseTime+idleDrift)+confirmTime
 }
 
 // waveNumbers lists the waves in order.
--- a/internal/fleet/wave.go
+++ b/internal/fleet/wave.go
@@ -111,7 +111,7 @@
 		if h != nil {
 			h.leaving = true
 		}
-		if down < wave.row.AtOnce && (h == nil || len(h.runs) == 0) {
+		if down < wave.row.AtOnce && l.isEmpty(m, now) {
 			down++
 			m.change = &change{wave: wave.row.Number, orderedAt: now}
 			orders.Upkeeps = append(orders.Upkeeps, Upkeep{Machine: m.row.ID, Wave: wave.row.Number})
@@ -136,13 +136,18 @@
 const (
 	costLasting = 1000
 	costRun     = 1
+	// costUnknown ranks a machine whose host is not known yet after all others.
+	costUnknown = 1_000_000
 )
 
 // upkeepCost ranks a machine by what its upkeep disturbs.
 func (l *Leader) upkeepCost(m *machineState) int {
 	h := l.hostOf(m)
-	if h == nil {
-		return 0
+	if h == nil || !h.reached {
+		if m.row.Host == "" {
+			return 0
+		}
+		return costUnknown
 	}
 	lasting := h.lastingRuns()
 	return lasting*costLasting + (len(h.runs)-lasting)*costRun
