--- a/internal/fleet/move.go
+++ b/internal/fleet/move.go
@@ -135,6 +135,10 @@
 	if m.change != nil && m.change.pool != "" {
 		return m.change.pool == pool
 	}
+	if h := l.hostOf(m); h != nil && h.leaving {
+		// It is being emptied for its upkeep: another has to take its place.
+		return false
+	}
 	return m.row.Pool == pool && (m.row.State == MachineUp || m.row.State == MachineMoving || m.row.State == MachineUpkeep)
 }
 
--- a/internal/fleet/rhythm.go
+++ b/internal/fleet/rhythm.go
@@ -17,7 +17,7 @@
 )
 
 // arrivalWindow is the time over which a pool's arriving work is measured.
-const arrivalWindow = 800 * time.Millisecond
+const arrivalWindow = 1100 * time.Millisecond
 
 // arrival is the work of a job that arrived.
 type arrival struct {
