--- a/internal/control/reign.go
+++ b/internal/control/reign.go
@@ -31,6 +31,10 @@
 	renewEvery = time.Second
 	// loadRetry is the time before the rows are read again after a failure.
 	loadRetry = 150 * time.Millisecond
+	// pendingLookups is how many jobs wait to be looked up, and lookupReaders how
+	// many are read at a time.
+	pendingLookups = 256
+	lookupReaders  = 4
 	// forgetEvery is the time between two removals of old rows, and forgetMost
 	// how many jobs one removes: a transaction has 100 entries.
 	forgetEvery = 5 * time.Second
@@ -54,6 +58,7 @@
 	kicks, dirty chan struct{}
 	orders       chan machineOrder
 	asks         chan fleet.Ask
+	lookups      chan job.ID
 }
 
 func newReign(ctx context.Context, c *Control, claim record.Claim, version uint64) *reign {
@@ -65,6 +70,7 @@
 		hosts: map[fleet.HostID]*hostWorker{},
 		kicks: make(chan struct{}, 1), dirty: make(chan struct{}, 1),
 		orders: make(chan machineOrder, machineOrders), asks: make(chan fleet.Ask, pendingAsks),
+		lookups: make(chan job.ID, pendingLookups),
 	}
 }
 
@@ -82,6 +88,9 @@
 	r.group.Go(r.machineFeed)
 	r.group.Go(r.machineLoop)
 	r.group.Go(r.forgetLoop)
+	for range lookupReaders {
+		r.group.Go(r.lookupLoop)
+	}
 	if r.config.Advice != nil {
 		for range adviceCallers {
 			r.group.Go(r.adviceLoop)
@@ -279,6 +288,45 @@
 	return waves, nil
 }
 
+// lookupLoop reads the rows of jobs that hosts know and the leader does not.
+func (r *reign) lookupLoop(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case id := <-r.lookups:
+			stored, err := r.readJob(ctx, id)
+			if err != nil {
+				r.config.Journal.Note("job not looked up", "job", id, "error", err.Error())
+				continue
+			}
+			now := time.Now()
+			r.locked(func() { r.leader.Found(id, stored, now, now) })
+			r.kick()
+		}
+	}
+}
+
+// readJob reads one job's rows, or nil if it has none.
+func (r *reign) readJob(ctx context.Context, id job.ID) (*fleet.Stored, error) {
+	rows, err := r.config.Store.Get(ctx, record.JobKey(id), record.CancelKey(id), record.ProgressKey(id))
+	if err != nil {
+		return nil, err
+	}
+	if rows[0].Version == table.Absent {
+		return nil, nil
+	}
+	submission, err := job.DecodeSubmission(rows[0].Value)
+	if err != nil {
+		return nil, err
+	}
+	stored := map[job.ID]*fleet.Stored{id: {Submission: submission, Cancelled: rows[1].Version != table.Absent}}
+	if rows[2].Version != table.Absent {
+		r.addProgress(stored, rows[2])
+	}
+	return stored[id], nil
+}
+
 // setPolicy puts a configuration in force.
 func (r *reign) setPolicy(current *policy.Policy) {
 	r.locked(func() { r.leader.SetPolicy(current) })
@@ -367,6 +415,13 @@
 	for _, pace := range orders.Paces {
 		r.send(workers[pace.Host], order{pace: &pace})
 	}
+	for _, id := range orders.Lookups {
+		select {
+		case r.lookups <- id:
+		default:
+			// It is asked for again.
+		}
+	}
 	for _, ask := range orders.Asks {
 		r.sendAsk(ask)
 	}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -75,6 +75,8 @@
 	rhythms  map[string]*rhythm
 	// earlyCancels holds cancels of jobs that are not known yet.
 	earlyCancels map[job.ID]time.Time
+	// lookups holds jobs that hosts know and we do not.
+	lookups map[job.ID]lookup
 	// inUse is what each client account has running over all pools.
 	inUse map[string]policy.Resources
 	// confirmedAt is when the store, or most other processes, last showed that no
@@ -91,6 +93,7 @@
 		config: config, confirmedAt: config.Now, policy: policy.New(policy.Config{}),
 		hosts: map[HostID]*host{}, jobs: map[job.ID]*jobState{}, inUse: map[string]policy.Resources{},
 		earlyCancels: map[job.ID]time.Time{},
+		lookups:      map[job.ID]lookup{},
 		machines:     newMachines(), rhythms: map[string]*rhythm{}, ledger: newLedger(),
 	}
 	return leader
--- a/internal/fleet/hoststate.go
+++ b/internal/fleet/hoststate.go
@@ -54,6 +54,8 @@
 	pausedUntil time.Time
 	trouble     trouble
 	lookedAt    time.Time
+	// blocked is true while the host lists an end of a job that is not known yet.
+	blocked bool
 	// silent is true since a look got no answer: no lease is prolonged on a
 	// guess, or it would never be over.
 	silent bool
@@ -278,22 +280,28 @@
 	if !ok {
 		return Hold{}, false
 	}
-	hold := Hold{AckedUpTo: h.ackable}
+	hold := Hold{}
+	if h.ackable > h.acked {
+		// Sent only when it is news: a new life of the host numbers its ends anew.
+		hold.AckedUpTo = h.ackable
+	}
 	switch {
 	case h.gone:
 		return hold, false
 	case !h.reached:
 		return hold, true
+	case h.blocked && now.Sub(h.lookedAt) < unknownPause:
+		return hold, false
 	case len(h.unwritten) > 0 && now.Sub(h.lookedAt) < looksEvery:
 		// Ends that cannot be acknowledged yet would be listed again at once.
 		return hold, false
-	case len(h.runs) == 0 && h.ackable == h.acked:
+	case len(h.runs) == 0 && h.ackable == h.acked && !h.blocked:
 		return hold, h.silent || now.Sub(h.lookedAt) > idleLooksEvery
 	}
 	if !h.silent && l.confirmed(now) {
 		hold.Lease = h.nextLease(now)
 	}
-	if len(h.runs) > 0 && len(h.unwritten) == 0 {
+	if len(h.runs) > 0 && len(h.unwritten) == 0 && !h.blocked {
 		hold.Wait = lookWait
 	}
 	return hold, true
@@ -342,8 +350,13 @@
 	h.lookedAt = now
 	h.acked = max(h.acked, hold.AckedUpTo)
 	// Ends go first, so that a run that has ended is not taken for a lost one.
+	h.blocked = false
 	for _, ended := range look.Ended {
-		l.ended(h, ended, now)
+		if !l.ended(h, ended, now) {
+			// It is listed again, and all after it, until it can be applied.
+			h.blocked = true
+			break
+		}
 	}
 	h.advanceAcks(l.ledger.written)
 	present := make(map[runKey]bool, len(look.Running))
@@ -352,7 +365,7 @@
 		present[key] = true
 		l.reported(h, key, running, now)
 	}
-	if len(look.Ended) >= listedEnds {
+	if len(look.Ended) >= listedEnds || h.blocked {
 		return
 	}
 	for key, r := range h.runs {
@@ -422,11 +435,15 @@
 	}
 	r := &run{key: key, host: h, state: runLive, orderedAt: now, answeredAt: now, percent: 100}
 	j := l.jobs[key.task.Job]
+	if j == nil && !l.isAbsent(key.task.Job) {
+		// Its row may be on the way to us. What the run takes is not known until then.
+		l.fetch(key.task.Job)
+		h.fullUntil = now.Add(unknownPause)
+		return nil
+	}
 	if j == nil {
-		// The job's row may be on its way, or have been removed: stop what nobody asked for.
-		r.reserved = policy.Resources{}
 		h.runs[key] = r
-		l.stopRun(r, "job is not known", now)
+		l.stopRun(r, "no such job", now)
 		return r
 	}
 	step, ok := j.stepOf(key.task)
--- a/internal/fleet/jobstate.go
+++ b/internal/fleet/jobstate.go
@@ -134,27 +134,32 @@
 // Load takes the jobs that were accepted before the takeover.
 func (l *Leader) Load(jobs []Stored, now, wall time.Time) {
 	for _, stored := range jobs {
-		j := newJobState(stored.Submission)
-		j.inherited = true
-		if stored.Progress != nil {
-			j.progress = stored.Progress
-			j.shown = stored.Progress.State
-			j.begun = len(stored.Progress.Steps) > 0
-		}
-		l.jobs[stored.Submission.ID] = j
-		if j.progress.State.Final() {
-			j.overAt = now
-		}
-		if stored.Cancelled && !j.progress.State.Final() {
-			l.cancel(j, now)
-		}
-		l.settle(j, now)
-		l.open(j, now, wall)
+		l.add(stored, now, wall)
 	}
 	l.loaded = true
 	l.note("jobs loaded", "jobs", len(jobs))
 }
 
+// add takes a job of which an earlier leader may have started tasks.
+func (l *Leader) add(stored Stored, now, wall time.Time) {
+	j := newJobState(stored.Submission)
+	j.inherited = true
+	if stored.Progress != nil {
+		j.progress = stored.Progress
+		j.shown = stored.Progress.State
+		j.begun = len(stored.Progress.Steps) > 0
+	}
+	l.jobs[stored.Submission.ID] = j
+	if j.progress.State.Final() {
+		j.overAt = now
+	}
+	if stored.Cancelled && !j.progress.State.Final() {
+		l.cancel(j, now)
+	}
+	l.settle(j, now)
+	l.open(j, now, wall)
+}
+
 // Accepted takes a job that the store holds. It may come more than once.
 func (l *Leader) Accepted(submission *job.Submission, now, wall time.Time) {
 	if _, ok := l.jobs[submission.ID]; ok {
@@ -162,6 +167,7 @@
 	}
 	j := newJobState(submission)
 	l.jobs[submission.ID] = j
+	delete(l.lookups, submission.ID)
 	l.rhythmOf(l.poolOf(j)).arrived(j, now)
 	if _, ok := l.earlyCancels[submission.ID]; ok {
 		delete(l.earlyCancels, submission.ID)
@@ -299,13 +305,20 @@
 }
 
 // ended takes an end that a host lists. Ends are listed until acknowledged.
-func (l *Leader) ended(h *host, ended EndedTask, now time.Time) {
+// It reports whether the end was applied: one of a job that is not known must
+// not be acknowledged before the store has told whether there is such a job.
+func (l *Leader) ended(h *host, ended EndedTask, now time.Time) bool {
 	if ended.Number <= h.seen {
-		return
+		return true
+	}
+	if l.jobs[ended.Task.Job] == nil && !l.isAbsent(ended.Task.Job) {
+		l.fetch(ended.Task.Job)
+		return false
 	}
 	h.seen = ended.Number
 	batch := l.applyEnd(h, ended, now)
 	h.unwritten = append(h.unwritten, unwrittenEnd{number: ended.Number, batch: batch})
+	return true
 }
 
 // applyEnd returns the number of the batch that has to be written before the
--- a/internal/fleet/order.go
+++ b/internal/fleet/order.go
@@ -77,4 +77,6 @@
 	Asks    []Ask
 	Moves   []Move
 	Upkeeps []Upkeep
+	// Lookups lists jobs whose rows are to be read; Found takes the answers.
+	Lookups []job.ID
 }
--- a/internal/fleet/step.go
+++ b/internal/fleet/step.go
@@ -18,6 +18,7 @@
 	if !l.loaded {
 		return orders
 	}
+	orders.Lookups = l.dueLookups(now)
 	pools := map[string][]*jobState{}
 	for _, j := range l.jobs {
 		if j.over() {
--- a/internal/member/node.go
+++ b/internal/member/node.go
@@ -1,6 +1,7 @@
 package member
 
 import (
+	"cmp"
 	"context"
 	"math/rand/v2"
 	"net/netip"
@@ -36,6 +37,10 @@
 	storeSilence = time.Second
 	// spreadMost spreads the candidates' attempts.
 	spreadMost = 120 * time.Millisecond
+	// strongerPause is waited for each process that has more processor, up to
+	// strongerMost.
+	strongerPause = 40 * time.Millisecond
+	strongerMost  = 400 * time.Millisecond
 )
 
 // Journal takes what a process comes to believe.
@@ -47,6 +52,9 @@
 type Config struct {
 	Name    string
 	Address netip.AddrPort
+	// Processor is the part of a core that this process has: those with more take
+	// over first.
+	Processor float64
 	// Seeds are addresses to ask before the store has answered; they may be stale.
 	Seeds   []netip.AddrPort
 	Store   table.Store
@@ -145,7 +153,7 @@
 
 // join writes our row and reads the others'.
 func (n *Node) join(ctx context.Context) {
-	self := record.Member{Name: n.config.Name, Address: n.config.Address}
+	self := record.Member{Name: n.config.Name, Address: n.config.Address, Processor: n.config.Processor}
 	err := n.config.Store.Commit(ctx, table.Txn{Writes: []table.Write{{Key: record.MemberKey(self.Name), Value: record.Encode(self)}}})
 	n.noteStore(err)
 	if err != nil {
@@ -300,7 +308,7 @@
 		heard = 0
 	}
 	view := &memberpb.View{
-		From:  &memberpb.Address{Name: n.config.Name, Address: n.config.Address.String()},
+		From:  &memberpb.Address{Name: n.config.Name, Address: n.config.Address.String(), Processor: n.config.Processor},
 		Token: n.claim.Token, Leading: n.leading, StoreReached: n.storeOKAt.After(n.storeFailedAt),
 		LeaderHeardMs: heard.Milliseconds(), PolicyVersion: n.config.PolicyVersion(),
 	}
@@ -310,7 +318,7 @@
 	if n.leading {
 		view.LargestCpu, view.LargestMemory, view.LargestGpu = largest.CPU, largest.Memory, largest.GPU
 		for _, member := range n.members {
-			view.Members = append(view.Members, &memberpb.Address{Name: member.Name, Address: member.Address.String()})
+			view.Members = append(view.Members, &memberpb.Address{Name: member.Name, Address: member.Address.String(), Processor: member.Processor})
 		}
 	}
 	return view
@@ -352,12 +360,12 @@
 		return record.Member{}, false
 	}
 	parsed, err := netip.ParseAddrPort(address.Address)
-	return record.Member{Name: address.Name, Address: parsed}, err == nil
+	return record.Member{Name: address.Name, Address: parsed, Processor: address.Processor}, err == nil
 }
 
 // succeed takes over if no one leads.
 func (n *Node) succeed(ctx context.Context) {
-	n.pause(ctx, rand.N(spreadMost))
+	n.pause(ctx, n.candidatePause())
 	// Only a process that reaches the store itself can lead well.
 	if !n.readClaim(ctx, n.config.Store) {
 		return
@@ -376,6 +384,20 @@
 	n.take(ctx)
 }
 
+// candidatePause is how long to wait before taking over: processes with more
+// processor than the others go first, since the leader needs most of it.
+func (n *Node) candidatePause() time.Duration {
+	n.mu.Lock()
+	stronger := 0
+	for _, member := range n.members {
+		if member.Processor > n.config.Processor {
+			stronger++
+		}
+	}
+	n.mu.Unlock()
+	return rand.N(spreadMost) + min(strongerMost, time.Duration(stronger)*strongerPause)
+}
+
 // othersMissLeader asks the other members whether they hear the leader. While
 // no one answers we may be the one that is cut off: then the leader's renewal
 // of its claim decides.
@@ -413,6 +435,7 @@
 			others = append(others, member)
 		}
 	}
+	slices.SortFunc(others, func(a, b record.Member) int { return cmp.Compare(b.Processor, a.Processor) })
 	return others
 }
 
--- a/internal/record/record.go
+++ b/internal/record/record.go
@@ -123,6 +123,8 @@
 type Member struct {
 	Name    string         `json:"name"`
 	Address netip.AddrPort `json:"address"`
+	// Processor is the part of a core that the process has.
+	Processor float64 `json:"processor,omitempty"`
 }
 
 // Wave is what has been done of a wave of upkeep.
