--- /dev/null
+++ b/internal/fleet/machines_test.go
@@ -0,0 +1,323 @@
+package fleet_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/lovagedyke/lovagedyke/internal/fleet"
+	"github.com/lovagedyke/lovagedyke/internal/policy"
+)
+
+// machineOf is a machine that runs a host.
+func machineOf(pool string, id fleet.HostID) fleet.Machine {
+	return fleet.Machine{ID: fleet.MachineID("m-" + string(id)), Pool: pool, State: fleet.MachineUp, Host: id, Capacity: hostSize}
+}
+
+// spareMachine is a machine that is switched off.
+func spareMachine(n int) fleet.Machine {
+	return fleet.Machine{ID: fleet.MachineID(fmt.Sprintf("spare-%02d", n)), Pool: spareName, State: fleet.MachineUp, Capacity: hostSize}
+}
+
+// listMachines lists machines, and hosts in their pools.
+func (w *world) listMachines(machines ...fleet.Machine) {
+	for _, m := range machines {
+		if m.Host == "" {
+			continue
+		}
+		row := hostRow(m.Host)
+		row.Pool = m.Pool
+		w.leader.HostListed(row, w.now)
+		w.pass(time.Millisecond)
+		w.look(m.Host)
+	}
+	w.leader.MachinesListed(machines, w.now, w.now)
+}
+
+// pools returns machines for each pool: as many as a pool keeps at least.
+func pools() []fleet.Machine {
+	var machines []fleet.Machine
+	for _, pool := range []string{poolName, otherPool} {
+		for n := range 3 {
+			machines = append(machines, machineOf(pool, fleet.HostID(fmt.Sprintf("%s-%d", pool, n))))
+		}
+	}
+	return machines
+}
+
+// Pattern: turns-beyond-the-pool.
+func TestMachinesFollowDemand(t *testing.T) {
+	w := newWorld(t, worldConfig{})
+	machines := pools()
+	for n := range 10 {
+		machines = append(machines, spareMachine(n))
+	}
+	w.listMachines(machines...)
+	if got := len(w.step().Moves); got != 0 {
+		t.Fatalf("moves without work: got %d, want 0", got)
+	}
+	for n := range 10 {
+		w.accept(submission(n+1, tasks(16)))
+	}
+	moves := w.step().Moves
+	if len(moves) < 5 {
+		t.Fatalf("moves for work of ten machines: got %d, want at least 5", len(moves))
+	}
+	for _, move := range moves {
+		if move.Pool != poolName {
+			t.Errorf("move: got %v, want one to %s", move, poolName)
+		}
+	}
+	if got := len(w.step().Moves); got != 0 {
+		t.Errorf("moves while the first are under way: got %d, want 0", got)
+	}
+}
+
+func TestIdleMachinesAreGivenBack(t *testing.T) {
+	w := newWorld(t, worldConfig{})
+	machines := pools()
+	for n := range 4 {
+		machines = append(machines, machineOf(poolName, fleet.HostID(fmt.Sprintf("more-%d", n))))
+	}
+	w.listMachines(machines...)
+	w.step()
+	w.pass(time.Second)
+	moves := w.step().Moves
+	if got, want := len(moves), 4; got != want {
+		t.Fatalf("moves: got %d, want %d", got, want)
+	}
+	for _, move := range moves {
+		if move.Pool != spareName {
+			t.Errorf("move: got %v, want one to %s", move, spareName)
+		}
+	}
+}
+
+func TestMachinesOfUnknownHostsAreNotMoved(t *testing.T) {
+	w := newWorld(t, worldConfig{})
+	machines := pools()
+	for n := range 4 {
+		machines = append(machines, machineOf(poolName, fleet.HostID(fmt.Sprintf("unseen-%d", n))))
+	}
+	w.listMachines(pools()...)
+	w.leader.MachinesListed(machines, w.now, w.now)
+	w.step()
+	w.pass(time.Second)
+	if got := len(w.step().Moves); got != 0 {
+		t.Errorf("moves: got %d, want 0", got)
+	}
+}
+
+func TestAnnouncedMachinesRest(t *testing.T) {
+	w := newWorld(t, worldConfig{token: 2})
+	w.leader.ChangeLoaded("spare-00", w.now.Add(-time.Second), w.now, w.now)
+	machines := append(pools(), spareMachine(0), spareMachine(1))
+	w.listMachines(machines...)
+	for n := range 6 {
+		w.accept(submission(n+1, tasks(16)))
+	}
+	moves := w.step().Moves
+	if len(moves) != 1 || moves[0].Machine != "spare-01" {
+		t.Fatalf("moves: got %v, want that of the machine that was not announced", moves)
+	}
+	w.pass(5 * time.Second)
+	if got := len(w.step().Moves); got != 1 {
+		t.Errorf("moves later: got %d, want 1", got)
+	}
+}
+
+func TestWave(t *testing.T) {
+	w := newWorld(t, worldConfig{})
+	machines := pools()
+	w.listMachines(machines...)
+	row := fleet.WaveRow{Number: 4, Within: 20 * time.Second, AtOnce: 2}
+	for _, m := range machines {
+		row.Machines = append(row.Machines, m.ID)
+	}
+	w.leader.WaveListed(row, w.now)
+	news := w.leader.WaveNews()
+	if len(news) != 1 || news[0].Complete {
+		t.Fatalf("news: got %v, want a running wave", news)
+	}
+	done := 0
+	for round := 0; round < 20 && done < len(machines); round++ {
+		upkeeps := w.step().Upkeeps
+		if len(upkeeps) > row.AtOnce {
+			t.Fatalf("upkeeps at once: got %d, want at most %d", len(upkeeps), row.AtOnce)
+		}
+		for _, upkeep := range upkeeps {
+			done++
+			w.leader.UpkeepAnswered(upkeep, fleet.ChangeTaken, w.now)
+		}
+		if got := len(w.step().Upkeeps); got != 0 {
+			t.Fatalf("upkeeps while %d are down: got %d, want 0", len(upkeeps), got)
+		}
+		w.pass(2500 * time.Millisecond)
+		for _, m := range machines {
+			w.look(m.Host)
+		}
+		w.leader.MachinesListed(machines, w.now, w.now)
+	}
+	if done != len(machines) {
+		t.Fatalf("machines done: got %d, want %d", done, len(machines))
+	}
+	w.step()
+	news = w.leader.WaveNews()
+	if len(news) != 1 || !news[0].Complete || len(news[0].Done) != len(machines) {
+		t.Errorf("news: got %v, want the complete wave", news)
+	}
+}
+
+// All machines of a pool are due, and lasting tasks run there.
+func TestWaveBringsOtherMachines(t *testing.T) {
+	w := newWorld(t, worldConfig{})
+	machines := append(pools(), spareMachine(0), spareMachine(1), spareMachine(2))
+	w.listMachines(machines...)
+	w.accept(submission(1, lasting(3, 1)))
+	w.step()
+	w.take()
+	row := fleet.WaveRow{Number: 1, AtOnce: 10}
+	for n := range 3 {
+		row.Machines = append(row.Machines, machines[n].ID)
+	}
+	w.leader.WaveListed(row, w.now)
+	brought := 0
+	for _, move := range w.step().Moves {
+		if move.Pool == poolName {
+			brought++
+		}
+	}
+	if brought == 0 {
+		t.Error("machines brought for those that are emptied: got none, want some")
+	}
+}
+
+func TestUpkeepWaitsForUnknownHosts(t *testing.T) {
+	w := newWorld(t, worldConfig{token: 2})
+	unseen := machineOf(poolName, "unseen")
+	w.leader.MachinesListed([]fleet.Machine{unseen}, w.now, w.now)
+	w.leader.WaveListed(fleet.WaveRow{Number: 1, AtOnce: 1, Machines: []fleet.MachineID{unseen.ID}}, w.now)
+	if got := len(w.step().Upkeeps); got != 0 {
+		t.Errorf("upkeeps before the host is known: got %d, want 0", got)
+	}
+	w.pass(8 * time.Second)
+	if got := len(w.step().Upkeeps); got != 1 {
+		t.Errorf("upkeeps after its leases are over: got %d, want 1", got)
+	}
+}
+
+// Lasting tasks leave a draining host one after the other.
+func TestEvacuationKeepsTheRestAtWork(t *testing.T) {
+	w := newWorld(t, worldConfig{})
+	w.host("a")
+	w.accept(submission(1, lasting(2, 1)))
+	w.step()
+	w.take()
+	w.look("a")
+	w.host("b")
+	draining := hostRow("a")
+	draining.Draining = true
+	w.leader.HostListed(draining, w.now)
+	stops := w.step().Stops
+	if len(stops) != 1 {
+		t.Fatalf("stops: got %d, want 1", len(stops))
+	}
+	w.leader.StopAnswered(stops[0], fleet.Reply{Outcome: fleet.OrderTaken}, w.now)
+	w.end(fleet.Start{Host: "a", Task: stops[0].Task, Run: stops[0].Run}, fleet.EndStopped)
+	w.pass(100 * time.Millisecond)
+	w.look("a")
+	starts := w.step().Starts
+	if len(starts) != 1 || starts[0].Host != "b" {
+		t.Fatalf("starts: got %v, want one on b", starts)
+	}
+	w.leader.StartAnswered(starts[0], fleet.Reply{Outcome: fleet.OrderTaken}, w.now)
+	w.running["b"] = []fleet.RunningTask{{Task: starts[0].Task, Run: starts[0].Run, Share: 40}}
+	w.pass(100 * time.Millisecond)
+	w.look("b")
+	if got := len(w.step().Stops); got != 0 {
+		t.Errorf("stops while the first is starting: got %d, want 0", got)
+	}
+	w.running["b"][0].Share = 100
+	w.pass(100 * time.Millisecond)
+	w.look("a")
+	w.look("b")
+	if got := len(w.step().Stops); got != 1 {
+		t.Errorf("stops once it is at work: got %d, want 1", got)
+	}
+}
+
+// A host that has gone dark keeps its last report.
+func TestOldReportsAreNoWork(t *testing.T) {
+	w := newWorld(t, worldConfig{})
+	w.host("a")
+	w.host("b")
+	step := lasting(2, 1)
+	step.MaxPerHost = 1
+	w.accept(submission(1, step))
+	w.step()
+	w.take()
+	w.look("a")
+	w.look("b")
+	w.host("c")
+	w.pass(2500 * time.Millisecond)
+	w.look("a")
+	draining := hostRow("a")
+	draining.Draining = true
+	w.leader.HostListed(draining, w.now)
+	if got := len(w.step().Stops); got != 0 {
+		t.Errorf("stops while the other's report is old: got %d, want 0", got)
+	}
+}
+
+func TestFillersArePaced(t *testing.T) {
+	serving, filler := lasting(1, 1), lasting(1, 1)
+	serving.TailTarget = 100 * time.Millisecond
+	filler.Filler = true
+	tails := map[string]struct {
+		tail time.Duration
+		want int
+	}{
+		"over the target":  {150 * time.Millisecond, 50},
+		"near the target":  {90 * time.Millisecond, 50},
+		"between":          {70 * time.Millisecond, 100},
+		"far below target": {10 * time.Millisecond, 100},
+	}
+	for name, c := range tails {
+		t.Run(name, func(t *testing.T) {
+			w := newWorld(t, worldConfig{})
+			w.host("a")
+			w.accept(submission(1, serving, filler))
+			w.step()
+			w.take()
+			for i := range w.running["a"] {
+				if w.running["a"][i].Task.Step == 0 {
+					w.running["a"][i].Tail = c.tail
+				}
+			}
+			w.look("a")
+			percent := 100
+			for _, pace := range w.step().Paces {
+				percent = pace.Percent
+			}
+			if percent != c.want {
+				t.Errorf("pace: got %d, want %d", percent, c.want)
+			}
+		})
+	}
+}
+
+func TestDump(t *testing.T) {
+	w := newWorld(t, worldConfig{policy: policy.Config{}})
+	w.host("a")
+	w.accept(submission(1, tasks(2)))
+	dump := w.leader.Dump()
+	if len(dump.Hosts) != 1 || len(dump.Jobs) != 1 || dump.Jobs[0].Pending != 2 || dump.Jobs[0].ID != idOf(1) {
+		t.Errorf("dump: got %+v, want a host and a job with two tasks that wait", dump)
+	}
+	if got := w.leader.Largest(); got != hostSize {
+		t.Errorf("largest: got %v, want %v", got, hostSize)
+	}
+	if got := w.leader.Waiting()[queueName]; got != 1 {
+		t.Errorf("waiting: got %d, want 1", got)
+	}
+}
--- a/internal/fleet/move.go
+++ b/internal/fleet/move.go
@@ -18,6 +18,9 @@
 	// packing is how much more room than the sum of its tasks a pool needs,
 	// since tasks do not fill machines to the brim.
 	packing = 1.15
+	// arrivalTime is how long the host of a machine that is up may take to be
+	// listed and to answer; later it does not count for its pool.
+	arrivalTime = 800 * time.Millisecond
 	// movesAtOnce bounds the moves that one step orders.
 	movesAtOnce = 12
 )
@@ -118,7 +121,7 @@
 		}
 		need := &poolNeed{pool: name, need: max(poolLeast, machinesFor(l.expected(name, pools[name], now), size))}
 		for _, m := range l.machines.byID {
-			if m.listed && l.headsFor(m, name) {
+			if m.listed && l.headsFor(m, name, now) {
 				need.have++
 			}
 		}
@@ -131,7 +134,7 @@
 }
 
 // headsFor reports whether a machine is in a pool, or on its way there.
-func (l *Leader) headsFor(m *machineState, pool string) bool {
+func (l *Leader) headsFor(m *machineState, pool string, now time.Time) bool {
 	if m.change != nil && m.change.pool != "" {
 		return m.change.pool == pool
 	}
@@ -139,6 +142,9 @@
 		// It is being emptied for its upkeep: another has to take its place.
 		return false
 	}
+	if m.row.State == MachineUp && !m.unknownSince.IsZero() && now.Sub(m.unknownSince) > arrivalTime {
+		return false
+	}
 	return m.row.Pool == pool && (m.row.State == MachineUp || m.row.State == MachineMoving || m.row.State == MachineUpkeep)
 }
 
