--- /dev/null
+++ b/internal/ingress/ingress_test.go
@@ -0,0 +1,286 @@
+package ingress_test
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/lovagedyke/lovagedyke/internal/ingress"
+	"github.com/lovagedyke/lovagedyke/internal/job"
+	"github.com/lovagedyke/lovagedyke/internal/policy"
+	"github.com/lovagedyke/lovagedyke/internal/record"
+	"github.com/lovagedyke/lovagedyke/internal/table"
+)
+
+const (
+	someID = "5c0e7a21d94b36f8"
+	path   = "/jobs/" + someID
+)
+
+// fleetFake is a leader that answers or does not.
+type fleetFake struct {
+	mu       sync.Mutex
+	accepted int
+	states   map[job.ID]job.State
+	away     bool
+}
+
+func (f *fleetFake) Accepted(_ context.Context, submissions [][]byte) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.accepted += len(submissions)
+}
+
+func (f *fleetFake) told() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.accepted
+}
+
+func (f *fleetFake) Cancelled(context.Context, job.ID) {}
+
+func (f *fleetFake) State(_ context.Context, id job.ID) (job.State, bool, bool) {
+	state, ok := f.states[id]
+	return state, ok && !f.away, !f.away
+}
+
+func (f *fleetFake) Waiting(context.Context, string) (int, bool) { return 7, !f.away }
+
+func (f *fleetFake) Unservable(step job.Step) string {
+	if step.Resources.CPU > 16000 {
+		return "a task is larger than any host"
+	}
+	return ""
+}
+
+// form is a plain JSON form of the product's own types.
+type form struct{}
+
+func (form) Submission(body []byte) (*job.Submission, error) {
+	var out job.Submission
+	err := json.Unmarshal(body, &out)
+	return &out, err
+}
+func (form) State(state job.State) []byte { return []byte(state) }
+func (form) Waiting(int) []byte           { return []byte("7") }
+func (form) Refusal(reason string) []byte { return []byte(reason) }
+func (form) Key(header http.Header) string { return header.Get("Key") }
+
+func (form) Patience(_ http.Header, _ time.Duration) time.Duration { return 500 * time.Millisecond }
+
+func (form) ContentType() string { return "application/json" }
+
+type silent struct{}
+
+func (silent) Note(string, ...any) {}
+
+type holder struct{ current *policy.Policy }
+
+func (h holder) Current() *policy.Policy { return h.current }
+
+// bench is an ingress with a store in memory.
+type bench struct {
+	handler *ingress.Ingress
+	store   *table.Memory
+	fleet   *fleetFake
+}
+
+func newBench(t *testing.T, current *policy.Policy) *bench {
+	t.Helper()
+	b := &bench{store: table.NewMemory(), fleet: &fleetFake{states: map[job.ID]job.State{}}}
+	b.handler = ingress.New(ingress.Config{Policy: holder{current}, Store: b.store, Fleet: b.fleet, Form: form{}, Journal: silent{}})
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan struct{})
+	go func() {
+		b.handler.Run(ctx)
+		close(ended)
+	}()
+	t.Cleanup(func() {
+		cancel()
+		<-ended
+	})
+	return b
+}
+
+func (b *bench) call(method, path, key, body string) *httptest.ResponseRecorder {
+	request := httptest.NewRequest(method, "http://shop.example"+path, strings.NewReader(body))
+	request.Header.Set("Key", key)
+	recorder := httptest.NewRecorder()
+	b.handler.ServeHTTP(recorder, request)
+	return recorder
+}
+
+func shop() *policy.Policy {
+	return policy.New(policy.Config{
+		Version:  3,
+		Queues:   []policy.Queue{{Name: "jobs", HostName: "shop.example", PathPrefix: "/jobs/", Pool: "p", MaxAttempts: 2}},
+		Accounts: []policy.Account{{Name: "tackle", Keys: []string{"k1"}}},
+		Limits:   policy.Limits{BodyBytes: 2000},
+	})
+}
+
+const oneTask = `{"steps":[{"count":1}]}`
+
+func TestRefusals(t *testing.T) {
+	cases := map[string]struct {
+		method, path, key, body string
+		want                    int
+	}{
+		"accepted":         {"POST", path, "k1", oneTask, 200},
+		"no key":           {"POST", path, "", oneTask, 401},
+		"unknown key":      {"POST", path, "k2", oneTask, 401},
+		"no queue":         {"POST", "/other/" + someID, "k1", oneTask, 404},
+		"short ID":         {"POST", "/jobs/abc", "k1", oneTask, 400},
+		"not JSON":         {"POST", path, "k1", "steps", 400},
+		"no steps":         {"POST", path, "k1", "{}", 400},
+		"later step":       {"POST", path, "k1", `{"steps":[{"count":1,"after":[1]},{"count":1}]}`, 400},
+		"larger than host": {"POST", path, "k1", `{"steps":[{"count":1,"resources":{"cpu":17000}}]}`, 400},
+		"large body":       {"POST", path, "k1", `{"spec":"` + strings.Repeat("x", 3000) + `"}`, 400},
+		"unknown job":      {"GET", path, "k1", "", 410},
+		"cancel unknown":   {"DELETE", path, "k1", "", 410},
+		"count":            {"GET", "/jobs/", "k1", "", 200},
+		"other method":     {"PUT", path, "k1", oneTask, 405},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			b := newBench(t, shop())
+			if got := b.call(c.method, c.path, c.key, c.body).Code; got != c.want {
+				t.Errorf("status: got %d, want %d", got, c.want)
+			}
+			rows, err := b.store.Get(context.Background(), record.JobKey(someID))
+			if err != nil {
+				t.Fatal(err)
+			}
+			isStored := rows[0].Version != table.Absent
+			if want := c.method == "POST" && c.want == 200; isStored != want {
+				t.Errorf("stored: got %t, want %t", isStored, want)
+			}
+		})
+	}
+}
+
+func TestNoConfigurationYet(t *testing.T) {
+	got := newBench(t, nil).call("POST", path, "k1", oneTask)
+	if got.Code != 503 || got.Header().Get("Retry-After") == "" {
+		t.Errorf("answer: got %d with Retry-After %q, want 503 with one", got.Code, got.Header().Get("Retry-After"))
+	}
+}
+
+func TestARepeatIsOneJob(t *testing.T) {
+	b := newBench(t, shop())
+	for range 2 {
+		if got := b.call("POST", path, "k1", oneTask).Code; got != 200 {
+			t.Errorf("status: got %d, want 200", got)
+		}
+	}
+	if got := b.fleet.told(); got != 1 {
+		t.Errorf("jobs told to the leader: got %d, want 1", got)
+	}
+}
+
+func TestStoreAway(t *testing.T) {
+	b := newBench(t, shop())
+	b.store.SetFaults(table.Faults{Down: true})
+	got := b.call("POST", path, "k1", oneTask)
+	if got.Code != 503 || got.Header().Get("Retry-After") == "" {
+		t.Errorf("answer: got %d with Retry-After %q, want 503 with one", got.Code, got.Header().Get("Retry-After"))
+	}
+	b.store.SetFaults(table.Faults{})
+	rows, err := b.store.Get(context.Background(), record.JobKey(someID))
+	if err != nil || rows[0].Version != table.Absent {
+		t.Errorf("refused job: got %v (%v), want no row", rows, err)
+	}
+}
+
+// The answer is lost and the row is there: the job is accepted, and the leader told.
+func TestLostAnswerIsSettled(t *testing.T) {
+	b := newBench(t, shop())
+	b.store.SetFaults(table.Faults{LoseAnswers: true})
+	if got := b.call("POST", path, "k1", oneTask).Code; got != 200 {
+		t.Errorf("status: got %d, want 200", got)
+	}
+	for range 100 {
+		if b.fleet.told() == 1 {
+			return
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	t.Errorf("jobs told to the leader: got %d, want 1", b.fleet.told())
+}
+
+// blind loses each answer and never performs anything.
+type blind struct{ table.Store }
+
+func (blind) Commit(context.Context, table.Txn) error { return table.ErrUnknown }
+
+func TestUnsettledIsNoRefusal(t *testing.T) {
+	b := newBench(t, shop())
+	handler := ingress.New(ingress.Config{Policy: holder{shop()}, Store: blind{b.store}, Fleet: b.fleet, Form: form{}, Journal: silent{}})
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan struct{})
+	go func() {
+		handler.Run(ctx)
+		close(ended)
+	}()
+	b.handler = handler
+	if got := b.call("POST", path, "k1", oneTask).Code; got != 504 {
+		t.Errorf("status: got %d, want 504", got)
+	}
+	cancel()
+	<-ended
+}
+
+func TestStatesWithoutALeader(t *testing.T) {
+	cases := map[string]struct {
+		progress, cancel bool
+		want             string
+	}{
+		"accepted":  {false, false, "queued"},
+		"cancelled": {false, true, "cancelled"},
+		"complete":  {true, false, "complete"},
+		"both":      {true, true, "complete"},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			b := newBench(t, shop())
+			b.fleet.away = true
+			b.call("POST", path, "k1", oneTask)
+			var writes []table.Write
+			if c.progress {
+				writes = append(writes, table.Write{Key: record.ProgressKey(someID), Value: []byte(`{"state":"complete"}`)})
+			}
+			if c.cancel {
+				writes = append(writes, table.Write{Key: record.CancelKey(someID), Value: []byte("{}")})
+			}
+			if err := b.store.Commit(context.Background(), table.Txn{Writes: writes}); err != nil {
+				t.Fatal(err)
+			}
+			got := b.call("GET", path, "k1", "")
+			if got.Code != 200 || got.Body.String() != c.want {
+				t.Errorf("answer: got %d %s, want 200 %s", got.Code, got.Body, c.want)
+			}
+		})
+	}
+}
+
+func TestCancelIsStoredFirst(t *testing.T) {
+	b := newBench(t, shop())
+	b.call("POST", path, "k1", oneTask)
+	if got := b.call("DELETE", path, "k1", "").Code; got != 200 {
+		t.Fatalf("status: got %d, want 200", got)
+	}
+	rows, err := b.store.Get(context.Background(), record.CancelKey(someID))
+	if err != nil || rows[0].Version == table.Absent {
+		t.Errorf("cancel's row: got %v (%v), want one", rows, err)
+	}
+	b.store.SetFaults(table.Faults{Down: true})
+	b.fleet.states[someID] = job.Running
+	if got := b.call("DELETE", path, "k1", "").Code; got != 504 {
+		t.Errorf("status while the store is away: got %d, want 504", got)
+	}
+}
--- /dev/null
+++ b/internal/job/job_test.go
@@ -0,0 +1,152 @@
+package job_test
+
+import (
+	"encoding/json"
+	"strings"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/lovagedyke/lovagedyke/internal/job"
+)
+
+const someID = "5c0e7a21d94b36f8"
+
+func TestIDs(t *testing.T) {
+	cases := map[string]struct {
+		id   string
+		want bool
+	}{
+		"lower case": {someID, true},
+		"upper case": {strings.ToUpper(someID), true},
+		"too short":  {someID[1:], false},
+		"too long":   {someID + "0", false},
+		"not hex":    {"5c0e7a21d94b36fg", false},
+		"empty":      {"", false},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			if got := job.ID(c.id).Valid(); got != c.want {
+				t.Errorf("valid: got %t, want %t", got, c.want)
+			}
+		})
+	}
+}
+
+func TestValidate(t *testing.T) {
+	valid := func() *job.Submission {
+		return &job.Submission{ID: someID, Steps: []job.Step{{Count: 1}, {Count: 2, After: []int{0}}}}
+	}
+	cases := map[string]struct {
+		change func(s *job.Submission)
+		want   string
+	}{
+		"valid":            {func(*job.Submission) {}, ""},
+		"ID":               {func(s *job.Submission) { s.ID = "x" }, "ID"},
+		"spec too long":    {func(s *job.Submission) { s.Spec = strings.Repeat("x", job.MaxSpec+1) }, "spec"},
+		"no steps":         {func(s *job.Submission) { s.Steps = nil }, "steps"},
+		"no tasks":         {func(s *job.Submission) { s.Steps[0].Count = 0 }, "count"},
+		"too many tasks":   {func(s *job.Submission) { s.Steps[0].Count = job.MaxTasks }, "tasks"},
+		"after itself":     {func(s *job.Submission) { s.Steps[1].After = []int{1} }, "not an earlier step"},
+		"after a later":    {func(s *job.Submission) { s.Steps[0].After = []int{1} }, "not an earlier step"},
+		"after a missing":  {func(s *job.Submission) { s.Steps[1].After = []int{-1} }, "not an earlier step"},
+		"negative memory":  {func(s *job.Submission) { s.Steps[0].Resources.Memory = -1 }, "negative"},
+		"negative times":   {func(s *job.Submission) { s.Times = -1 }, "times"},
+		"too many steps":   {func(s *job.Submission) { s.Steps = make([]job.Step, job.MaxSteps+1) }, "steps"},
+		"a spec that fits": {func(s *job.Submission) { s.Spec = strings.Repeat("x", job.MaxSpec) }, ""},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			submission := valid()
+			c.change(submission)
+			got := submission.Validate()
+			if c.want == "" && got != "" || !strings.Contains(got, c.want) {
+				t.Errorf("problem: got %q, want %q in it", got, c.want)
+			}
+		})
+	}
+}
+
+func TestChain(t *testing.T) {
+	submission := &job.Submission{Steps: []job.Step{
+		{Count: 1, Estimate: time.Second},
+		{Count: 1, Estimate: 3 * time.Second},
+		{Count: 1, Estimate: time.Second, After: []int{0}},
+	}}
+	if got, want := submission.Chain(), 3*time.Second; got != want {
+		t.Errorf("chain: got %s, want %s", got, want)
+	}
+}
+
+// Whatever ends in whatever order, a job is complete exactly when all tasks of
+// all occurrences are done, and its row says the same after a round trip.
+func TestProgressProperties(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		submission := &job.Submission{ID: someID, Times: rapid.IntRange(0, 3).Draw(t, "times")}
+		for range rapid.IntRange(1, 4).Draw(t, "steps") {
+			submission.Steps = append(submission.Steps, job.Step{Count: rapid.IntRange(1, 20).Draw(t, "count")})
+		}
+		var all []job.Task
+		for occurrence := range submission.Occurrences() {
+			for step := range submission.Steps {
+				for index := range submission.Steps[step].Count {
+					all = append(all, job.Task{Job: someID, Occurrence: occurrence, Step: step, Index: index})
+				}
+			}
+		}
+		progress := job.NewProgress()
+		ended := rapid.Permutation(all).Draw(t, "order")
+		for i, task := range ended {
+			if got := progress.AllDone(submission); got {
+				t.Fatalf("complete after %d of %d tasks", i, len(ended))
+			}
+			if !progress.MarkDone(task) {
+				t.Fatalf("end of %v: got old, want news", task)
+			}
+			if progress.MarkDone(task) {
+				t.Fatalf("same end of %v again: got news, want old", task)
+			}
+		}
+		encoded, err := json.Marshal(progress)
+		if err != nil {
+			t.Fatal(err)
+		}
+		read := job.NewProgress()
+		if err := json.Unmarshal(encoded, read); err != nil {
+			t.Fatal(err)
+		}
+		if !read.AllDone(submission) {
+			t.Fatalf("after a round trip: got not complete, want complete")
+		}
+	})
+}
+
+func TestFailedRunsAreCountedOnce(t *testing.T) {
+	progress := job.NewProgress()
+	task := job.Task{Job: someID}
+	if got, news := progress.MarkFailed(task, 1); got != 1 || !news {
+		t.Errorf("first: got %d (%t), want 1 and news", got, news)
+	}
+	if got, news := progress.MarkFailed(task, 1); got != 1 || news {
+		t.Errorf("again: got %d (%t), want 1 and no news", got, news)
+	}
+	if got, news := progress.MarkFailed(task, 2); got != 2 || !news {
+		t.Errorf("second: got %d (%t), want 2 and news", got, news)
+	}
+}
+
+func FuzzRows(f *testing.F) {
+	f.Add([]byte(`{"state":"running","steps":[{"occurrence":0,"step":1,"done":"AQ==","done-count":1}]}`))
+	f.Add([]byte(`{"id":"5c0e7a21d94b36f8","steps":[{"count":2,"after":[0]}]}`))
+	f.Add([]byte(`{"steps":[{"step":-1}]}`))
+	f.Fuzz(func(_ *testing.T, data []byte) {
+		progress := job.NewProgress()
+		if err := json.Unmarshal(data, progress); err == nil {
+			progress.IsDone(job.Task{Index: 1 << 20})
+		}
+		if submission, err := job.DecodeSubmission(data); err == nil {
+			submission.Chain()
+		}
+	})
+}
