--- a/internal/fleet/machines_test.go
+++ b/internal/fleet/machines_test.go
@@ -73,6 +73,22 @@
 	}
 }
 
+// A step that bounds its tasks on one host needs machines that its size alone does not.
+func TestSpreadStepsBringMachines(t *testing.T) {
+	w := newWorld(t, worldConfig{})
+	machines := pools()
+	for n := range 6 {
+		machines = append(machines, spareMachine(n))
+	}
+	w.listMachines(machines...)
+	step := lasting(7, 1)
+	step.MaxPerHost = 1
+	w.accept(submission(1, step))
+	if got, want := len(w.step().Moves), 4; got != want {
+		t.Errorf("moves: got %d, want %d", got, want)
+	}
+}
+
 func TestIdleMachinesAreGivenBack(t *testing.T) {
 	w := newWorld(t, worldConfig{})
 	machines := pools()
--- a/internal/fleet/move.go
+++ b/internal/fleet/move.go
@@ -119,7 +119,7 @@
 		if pool.Spare {
 			continue
 		}
-		need := &poolNeed{pool: name, need: max(poolLeast, machinesFor(l.expected(name, pools[name], now), size))}
+		need := &poolNeed{pool: name, need: max(poolLeast, spread(pools[name]), machinesFor(l.expected(name, pools[name], now), size))}
 		for _, m := range l.machines.byID {
 			if m.listed && l.headsFor(m, name, now) {
 				need.have++
@@ -174,6 +174,20 @@
 	return count
 }
 
+// spread is how many machines the steps need that bound their tasks on one host.
+func spread(jobs []*jobState) int {
+	most := 0
+	for _, j := range jobs {
+		for _, step := range j.steps {
+			if each := step.step.MaxPerHost; each > 0 {
+				count := len(step.pending) + j.activeOf(step.key)
+				most = max(most, (count+each-1)/each)
+			}
+		}
+	}
+	return most
+}
+
 // expected is what a pool's tasks take now or, if that is more, soon: work that
 // has just begun to arrive faster has not yet opened its later steps.
 func (l *Leader) expected(pool string, jobs []*jobState, now time.Time) policy.Resources {
