Let jobs beyond a client account's share go last

Pattern: one account floods. An account's weight is its share in jobs a second; what comes beyond runs when the others of its priority have what they need.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -77,6 +77,8 @@
 	earlyCancels map[job.ID]time.Time
 	// lookups holds jobs that hosts know and we do not.
 	lookups map[job.ID]lookup
+	// shares holds what each client account may still hand in within its share.
+	shares map[string]*shareState
 	// inUse is what each client account has running over all pools.
 	inUse map[string]policy.Resources
 	// confirmedAt is when the store, or most other processes, last showed that no
@@ -93,8 +95,8 @@
 		config: config, confirmedAt: config.Now, policy: policy.New(policy.Config{}),
 		hosts: map[HostID]*host{}, jobs: map[job.ID]*jobState{}, inUse: map[string]policy.Resources{},
 		earlyCancels: map[job.ID]time.Time{},
-		lookups:      map[job.ID]lookup{},
-		machines:     newMachines(), rhythms: map[string]*rhythm{}, ledger: newLedger(),
+		lookups:      map[job.ID]lookup{}, shares: map[string]*shareState{},
+		machines: newMachines(), rhythms: map[string]*rhythm{}, ledger: newLedger(),
 	}
 	return leader
 }
--- a/internal/fleet/jobstate.go
+++ b/internal/fleet/jobstate.go
@@ -17,6 +17,9 @@
 	cancelled bool
 	// inherited jobs were accepted before the leader took over.
 	inherited bool
+	// excess jobs came beyond their client account's share: they run when all
+	// others of their priority have what they need.
+	excess bool
 	// begun is true once a task was started.
 	begun bool
 	// due is the next occurrence that has not been opened.
@@ -168,6 +171,7 @@
 	j := newJobState(submission)
 	l.jobs[submission.ID] = j
 	delete(l.lookups, submission.ID)
+	j.excess = !l.withinShare(submission.Account, now)
 	l.rhythmOf(l.poolOf(j)).arrived(j, now)
 	if _, ok := l.earlyCancels[submission.ID]; ok {
 		delete(l.earlyCancels, submission.ID)
--- a/internal/fleet/leader_test.go
+++ b/internal/fleet/leader_test.go
@@ -609,6 +609,35 @@
 	}
 }
 
+// Pattern: one-account-floods. The flood came first, and the other account's
+// job goes first once the flood is beyond its share.
+func TestShareOfAClientAccount(t *testing.T) {
+	config := defaultPolicy()
+	config.Accounts = []policy.Account{{Name: "hot", Weight: 2}, {Name: "calm", Weight: 2}}
+	w := newWorld(t, worldConfig{policy: config})
+	for n := range 10 {
+		flood := submission(n+1, tasks(8))
+		flood.Account = "hot"
+		w.accept(flood)
+	}
+	calm := submission(20, tasks(8))
+	calm.Account = "calm"
+	calm.Accepted = calm.Accepted.Add(100 * time.Millisecond)
+	w.accept(calm)
+	w.host("a")
+	w.host("b")
+	counts := map[job.ID]int{}
+	for _, start := range w.step().Starts {
+		counts[start.Task.Job]++
+	}
+	if got := counts[idOf(20)]; got != 8 {
+		t.Errorf("starts of the calm account: got %d, want 8", got)
+	}
+	if len(counts) != 4 {
+		t.Errorf("jobs begun: got %d, want 4: three of the flood within its share, and the calm one", len(counts))
+	}
+}
+
 func TestPlacementBounds(t *testing.T) {
 	limited, labelled, huge, filler := tasks(6), tasks(2), tasks(1), tasks(1)
 	limited.MaxPerHost = 2
--- a/internal/fleet/rank.go
+++ b/internal/fleet/rank.go
@@ -27,7 +27,9 @@
 type rank struct {
 	priority int
 	lasting  bool
-	hope     hope
+	// excess jobs came beyond their client account's share.
+	excess bool
+	hope   hope
 	// latest is when the step has to start for the job to be in time.
 	latest time.Time
 	id     job.ID
@@ -44,15 +46,28 @@
 	}
 	return cmp.Or(
 		cmp.Compare(r.priority, other.priority),
+		compareBool(r.excess, other.excess),
 		cmp.Compare(r.hope, other.hope),
 		r.latest.Compare(other.latest),
 		cmp.Compare(r.id, other.id),
 	)
 }
 
+// compareBool puts false before true.
+func compareBool(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case b:
+		return -1
+	default:
+		return 1
+	}
+}
+
 // rankOf returns a step's rank now.
 func (l *Leader) rankOf(j *jobState, step *stepState, now time.Time) rank {
-	out := rank{priority: j.submission.Priority, lasting: step.step.Lasting, id: j.submission.ID}
+	out := rank{priority: j.submission.Priority, lasting: step.step.Lasting, excess: j.excess, id: j.submission.ID}
 	queue, ok := l.policy.Queues[j.submission.Queue]
 	stretch, target := j.submission.Stretch, j.submission.Target
 	if ok {
