--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -12,28 +12,28 @@
 	"github.com/lovagedyke/lovagedyke/internal/table"
 )
 
-// Hosts gives orders to hosts.
-type Hosts interface {
-	Start(ctx context.Context, to fleet.HostAddress, token uint64, start fleet.Start) fleet.Reply
-	Stop(ctx context.Context, to fleet.HostAddress, token uint64, stop fleet.Stop) fleet.Reply
-	Pace(ctx context.Context, to fleet.HostAddress, token uint64, pace fleet.Pace) fleet.Reply
-	Look(ctx context.Context, to fleet.HostAddress, token uint64, hold fleet.Hold) (fleet.Look, fleet.Reply)
+// Endpoints gives orders to endpoints.
+type Endpoints interface {
+	Start(ctx context.Context, to fleet.EndpointAddress, token uint64, start fleet.Start) fleet.Reply
+	Stop(ctx context.Context, to fleet.EndpointAddress, token uint64, stop fleet.Stop) fleet.Reply
+	Pace(ctx context.Context, to fleet.EndpointAddress, token uint64, pace fleet.Pace) fleet.Reply
+	Look(ctx context.Context, to fleet.EndpointAddress, token uint64, hold fleet.Hold) (fleet.Look, fleet.Reply)
 }
 
-// HostList is the platform's list of hosts.
-type HostList interface {
-	All(ctx context.Context) (hosts []fleet.HostRow, version uint64, err error)
-	Changes(ctx context.Context, after uint64, wait time.Duration) (listed []fleet.HostRow, gone []fleet.HostID, next uint64, err error)
+// EndpointList is the platform's list of endpoints.
+type EndpointList interface {
+	All(ctx context.Context) (endpoints []fleet.EndpointRow, version uint64, err error)
+	Changes(ctx context.Context, after uint64, wait time.Duration) (listed []fleet.EndpointRow, gone []fleet.EndpointID, next uint64, err error)
 }
 
-// Machines is the platform's machine interface.
-type Machines interface {
-	List(ctx context.Context) ([]fleet.Machine, error)
-	Move(ctx context.Context, token uint64, machine fleet.MachineID, pool string) fleet.ChangeOutcome
-	Upkeep(ctx context.Context, token uint64, machine fleet.MachineID, wave int64) fleet.ChangeOutcome
+// Hosts is the platform's host interface.
+type Hosts interface {
+	List(ctx context.Context) ([]fleet.Host, error)
+	Move(ctx context.Context, token uint64, host fleet.HostID, pool string) fleet.ChangeOutcome
+	Upkeep(ctx context.Context, token uint64, host fleet.HostID, wave int64) fleet.ChangeOutcome
 }
 
-// Advice names the hosts that may run a step.
+// Advice names the endpoints that may run a step.
 type Advice interface {
 	Ask(ctx context.Context, ask fleet.Ask) (fleet.Granted, error)
 }
@@ -57,11 +57,11 @@
 
 // Config is what a Control is built from.
 type Config struct {
-	Store    table.Store
-	Feed     Feed
-	Hosts    Hosts
-	HostList HostList
-	Machines Machines
+	Store        table.Store
+	Feed         Feed
+	Endpoints    Endpoints
+	EndpointList EndpointList
+	Hosts        Hosts
 	// Advice may be nil.
 	Advice     Advice
 	WaveStatus WaveStatus
@@ -195,7 +195,7 @@
 	return r.leader.StateOf(id)
 }
 
-// Largest returns the most that one machine has of each resource, or zeros
+// Largest returns the most that one host has of each resource, or zeros
 // while this process does not lead.
 func (c *Control) Largest() policy.Resources {
 	r := c.current()
--- a/internal/control/feeds.go
+++ b/internal/control/feeds.go
@@ -13,11 +13,11 @@
 )
 
 const (
-	// hostFeedPause is the time between two answers of the hosts' feed: each host
+	// endpointFeedPause is the time between two answers of the endpoints' feed: each endpoint
 	// writes every second or two, and each answer is charged.
-	hostFeedPause = 400 * time.Millisecond
-	// hostFeedQuick is the same while a machine is about to be back.
-	hostFeedQuick = 60 * time.Millisecond
+	endpointFeedPause = 400 * time.Millisecond
+	// endpointFeedQuick is the same while a host is about to be back.
+	endpointFeedQuick = 60 * time.Millisecond
 	// rowFeedPause is the same for jobs, which their ingress tells us of directly.
 	rowFeedPause = 700 * time.Millisecond
 	// feedWait is how long the store may wait for a change.
@@ -31,26 +31,26 @@
 	return number, err == nil
 }
 
-// hostFeed follows the platform's list of hosts.
-func (r *reign) hostFeed(ctx context.Context) {
+// endpointFeed follows the platform's list of endpoints.
+func (r *reign) endpointFeed(ctx context.Context) {
 	version, known := uint64(0), false
 	for ctx.Err() == nil {
 		var err error
 		if known {
-			version, err = r.followHosts(ctx, version)
+			version, err = r.followEndpoints(ctx, version)
 		} else {
-			version, err = r.listHosts(ctx)
+			version, err = r.listEndpoints(ctx)
 		}
 		r.config.StoreAnswered(err)
 		known = err == nil || known && !errors.Is(err, table.ErrHistoryLost)
-		pause := hostFeedPause
+		pause := endpointFeedPause
 		r.locked(func() {
-			if r.leader.MachinesChanging(time.Now()) {
-				pause = hostFeedQuick
+			if r.leader.HostsChanging(time.Now()) {
+				pause = endpointFeedQuick
 			}
 		})
 		if err != nil {
-			r.config.Journal.Note("host list not read", "version", version, "error", err.Error())
+			r.config.Journal.Note("endpoint list not read", "version", version, "error", err.Error())
 			pause = feedRetry
 		}
 		if !sleep(ctx, pause) {
@@ -59,22 +59,22 @@
 	}
 }
 
-// listHosts reads the whole list.
-func (r *reign) listHosts(ctx context.Context) (uint64, error) {
-	hosts, version, err := r.config.HostList.All(ctx)
+// listEndpoints reads the whole list.
+func (r *reign) listEndpoints(ctx context.Context) (uint64, error) {
+	endpoints, version, err := r.config.EndpointList.All(ctx)
 	if err != nil {
 		return 0, err
 	}
 	now := time.Now()
 	r.locked(func() {
-		listed := map[fleet.HostID]bool{}
-		for _, host := range hosts {
-			listed[host.ID] = true
-			r.leader.HostListed(host, now)
+		listed := map[fleet.EndpointID]bool{}
+		for _, endpoint := range endpoints {
+			listed[endpoint.ID] = true
+			r.leader.EndpointListed(endpoint, now)
 		}
-		for _, id := range r.leader.HostIDs() {
+		for _, id := range r.leader.EndpointIDs() {
 			if !listed[id] {
-				r.leader.HostUnlisted(id, now)
+				r.leader.EndpointUnlisted(id, now)
 			}
 		}
 	})
@@ -82,19 +82,19 @@
 	return version, nil
 }
 
-// followHosts reads what has changed.
-func (r *reign) followHosts(ctx context.Context, after uint64) (uint64, error) {
-	listed, gone, next, err := r.config.HostList.Changes(ctx, after, feedWait)
+// followEndpoints reads what has changed.
+func (r *reign) followEndpoints(ctx context.Context, after uint64) (uint64, error) {
+	listed, gone, next, err := r.config.EndpointList.Changes(ctx, after, feedWait)
 	if err != nil {
 		return after, err
 	}
 	now := time.Now()
 	r.locked(func() {
-		for _, host := range listed {
-			r.leader.HostListed(host, now)
+		for _, endpoint := range listed {
+			r.leader.EndpointListed(endpoint, now)
 		}
 		for _, id := range gone {
-			r.leader.HostUnlisted(id, now)
+			r.leader.EndpointUnlisted(id, now)
 		}
 	})
 	r.kick()
--- a/internal/control/hosts.go
+++ b/internal/control/hosts.go
@@ -5,218 +5,191 @@
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
+	"github.com/sourcegraph/conc/pool"
 
 	"github.com/lovagedyke/lovagedyke/internal/fleet"
+	"github.com/lovagedyke/lovagedyke/internal/record"
+	"github.com/lovagedyke/lovagedyke/internal/table"
 )
 
 const (
-	// orderSenders is how many orders are under way to one host at a time.
-	orderSenders = 3
-	// pendingOrders is how many orders wait for one host.
-	pendingOrders = 256
-	// lookPause is the time before a host is asked again that did not answer.
-	lookPause = 150 * time.Millisecond
-	// idlePause is the longest time between two checks whether a look is due.
-	idlePause = 500 * time.Millisecond
-	// endsPause gathers ends: a host with many short tasks would answer each one alone.
-	endsPause = 15 * time.Millisecond
+	// hostOrders is how many changes of hosts wait; the platform takes some 60 a second.
+	hostOrders = 128
+	// changesAtOnce is how many changes are announced in one transaction, and
+	// hostCallers how many are under way at a time.
+	changesAtOnce = 40
+	hostCallers   = 6
+	// pendingAsks is how many questions wait for the advice service.
+	pendingAsks = 64
+	// adviceCallers is how many questions are under way: the service answers one
+	// at a time for each host, and refuses beyond 32 waiting ones.
+	adviceCallers = 4
+	// hostsSlow and hostsQuick are the times between two readings of the
+	// hosts, without and with changes under way.
+	hostsSlow  = 4 * time.Second
+	hostsQuick = 300 * time.Millisecond
 )
 
-// order is one order to a host; one field is set.
-type order struct {
-	start *fleet.Start
-	stop  *fleet.Stop
-	pace  *fleet.Pace
+// hostOrder is a change of a host; one field is set.
+type hostOrder struct {
+	move   *fleet.Move
+	upkeep *fleet.Upkeep
 }
 
-// hostWorker speaks with one host.
-type hostWorker struct {
-	reign  *reign
-	id     fleet.HostID
-	orders chan order
-	wake   chan struct{}
-	// ctx ends when the host is forgotten.
-	ctx    context.Context
-	cancel context.CancelFunc
-}
-
-// syncWorkers starts workers for new hosts and ends those of forgotten ones;
-// r.mu is held.
-func (r *reign) syncWorkers() {
-	known := map[fleet.HostID]bool{}
-	for _, id := range r.leader.HostIDs() {
-		known[id] = true
-		if r.hosts[id] == nil {
-			r.startWorker(id)
-		}
-	}
-	for id, worker := range r.hosts {
-		if !known[id] {
-			worker.cancel()
-			delete(r.hosts, id)
-		}
+// host is the host that is changed.
+func (o hostOrder) host() fleet.HostID {
+	if o.move != nil {
+		return o.move.Host
 	}
+	return o.upkeep.Host
 }
 
-// startWorker starts the loops for one host.
-func (r *reign) startWorker(id fleet.HostID) {
-	ctx, cancel := context.WithCancel(r.ctx)
-	worker := &hostWorker{reign: r, id: id, ctx: ctx, orders: make(chan order, pendingOrders), wake: make(chan struct{}, 1), cancel: cancel}
-	r.hosts[id] = worker
-	r.group.Go(func(groupCtx context.Context) { worker.run(groupCtx, worker.lookLoop) })
-	for range orderSenders {
-		r.group.Go(func(groupCtx context.Context) { worker.run(groupCtx, worker.orderLoop) })
+// sendHost queues a change; r.mu is held.
+func (r *reign) sendHost(next hostOrder) {
+	select {
+	case r.orders <- next:
+	default:
+		r.hostAnswered(next, fleet.ChangeRefused)
 	}
 }
 
-// run runs a loop until the host is forgotten, the leadership ends, or another
-// loop of the group has found a broken invariant.
-func (w *hostWorker) run(groupCtx context.Context, loop func(ctx context.Context)) {
-	ctx, cancel := context.WithCancel(groupCtx)
-	defer cancel()
-	defer context.AfterFunc(w.ctx, cancel)()
-	loop(ctx)
-}
-
-// send queues an order; r.mu is held. An order without a place in the queue
-// was not sent.
-func (r *reign) send(worker *hostWorker, next order) {
-	if worker != nil {
-		select {
-		case worker.orders <- next:
-			signal(worker.wake)
-			return
-		default:
-		}
-	}
-	if next.start != nil {
-		r.leader.StartAnswered(*next.start, fleet.Reply{Outcome: fleet.OrderUnsent}, time.Now())
+// sendAsk queues a question; r.mu is held.
+func (r *reign) sendAsk(ask fleet.Ask) {
+	select {
+	case r.asks <- ask:
+	default:
+		r.leader.Advised(ask, fleet.Granted{}, false, time.Now())
 	}
 }
 
-// wakeHosts lets the workers look whether ends can be acknowledged.
-func (r *reign) wakeHosts() {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	for _, worker := range r.hosts {
-		signal(worker.wake)
+// hostAnswered reports an outcome; r.mu is held.
+func (r *reign) hostAnswered(done hostOrder, outcome fleet.ChangeOutcome) {
+	now := time.Now()
+	if done.move != nil {
+		r.leader.MoveAnswered(*done.move, outcome, now)
+		return
 	}
+	r.leader.UpkeepAnswered(*done.upkeep, outcome, now)
 }
 
-// address returns where the host is.
-func (w *hostWorker) address() (fleet.HostAddress, bool) {
-	w.reign.mu.Lock()
-	defer w.reign.mu.Unlock()
-	return w.reign.leader.AddressOf(w.id)
-}
-
-// orderLoop sends orders one after the other.
-func (w *hostWorker) orderLoop(ctx context.Context) {
+// hostLoop sends changes, after it has written which hosts they are for:
+// a leader that comes after this one has to know.
+func (r *reign) hostLoop(ctx context.Context) {
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case next := <-w.orders:
-			w.carryOut(ctx, next)
+		case first := <-r.orders:
+			r.changeHosts(ctx, r.gatherChanges(first))
 		}
 	}
 }
 
-// carryOut sends an order and reports its outcome.
-func (w *hostWorker) carryOut(ctx context.Context, next order) {
-	r := w.reign
-	to, ok := w.address()
-	reply := fleet.Reply{Outcome: fleet.OrderUnsent}
-	kind := "pace"
-	isOurs := true
-	switch {
-	case next.start != nil:
-		kind = "start"
-		if ok {
-			reply = r.config.Hosts.Start(ctx, to, r.claim.Token, *next.start)
-		}
-		r.locked(func() {
-			isOurs = r.leader.StartAnswered(*next.start, reply, time.Now())
-		})
-	case next.stop != nil:
-		kind = "stop"
-		if ok {
-			reply = r.config.Hosts.Stop(ctx, to, r.claim.Token, *next.stop)
+// gatherChanges takes what waits, up to one transaction's size.
+func (r *reign) gatherChanges(first hostOrder) []hostOrder {
+	changes := []hostOrder{first}
+	for len(changes) < changesAtOnce {
+		select {
+		case next := <-r.orders:
+			changes = append(changes, next)
+		default:
+			return changes
 		}
+	}
+	return changes
+}
+
+// changeHosts writes the intents and carries out the changes.
+func (r *reign) changeHosts(ctx context.Context, changes []hostOrder) {
+	txn := table.Txn{Conditions: []table.Condition{{Key: record.ClaimKey, Version: r.version}}}
+	for _, next := range changes {
+		row := record.Change{At: time.Now().Round(0)}
+		txn.Writes = append(txn.Writes, table.Write{Key: record.ChangeKey(string(next.host())), Value: record.Encode(row)})
+	}
+	if !r.commit(ctx, txn, false) {
 		r.locked(func() {
-			isOurs = r.leader.StopAnswered(*next.stop, reply, time.Now())
+			for _, next := range changes {
+				r.hostAnswered(next, fleet.ChangeRefused)
+			}
 		})
-	default:
-		if ok {
-			reply = r.config.Hosts.Pace(ctx, to, r.claim.Token, *next.pace)
-		}
+		return
 	}
-	metrics.GetOrCreateCounter(`orders_total{kind="` + kind + `",outcome="` + string(reply.Outcome) + `"}`).Inc()
-	if !isOurs {
-		r.config.Lost(r.claim.Token, "a host knows a later leader")
+	callers := pool.New().WithMaxGoroutines(hostCallers)
+	for _, next := range changes {
+		callers.Go(func() { r.changeHost(ctx, next) })
 	}
-	if reply.Outcome != fleet.OrderTaken {
-		signal(w.wake)
-		r.kick()
+	callers.Wait()
+}
+
+func (r *reign) changeHost(ctx context.Context, next hostOrder) {
+	kind := "upkeep"
+	var outcome fleet.ChangeOutcome
+	if next.move != nil {
+		kind = "move"
+		outcome = r.config.Hosts.Move(ctx, r.claim.Token, next.move.Host, next.move.Pool)
+	} else {
+		outcome = r.config.Hosts.Upkeep(ctx, r.claim.Token, next.upkeep.Host, next.upkeep.Wave)
+	}
+	metrics.GetOrCreateCounter(`host_changes_total{kind="` + kind + `",outcome="` + string(outcome) + `"}`).Inc()
+	r.locked(func() {
+		r.hostAnswered(next, outcome)
+	})
+	if outcome == fleet.ChangeFenced {
+		r.config.Lost(r.claim.Token, "the host interface knows a later leader")
 	}
+	r.kick()
 }
 
-// lookLoop looks at the host whenever the leader wants it.
-func (w *hostWorker) lookLoop(ctx context.Context) {
+// hostFeed reads the hosts, more often while changes are under way.
+func (r *reign) hostFeed(ctx context.Context) {
 	for ctx.Err() == nil {
-		var hold fleet.Hold
-		due := false
-		w.reign.locked(func() {
-			hold, due = w.reign.leader.NextLook(w.id, time.Now())
+		sentAt := time.Now()
+		list, err := r.config.Hosts.List(ctx)
+		now := time.Now()
+		isBusy := false
+		r.locked(func() {
+			if err == nil {
+				r.leader.HostsListed(list, sentAt, now)
+			}
+			isBusy = r.leader.WantsHosts(now) || err != nil
 		})
-		if !due {
-			w.rest(ctx, idlePause)
-			continue
+		if err != nil {
+			r.config.Journal.Note("hosts not read", "error", err.Error())
+		} else {
+			r.kick()
 		}
-		if !w.look(ctx, hold) {
-			sleep(ctx, lookPause)
+		for waited := time.Duration(0); waited < hostsSlow; waited += hostsQuick {
+			if !sleep(ctx, hostsQuick) {
+				return
+			}
+			r.locked(func() {
+				isBusy = isBusy || r.leader.WantsHosts(time.Now())
+			})
+			if isBusy {
+				break
+			}
 		}
 	}
 }
 
-// rest waits until something has changed, or for a while.
-func (w *hostWorker) rest(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-w.wake:
-	case <-timer.C:
-	}
-}
-
-// look makes one look. It reports whether the host answered.
-func (w *hostWorker) look(ctx context.Context, hold fleet.Hold) bool {
-	r := w.reign
-	to, ok := w.address()
-	if !ok {
-		return false
-	}
-	sentAt := time.Now()
-	look, reply := r.config.Hosts.Look(ctx, to, r.claim.Token, hold)
-	if ctx.Err() != nil {
-		return false
-	}
-	now := time.Now()
-	metrics.GetOrCreateCounter(`orders_total{kind="look",outcome="` + string(reply.Outcome) + `"}`).Inc()
-	r.locked(func() {
-		if reply.Outcome == fleet.OrderTaken {
-			r.leader.Looked(w.id, hold, sentAt, look, now)
-		} else {
-			r.leader.LookFailed(w.id, reply, now)
+// adviceLoop asks the advice service.
+func (r *reign) adviceLoop(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case ask := <-r.asks:
+			asking, cancel := context.WithTimeout(ctx, adviceTimeout)
+			granted, err := r.config.Advice.Ask(asking, ask)
+			cancel()
+			r.locked(func() {
+				r.leader.Advised(ask, granted, err == nil, time.Now())
+			})
+			r.kick()
 		}
-	})
-	r.kick()
-	if reply.Outcome == fleet.OrderFenced {
-		r.config.Lost(r.claim.Token, "a host knows a later leader")
-	}
-	if len(look.Ended) > 0 {
-		sleep(ctx, endsPause)
 	}
-	return reply.Outcome == fleet.OrderTaken
 }
+
+// adviceTimeout bounds a question; it takes what the queue's advice says for
+// each endpoint, after the questions before it.
+const adviceTimeout = 10 * time.Second
--- a/internal/control/reign.go
+++ b/internal/control/reign.go
@@ -50,13 +50,13 @@
 	version uint64
 	group   *loops.Group
 
-	mu     sync.Mutex
-	leader *fleet.Leader
-	loaded bool
-	hosts  map[fleet.HostID]*hostWorker
+	mu        sync.Mutex
+	leader    *fleet.Leader
+	loaded    bool
+	endpoints map[fleet.EndpointID]*endpointWorker
 	// kicks wakes the step loop, dirty the batch loop.
 	kicks, dirty chan struct{}
-	orders       chan machineOrder
+	orders       chan hostOrder
 	asks         chan fleet.Ask
 	lookups      chan job.ID
 }
@@ -67,9 +67,9 @@
 		leader: fleet.New(fleet.Config{
 			Token: claim.Token, Now: time.Now(), Bounds: c.config.Bounds, Journal: c.config.Journal,
 		}),
-		hosts: map[fleet.HostID]*hostWorker{},
-		kicks: make(chan struct{}, 1), dirty: make(chan struct{}, 1),
-		orders: make(chan machineOrder, machineOrders), asks: make(chan fleet.Ask, pendingAsks),
+		endpoints: map[fleet.EndpointID]*endpointWorker{},
+		kicks:     make(chan struct{}, 1), dirty: make(chan struct{}, 1),
+		orders: make(chan hostOrder, hostOrders), asks: make(chan fleet.Ask, pendingAsks),
 		lookups: make(chan job.ID, pendingLookups),
 	}
 }
@@ -80,13 +80,13 @@
 		return
 	}
 	r.group = loops.New(r.ctx)
-	r.group.Go(r.hostFeed)
+	r.group.Go(r.endpointFeed)
 	r.group.Go(func(ctx context.Context) { r.rowFeed(ctx, record.JobTable, r.jobRow) })
 	r.group.Go(func(ctx context.Context) { r.rowFeed(ctx, record.CancelTable, r.cancelRow) })
 	r.group.Go(r.batchLoop)
 	r.group.Go(r.stepLoop)
-	r.group.Go(r.machineFeed)
-	r.group.Go(r.machineLoop)
+	r.group.Go(r.hostFeed)
+	r.group.Go(r.hostLoop)
 	r.group.Go(r.forgetLoop)
 	for range lookupReaders {
 		r.group.Go(r.lookupLoop)
@@ -167,8 +167,8 @@
 	for number, wave := range rows.waves {
 		r.leader.WaveLoaded(number, wave.Done, wave.Complete)
 	}
-	for machine, change := range rows.changes {
-		r.leader.ChangeLoaded(machine, change.At, now.Round(0), now)
+	for host, change := range rows.changes {
+		r.leader.ChangeLoaded(host, change.At, now.Round(0), now)
 	}
 	r.leader.Load(rows.jobs, now, now)
 	r.loaded = true
@@ -184,10 +184,10 @@
 type loadedRows struct {
 	jobs    []fleet.Stored
 	waves   map[int64]record.Wave
-	changes map[fleet.MachineID]record.Change
+	changes map[fleet.HostID]record.Change
 }
 
-// readRows reads jobs, cancels, progress, waves and changes of machines.
+// readRows reads jobs, cancels, progress, waves and changes of hosts.
 func (r *reign) readRows() (loadedRows, error) {
 	cancelled := map[job.ID]bool{}
 	stored := map[job.ID]*fleet.Stored{}
@@ -215,13 +215,13 @@
 	return out, err
 }
 
-// readChanges reads when each machine was last about to be changed.
-func (r *reign) readChanges() (map[fleet.MachineID]record.Change, error) {
+// readChanges reads when each host was last about to be changed.
+func (r *reign) readChanges() (map[fleet.HostID]record.Change, error) {
 	rows, err := r.config.Store.Scan(r.ctx, record.ChangePrefix)
 	if err != nil {
 		return nil, err
 	}
-	changes := map[fleet.MachineID]record.Change{}
+	changes := map[fleet.HostID]record.Change{}
 	for _, row := range rows {
 		change, err := record.Decode[record.Change](row.Value)
 		if err != nil {
@@ -229,7 +229,7 @@
 			// As if it had been just now.
 			change.At = time.Now().Round(0)
 		}
-		changes[fleet.MachineID(record.IDOf(row.Key))] = change
+		changes[fleet.HostID(record.IDOf(row.Key))] = change
 	}
 	return changes, nil
 }
@@ -288,7 +288,7 @@
 	return waves, nil
 }
 
-// lookupLoop reads the rows of jobs that hosts know and the leader does not.
+// lookupLoop reads the rows of jobs that endpoints know and the leader does not.
 func (r *reign) lookupLoop(ctx context.Context) {
 	for {
 		select {
@@ -405,15 +405,15 @@
 // sendAll queues orders; r.mu is held.
 func (r *reign) sendAll(orders fleet.Orders) {
 	r.syncWorkers()
-	workers := r.hosts
+	workers := r.endpoints
 	for _, start := range orders.Starts {
-		r.send(workers[start.Host], order{start: &start})
+		r.send(workers[start.Endpoint], order{start: &start})
 	}
 	for _, stop := range orders.Stops {
-		r.send(workers[stop.Host], order{stop: &stop})
+		r.send(workers[stop.Endpoint], order{stop: &stop})
 	}
 	for _, pace := range orders.Paces {
-		r.send(workers[pace.Host], order{pace: &pace})
+		r.send(workers[pace.Endpoint], order{pace: &pace})
 	}
 	for _, id := range orders.Lookups {
 		select {
@@ -426,10 +426,10 @@
 		r.sendAsk(ask)
 	}
 	for _, move := range orders.Moves {
-		r.sendMachine(machineOrder{move: &move})
+		r.sendHost(hostOrder{move: &move})
 	}
 	for _, upkeep := range orders.Upkeeps {
-		r.sendMachine(machineOrder{upkeep: &upkeep})
+		r.sendHost(hostOrder{upkeep: &upkeep})
 	}
 }
 
@@ -486,7 +486,7 @@
 	r.tellWaves(ctx, waves)
 	if hasNews {
 		r.locked(func() { r.leader.BatchWritten(batch, time.Now()) })
-		r.wakeHosts()
+		r.wakeEndpoints()
 		r.kick()
 	}
 	return true
--- a/internal/fleet/advice.go
+++ b/internal/fleet/advice.go
@@ -7,8 +7,8 @@
 )
 
 const (
-	// adviceHosts is how many hosts one question names at most (the platform's page of calls).
-	adviceHosts = 100
+	// adviceEndpoints is how many endpoints one question names at most (the platform's page of calls).
+	adviceEndpoints = 100
 	// adviceAgain is how long an unanswered question stands before it is asked again.
 	adviceAgain = 2 * time.Second
 	// ticketMargin is how long before its end a ticket is not used any more.
@@ -17,7 +17,7 @@
 
 // hasTickets reports whether a step may start as far as advice goes; it asks
 // for advice that is missing.
-func (l *Leader) hasTickets(g group, rooms []*hostRoom, orders *Orders, now time.Time) bool {
+func (l *Leader) hasTickets(g group, rooms []*endpointRoom, orders *Orders, now time.Time) bool {
 	queue, ok := l.policy.Queues[g.job.submission.Queue]
 	if !ok || queue.Advice == nil {
 		return true
@@ -30,14 +30,14 @@
 	}
 	ask := Ask{Job: g.job.submission.ID, Step: g.step.key}
 	for _, room := range rooms {
-		if len(ask.Hosts) == adviceHosts {
+		if len(ask.Endpoints) == adviceEndpoints {
 			break
 		}
-		if room.host.hasLabel(g.step.step.Requires) {
-			ask.Hosts = append(ask.Hosts, room.host.row.ID)
+		if room.endpoint.hasLabel(g.step.step.Requires) {
+			ask.Endpoints = append(ask.Endpoints, room.endpoint.row.ID)
 		}
 	}
-	if len(ask.Hosts) == 0 {
+	if len(ask.Endpoints) == 0 {
 		return false
 	}
 	g.step.asked, g.step.askedAt = true, now
@@ -53,9 +53,9 @@
 		return
 	}
 	step := j.steps[ask.Step]
-	l.note("advice", "job", ask.Job, "step", ask.Step.Step, "asked-for", len(ask.Hosts), "granted", len(granted.Tickets), "answered", ok)
+	l.note("advice", "job", ask.Job, "step", ask.Step.Step, "asked-for", len(ask.Endpoints), "granted", len(granted.Tickets), "answered", ok)
 	if !ok || len(granted.Tickets) == 0 {
-		// Ask again after a pause; the answer for a host does not change, but the hosts do.
+		// Ask again after a pause; the answer for an endpoint does not change, but the endpoints do.
 		step.askedAt = now.Add(-adviceAgain / 2)
 		return
 	}
--- a/internal/fleet/dump.go
+++ b/internal/fleet/dump.go
@@ -10,15 +10,15 @@
 
 // Dump is the leader's state for operators.
 type Dump struct {
-	Token uint64     `json:"token"`
-	Hosts []HostDump `json:"hosts"`
-	Jobs  []JobDump  `json:"jobs"`
-	Waves []WaveNews `json:"waves,omitempty"`
+	Token     uint64         `json:"token"`
+	Endpoints []EndpointDump `json:"endpoints"`
+	Jobs      []JobDump      `json:"jobs"`
+	Waves     []WaveNews     `json:"waves,omitempty"`
 }
 
-// HostDump is a host in a dump.
-type HostDump struct {
-	ID       HostID           `json:"id"`
+// EndpointDump is an endpoint in a dump.
+type EndpointDump struct {
+	ID       EndpointID       `json:"id"`
 	Pool     string           `json:"pool"`
 	Listed   bool             `json:"listed"`
 	Reached  bool             `json:"reached"`
@@ -41,8 +41,8 @@
 // Dump returns the state. It holds no specs and no keys.
 func (l *Leader) Dump() Dump {
 	out := Dump{Token: l.config.Token}
-	for id, h := range l.hosts {
-		out.Hosts = append(out.Hosts, HostDump{
+	for id, h := range l.endpoints {
+		out.Endpoints = append(out.Endpoints, EndpointDump{
 			ID: id, Pool: h.row.Pool, Listed: h.listed, Reached: h.reached, Draining: h.row.Draining,
 			Leaving: h.leaving, Runs: len(h.runs), Room: h.room(),
 		})
@@ -57,10 +57,10 @@
 		}
 		out.Jobs = append(out.Jobs, entry)
 	}
-	slices.SortFunc(out.Hosts, func(a, b HostDump) int { return cmp.Compare(a.ID, b.ID) })
+	slices.SortFunc(out.Endpoints, func(a, b EndpointDump) int { return cmp.Compare(a.ID, b.ID) })
 	slices.SortFunc(out.Jobs, func(a, b JobDump) int { return cmp.Compare(a.ID, b.ID) })
 	for _, number := range l.waveNumbers() {
-		wave := l.machines.waves[number]
+		wave := l.hosts.waves[number]
 		out.Waves = append(out.Waves, WaveNews{Number: number, Complete: wave.complete})
 	}
 	return out
--- a/internal/fleet/evacuate.go
+++ b/internal/fleet/evacuate.go
@@ -6,16 +6,16 @@
 	"github.com/lovagedyke/lovagedyke/internal/job"
 )
 
-// evacuate moves lasting tasks off hosts that are leaving or draining, as far
+// evacuate moves lasting tasks off endpoints that are leaving or draining, as far
 // as their steps may miss some: each is stopped and starts elsewhere.
 func (l *Leader) evacuate(now time.Time) {
-	for _, h := range l.hosts {
+	for _, h := range l.endpoints {
 		if !h.leaving && !h.row.Draining {
 			continue
 		}
 		for _, r := range h.runs {
 			if r.isLasting() && r.state == runLive && l.mayStop(r, now) && l.hasPlace(r, now) {
-				l.stopRun(r, "host is leaving", now)
+				l.stopRun(r, "endpoint is leaving", now)
 			}
 		}
 	}
@@ -42,17 +42,17 @@
 	return away
 }
 
-// reportFresh is how old a host's report may be to count as what is true now:
+// reportFresh is how old an endpoint's report may be to count as what is true now:
 // a look waits for an end at most lookWait, and takes some time itself.
 const reportFresh = lookWait + 600*time.Millisecond
 
-// isAtWork reports whether the host said lately that the run has its full
+// isAtWork reports whether the endpoint said lately that the run has its full
 // speed; a paced filler does what it was told.
 func (r *run) isAtWork(now time.Time) bool {
-	return r.host.listed && now.Sub(r.host.lookedAt) < reportFresh && !r.atWorkAt.IsZero() && r.share >= min(100, r.percent)
+	return r.endpoint.listed && now.Sub(r.endpoint.lookedAt) < reportFresh && !r.atWorkAt.IsZero() && r.share >= min(100, r.percent)
 }
 
-// hasPlace reports whether another host of the pool can take the run's task now.
+// hasPlace reports whether another endpoint of the pool can take the run's task now.
 func (l *Leader) hasPlace(r *run, now time.Time) bool {
 	key := job.StepKey{Occurrence: r.key.task.Occurrence, Step: r.key.task.Step}
 	opened := r.job.steps[key]
@@ -60,8 +60,8 @@
 		return false
 	}
 	g := group{job: r.job, step: opened}
-	for _, room := range l.rooms(r.host.row.Pool, now) {
-		if room.host != r.host && g.allows(room) {
+	for _, room := range l.rooms(r.endpoint.row.Pool, now) {
+		if room.endpoint != r.endpoint && g.allows(room) {
 			return true
 		}
 	}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -8,10 +8,10 @@
 )
 
 const (
-	// leaseTime is how long a host's lease is: longer than it takes to replace
+	// leaseTime is how long an endpoint's lease is: longer than it takes to replace
 	// all processes, shorter than a caller waits for a lost lasting task.
 	leaseTime = 5 * time.Second
-	// clockSlowness is how much slower a host's clock may be than ours (the
+	// clockSlowness is how much slower an endpoint's clock may be than ours (the
 	// platform's page of calls).
 	clockSlowness = 0.02
 	// leaseMargin covers the rounding of clocks to milliseconds.
@@ -34,7 +34,7 @@
 
 // Config is what a Leader is built from.
 type Config struct {
-	// Token orders leaders; hosts refuse orders with a lower one.
+	// Token orders leaders; endpoints refuse orders with a lower one.
 	Token uint64
 	// Now is when the leader took over.
 	Now     time.Time
@@ -44,7 +44,7 @@
 
 // Bounds holds the platform's periods that decisions rest on.
 type Bounds struct {
-	// LeaseMost is the longest lease that a host grants.
+	// LeaseMost is the longest lease that an endpoint grants.
 	LeaseMost time.Duration
 	// GangWait is how long a gang's member waits for the others.
 	GangWait time.Duration
@@ -52,9 +52,9 @@
 	StatusKept time.Duration
 	// Early is how much earlier than its due time an occurrence may start.
 	Early time.Duration
-	// Move and Upkeep are how long a machine is away for either.
+	// Move and Upkeep are how long a host is away for either.
 	Move, Upkeep time.Duration
-	// TurnWithin is the time within which two leaders must not change one machine.
+	// TurnWithin is the time within which two leaders must not change one host.
 	TurnWithin time.Duration
 	// Notice is how long a lasting task may be away before it counts as missed.
 	Notice time.Duration
@@ -67,15 +67,15 @@
 // Leader is the state of the process that leads the fleet. It is not safe for
 // concurrent use; its owner locks it.
 type Leader struct {
-	config   Config
-	policy   *policy.Policy
-	hosts    map[HostID]*host
-	jobs     map[job.ID]*jobState
-	machines machines
-	rhythms  map[string]*rhythm
+	config    Config
+	policy    *policy.Policy
+	endpoints map[EndpointID]*endpoint
+	jobs      map[job.ID]*jobState
+	hosts     hosts
+	rhythms   map[string]*rhythm
 	// earlyCancels holds cancels of jobs that are not known yet.
 	earlyCancels map[job.ID]time.Time
-	// lookups holds jobs that hosts know and we do not.
+	// lookups holds jobs that endpoints know and we do not.
 	lookups map[job.ID]lookup
 	// shares holds what each client account may still hand in within its share.
 	shares map[string]*shareState
@@ -93,10 +93,10 @@
 func New(config Config) *Leader {
 	leader := &Leader{
 		config: config, confirmedAt: config.Now, policy: policy.New(policy.Config{}),
-		hosts: map[HostID]*host{}, jobs: map[job.ID]*jobState{}, inUse: map[string]policy.Resources{},
+		endpoints: map[EndpointID]*endpoint{}, jobs: map[job.ID]*jobState{}, inUse: map[string]policy.Resources{},
 		earlyCancels: map[job.ID]time.Time{},
 		lookups:      map[job.ID]lookup{}, shares: map[string]*shareState{},
-		machines: newMachines(), rhythms: map[string]*rhythm{}, ledger: newLedger(),
+		hosts: newHosts(), rhythms: map[string]*rhythm{}, ledger: newLedger(),
 	}
 	return leader
 }
@@ -127,7 +127,7 @@
 	return max(1, j.submission.MaxAttempts)
 }
 
-// covered reports whether no host can hold a run of an earlier leader that is
+// covered reports whether no endpoint can hold a run of an earlier leader that is
 // not known here: each was reached, or its lease is over.
 func (l *Leader) covered(now time.Time) bool {
 	if !l.loaded {
@@ -136,12 +136,12 @@
 	if now.After(l.inheritedUntil()) {
 		return true
 	}
-	for _, h := range l.hosts {
+	for _, h := range l.endpoints {
 		if !h.reached && !h.gone {
 			return false
 		}
 	}
-	return len(l.hosts) > 0
+	return len(l.endpoints) > 0
 }
 
 // inheritedUntil is when the last lease that an earlier leader gave is over.
@@ -161,7 +161,7 @@
 	return now.Sub(l.confirmedAt) < confirmTime
 }
 
-// stretched is the longest that a period on a host's clock takes on ours.
+// stretched is the longest that a period on an endpoint's clock takes on ours.
 func stretched(d time.Duration) time.Duration {
 	return time.Duration(float64(d) * (1 + 2*clockSlowness))
 }
--- a/internal/fleet/gang.go
+++ b/internal/fleet/gang.go
@@ -6,7 +6,7 @@
 
 // startGang starts all members of a gang, or none: one run number for all, on
 // one rack if the step asks for it and a rack has the room.
-func (l *Leader) startGang(g group, rooms []*hostRoom, orders *Orders, now time.Time) {
+func (l *Leader) startGang(g group, rooms []*endpointRoom, orders *Orders, now time.Time) {
 	if len(g.step.pending) < g.step.step.Count {
 		// Members of an earlier run have not all ended.
 		return
@@ -40,22 +40,22 @@
 	g.step.pending = nil
 }
 
-// placeGang returns a host for each waiting member, or nil. The rooms of the
-// hosts are reduced.
-func (l *Leader) placeGang(g group, rooms []*hostRoom) []*hostRoom {
+// placeGang returns an endpoint for each waiting member, or nil. The rooms of the
+// endpoints are reduced.
+func (l *Leader) placeGang(g group, rooms []*endpointRoom) []*endpointRoom {
 	if !g.step.step.SameRack {
 		return l.placeOn(g, rooms)
 	}
-	byRack := map[string][]*hostRoom{}
+	byRack := map[string][]*endpointRoom{}
 	for _, room := range rooms {
-		byRack[room.host.rack()] = append(byRack[room.host.rack()], room)
+		byRack[room.endpoint.rack()] = append(byRack[room.endpoint.rack()], room)
 	}
-	var best []*hostRoom
-	for rack, hosts := range byRack {
+	var best []*endpointRoom
+	for rack, endpoints := range byRack {
 		if best != nil && rack != g.step.step.Affinity {
 			continue
 		}
-		if placed := l.placeOn(g, hosts); placed != nil {
+		if placed := l.placeOn(g, endpoints); placed != nil {
 			undo(g, best)
 			best = placed
 		}
@@ -66,15 +66,15 @@
 	return l.placeOn(g, rooms)
 }
 
-// placeOn places all members on the given hosts, or returns nil and leaves the rooms as they were.
-func (l *Leader) placeOn(g group, rooms []*hostRoom) []*hostRoom {
-	var placed []*hostRoom
-	perHost := map[*hostRoom]int{}
+// placeOn places all members on the given endpoints, or returns nil and leaves the rooms as they were.
+func (l *Leader) placeOn(g group, rooms []*endpointRoom) []*endpointRoom {
+	var placed []*endpointRoom
+	perEndpoint := map[*endpointRoom]int{}
 	for _, index := range g.step.pending {
-		var target *hostRoom
+		var target *endpointRoom
 		bestScore := 0.0
 		for _, candidate := range rooms {
-			isFull := g.step.step.MaxPerHost > 0 && perHost[candidate] >= g.step.step.MaxPerHost
+			isFull := g.step.step.MaxPerEndpoint > 0 && perEndpoint[candidate] >= g.step.step.MaxPerEndpoint
 			if isFull || !g.allows(candidate) {
 				continue
 			}
@@ -88,14 +88,14 @@
 			return nil
 		}
 		target.room = target.room.Minus(g.step.step.Reserved())
-		perHost[target]++
+		perEndpoint[target]++
 		placed = append(placed, target)
 	}
 	return placed
 }
 
 // undo gives back the room that placed members took.
-func undo(g group, placed []*hostRoom) {
+func undo(g group, placed []*endpointRoom) {
 	for _, target := range placed {
 		target.room = target.room.Plus(g.step.step.Reserved())
 	}
--- a/internal/fleet/host.go
+++ b/internal/fleet/host.go
@@ -1,129 +1,64 @@
 package fleet
 
 import (
-	"net/netip"
 	"time"
 
-	"github.com/lovagedyke/lovagedyke/internal/job"
 	"github.com/lovagedyke/lovagedyke/internal/policy"
 )
 
-// HostID names one incarnation of a host, unless the host starts again under
-// the ID that it had: then Born tells the two apart.
+// HostID names a host, which outlives the endpoints that run on it.
 type HostID string
 
-// HostRow is what a host says of itself in the platform's list.
-type HostRow struct {
-	ID      HostID
-	Address netip.AddrPort
-	// Born is when this life of the host began.
-	Born time.Time
-	Pool string
-	// DataCentre is where the host is.
-	DataCentre string
-	// Machine is the machine that the host runs on; it may be unknown.
-	Machine  string
-	Capacity policy.Resources
-	// Labels holds the host's kind and its rack.
-	Labels   []string
-	Draining bool
-	// Leaves is the least time that a draining host has left, or 0.
-	Leaves time.Duration
-	// Cold is how much longer the host is slow after its start.
-	Cold time.Duration
-}
-
-// HostAddress is where a host is, and which incarnation is meant.
-type HostAddress struct {
-	ID      HostID
-	Address netip.AddrPort
-}
-
-// RunningTask is a run that a host reports.
-type RunningTask struct {
-	Task job.Task
-	Run  int64
-	// Saved is the newest checkpoint, or "".
-	Saved string
-	// Share is the part of full speed, in percent, at which the run works. It
-	// is 100 when the task is at work.
-	Share int
-	// Tail is the tail of a serving task's response times over the last half
-	// second; for any other task it holds no meaning.
-	Tail time.Duration
-	// CPU is the processor in use, in thousandths of a core, of a task that does not serve.
-	CPU int64
-}
+// HostState is what the platform says of a host.
+type HostState string
 
-// EndKind tells how a run ended.
-type EndKind string
-
-// Kinds of ends.
+// States of a host.
 const (
-	EndDone    EndKind = "done"
-	EndFailed  EndKind = "failed"
-	EndStopped EndKind = "stopped"
-	// EndLapsed runs were killed when the host's lease ran out.
-	EndLapsed EndKind = "lapsed"
-	// EndBroken runs ended since another member of their gang did.
-	EndBroken EndKind = "broken"
-	// EndAlone runs waited in vain for the other members of their gang.
-	EndAlone EndKind = "alone"
+	HostUp     HostState = "up"
+	HostMoving HostState = "moving"
+	HostUpkeep HostState = "upkeep"
+	HostDown   HostState = "down"
 )
 
-// EndedTask is an end that a host reports until it is acknowledged.
-type EndedTask struct {
-	// Number counts the ends of one life of a host, from 1.
-	Number int64
-	Task   job.Task
-	Run    int64
-	Kind   EndKind
-	Saved  string
+// Host is a host as the platform lists it.
+type Host struct {
+	ID         HostID
+	Pool       string
+	State      HostState
+	DataCentre string
+	Labels     []string
+	Capacity   policy.Resources
+	// Endpoint is the incarnation that runs there, or "".
+	Endpoint EndpointID
 }
 
-// Look is a host's report of what runs on it and what has ended.
-type Look struct {
-	// Clock is the host's own steady clock.
-	Clock time.Duration
-	// Born is when this life of the host began.
-	Born    time.Time
-	Running []RunningTask
-	Ended   []EndedTask
+// WaveRow is a wave of upkeep as operators ask for it.
+type WaveRow struct {
+	Number int64
+	Hosts  []HostID
+	// Within is how long the whole wave may take.
+	Within time.Duration
+	// AtOnce is how many of its hosts may be down at one time.
+	AtOnce int
 }
 
-// OrderOutcome is a host's answer to an order.
-type OrderOutcome string
+// ChangeOutcome is the platform's answer to a change of a host.
+type ChangeOutcome string
 
-// Outcomes of orders to hosts.
+// Outcomes of changes to hosts.
 const (
-	// OrderTaken orders were carried out, now or before.
-	OrderTaken OrderOutcome = "taken"
-	// OrderFenced orders came from a leader that has a successor.
-	OrderFenced OrderOutcome = "fenced"
-	// OrderOld starts have a run that is not above one that ended there.
-	OrderOld OrderOutcome = "old"
-	// OrderLate starts came after their lease had run out.
-	OrderLate OrderOutcome = "late"
-	// OrderNoRoom starts do not fit the host.
-	OrderNoRoom OrderOutcome = "no-room"
-	// OrderTicket starts had no valid ticket.
-	OrderTicket OrderOutcome = "ticket"
-	// OrderMalformed orders were not understood.
-	OrderMalformed OrderOutcome = "malformed"
-	// OrderUnhealthy orders met a host that does nothing now.
-	OrderUnhealthy OrderOutcome = "unhealthy"
-	// OrderOtherLife orders met a later life of the host.
-	OrderOtherLife OrderOutcome = "other-life"
-	// OrderUnsent orders cannot have reached the host.
-	OrderUnsent OrderOutcome = "unsent"
-	// OrderUnknown orders got no answer: they may have been carried out, or may
-	// still be, seconds later.
-	OrderUnknown OrderOutcome = "unknown"
+	// ChangeTaken changes are under way or were made before.
+	ChangeTaken ChangeOutcome = "taken"
+	// ChangeBusy hosts are not up, or are leaving.
+	ChangeBusy ChangeOutcome = "busy"
+	// ChangeFenced changes came from a leader that has a successor.
+	ChangeFenced ChangeOutcome = "fenced"
+	// ChangeOtherWave hosts do not belong to the wave.
+	ChangeOtherWave ChangeOutcome = "other-wave"
+	// ChangeImpossible changes name no host, or a pool of other hosts.
+	ChangeImpossible ChangeOutcome = "impossible"
+	// ChangeRefused changes were not made: the platform is busy or away.
+	ChangeRefused ChangeOutcome = "refused"
+	// ChangeUnknown changes got no answer and may have been made.
+	ChangeUnknown ChangeOutcome = "unknown"
 )
-
-// Reply is a host's answer to an order.
-type Reply struct {
-	Outcome OrderOutcome
-	// Clock is the host's own steady clock, or 0 if the answer does not tell.
-	Clock time.Duration
-}
--- /dev/null
+++ b/internal/fleet/hosts.go
@@ -0,0 +1,322 @@
+package fleet
+
+import (
+	"slices"
+	"time"
+)
+
+const (
+	// changeLost is how long a change without an answer is waited for in the
+	// hosts' list before it is ordered again.
+	changeLost = 3 * time.Second
+	// changeRetry is the time before a refused change is ordered again.
+	changeRetry = 400 * time.Millisecond
+	// listSlack is how much later than expected a host may be back before it
+	// is looked up without haste.
+	listSlack = 2 * time.Second
+)
+
+// wallTolerance is how far the times of day of two processes may be apart.
+const wallTolerance = 2500 * time.Millisecond
+
+// hosts is what the leader knows of the hosts and waves of upkeep.
+type hosts struct {
+	byID        map[HostID]*hostState
+	waves       map[int64]*waveState
+	lackNotedAt time.Time
+	// needsNotedAt is when the journal last told the pools' sizes.
+	needsNotedAt time.Time
+}
+
+func newHosts() hosts {
+	return hosts{byID: map[HostID]*hostState{}, waves: map[int64]*waveState{}}
+}
+
+// change is a change of a host that is under way.
+type change struct {
+	pool string
+	wave int64
+	// orderedAt is when it was decided, takenAt when the platform took it.
+	orderedAt, takenAt time.Time
+	isUnknown          bool
+}
+
+// hostState is a host and what is being done with it.
+type hostState struct {
+	row    Host
+	change *change
+	// notBefore holds back the next change after a refusal.
+	notBefore time.Time
+	// idleSince is when its endpoint was last seen to become empty, or zero.
+	idleSince time.Time
+	// unknownSince is since when its endpoint has not been listed or not answered, or zero.
+	unknownSince time.Time
+	listed       bool
+}
+
+// isFree reports whether a host may be changed.
+func (m *hostState) isFree(now time.Time) bool {
+	return m.listed && m.change == nil && m.row.State == HostUp && !now.Before(m.notBefore)
+}
+
+// endpointOf returns the endpoint that runs on a host, or nil.
+func (l *Leader) endpointOf(m *hostState) *endpoint {
+	h := l.endpoints[m.row.Endpoint]
+	if h == nil || !h.listed {
+		return nil
+	}
+	return h
+}
+
+// HostsListed takes the platform's list, which was asked for at sentAt.
+func (l *Leader) HostsListed(list []Host, sentAt, now time.Time) {
+	listed := map[HostID]bool{}
+	for _, row := range list {
+		listed[row.ID] = true
+		m := l.hosts.byID[row.ID]
+		if m == nil {
+			m = &hostState{}
+			l.hosts.byID[row.ID] = m
+		}
+		m.listed = true
+		l.hostListed(m, row, sentAt, now)
+	}
+	for id, m := range l.hosts.byID {
+		if !listed[id] {
+			m.listed = false
+		}
+	}
+	l.settleEndpoints(list, sentAt, now)
+}
+
+// settleEndpoints ends endpoints that run on no host any more: the platform knows of
+// a crash or a change before the endpoint's lease is over. An endpoint that is only cut
+// off is still on its host.
+func (l *Leader) settleEndpoints(list []Host, sentAt, now time.Time) {
+	onHost := map[EndpointID]bool{}
+	for _, row := range list {
+		if row.Endpoint != "" {
+			onHost[row.Endpoint] = true
+		}
+	}
+	if len(onHost) == 0 {
+		return
+	}
+	for _, h := range l.endpoints {
+		if h.gone || onHost[h.row.ID] || !h.listedAt.Before(sentAt) || h.lookedAt.After(sentAt) {
+			continue
+		}
+		l.note("endpoint gone", "endpoint", h.row.ID, "pool", h.row.Pool, "runs", len(h.runs), "list-age", now.Sub(sentAt).Round(time.Millisecond).String())
+		h.gone = true
+		for _, r := range h.runs {
+			l.runLost(r, "host no longer runs the endpoint", now)
+		}
+		l.forgetEndpoint(h, now)
+	}
+}
+
+// hostListed takes a host's row, unless it is from before its change.
+func (l *Leader) hostListed(m *hostState, row Host, sentAt, now time.Time) {
+	c := m.change
+	if c == nil {
+		if m.row.State != row.State || m.row.Endpoint != row.Endpoint {
+			l.note("host listed", "host", row.ID, "pool", row.Pool, "state", string(row.State), "endpoint", row.Endpoint)
+		}
+		m.row = row
+		return
+	}
+	if c.takenAt.IsZero() && !c.isUnknown || sentAt.Before(c.takenAt) {
+		return
+	}
+	m.row = row
+	if c.isUnknown {
+		l.settleChange(m, now)
+		return
+	}
+	if row.State == HostUp && (c.wave != 0 || row.Pool == c.pool) && now.Sub(c.takenAt) > l.awayTime(c)/2 {
+		l.note("host back", "host", row.ID, "pool", row.Pool, "wave", c.wave, "took", now.Sub(c.takenAt).Round(time.Millisecond).String())
+		m.change = nil
+	}
+}
+
+// settleChange finds out from the list whether a change without an answer was made.
+func (l *Leader) settleChange(m *hostState, now time.Time) {
+	c := m.change
+	isMade := c.wave != 0 && m.row.State == HostUpkeep || c.wave == 0 && (m.row.State == HostMoving || m.row.Pool == c.pool)
+	switch {
+	case isMade:
+		l.changeTaken(m, now)
+	case m.row.State == HostUp && now.Sub(c.orderedAt) > changeLost:
+		m.change = nil
+	}
+}
+
+// awayTime is how long a change takes.
+func (l *Leader) awayTime(c *change) time.Duration {
+	if c.wave != 0 {
+		return l.config.Bounds.Upkeep
+	}
+	return l.config.Bounds.Move
+}
+
+// WantsHosts reports whether the list is worth reading soon: a change is
+// about to be over, or an endpoint is silent that may have crashed.
+func (l *Leader) WantsHosts(now time.Time) bool {
+	for _, h := range l.endpoints {
+		isSilent := h.silent && len(h.runs) > 0 || !h.reached && now.Before(l.inheritedUntil())
+		if isSilent && !h.gone && len(l.hosts.byID) > 0 {
+			return true
+		}
+	}
+	return l.HostsChanging(now)
+}
+
+// HostsChanging reports whether a change is about to be over.
+func (l *Leader) HostsChanging(now time.Time) bool {
+	for _, m := range l.hosts.byID {
+		c := m.change
+		if c == nil || !m.listed {
+			continue
+		}
+		if c.isUnknown {
+			return true
+		}
+		away := now.Sub(c.takenAt)
+		if !c.takenAt.IsZero() && away >= l.awayTime(c) && away < l.awayTime(c)+listSlack {
+			return true
+		}
+	}
+	return false
+}
+
+// changeTaken notes that a host is away: what ran on it is over.
+func (l *Leader) changeTaken(m *hostState, now time.Time) {
+	c := m.change
+	c.takenAt, c.isUnknown = now, false
+	if h := l.endpoints[m.row.Endpoint]; h != nil {
+		for _, r := range h.runs {
+			l.runLost(r, "host is changed", now)
+		}
+		h.listed, h.gone = false, true
+		l.forgetEndpoint(h, now)
+	}
+	m.idleSince = time.Time{}
+	if c.wave == 0 {
+		m.row.State = HostMoving
+		return
+	}
+	m.row.State = HostUpkeep
+	if wave := l.hosts.waves[c.wave]; wave != nil {
+		wave.done[m.row.ID] = true
+		wave.dirty = true
+	}
+}
+
+// changeAnswered takes the platform's answer to a change.
+func (l *Leader) changeAnswered(id HostID, outcome ChangeOutcome, now time.Time) {
+	m := l.hosts.byID[id]
+	if m == nil || m.change == nil {
+		return
+	}
+	c := m.change
+	l.note("host change answered", "host", id, "to", c.pool, "wave", c.wave, "outcome", string(outcome))
+	switch outcome {
+	case ChangeTaken:
+		l.changeTaken(m, now)
+	case ChangeUnknown:
+		c.isUnknown = true
+	case ChangeOtherWave, ChangeImpossible:
+		if wave := l.hosts.waves[c.wave]; wave != nil {
+			// It will never be part of this wave.
+			wave.done[id] = true
+			wave.dirty = true
+		}
+		m.change = nil
+		m.notBefore = now.Add(changeLost)
+	default:
+		m.change = nil
+		m.notBefore = now.Add(changeRetry)
+	}
+}
+
+// MoveAnswered takes the platform's answer to a move.
+func (l *Leader) MoveAnswered(move Move, outcome ChangeOutcome, now time.Time) {
+	l.changeAnswered(move.Host, outcome, now)
+}
+
+// UpkeepAnswered takes the platform's answer to an upkeep.
+func (l *Leader) UpkeepAnswered(upkeep Upkeep, outcome ChangeOutcome, now time.Time) {
+	l.changeAnswered(upkeep.Host, outcome, now)
+}
+
+// ChangeLoaded takes when, by the time of day of its process, an earlier leader
+// was about to change a host. Two leaders must not take turns at a host
+// within a short time.
+func (l *Leader) ChangeLoaded(id HostID, at, wall, now time.Time) {
+	wait := l.config.Bounds.TurnWithin + wallTolerance - wall.Sub(at)
+	if wait <= 0 {
+		return
+	}
+	m := l.hosts.byID[id]
+	if m == nil {
+		m = &hostState{}
+		l.hosts.byID[id] = m
+	}
+	m.notBefore = now.Add(min(wait, l.config.Bounds.TurnWithin+2*wallTolerance))
+}
+
+// planHosts decides on upkeep and moves.
+func (l *Leader) planHosts(pools map[string][]*jobState, orders *Orders, now time.Time) {
+	for _, h := range l.endpoints {
+		h.leaving = false
+	}
+	for _, m := range l.hosts.byID {
+		if h := l.endpointOf(m); h != nil && m.change != nil {
+			h.leaving = true
+		}
+	}
+	l.noteIdle(now)
+	for _, number := range l.waveNumbers() {
+		l.planWave(l.hosts.waves[number], orders, now)
+	}
+	l.planMoves(pools, orders, now)
+}
+
+// noteIdle keeps since when each host's endpoint has been empty, or unknown.
+func (l *Leader) noteIdle(now time.Time) {
+	for _, m := range l.hosts.byID {
+		h := l.endpointOf(m)
+		isKnown := h != nil && h.reached && !h.silent
+		keepSince(&m.idleSince, isKnown && len(h.runs) == 0, now)
+		keepSince(&m.unknownSince, !isKnown, now)
+	}
+}
+
+// keepSince keeps since when a condition has held, or the zero time.
+func keepSince(since *time.Time, holds bool, now time.Time) {
+	switch {
+	case !holds:
+		*since = time.Time{}
+	case since.IsZero():
+		*since = now
+	}
+}
+
+// isEmpty reports whether changing a host ends nothing: no endpoint is on it, it
+// is known to be empty, or it has been unknown for longer than leases last.
+func (l *Leader) isEmpty(m *hostState, now time.Time) bool {
+	if m.row.Endpoint == "" || !m.idleSince.IsZero() {
+		return true
+	}
+	return !m.unknownSince.IsZero() && now.Sub(m.unknownSince) > stretched(leaseTime+idleDrift)+confirmTime
+}
+
+// waveNumbers lists the waves in order.
+func (l *Leader) waveNumbers() []int64 {
+	var numbers []int64
+	for number := range l.hosts.waves {
+		numbers = append(numbers, number)
+	}
+	slices.Sort(numbers)
+	return numbers
+}
--- a/internal/fleet/machines_test.go
+++ b/internal/fleet/hosts_test.go
@@ -9,50 +9,50 @@
 	"github.com/lovagedyke/lovagedyke/internal/policy"
 )
 
-// machineOf is a machine that runs a host.
-func machineOf(pool string, id fleet.HostID) fleet.Machine {
-	return fleet.Machine{ID: fleet.MachineID("m-" + string(id)), Pool: pool, State: fleet.MachineUp, Host: id, Capacity: hostSize}
+// hostOf is a host that runs an endpoint.
+func hostOf(pool string, id fleet.EndpointID) fleet.Host {
+	return fleet.Host{ID: fleet.HostID("m-" + string(id)), Pool: pool, State: fleet.HostUp, Endpoint: id, Capacity: endpointSize}
 }
 
-// spareMachine is a machine that is switched off.
-func spareMachine(n int) fleet.Machine {
-	return fleet.Machine{ID: fleet.MachineID(fmt.Sprintf("spare-%02d", n)), Pool: spareName, State: fleet.MachineUp, Capacity: hostSize}
+// spareHost is a host that is switched off.
+func spareHost(n int) fleet.Host {
+	return fleet.Host{ID: fleet.HostID(fmt.Sprintf("spare-%02d", n)), Pool: spareName, State: fleet.HostUp, Capacity: endpointSize}
 }
 
-// listMachines lists machines, and hosts in their pools.
-func (w *world) listMachines(machines ...fleet.Machine) {
-	for _, m := range machines {
-		if m.Host == "" {
+// listHosts lists hosts, and endpoints in their pools.
+func (w *world) listHosts(hosts ...fleet.Host) {
+	for _, m := range hosts {
+		if m.Endpoint == "" {
 			continue
 		}
-		row := hostRow(m.Host)
+		row := endpointRow(m.Endpoint)
 		row.Pool = m.Pool
-		w.leader.HostListed(row, w.now)
+		w.leader.EndpointListed(row, w.now)
 		w.pass(time.Millisecond)
-		w.look(m.Host)
+		w.look(m.Endpoint)
 	}
-	w.leader.MachinesListed(machines, w.now, w.now)
+	w.leader.HostsListed(hosts, w.now, w.now)
 }
 
-// pools returns machines for each pool: as many as a pool keeps at least.
-func pools() []fleet.Machine {
-	var machines []fleet.Machine
+// pools returns hosts for each pool: as many as a pool keeps at least.
+func pools() []fleet.Host {
+	var hosts []fleet.Host
 	for _, pool := range []string{poolName, otherPool} {
 		for n := range 3 {
-			machines = append(machines, machineOf(pool, fleet.HostID(fmt.Sprintf("%s-%d", pool, n))))
+			hosts = append(hosts, hostOf(pool, fleet.EndpointID(fmt.Sprintf("%s-%d", pool, n))))
 		}
 	}
-	return machines
+	return hosts
 }
 
 // Pattern: turns-beyond-the-pool.
-func TestMachinesFollowDemand(t *testing.T) {
+func TestHostsFollowDemand(t *testing.T) {
 	w := newWorld(t, worldConfig{})
-	machines := pools()
+	hosts := pools()
 	for n := range 10 {
-		machines = append(machines, spareMachine(n))
+		hosts = append(hosts, spareHost(n))
 	}
-	w.listMachines(machines...)
+	w.listHosts(hosts...)
 	if got := len(w.step().Moves); got != 0 {
 		t.Fatalf("moves without work: got %d, want 0", got)
 	}
@@ -61,7 +61,7 @@
 	}
 	moves := w.step().Moves
 	if len(moves) < 5 {
-		t.Fatalf("moves for work of ten machines: got %d, want at least 5", len(moves))
+		t.Fatalf("moves for work of ten hosts: got %d, want at least 5", len(moves))
 	}
 	for _, move := range moves {
 		if move.Pool != poolName {
@@ -73,29 +73,29 @@
 	}
 }
 
-// A step that bounds its tasks on one host needs machines that its size alone does not.
-func TestSpreadStepsBringMachines(t *testing.T) {
+// A step that bounds its tasks on one endpoint needs hosts that its size alone does not.
+func TestSpreadStepsBringHosts(t *testing.T) {
 	w := newWorld(t, worldConfig{})
-	machines := pools()
+	hosts := pools()
 	for n := range 6 {
-		machines = append(machines, spareMachine(n))
+		hosts = append(hosts, spareHost(n))
 	}
-	w.listMachines(machines...)
+	w.listHosts(hosts...)
 	step := lasting(7, 1)
-	step.MaxPerHost = 1
+	step.MaxPerEndpoint = 1
 	w.accept(submission(1, step))
 	if got, want := len(w.step().Moves), 4; got != want {
 		t.Errorf("moves: got %d, want %d", got, want)
 	}
 }
 
-func TestIdleMachinesAreGivenBack(t *testing.T) {
+func TestIdleHostsAreGivenBack(t *testing.T) {
 	w := newWorld(t, worldConfig{})
-	machines := pools()
+	hosts := pools()
 	for n := range 4 {
-		machines = append(machines, machineOf(poolName, fleet.HostID(fmt.Sprintf("more-%d", n))))
+		hosts = append(hosts, hostOf(poolName, fleet.EndpointID(fmt.Sprintf("more-%d", n))))
 	}
-	w.listMachines(machines...)
+	w.listHosts(hosts...)
 	w.step()
 	w.pass(time.Second)
 	moves := w.step().Moves
@@ -109,14 +109,14 @@
 	}
 }
 
-func TestMachinesOfUnknownHostsAreNotMoved(t *testing.T) {
+func TestHostsOfUnknownEndpointsAreNotMoved(t *testing.T) {
 	w := newWorld(t, worldConfig{})
-	machines := pools()
+	hosts := pools()
 	for n := range 4 {
-		machines = append(machines, machineOf(poolName, fleet.HostID(fmt.Sprintf("unseen-%d", n))))
+		hosts = append(hosts, hostOf(poolName, fleet.EndpointID(fmt.Sprintf("unseen-%d", n))))
 	}
-	w.listMachines(pools()...)
-	w.leader.MachinesListed(machines, w.now, w.now)
+	w.listHosts(pools()...)
+	w.leader.HostsListed(hosts, w.now, w.now)
 	w.step()
 	w.pass(time.Second)
 	if got := len(w.step().Moves); got != 0 {
@@ -124,17 +124,17 @@
 	}
 }
 
-func TestAnnouncedMachinesRest(t *testing.T) {
+func TestAnnouncedHostsRest(t *testing.T) {
 	w := newWorld(t, worldConfig{token: 2})
 	w.leader.ChangeLoaded("spare-00", w.now.Add(-time.Second), w.now, w.now)
-	machines := append(pools(), spareMachine(0), spareMachine(1))
-	w.listMachines(machines...)
+	hosts := append(pools(), spareHost(0), spareHost(1))
+	w.listHosts(hosts...)
 	for n := range 6 {
 		w.accept(submission(n+1, tasks(16)))
 	}
 	moves := w.step().Moves
-	if len(moves) != 1 || moves[0].Machine != "spare-01" {
-		t.Fatalf("moves: got %v, want that of the machine that was not announced", moves)
+	if len(moves) != 1 || moves[0].Host != "spare-01" {
+		t.Fatalf("moves: got %v, want that of the host that was not announced", moves)
 	}
 	w.pass(5 * time.Second)
 	if got := len(w.step().Moves); got != 1 {
@@ -144,11 +144,11 @@
 
 func TestWave(t *testing.T) {
 	w := newWorld(t, worldConfig{})
-	machines := pools()
-	w.listMachines(machines...)
+	hosts := pools()
+	w.listHosts(hosts...)
 	row := fleet.WaveRow{Number: 4, Within: 20 * time.Second, AtOnce: 2}
-	for _, m := range machines {
-		row.Machines = append(row.Machines, m.ID)
+	for _, m := range hosts {
+		row.Hosts = append(row.Hosts, m.ID)
 	}
 	w.leader.WaveListed(row, w.now)
 	news := w.leader.WaveNews()
@@ -156,7 +156,7 @@
 		t.Fatalf("news: got %v, want a running wave", news)
 	}
 	done := 0
-	for round := 0; round < 20 && done < len(machines); round++ {
+	for round := 0; round < 20 && done < len(hosts); round++ {
 		upkeeps := w.step().Upkeeps
 		if len(upkeeps) > row.AtOnce {
 			t.Fatalf("upkeeps at once: got %d, want at most %d", len(upkeeps), row.AtOnce)
@@ -169,32 +169,32 @@
 			t.Fatalf("upkeeps while %d are down: got %d, want 0", len(upkeeps), got)
 		}
 		w.pass(2500 * time.Millisecond)
-		for _, m := range machines {
-			w.look(m.Host)
+		for _, m := range hosts {
+			w.look(m.Endpoint)
 		}
-		w.leader.MachinesListed(machines, w.now, w.now)
+		w.leader.HostsListed(hosts, w.now, w.now)
 	}
-	if done != len(machines) {
-		t.Fatalf("machines done: got %d, want %d", done, len(machines))
+	if done != len(hosts) {
+		t.Fatalf("hosts done: got %d, want %d", done, len(hosts))
 	}
 	w.step()
 	news = w.leader.WaveNews()
-	if len(news) != 1 || !news[0].Complete || len(news[0].Done) != len(machines) {
+	if len(news) != 1 || !news[0].Complete || len(news[0].Done) != len(hosts) {
 		t.Errorf("news: got %v, want the complete wave", news)
 	}
 }
 
-// All machines of a pool are due, and lasting tasks run there.
-func TestWaveBringsOtherMachines(t *testing.T) {
+// All hosts of a pool are due, and lasting tasks run there.
+func TestWaveBringsOtherHosts(t *testing.T) {
 	w := newWorld(t, worldConfig{})
-	machines := append(pools(), spareMachine(0), spareMachine(1), spareMachine(2))
-	w.listMachines(machines...)
+	hosts := append(pools(), spareHost(0), spareHost(1), spareHost(2))
+	w.listHosts(hosts...)
 	w.accept(submission(1, lasting(3, 1)))
 	w.step()
 	w.take()
 	row := fleet.WaveRow{Number: 1, AtOnce: 10}
 	for n := range 3 {
-		row.Machines = append(row.Machines, machines[n].ID)
+		row.Hosts = append(row.Hosts, hosts[n].ID)
 	}
 	w.leader.WaveListed(row, w.now)
 	brought := 0
@@ -204,17 +204,17 @@
 		}
 	}
 	if brought == 0 {
-		t.Error("machines brought for those that are emptied: got none, want some")
+		t.Error("hosts brought for those that are emptied: got none, want some")
 	}
 }
 
-func TestUpkeepWaitsForUnknownHosts(t *testing.T) {
+func TestUpkeepWaitsForUnknownEndpoints(t *testing.T) {
 	w := newWorld(t, worldConfig{token: 2})
-	unseen := machineOf(poolName, "unseen")
-	w.leader.MachinesListed([]fleet.Machine{unseen}, w.now, w.now)
-	w.leader.WaveListed(fleet.WaveRow{Number: 1, AtOnce: 1, Machines: []fleet.MachineID{unseen.ID}}, w.now)
+	unseen := hostOf(poolName, "unseen")
+	w.leader.HostsListed([]fleet.Host{unseen}, w.now, w.now)
+	w.leader.WaveListed(fleet.WaveRow{Number: 1, AtOnce: 1, Hosts: []fleet.HostID{unseen.ID}}, w.now)
 	if got := len(w.step().Upkeeps); got != 0 {
-		t.Errorf("upkeeps before the host is known: got %d, want 0", got)
+		t.Errorf("upkeeps before the endpoint is known: got %d, want 0", got)
 	}
 	w.pass(8 * time.Second)
 	if got := len(w.step().Upkeeps); got != 1 {
@@ -222,28 +222,28 @@
 	}
 }
 
-// Lasting tasks leave a draining host one after the other.
+// Lasting tasks leave a draining endpoint one after the other.
 func TestEvacuationKeepsTheRestAtWork(t *testing.T) {
 	w := newWorld(t, worldConfig{})
-	w.host("a")
+	w.endpoint("a")
 	w.accept(submission(1, lasting(2, 1)))
 	w.step()
 	w.take()
 	w.look("a")
-	w.host("b")
-	draining := hostRow("a")
+	w.endpoint("b")
+	draining := endpointRow("a")
 	draining.Draining = true
-	w.leader.HostListed(draining, w.now)
+	w.leader.EndpointListed(draining, w.now)
 	stops := w.step().Stops
 	if len(stops) != 1 {
 		t.Fatalf("stops: got %d, want 1", len(stops))
 	}
 	w.leader.StopAnswered(stops[0], fleet.Reply{Outcome: fleet.OrderTaken}, w.now)
-	w.end(fleet.Start{Host: "a", Task: stops[0].Task, Run: stops[0].Run}, fleet.EndStopped)
+	w.end(fleet.Start{Endpoint: "a", Task: stops[0].Task, Run: stops[0].Run}, fleet.EndStopped)
 	w.pass(100 * time.Millisecond)
 	w.look("a")
 	starts := w.step().Starts
-	if len(starts) != 1 || starts[0].Host != "b" {
+	if len(starts) != 1 || starts[0].Endpoint != "b" {
 		t.Fatalf("starts: got %v, want one on b", starts)
 	}
 	w.leader.StartAnswered(starts[0], fleet.Reply{Outcome: fleet.OrderTaken}, w.now)
@@ -262,24 +262,24 @@
 	}
 }
 
-// A host that has gone dark keeps its last report.
+// An endpoint that has gone dark keeps its last report.
 func TestOldReportsAreNoWork(t *testing.T) {
 	w := newWorld(t, worldConfig{})
-	w.host("a")
-	w.host("b")
+	w.endpoint("a")
+	w.endpoint("b")
 	step := lasting(2, 1)
-	step.MaxPerHost = 1
+	step.MaxPerEndpoint = 1
 	w.accept(submission(1, step))
 	w.step()
 	w.take()
 	w.look("a")
 	w.look("b")
-	w.host("c")
+	w.endpoint("c")
 	w.pass(2500 * time.Millisecond)
 	w.look("a")
-	draining := hostRow("a")
+	draining := endpointRow("a")
 	draining.Draining = true
-	w.leader.HostListed(draining, w.now)
+	w.leader.EndpointListed(draining, w.now)
 	if got := len(w.step().Stops); got != 0 {
 		t.Errorf("stops while the other's report is old: got %d, want 0", got)
 	}
@@ -301,7 +301,7 @@
 	for name, c := range tails {
 		t.Run(name, func(t *testing.T) {
 			w := newWorld(t, worldConfig{})
-			w.host("a")
+			w.endpoint("a")
 			w.accept(submission(1, serving, filler))
 			w.step()
 			w.take()
@@ -324,14 +324,14 @@
 
 func TestDump(t *testing.T) {
 	w := newWorld(t, worldConfig{policy: policy.Config{}})
-	w.host("a")
+	w.endpoint("a")
 	w.accept(submission(1, tasks(2)))
 	dump := w.leader.Dump()
-	if len(dump.Hosts) != 1 || len(dump.Jobs) != 1 || dump.Jobs[0].Pending != 2 || dump.Jobs[0].ID != idOf(1) {
-		t.Errorf("dump: got %+v, want a host and a job with two tasks that wait", dump)
+	if len(dump.Endpoints) != 1 || len(dump.Jobs) != 1 || dump.Jobs[0].Pending != 2 || dump.Jobs[0].ID != idOf(1) {
+		t.Errorf("dump: got %+v, want an endpoint and a job with two tasks that wait", dump)
 	}
-	if got := w.leader.Largest(); got != hostSize {
-		t.Errorf("largest: got %v, want %v", got, hostSize)
+	if got := w.leader.Largest(); got != endpointSize {
+		t.Errorf("largest: got %v, want %v", got, endpointSize)
 	}
 	if got := w.leader.Waiting()[queueName]; got != 1 {
 		t.Errorf("waiting: got %d, want 1", got)
--- a/internal/fleet/jobstate.go
+++ b/internal/fleet/jobstate.go
@@ -31,8 +31,8 @@
 	// lastRun is the highest run of each task that is known.
 	lastRun map[job.Task]int64
 	saved   map[job.Task]string
-	// avoid lists the hosts on which a task failed.
-	avoid map[job.Task][]HostID
+	// avoid lists the endpoints on which a task failed.
+	avoid map[job.Task][]EndpointID
 	// overAt is when the final state was written.
 	overAt time.Time
 	dirty  bool
@@ -42,7 +42,7 @@
 type stepState struct {
 	key  job.StepKey
 	step job.Step
-	// pending lists the tasks that wait for a host.
+	// pending lists the tasks that wait for an endpoint.
 	pending []int
 	// notBefore holds back tasks whose last run was refused.
 	notBefore time.Time
@@ -50,7 +50,7 @@
 	// took holds the durations of runs that ended as done.
 	took []time.Duration
 	// granted holds the advice service's tickets, until grantedUntil.
-	granted      map[HostID]string
+	granted      map[EndpointID]string
 	grantedUntil time.Time
 	asked        bool
 	askedAt      time.Time
@@ -62,7 +62,7 @@
 	return &jobState{
 		submission: submission, progress: job.NewProgress(), shown: job.Queued,
 		steps: map[job.StepKey]*stepState{}, active: map[job.Task][]*run{}, lastRun: map[job.Task]int64{},
-		saved: map[job.Task]string{}, avoid: map[job.Task][]HostID{},
+		saved: map[job.Task]string{}, avoid: map[job.Task][]EndpointID{},
 	}
 }
 
@@ -246,12 +246,12 @@
 	l.inUse[account] = l.inUse[account].Plus(r.capUse())
 }
 
-// release ends what claim counted, and takes the run off its host.
+// release ends what claim counted, and takes the run off its endpoint.
 func (l *Leader) release(r *run) {
-	if r.host.runs[r.key] != r {
+	if r.endpoint.runs[r.key] != r {
 		return
 	}
-	delete(r.host.runs, r.key)
+	delete(r.endpoint.runs, r.key)
 	if r.job == nil {
 		return
 	}
@@ -275,7 +275,7 @@
 	return r.job.submission.Steps[r.key.task.Step].Resources
 }
 
-// requeue lets a task wait for a host again, if nothing of it runs.
+// requeue lets a task wait for an endpoint again, if nothing of it runs.
 func (l *Leader) requeue(j *jobState, task job.Task, notBefore time.Time) {
 	if j == nil || j.over() || len(j.active[task]) > 0 || j.progress.IsDone(task) {
 		return
@@ -290,9 +290,9 @@
 	}
 }
 
-// runLost notes that a run is over without an end that the host listed.
+// runLost notes that a run is over without an end that the endpoint listed.
 func (l *Leader) runLost(r *run, why string, now time.Time) {
-	l.note("run lost", "job", r.key.task.Job, "step", r.key.task.Step, "index", r.key.task.Index, "run", r.key.run, "host", r.host.row.ID, "why", why)
+	l.note("run lost", "job", r.key.task.Job, "step", r.key.task.Step, "index", r.key.task.Index, "run", r.key.run, "endpoint", r.endpoint.row.ID, "why", why)
 	l.release(r)
 	if r.job == nil {
 		return
@@ -308,10 +308,10 @@
 	}
 }
 
-// ended takes an end that a host lists. Ends are listed until acknowledged.
+// ended takes an end that an endpoint lists. Ends are listed until acknowledged.
 // It reports whether the end was applied: one of a job that is not known must
 // not be acknowledged before the store has told whether there is such a job.
-func (l *Leader) ended(h *host, ended EndedTask, now time.Time) bool {
+func (l *Leader) ended(h *endpoint, ended EndedTask, now time.Time) bool {
 	if ended.Number <= h.seen {
 		return true
 	}
@@ -327,7 +327,7 @@
 
 // applyEnd returns the number of the batch that has to be written before the
 // end may be acknowledged, or 0.
-func (l *Leader) applyEnd(h *host, ended EndedTask, now time.Time) uint64 {
+func (l *Leader) applyEnd(h *endpoint, ended EndedTask, now time.Time) uint64 {
 	key := runKey{ended.Task, ended.Run}
 	known := h.runs[key]
 	var took time.Duration
@@ -347,7 +347,7 @@
 	}
 	j.noteRun(key)
 	l.note("run ended", "job", ended.Task.Job, "step", ended.Task.Step, "index", ended.Task.Index, "run", ended.Run,
-		"host", h.row.ID, "how", string(ended.Kind), "took", took.Round(time.Millisecond).String())
+		"endpoint", h.row.ID, "how", string(ended.Kind), "took", took.Round(time.Millisecond).String())
 	switch ended.Kind {
 	case EndDone:
 		return l.taskDone(h, j, ended, took, now)
@@ -363,7 +363,7 @@
 }
 
 // taskDone records a task's success, which for a gang is that of all members.
-func (l *Leader) taskDone(h *host, j *jobState, ended EndedTask, took time.Duration, now time.Time) uint64 {
+func (l *Leader) taskDone(h *endpoint, j *jobState, ended EndedTask, took time.Duration, now time.Time) uint64 {
 	h.trouble = trouble{}
 	key := job.StepKey{Occurrence: ended.Task.Occurrence, Step: ended.Task.Step}
 	step := j.submission.Steps[key.Step]
@@ -414,7 +414,7 @@
 }
 
 // taskFailed records a failed run.
-func (l *Leader) taskFailed(h *host, j *jobState, ended EndedTask, now time.Time) uint64 {
+func (l *Leader) taskFailed(h *endpoint, j *jobState, ended EndedTask, now time.Time) uint64 {
 	l.suspect(h, ended.Task.Job, now)
 	step := j.submission.Steps[ended.Task.Step]
 	if ended.Saved != "" {
@@ -445,9 +445,9 @@
 	return batch
 }
 
-// suspect counts a failure against a host, which gets a pause after failures
+// suspect counts a failure against an endpoint, which gets a pause after failures
 // of several jobs in a row.
-func (l *Leader) suspect(h *host, id job.ID, now time.Time) {
+func (l *Leader) suspect(h *endpoint, id job.ID, now time.Time) {
 	if h.trouble.jobs == nil {
 		h.trouble.jobs = map[job.ID]bool{}
 	}
@@ -458,7 +458,7 @@
 	h.trouble.pause = min(troubleMost, max(troublePause, 2*h.trouble.pause))
 	h.trouble.jobs = nil
 	h.pausedUntil = now.Add(h.trouble.pause)
-	l.note("host suspected", "host", h.row.ID, "pool", h.row.Pool, "pause", h.trouble.pause.String())
+	l.note("endpoint suspected", "endpoint", h.row.ID, "pool", h.row.Pool, "pause", h.trouble.pause.String())
 }
 
 // stopRun ends a run, or makes sure that it never begins.
--- a/internal/fleet/leader_test.go
+++ b/internal/fleet/leader_test.go
@@ -18,16 +18,16 @@
 	queueName = "restock"
 )
 
-// world is a leader with the hosts that it orders, in virtual time.
+// world is a leader with the endpoints that it orders, in virtual time.
 type world struct {
 	t      *testing.T
 	leader *fleet.Leader
 	now    time.Time
 	begun  time.Time
 	orders fleet.Orders
-	// looked remembers what each host reports.
-	running map[fleet.HostID][]fleet.RunningTask
-	ended   map[fleet.HostID][]fleet.EndedTask
+	// looked remembers what each endpoint reports.
+	running map[fleet.EndpointID][]fleet.RunningTask
+	ended   map[fleet.EndpointID][]fleet.EndedTask
 }
 
 type worldConfig struct {
@@ -45,7 +45,7 @@
 	}
 	w := &world{
 		t: t, now: now, begun: now,
-		running: map[fleet.HostID][]fleet.RunningTask{}, ended: map[fleet.HostID][]fleet.EndedTask{},
+		running: map[fleet.EndpointID][]fleet.RunningTask{}, ended: map[fleet.EndpointID][]fleet.EndedTask{},
 	}
 	w.leader = fleet.New(fleet.Config{Token: config.token, Now: now, Bounds: fleet.Bounds{
 		LeaseMost: 10 * time.Second, StatusKept: 120 * time.Second, Move: 1500 * time.Millisecond,
@@ -68,18 +68,18 @@
 	}
 }
 
-var hostSize = policy.Resources{CPU: 16000, Memory: 65536}
+var endpointSize = policy.Resources{CPU: 16000, Memory: 65536}
 
-func hostRow(id fleet.HostID) fleet.HostRow {
-	return fleet.HostRow{
-		ID: id, Pool: poolName, Capacity: hostSize, Labels: []string{"a", "r1-1"},
+func endpointRow(id fleet.EndpointID) fleet.EndpointRow {
+	return fleet.EndpointRow{
+		ID: id, Pool: poolName, Capacity: endpointSize, Labels: []string{"a", "r1-1"},
 		Born: time.UnixMilli(1000), Address: netip.MustParseAddrPort("127.0.0.1:1"),
 	}
 }
 
-// host lists a host and answers its first look.
-func (w *world) host(id fleet.HostID) {
-	w.leader.HostListed(hostRow(id), w.now)
+// endpoint lists an endpoint and answers its first look.
+func (w *world) endpoint(id fleet.EndpointID) {
+	w.leader.EndpointListed(endpointRow(id), w.now)
 	w.pass(time.Millisecond)
 	w.look(id)
 }
@@ -90,8 +90,8 @@
 	w.leader.Confirm(w.now)
 }
 
-// look answers a look at a host, if the leader wants one.
-func (w *world) look(id fleet.HostID) {
+// look answers a look at an endpoint, if the leader wants one.
+func (w *world) look(id fleet.EndpointID) {
 	w.t.Helper()
 	hold, due := w.leader.NextLook(id, w.now)
 	if !due {
@@ -113,22 +113,22 @@
 func (w *world) take() {
 	for _, start := range w.orders.Starts {
 		w.leader.StartAnswered(start, fleet.Reply{Outcome: fleet.OrderTaken}, w.now)
-		w.running[start.Host] = append(w.running[start.Host], fleet.RunningTask{Task: start.Task, Run: start.Run, Share: 100})
+		w.running[start.Endpoint] = append(w.running[start.Endpoint], fleet.RunningTask{Task: start.Task, Run: start.Run, Share: 100})
 	}
 	w.pass(time.Millisecond)
 }
 
-// end moves a run from a host's running to its ended ones.
+// end moves a run from an endpoint's running to its ended ones.
 func (w *world) end(start fleet.Start, kind fleet.EndKind) {
-	kept := w.running[start.Host][:0]
-	for _, running := range w.running[start.Host] {
+	kept := w.running[start.Endpoint][:0]
+	for _, running := range w.running[start.Endpoint] {
 		if running.Task != start.Task || running.Run != start.Run {
 			kept = append(kept, running)
 		}
 	}
-	w.running[start.Host] = kept
-	w.ended[start.Host] = append(w.ended[start.Host], fleet.EndedTask{
-		Number: int64(len(w.ended[start.Host]) + 1), Task: start.Task, Run: start.Run, Kind: kind,
+	w.running[start.Endpoint] = kept
+	w.ended[start.Endpoint] = append(w.ended[start.Endpoint], fleet.EndedTask{
+		Number: int64(len(w.ended[start.Endpoint]) + 1), Task: start.Task, Run: start.Run, Kind: kind,
 	})
 }
 
@@ -171,7 +171,7 @@
 
 func TestStepsStartInOrder(t *testing.T) {
 	w := newWorld(t, worldConfig{})
-	w.host("a")
+	w.endpoint("a")
 	second := tasks(1)
 	second.After = []int{0}
 	w.accept(submission(1, tasks(2), second))
@@ -207,7 +207,7 @@
 
 func TestEndsAreAcknowledgedOnceWritten(t *testing.T) {
 	w := newWorld(t, worldConfig{})
-	w.host("a")
+	w.endpoint("a")
 	w.accept(submission(1, tasks(2)))
 	starts := w.step().Starts
 	w.take()
@@ -230,10 +230,10 @@
 	}
 }
 
-// An empty host is not looked at all the time, and must still take work.
-func TestEmptyHostTakesWorkAfterALongTime(t *testing.T) {
+// An empty endpoint is not looked at all the time, and must still take work.
+func TestEmptyEndpointTakesWorkAfterALongTime(t *testing.T) {
 	w := newWorld(t, worldConfig{})
-	w.host("a")
+	w.endpoint("a")
 	w.pass(15 * time.Second)
 	w.accept(submission(1, tasks(1)))
 	if got := len(w.step().Starts); got != 1 {
@@ -242,7 +242,7 @@
 }
 
 // Pattern: rack-lost-at-the-peak.
-func TestRunsOfASilentHost(t *testing.T) {
+func TestRunsOfASilentEndpoint(t *testing.T) {
 	answers := map[string]struct {
 		after time.Duration
 		want  int
@@ -253,12 +253,12 @@
 	for name, c := range answers {
 		t.Run(name, func(t *testing.T) {
 			w := newWorld(t, worldConfig{})
-			w.host("a")
+			w.endpoint("a")
 			w.accept(submission(1, tasks(1)))
 			w.step()
 			w.take()
 			w.look("a")
-			w.host("b")
+			w.endpoint("b")
 			for passed := time.Duration(0); passed < c.after; passed += 100 * time.Millisecond {
 				w.pass(100 * time.Millisecond)
 				if _, due := w.leader.NextLook("a", w.now); due {
@@ -269,42 +269,42 @@
 			if got := len(starts); got != c.want {
 				t.Fatalf("starts after %s: got %d, want %d", c.after, got, c.want)
 			}
-			if c.want == 1 && (starts[0].Host != "b" || starts[0].Run != 2) {
-				t.Errorf("start: got run %d on %s, want run 2 on b", starts[0].Run, starts[0].Host)
+			if c.want == 1 && (starts[0].Endpoint != "b" || starts[0].Run != 2) {
+				t.Errorf("start: got run %d on %s, want run 2 on b", starts[0].Run, starts[0].Endpoint)
 			}
 		})
 	}
 }
 
-func TestCrashShownByTheMachinesEndsRunsAtOnce(t *testing.T) {
+func TestCrashShownByTheHostsEndsRunsAtOnce(t *testing.T) {
 	w := newWorld(t, worldConfig{})
-	w.host("a")
-	w.host("b")
+	w.endpoint("a")
+	w.endpoint("b")
 	w.accept(submission(1, tasks(1)))
-	crashed := w.step().Starts[0].Host
+	crashed := w.step().Starts[0].Endpoint
 	w.take()
 	w.look(crashed)
-	left := map[fleet.HostID]fleet.HostID{"a": "b", "b": "a"}[crashed]
+	left := map[fleet.EndpointID]fleet.EndpointID{"a": "b", "b": "a"}[crashed]
 	w.pass(100 * time.Millisecond)
 	w.leader.LookFailed(crashed, fleet.Reply{Outcome: fleet.OrderUnknown}, w.now)
-	w.leader.MachinesListed([]fleet.Machine{
-		{ID: "m1", Pool: poolName, State: fleet.MachineUp, Host: left, Capacity: hostSize},
-		{ID: "m2", Pool: poolName, State: fleet.MachineDown, Capacity: hostSize},
+	w.leader.HostsListed([]fleet.Host{
+		{ID: "m1", Pool: poolName, State: fleet.HostUp, Endpoint: left, Capacity: endpointSize},
+		{ID: "m2", Pool: poolName, State: fleet.HostDown, Capacity: endpointSize},
 	}, w.now, w.now)
 	starts := w.step().Starts
-	if len(starts) != 1 || starts[0].Host != left {
+	if len(starts) != 1 || starts[0].Endpoint != left {
 		t.Errorf("starts: got %v, want one on %s", starts, left)
 	}
 }
 
-func TestAListFromBeforeAHostEndsNothing(t *testing.T) {
+func TestAListFromBeforeAEndpointEndsNothing(t *testing.T) {
 	w := newWorld(t, worldConfig{})
 	before := w.now
-	w.host("a")
+	w.endpoint("a")
 	w.accept(submission(1, tasks(1)))
 	w.step()
 	w.take()
-	w.leader.MachinesListed([]fleet.Machine{{ID: "m1", Pool: poolName, State: fleet.MachineUp, Host: "old", Capacity: hostSize}}, before, w.now)
+	w.leader.HostsListed([]fleet.Host{{ID: "m1", Pool: poolName, State: fleet.HostUp, Endpoint: "old", Capacity: endpointSize}}, before, w.now)
 	if got := len(w.step().Starts); got != 0 {
 		t.Errorf("starts: got %d, want 0", got)
 	}
@@ -313,24 +313,24 @@
 // Pattern: late-orders-at-the-peak.
 func TestStartWithoutAnAnswer(t *testing.T) {
 	w := newWorld(t, worldConfig{})
-	w.host("a")
-	w.host("b")
+	w.endpoint("a")
+	w.endpoint("b")
 	w.accept(submission(1, tasks(1)))
 	start := w.step().Starts[0]
 	w.leader.StartAnswered(start, fleet.Reply{Outcome: fleet.OrderUnknown}, w.now)
 	w.pass(10 * time.Millisecond)
-	w.look(start.Host)
+	w.look(start.Endpoint)
 	orders := w.step()
 	if len(orders.Stops) != 1 || len(orders.Starts) != 0 {
 		t.Fatalf("after a report without it: got %d stops and %d starts, want 1 and 0", len(orders.Stops), len(orders.Starts))
 	}
-	w.look(start.Host)
+	w.look(start.Endpoint)
 	if got := len(w.step().Starts); got != 0 {
 		t.Fatalf("starts before the stop is answered: got %d, want 0", got)
 	}
 	w.leader.StopAnswered(orders.Stops[0], fleet.Reply{Outcome: fleet.OrderTaken}, w.now)
 	w.pass(10 * time.Millisecond)
-	w.look(start.Host)
+	w.look(start.Endpoint)
 	starts := w.step().Starts
 	if len(starts) != 1 || starts[0].Run <= start.Run {
 		t.Errorf("starts after it: got %v, want one with a higher run", starts)
@@ -339,7 +339,7 @@
 
 func TestStartWithoutAnAnswerThatRuns(t *testing.T) {
 	w := newWorld(t, worldConfig{})
-	w.host("a")
+	w.endpoint("a")
 	w.accept(submission(1, tasks(1)))
 	start := w.step().Starts[0]
 	w.leader.StartAnswered(start, fleet.Reply{Outcome: fleet.OrderUnknown}, w.now)
@@ -354,7 +354,7 @@
 func TestStartOutcomes(t *testing.T) {
 	cases := map[string]struct {
 		outcome fleet.OrderOutcome
-		// again is how many starts follow within a second on a second host.
+		// again is how many starts follow within a second on a second endpoint.
 		again int
 		lost  bool
 	}{
@@ -371,10 +371,10 @@
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
 			w := newWorld(t, worldConfig{})
-			w.host("a")
+			w.endpoint("a")
 			w.accept(submission(1, tasks(1)))
 			start := w.step().Starts[0]
-			w.host("b")
+			w.endpoint("b")
 			isOurs := w.leader.StartAnswered(start, fleet.Reply{Outcome: c.outcome}, w.now)
 			if got, want := isOurs, !c.lost; got != want {
 				t.Errorf("still leading: got %t, want %t", got, want)
@@ -393,7 +393,7 @@
 
 func TestLeaderWithoutConfirmationStartsNothing(t *testing.T) {
 	w := newWorld(t, worldConfig{})
-	w.host("a")
+	w.endpoint("a")
 	w.accept(submission(1, tasks(1)))
 	w.now = w.now.Add(2 * time.Second)
 	if got := len(w.step().Starts); got != 0 {
@@ -406,28 +406,28 @@
 }
 
 // Pattern: restart-at-the-peak.
-func TestInheritedJobsWaitForEachHost(t *testing.T) {
+func TestInheritedJobsWaitForEachEndpoint(t *testing.T) {
 	stored := fleet.Stored{Submission: submission(1, tasks(1))}
 	setups := map[string]struct {
 		do   func(w *world)
 		want int
 	}{
-		"one host not reached": {func(w *world) { w.leader.HostListed(hostRow("b"), w.now) }, 0},
-		"all hosts reached":    {func(w *world) { w.host("b") }, 1},
-		"the other host is gone": {func(w *world) {
-			w.leader.HostListed(hostRow("b"), w.now)
+		"one endpoint not reached": {func(w *world) { w.leader.EndpointListed(endpointRow("b"), w.now) }, 0},
+		"all endpoints reached":    {func(w *world) { w.endpoint("b") }, 1},
+		"the other endpoint is gone": {func(w *world) {
+			w.leader.EndpointListed(endpointRow("b"), w.now)
 			w.pass(time.Millisecond)
-			w.leader.MachinesListed([]fleet.Machine{{ID: "m1", Pool: poolName, State: fleet.MachineUp, Host: "a", Capacity: hostSize}}, w.now, w.now)
+			w.leader.HostsListed([]fleet.Host{{ID: "m1", Pool: poolName, State: fleet.HostUp, Endpoint: "a", Capacity: endpointSize}}, w.now, w.now)
 		}, 1},
 		"inherited leases are over": {func(w *world) {
-			w.leader.HostListed(hostRow("b"), w.now)
+			w.leader.EndpointListed(endpointRow("b"), w.now)
 			w.pass(8 * time.Second)
 		}, 1},
 	}
 	for name, setup := range setups {
 		t.Run(name, func(t *testing.T) {
 			w := newWorld(t, worldConfig{token: 2, jobs: []fleet.Stored{stored}})
-			w.host("a")
+			w.endpoint("a")
 			setup.do(w)
 			starts := w.step().Starts
 			if got := len(starts); got != setup.want {
@@ -440,10 +440,10 @@
 	}
 }
 
-func TestNewJobsDoNotWaitForUnreachedHosts(t *testing.T) {
+func TestNewJobsDoNotWaitForUnreachedEndpoints(t *testing.T) {
 	w := newWorld(t, worldConfig{token: 2})
-	w.host("a")
-	w.leader.HostListed(hostRow("b"), w.now)
+	w.endpoint("a")
+	w.leader.EndpointListed(endpointRow("b"), w.now)
 	w.accept(submission(1, tasks(1)))
 	if got := len(w.step().Starts); got != 1 {
 		t.Errorf("starts: got %d, want 1", got)
@@ -453,7 +453,7 @@
 func TestRunsOfTheLeaderBeforeAreAdopted(t *testing.T) {
 	w := newWorld(t, worldConfig{token: 2, jobs: []fleet.Stored{{Submission: submission(1, tasks(2))}}})
 	w.running["a"] = []fleet.RunningTask{{Task: job.Task{Job: idOf(1), Index: 0}, Run: 1, Share: 100}}
-	w.host("a")
+	w.endpoint("a")
 	starts := w.step().Starts
 	if len(starts) != 1 || starts[0].Task.Index != 1 {
 		t.Errorf("starts: got %v, want the other task's alone", starts)
@@ -465,7 +465,7 @@
 	w := newWorld(t, worldConfig{token: 2})
 	task := job.Task{Job: idOf(7)}
 	w.ended["a"] = []fleet.EndedTask{{Number: 1, Task: task, Run: 1, Kind: fleet.EndDone}}
-	w.host("a")
+	w.endpoint("a")
 	orders := w.step()
 	if len(orders.Lookups) != 1 || orders.Lookups[0] != idOf(7) {
 		t.Fatalf("lookups: got %v, want %s", orders.Lookups, idOf(7))
@@ -489,7 +489,7 @@
 func TestRunOfNoJobIsStopped(t *testing.T) {
 	w := newWorld(t, worldConfig{token: 2})
 	w.running["a"] = []fleet.RunningTask{{Task: job.Task{Job: idOf(7)}, Run: 1}}
-	w.host("a")
+	w.endpoint("a")
 	if got := len(w.step().Stops); got != 0 {
 		t.Fatalf("stops before the store was asked: got %d, want 0", got)
 	}
@@ -501,16 +501,16 @@
 	}
 }
 
-func TestNewLifeOfAHost(t *testing.T) {
+func TestNewLifeOfAEndpoint(t *testing.T) {
 	w := newWorld(t, worldConfig{})
-	w.host("a")
+	w.endpoint("a")
 	w.accept(submission(1, tasks(1)))
 	w.step()
 	w.take()
 	w.look("a")
-	reborn := hostRow("a")
+	reborn := endpointRow("a")
 	reborn.Born = time.UnixMilli(5000)
-	w.leader.HostListed(reborn, w.now)
+	w.leader.EndpointListed(reborn, w.now)
 	if got := len(w.step().Starts); got != 0 {
 		t.Fatalf("starts before the new life has answered: got %d, want 0", got)
 	}
@@ -527,16 +527,16 @@
 
 func TestFailures(t *testing.T) {
 	w := newWorld(t, worldConfig{})
-	w.host("a")
-	w.host("b")
+	w.endpoint("a")
+	w.endpoint("b")
 	w.accept(submission(1, tasks(1)))
 	first := w.step().Starts[0]
 	w.take()
 	w.end(first, fleet.EndFailed)
-	w.look(first.Host)
+	w.look(first.Endpoint)
 	second := w.step().Starts
-	if len(second) != 1 || second[0].Host == first.Host {
-		t.Fatalf("second attempt: got %v, want one on the other host", second)
+	if len(second) != 1 || second[0].Endpoint == first.Endpoint {
+		t.Fatalf("second attempt: got %v, want one on the other endpoint", second)
 	}
 	w.take()
 	w.write()
@@ -544,7 +544,7 @@
 		t.Errorf("state after one failure: got %s, want running", got)
 	}
 	w.end(second[0], fleet.EndFailed)
-	w.look(second[0].Host)
+	w.look(second[0].Endpoint)
 	w.write()
 	if got, _ := w.leader.StateOf(idOf(1)); got != job.Failed {
 		t.Errorf("state after two failures: got %s, want failed", got)
@@ -561,7 +561,7 @@
 	progress.MarkFailed(task, 1)
 	w := newWorld(t, worldConfig{token: 2, jobs: []fleet.Stored{{Submission: submission(1, tasks(1)), Progress: progress}}})
 	w.ended["a"] = []fleet.EndedTask{{Number: 1, Task: task, Run: 1, Kind: fleet.EndFailed}}
-	w.host("a")
+	w.endpoint("a")
 	if got := len(w.step().Starts); got != 1 {
 		t.Errorf("starts: got %d, want 1", got)
 	}
@@ -569,7 +569,7 @@
 
 func TestCancel(t *testing.T) {
 	w := newWorld(t, worldConfig{})
-	w.host("a")
+	w.endpoint("a")
 	w.accept(submission(1, tasks(1)))
 	w.step()
 	w.take()
@@ -594,7 +594,7 @@
 	config := defaultPolicy()
 	config.Accounts = []policy.Account{{Name: "small", Cap: policy.Resources{CPU: 2500}}}
 	w := newWorld(t, worldConfig{policy: config})
-	w.host("a")
+	w.endpoint("a")
 	flood := submission(1, tasks(10))
 	flood.Account = "small"
 	w.accept(flood)
@@ -624,8 +624,8 @@
 	calm.Account = "calm"
 	calm.Accepted = calm.Accepted.Add(100 * time.Millisecond)
 	w.accept(calm)
-	w.host("a")
-	w.host("b")
+	w.endpoint("a")
+	w.endpoint("b")
 	counts := map[job.ID]int{}
 	for _, start := range w.step().Starts {
 		counts[start.Task.Job]++
@@ -640,7 +640,7 @@
 
 func TestPlacementBounds(t *testing.T) {
 	limited, labelled, huge, filler := tasks(6), tasks(2), tasks(1), tasks(1)
-	limited.MaxPerHost = 2
+	limited.MaxPerEndpoint = 2
 	labelled.Requires = "b"
 	huge.Resources.Memory = 70000
 	filler.Filler = true
@@ -649,17 +649,17 @@
 		step job.Step
 		want int
 	}{
-		"two a host":         {limited, 4},
-		"no host with label": {labelled, 0},
-		"too large":          {huge, 0},
-		"filler":             {filler, 1},
-		"more than fits":     {tasks(50), 32},
+		"two an endpoint":        {limited, 4},
+		"no endpoint with label": {labelled, 0},
+		"too large":              {huge, 0},
+		"filler":                 {filler, 1},
+		"more than fits":         {tasks(50), 32},
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
 			w := newWorld(t, worldConfig{})
-			w.host("a")
-			w.host("b")
+			w.endpoint("a")
+			w.endpoint("b")
 			w.accept(submission(1, c.step))
 			if got := len(w.step().Starts); got != c.want {
 				t.Errorf("starts: got %d, want %d", got, c.want)
@@ -668,12 +668,12 @@
 	}
 }
 
-func TestDrainingHostGetsNoWork(t *testing.T) {
+func TestDrainingEndpointGetsNoWork(t *testing.T) {
 	w := newWorld(t, worldConfig{})
-	w.host("a")
-	draining := hostRow("a")
+	w.endpoint("a")
+	draining := endpointRow("a")
 	draining.Draining = true
-	w.leader.HostListed(draining, w.now)
+	w.leader.EndpointListed(draining, w.now)
 	w.accept(submission(1, tasks(1)))
 	if got := len(w.step().Starts); got != 0 {
 		t.Errorf("starts: got %d, want 0", got)
@@ -685,14 +685,14 @@
 	gang.Gang = true
 	gang.Resources.CPU = 10000
 	w := newWorld(t, worldConfig{})
-	w.host("a")
-	w.host("b")
-	w.host("c")
+	w.endpoint("a")
+	w.endpoint("b")
+	w.endpoint("c")
 	w.accept(submission(1, gang))
 	if got := len(w.step().Starts); got != 0 {
 		t.Fatalf("starts without room for all: got %d, want 0", got)
 	}
-	w.host("d")
+	w.endpoint("d")
 	starts := w.step().Starts
 	if got := len(starts); got != 4 {
 		t.Fatalf("starts with room for all: got %d, want 4", got)
@@ -704,7 +704,7 @@
 	}
 	w.take()
 	w.end(starts[0], fleet.EndDone)
-	w.look(starts[0].Host)
+	w.look(starts[0].Endpoint)
 	w.write()
 	if got, _ := w.leader.StateOf(idOf(1)); got != job.Complete {
 		t.Errorf("state after one member's end: got %s, want complete", got)
@@ -713,7 +713,7 @@
 
 func TestOccurrencesStartWhenDue(t *testing.T) {
 	w := newWorld(t, worldConfig{})
-	w.host("a")
+	w.endpoint("a")
 	timed := submission(1, tasks(1))
 	timed.Times, timed.Start, timed.Interval = 2, w.now.Add(time.Second), 500*time.Millisecond
 	w.accept(timed)
@@ -738,21 +738,21 @@
 	config := defaultPolicy()
 	config.Queues[0].Advice = &policy.Advice{Valid: 3 * time.Second}
 	w := newWorld(t, worldConfig{policy: config})
-	w.host("a")
-	w.host("b")
+	w.endpoint("a")
+	w.endpoint("b")
 	w.accept(submission(1, tasks(2)))
 	orders := w.step()
-	if len(orders.Starts) != 0 || len(orders.Asks) != 1 || len(orders.Asks[0].Hosts) != 2 {
-		t.Fatalf("orders: got %+v, want one question about two hosts", orders)
+	if len(orders.Starts) != 0 || len(orders.Asks) != 1 || len(orders.Asks[0].Endpoints) != 2 {
+		t.Fatalf("orders: got %+v, want one question about two endpoints", orders)
 	}
-	w.leader.Advised(orders.Asks[0], fleet.Granted{Tickets: map[fleet.HostID]string{"b": "t1"}, Valid: 3 * time.Second}, true, w.now)
+	w.leader.Advised(orders.Asks[0], fleet.Granted{Tickets: map[fleet.EndpointID]string{"b": "t1"}, Valid: 3 * time.Second}, true, w.now)
 	starts := w.step().Starts
 	if len(starts) != 2 {
 		t.Fatalf("starts: got %d, want 2", len(starts))
 	}
 	for _, start := range starts {
-		if start.Host != "b" || start.Ticket != "t1" {
-			t.Errorf("start: got %s with %q, want b with its ticket", start.Host, start.Ticket)
+		if start.Endpoint != "b" || start.Ticket != "t1" {
+			t.Errorf("start: got %s with %q, want b with its ticket", start.Endpoint, start.Ticket)
 		}
 	}
 	w.leader.StartAnswered(starts[0], fleet.Reply{Outcome: fleet.OrderTicket}, w.now)
--- a/internal/fleet/ledger.go
+++ b/internal/fleet/ledger.go
@@ -99,7 +99,7 @@
 			delete(l.ledger.batchByJob, id)
 		}
 	}
-	for _, h := range l.hosts {
+	for _, h := range l.endpoints {
 		h.advanceAcks(l.ledger.written)
 	}
 }
--- a/internal/fleet/lookup.go
+++ b/internal/fleet/lookup.go
@@ -7,13 +7,13 @@
 )
 
 const (
-	// unknownPause is how long a host waits that knows a job which we do not.
+	// unknownPause is how long an endpoint waits that knows a job which we do not.
 	unknownPause = 100 * time.Millisecond
 	// lookupAgain is the time after which an unanswered lookup is repeated.
 	lookupAgain = 500 * time.Millisecond
 )
 
-// lookup is the search for a job that a host knows. An earlier leader may have
+// lookup is the search for a job that an endpoint knows. An earlier leader may have
 // started it, and its row may not have reached us.
 type lookup struct {
 	askedAt time.Time
--- a/internal/fleet/move.go
+++ b/internal/fleet/move.go
@@ -10,39 +10,39 @@
 )
 
 const (
-	// idleGrace is how long a machine stays empty in its pool before it is given
-	// back: two moves cost about as much as two seconds of a machine.
+	// idleGrace is how long a host stays empty in its pool before it is given
+	// back: two moves cost about as much as two seconds of a host.
 	idleGrace = 600 * time.Millisecond
-	// poolLeast is the number of machines that a pool keeps for what comes next.
+	// poolLeast is the number of hosts that a pool keeps for what comes next.
 	poolLeast = 3
 	// packing is how much more room than the sum of its tasks a pool needs,
-	// since tasks do not fill machines to the brim.
+	// since tasks do not fill hosts to the brim.
 	packing = 1.15
-	// arrivalTime is how long the host of a machine that is up may take to be
+	// arrivalTime is how long the endpoint of a host that is up may take to be
 	// listed and to answer; later it does not count for its pool.
 	arrivalTime = 800 * time.Millisecond
 	// movesAtOnce bounds the moves that one step orders.
 	movesAtOnce = 12
 )
 
-// poolNeed is what a pool has and needs, in machines.
+// poolNeed is what a pool has and needs, in hosts.
 type poolNeed struct {
 	pool string
-	// have counts the machines that are up or on their way.
+	// have counts the hosts that are up or on their way.
 	have int
 	need int
 }
 
-// lack is how many machines are missing; a negative one tells how many are too many.
+// lack is how many hosts are missing; a negative one tells how many are too many.
 func (p poolNeed) lack() int {
 	return p.need - p.have
 }
 
-// planMoves takes machines to the pools that need them, and those that none
+// planMoves takes hosts to the pools that need them, and those that none
 // needs to the spare pool, where they cost nothing.
 func (l *Leader) planMoves(pools map[string][]*jobState, orders *Orders, now time.Time) {
 	spare, ok := l.policy.SparePool()
-	if !ok || l.machineSize() == (policy.Resources{}) {
+	if !ok || l.hostSize() == (policy.Resources{}) {
 		return
 	}
 	needs := l.poolNeeds(pools, now)
@@ -80,47 +80,47 @@
 
 // noteNeeds notes the pools' sizes now and then.
 func (l *Leader) noteNeeds(needs []*poolNeed, now time.Time) {
-	if now.Sub(l.machines.needsNotedAt) < needsNoteEvery {
+	if now.Sub(l.hosts.needsNotedAt) < needsNoteEvery {
 		return
 	}
-	l.machines.needsNotedAt = now
+	l.hosts.needsNotedAt = now
 	for _, need := range needs {
-		l.note("pool size", "pool", need.pool, "machines", need.have, "needed", need.need)
+		l.note("pool size", "pool", need.pool, "hosts", need.have, "needed", need.need)
 	}
 }
 
-// noteLack notes, now and then, that a pool waits for machines.
+// noteLack notes, now and then, that a pool waits for hosts.
 func (l *Leader) noteLack(need *poolNeed, givers int, now time.Time) {
-	if now.Sub(l.machines.lackNotedAt) < lackNoteEvery {
+	if now.Sub(l.hosts.lackNotedAt) < lackNoteEvery {
 		return
 	}
-	l.machines.lackNotedAt = now
-	l.note("pool lacks machines", "pool", need.pool, "have", need.have, "need", need.need, "givers", givers)
+	l.hosts.lackNotedAt = now
+	l.note("pool lacks hosts", "pool", need.pool, "have", need.have, "need", need.need, "givers", givers)
 }
 
-// lackNoteEvery is the time between two lines about pools that lack machines.
+// lackNoteEvery is the time between two lines about pools that lack hosts.
 const lackNoteEvery = time.Second
 
 // move orders a move.
-func (l *Leader) move(m *machineState, pool string, orders *Orders, now time.Time) {
+func (l *Leader) move(m *hostState, pool string, orders *Orders, now time.Time) {
 	m.change = &change{pool: pool, orderedAt: now}
-	if h := l.hostOf(m); h != nil {
+	if h := l.endpointOf(m); h != nil {
 		h.leaving = true
 	}
-	orders.Moves = append(orders.Moves, Move{Machine: m.row.ID, Pool: pool})
-	l.note("move", "machine", m.row.ID, "from", m.row.Pool, "to", pool)
+	orders.Moves = append(orders.Moves, Move{Host: m.row.ID, Pool: pool})
+	l.note("move", "host", m.row.ID, "from", m.row.Pool, "to", pool)
 }
 
 // poolNeeds returns the pools that run tasks, the one that lacks most first.
 func (l *Leader) poolNeeds(pools map[string][]*jobState, now time.Time) []*poolNeed {
 	var needs []*poolNeed
-	size := l.machineSize()
+	size := l.hostSize()
 	for name, pool := range l.policy.Pools {
 		if pool.Spare {
 			continue
 		}
-		need := &poolNeed{pool: name, need: max(poolLeast, spread(pools[name]), machinesFor(l.expected(name, pools[name], now), size))}
-		for _, m := range l.machines.byID {
+		need := &poolNeed{pool: name, need: max(poolLeast, spread(pools[name]), hostsFor(l.expected(name, pools[name], now), size))}
+		for _, m := range l.hosts.byID {
 			if m.listed && l.headsFor(m, name, now) {
 				need.have++
 			}
@@ -133,26 +133,26 @@
 	return needs
 }
 
-// headsFor reports whether a machine is in a pool, or on its way there.
-func (l *Leader) headsFor(m *machineState, pool string, now time.Time) bool {
+// headsFor reports whether a host is in a pool, or on its way there.
+func (l *Leader) headsFor(m *hostState, pool string, now time.Time) bool {
 	if m.change != nil && m.change.pool != "" {
 		return m.change.pool == pool
 	}
-	if h := l.hostOf(m); h != nil && h.leaving {
+	if h := l.endpointOf(m); h != nil && h.leaving {
 		// It is being emptied for its upkeep: another has to take its place.
 		return false
 	}
-	if m.row.State == MachineUp && !m.unknownSince.IsZero() && now.Sub(m.unknownSince) > arrivalTime {
+	if m.row.State == HostUp && !m.unknownSince.IsZero() && now.Sub(m.unknownSince) > arrivalTime {
 		return false
 	}
-	return m.row.Pool == pool && (m.row.State == MachineUp || m.row.State == MachineMoving || m.row.State == MachineUpkeep)
+	return m.row.Pool == pool && (m.row.State == HostUp || m.row.State == HostMoving || m.row.State == HostUpkeep)
 }
 
-// machineSize is the mean size of the machines that are listed, or zeros.
-func (l *Leader) machineSize() policy.Resources {
+// hostSize is the mean size of the hosts that are listed, or zeros.
+func (l *Leader) hostSize() policy.Resources {
 	var sum policy.Resources
 	count := int64(0)
-	for _, m := range l.machines.byID {
+	for _, m := range l.hosts.byID {
 		if m.listed {
 			sum = sum.Plus(m.row.Capacity)
 			count++
@@ -164,8 +164,8 @@
 	return policy.Resources{CPU: max(1, sum.CPU/count), Memory: max(1, sum.Memory/count)}
 }
 
-// machinesFor returns how many machines an amount of work needs.
-func machinesFor(demand, size policy.Resources) int {
+// hostsFor returns how many hosts an amount of work needs.
+func hostsFor(demand, size policy.Resources) int {
 	share := max(float64(demand.CPU)/float64(size.CPU), float64(demand.Memory)/float64(size.Memory))
 	count := int(share * packing)
 	if float64(count) < share*packing {
@@ -174,12 +174,12 @@
 	return count
 }
 
-// spread is how many machines the steps need that bound their tasks on one host.
+// spread is how many hosts the steps need that bound their tasks on one endpoint.
 func spread(jobs []*jobState) int {
 	most := 0
 	for _, j := range jobs {
 		for _, step := range j.steps {
-			if each := step.step.MaxPerHost; each > 0 {
+			if each := step.step.MaxPerEndpoint; each > 0 {
 				count := len(step.pending) + j.activeOf(step.key)
 				most = max(most, (count+each-1)/each)
 			}
@@ -220,21 +220,21 @@
 	return count
 }
 
-// emptySurplus gives no more work to the machines that a pool has too many, so
+// emptySurplus gives no more work to the hosts that a pool has too many, so
 // that they can be moved once their tasks have ended: those with the fewest.
 func (l *Leader) emptySurplus(needs []*poolNeed) {
 	for _, need := range needs {
 		if need.lack() >= 0 {
 			continue
 		}
-		var surplus []*host
-		for _, m := range l.machines.byID {
-			h := l.hostOf(m)
+		var surplus []*endpoint
+		for _, m := range l.hosts.byID {
+			h := l.endpointOf(m)
 			if m.row.Pool == need.pool && m.change == nil && h != nil && len(h.runs) > 0 && h.lastingRuns() == 0 {
 				surplus = append(surplus, h)
 			}
 		}
-		slices.SortFunc(surplus, func(a, b *host) int {
+		slices.SortFunc(surplus, func(a, b *endpoint) int {
 			return cmp.Or(cmp.Compare(len(a.runs), len(b.runs)), cmp.Compare(a.row.ID, b.row.ID))
 		})
 		for _, h := range surplus[:min(len(surplus), -need.lack())] {
@@ -243,11 +243,11 @@
 	}
 }
 
-// givers lists machines that can be moved without harm: spare ones first, then
+// givers lists hosts that can be moved without harm: spare ones first, then
 // the empty ones of pools that have too many.
-func (l *Leader) givers(needs []*poolNeed, spare string, now time.Time) []*machineState {
-	var givers []*machineState
-	for _, m := range l.machines.byID {
+func (l *Leader) givers(needs []*poolNeed, spare string, now time.Time) []*hostState {
+	var givers []*hostState
+	for _, m := range l.hosts.byID {
 		if !m.isFree(now) {
 			continue
 		}
@@ -256,14 +256,14 @@
 			continue
 		}
 		need := needOf(needs, m.row.Pool)
-		h := l.hostOf(m)
+		h := l.endpointOf(m)
 		if need == nil || need.lack() >= 0 || h == nil || h.leaving || h.row.Draining || m.idleSince.IsZero() {
 			continue
 		}
 		givers = append(givers, m)
 	}
-	slices.SortFunc(givers, func(a, b *machineState) int {
-		isSpare := func(m *machineState) int {
+	slices.SortFunc(givers, func(a, b *hostState) int {
+		isSpare := func(m *hostState) int {
 			if m.row.Pool == spare {
 				return 0
 			}
@@ -274,8 +274,8 @@
 	return givers
 }
 
-// takeGiver takes the first machine that its pool can do without.
-func takeGiver(givers *[]*machineState, needs []*poolNeed, to string) *machineState {
+// takeGiver takes the first host that its pool can do without.
+func takeGiver(givers *[]*hostState, needs []*poolNeed, to string) *hostState {
 	for i, m := range *givers {
 		if m.row.Pool == to {
 			continue
@@ -302,7 +302,7 @@
 	return nil
 }
 
-// Largest returns the most that one machine or host has of each resource.
+// Largest returns the most that one host or endpoint has of each resource.
 func (l *Leader) Largest() policy.Resources {
 	var largest policy.Resources
 	add := func(capacity policy.Resources) {
@@ -310,10 +310,10 @@
 		largest.Memory = max(largest.Memory, capacity.Memory)
 		largest.GPU = max(largest.GPU, capacity.GPU)
 	}
-	for _, m := range l.machines.byID {
+	for _, m := range l.hosts.byID {
 		add(m.row.Capacity)
 	}
-	for _, h := range l.hosts {
+	for _, h := range l.endpoints {
 		add(h.row.Capacity)
 	}
 	return largest
--- a/internal/fleet/order.go
+++ b/internal/fleet/order.go
@@ -8,11 +8,11 @@
 
 // Start orders a run.
 type Start struct {
-	Host HostID
-	Task job.Task
-	Run  int64
-	Spec string
-	// Lease ends what runs on the host; it is a time on the host's clock.
+	Endpoint EndpointID
+	Task     job.Task
+	Run      int64
+	Spec     string
+	// Lease ends what runs on the endpoint; it is a time on the endpoint's clock.
 	Lease time.Duration
 	// Saved is the checkpoint to resume from, or "".
 	Saved string
@@ -22,51 +22,51 @@
 
 // Stop ends a run, or prevents it if it has not begun.
 type Stop struct {
-	Host HostID
-	Task job.Task
-	Run  int64
+	Endpoint EndpointID
+	Task     job.Task
+	Run      int64
 }
 
 // Pace lets a run work at a share of its speed.
 type Pace struct {
-	Host    HostID
-	Task    job.Task
-	Run     int64
-	Percent int
+	Endpoint EndpointID
+	Task     job.Task
+	Run      int64
+	Percent  int
 }
 
-// Hold is what a look at a host carries.
+// Hold is what a look at an endpoint carries.
 type Hold struct {
-	// Lease is a time on the host's clock, or 0 while the clock is not known.
+	// Lease is a time on the endpoint's clock, or 0 while the clock is not known.
 	Lease     time.Duration
 	AckedUpTo int64
-	// Wait is how long the host may wait for an end before it answers.
+	// Wait is how long the endpoint may wait for an end before it answers.
 	Wait time.Duration
 }
 
-// Ask asks the advice service which hosts may run a step.
+// Ask asks the advice service which endpoints may run a step.
 type Ask struct {
-	Job   job.ID
-	Step  job.StepKey
-	Hosts []HostID
+	Job       job.ID
+	Step      job.StepKey
+	Endpoints []EndpointID
 }
 
 // Granted is the advice service's answer.
 type Granted struct {
-	Tickets map[HostID]string
+	Tickets map[EndpointID]string
 	Valid   time.Duration
 }
 
-// Move takes a machine to another pool.
+// Move takes a host to another pool.
 type Move struct {
-	Machine MachineID
-	Pool    string
+	Host HostID
+	Pool string
 }
 
-// Upkeep takes a machine down for its part of a wave.
+// Upkeep takes a host down for its part of a wave.
 type Upkeep struct {
-	Machine MachineID
-	Wave    int64
+	Host HostID
+	Wave int64
 }
 
 // Orders is what Step decided.
--- a/internal/fleet/pace.go
+++ b/internal/fleet/pace.go
@@ -14,19 +14,19 @@
 	paceCut, paceRaise = 0.5, 10
 	// paceFloor is the least share in percent; below it a filler is held at 0.
 	paceFloor = 10
-	// paceEvery is the time between two changes on one host: reports cover half a second.
+	// paceEvery is the time between two changes on one endpoint: reports cover half a second.
 	paceEvery = 600 * time.Millisecond
 )
 
-// tailState is how a host's fillers are paced.
+// tailState is how an endpoint's fillers are paced.
 type tailState struct {
 	percent   int
 	changedAt time.Time
 }
 
-// paceHost slows fillers beside serving tasks that are near their target, and
+// paceEndpoint slows fillers beside serving tasks that are near their target, and
 // lets them work again.
-func (l *Leader) paceHost(h *host, orders *Orders, now time.Time) {
+func (l *Leader) paceEndpoint(h *endpoint, orders *Orders, now time.Time) {
 	fillers := h.fillers()
 	if len(fillers) == 0 || now.Sub(h.tail.changedAt) < paceEvery || now.Sub(h.lookedAt) > reportFresh {
 		return
@@ -52,13 +52,13 @@
 		}
 		r.percent = percent
 		h.tail.changedAt = now
-		orders.Paces = append(orders.Paces, Pace{Host: h.row.ID, Task: r.key.task, Run: r.key.run, Percent: percent})
-		l.note("run paced", "job", r.key.task.Job, "step", r.key.task.Step, "index", r.key.task.Index, "host", h.row.ID, "percent", percent, "tail-of-target", worst)
+		orders.Paces = append(orders.Paces, Pace{Endpoint: h.row.ID, Task: r.key.task, Run: r.key.run, Percent: percent})
+		l.note("run paced", "job", r.key.task.Job, "step", r.key.task.Step, "index", r.key.task.Index, "endpoint", h.row.ID, "percent", percent, "tail-of-target", worst)
 	}
 }
 
-// fillers lists the host's live runs of filler tasks.
-func (h *host) fillers() []*run {
+// fillers lists the endpoint's live runs of filler tasks.
+func (h *endpoint) fillers() []*run {
 	var fillers []*run
 	for _, r := range h.runs {
 		if r.state == runLive && r.job != nil && r.step().Filler {
@@ -73,8 +73,8 @@
 	return r.job.submission.Steps[r.key.task.Step]
 }
 
-// worstTail is the highest tail of the host's serving tasks as a part of their target.
-func (h *host) worstTail() float64 {
+// worstTail is the highest tail of the endpoint's serving tasks as a part of their target.
+func (h *endpoint) worstTail() float64 {
 	worst := 0.0
 	for _, r := range h.runs {
 		if r.job == nil || r.state != runLive || r.step().TailTarget <= 0 || r.step().Filler {
--- a/internal/fleet/step.go
+++ b/internal/fleet/step.go
@@ -34,25 +34,25 @@
 		for pool, jobs := range pools {
 			l.schedule(pool, jobs, &orders, now)
 		}
-		l.planMachines(pools, &orders, now)
+		l.planHosts(pools, &orders, now)
 	}
 	l.evacuate(now)
-	for _, h := range l.hosts {
+	for _, h := range l.endpoints {
 		l.stopsOn(h, &orders, now)
-		l.paceHost(h, &orders, now)
+		l.paceEndpoint(h, &orders, now)
 	}
 	return orders
 }
 
-// stopsOn collects the stops that are due on a host.
-func (l *Leader) stopsOn(h *host, orders *Orders, now time.Time) {
+// stopsOn collects the stops that are due on an endpoint.
+func (l *Leader) stopsOn(h *endpoint, orders *Orders, now time.Time) {
 	for _, r := range h.runs {
 		if r.state != runStopping || now.Before(r.stopAt) {
 			continue
 		}
 		r.stopAt = now.Add(stopAgain)
-		orders.Stops = append(orders.Stops, Stop{Host: h.row.ID, Task: r.key.task, Run: r.key.run})
-		l.note("run stop", "job", r.key.task.Job, "step", r.key.task.Step, "index", r.key.task.Index, "run", r.key.run, "host", h.row.ID, "why", r.why)
+		orders.Stops = append(orders.Stops, Stop{Endpoint: h.row.ID, Task: r.key.task, Run: r.key.run})
+		l.note("run stop", "job", r.key.task.Job, "step", r.key.task.Step, "index", r.key.task.Index, "run", r.key.run, "endpoint", h.row.ID, "why", r.why)
 	}
 }
 
@@ -96,47 +96,47 @@
 )
 
 // noteWait says why tasks of a step wait.
-func (l *Leader) noteWait(g group, rooms []*hostRoom, now time.Time) {
+func (l *Leader) noteWait(g group, rooms []*endpointRoom, now time.Time) {
 	if len(g.step.pending) == 0 || now.Sub(g.step.openedAt) < waitNoteAfter || now.Sub(g.step.waitNotedAt) < waitNoteEvery {
 		return
 	}
 	g.step.waitNotedAt = now
-	cause := "no host has room"
+	cause := "no endpoint has room"
 	switch {
 	case !l.underCap(g.job.submission.Account, g.step.step.Resources, 1):
 		cause = "the client account is at its cap"
 	case len(rooms) == 0:
-		cause = "no host takes work"
+		cause = "no endpoint takes work"
 	case g.step.granted == nil && g.step.asked:
 		cause = "advice is awaited"
 	}
 	l.note("tasks wait", "job", g.job.submission.ID, "step", g.step.key.Step, "tasks", len(g.step.pending), "cause", cause,
-		"pool", l.poolOf(g.job), "hosts", len(rooms), "account", g.job.submission.Account,
+		"pool", l.poolOf(g.job), "endpoints", len(rooms), "account", g.job.submission.Account,
 		"account-cpu", l.inUse[g.job.submission.Account].CPU, "hope", int(g.rank.hope),
 		"waited", now.Sub(g.step.openedAt).Round(time.Millisecond).String())
 }
 
-// hostRoom is a host's room while starts are being decided.
-type hostRoom struct {
-	host    *host
-	room    policy.Resources
-	lasting int
+// endpointRoom is an endpoint's room while starts are being decided.
+type endpointRoom struct {
+	endpoint *endpoint
+	room     policy.Resources
+	lasting  int
 }
 
-// rooms lists the hosts of a pool that take work, in a fixed order.
-func (l *Leader) rooms(pool string, now time.Time) []*hostRoom {
-	var rooms []*hostRoom
-	for _, h := range l.hosts {
+// rooms lists the endpoints of a pool that take work, in a fixed order.
+func (l *Leader) rooms(pool string, now time.Time) []*endpointRoom {
+	var rooms []*endpointRoom
+	for _, h := range l.endpoints {
 		if h.row.Pool != pool || !h.takesWork(now) {
 			continue
 		}
-		rooms = append(rooms, &hostRoom{host: h, room: h.room(), lasting: h.lastingRuns()})
+		rooms = append(rooms, &endpointRoom{endpoint: h, room: h.room(), lasting: h.lastingRuns()})
 	}
-	slices.SortFunc(rooms, func(a, b *hostRoom) int {
+	slices.SortFunc(rooms, func(a, b *endpointRoom) int {
 		switch {
-		case a.host.row.ID < b.host.row.ID:
+		case a.endpoint.row.ID < b.endpoint.row.ID:
 			return -1
-		case a.host.row.ID > b.host.row.ID:
+		case a.endpoint.row.ID > b.endpoint.row.ID:
 			return 1
 		default:
 			return 0
@@ -145,8 +145,8 @@
 	return rooms
 }
 
-// lastingRuns counts the host's runs of lasting tasks.
-func (h *host) lastingRuns() int {
+// lastingRuns counts the endpoint's runs of lasting tasks.
+func (h *endpoint) lastingRuns() int {
 	count := 0
 	for _, r := range h.runs {
 		if r.isLasting() {
@@ -162,7 +162,7 @@
 }
 
 // startGroup starts as many of a step's waiting tasks as fit.
-func (l *Leader) startGroup(g group, rooms []*hostRoom, orders *Orders, now time.Time) {
+func (l *Leader) startGroup(g group, rooms []*endpointRoom, orders *Orders, now time.Time) {
 	if !l.hasTickets(g, rooms, orders, now) {
 		return
 	}
@@ -210,10 +210,10 @@
 }
 
 // start notes a run and orders it.
-func (l *Leader) start(g group, task job.Task, target *hostRoom, number int64, orders *Orders, now time.Time) {
-	h := target.host
+func (l *Leader) start(g group, task job.Task, target *endpointRoom, number int64, orders *Orders, now time.Time) {
+	h := target.endpoint
 	r := &run{
-		key: runKey{task, number}, host: h, job: g.job, state: runStarting, orderedAt: now,
+		key: runKey{task, number}, endpoint: h, job: g.job, state: runStarting, orderedAt: now,
 		percent: 100, reserved: g.step.step.Reserved(), saved: g.job.saved[task],
 	}
 	h.runs[r.key] = r
@@ -225,16 +225,16 @@
 		target.lasting++
 	}
 	orders.Starts = append(orders.Starts, Start{
-		Host: h.row.ID, Task: task, Run: number, Spec: g.job.submission.Spec, Lease: h.nextLease(now),
+		Endpoint: h.row.ID, Task: task, Run: number, Spec: g.job.submission.Spec, Lease: h.nextLease(now),
 		Saved: r.saved, Ticket: g.step.granted[h.row.ID],
 	})
-	l.note("run start", "job", task.Job, "step", task.Step, "index", task.Index, "run", number, "host", h.row.ID,
-		"host-seen-ago", now.Sub(h.lookedAt).Round(time.Millisecond).String(), "waited", now.Sub(g.step.openedAt).Round(time.Millisecond).String())
+	l.note("run start", "job", task.Job, "step", task.Step, "index", task.Index, "run", number, "endpoint", h.row.ID,
+		"endpoint-seen-ago", now.Sub(h.lookedAt).Round(time.Millisecond).String(), "waited", now.Sub(g.step.openedAt).Round(time.Millisecond).String())
 }
 
-// choose returns the best host for a task, or nil.
-func (l *Leader) choose(g group, task job.Task, rooms []*hostRoom) *hostRoom {
-	var best *hostRoom
+// choose returns the best endpoint for a task, or nil.
+func (l *Leader) choose(g group, task job.Task, rooms []*endpointRoom) *endpointRoom {
+	var best *endpointRoom
 	bestScore := 0.0
 	for _, candidate := range rooms {
 		if !g.allows(candidate) {
@@ -248,22 +248,22 @@
 	return best
 }
 
-// allows reports whether a task of the step may start on a host.
-func (g group) allows(candidate *hostRoom) bool {
+// allows reports whether a task of the step may start on an endpoint.
+func (g group) allows(candidate *endpointRoom) bool {
 	step := g.step.step
-	if !step.Reserved().Fits(candidate.room) || !candidate.host.hasLabel(step.Requires) {
+	if !step.Reserved().Fits(candidate.room) || !candidate.endpoint.hasLabel(step.Requires) {
 		return false
 	}
 	if g.step.granted != nil {
-		if _, ok := g.step.granted[candidate.host.row.ID]; !ok {
+		if _, ok := g.step.granted[candidate.endpoint.row.ID]; !ok {
 			return false
 		}
 	}
-	return step.MaxPerHost == 0 || candidate.host.runsOf(g.job, g.step.key) < step.MaxPerHost
+	return step.MaxPerEndpoint == 0 || candidate.endpoint.runsOf(g.job, g.step.key) < step.MaxPerEndpoint
 }
 
-// runsOf counts a step's runs on a host.
-func (h *host) runsOf(j *jobState, key job.StepKey) int {
+// runsOf counts a step's runs on an endpoint.
+func (h *endpoint) runsOf(j *jobState, key job.StepKey) int {
 	count := 0
 	for _, r := range h.runs {
 		if r.job == j && r.key.task.Step == key.Step && r.key.task.Occurrence == key.Occurrence {
@@ -273,7 +273,7 @@
 	return count
 }
 
-// Weights of a host's score; each outweighs all that stand after it.
+// Weights of an endpoint's score; each outweighs all that stand after it.
 const (
 	scoreUntried  = 1000
 	scoreAffinity = 100
@@ -281,10 +281,10 @@
 	scoreCold     = -50
 )
 
-// score prefers hosts on which the task has not failed, near its data, that
+// score prefers endpoints on which the task has not failed, near its data, that
 // cannot be given back since lasting tasks run there, and that are fullest.
-func (g group) score(task job.Task, candidate *hostRoom) float64 {
-	h := candidate.host
+func (g group) score(task job.Task, candidate *endpointRoom) float64 {
+	h := candidate.endpoint
 	score := 0.0
 	if !slices.Contains(g.job.avoid[task], h.row.ID) {
 		score += scoreUntried
@@ -301,10 +301,10 @@
 	return score + 1 - float64(candidate.room.CPU)/float64(max(1, h.row.Capacity.CPU))
 }
 
-// StartAnswered takes a host's answer to a start. It returns false if the host
+// StartAnswered takes an endpoint's answer to a start. It returns false if the endpoint
 // knows a later leader.
 func (l *Leader) StartAnswered(start Start, reply Reply, now time.Time) bool {
-	h := l.hosts[start.Host]
+	h := l.endpoints[start.Endpoint]
 	if h == nil {
 		return reply.Outcome != OrderFenced
 	}
@@ -327,14 +327,14 @@
 	case OrderOtherLife:
 		l.newLife(h, h.born, "refusal", now)
 		h.listed = false
-		l.forgetHost(h, now)
+		l.forgetEndpoint(h, now)
 	default:
 		l.startRefused(r, reply, now)
 	}
 	return true
 }
 
-// runTaken notes that a host runs a task.
+// runTaken notes that an endpoint runs a task.
 func (l *Leader) runTaken(r *run, now time.Time) {
 	if r.state == runStarting || r.state == runDoubtful {
 		r.state = runLive
@@ -342,15 +342,15 @@
 	r.answeredAt = now
 }
 
-// startRefused takes back a run that the host did not begin.
+// startRefused takes back a run that the endpoint did not begin.
 func (l *Leader) startRefused(r *run, reply Reply, now time.Time) {
-	h := r.host
+	h := r.endpoint
 	notBefore := now.Add(retryPause)
 	switch reply.Outcome {
 	case OrderNoRoom:
 		h.fullUntil = now.Add(retryPause)
 	case OrderLate:
-		// Our estimate of the host's clock is off: look before the next start.
+		// Our estimate of the endpoint's clock is off: look before the next start.
 		h.reached = false
 	case OrderUnhealthy, OrderUnsent:
 		h.pausedUntil = now.Add(unhealthyPause)
@@ -371,13 +371,13 @@
 		return
 	}
 	l.note(event, "job", r.key.task.Job, "step", r.key.task.Step, "index", r.key.task.Index, "run", r.key.run,
-		"host", r.host.row.ID, "outcome", string(reply.Outcome))
+		"endpoint", r.endpoint.row.ID, "outcome", string(reply.Outcome))
 }
 
-// StopAnswered takes a host's answer to a stop. It returns false if the host
+// StopAnswered takes an endpoint's answer to a stop. It returns false if the endpoint
 // knows a later leader.
 func (l *Leader) StopAnswered(stop Stop, reply Reply, now time.Time) bool {
-	h := l.hosts[stop.Host]
+	h := l.endpoints[stop.Endpoint]
 	if h == nil {
 		return reply.Outcome != OrderFenced
 	}
@@ -396,7 +396,7 @@
 	case OrderOtherLife:
 		l.newLife(h, h.born, "refusal", now)
 		h.listed = false
-		l.forgetHost(h, now)
+		l.forgetEndpoint(h, now)
 	}
 	return true
 }
--- a/internal/fleet/wave.go
+++ b/internal/fleet/wave.go
@@ -10,8 +10,8 @@
 type waveState struct {
 	row      WaveRow
 	listedAt time.Time
-	// done holds the machines whose upkeep has begun.
-	done     map[MachineID]bool
+	// done holds the hosts whose upkeep has begun.
+	done     map[HostID]bool
 	complete bool
 	dirty    bool
 }
@@ -25,10 +25,10 @@
 
 // wave returns a wave's state, which it creates.
 func (l *Leader) wave(number int64) *waveState {
-	wave := l.machines.waves[number]
+	wave := l.hosts.waves[number]
 	if wave == nil {
-		wave = &waveState{done: map[MachineID]bool{}}
-		l.machines.waves[number] = wave
+		wave = &waveState{done: map[HostID]bool{}}
+		l.hosts.waves[number] = wave
 	}
 	return wave
 }
@@ -39,7 +39,7 @@
 	if wave.listedAt.IsZero() {
 		wave.listedAt = now
 		wave.dirty = true
-		l.note("wave listed", "wave", row.Number, "machines", len(row.Machines), "at-once", row.AtOnce, "within", row.Within.String())
+		l.note("wave listed", "wave", row.Number, "hosts", len(row.Hosts), "at-once", row.AtOnce, "within", row.Within.String())
 	}
 	wave.row = row
 }
@@ -49,7 +49,7 @@
 	wave := l.wave(number)
 	wave.complete = complete
 	for _, id := range done {
-		wave.done[MachineID(id)] = true
+		wave.done[HostID(id)] = true
 	}
 }
 
@@ -57,7 +57,7 @@
 func (l *Leader) WaveNews() []WaveNews {
 	var news []WaveNews
 	for _, number := range l.waveNumbers() {
-		wave := l.machines.waves[number]
+		wave := l.hosts.waves[number]
 		if !wave.dirty {
 			continue
 		}
@@ -72,21 +72,21 @@
 	return news
 }
 
-// planWave takes the wave's next machines down, those that cost least first,
+// planWave takes the wave's next hosts down, those that cost least first,
 // and empties the ones after them.
 func (l *Leader) planWave(wave *waveState, orders *Orders, now time.Time) {
 	if wave.complete || wave.listedAt.IsZero() {
 		return
 	}
-	var due []*machineState
+	var due []*hostState
 	down, known := 0, 0
-	for _, id := range wave.row.Machines {
-		m := l.machines.byID[id]
+	for _, id := range wave.row.Hosts {
+		m := l.hosts.byID[id]
 		if m == nil || !m.listed {
 			continue
 		}
 		known++
-		isDown := m.change != nil && m.change.wave == wave.row.Number || m.row.State == MachineUpkeep
+		isDown := m.change != nil && m.change.wave == wave.row.Number || m.row.State == HostUpkeep
 		if isDown {
 			down++
 		}
@@ -99,7 +99,7 @@
 		l.note("wave complete", "wave", wave.row.Number, "took", now.Sub(wave.listedAt).Round(time.Millisecond).String())
 		return
 	}
-	slices.SortFunc(due, func(a, b *machineState) int {
+	slices.SortFunc(due, func(a, b *hostState) int {
 		return cmp.Or(cmp.Compare(l.upkeepCost(a), l.upkeepCost(b)), cmp.Compare(a.row.ID, b.row.ID))
 	})
 	// As many as may be down at once are emptied ahead.
@@ -107,23 +107,23 @@
 		if i >= 2*wave.row.AtOnce-down {
 			return
 		}
-		h := l.hostOf(m)
+		h := l.endpointOf(m)
 		if h != nil {
 			h.leaving = true
 		}
 		if down < wave.row.AtOnce && l.isEmpty(m, now) {
 			down++
 			m.change = &change{wave: wave.row.Number, orderedAt: now}
-			orders.Upkeeps = append(orders.Upkeeps, Upkeep{Machine: m.row.ID, Wave: wave.row.Number})
-			l.note("upkeep", "machine", m.row.ID, "pool", m.row.Pool, "wave", wave.row.Number, "down", down, "at-once", wave.row.AtOnce)
+			orders.Upkeeps = append(orders.Upkeeps, Upkeep{Host: m.row.ID, Wave: wave.row.Number})
+			l.note("upkeep", "host", m.row.ID, "pool", m.row.Pool, "wave", wave.row.Number, "down", down, "at-once", wave.row.AtOnce)
 		}
 	}
 }
 
-// waveDone reports whether the upkeep of all the wave's machines has begun.
+// waveDone reports whether the upkeep of all the wave's hosts has begun.
 func (l *Leader) waveDone(wave *waveState) bool {
-	for _, id := range wave.row.Machines {
-		m := l.machines.byID[id]
+	for _, id := range wave.row.Hosts {
+		m := l.hosts.byID[id]
 		if m != nil && m.listed && !wave.done[id] {
 			return false
 		}
@@ -131,20 +131,20 @@
 	return true
 }
 
-// Weights of a run in the cost of taking its machine down: a lasting task has
+// Weights of a run in the cost of taking its host down: a lasting task has
 // to be started elsewhere, any other ends by itself.
 const (
 	costLasting = 1000
 	costRun     = 1
-	// costUnknown ranks a machine whose host is not known yet after all others.
+	// costUnknown ranks a host whose endpoint is not known yet after all others.
 	costUnknown = 1_000_000
 )
 
-// upkeepCost ranks a machine by what its upkeep disturbs.
-func (l *Leader) upkeepCost(m *machineState) int {
-	h := l.hostOf(m)
+// upkeepCost ranks a host by what its upkeep disturbs.
+func (l *Leader) upkeepCost(m *hostState) int {
+	h := l.endpointOf(m)
 	if h == nil || !h.reached {
-		if m.row.Host == "" {
+		if m.row.Endpoint == "" {
 			return 0
 		}
 		return costUnknown
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -55,7 +55,7 @@
 	State(ctx context.Context, id job.ID) (state job.State, known, answered bool)
 	// Waiting returns how many of a queue's jobs have not begun.
 	Waiting(ctx context.Context, queue string) (count int, answered bool)
-	// Unservable returns why no host can ever run a step, or "".
+	// Unservable returns why no endpoint can ever run a step, or "".
 	Unservable(step job.Step) string
 }
 
--- a/internal/ingress/ingress_test.go
+++ b/internal/ingress/ingress_test.go
@@ -53,7 +53,7 @@
 
 func (f *fleetFake) Unservable(step job.Step) string {
 	if step.Resources.CPU > 16000 {
-		return "a task is larger than any host"
+		return "a task is larger than any endpoint"
 	}
 	return ""
 }
@@ -66,9 +66,9 @@
 	err := json.Unmarshal(body, &out)
 	return &out, err
 }
-func (form) State(state job.State) []byte { return []byte(state) }
-func (form) Waiting(int) []byte           { return []byte("7") }
-func (form) Refusal(reason string) []byte { return []byte(reason) }
+func (form) State(state job.State) []byte  { return []byte(state) }
+func (form) Waiting(int) []byte            { return []byte("7") }
+func (form) Refusal(reason string) []byte  { return []byte(reason) }
 func (form) Key(header http.Header) string { return header.Get("Key") }
 
 func (form) Patience(_ http.Header, _ time.Duration) time.Duration { return 500 * time.Millisecond }
--- a/internal/job/job.go
+++ b/internal/job/job.go
@@ -74,12 +74,12 @@
 	Gang bool `json:"gang,omitempty"`
 	// SameRack tasks are slow on more than one rack.
 	SameRack bool `json:"same-rack,omitempty"`
-	// Requires is a label that the host must have.
+	// Requires is a label that the endpoint must have.
 	Requires string `json:"requires,omitempty"`
 	// Affinity is the rack on which the tasks are not slowed down.
 	Affinity string `json:"affinity,omitempty"`
-	// MaxPerHost bounds the step's tasks on one host; 0 is no bound.
-	MaxPerHost int `json:"max-per-host,omitempty"`
+	// MaxPerEndpoint bounds the step's tasks on one endpoint; 0 is no bound.
+	MaxPerEndpoint int `json:"max-per-endpoint,omitempty"`
 	// Speculative tasks may run as parallel copies.
 	Speculative bool `json:"speculative,omitempty"`
 	// Lasting tasks run until the job is cancelled.
@@ -194,7 +194,7 @@
 	if s.Count <= 0 || s.Count > MaxTasks {
 		return fmt.Sprintf("step %d has a count of %d", number, s.Count)
 	}
-	if s.Resources.CPU < 0 || s.Resources.Memory < 0 || s.Resources.GPU < 0 || s.MaxPerHost < 0 || s.MayMiss < 0 {
+	if s.Resources.CPU < 0 || s.Resources.Memory < 0 || s.Resources.GPU < 0 || s.MaxPerEndpoint < 0 || s.MayMiss < 0 {
 		return fmt.Sprintf("step %d has a negative amount", number)
 	}
 	for _, before := range s.After {
--- a/internal/job/progress.go
+++ b/internal/job/progress.go
@@ -28,7 +28,7 @@
 	// DoneCount is the number of bits that are set.
 	DoneCount int `json:"done-count,omitempty"`
 	// FailedRuns lists the runs that ended as failed, by task index. Runs are
-	// listed and not counted since a host reports an end until it is acknowledged.
+	// listed and not counted since an endpoint reports an end until it is acknowledged.
 	FailedRuns map[int][]int64 `json:"failed-runs,omitempty"`
 }
 
@@ -38,7 +38,7 @@
 }
 
 // Progress is which of a job's tasks have ended. Its row is written before a
-// host's report of the end is acknowledged.
+// endpoint's report of the end is acknowledged.
 type Progress struct {
 	State State `json:"state"`
 	// Steps is indexed by occurrence and step, with "occurrence.step" as names in its row.
--- a/internal/member/doc.go
+++ b/internal/member/doc.go
@@ -10,6 +10,6 @@
 //	leader, ok := node.Leader()
 //
 // A claim is a row that is changed under a condition, and its token grows with
-// each change. No clock has to be right for that: hosts refuse orders with a
+// each change. No clock has to be right for that: endpoints refuse orders with a
 // lower token, and the store refuses transactions that carry an older claim.
 package member
--- a/internal/member/fleetclient.go
+++ b/internal/member/fleetclient.go
@@ -120,7 +120,7 @@
 	return int(f.waiting[queue]), true
 }
 
-// Unservable returns why no machine can ever run a step's task, or "".
+// Unservable returns why no host can ever run a step's task, or "".
 func (f *FleetClient) Unservable(step job.Step) string {
 	f.node.mu.Lock()
 	largest := f.node.largest
@@ -129,7 +129,7 @@
 		largest = own
 	}
 	if largest.CPU > 0 && !step.Reserved().Fits(largest) {
-		return "a task is larger than any host"
+		return "a task is larger than any endpoint"
 	}
 	return ""
 }
--- a/internal/member/node.go
+++ b/internal/member/node.go
@@ -63,7 +63,7 @@
 	// leadership ends with ctx. Policy returns the newest configuration's version.
 	Won           func(ctx context.Context, claim record.Claim, version uint64)
 	PolicyVersion func() uint64
-	// Largest returns the most that one machine has of each resource, as far as
+	// Largest returns the most that one host has of each resource, as far as
 	// this process has led and seen it.
 	Largest func() policy.Resources
 }
@@ -91,7 +91,7 @@
 	renewedAt time.Time
 	// peersWithStore lists the members that said that they reach the store.
 	peersWithStore map[string]time.Time
-	// largest is the most that one machine has, as the leader told.
+	// largest is the most that one host has, as the leader told.
 	largest policy.Resources
 	wake    chan struct{}
 }
@@ -491,7 +491,7 @@
 	n.config.Won(leadCtx, claim, version)
 }
 
-// Lost ends our leadership after the store or a host has shown a later one.
+// Lost ends our leadership after the store or an endpoint has shown a later one.
 func (n *Node) Lost(token uint64, why string) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
--- a/internal/policy/policy.go
+++ b/internal/policy/policy.go
@@ -1,5 +1,5 @@
 // Package policy holds what the operators have configured: queues, the pools
-// of hosts that run their tasks, client accounts with keys and caps, and the
+// of endpoints that run their tasks, client accounts with keys and caps, and the
 // bounds of a request. A Policy is immutable once it is built; a newer version
 // replaces it whole.
 //
@@ -41,7 +41,7 @@
 	return r.CPU <= room.CPU && r.Memory <= room.Memory && r.GPU <= room.GPU
 }
 
-// Advice configures a queue whose steps may run only on some hosts, which the
+// Advice configures a queue whose steps may run only on some endpoints, which the
 // advice service names.
 type Advice struct {
 	// Decide is how long a call takes, and Each what it takes for each host named.
@@ -68,16 +68,16 @@
 	Target  time.Duration
 	// Timeout bounds a request.
 	Timeout time.Duration
-	// Advice is nil for a queue whose tasks may run on each host of the pool.
+	// Advice is nil for a queue whose tasks may run on each endpoint of the pool.
 	Advice *Advice
 }
 
-// Pool is a service's set of hosts.
+// Pool is a service's set of endpoints.
 type Pool struct {
 	Name string
-	// Guarded pools have hosts that reject what does not fit.
+	// Guarded pools have endpoints that reject what does not fit.
 	Guarded bool
-	// Spare pools hold machines that are switched off.
+	// Spare pools hold hosts that are switched off.
 	Spare bool
 }
 
@@ -161,7 +161,7 @@
 	return name, ok && key != ""
 }
 
-// SparePool returns the pool of machines that are switched off.
+// SparePool returns the pool of hosts that are switched off.
 func (p *Policy) SparePool() (string, bool) {
 	for name, pool := range p.Pools {
 		if pool.Spare {
--- a/internal/process/node.go
+++ b/internal/process/node.go
@@ -27,10 +27,10 @@
 const (
 	// storeTimeout bounds a call to the store; a slow store takes a second or more.
 	storeTimeout = 1800 * time.Millisecond
-	// hostTimeout bounds an order to a host.
-	hostTimeout = 700 * time.Millisecond
-	// machineTimeout bounds a call to the machine interface.
-	machineTimeout = 2 * time.Second
+	// endpointTimeout bounds an order to an endpoint.
+	endpointTimeout = 700 * time.Millisecond
+	// hostTimeout bounds a call to the host interface.
+	hostTimeout = 2 * time.Second
 	// connectTimeout bounds the opening of a connection to the platform's servers.
 	connectTimeout = 400 * time.Millisecond
 	// silenceTimeout ends connections whose other side does not acknowledge.
@@ -61,7 +61,7 @@
 	Journal *journal.Journal
 }
 
-// frontNode is a process between callers and hosts, on the platform.
+// frontNode is a process between callers and endpoints, on the platform.
 type frontNode struct {
 	config   NodeConfig
 	settings platform.Settings
@@ -109,10 +109,10 @@
 	}
 	n.control = control.New(control.Config{
 		Store: n.member.Store(), Feed: n.store,
-		Hosts:    platform.NewHosts(platform.HostsConfig{Client: client, Timeout: hostTimeout}),
-		HostList: platform.HostList{Store: n.store, Unreadable: unreadable},
-		Machines: platform.NewMachines(platform.MachinesConfig{
-			Client: client, Address: settings.Machines, Holder: settings.Name, Timeout: machineTimeout,
+		Endpoints:    platform.NewEndpoints(platform.EndpointsConfig{Client: client, Timeout: endpointTimeout}),
+		EndpointList: platform.EndpointList{Store: n.store, Unreadable: unreadable},
+		Hosts: platform.NewHosts(platform.HostsConfig{
+			Client: client, Address: settings.Hosts, Holder: settings.Name, Timeout: hostTimeout,
 		}),
 		Advice: advice, WaveStatus: platform.WaveStatus{}, Bounds: settings.Bounds.FleetBounds(), Journal: n.journal,
 		Lost: n.member.Lost, Followed: n.member.Followed, StoreAnswered: n.storeAnswered,
--- a/internal/record/record.go
+++ b/internal/record/record.go
@@ -90,12 +90,12 @@
 	return WavePrefix + strconv.FormatInt(wave, 10)
 }
 
-// ChangeKey is the row that says when a machine was last about to be changed.
-func ChangeKey(machine string) string {
-	return ChangePrefix + machine
+// ChangeKey is the row that says when a host was last about to be changed.
+func ChangeKey(host string) string {
+	return ChangePrefix + host
 }
 
-// Change is when, by the time of day of the leader, a machine was about to be changed.
+// Change is when, by the time of day of the leader, a host was about to be changed.
 type Change struct {
 	At time.Time `json:"at"`
 }
