--- a/Makefile
+++ b/Makefile
@@ -9,6 +9,7 @@
 
 demo: build
 	./test/demo.sh
+	./test/demo-node.sh
 
 # Packages with property tests take a seed, so that each run is the same.
 RAPID_PACKAGES := $(shell git grep -l '"pgregory.net/rapid"' -- '*_test.go' | xargs -n1 dirname | sort -u | sed 's|^|./|')
--- a/cmd/lovagedyke-standin/main.go
+++ b/cmd/lovagedyke-standin/main.go
@@ -22,6 +22,7 @@
 		ShortUsage: "lovagedyke-standin <subcommand> [flags]",
 		Subcommands: []*ffcli.Command{
 			platformCommand(logger),
+			fleetCommand(logger),
 			endpointCommand(logger),
 			workerCommand(logger),
 			loadCommand(),
--- /dev/null
+++ b/cmd/lovagedyke/cmd_explain.go
@@ -0,0 +1,44 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/lovagedyke/lovagedyke/internal/explain"
+)
+
+var cmdExplain = &Cmd{
+	Name:   "explain",
+	Args:   "<id> <log> ...",
+	Desc:   "tell from the processes' logs what became of a job",
+	Action: explainJob,
+}
+
+func explainJob(_ context.Context, env *Env, args []string) error {
+	if len(args) < 2 {
+		return usageError{errors.New("a job's ID and its logs are needed")}
+	}
+	var logs []io.Reader
+	for _, path := range args[1:] {
+		file, err := os.Open(path)
+		if err != nil {
+			return errors.Wrap(err, "open the log")
+		}
+		defer func() { _ = file.Close() }()
+		logs = append(logs, file)
+	}
+	story, err := explain.Read(args[0], logs...)
+	if err != nil {
+		return err
+	}
+	for _, line := range story.Lines {
+		if _, err := fmt.Fprintln(env.Stdout, line); err != nil {
+			return errors.Wrap(err, "print")
+		}
+	}
+	return nil
+}
--- a/cmd/lovagedyke/main.go
+++ b/cmd/lovagedyke/main.go
@@ -20,6 +20,7 @@
 	cmdEntry,
 	cmdManager,
 	cmdNode,
+	cmdExplain,
 	cmdCatalogue,
 	cmdKey,
 	cmdHost,
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -16,6 +16,7 @@
 	"io"
 	"net"
 	"net/http"
+	"path"
 	"strconv"
 	"strings"
 	"time"
@@ -35,6 +36,8 @@
 	answerMargin = 150 * time.Millisecond
 	// retryAfter is what callers are told to wait while the store is away.
 	retryAfter = time.Second
+	// idMost bounds what is logged of a path that names no queue.
+	idMost = 32
 	// bodyDefault bounds bodies while the configuration does not.
 	bodyDefault = 256 << 10
 )
@@ -304,7 +307,10 @@
 
 // note writes the request's line and counts it.
 func (i *Ingress) note(r *http.Request, c *call, answer reply, started time.Time) {
-	queue, id, version := "", "", uint64(0)
+	// A request without a queue is named by the end of its path, bounded.
+	id := path.Base(r.URL.Path)
+	id = id[:min(len(id), idMost)]
+	queue, version := "", uint64(0)
 	if c != nil {
 		queue, id, version = c.queue.Name, string(c.id), c.policy.Version
 	}
