Hand over only to processes that do not stop themselves

A call that the leader broke off itself also counted as a sign that the store was away. Ruled out: a lost answer of the store (none is logged).

--- a/cmd/lovagedyke/cmd_explain.go
+++ b/cmd/lovagedyke/cmd_explain.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"io"
@@ -24,12 +25,11 @@
 	}
 	var logs []io.Reader
 	for _, path := range args[1:] {
-		file, err := os.Open(path)
+		text, err := os.ReadFile(path)
 		if err != nil {
-			return errors.Wrap(err, "open the log")
+			return errors.Wrap(err, "read the log")
 		}
-		defer func() { _ = file.Close() }()
-		logs = append(logs, file)
+		logs = append(logs, bytes.NewReader(text))
 	}
 	story, err := explain.Read(args[0], logs...)
 	if err != nil {
--- a/internal/control/endpoints.go
+++ b/internal/control/endpoints.go
@@ -74,7 +74,8 @@
 func (w *endpointWorker) run(groupCtx context.Context, loop func(ctx context.Context)) {
 	ctx, cancel := context.WithCancel(groupCtx)
 	defer cancel()
-	defer context.AfterFunc(w.ctx, cancel)()
+	stop := context.AfterFunc(w.ctx, cancel)
+	defer stop()
 	loop(ctx)
 }
 
--- a/internal/fleet/endpointstate.go
+++ b/internal/fleet/endpointstate.go
@@ -118,7 +118,6 @@
 	saved string
 	// percent is the pace that was ordered.
 	percent  int
-	pacedAt  time.Time
 	tail     time.Duration
 	reserved policy.Resources
 	// atWorkAt is when the endpoint first reported the run at work.
--- a/internal/job/job_test.go
+++ b/internal/job/job_test.go
@@ -87,16 +87,8 @@
 		for range rapid.IntRange(1, 4).Draw(t, "steps") {
 			submission.Steps = append(submission.Steps, job.Step{Count: rapid.IntRange(1, 20).Draw(t, "count")})
 		}
-		var all []job.Task
-		for occurrence := range submission.Occurrences() {
-			for step := range submission.Steps {
-				for index := range submission.Steps[step].Count {
-					all = append(all, job.Task{Job: someID, Occurrence: occurrence, Step: step, Index: index})
-				}
-			}
-		}
 		progress := job.NewProgress()
-		ended := rapid.Permutation(all).Draw(t, "order")
+		ended := rapid.Permutation(allTasks(submission)).Draw(t, "order")
 		for i, task := range ended {
 			if got := progress.AllDone(submission); got {
 				t.Fatalf("complete after %d of %d tasks", i, len(ended))
@@ -122,6 +114,19 @@
 	})
 }
 
+// allTasks lists the tasks of all occurrences.
+func allTasks(submission *job.Submission) []job.Task {
+	var all []job.Task
+	for occurrence := range submission.Occurrences() {
+		for step := range submission.Steps {
+			for index := range submission.Steps[step].Count {
+				all = append(all, job.Task{Job: someID, Occurrence: occurrence, Step: step, Index: index})
+			}
+		}
+	}
+	return all
+}
+
 func TestFailedRunsAreCountedOnce(t *testing.T) {
 	progress := job.NewProgress()
 	task := job.Task{Job: someID}
--- a/internal/member/member_test.go
+++ b/internal/member/member_test.go
@@ -81,11 +81,13 @@
 
 // process is a member with its port.
 type process struct {
-	node   *member.Node
-	gate   *gate
-	server *http.Server
-	stop   context.CancelFunc
-	ended  chan struct{}
+	node *member.Node
+	// address is where it serves the others.
+	address netip.AddrPort
+	gate    *gate
+	server  *http.Server
+	stop    context.CancelFunc
+	ended   chan struct{}
 
 	mu     sync.Mutex
 	tokens []uint64
@@ -97,7 +99,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	p := &process{gate: &gate{Store: store}, ended: make(chan struct{})}
+	p := &process{address: netip.MustParseAddrPort(socket.Addr().String()), gate: &gate{Store: store}, ended: make(chan struct{})}
 	p.node = member.New(member.Config{
 		Name: name, Address: netip.MustParseAddrPort(socket.Addr().String()), Store: p.gate, Journal: silent{},
 		Won: func(_ context.Context, claim record.Claim, _ uint64) {
@@ -201,6 +203,30 @@
 	}
 }
 
+// The leader that stops hands over to a process that does not.
+func TestStoppingProcessesAreNotAskedToLead(t *testing.T) {
+	processes := three(t, table.NewMemory())
+	first := leaderOf(t, 0, processes...)
+	rest := others(processes, first)
+	rest[0].node.Stop(context.Background())
+	lead := &memberpb.LeadRequest{Token: first.newest()}
+	if _, err := first.node.Dial(rest[0].address).Lead(context.Background(), lead); err == nil {
+		t.Error("a stopping process that is asked: got yes, want an error")
+	}
+	first.node.Stop(context.Background())
+	leaderOf(t, first.newest(), rest[1])
+}
+
+// A call that we broke off ourselves says nothing about the store.
+func TestOwnCancelIsNoSignOfTheStore(t *testing.T) {
+	p := newProcess(t, "a", table.NewMemory())
+	leaderOf(t, 0, p)
+	p.node.NoteStore(errors.Mark(context.Canceled, table.ErrUnavailable))
+	if !p.node.StoreReached() {
+		t.Error("store reached: got false, want true")
+	}
+}
+
 func TestOneLeaderOfMany(t *testing.T) {
 	processes := three(t, table.NewMemory())
 	leaderOf(t, 0, processes...)
--- a/internal/member/node.go
+++ b/internal/member/node.go
@@ -82,8 +82,10 @@
 	followedAt map[string]time.Time
 	heardAt    time.Time
 	leading    bool
-	stopping   bool
-	resign     context.CancelFunc
+	// wished is true once the leader has asked us to take over.
+	wished   bool
+	stopping bool
+	resign   context.CancelFunc
 	// storeOKAt and storeFailedAt are when the store last answered us, or did not.
 	storeOKAt, storeFailedAt time.Time
 	// renewedAt is when the leader's renewal last changed, as far as we have read it.
@@ -388,6 +390,11 @@
 // processor than the others go first, since the leader needs most of it.
 func (n *Node) candidatePause() time.Duration {
 	n.mu.Lock()
+	if n.wished {
+		n.wished = false
+		n.mu.Unlock()
+		return 0
+	}
 	stronger := 0
 	for _, member := range n.members {
 		if member.Processor > n.config.Processor {
@@ -560,21 +567,31 @@
 	}
 }
 
-// asked takes over on another process's wish, if its claim is the newest.
-func (n *Node) asked(token uint64) {
+// asked takes over on another process's wish, if its claim is the newest. It
+// returns false if this process is about to end itself.
+func (n *Node) asked(token uint64) bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if n.claim.Token > token || n.stopping || n.leading {
-		return
+	if n.stopping {
+		return false
 	}
+	if n.claim.Token > token || n.leading {
+		return true
+	}
+	n.wished = true
 	// As if the claim were released: the next round takes it.
 	n.claim = record.Claim{Token: token, Name: n.claim.Name, Address: n.claim.Address, Released: true}
 	n.heardAt = time.Time{}
 	n.signal()
+	return true
 }
 
 // noteStore remembers whether the store answers us.
 func (n *Node) noteStore(err error) {
+	if errors.Is(err, context.Canceled) {
+		// It was we who broke the call off.
+		return
+	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	now := time.Now()
--- a/internal/member/service.go
+++ b/internal/member/service.go
@@ -4,6 +4,7 @@
 	"context"
 
 	"github.com/cockroachdb/errors"
+	"github.com/twitchtv/twirp"
 
 	"github.com/lovagedyke/lovagedyke/internal/job"
 	"github.com/lovagedyke/lovagedyke/internal/member/memberpb"
@@ -53,7 +54,9 @@
 
 // Lead implements memberpb.Member.
 func (s *Service) Lead(_ context.Context, request *memberpb.LeadRequest) (*memberpb.LeadReply, error) {
-	s.config.Node.asked(request.Token)
+	if !s.config.Node.asked(request.Token) {
+		return nil, twirp.NewError(twirp.Unavailable, "this process is stopping, too")
+	}
 	return &memberpb.LeadReply{}, nil
 }
 
