--- /dev/null
+++ b/internal/fleet/bench_test.go
@@ -0,0 +1,40 @@
+package fleet_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/lovagedyke/lovagedyke/internal/fleet"
+)
+
+// BenchmarkStartAndEnd is the leader's part of a task from its start to its
+// acknowledged end, beside 50 endpoints.
+func BenchmarkStartAndEnd(b *testing.B) {
+	w := newWorld(&testing.T{}, worldConfig{})
+	for n := range 50 {
+		w.endpoint(fleet.EndpointID(fmt.Sprintf("i-%02d", n)))
+	}
+	numbers := map[fleet.EndpointID]int64{}
+	n := 0
+	for b.Loop() {
+		n++
+		w.accept(submission(n, tasks(1)))
+		start := w.step().Starts[0]
+		w.take()
+		numbers[start.Endpoint]++
+		w.running[start.Endpoint] = nil
+		w.ended[start.Endpoint] = []fleet.EndedTask{{
+			Number: numbers[start.Endpoint], Task: start.Task, Run: start.Run, Kind: fleet.EndDone,
+		}}
+		w.look(start.Endpoint)
+		w.write()
+		w.ended[start.Endpoint] = nil
+		w.look(start.Endpoint)
+		if n%100 == 0 {
+			// Jobs that ended long ago are forgotten, as their rows are.
+			w.pass(time.Hour)
+			w.leader.Forget(w.leader.Forgettable(w.now, 100))
+		}
+	}
+}
--- a/internal/fleet/leader_test.go
+++ b/internal/fleet/leader_test.go
@@ -297,7 +297,7 @@
 	}
 }
 
-func TestAListFromBeforeAEndpointEndsNothing(t *testing.T) {
+func TestAListFromBeforeAnEndpointEndsNothing(t *testing.T) {
 	w := newWorld(t, worldConfig{})
 	before := w.now
 	w.endpoint("a")
@@ -501,7 +501,7 @@
 	}
 }
 
-func TestNewLifeOfAEndpoint(t *testing.T) {
+func TestNewLifeOfAnEndpoint(t *testing.T) {
 	w := newWorld(t, worldConfig{})
 	w.endpoint("a")
 	w.accept(submission(1, tasks(1)))
