--- a/internal/loops/loops.go
+++ b/internal/loops/loops.go
@@ -32,19 +32,17 @@
 // Go starts a loop, which returns when its context ends. A loop may start others.
 func (g *Group) Go(loop func(ctx context.Context)) {
 	g.wait.Go(func() {
-		defer g.endOnPanic()
+		defer func() {
+			// A loop that panics ends the others; Wait passes the panic on.
+			if cause := recover(); cause != nil {
+				g.cancel()
+				panic(cause)
+			}
+		}()
 		loop(g.ctx)
 	})
 }
 
-// endOnPanic ends the other loops when one panics.
-func (g *Group) endOnPanic() {
-	if cause := recover(); cause != nil {
-		g.cancel()
-		panic(cause)
-	}
-}
-
 // Done is closed when the loops have to end.
 func (g *Group) Done() <-chan struct{} {
 	return g.ctx.Done()
