--- a/internal/ingress/ingress_test.go
+++ b/internal/ingress/ingress_test.go
@@ -93,18 +93,25 @@
 func newBench(t *testing.T, current *policy.Policy) *bench {
 	t.Helper()
 	b := &bench{store: table.NewMemory(), fleet: &fleetFake{states: map[job.ID]job.State{}}}
-	b.handler = ingress.New(ingress.Config{Policy: holder{current}, Store: b.store, Fleet: b.fleet, Form: form{}, Journal: silent{}})
+	b.serve(t, holder{current}, b.store)
+	return b
+}
+
+// serve runs an ingress over a store until the test ends.
+func (b *bench) serve(t *testing.T, current holder, store table.Store) {
+	t.Helper()
+	handler := ingress.New(ingress.Config{Policy: current, Store: store, Fleet: b.fleet, Form: form{}, Journal: silent{}})
+	b.handler = handler
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan struct{})
 	go func() {
-		b.handler.Run(ctx)
+		handler.Run(ctx)
 		close(ended)
 	}()
 	t.Cleanup(func() {
 		cancel()
 		<-ended
 	})
-	return b
 }
 
 func (b *bench) call(method, path, key, body string) *httptest.ResponseRecorder {
@@ -220,19 +227,10 @@
 
 func TestUnsettledIsNoRefusal(t *testing.T) {
 	b := newBench(t, shop())
-	handler := ingress.New(ingress.Config{Policy: holder{shop()}, Store: blind{b.store}, Fleet: b.fleet, Form: form{}, Journal: silent{}})
-	ctx, cancel := context.WithCancel(context.Background())
-	ended := make(chan struct{})
-	go func() {
-		handler.Run(ctx)
-		close(ended)
-	}()
-	b.handler = handler
+	b.serve(t, holder{shop()}, blind{b.store})
 	if got := b.call("POST", path, "k1", oneTask).Code; got != 504 {
 		t.Errorf("status: got %d, want 504", got)
 	}
-	cancel()
-	<-ended
 }
 
 func TestStatesWithoutALeader(t *testing.T) {
--- a/internal/process/feeds.go
+++ b/internal/process/feeds.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/sourcegraph/conc/pool"
 
 	"github.com/lovagedyke/lovagedyke/internal/member/memberpb"
 	"github.com/lovagedyke/lovagedyke/internal/policy"
@@ -63,13 +64,21 @@
 func (n *frontNode) push(ctx context.Context, value []byte) {
 	peers := n.member.Peers()
 	rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
+	// Side by side: a peer that is gone must not delay the others.
+	callers := pool.New()
 	for _, peer := range peers[:min(len(peers), pushPeers)] {
-		call, cancel := context.WithTimeout(ctx, peerCall)
-		_, err := n.member.Dial(peer.Address).PushPolicy(call, &memberpb.PolicyReply{Version: n.holder.Version(), Value: value})
-		cancel()
-		if err != nil {
-			n.journal.Note("configuration not pushed", "peer", peer.Name, "error", err.Error())
-		}
+		callers.Go(func() { n.pushTo(ctx, peer, value) })
+	}
+	callers.Wait()
+}
+
+// pushTo hands a configuration to one peer.
+func (n *frontNode) pushTo(ctx context.Context, peer record.Member, value []byte) {
+	call, cancel := context.WithTimeout(ctx, peerCall)
+	defer cancel()
+	_, err := n.member.Dial(peer.Address).PushPolicy(call, &memberpb.PolicyReply{Version: n.holder.Version(), Value: value})
+	if err != nil {
+		n.journal.Note("configuration not pushed", "peer", peer.Name, "error", err.Error())
 	}
 }
 
@@ -112,12 +121,11 @@
 		if n.member.StoreReached() {
 			continue
 		}
+		callers := pool.New()
 		for _, peer := range n.member.Peers() {
-			n.askPolicy(ctx, peer)
-			if ctx.Err() != nil {
-				return
-			}
+			callers.Go(func() { n.askPolicy(ctx, peer) })
 		}
+		callers.Wait()
 	}
 }
 
