--- a/internal/fleet/hosts_test.go
+++ b/internal/fleet/hosts_test.go
@@ -34,11 +34,14 @@
 	w.leader.HostsListed(hosts, w.now, w.now)
 }
 
+// keptHosts is how many hosts a pool keeps without work.
+const keptHosts = 4
+
 // pools returns hosts for each pool: as many as a pool keeps at least.
 func pools() []fleet.Host {
 	var hosts []fleet.Host
 	for _, pool := range []string{poolName, otherPool} {
-		for n := range 3 {
+		for n := range keptHosts {
 			hosts = append(hosts, hostOf(pool, fleet.EndpointID(fmt.Sprintf("%s-%d", pool, n))))
 		}
 	}
@@ -84,7 +87,7 @@
 	step := lasting(7, 1)
 	step.MaxPerEndpoint = 1
 	w.accept(submission(1, step))
-	if got, want := len(w.step().Moves), 4; got != want {
+	if got, want := len(w.step().Moves), 7-keptHosts; got != want {
 		t.Errorf("moves: got %d, want %d", got, want)
 	}
 }
@@ -193,7 +196,7 @@
 	w.step()
 	w.take()
 	row := fleet.WaveRow{Number: 1, AtOnce: 10}
-	for n := range 3 {
+	for n := range keptHosts {
 		row.Hosts = append(row.Hosts, hosts[n].ID)
 	}
 	w.leader.WaveListed(row, w.now)
--- a/internal/fleet/move.go
+++ b/internal/fleet/move.go
@@ -14,7 +14,7 @@
 	// back: two moves cost about as much as two seconds of a host.
 	idleGrace = 600 * time.Millisecond
 	// poolLeast is the number of hosts that a pool keeps for what comes next.
-	poolLeast = 3
+	poolLeast = 4
 	// packing is how much more room than the sum of its tasks a pool needs,
 	// since tasks do not fill hosts to the brim.
 	packing = 1.15
