Number the leader's transactions, so that a late one undoes nothing

Cause: a batch without an answer was written again, and the first copy was carried out seconds later, under the same claim, over newer rows; the next leader read them and started done tasks again. Ruled out: ends acknowledged before their row is written (a test holds that). Each transaction now rests on the version of a sequence row. TestLateTransactionsUndoNothing fails without the sequence's condition.

--- a/internal/control/hosts.go
+++ b/internal/control/hosts.go
@@ -101,12 +101,12 @@
 
 // changeHosts writes the intents and carries out the changes.
 func (r *reign) changeHosts(ctx context.Context, changes []hostOrder) {
-	txn := table.Txn{Conditions: []table.Condition{{Key: record.ClaimKey, Version: r.version}}}
+	var txn table.Txn
 	for _, next := range changes {
 		row := record.Change{At: time.Now().Round(0)}
 		txn.Writes = append(txn.Writes, table.Write{Key: record.ChangeKey(string(next.host())), Value: record.Encode(row)})
 	}
-	if !r.commit(ctx, txn, false) {
+	if !r.writer.commit(ctx, txn, false) {
 		r.locked(func() {
 			for _, next := range changes {
 				r.hostAnswered(next, fleet.ChangeRefused)
--- a/internal/control/reign.go
+++ b/internal/control/reign.go
@@ -8,7 +8,6 @@
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
-	"github.com/cockroachdb/errors"
 
 	"github.com/lovagedyke/lovagedyke/internal/fleet"
 	"github.com/lovagedyke/lovagedyke/internal/job"
@@ -47,7 +46,7 @@
 	config  Config
 	ctx     context.Context
 	claim   record.Claim
-	version uint64
+	writer  *writer
 	group   *loops.Group
 
 	mu        sync.Mutex
@@ -62,8 +61,8 @@
 }
 
 func newReign(ctx context.Context, c *Control, claim record.Claim, version uint64) *reign {
-	return &reign{
-		control: c, config: c.config, ctx: ctx, claim: claim, version: version,
+	r := &reign{
+		control: c, config: c.config, ctx: ctx, claim: claim,
 		leader: fleet.New(fleet.Config{
 			Token: claim.Token, Now: time.Now(), Bounds: c.config.Bounds, Journal: c.config.Journal,
 		}),
@@ -72,6 +71,12 @@
 		orders: make(chan hostOrder, hostOrders), asks: make(chan fleet.Ask, pendingAsks),
 		lookups: make(chan job.ID, pendingLookups),
 	}
+	r.writer = newWriter(writerConfig{
+		Store: c.config.Store, Journal: c.config.Journal, Token: claim.Token, ClaimVersion: version,
+		Confirmed: func(sentAt time.Time) { r.locked(func() { r.leader.Confirm(sentAt) }) },
+		Lost:      func() { c.config.Lost(claim.Token, "the claim has changed") },
+	})
+	return r
 }
 
 // run leads until the leadership's context ends.
@@ -469,7 +474,7 @@
 	if !hasNews && len(waves) == 0 && !renew {
 		return true
 	}
-	txn := table.Txn{Conditions: []table.Condition{{Key: record.ClaimKey, Version: r.version}}}
+	var txn table.Txn
 	for id, value := range batch.Rows {
 		txn.Writes = append(txn.Writes, table.Write{Key: record.ProgressKey(id), Value: value})
 	}
@@ -480,7 +485,7 @@
 	if renew {
 		txn.Writes = append(txn.Writes, table.Write{Key: record.RenewalKey, Value: record.Encode(r.claim)})
 	}
-	if !r.commit(ctx, txn, len(txn.Writes) > 1 || !renew) {
+	if !r.writer.commit(ctx, txn, len(txn.Writes) > 1 || !renew) {
 		return false
 	}
 	r.tellWaves(ctx, waves)
@@ -492,40 +497,18 @@
 	return true
 }
 
-// commit writes a transaction under the condition of our claim. News is tried
-// again until it is written or the leadership is over; the same rows may be
-// written twice.
-func (r *reign) commit(ctx context.Context, txn table.Txn, isNews bool) bool {
-	for ctx.Err() == nil {
-		sentAt := time.Now()
-		err := r.config.Store.Commit(ctx, txn)
-		switch {
-		case err == nil:
-			r.locked(func() { r.leader.Confirm(sentAt) })
-			return true
-		case table.IsConflict(err):
-			r.config.Lost(r.claim.Token, "the claim has changed")
-			return false
-		case !errors.Is(err, table.ErrUnavailable) && !errors.Is(err, table.ErrUnknown):
-			// The store does not take these rows at all.
-			r.config.Journal.Note("rows refused", "rows", len(txn.Writes), "error", err.Error())
-		}
-		metrics.GetOrCreateCounter("leader_commit_failures_total").Inc()
-		if !isNews || !sleep(ctx, batchRetry) {
-			return false
-		}
-	}
-	return false
-}
-
 // tellWaves writes the rows in which operators read the waves' states.
 func (r *reign) tellWaves(ctx context.Context, waves []fleet.WaveNews) {
 	for _, wave := range waves {
 		txn := table.Txn{Writes: []table.Write{{
 			Key: r.config.WaveStatus.Key(wave.Number), Value: r.config.WaveStatus.Encode(wave.Number, wave.Complete),
 		}}}
+		if !wave.Complete {
+			// Written once: done late, it must not replace the wave's end.
+			txn.Conditions = []table.Condition{{Key: txn.Writes[0].Key, Version: table.Absent}}
+		}
 		for ctx.Err() == nil {
-			if err := r.config.Store.Commit(ctx, txn); err == nil {
+			if err := r.config.Store.Commit(ctx, txn); err == nil || table.IsConflict(err) {
 				break
 			}
 			if !sleep(ctx, batchRetry) {
@@ -550,7 +533,7 @@
 // nothing, but a job without its progress would run again.
 func (r *reign) removeRows(ctx context.Context, ids []job.ID) bool {
 	byShard := map[int][]table.Write{}
-	progress := table.Txn{Conditions: []table.Condition{{Key: record.ClaimKey, Version: r.version}}}
+	var progress table.Txn
 	for _, id := range ids {
 		shard := record.Shard(id)
 		byShard[shard] = append(byShard[shard],
@@ -563,11 +546,7 @@
 			return false
 		}
 	}
-	if err := r.config.Store.Commit(ctx, progress); err != nil {
-		r.config.Journal.Note("old rows not removed", "rows", len(progress.Writes), "error", err.Error())
-		return false
-	}
-	return true
+	return r.writer.commit(ctx, progress, false)
 }
 
 // waveNumber returns the wave that a key names.
--- a/internal/member/service.go
+++ b/internal/member/service.go
@@ -126,7 +126,6 @@
 
 // Commit implements memberpb.Member.
 func (s *Service) Commit(ctx context.Context, request *memberpb.CommitRequest) (*memberpb.CommitReply, error) {
-	err := s.config.Node.config.Store.Commit(ctx, decodeCommit(request))
-	s.config.Node.noteStore(err)
-	return encodeOutcome(err), nil
+	version, err := s.config.Node.commit(ctx, decodeCommit(request))
+	return encodeOutcome(version, err), nil
 }
--- a/internal/member/store.go
+++ b/internal/member/store.go
@@ -68,11 +68,16 @@
 // Commit implements table.Store. An outcome that is lost is not tried again
 // here: only the caller knows how to find out.
 func (s *Store) Commit(ctx context.Context, txn table.Txn) error {
+	_, err := s.CommitVersion(ctx, txn)
+	return err
+}
+
+// CommitVersion implements table.Versioner.
+func (s *Store) CommitVersion(ctx context.Context, txn table.Txn) (uint64, error) {
 	if s.node.storeLikely() {
-		err := s.node.config.Store.Commit(ctx, txn)
-		s.node.noteStore(err)
+		version, err := s.node.commit(ctx, txn)
 		if !errors.Is(err, table.ErrUnavailable) {
-			return err
+			return version, err
 		}
 	}
 	request := encodeCommit(txn)
@@ -83,15 +88,26 @@
 		}
 		if err != nil {
 			// The peer may have passed it on.
-			return errors.Mark(errors.Wrap(err, "commit through a peer"), table.ErrUnknown)
+			return 0, errors.Mark(errors.Wrap(err, "commit through a peer"), table.ErrUnknown)
 		}
 		if reply.Outcome == memberpb.Outcome_OUTCOME_UNAVAILABLE {
 			continue
 		}
 		metrics.GetOrCreateCounter(`store_relayed_total{kind="commit"}`).Inc()
-		return decodeOutcome(txn, reply)
+		return reply.Version, decodeOutcome(txn, reply)
+	}
+	return 0, errors.Mark(errors.New("neither we nor a peer reach the store"), table.ErrUnavailable)
+}
+
+// commit asks the store directly.
+func (n *Node) commit(ctx context.Context, txn table.Txn) (uint64, error) {
+	key := ""
+	if len(txn.Writes) > 0 {
+		key = txn.Writes[0].Key
 	}
-	return errors.Mark(errors.New("neither we nor a peer reach the store"), table.ErrUnavailable)
+	version, err := table.CommitVersion(ctx, n.config.Store, txn, key)
+	n.noteStore(err)
+	return version, err
 }
 
 func encodeCommit(txn table.Txn) *memberpb.CommitRequest {
@@ -133,11 +149,11 @@
 	}
 }
 
-func encodeOutcome(err error) *memberpb.CommitReply {
+func encodeOutcome(version uint64, err error) *memberpb.CommitReply {
 	var conflict *table.ConflictError
 	switch {
 	case err == nil:
-		return &memberpb.CommitReply{Outcome: memberpb.Outcome_OUTCOME_DONE}
+		return &memberpb.CommitReply{Outcome: memberpb.Outcome_OUTCOME_DONE, Version: version}
 	case errors.As(err, &conflict):
 		return &memberpb.CommitReply{
 			Outcome: memberpb.Outcome_OUTCOME_CONFLICT, ConflictKey: conflict.Key, ConflictVersion: conflict.Got,
--- a/internal/record/record.go
+++ b/internal/record/record.go
@@ -42,6 +42,7 @@
 const (
 	ClaimKey       = "control/leader/claim"
 	RenewalKey     = "control/leader/renewal"
+	SequenceKey    = "control/leader/sequence"
 	ProgressPrefix = "progress/leader/"
 	WavePrefix     = "waves/leader/"
 	ChangePrefix   = "changes/leader/"
@@ -119,6 +120,13 @@
 	Released bool `json:"released,omitempty"`
 }
 
+// Sequence numbers a leader's transactions. Each one rests on the row's version,
+// so that one whose answer was lost cannot be carried out after a later one.
+type Sequence struct {
+	Token  uint64 `json:"token"`
+	Number uint64 `json:"number"`
+}
+
 // Member is a process of the system.
 type Member struct {
 	Name    string         `json:"name"`
