--- /dev/null
+++ b/internal/fleet/answer.go
@@ -0,0 +1,107 @@
+package fleet
+
+import (
+	"time"
+
+	"github.com/lovagedyke/lovagedyke/internal/job"
+)
+
+// StartAnswered takes an endpoint's answer to a start. It returns false if the endpoint
+// knows a later leader.
+func (l *Leader) StartAnswered(start Start, reply Reply, now time.Time) bool {
+	e := l.endpoints[start.Endpoint]
+	if e == nil {
+		return reply.Outcome != OrderFenced
+	}
+	r := e.runs[runKey{start.Task, start.Run}]
+	if r == nil {
+		return reply.Outcome != OrderFenced
+	}
+	l.journalReply("start answered", r, reply)
+	switch reply.Outcome {
+	case OrderTaken:
+		l.runTaken(r, now)
+	case OrderFenced:
+		return false
+	case OrderUnknown:
+		if r.state == runStarting {
+			r.state = runDoubtful
+			r.answeredAt = now
+			r.wasDoubtful = true
+		}
+	case OrderOtherLife:
+		l.newLife(e, e.born, "refusal", now)
+		e.listed = false
+		l.forgetEndpoint(e, now)
+	default:
+		l.startRefused(r, reply, now)
+	}
+	return true
+}
+
+// runTaken notes that an endpoint runs a task.
+func (l *Leader) runTaken(r *run, now time.Time) {
+	if r.state == runStarting || r.state == runDoubtful {
+		r.state = runLive
+	}
+	r.answeredAt = now
+}
+
+// startRefused takes back a run that the endpoint did not begin.
+func (l *Leader) startRefused(r *run, reply Reply, now time.Time) {
+	e := r.endpoint
+	notBefore := now.Add(retryPause)
+	switch reply.Outcome {
+	case OrderNoRoom:
+		e.fullUntil = now.Add(retryPause)
+	case OrderLate:
+		// Our estimate of the endpoint's clock is off: look before the next start.
+		e.reached = false
+	case OrderUnhealthy, OrderUnsent:
+		e.pausedUntil = now.Add(unhealthyPause)
+	case OrderTicket:
+		if step := r.job.steps[job.StepKey{Occurrence: r.key.task.Occurrence, Step: r.key.task.Step}]; step != nil {
+			step.granted, step.asked = nil, false
+		}
+	case OrderMalformed:
+		notBefore = now.Add(time.Second)
+	}
+	l.release(r)
+	l.requeue(r.job, r.key.task, notBefore)
+}
+
+// journalReply notes answers that are not the expected one.
+func (l *Leader) journalReply(event string, r *run, reply Reply) {
+	if reply.Outcome == OrderTaken {
+		return
+	}
+	l.note(event, "job", r.key.task.Job, "step", r.key.task.Step, "index", r.key.task.Index, "run", r.key.run,
+		"endpoint", r.endpoint.row.ID, "outcome", string(reply.Outcome))
+}
+
+// StopAnswered takes an endpoint's answer to a stop. It returns false if the endpoint
+// knows a later leader.
+func (l *Leader) StopAnswered(stop Stop, reply Reply, now time.Time) bool {
+	e := l.endpoints[stop.Endpoint]
+	if e == nil {
+		return reply.Outcome != OrderFenced
+	}
+	r := e.runs[runKey{stop.Task, stop.Run}]
+	if r == nil {
+		return reply.Outcome != OrderFenced
+	}
+	l.journalReply("stop answered", r, reply)
+	switch reply.Outcome {
+	case OrderFenced:
+		return false
+	case OrderTaken, OrderOld:
+		// Whether it ran or not, it cannot begin any more: the next report tells.
+		r.stopAt = now.Add(looksEvery)
+		r.stopTakenAt = now
+	case OrderOtherLife:
+		l.newLife(e, e.born, "refusal", now)
+		e.listed = false
+		l.forgetEndpoint(e, now)
+	}
+	return true
+}
--- a/internal/fleet/dump.go
+++ b/internal/fleet/dump.go
@@ -41,10 +41,10 @@
 // Dump returns the state. It holds no specs and no keys.
 func (l *Leader) Dump() Dump {
 	out := Dump{Token: l.config.Token}
-	for id, h := range l.endpoints {
+	for id, e := range l.endpoints {
 		out.Endpoints = append(out.Endpoints, EndpointDump{
-			ID: id, Pool: h.row.Pool, Listed: h.listed, Reached: h.reached, Draining: h.row.Draining,
-			Leaving: h.leaving, Runs: len(h.runs), Room: h.room(),
+			ID: id, Pool: e.row.Pool, Listed: e.listed, Reached: e.reached, Draining: e.row.Draining,
+			Leaving: e.leaving, Runs: len(e.runs), Room: e.room(),
 		})
 	}
 	for id, j := range l.jobs {
--- a/internal/fleet/endpointstate.go
+++ b/internal/fleet/endpointstate.go
@@ -78,74 +78,28 @@
 	batch  uint64
 }
 
-// runKey names a run on an endpoint.
-type runKey struct {
-	task job.Task
-	run  int64
-}
-
-// runState is how much is known of a run.
-type runState int
-
-const (
-	// runStarting runs were ordered, and not answered yet.
-	runStarting runState = iota
-	// runLive runs are on the endpoint.
-	runLive
-	// runDoubtful runs were ordered and the answer was lost.
-	runDoubtful
-	// runStopping runs are being stopped.
-	runStopping
-)
-
-// run is a run that is or may be on an endpoint.
-type run struct {
-	key      runKey
-	endpoint *endpoint
-	job      *jobState
-	state    runState
-	// orderedAt is when the start was decided, answeredAt when the endpoint said yes.
-	orderedAt, answeredAt time.Time
-	// wasDoubtful is true once a start got no answer: it may be carried out late.
-	wasDoubtful bool
-	// stopTakenAt is when the endpoint answered a stop.
-	stopTakenAt time.Time
-	// stopAt is when the next stop is sent to a stopping run.
-	stopAt time.Time
-	// away is why a stop was ordered; it is for the journal.
-	why   string
-	share int
-	saved string
-	// percent is the pace that was ordered.
-	percent  int
-	tail     time.Duration
-	reserved policy.Resources
-	// atWorkAt is when the endpoint first reported the run at work.
-	atWorkAt time.Time
-}
-
 // newEndpoint returns an endpoint of which only its row is known.
 func newEndpoint(row EndpointRow, now time.Time) *endpoint {
 	return &endpoint{row: row, listed: true, listedAt: now, born: row.Born, runs: map[runKey]*run{}}
 }
 
 // used is what the endpoint's runs take of its capacity.
-func (h *endpoint) used() policy.Resources {
+func (e *endpoint) used() policy.Resources {
 	var sum policy.Resources
-	for _, r := range h.runs {
+	for _, r := range e.runs {
 		sum = sum.Plus(r.reserved)
 	}
 	return sum
 }
 
 // room is what the endpoint has left.
-func (h *endpoint) room() policy.Resources {
-	return h.row.Capacity.Minus(h.used())
+func (e *endpoint) room() policy.Resources {
+	return e.row.Capacity.Minus(e.used())
 }
 
 // rack returns the endpoint's rack, by its labels: the kind stands first.
-func (h *endpoint) rack() string {
-	for _, label := range h.row.Labels {
+func (e *endpoint) rack() string {
+	for _, label := range e.row.Labels {
 		if strings.HasPrefix(label, "r") && strings.Contains(label, "-") {
 			return label
 		}
@@ -154,44 +108,44 @@
 }
 
 // hasLabel reports whether the endpoint carries a label.
-func (h *endpoint) hasLabel(label string) bool {
-	return label == "" || slices.Contains(h.row.Labels, label)
+func (e *endpoint) hasLabel(label string) bool {
+	return label == "" || slices.Contains(e.row.Labels, label)
 }
 
 // takesWork reports whether the endpoint may get new runs.
-func (h *endpoint) takesWork(now time.Time) bool {
-	return h.listed && h.reached && !h.gone && !h.silent && !h.row.Draining && !h.leaving &&
-		!now.Before(h.pausedUntil) && !now.Before(h.fullUntil) && h.isFresh(now)
+func (e *endpoint) takesWork(now time.Time) bool {
+	return e.listed && e.reached && !e.gone && !e.silent && !e.row.Draining && !e.leaving &&
+		!now.Before(e.pausedUntil) && !now.Before(e.fullUntil) && e.isFresh(now)
 }
 
 // isFresh reports whether the endpoint has answered lately. One on which nothing
 // runs is not looked at all the time: the platform's list tells when it is gone.
-func (h *endpoint) isFresh(now time.Time) bool {
-	if len(h.runs) == 0 {
+func (e *endpoint) isFresh(now time.Time) bool {
+	if len(e.runs) == 0 {
 		return true
 	}
-	return now.Sub(h.lookedAt) < 2*looksEvery+time.Second
+	return now.Sub(e.lookedAt) < 2*looksEvery+time.Second
 }
 
 // clockNow estimates the endpoint's clock.
-func (h *endpoint) clockNow(now time.Time) time.Duration {
-	return h.clock + now.Sub(h.clockAt)
+func (e *endpoint) clockNow(now time.Time) time.Duration {
+	return e.clock + now.Sub(e.clockAt)
 }
 
 // nextLease returns the lease to send now, on the endpoint's clock.
-func (h *endpoint) nextLease(now time.Time) time.Duration {
-	if h.clockAt.IsZero() {
+func (e *endpoint) nextLease(now time.Time) time.Duration {
+	if e.clockAt.IsZero() {
 		return 0
 	}
-	h.leaseUntil = max(h.leaseUntil, h.clockNow(now)+leaseTime)
-	return h.leaseUntil
+	e.leaseUntil = max(e.leaseUntil, e.clockNow(now)+leaseTime)
+	return e.leaseUntil
 }
 
 // leaseOver reports whether nothing that we started can still run, even if the
 // endpoint's clock is as slow as it may be.
-func (h *endpoint) leaseOver(now time.Time) bool {
-	least := h.clock + time.Duration(float64(now.Sub(h.clockAt))*(1-clockSlowness))
-	return least > h.leaseUntil+leaseMargin
+func (e *endpoint) leaseOver(now time.Time) bool {
+	least := e.clock + time.Duration(float64(now.Sub(e.clockAt))*(1-clockSlowness))
+	return least > e.leaseUntil+leaseMargin
 }
 
 // EndpointListed notes an endpoint's row in the platform's list.
@@ -218,37 +172,37 @@
 // EndpointUnlisted notes that an endpoint has left the platform's list. Its runs count
 // until their lease is over.
 func (l *Leader) EndpointUnlisted(id EndpointID, now time.Time) {
-	h, ok := l.endpoints[id]
-	if !ok || !h.listed {
+	e, ok := l.endpoints[id]
+	if !ok || !e.listed {
 		return
 	}
-	h.listed = false
-	l.note("endpoint unlisted", "endpoint", id, "pool", h.row.Pool, "runs", len(h.runs))
-	l.forgetEndpoint(h, now)
+	e.listed = false
+	l.note("endpoint unlisted", "endpoint", id, "pool", e.row.Pool, "runs", len(e.runs))
+	l.forgetEndpoint(e, now)
 }
 
 // forgetEndpoint drops an endpoint that is gone and on which nothing can run any more.
-func (l *Leader) forgetEndpoint(h *endpoint, now time.Time) {
-	if h.listed || len(h.runs) > 0 {
+func (l *Leader) forgetEndpoint(e *endpoint, now time.Time) {
+	if e.listed || len(e.runs) > 0 {
 		return
 	}
-	if !h.reached && !h.gone && now.Before(l.inheritedUntil()) {
+	if !e.reached && !e.gone && now.Before(l.inheritedUntil()) {
 		return
 	}
-	delete(l.endpoints, h.row.ID)
+	delete(l.endpoints, e.row.ID)
 }
 
 // newLife notes that an endpoint has started again: nothing of before runs there.
-func (l *Leader) newLife(h *endpoint, born time.Time, source string, now time.Time) {
-	l.note("endpoint has a new life", "endpoint", h.row.ID, "source", source, "lost-runs", len(h.runs))
-	for _, r := range h.runs {
+func (l *Leader) newLife(e *endpoint, born time.Time, source string, now time.Time) {
+	l.note("endpoint has a new life", "endpoint", e.row.ID, "source", source, "lost-runs", len(e.runs))
+	for _, r := range e.runs {
 		l.runLost(r, "endpoint began a new life", now)
 	}
-	h.born = born
-	h.reached, h.gone, h.listedAt = false, false, now
-	h.clock, h.clockAt, h.leaseUntil = 0, time.Time{}, 0
-	h.seen, h.ackable, h.acked, h.unwritten = 0, 0, 0, nil
-	h.trouble = trouble{}
+	e.born = born
+	e.reached, e.gone, e.listedAt = false, false, now
+	e.clock, e.clockAt, e.leaseUntil = 0, time.Time{}, 0
+	e.seen, e.ackable, e.acked, e.unwritten = 0, 0, 0, nil
+	e.trouble = trouble{}
 }
 
 // EndpointIDs lists the endpoints that are known.
@@ -262,210 +216,12 @@
 
 // AddressOf returns where an endpoint is, or false if it is not known.
 func (l *Leader) AddressOf(id EndpointID) (EndpointAddress, bool) {
-	h, ok := l.endpoints[id]
+	e, ok := l.endpoints[id]
 	if !ok {
 		return EndpointAddress{}, false
 	}
-	return EndpointAddress{ID: id, Address: h.row.Address}, true
+	return EndpointAddress{ID: id, Address: e.row.Address}, true
 }
 
 // lookWait is how long an endpoint may wait for an end before it answers a look.
 const lookWait = 1200 * time.Millisecond
-
-// NextLook tells whether an endpoint should be looked at now, and with what. The
-// endpoint must not have another look under way.
-func (l *Leader) NextLook(id EndpointID, now time.Time) (Hold, bool) {
-	h, ok := l.endpoints[id]
-	if !ok {
-		return Hold{}, false
-	}
-	hold := Hold{}
-	if h.ackable > h.acked {
-		// Sent only when it is news: a new life of the endpoint numbers its ends anew.
-		hold.AckedUpTo = h.ackable
-	}
-	switch {
-	case h.gone:
-		return hold, false
-	case !h.reached:
-		return hold, true
-	case h.blocked && now.Sub(h.lookedAt) < unknownPause:
-		return hold, false
-	case len(h.unwritten) > 0 && now.Sub(h.lookedAt) < looksEvery:
-		// Ends that cannot be acknowledged yet would be listed again at once.
-		return hold, false
-	case len(h.runs) == 0 && h.ackable == h.acked && !h.blocked:
-		return hold, h.silent || now.Sub(h.lookedAt) > idleLooksEvery
-	}
-	if !h.silent && l.confirmed(now) {
-		hold.Lease = h.nextLease(now)
-	}
-	if len(h.runs) > 0 && len(h.unwritten) == 0 && !h.blocked {
-		hold.Wait = lookWait
-	}
-	return hold, true
-}
-
-// LookFailed notes that an endpoint did not answer a look.
-func (l *Leader) LookFailed(id EndpointID, reply Reply, now time.Time) {
-	h, ok := l.endpoints[id]
-	if !ok {
-		return
-	}
-	if reply.Outcome == OrderOtherLife {
-		// The ID at this address is another one: the endpoint that we mean is gone.
-		l.newLife(h, h.born, "refusal", now)
-		h.listed = false
-		l.forgetEndpoint(h, now)
-		return
-	}
-	h.pausedUntil = now.Add(unhealthyPause)
-	h.silent = true
-	if h.clockAt.IsZero() || !h.leaseOver(now) {
-		return
-	}
-	for _, r := range h.runs {
-		l.runLost(r, "lease is over", now)
-	}
-	l.forgetEndpoint(h, now)
-}
-
-// Looked takes an endpoint's report. sentAt is when the look was sent: runs that
-// were answered later may be missing in it.
-func (l *Leader) Looked(id EndpointID, hold Hold, sentAt time.Time, look Look, now time.Time) {
-	h, ok := l.endpoints[id]
-	if !ok {
-		return
-	}
-	if look.Born.After(h.born) {
-		l.newLife(h, look.Born, "report", now)
-		hold.AckedUpTo = 0
-	}
-	if !h.reached {
-		l.note("endpoint reached", "endpoint", id, "pool", h.row.Pool, "running", len(look.Running), "ended", len(look.Ended))
-	}
-	h.reached, h.silent, h.gone = true, false, false
-	h.clock, h.clockAt = look.Clock, now
-	h.lookedAt = now
-	h.acked = max(h.acked, hold.AckedUpTo)
-	// Ends go first, so that a run that has ended is not taken for a lost one.
-	h.blocked = false
-	for _, ended := range look.Ended {
-		if !l.ended(h, ended, now) {
-			// It is listed again, and all after it, until it can be applied.
-			h.blocked = true
-			break
-		}
-	}
-	h.advanceAcks(l.ledger.written)
-	present := make(map[runKey]bool, len(look.Running))
-	for _, running := range look.Running {
-		key := runKey{running.Task, running.Run}
-		present[key] = true
-		l.reported(h, key, running, now)
-	}
-	if len(look.Ended) >= listedEnds || h.blocked {
-		return
-	}
-	for key, r := range h.runs {
-		if !present[key] {
-			l.missing(r, sentAt, now)
-		}
-	}
-}
-
-// missing takes that a report, for which the look was sent at sentAt, does not
-// list a run.
-func (l *Leader) missing(r *run, sentAt, now time.Time) {
-	switch r.state {
-	case runLive:
-		if r.answeredAt.Before(sentAt) {
-			l.runLost(r, "endpoint no longer lists it", now)
-		}
-	case runDoubtful:
-		// The start may still be carried out: a stop that is answered prevents it.
-		if r.answeredAt.Before(sentAt) {
-			l.stopRun(r, "start was not answered", now)
-		}
-	case runStopping:
-		isSure := !r.wasDoubtful && !r.answeredAt.IsZero() && r.answeredAt.Before(sentAt)
-		if isSure || !r.stopTakenAt.IsZero() && r.stopTakenAt.Before(sentAt) {
-			l.runLost(r, "endpoint no longer lists it", now)
-		}
-	}
-}
-
-// advanceAcks moves ackable over the ends whose rows are written.
-func (h *endpoint) advanceAcks(written uint64) {
-	for len(h.unwritten) > 0 && h.unwritten[0].batch <= written {
-		h.ackable = h.unwritten[0].number
-		h.unwritten = h.unwritten[1:]
-	}
-}
-
-// reported takes a run that an endpoint lists.
-func (l *Leader) reported(h *endpoint, key runKey, running RunningTask, now time.Time) {
-	r, ok := h.runs[key]
-	if !ok {
-		r = l.adopt(h, key, now)
-	}
-	if r == nil {
-		return
-	}
-	if r.state == runStarting || r.state == runDoubtful {
-		r.state = runLive
-		r.answeredAt = now
-	}
-	if running.Saved != "" {
-		r.saved = running.Saved
-	}
-	r.share = running.Share
-	r.tail = running.Tail
-	if r.atWorkAt.IsZero() && running.Share >= 100 {
-		r.atWorkAt = now
-	}
-}
-
-// adopt takes over a run that an earlier leader started, or whose order was
-// carried out late. Runs that should not be there are stopped.
-func (l *Leader) adopt(h *endpoint, key runKey, now time.Time) *run {
-	if !l.loaded {
-		return nil
-	}
-	r := &run{key: key, endpoint: h, state: runLive, orderedAt: now, answeredAt: now, percent: 100}
-	j := l.jobs[key.task.Job]
-	if j == nil && !l.isAbsent(key.task.Job) {
-		// Its row may be on the way to us. What the run takes is not known until then.
-		l.fetch(key.task.Job)
-		h.fullUntil = now.Add(unknownPause)
-		return nil
-	}
-	if j == nil {
-		h.runs[key] = r
-		l.stopRun(r, "no such job", now)
-		return r
-	}
-	step, ok := j.stepOf(key.task)
-	if !ok {
-		return nil
-	}
-	r.job = j
-	r.reserved = step.Reserved()
-	h.runs[key] = r
-	duplicate := len(j.active[key.task]) > 0
-	l.claim(r)
-	j.begun = true
-	j.noteRun(key)
-	l.note("run adopted", "job", key.task.Job, "step", key.task.Step, "index", key.task.Index, "run", key.run, "endpoint", h.row.ID)
-	switch {
-	case j.over():
-		l.stopRun(r, "job is over", now)
-	case j.progress.IsDone(key.task):
-		l.stopRun(r, "task is done", now)
-	case duplicate && !step.Speculative:
-		l.stopRun(r, "task runs elsewhere", now)
-	default:
-		j.dropPending(key.task)
-	}
-	return r
-}
--- a/internal/fleet/evacuate.go
+++ b/internal/fleet/evacuate.go
@@ -9,11 +9,11 @@
 // evacuate moves lasting tasks off endpoints that are leaving or draining, as far
 // as their steps may miss some: each is stopped and starts elsewhere.
 func (l *Leader) evacuate(now time.Time) {
-	for _, h := range l.endpoints {
-		if !h.leaving && !h.row.Draining {
+	for _, e := range l.endpoints {
+		if !e.leaving && !e.row.Draining {
 			continue
 		}
-		for _, r := range h.runs {
+		for _, r := range e.runs {
 			if r.isLasting() && r.state == runLive && l.mayStop(r, now) && l.hasPlace(r, now) {
 				l.stopRun(r, "endpoint is leaving", now)
 			}
--- a/internal/fleet/hosts.go
+++ b/internal/fleet/hosts.go
@@ -57,17 +57,17 @@
 }
 
 // isFree reports whether a host may be changed.
-func (m *hostState) isFree(now time.Time) bool {
-	return m.listed && m.change == nil && m.row.State == HostUp && !now.Before(m.notBefore)
+func (h *hostState) isFree(now time.Time) bool {
+	return h.listed && h.change == nil && h.row.State == HostUp && !now.Before(h.notBefore)
 }
 
 // endpointOf returns the endpoint that runs on a host, or nil.
-func (l *Leader) endpointOf(m *hostState) *endpoint {
-	h := l.endpoints[m.row.Endpoint]
-	if h == nil || !h.listed {
+func (l *Leader) endpointOf(h *hostState) *endpoint {
+	e := l.endpoints[h.row.Endpoint]
+	if e == nil || !e.listed {
 		return nil
 	}
-	return h
+	return e
 }
 
 // HostsListed takes the platform's list, which was asked for at sentAt.
@@ -75,18 +75,18 @@
 	listed := map[HostID]bool{}
 	for _, row := range list {
 		listed[row.ID] = true
-		m := l.hosts.byID[row.ID]
-		if m == nil {
-			m = &hostState{}
-			l.hosts.byID[row.ID] = m
+		h := l.hosts.byID[row.ID]
+		if h == nil {
+			h = &hostState{}
+			l.hosts.byID[row.ID] = h
 		}
-		m.listed = true
-		l.hostListed(m, row, sentAt, now)
+		h.listed = true
+		l.hostListed(h, row, sentAt, now)
 	}
 	l.hosts.isListed = true
-	for id, m := range l.hosts.byID {
+	for id, h := range l.hosts.byID {
 		if !listed[id] {
-			m.listed = false
+			h.listed = false
 		}
 	}
 	l.settleEndpoints(list, sentAt, now)
@@ -105,52 +105,52 @@
 	if len(onHost) == 0 {
 		return
 	}
-	for _, h := range l.endpoints {
-		if h.gone || onHost[h.row.ID] || !h.listedAt.Before(sentAt) || h.lookedAt.After(sentAt) {
+	for _, e := range l.endpoints {
+		if e.gone || onHost[e.row.ID] || !e.listedAt.Before(sentAt) || e.lookedAt.After(sentAt) {
 			continue
 		}
-		l.note("endpoint gone", "endpoint", h.row.ID, "pool", h.row.Pool, "runs", len(h.runs), "list-age", now.Sub(sentAt).Round(time.Millisecond).String())
-		h.gone = true
-		for _, r := range h.runs {
+		l.note("endpoint gone", "endpoint", e.row.ID, "pool", e.row.Pool, "runs", len(e.runs), "list-age", now.Sub(sentAt).Round(time.Millisecond).String())
+		e.gone = true
+		for _, r := range e.runs {
 			l.runLost(r, "host no longer runs the endpoint", now)
 		}
-		l.forgetEndpoint(h, now)
+		l.forgetEndpoint(e, now)
 	}
 }
 
 // hostListed takes a host's row, unless it is from before its change.
-func (l *Leader) hostListed(m *hostState, row Host, sentAt, now time.Time) {
-	c := m.change
+func (l *Leader) hostListed(h *hostState, row Host, sentAt, now time.Time) {
+	c := h.change
 	if c == nil {
-		if m.row.State != row.State || m.row.Endpoint != row.Endpoint {
+		if h.row.State != row.State || h.row.Endpoint != row.Endpoint {
 			l.note("host listed", "host", row.ID, "pool", row.Pool, "state", string(row.State), "endpoint", row.Endpoint)
 		}
-		m.row = row
+		h.row = row
 		return
 	}
 	if c.takenAt.IsZero() && !c.isUnknown || sentAt.Before(c.takenAt) {
 		return
 	}
-	m.row = row
+	h.row = row
 	if c.isUnknown {
-		l.settleChange(m, now)
+		l.settleChange(h, now)
 		return
 	}
 	if row.State == HostUp && (c.wave != 0 || row.Pool == c.pool) && now.Sub(c.takenAt) > l.awayTime(c)/2 {
 		l.note("host back", "host", row.ID, "pool", row.Pool, "wave", c.wave, "took", now.Sub(c.takenAt).Round(time.Millisecond).String())
-		m.change = nil
+		h.change = nil
 	}
 }
 
 // settleChange finds out from the list whether a change without an answer was made.
-func (l *Leader) settleChange(m *hostState, now time.Time) {
-	c := m.change
-	isMade := c.wave != 0 && m.row.State == HostUpkeep || c.wave == 0 && (m.row.State == HostMoving || m.row.Pool == c.pool)
+func (l *Leader) settleChange(h *hostState, now time.Time) {
+	c := h.change
+	isMade := c.wave != 0 && h.row.State == HostUpkeep || c.wave == 0 && (h.row.State == HostMoving || h.row.Pool == c.pool)
 	switch {
 	case isMade:
-		l.changeTaken(m, now)
-	case m.row.State == HostUp && now.Sub(c.orderedAt) > changeLost:
-		m.change = nil
+		l.changeTaken(h, now)
+	case h.row.State == HostUp && now.Sub(c.orderedAt) > changeLost:
+		h.change = nil
 	}
 }
 
@@ -165,9 +165,9 @@
 // WantsHosts reports whether the list is worth reading soon: a change is
 // about to be over, or an endpoint is silent that may have crashed.
 func (l *Leader) WantsHosts(now time.Time) bool {
-	for _, h := range l.endpoints {
-		isSilent := h.silent && len(h.runs) > 0 || !h.reached && now.Before(l.inheritedUntil())
-		if isSilent && !h.gone && len(l.hosts.byID) > 0 {
+	for _, e := range l.endpoints {
+		isSilent := e.silent && len(e.runs) > 0 || !e.reached && now.Before(l.inheritedUntil())
+		if isSilent && !e.gone && len(l.hosts.byID) > 0 {
 			return true
 		}
 	}
@@ -176,9 +176,9 @@
 
 // HostsChanging reports whether a change is about to be over.
 func (l *Leader) HostsChanging(now time.Time) bool {
-	for _, m := range l.hosts.byID {
-		c := m.change
-		if c == nil || !m.listed {
+	for _, h := range l.hosts.byID {
+		c := h.change
+		if c == nil || !h.listed {
 			continue
 		}
 		if c.isUnknown {
@@ -193,39 +193,39 @@
 }
 
 // changeTaken notes that a host is away: what ran on it is over.
-func (l *Leader) changeTaken(m *hostState, now time.Time) {
-	c := m.change
+func (l *Leader) changeTaken(h *hostState, now time.Time) {
+	c := h.change
 	c.takenAt, c.isUnknown = now, false
-	if h := l.endpoints[m.row.Endpoint]; h != nil {
-		for _, r := range h.runs {
+	if e := l.endpoints[h.row.Endpoint]; e != nil {
+		for _, r := range e.runs {
 			l.runLost(r, "host is changed", now)
 		}
-		h.listed, h.gone = false, true
-		l.forgetEndpoint(h, now)
+		e.listed, e.gone = false, true
+		l.forgetEndpoint(e, now)
 	}
-	m.idleSince = time.Time{}
+	h.idleSince = time.Time{}
 	if c.wave == 0 {
-		m.row.State = HostMoving
+		h.row.State = HostMoving
 		return
 	}
-	m.row.State = HostUpkeep
+	h.row.State = HostUpkeep
 	if wave := l.hosts.waves[c.wave]; wave != nil {
-		wave.done[m.row.ID] = true
+		wave.done[h.row.ID] = true
 		wave.dirty = true
 	}
 }
 
 // changeAnswered takes the platform's answer to a change.
 func (l *Leader) changeAnswered(id HostID, outcome ChangeOutcome, now time.Time) {
-	m := l.hosts.byID[id]
-	if m == nil || m.change == nil {
+	h := l.hosts.byID[id]
+	if h == nil || h.change == nil {
 		return
 	}
-	c := m.change
+	c := h.change
 	l.note("host change answered", "host", id, "to", c.pool, "wave", c.wave, "outcome", string(outcome))
 	switch outcome {
 	case ChangeTaken:
-		l.changeTaken(m, now)
+		l.changeTaken(h, now)
 	case ChangeUnknown:
 		c.isUnknown = true
 	case ChangeOtherWave, ChangeImpossible:
@@ -234,11 +234,11 @@
 			wave.done[id] = true
 			wave.dirty = true
 		}
-		m.change = nil
-		m.notBefore = now.Add(changeLost)
+		h.change = nil
+		h.notBefore = now.Add(changeLost)
 	default:
-		m.change = nil
-		m.notBefore = now.Add(changeRetry)
+		h.change = nil
+		h.notBefore = now.Add(changeRetry)
 	}
 }
 
@@ -260,22 +260,22 @@
 	if wait <= 0 {
 		return
 	}
-	m := l.hosts.byID[id]
-	if m == nil {
-		m = &hostState{}
-		l.hosts.byID[id] = m
+	h := l.hosts.byID[id]
+	if h == nil {
+		h = &hostState{}
+		l.hosts.byID[id] = h
 	}
-	m.notBefore = now.Add(min(wait, l.config.Bounds.TurnWithin+2*wallTolerance))
+	h.notBefore = now.Add(min(wait, l.config.Bounds.TurnWithin+2*wallTolerance))
 }
 
 // planHosts decides on upkeep and moves.
 func (l *Leader) planHosts(pools map[string][]*jobState, orders *Orders, now time.Time) {
-	for _, h := range l.endpoints {
-		h.leaving = false
+	for _, e := range l.endpoints {
+		e.leaving = false
 	}
-	for _, m := range l.hosts.byID {
-		if h := l.endpointOf(m); h != nil && m.change != nil {
-			h.leaving = true
+	for _, h := range l.hosts.byID {
+		if e := l.endpointOf(h); e != nil && h.change != nil {
+			e.leaving = true
 		}
 	}
 	l.noteIdle(now)
@@ -287,11 +287,11 @@
 
 // noteIdle keeps since when each host's endpoint has been empty, or unknown.
 func (l *Leader) noteIdle(now time.Time) {
-	for _, m := range l.hosts.byID {
-		h := l.endpointOf(m)
-		isKnown := h != nil && h.reached && !h.silent
-		keepSince(&m.idleSince, isKnown && len(h.runs) == 0, now)
-		keepSince(&m.unknownSince, !isKnown, now)
+	for _, h := range l.hosts.byID {
+		e := l.endpointOf(h)
+		isKnown := e != nil && e.reached && !e.silent
+		keepSince(&h.idleSince, isKnown && len(e.runs) == 0, now)
+		keepSince(&h.unknownSince, !isKnown, now)
 	}
 }
 
@@ -307,11 +307,11 @@
 
 // isEmpty reports whether changing a host ends nothing: no endpoint is on it, it
 // is known to be empty, or it has been unknown for longer than leases last.
-func (l *Leader) isEmpty(m *hostState, now time.Time) bool {
-	if m.row.Endpoint == "" || !m.idleSince.IsZero() {
+func (l *Leader) isEmpty(h *hostState, now time.Time) bool {
+	if h.row.Endpoint == "" || !h.idleSince.IsZero() {
 		return true
 	}
-	return !m.unknownSince.IsZero() && now.Sub(m.unknownSince) > stretched(leaseTime+idleDrift)+confirmTime
+	return !h.unknownSince.IsZero() && now.Sub(h.unknownSince) > stretched(leaseTime+idleDrift)+confirmTime
 }
 
 // waveNumbers lists the waves in order.
--- a/internal/fleet/ledger.go
+++ b/internal/fleet/ledger.go
@@ -99,8 +99,8 @@
 			delete(l.ledger.batchByJob, id)
 		}
 	}
-	for _, h := range l.endpoints {
-		h.advanceAcks(l.ledger.written)
+	for _, e := range l.endpoints {
+		e.advanceAcks(l.ledger.written)
 	}
 }
 
--- a/internal/fleet/move.go
+++ b/internal/fleet/move.go
@@ -61,16 +61,16 @@
 			ordered++
 		}
 	}
-	for _, m := range givers {
+	for _, h := range givers {
 		if ordered >= movesAtOnce {
 			return
 		}
-		own := needOf(needs, m.row.Pool)
-		if m.row.Pool == spare || own == nil || own.lack() >= 0 || now.Sub(m.idleSince) < idleGrace {
+		own := needOf(needs, h.row.Pool)
+		if h.row.Pool == spare || own == nil || own.lack() >= 0 || now.Sub(h.idleSince) < idleGrace {
 			continue
 		}
 		own.have--
-		l.move(m, spare, orders, now)
+		l.move(h, spare, orders, now)
 		ordered++
 	}
 }
@@ -102,13 +102,13 @@
 const lackNoteEvery = time.Second
 
 // move orders a move.
-func (l *Leader) move(m *hostState, pool string, orders *Orders, now time.Time) {
-	m.change = &change{pool: pool, orderedAt: now}
-	if h := l.endpointOf(m); h != nil {
-		h.leaving = true
+func (l *Leader) move(h *hostState, pool string, orders *Orders, now time.Time) {
+	h.change = &change{pool: pool, orderedAt: now}
+	if e := l.endpointOf(h); e != nil {
+		e.leaving = true
 	}
-	orders.Moves = append(orders.Moves, Move{Host: m.row.ID, Pool: pool})
-	l.note("move", "host", m.row.ID, "from", m.row.Pool, "to", pool)
+	orders.Moves = append(orders.Moves, Move{Host: h.row.ID, Pool: pool})
+	l.note("move", "host", h.row.ID, "from", h.row.Pool, "to", pool)
 }
 
 // poolNeeds returns the pools that run tasks, the one that lacks most first.
@@ -120,8 +120,8 @@
 			continue
 		}
 		need := &poolNeed{pool: name, need: max(poolLeast, spread(pools[name]), hostsFor(l.expected(name, pools[name], now), size))}
-		for _, m := range l.hosts.byID {
-			if m.listed && l.headsFor(m, name, now) {
+		for _, h := range l.hosts.byID {
+			if h.listed && l.headsFor(h, name, now) {
 				need.have++
 			}
 		}
@@ -134,27 +134,27 @@
 }
 
 // headsFor reports whether a host is in a pool, or on its way there.
-func (l *Leader) headsFor(m *hostState, pool string, now time.Time) bool {
-	if m.change != nil && m.change.pool != "" {
-		return m.change.pool == pool
+func (l *Leader) headsFor(h *hostState, pool string, now time.Time) bool {
+	if h.change != nil && h.change.pool != "" {
+		return h.change.pool == pool
 	}
-	if h := l.endpointOf(m); h != nil && h.leaving {
+	if e := l.endpointOf(h); e != nil && e.leaving {
 		// It is being emptied for its upkeep: another has to take its place.
 		return false
 	}
-	if m.row.State == HostUp && !m.unknownSince.IsZero() && now.Sub(m.unknownSince) > arrivalTime {
+	if h.row.State == HostUp && !h.unknownSince.IsZero() && now.Sub(h.unknownSince) > arrivalTime {
 		return false
 	}
-	return m.row.Pool == pool && (m.row.State == HostUp || m.row.State == HostMoving || m.row.State == HostUpkeep)
+	return h.row.Pool == pool && (h.row.State == HostUp || h.row.State == HostMoving || h.row.State == HostUpkeep)
 }
 
 // hostSize is the mean size of the hosts that are listed, or zeros.
 func (l *Leader) hostSize() policy.Resources {
 	var sum policy.Resources
 	count := int64(0)
-	for _, m := range l.hosts.byID {
-		if m.listed {
-			sum = sum.Plus(m.row.Capacity)
+	for _, h := range l.hosts.byID {
+		if h.listed {
+			sum = sum.Plus(h.row.Capacity)
 			count++
 		}
 	}
@@ -228,17 +228,17 @@
 			continue
 		}
 		var surplus []*endpoint
-		for _, m := range l.hosts.byID {
-			h := l.endpointOf(m)
-			if m.row.Pool == need.pool && m.change == nil && h != nil && len(h.runs) > 0 && h.lastingRuns() == 0 {
-				surplus = append(surplus, h)
+		for _, h := range l.hosts.byID {
+			e := l.endpointOf(h)
+			if h.row.Pool == need.pool && h.change == nil && e != nil && len(e.runs) > 0 && e.lastingRuns() == 0 {
+				surplus = append(surplus, e)
 			}
 		}
 		slices.SortFunc(surplus, func(a, b *endpoint) int {
 			return cmp.Or(cmp.Compare(len(a.runs), len(b.runs)), cmp.Compare(a.row.ID, b.row.ID))
 		})
-		for _, h := range surplus[:min(len(surplus), -need.lack())] {
-			h.leaving = true
+		for _, e := range surplus[:min(len(surplus), -need.lack())] {
+			e.leaving = true
 		}
 	}
 }
@@ -247,24 +247,24 @@
 // the empty ones of pools that have too many.
 func (l *Leader) givers(needs []*poolNeed, spare string, now time.Time) []*hostState {
 	var givers []*hostState
-	for _, m := range l.hosts.byID {
-		if !m.isFree(now) {
+	for _, h := range l.hosts.byID {
+		if !h.isFree(now) {
 			continue
 		}
-		if m.row.Pool == spare {
-			givers = append(givers, m)
+		if h.row.Pool == spare {
+			givers = append(givers, h)
 			continue
 		}
-		need := needOf(needs, m.row.Pool)
-		h := l.endpointOf(m)
-		if need == nil || need.lack() >= 0 || h == nil || h.leaving || h.row.Draining || m.idleSince.IsZero() {
+		need := needOf(needs, h.row.Pool)
+		e := l.endpointOf(h)
+		if need == nil || need.lack() >= 0 || e == nil || e.leaving || e.row.Draining || h.idleSince.IsZero() {
 			continue
 		}
-		givers = append(givers, m)
+		givers = append(givers, h)
 	}
 	slices.SortFunc(givers, func(a, b *hostState) int {
-		isSpare := func(m *hostState) int {
-			if m.row.Pool == spare {
+		isSpare := func(h *hostState) int {
+			if h.row.Pool == spare {
 				return 0
 			}
 			return 1
@@ -276,18 +276,18 @@
 
 // takeGiver takes the first host that its pool can do without.
 func takeGiver(givers *[]*hostState, needs []*poolNeed, to string) *hostState {
-	for i, m := range *givers {
-		if m.row.Pool == to {
+	for i, h := range *givers {
+		if h.row.Pool == to {
 			continue
 		}
-		if own := needOf(needs, m.row.Pool); own != nil {
+		if own := needOf(needs, h.row.Pool); own != nil {
 			if own.lack() >= 0 {
 				continue
 			}
 			own.have--
 		}
 		*givers = slices.Delete(*givers, i, i+1)
-		return m
+		return h
 	}
 	return nil
 }
@@ -310,11 +310,11 @@
 		largest.Memory = max(largest.Memory, capacity.Memory)
 		largest.GPU = max(largest.GPU, capacity.GPU)
 	}
-	for _, m := range l.hosts.byID {
-		add(m.row.Capacity)
-	}
-	for _, h := range l.endpoints {
+	for _, h := range l.hosts.byID {
 		add(h.row.Capacity)
 	}
+	for _, e := range l.endpoints {
+		add(e.row.Capacity)
+	}
 	return largest
 }
--- a/internal/fleet/pace.go
+++ b/internal/fleet/pace.go
@@ -26,14 +26,14 @@
 
 // paceEndpoint slows fillers beside serving tasks that are near their target, and
 // lets them work again.
-func (l *Leader) paceEndpoint(h *endpoint, orders *Orders, now time.Time) {
-	fillers := h.fillers()
-	if len(fillers) == 0 || now.Sub(h.tail.changedAt) < paceEvery || now.Sub(h.lookedAt) > reportFresh {
+func (l *Leader) paceEndpoint(e *endpoint, orders *Orders, now time.Time) {
+	fillers := e.fillers()
+	if len(fillers) == 0 || now.Sub(e.tail.changedAt) < paceEvery || now.Sub(e.lookedAt) > reportFresh {
 		return
 	}
-	worst := h.worstTail()
-	percent := h.tail.percent
-	if h.tail.changedAt.IsZero() {
+	worst := e.worstTail()
+	percent := e.tail.percent
+	if e.tail.changedAt.IsZero() {
 		percent = 100
 	}
 	switch {
@@ -45,22 +45,22 @@
 	case worst < tailLow:
 		percent = min(100, percent+paceRaise)
 	}
-	h.tail.percent = percent
+	e.tail.percent = percent
 	for _, r := range fillers {
 		if r.percent == percent {
 			continue
 		}
 		r.percent = percent
-		h.tail.changedAt = now
-		orders.Paces = append(orders.Paces, Pace{Endpoint: h.row.ID, Task: r.key.task, Run: r.key.run, Percent: percent})
-		l.note("run paced", "job", r.key.task.Job, "step", r.key.task.Step, "index", r.key.task.Index, "endpoint", h.row.ID, "percent", percent, "tail-of-target", worst)
+		e.tail.changedAt = now
+		orders.Paces = append(orders.Paces, Pace{Endpoint: e.row.ID, Task: r.key.task, Run: r.key.run, Percent: percent})
+		l.note("run paced", "job", r.key.task.Job, "step", r.key.task.Step, "index", r.key.task.Index, "endpoint", e.row.ID, "percent", percent, "tail-of-target", worst)
 	}
 }
 
 // fillers lists the endpoint's live runs of filler tasks.
-func (h *endpoint) fillers() []*run {
+func (e *endpoint) fillers() []*run {
 	var fillers []*run
-	for _, r := range h.runs {
+	for _, r := range e.runs {
 		if r.state == runLive && r.job != nil && r.step().Filler {
 			fillers = append(fillers, r)
 		}
@@ -74,9 +74,9 @@
 }
 
 // worstTail is the highest tail of the endpoint's serving tasks as a part of their target.
-func (h *endpoint) worstTail() float64 {
+func (e *endpoint) worstTail() float64 {
 	worst := 0.0
-	for _, r := range h.runs {
+	for _, r := range e.runs {
 		if r.job == nil || r.state != runLive || r.step().TailTarget <= 0 || r.step().Filler {
 			continue
 		}
--- /dev/null
+++ b/internal/fleet/run.go
@@ -0,0 +1,54 @@
+package fleet
+
+import (
+	"time"
+
+	"github.com/lovagedyke/lovagedyke/internal/job"
+	"github.com/lovagedyke/lovagedyke/internal/policy"
+)
+
+// runKey names a run on an endpoint.
+type runKey struct {
+	task job.Task
+	run  int64
+}
+
+// runState is how much is known of a run.
+type runState int
+
+const (
+	// runStarting runs were ordered, and not answered yet.
+	runStarting runState = iota
+	// runLive runs are on the endpoint.
+	runLive
+	// runDoubtful runs were ordered and the answer was lost.
+	runDoubtful
+	// runStopping runs are being stopped.
+	runStopping
+)
+
+// run is a run that is or may be on an endpoint.
+type run struct {
+	key      runKey
+	endpoint *endpoint
+	job      *jobState
+	state    runState
+	// orderedAt is when the start was decided, answeredAt when the endpoint said yes.
+	orderedAt, answeredAt time.Time
+	// wasDoubtful is true once a start got no answer: it may be carried out late.
+	wasDoubtful bool
+	// stopTakenAt is when the endpoint answered a stop.
+	stopTakenAt time.Time
+	// stopAt is when the next stop is sent to a stopping run.
+	stopAt time.Time
+	// why is the reason of an ordered stop, for the journal.
+	why   string
+	share int
+	saved string
+	// percent is the pace that was ordered.
+	percent  int
+	tail     time.Duration
+	reserved policy.Resources
+	// atWorkAt is when the endpoint first reported the run at work.
+	atWorkAt time.Time
+}
--- a/internal/fleet/step.go
+++ b/internal/fleet/step.go
@@ -37,22 +37,22 @@
 		l.planHosts(pools, &orders, now)
 	}
 	l.evacuate(now)
-	for _, h := range l.endpoints {
-		l.stopsOn(h, &orders, now)
-		l.paceEndpoint(h, &orders, now)
+	for _, e := range l.endpoints {
+		l.stopsOn(e, &orders, now)
+		l.paceEndpoint(e, &orders, now)
 	}
 	return orders
 }
 
 // stopsOn collects the stops that are due on an endpoint.
-func (l *Leader) stopsOn(h *endpoint, orders *Orders, now time.Time) {
-	for _, r := range h.runs {
+func (l *Leader) stopsOn(e *endpoint, orders *Orders, now time.Time) {
+	for _, r := range e.runs {
 		if r.state != runStopping || now.Before(r.stopAt) {
 			continue
 		}
 		r.stopAt = now.Add(stopAgain)
-		orders.Stops = append(orders.Stops, Stop{Endpoint: h.row.ID, Task: r.key.task, Run: r.key.run})
-		l.note("run stop", "job", r.key.task.Job, "step", r.key.task.Step, "index", r.key.task.Index, "run", r.key.run, "endpoint", h.row.ID, "why", r.why)
+		orders.Stops = append(orders.Stops, Stop{Endpoint: e.row.ID, Task: r.key.task, Run: r.key.run})
+		l.note("run stop", "job", r.key.task.Job, "step", r.key.task.Step, "index", r.key.task.Index, "run", r.key.run, "endpoint", e.row.ID, "why", r.why)
 	}
 }
 
@@ -126,11 +126,11 @@
 // rooms lists the endpoints of a pool that take work, in a fixed order.
 func (l *Leader) rooms(pool string, now time.Time) []*endpointRoom {
 	var rooms []*endpointRoom
-	for _, h := range l.endpoints {
-		if h.row.Pool != pool || !h.takesWork(now) {
+	for _, e := range l.endpoints {
+		if e.row.Pool != pool || !e.takesWork(now) {
 			continue
 		}
-		rooms = append(rooms, &endpointRoom{endpoint: h, room: h.room(), lasting: h.lastingRuns()})
+		rooms = append(rooms, &endpointRoom{endpoint: e, room: e.room(), lasting: e.lastingRuns()})
 	}
 	slices.SortFunc(rooms, func(a, b *endpointRoom) int {
 		switch {
@@ -146,9 +146,9 @@
 }
 
 // lastingRuns counts the endpoint's runs of lasting tasks.
-func (h *endpoint) lastingRuns() int {
+func (e *endpoint) lastingRuns() int {
 	count := 0
-	for _, r := range h.runs {
+	for _, r := range e.runs {
 		if r.isLasting() {
 			count++
 		}
@@ -211,12 +211,12 @@
 
 // start notes a run and orders it.
 func (l *Leader) start(g group, task job.Task, target *endpointRoom, number int64, orders *Orders, now time.Time) {
-	h := target.endpoint
+	e := target.endpoint
 	r := &run{
-		key: runKey{task, number}, endpoint: h, job: g.job, state: runStarting, orderedAt: now,
+		key: runKey{task, number}, endpoint: e, job: g.job, state: runStarting, orderedAt: now,
 		percent: 100, reserved: g.step.step.Reserved(), saved: g.job.saved[task],
 	}
-	h.runs[r.key] = r
+	e.runs[r.key] = r
 	l.claim(r)
 	g.job.noteRun(r.key)
 	g.job.begun = true
@@ -225,178 +225,9 @@
 		target.lasting++
 	}
 	orders.Starts = append(orders.Starts, Start{
-		Endpoint: h.row.ID, Task: task, Run: number, Spec: g.job.submission.Spec, Lease: h.nextLease(now),
-		Saved: r.saved, Ticket: g.step.granted[h.row.ID],
+		Endpoint: e.row.ID, Task: task, Run: number, Spec: g.job.submission.Spec, Lease: e.nextLease(now),
+		Saved: r.saved, Ticket: g.step.granted[e.row.ID],
 	})
-	l.note("run start", "job", task.Job, "step", task.Step, "index", task.Index, "run", number, "endpoint", h.row.ID,
-		"endpoint-seen-ago", now.Sub(h.lookedAt).Round(time.Millisecond).String(), "waited", now.Sub(g.step.openedAt).Round(time.Millisecond).String())
-}
-
-// choose returns the best endpoint for a task, or nil.
-func (l *Leader) choose(g group, task job.Task, rooms []*endpointRoom) *endpointRoom {
-	var best *endpointRoom
-	bestScore := 0.0
-	for _, candidate := range rooms {
-		if !g.allows(candidate) {
-			continue
-		}
-		score := g.score(task, candidate)
-		if best == nil || score > bestScore {
-			best, bestScore = candidate, score
-		}
-	}
-	return best
-}
-
-// allows reports whether a task of the step may start on an endpoint.
-func (g group) allows(candidate *endpointRoom) bool {
-	step := g.step.step
-	if !step.Reserved().Fits(candidate.room) || !candidate.endpoint.hasLabel(step.Requires) {
-		return false
-	}
-	if g.step.granted != nil {
-		if _, ok := g.step.granted[candidate.endpoint.row.ID]; !ok {
-			return false
-		}
-	}
-	return step.MaxPerEndpoint == 0 || candidate.endpoint.runsOf(g.job, g.step.key) < step.MaxPerEndpoint
-}
-
-// runsOf counts a step's runs on an endpoint.
-func (h *endpoint) runsOf(j *jobState, key job.StepKey) int {
-	count := 0
-	for _, r := range h.runs {
-		if r.job == j && r.key.task.Step == key.Step && r.key.task.Occurrence == key.Occurrence {
-			count++
-		}
-	}
-	return count
-}
-
-// Weights of an endpoint's score; each outweighs all that stand after it.
-const (
-	scoreUntried  = 1000
-	scoreAffinity = 100
-	scoreLasting  = 10
-	scoreCold     = -50
-)
-
-// score prefers endpoints on which the task has not failed, near its data, that
-// cannot be given back since lasting tasks run there, and that are fullest.
-func (g group) score(task job.Task, candidate *endpointRoom) float64 {
-	h := candidate.endpoint
-	score := 0.0
-	if !slices.Contains(g.job.avoid[task], h.row.ID) {
-		score += scoreUntried
-	}
-	if g.step.step.Affinity != "" && h.hasLabel(g.step.step.Affinity) {
-		score += scoreAffinity
-	}
-	if candidate.lasting > 0 {
-		score += scoreLasting
-	}
-	if h.row.Cold > 0 {
-		score += scoreCold
-	}
-	return score + 1 - float64(candidate.room.CPU)/float64(max(1, h.row.Capacity.CPU))
-}
-
-// StartAnswered takes an endpoint's answer to a start. It returns false if the endpoint
-// knows a later leader.
-func (l *Leader) StartAnswered(start Start, reply Reply, now time.Time) bool {
-	h := l.endpoints[start.Endpoint]
-	if h == nil {
-		return reply.Outcome != OrderFenced
-	}
-	r := h.runs[runKey{start.Task, start.Run}]
-	if r == nil {
-		return reply.Outcome != OrderFenced
-	}
-	l.journalReply("start answered", r, reply)
-	switch reply.Outcome {
-	case OrderTaken:
-		l.runTaken(r, now)
-	case OrderFenced:
-		return false
-	case OrderUnknown:
-		if r.state == runStarting {
-			r.state = runDoubtful
-			r.answeredAt = now
-			r.wasDoubtful = true
-		}
-	case OrderOtherLife:
-		l.newLife(h, h.born, "refusal", now)
-		h.listed = false
-		l.forgetEndpoint(h, now)
-	default:
-		l.startRefused(r, reply, now)
-	}
-	return true
-}
-
-// runTaken notes that an endpoint runs a task.
-func (l *Leader) runTaken(r *run, now time.Time) {
-	if r.state == runStarting || r.state == runDoubtful {
-		r.state = runLive
-	}
-	r.answeredAt = now
-}
-
-// startRefused takes back a run that the endpoint did not begin.
-func (l *Leader) startRefused(r *run, reply Reply, now time.Time) {
-	h := r.endpoint
-	notBefore := now.Add(retryPause)
-	switch reply.Outcome {
-	case OrderNoRoom:
-		h.fullUntil = now.Add(retryPause)
-	case OrderLate:
-		// Our estimate of the endpoint's clock is off: look before the next start.
-		h.reached = false
-	case OrderUnhealthy, OrderUnsent:
-		h.pausedUntil = now.Add(unhealthyPause)
-	case OrderTicket:
-		if step := r.job.steps[job.StepKey{Occurrence: r.key.task.Occurrence, Step: r.key.task.Step}]; step != nil {
-			step.granted, step.asked = nil, false
-		}
-	case OrderMalformed:
-		notBefore = now.Add(time.Second)
-	}
-	l.release(r)
-	l.requeue(r.job, r.key.task, notBefore)
-}
-
-// journalReply notes answers that are not the expected one.
-func (l *Leader) journalReply(event string, r *run, reply Reply) {
-	if reply.Outcome == OrderTaken {
-		return
-	}
-	l.note(event, "job", r.key.task.Job, "step", r.key.task.Step, "index", r.key.task.Index, "run", r.key.run,
-		"endpoint", r.endpoint.row.ID, "outcome", string(reply.Outcome))
-}
-
-// StopAnswered takes an endpoint's answer to a stop. It returns false if the endpoint
-// knows a later leader.
-func (l *Leader) StopAnswered(stop Stop, reply Reply, now time.Time) bool {
-	h := l.endpoints[stop.Endpoint]
-	if h == nil {
-		return reply.Outcome != OrderFenced
-	}
-	r := h.runs[runKey{stop.Task, stop.Run}]
-	if r == nil {
-		return reply.Outcome != OrderFenced
-	}
-	l.journalReply("stop answered", r, reply)
-	switch reply.Outcome {
-	case OrderFenced:
-		return false
-	case OrderTaken, OrderOld:
-		// Whether it ran or not, it cannot begin any more: the next report tells.
-		r.stopAt = now.Add(looksEvery)
-		r.stopTakenAt = now
-	case OrderOtherLife:
-		l.newLife(h, h.born, "refusal", now)
-		h.listed = false
-		l.forgetEndpoint(h, now)
-	}
-	return true
+	l.note("run start", "job", task.Job, "step", task.Step, "index", task.Index, "run", number, "endpoint", e.row.ID,
+		"endpoint-seen-ago", now.Sub(e.lookedAt).Round(time.Millisecond).String(), "waited", now.Sub(g.step.openedAt).Round(time.Millisecond).String())
 }
--- a/internal/fleet/wave.go
+++ b/internal/fleet/wave.go
@@ -81,17 +81,17 @@
 	var due []*hostState
 	down, known := 0, 0
 	for _, id := range wave.row.Hosts {
-		m := l.hosts.byID[id]
-		if m == nil || !m.listed {
+		h := l.hosts.byID[id]
+		if h == nil || !h.listed {
 			continue
 		}
 		known++
-		isDown := m.change != nil && m.change.wave == wave.row.Number || m.row.State == HostUpkeep
+		isDown := h.change != nil && h.change.wave == wave.row.Number || h.row.State == HostUpkeep
 		if isDown {
 			down++
 		}
-		if !wave.done[id] && m.isFree(now) {
-			due = append(due, m)
+		if !wave.done[id] && h.isFree(now) {
+			due = append(due, h)
 		}
 	}
 	if known > 0 && down == 0 && l.waveDone(wave) {
@@ -103,19 +103,19 @@
 		return cmp.Or(cmp.Compare(l.upkeepCost(a), l.upkeepCost(b)), cmp.Compare(a.row.ID, b.row.ID))
 	})
 	// As many as may be down at once are emptied ahead.
-	for i, m := range due {
+	for i, h := range due {
 		if i >= 2*wave.row.AtOnce-down {
 			return
 		}
-		h := l.endpointOf(m)
-		if h != nil {
-			h.leaving = true
+		e := l.endpointOf(h)
+		if e != nil {
+			e.leaving = true
 		}
-		if down < wave.row.AtOnce && l.isEmpty(m, now) {
+		if down < wave.row.AtOnce && l.isEmpty(h, now) {
 			down++
-			m.change = &change{wave: wave.row.Number, orderedAt: now}
-			orders.Upkeeps = append(orders.Upkeeps, Upkeep{Host: m.row.ID, Wave: wave.row.Number})
-			l.note("upkeep", "host", m.row.ID, "pool", m.row.Pool, "wave", wave.row.Number, "down", down, "at-once", wave.row.AtOnce)
+			h.change = &change{wave: wave.row.Number, orderedAt: now}
+			orders.Upkeeps = append(orders.Upkeeps, Upkeep{Host: h.row.ID, Wave: wave.row.Number})
+			l.note("upkeep", "host", h.row.ID, "pool", h.row.Pool, "wave", wave.row.Number, "down", down, "at-once", wave.row.AtOnce)
 		}
 	}
 }
@@ -123,8 +123,8 @@
 // waveDone reports whether the upkeep of all the wave's hosts has begun.
 func (l *Leader) waveDone(wave *waveState) bool {
 	for _, id := range wave.row.Hosts {
-		m := l.hosts.byID[id]
-		if m != nil && m.listed && !wave.done[id] {
+		h := l.hosts.byID[id]
+		if h != nil && h.listed && !wave.done[id] {
 			return false
 		}
 	}
@@ -141,14 +141,14 @@
 )
 
 // upkeepCost ranks a host by what its upkeep disturbs.
-func (l *Leader) upkeepCost(m *hostState) int {
-	h := l.endpointOf(m)
-	if h == nil || !h.reached {
-		if m.row.Endpoint == "" {
+func (l *Leader) upkeepCost(h *hostState) int {
+	e := l.endpointOf(h)
+	if e == nil || !e.reached {
+		if h.row.Endpoint == "" {
 			return 0
 		}
 		return costUnknown
 	}
-	lasting := h.lastingRuns()
-	return lasting*costLasting + (len(h.runs)-lasting)*costRun
+	lasting := e.lastingRuns()
+	return lasting*costLasting + (len(e.runs)-lasting)*costRun
 }
