Adopt the runs of a looked-up job before its tasks start

Found by reading: a job that an endpoint runs and the leader does not know was looked up, and its tasks started before the endpoint's next report named the run. An endpoint that a list of hosts lacked once is looked at again when a later one has it.

--- a/internal/fleet/endpointstate.go
+++ b/internal/fleet/endpointstate.go
@@ -54,7 +54,8 @@
 	pausedUntil time.Time
 	trouble     trouble
 	lookedAt    time.Time
-	// blocked is true while the endpoint lists an end of a job that is not known yet.
+	// blocked is true while the endpoint lists a run or an end of a job that is
+	// not known yet.
 	blocked bool
 	// silent is true since a look got no answer: no lease is prolonged on a
 	// guess, or it would never be over.
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -133,6 +133,12 @@
 	if !l.loaded {
 		return false
 	}
+	for _, e := range l.endpoints {
+		if e.blocked {
+			// It runs something of a job that we are about to know.
+			return false
+		}
+	}
 	if now.After(l.inheritedUntil()) {
 		return true
 	}
--- a/internal/fleet/hosts.go
+++ b/internal/fleet/hosts.go
@@ -106,6 +106,10 @@
 		return
 	}
 	for _, e := range l.endpoints {
+		if e.gone && onHost[e.row.ID] && e.listedAt.Before(sentAt) {
+			// An earlier list was wrong, or older than it seemed.
+			e.gone, e.reached = false, false
+		}
 		if e.gone || onHost[e.row.ID] || !e.listedAt.Before(sentAt) || e.lookedAt.After(sentAt) {
 			continue
 		}
--- a/internal/fleet/leader_test.go
+++ b/internal/fleet/leader_test.go
@@ -502,6 +502,27 @@
 	}
 }
 
+// The leader before started it; once its rows are read, its run is adopted
+// before any of its tasks starts elsewhere.
+func TestLookedUpJobIsAdoptedFirst(t *testing.T) {
+	w := newWorld(t, worldConfig{token: 2})
+	w.running["a"] = []fleet.RunningTask{{Task: job.Task{Job: idOf(7)}, Run: 1, Share: 100}}
+	w.endpoint("a")
+	w.endpoint("b")
+	w.listHostsOf("a", "b")
+	w.step()
+	w.leader.Found(idOf(7), &fleet.Stored{Submission: submission(7, tasks(2))}, w.now, w.now)
+	if got := len(w.step().Starts); got != 0 {
+		t.Fatalf("starts before the run is adopted: got %d, want 0", got)
+	}
+	w.pass(200 * time.Millisecond)
+	w.look("a")
+	starts := w.step().Starts
+	if len(starts) != 1 || starts[0].Task.Index != 1 {
+		t.Errorf("starts: got %v, want that of the other task", starts)
+	}
+}
+
 func TestRunOfNoJobIsStopped(t *testing.T) {
 	w := newWorld(t, worldConfig{token: 2})
 	w.running["a"] = []fleet.RunningTask{{Task: job.Task{Job: idOf(7)}, Run: 1}}
--- a/internal/fleet/look.go
+++ b/internal/fleet/look.go
@@ -168,8 +168,10 @@
 	j := l.jobs[key.task.Job]
 	if j == nil && !l.isAbsent(key.task.Job) {
 		// Its row may be on the way to us. What the run takes is not known until then.
+		// Until it is adopted, its task must not start elsewhere.
 		l.fetch(key.task.Job)
 		e.fullUntil = now.Add(unknownPause)
+		e.blocked = true
 		return nil
 	}
 	if j == nil {
