--- a/internal/fleet/endpointstate.go
+++ b/internal/fleet/endpointstate.go
@@ -133,12 +133,13 @@
 	return e.clock + now.Sub(e.clockAt)
 }
 
-// nextLease returns the lease to send now, on the endpoint's clock.
-func (e *endpoint) nextLease(now time.Time) time.Duration {
+// nextLease returns the end of a lease of the given length that is sent now, on
+// the endpoint's clock.
+func (e *endpoint) nextLease(now time.Time, length time.Duration) time.Duration {
 	if e.clockAt.IsZero() {
 		return 0
 	}
-	e.leaseUntil = max(e.leaseUntil, e.clockNow(now)+leaseTime)
+	e.leaseUntil = max(e.leaseUntil, e.clockNow(now)+length)
 	return e.leaseUntil
 }
 
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -8,9 +8,9 @@
 )
 
 const (
-	// leaseTime is how long an endpoint's lease is: longer than it takes to replace
+	// leaseTarget is how long an endpoint's lease is where that is allowed: longer than it takes to replace
 	// all processes, shorter than a caller waits for a lost lasting task.
-	leaseTime = 5 * time.Second
+	leaseTarget = 5 * time.Second
 	// clockSlowness is how much slower an endpoint's clock may be than ours (the
 	// platform's page of calls).
 	clockSlowness = 0.02
@@ -46,22 +46,12 @@
 type Bounds struct {
 	// LeaseMost is the longest lease that an endpoint grants.
 	LeaseMost time.Duration
-	// GangWait is how long a gang's member waits for the others.
-	GangWait time.Duration
 	// StatusKept is how long a job's state can be asked for after its end.
 	StatusKept time.Duration
-	// Early is how much earlier than its due time an occurrence may start.
-	Early time.Duration
 	// Move and Upkeep are how long a host is away for either.
 	Move, Upkeep time.Duration
 	// TurnWithin is the time within which two leaders must not change one host.
 	TurnWithin time.Duration
-	// Notice is how long a lasting task may be away before it counts as missed.
-	Notice time.Duration
-	// FarFactor is how much longer a task takes away from its data.
-	FarFactor float64
-	// HarmAfter is how long a serving task may be over its target beside fillers.
-	HarmAfter time.Duration
 }
 
 // Leader is the state of the process that leads the fleet. It is not safe for
@@ -170,7 +160,15 @@
 
 // inheritedUntil is when the last lease that an earlier leader gave is over.
 func (l *Leader) inheritedUntil() time.Time {
-	return l.config.Now.Add(confirmTime + stretched(leaseTime+idleDrift) + leaseMargin)
+	return l.config.Now.Add(confirmTime + stretched(l.leaseTime()+idleDrift) + leaseMargin)
+}
+
+// leaseTime is how long the leases are that the leader gives.
+func (l *Leader) leaseTime() time.Duration {
+	if most := l.config.Bounds.LeaseMost; most > 0 {
+		return min(leaseTarget, most)
+	}
+	return leaseTarget
 }
 
 // Confirm notes a sign of the given time that no other process leads.
--- a/internal/fleet/hosts.go
+++ b/internal/fleet/hosts.go
@@ -315,7 +315,7 @@
 	if h.row.Endpoint == "" || !h.idleSince.IsZero() {
 		return true
 	}
-	return !h.unknownSince.IsZero() && now.Sub(h.unknownSince) > stretched(leaseTime+idleDrift)+confirmTime
+	return !h.unknownSince.IsZero() && now.Sub(h.unknownSince) > stretched(l.leaseTime()+idleDrift)+confirmTime
 }
 
 // waveNumbers lists the waves in order.
--- a/internal/fleet/look.go
+++ b/internal/fleet/look.go
@@ -30,7 +30,7 @@
 		return hold, e.silent || now.Sub(e.lookedAt) > idleLooksEvery
 	}
 	if !e.silent && l.confirmed(now) {
-		hold.Lease = e.nextLease(now)
+		hold.Lease = e.nextLease(now, l.leaseTime())
 	}
 	if len(e.runs) > 0 && len(e.unwritten) == 0 && !e.blocked {
 		hold.Wait = lookWait
--- a/internal/fleet/step.go
+++ b/internal/fleet/step.go
@@ -225,7 +225,7 @@
 		target.lasting++
 	}
 	orders.Starts = append(orders.Starts, Start{
-		Endpoint: e.row.ID, Task: task, Run: number, Spec: g.job.submission.Spec, Lease: e.nextLease(now),
+		Endpoint: e.row.ID, Task: task, Run: number, Spec: g.job.submission.Spec, Lease: e.nextLease(now, l.leaseTime()),
 		Saved: r.saved, Ticket: g.step.granted[e.row.ID],
 	})
 	l.note("run start", "job", task.Job, "step", task.Step, "index", task.Index, "run", number, "endpoint", e.row.ID,
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -22,7 +22,6 @@
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
-	"github.com/cockroachdb/errors"
 
 	"github.com/lovagedyke/lovagedyke/internal/job"
 	"github.com/lovagedyke/lovagedyke/internal/policy"
@@ -85,6 +84,8 @@
 	Fleet   Fleet
 	Form    Form
 	Journal Journal
+	// RowBytes is the largest row that the store takes.
+	RowBytes int
 }
 
 // Ingress is the handler of callers' requests.
@@ -96,7 +97,7 @@
 // New returns a handler. Run has to run for jobs to be accepted.
 func New(config Config) *Ingress {
 	return &Ingress{config: config, writer: newWriter(writerConfig{
-		Store: config.Store, Journal: config.Journal, Accepted: config.Fleet.Accepted,
+		Store: config.Store, Journal: config.Journal, RowBytes: config.RowBytes, Accepted: config.Fleet.Accepted,
 	})}
 }
 
@@ -334,6 +335,3 @@
 		return "other"
 	}
 }
-
-// errAway is what a store that cannot be reached amounts to.
-var errAway = errors.New("the store is away")
--- a/internal/ingress/stored.go
+++ b/internal/ingress/stored.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 
-	"github.com/cockroachdb/errors"
-
 	"github.com/lovagedyke/lovagedyke/internal/job"
 	"github.com/lovagedyke/lovagedyke/internal/record"
 	"github.com/lovagedyke/lovagedyke/internal/table"
@@ -14,7 +12,7 @@
 func (i *Ingress) storedState(ctx context.Context, id job.ID) (state job.State, known bool, err error) {
 	rows, err := i.config.Store.Get(ctx, record.JobKey(id), record.CancelKey(id), record.ProgressKey(id))
 	if err != nil {
-		return "", false, errors.Mark(err, errAway)
+		return "", false, err
 	}
 	if rows[0].Version == table.Absent {
 		return "", false, nil
--- a/internal/ingress/writer.go
+++ b/internal/ingress/writer.go
@@ -49,6 +49,7 @@
 type writerConfig struct {
 	Store    table.Store
 	Journal  Journal
+	RowBytes int
 	Accepted func(ctx context.Context, submissions [][]byte)
 }
 
@@ -88,7 +89,7 @@
 // accept stores a job and returns what became of it by the time ctx ends.
 func (w *writer) accept(ctx context.Context, submission *job.Submission) outcome {
 	value := record.Encode(submission)
-	if len(value) > rowBytes {
+	if w.config.RowBytes > 0 && len(value) > w.config.RowBytes {
 		return outcomeTooLarge
 	}
 	entry := &write{ctx: ctx, id: submission.ID, value: value, done: make(chan outcome, 1)}
@@ -106,9 +107,6 @@
 	}
 }
 
-// rowBytes is the largest row that the store takes (the platform's settings).
-const rowBytes = 64 << 10
-
 // shardLoop writes what waits for one part.
 func (w *writer) shardLoop(ctx context.Context, queue chan *write) {
 	for {
--- a/internal/job/job.go
+++ b/internal/job/job.go
@@ -148,20 +148,6 @@
 	return false
 }
 
-// Chain returns the estimated duration of the longest chain of steps.
-func (s *Submission) Chain() time.Duration {
-	var longest time.Duration
-	ends := make([]time.Duration, len(s.Steps))
-	for i, step := range s.Steps {
-		for _, before := range step.After {
-			ends[i] = max(ends[i], ends[before])
-		}
-		ends[i] += step.Estimate
-		longest = max(longest, ends[i])
-	}
-	return longest
-}
-
 // Validate returns the reason why a submission is malformed, or "".
 func (s *Submission) Validate() string {
 	if !s.ID.Valid() {
--- a/internal/job/job_test.go
+++ b/internal/job/job_test.go
@@ -4,7 +4,6 @@
 	"encoding/json"
 	"strings"
 	"testing"
-	"time"
 
 	"pgregory.net/rapid"
 
@@ -68,17 +67,6 @@
 	}
 }
 
-func TestChain(t *testing.T) {
-	submission := &job.Submission{Steps: []job.Step{
-		{Count: 1, Estimate: time.Second},
-		{Count: 1, Estimate: 3 * time.Second},
-		{Count: 1, Estimate: time.Second, After: []int{0}},
-	}}
-	if got, want := submission.Chain(), 3*time.Second; got != want {
-		t.Errorf("chain: got %s, want %s", got, want)
-	}
-}
-
 // Whatever ends in whatever order, a job is complete exactly when all tasks of
 // all occurrences are done, and its row says the same after a round trip.
 func TestProgressProperties(t *testing.T) {
@@ -151,7 +139,7 @@
 			progress.IsDone(job.Task{Index: 1 << 20})
 		}
 		if submission, err := job.DecodeSubmission(data); err == nil {
-			submission.Chain()
+			submission.Due(submission.Occurrences())
 		}
 	})
 }
--- a/internal/process/node.go
+++ b/internal/process/node.go
@@ -119,7 +119,7 @@
 	})
 	n.ingress = ingress.New(ingress.Config{
 		Policy: n.holder, Store: n.member.Store(), Fleet: member.NewFleetClient(n.member, n.control),
-		Form: platform.Form{}, Journal: n.journal,
+		Form: platform.Form{}, Journal: n.journal, RowBytes: settings.CellBytes,
 	})
 	return n
 }
--- a/internal/record/record.go
+++ b/internal/record/record.go
@@ -49,8 +49,8 @@
 	MemberPrefix   = "members//"
 )
 
-// shardOf spreads jobs over parts.
-func shardOf(id job.ID) int {
+// Shard returns the part that holds a job's rows: jobs are spread over parts.
+func Shard(id job.ID) int {
 	hash := fnv.New32a()
 	_, _ = hash.Write([]byte(id))
 	return int(hash.Sum32() % JobShards)
@@ -68,17 +68,12 @@
 
 // JobKey is the row of a job as it was accepted.
 func JobKey(id job.ID) string {
-	return JobPrefix(shardOf(id)) + string(id)
-}
-
-// Shard returns the part that holds a job's rows.
-func Shard(id job.ID) int {
-	return shardOf(id)
+	return JobPrefix(Shard(id)) + string(id)
 }
 
 // CancelKey is the row that says that a caller cancelled a job.
 func CancelKey(id job.ID) string {
-	return CancelPrefix(shardOf(id)) + string(id)
+	return CancelPrefix(Shard(id)) + string(id)
 }
 
 // ProgressKey is the row of what has ended of a job.
