--- a/internal/fleet/dump.go
+++ b/internal/fleet/dump.go
@@ -47,10 +47,7 @@
 			Leaving: e.leaving, Runs: len(e.runs), Room: e.room(),
 		})
 	}
-	for id, j := range l.jobs {
-		if j.over() {
-			continue
-		}
+	for id, j := range l.live {
 		entry := JobDump{ID: id, Queue: j.submission.Queue, Account: j.submission.Account, Shown: j.shown, Active: len(j.active)}
 		for _, step := range j.steps {
 			entry.Pending += len(step.pending)
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -74,6 +74,8 @@
 	// confirmedAt is when the store, or most other processes, last showed that no
 	// other process leads.
 	confirmedAt time.Time
+	// live holds the jobs that are not over; the others are kept for their states.
+	live map[job.ID]*jobState
 	// loaded is true when all rows of before the takeover are known.
 	loaded bool
 	ledger ledger
@@ -83,7 +85,7 @@
 func New(config Config) *Leader {
 	leader := &Leader{
 		config: config, confirmedAt: config.Now, policy: policy.New(policy.Config{}),
-		endpoints: map[EndpointID]*endpoint{}, jobs: map[job.ID]*jobState{}, inUse: map[string]policy.Resources{},
+		endpoints: map[EndpointID]*endpoint{}, jobs: map[job.ID]*jobState{}, live: map[job.ID]*jobState{}, inUse: map[string]policy.Resources{},
 		earlyCancels: map[job.ID]time.Time{},
 		lookups:      map[job.ID]lookup{}, shares: map[string]*shareState{},
 		hosts: newHosts(), rhythms: map[string]*rhythm{}, ledger: newLedger(),
--- a/internal/fleet/jobstate.go
+++ b/internal/fleet/jobstate.go
@@ -152,6 +152,9 @@
 		j.begun = len(stored.Progress.Steps) > 0
 	}
 	l.jobs[stored.Submission.ID] = j
+	if !j.over() {
+		l.live[stored.Submission.ID] = j
+	}
 	if j.progress.State.Final() {
 		j.overAt = now
 	}
@@ -169,6 +172,7 @@
 	}
 	j := newJobState(submission)
 	l.jobs[submission.ID] = j
+	l.live[submission.ID] = j
 	delete(l.lookups, submission.ID)
 	j.excess = !l.withinShare(submission.Account, now)
 	l.rhythmOf(l.poolOf(j)).arrived(j, now)
@@ -211,6 +215,7 @@
 
 // endJob stops what still runs of a job whose state is final.
 func (l *Leader) endJob(j *jobState, why string, now time.Time) {
+	delete(l.live, j.submission.ID)
 	j.steps = map[job.StepKey]*stepState{}
 	l.markDirty(j)
 	for _, runs := range j.active {
@@ -253,8 +258,8 @@
 // Waiting counts, by queue, the jobs of which no task has started.
 func (l *Leader) Waiting() map[string]int {
 	waiting := map[string]int{}
-	for _, j := range l.jobs {
-		if !j.begun && !j.over() {
+	for _, j := range l.live {
+		if !j.begun {
 			waiting[j.submission.Queue]++
 		}
 	}
--- a/internal/fleet/step.go
+++ b/internal/fleet/step.go
@@ -20,10 +20,7 @@
 	}
 	orders.Lookups = l.dueLookups(now)
 	pools := map[string][]*jobState{}
-	for _, j := range l.jobs {
-		if j.over() {
-			continue
-		}
+	for _, j := range l.live {
 		if j.due < j.submission.Occurrences() {
 			l.open(j, now, wall)
 		}
