Move tasks off endpoints on which they stand still

Pattern: one endpoint stands still, its health good. A run that takes 2.5 times the median of its step and half a second is stopped and started elsewhere, or copied where the step allows copies.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -74,6 +74,8 @@
 	// confirmedAt is when the store, or most other processes, last showed that no
 	// other process leads.
 	confirmedAt time.Time
+	// overdueAt is when overdue runs were last looked for.
+	overdueAt time.Time
 	// live holds the jobs that are not over; the others are kept for their states.
 	live map[job.ID]*jobState
 	// loaded is true when all rows of before the takeover are known.
--- a/internal/fleet/jobstate.go
+++ b/internal/fleet/jobstate.go
@@ -32,6 +32,8 @@
 	saved   map[job.Task]string
 	// avoid lists the endpoints on which a task failed.
 	avoid map[job.Task][]EndpointID
+	// overdue counts, by task, how often a run of it was overdue.
+	overdue map[job.Task]int
 	// overAt is when the final state was written.
 	overAt time.Time
 	dirty  bool
@@ -61,7 +63,7 @@
 	return &jobState{
 		submission: submission, progress: job.NewProgress(), shown: job.Queued,
 		steps: map[job.StepKey]*stepState{}, active: map[job.Task][]*run{}, lastRun: map[job.Task]int64{},
-		saved: map[job.Task]string{}, avoid: map[job.Task][]EndpointID{},
+		saved: map[job.Task]string{}, avoid: map[job.Task][]EndpointID{}, overdue: map[job.Task]int{},
 	}
 }
 
--- a/internal/fleet/step.go
+++ b/internal/fleet/step.go
@@ -31,6 +31,7 @@
 		for pool, jobs := range pools {
 			l.schedule(pool, jobs, &orders, now)
 		}
+		l.findOverdue(&orders, now)
 		l.planHosts(pools, &orders, now)
 	}
 	l.evacuate(now)
