Let admitted requests arrive before they are counted in a test

Traced: it counted what the endpoint had taken as soon as two others waited, and one of the two admitted requests was still on its way. A third one that runs is found as before: then two would not wait.

--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -413,6 +413,8 @@
 		}()
 	}
 	f.eventually("two wait", func() bool { return f.entry.Snapshot().Services["orders"].Waiting == 2 })
+	// Those that were admitted may still be on their way to the endpoint.
+	f.eventually("two run", func() bool { return f.handled.Load() >= 2 })
 	if got, want := f.handled.Load(), int64(2); got != want {
 		t.Errorf("running at once: got %d, want %d", got, want)
 	}
