Tell peers of a configuration's version, and send its text when asked

Cause: each of 45 nodes pushed a configuration of 1,520 queues to six others over links of 10 Mbit/s, and each copy was decoded. Ruled out: the feed, which brought it once.

--- a/internal/member/member_test.go
+++ b/internal/member/member_test.go
@@ -37,7 +37,6 @@
 type noPolicy struct{}
 
 func (noPolicy) Newer(uint64) (uint64, []byte) { return 0, nil }
-func (noPolicy) Offer([]byte, string)          {}
 
 // gate is a store that turns one process away.
 type gate struct {
@@ -110,7 +109,7 @@
 		PolicyVersion: func() uint64 { return 0 },
 		Largest:       func() policy.Resources { return policy.Resources{} },
 	})
-	service := member.NewService(member.ServiceConfig{Node: p.node, Fleet: noFleet{}, Policy: noPolicy{}})
+	service := member.NewService(member.ServiceConfig{Node: p.node, Fleet: noFleet{}, Policy: noPolicy{}, Hint: func(uint64, record.Member) {}})
 	p.server = &http.Server{Handler: memberpb.NewMemberServer(service), ReadHeaderTimeout: time.Second}
 	served := make(chan struct{})
 	go func() {
--- a/internal/member/service.go
+++ b/internal/member/service.go
@@ -8,6 +8,7 @@
 
 	"github.com/lovagedyke/lovagedyke/internal/job"
 	"github.com/lovagedyke/lovagedyke/internal/member/memberpb"
+	"github.com/lovagedyke/lovagedyke/internal/record"
 	"github.com/lovagedyke/lovagedyke/internal/table"
 )
 
@@ -25,8 +26,6 @@
 type PolicyHolder interface {
 	// Newer returns the configuration if it is newer than have.
 	Newer(have uint64) (version uint64, value []byte)
-	// Offer takes a configuration that may be newer.
-	Offer(value []byte, source string)
 }
 
 // ServiceConfig is what a Service is built from.
@@ -34,6 +33,8 @@
 	Node   *Node
 	Fleet  Fleet
 	Policy PolicyHolder
+	// Hint is told of versions that another process has; it must return at once.
+	Hint func(version uint64, from record.Member)
 }
 
 // Service answers the other processes.
@@ -97,9 +98,11 @@
 	return &memberpb.PolicyReply{Version: version, Value: value}, nil
 }
 
-// PushPolicy implements memberpb.Member.
-func (s *Service) PushPolicy(_ context.Context, reply *memberpb.PolicyReply) (*memberpb.LeadReply, error) {
-	s.config.Policy.Offer(reply.Value, "peer")
+// PolicyHint implements memberpb.Member.
+func (s *Service) PolicyHint(_ context.Context, request *memberpb.PolicyHintRequest) (*memberpb.LeadReply, error) {
+	if from, ok := decodeAddress(request.From); ok {
+		s.config.Hint(request.Version, from)
+	}
 	return &memberpb.LeadReply{}, nil
 }
 
--- a/internal/policy/holder.go
+++ b/internal/policy/holder.go
@@ -16,7 +16,7 @@
 	Decode func(value []byte) (*Policy, error)
 	// Changed is called with each newer version, one at a time; fresh is true if
 	// it came from the store and not from another process.
-	Changed func(current *Policy, value []byte, fresh bool)
+	Changed func(current *Policy, fresh bool)
 	Journal Journal
 }
 
@@ -68,7 +68,7 @@
 	h.current.Store(offered)
 	h.config.Journal.Note("configuration in force", "version", offered.Version, "source", source,
 		"queues", len(offered.Queues), "accounts", len(offered.Accounts))
-	h.config.Changed(offered, value, source == SourceStore)
+	h.config.Changed(offered, source == SourceStore)
 }
 
 // Newer returns the configuration if it is newer than have.
--- a/internal/policy/policy_test.go
+++ b/internal/policy/policy_test.go
@@ -55,7 +55,7 @@
 			}
 			return policy.New(policy.Config{Version: uint64(value[0] - '0')}), nil
 		},
-		Changed: func(current *policy.Policy, _ []byte, _ bool) { changes = append(changes, current.Version) },
+		Changed: func(current *policy.Policy, _ bool) { changes = append(changes, current.Version) },
 		Journal: silent{},
 	})
 	for _, value := range []string{"3", "2", "x", "", "3", "5"} {
--- a/internal/process/feeds.go
+++ b/internal/process/feeds.go
@@ -27,15 +27,20 @@
 	// pushPeers is how many peers get a fresh configuration from each process
 	// that read it in the store.
 	pushPeers = 6
+	// hintPause is waited, once to twice, before a peer is asked for a version
+	// that it has: most processes read it in the store meanwhile.
+	hintPause = 120 * time.Millisecond
+	// pendingHints is how many hints wait.
+	pendingHints = 16
 	// peerCall bounds a call about the configuration.
-	peerCall = 500 * time.Millisecond
+	peerCall = time.Second
 )
 
 // memberClaim is the claim with which a leadership is won.
 type memberClaim = record.Claim
 
 // policyChanged passes a newer configuration on.
-func (n *frontNode) policyChanged(current *policy.Policy, value []byte, fresh bool) {
+func (n *frontNode) policyChanged(current *policy.Policy, fresh bool) {
 	n.control.SetPolicy(current)
 	if !fresh {
 		return
@@ -44,7 +49,7 @@
 	case <-n.news:
 	default:
 	}
-	n.news <- value
+	n.news <- current.Version
 }
 
 // pushLoop tells peers of configurations that we read in the store: some of
@@ -54,34 +59,72 @@
 		select {
 		case <-ctx.Done():
 			return
-		case value := <-n.news:
-			n.push(ctx, value)
+		case version := <-n.news:
+			n.push(ctx, version)
 		}
 	}
 }
 
-// push hands a configuration to some peers.
-func (n *frontNode) push(ctx context.Context, value []byte) {
+// push tells some peers of a configuration.
+func (n *frontNode) push(ctx context.Context, version uint64) {
 	peers := n.member.Peers()
 	rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
 	// Side by side: a peer that is gone must not delay the others.
 	callers := pool.New()
 	for _, peer := range peers[:min(len(peers), pushPeers)] {
-		callers.Go(func() { n.pushTo(ctx, peer, value) })
+		callers.Go(func() { n.pushTo(ctx, peer, version) })
 	}
 	callers.Wait()
 }
 
-// pushTo hands a configuration to one peer.
-func (n *frontNode) pushTo(ctx context.Context, peer record.Member, value []byte) {
+// pushTo tells one peer, which asks for the text if it needs it.
+func (n *frontNode) pushTo(ctx context.Context, peer record.Member, version uint64) {
 	call, cancel := context.WithTimeout(ctx, peerCall)
 	defer cancel()
-	_, err := n.member.Dial(peer.Address).PushPolicy(call, &memberpb.PolicyReply{Version: n.holder.Version(), Value: value})
+	_, err := n.member.Dial(peer.Address).PolicyHint(call, &memberpb.PolicyHintRequest{
+		Version: version, From: &memberpb.Address{Name: n.settings.Name, Address: n.settings.Peers.String()},
+	})
 	if err != nil {
 		n.journal.Note("configuration not pushed", "peer", peer.Name, "error", err.Error())
 	}
 }
 
+// hint is a version that a peer has.
+type hint struct {
+	version uint64
+	from    record.Member
+}
+
+// takeHint notes what a peer has; more hints than can wait add nothing.
+func (n *frontNode) takeHint(version uint64, from record.Member) {
+	if version <= n.holder.Version() {
+		return
+	}
+	select {
+	case n.hints <- hint{version: version, from: from}:
+	default:
+	}
+}
+
+// hintLoop asks for configurations that peers have and the store has not brought
+// us by now.
+func (n *frontNode) hintLoop(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case heard := <-n.hints:
+			if heard.version <= n.holder.Version() {
+				continue
+			}
+			pause(ctx, hintPause+rand.N(hintPause))
+			if heard.version > n.holder.Version() {
+				n.askPolicy(ctx, heard.from)
+			}
+		}
+	}
+}
+
 // operatorFeed follows what the operators write.
 func (n *frontNode) operatorFeed(ctx context.Context) {
 	version, known := uint64(0), false
--- a/internal/process/node.go
+++ b/internal/process/node.go
@@ -74,7 +74,9 @@
 	ingress  *ingress.Ingress
 	stopping atomic.Bool
 	// news wakes the push of a fresh configuration.
-	news chan []byte
+	news chan uint64
+	// hints holds versions that peers have.
+	hints chan hint
 }
 
 // RunNode runs a front node until ctx ends, and then stops it in order.
@@ -90,7 +92,10 @@
 func newFrontNode(config NodeConfig) *frontNode {
 	settings := config.Settings
 	client := platform.NewClient(platform.ClientConfig{Silence: silenceTimeout, Dial: connectTimeout})
-	n := &frontNode{config: config, settings: settings, journal: config.Journal, news: make(chan []byte, 1)}
+	n := &frontNode{
+		config: config, settings: settings, journal: config.Journal, news: make(chan uint64, 1),
+		hints: make(chan hint, pendingHints),
+	}
 	n.store = platform.NewStore(platform.StoreConfig{Client: client, Address: settings.Store, Timeout: storeTimeout})
 	unreadable := func(key string, err error) {
 		n.journal.Note("row not readable", "key", key, "error", err.Error())
@@ -148,6 +153,7 @@
 	group.Go(n.operatorFeed)
 	group.Go(n.peerFeed)
 	group.Go(n.pushLoop)
+	group.Go(n.hintLoop)
 	for _, l := range listeners {
 		group.Go(l.serve)
 	}
@@ -213,7 +219,7 @@
 			http.Error(w, err.Error(), http.StatusServiceUnavailable)
 		}
 	})
-	service := member.NewService(member.ServiceConfig{Node: n.member, Fleet: n.control, Policy: n.holder})
+	service := member.NewService(member.ServiceConfig{Node: n.member, Fleet: n.control, Policy: n.holder, Hint: n.takeHint})
 	ports := []struct {
 		name    string
 		address netip.AddrPort
