Keep hosts with ends that are not acknowledged; let a new leader's first jobs wait

Two ways to it were found by reading: a host counted as empty while its endpoint listed ends whose rows were not written, so that a move lost them for the next leader; and a job accepted right after a takeover could start on endpoints that the deposed leader still reached. Both have tests.

--- a/internal/fleet/endpointstate.go
+++ b/internal/fleet/endpointstate.go
@@ -93,6 +93,12 @@
 	return sum
 }
 
+// isEmpty reports whether nothing is lost with the endpoint: no run, and no end
+// that is not acknowledged. A later leader could read such an end nowhere else.
+func (e *endpoint) isEmpty() bool {
+	return len(e.runs) == 0 && len(e.unwritten) == 0 && e.ackable == e.acked
+}
+
 // room is what the endpoint has left.
 func (e *endpoint) room() policy.Resources {
 	return e.row.Capacity.Minus(e.used())
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -22,6 +22,9 @@
 	// confirmTime is how long a leader goes on without a sign that it still leads.
 	// Its successor waits that much longer for the leases that it may have given.
 	confirmTime = 1500 * time.Millisecond
+	// depositionTime is how long after a takeover the leader before may still give
+	// orders: confirmTime, and the time that an order takes.
+	depositionTime = confirmTime + time.Second
 	// retryPause is the time before a task starts again after its run was refused.
 	retryPause = 50 * time.Millisecond
 )
--- a/internal/fleet/hosts.go
+++ b/internal/fleet/hosts.go
@@ -294,7 +294,7 @@
 	for _, h := range l.hosts.byID {
 		e := l.endpointOf(h)
 		isKnown := e != nil && e.reached && !e.silent
-		keepSince(&h.idleSince, isKnown && len(e.runs) == 0, now)
+		keepSince(&h.idleSince, isKnown && e.isEmpty(), now)
 		keepSince(&h.unknownSince, !isKnown, now)
 	}
 }
--- a/internal/fleet/hosts_test.go
+++ b/internal/fleet/hosts_test.go
@@ -112,6 +112,27 @@
 	}
 }
 
+// An end that is not acknowledged is nowhere else: its host stays.
+func TestHostsWithUnwrittenEndsAreNotMoved(t *testing.T) {
+	w := newWorld(t, worldConfig{})
+	extra := hostOf(poolName, "extra")
+	w.listHosts(extra)
+	w.accept(submission(1, tasks(1)))
+	start := w.step().Starts[0]
+	w.take()
+	w.listHosts(append(pools(), extra)...)
+	w.end(start, fleet.EndDone)
+	w.look(start.Endpoint)
+	for range 3 {
+		for _, move := range w.step().Moves {
+			if move.Host == extra.ID {
+				t.Fatalf("move of a host with an end that is not written: got %v, want none", move)
+			}
+		}
+		w.pass(time.Second)
+	}
+}
+
 func TestHostsOfUnknownEndpointsAreNotMoved(t *testing.T) {
 	w := newWorld(t, worldConfig{})
 	hosts := pools()
--- a/internal/fleet/jobstate.go
+++ b/internal/fleet/jobstate.go
@@ -173,6 +173,8 @@
 		return
 	}
 	j := newJobState(submission)
+	// The leader before may not know yet that it is deposed, and start it, too.
+	j.inherited = now.Sub(l.config.Now) < depositionTime && l.config.Token > 1 && !l.covered(now)
 	l.jobs[submission.ID] = j
 	l.live[submission.ID] = j
 	delete(l.lookups, submission.ID)
--- a/internal/fleet/leader_test.go
+++ b/internal/fleet/leader_test.go
@@ -455,8 +455,25 @@
 	w.leader.HostsListed(list, w.now, w.now)
 }
 
+// The leader before may start a job that came right after the takeover.
+func TestFirstJobsWaitForUnreachedEndpoints(t *testing.T) {
+	w := newWorld(t, worldConfig{token: 2})
+	w.endpoint("a")
+	w.leader.EndpointListed(endpointRow("b"), w.now)
+	w.accept(submission(1, tasks(1)))
+	if got := len(w.step().Starts); got != 0 {
+		t.Fatalf("starts: got %d, want 0", got)
+	}
+	w.endpoint("b")
+	w.listHostsOf("a", "b")
+	if got := len(w.step().Starts); got != 1 {
+		t.Errorf("starts once all are reached: got %d, want 1", got)
+	}
+}
+
 func TestNewJobsDoNotWaitForUnreachedEndpoints(t *testing.T) {
 	w := newWorld(t, worldConfig{token: 2})
+	w.pass(3 * time.Second)
 	w.endpoint("a")
 	w.leader.EndpointListed(endpointRow("b"), w.now)
 	w.accept(submission(1, tasks(1)))
