Keep a permit that is pledged to one peer from another

Cause: a member that has no idle permit keeps those that come back for a peer that asked in vain, but gave them to whichever peer asked next. Two busy entries ask each other after every end, a manager once a round: it got none in ten rounds of TestQuietMemberBesideFloodedPeers, which fails before this change and takes two rounds after it.

--- a/internal/limit/account.go
+++ b/internal/limit/account.go
@@ -32,8 +32,14 @@
 	// refused counts the refusals since the last tick.
 	refused int
 	need    int
-	// pledged permits are kept for a peer until two ticks after its last Ask.
-	pledged int
+	// pledges are permits kept for one peer each, until two ticks after its
+	// last Ask.
+	pledges map[Member]pledge
+}
+
+// pledge is what an account keeps for a peer that asked in vain.
+type pledge struct {
+	permits int
 	renewed bool
 }
 
@@ -43,6 +49,7 @@
 		sent:      make(map[Member]int),
 		received:  make(map[Member]int),
 		confirmed: make(map[Member]int),
+		pledges:   make(map[Member]pledge),
 	}
 }
 
@@ -96,7 +103,7 @@
 	a.generation = generation
 	a.frozen = false
 	a.held = false
-	a.pledged = 0
+	clear(a.pledges)
 	clear(a.sent)
 	clear(a.received)
 	clear(a.confirmed)
@@ -110,7 +117,7 @@
 }
 
 func (a *account) acquire() bool {
-	if a.held || a.inUse >= a.holding-a.pledged {
+	if a.held || a.inUse >= a.holding-a.pledged() {
 		a.refused++
 		return false
 	}
@@ -153,39 +160,58 @@
 	return max(a.current(), a.need)
 }
 
-// observe ages the remembered need and the pledge at the end of a tick.
+// observe ages the remembered need and the pledges at the end of a tick.
 func (a *account) observe() {
 	a.need = max(a.current(), a.need>>needDecayShift)
 	a.refused = 0
-	if !a.renewed {
-		a.pledged = 0
+	for peer, kept := range a.pledges {
+		if !kept.renewed {
+			delete(a.pledges, peer)
+			continue
+		}
+		a.pledges[peer] = pledge{permits: kept.permits}
+	}
+}
+
+// pledged returns the permits kept for all peers.
+func (a *account) pledged() int {
+	sum := 0
+	for _, kept := range a.pledges {
+		sum += kept.permits
 	}
-	a.renewed = false
+	return sum
 }
 
 // spare returns how many of want permits the account parts with: all that it
-// has not needed lately, at least half of what is idle, and what it pledged.
-func (a *account) spare(want int) int {
-	idle := a.holding - a.inUse
+// has not needed lately, at least half of what is idle, and what it pledged to
+// this peer; never what is kept for another, who would starve otherwise.
+func (a *account) spare(to Member, want int) int {
+	own := a.pledges[to].permits
+	idle := a.holding - a.inUse - (a.pledged() - own)
 	if a.frozen || idle <= 0 {
 		return 0
 	}
 	unneeded := idle - (a.demand() - a.inUse)
-	return min(want, max(unneeded, idle/2, min(idle, a.pledged)))
+	return min(want, max(unneeded, idle/2, min(idle, own)))
 }
 
 // pledge keeps permits back, as work ends, for a peer that holds fewer and got
 // less than it asked for; without it a busy member would starve the peer.
-func (a *account) pledge(want, peerHolding int) {
+func (a *account) pledge(to Member, want, peerHolding int) {
 	if ahead := a.holding - peerHolding; want > 0 && ahead > 1 && !a.frozen {
-		a.pledged = max(a.pledged, min(want, ahead/2))
-		a.renewed = true
+		own := a.pledges[to].permits
+		// All pledges together leave the account half of what it holds.
+		free := max(0, a.holding/2-(a.pledged()-own))
+		a.pledges[to] = pledge{permits: max(own, min(want, ahead/2, free)), renewed: true}
 	}
 }
 
 func (a *account) give(to Member, n int) int {
 	a.holding -= n
-	a.pledged = max(0, a.pledged-n)
+	if kept, ok := a.pledges[to]; ok {
+		kept.permits = max(0, kept.permits-n)
+		a.pledges[to] = kept
+	}
 	a.sent[to] += n
 	return a.sent[to]
 }
@@ -208,7 +234,7 @@
 // freeze ends the trade of the current generation for good.
 func (a *account) freeze(mode FreezeMode, keep int) {
 	a.frozen = true
-	a.pledged = 0
+	clear(a.pledges)
 	switch mode {
 	case FreezeTrim:
 		a.holding = min(a.holding, max(a.inUse, keep))
--- a/internal/limit/ledger.go
+++ b/internal/limit/ledger.go
@@ -234,9 +234,9 @@
 	if !l.trades(a, ask) {
 		return Transfer{}, false
 	}
-	n := max(0, a.spare(ask.Want))
+	n := max(0, a.spare(ask.From, ask.Want))
 	transfer, ok := l.give(a, ask, n)
-	a.pledge(ask.Want-n, ask.Holding+n)
+	a.pledge(ask.From, ask.Want-n, ask.Holding+n)
 	return transfer, ok
 }
 
@@ -365,7 +365,7 @@
 			Status:   a.status(team),
 			Granted:  a.granted,
 			Need:     a.need,
-			Pledged:  a.pledged,
+			Pledged:  a.pledged(),
 			Sent:     maps.Clone(a.sent),
 			Received: maps.Clone(a.received),
 		})
--- a/internal/limit/ledger_test.go
+++ b/internal/limit/ledger_test.go
@@ -62,18 +62,31 @@
 				peers[peer] = f.ledgers[peer].Status(team)
 			}
 		}
-		for _, ask := range f.ledgers[m].Wanted(team, peers) {
-			if transfer, ok := f.ledgers[ask.To].Give(ask); ok {
-				f.ledgers[m].Receive(transfer)
-				f.ledgers[ask.To].Confirm(transfer)
-			}
-		}
+		f.askPeers(m, peers)
 	}
 	if !f.outage {
 		f.manage()
 	}
 }
 
+// ask has one member ask others for what it is short of.
+func (f *fleet) ask(from int, others ...int) {
+	peers := make(map[limit.Member]limit.Status)
+	for _, other := range others {
+		peers[f.view.Live[other]] = f.member(other).Status(team)
+	}
+	f.askPeers(f.view.Live[from], peers)
+}
+
+func (f *fleet) askPeers(m limit.Member, peers map[limit.Member]limit.Status) {
+	for _, ask := range f.ledgers[m].Wanted(team, peers) {
+		if transfer, ok := f.ledgers[ask.To].Give(ask); ok {
+			f.ledgers[m].Receive(transfer)
+			f.ledgers[ask.To].Confirm(transfer)
+		}
+	}
+}
+
 // manage is one step of the planner and its effects.
 func (f *fleet) manage() {
 	f.view.Row = f.row
@@ -185,6 +198,41 @@
 	}
 }
 
+// TestQuietMemberBesideFloodedPeers has two members that use the whole limit
+// and ask each other after each end, and a third that asks once a round.
+func TestQuietMemberBesideFloodedPeers(t *testing.T) {
+	const permits, maxRounds = 12, 10
+	f := newFleet(3, permits)
+	for range 10 {
+		f.start(0, permits)
+		f.start(1, permits)
+		f.round()
+	}
+	if got := f.member(2).Status(team).Holding; got != 0 {
+		t.Fatalf("quiet member holds %d before it wants any, want 0", got)
+	}
+	f.outage = true
+	for round := range maxRounds {
+		if f.start(2, 1) == 1 {
+			t.Logf("got a permit after %d rounds", round)
+			return
+		}
+		f.ask(2, 0, 1)
+		for range permits / 2 {
+			for from, to := range []int{1, 0} {
+				f.finish(to)
+				f.start(from, permits)
+				f.ask(from, to)
+				f.start(from, permits)
+			}
+		}
+		for i := range f.view.Live {
+			f.member(i).Tick(f.now)
+		}
+	}
+	t.Errorf("got no permit in %d rounds, want one", maxRounds)
+}
+
 func TestIdleAfterCrash(t *testing.T) {
 	const permits = 56
 	tests := map[string]struct{ busyRounds, wantLost int }{
