Divide hosts by what work can still be in time; keep surplus hosts empty

And hosts that a pool was to give back did not become free while work waited in it: an endpoint without runs whose ends were not yet acknowledged was not kept from new work.

Now, where pools want more than there is, hosts are divided by layers (what lasts, what is in time or will arrive, what is late, the rest), each met in all pools before the next, evenly where it does not fit; and surplus hosts of a pool that was cut take no work, also while their ends are written.

--- /dev/null
+++ b/internal/fleet/backlog_test.go
@@ -0,0 +1,72 @@
+package fleet_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/lovagedyke/lovagedyke/internal/fleet"
+	"github.com/lovagedyke/lovagedyke/internal/policy"
+)
+
+// Pattern: backlog-beside-a-turn. One pool has all hosts and a backlog that is too
+// late anyway when another pool's turn begins.
+func TestLateBacklogGivesHostsToATurn(t *testing.T) {
+	const otherQueue = "quotes"
+	config := defaultPolicy()
+	config.Queues = append(config.Queues, policy.Queue{Name: otherQueue, Pool: otherPool, MaxAttempts: 2, Stretch: 1.6, Target: time.Second})
+	w := newWorld(t, worldConfig{policy: config})
+	hosts := pools()
+	for n := range 8 {
+		hosts = append(hosts, hostOf(poolName, fleet.EndpointID(fmt.Sprintf("more-%d", n))))
+	}
+	w.listHosts(hosts...)
+	for n := range 60 {
+		w.accept(submission(n+1, tasks(16)))
+	}
+	starts := w.step().Starts
+	w.take()
+	for range 10 {
+		w.pass(time.Second)
+		for _, h := range hosts {
+			w.look(h.Endpoint)
+		}
+		w.leader.HostsListed(hosts, w.now, w.now)
+	}
+	for n := range 20 {
+		late := submission(n+101, tasks(16))
+		late.Queue, late.Pool, late.Accepted = otherQueue, otherPool, w.now
+		w.accept(late)
+	}
+	w.step()
+	w.take()
+	freed := hosts[2*keptHosts]
+	for _, start := range starts {
+		if start.Endpoint == freed.Endpoint {
+			w.end(start, fleet.EndDone)
+		}
+	}
+	w.look(freed.Endpoint)
+	for range 2 {
+		for _, start := range w.step().Starts {
+			if start.Endpoint == freed.Endpoint {
+				t.Fatalf("start on a host that the turn needs: got %v, want none", start)
+			}
+		}
+		w.take()
+		w.pass(10 * time.Millisecond)
+	}
+	w.write()
+	w.look(freed.Endpoint)
+	want := fleet.Move{Host: freed.ID, Pool: otherPool}
+	var got []fleet.Move
+	for range 3 {
+		got = append(got, w.step().Moves...)
+		w.take()
+		w.pass(10 * time.Millisecond)
+		w.look(freed.Endpoint)
+	}
+	if len(got) != 1 || got[0] != want {
+		t.Errorf("moves: got %v, want %v", got, want)
+	}
+}
--- a/internal/fleet/move.go
+++ b/internal/fleet/move.go
@@ -31,6 +31,8 @@
 	// have counts the hosts that are up or on their way.
 	have int
 	need int
+	// isCut is true where the pool wants more than its portion.
+	isCut bool
 }
 
 // lack is how many hosts are missing; a negative one tells how many are too many.
@@ -47,8 +49,8 @@
 	}
 	needs := l.poolNeeds(pools, now)
 	l.noteNeeds(needs, now)
-	l.emptySurplus(needs)
 	givers := l.givers(needs, spare, now)
+	l.emptySurplus(needs)
 	ordered := 0
 	for _, need := range needs {
 		for lack := need.lack(); lack > 0 && ordered < movesAtOnce; lack-- {
@@ -114,12 +116,13 @@
 // poolNeeds returns the pools that run tasks, the one that lacks most first.
 func (l *Leader) poolNeeds(pools map[string][]*jobState, now time.Time) []*poolNeed {
 	var needs []*poolNeed
-	size := l.hostSize()
+	size, sum := l.hostSize(), 0
 	for name, pool := range l.policy.Pools {
 		if pool.Spare {
 			continue
 		}
 		need := &poolNeed{pool: name, need: max(poolLeast, spread(pools[name]), hostsFor(l.expected(name, pools[name], now), size))}
+		sum += need.need
 		for _, h := range l.hosts.byID {
 			if h.listed && l.headsFor(h, name, now) {
 				need.have++
@@ -127,12 +130,86 @@
 		}
 		needs = append(needs, need)
 	}
+	if total := l.usableHosts(); sum > total {
+		l.divide(total, needs, pools, size, now)
+	}
 	slices.SortFunc(needs, func(a, b *poolNeed) int {
 		return cmp.Or(cmp.Compare(b.lack(), a.lack()), cmp.Compare(a.pool, b.pool))
 	})
 	return needs
 }
 
+// usableHosts counts the hosts that are not down.
+func (l *Leader) usableHosts() int {
+	count := 0
+	for _, h := range l.hosts.byID {
+		if h.listed && h.row.State != HostDown {
+			count++
+		}
+	}
+	return count
+}
+
+// divide sets the needs of pools that want more hosts together than there are.
+func (l *Leader) divide(total int, needs []*poolNeed, pools map[string][]*jobState, size policy.Resources, now time.Time) {
+	wanted := make([][layers]int, len(needs))
+	for i, need := range needs {
+		demand := l.demandByLayer(pools[need.pool], now)
+		flow := l.rhythmOf(need.pool).flow(now)
+		demand[layerInTime] = largerOf(demand[layerInTime], demand[layerLeast].Plus(flow))
+		least := max(poolLeast, spread(pools[need.pool]))
+		for at := range layers {
+			wanted[i][at] = max(least, hostsFor(demand[at], size))
+		}
+	}
+	for i, portion := range portions(total, wanted) {
+		needs[i].isCut = portion < needs[i].need
+		needs[i].need = portion
+	}
+}
+
+// largerOf returns the larger of each resource.
+func largerOf(a, b policy.Resources) policy.Resources {
+	return policy.Resources{CPU: max(a.CPU, b.CPU), Memory: max(a.Memory, b.Memory), GPU: max(a.GPU, b.GPU)}
+}
+
+// demandByLayer is what a pool's tasks take, each layer with those below it.
+// What runs counts as in time: its hosts can't be had before it ends.
+func (l *Leader) demandByLayer(jobs []*jobState, now time.Time) [layers]policy.Resources {
+	var sums [layers]policy.Resources
+	for _, j := range jobs {
+		for _, step := range j.steps {
+			each := step.step.Reserved()
+			active, pending := int64(j.activeOf(step.key)), int64(len(step.pending))
+			if step.step.Lasting {
+				sums[layerLeast] = sums[layerLeast].Plus(each.Times(active + pending))
+				continue
+			}
+			sums[layerInTime] = sums[layerInTime].Plus(each.Times(active))
+			if pending > 0 {
+				at := layerOf(l.rankOf(j, step, now).hope)
+				sums[at] = sums[at].Plus(each.Times(pending))
+			}
+		}
+	}
+	for at := layerInTime; at < layers; at++ {
+		sums[at] = sums[at].Plus(sums[at-1])
+	}
+	return sums
+}
+
+// layerOf returns the layer of work by what starting it can still bring.
+func layerOf(h hope) layer {
+	switch h {
+	case hopeInTime:
+		return layerInTime
+	case hopeLate:
+		return layerLate
+	default:
+		return layerAll
+	}
+}
+
 // headsFor reports whether a host is in a pool, or on its way there.
 func (l *Leader) headsFor(h *hostState, pool string, now time.Time) bool {
 	if h.change != nil && h.change.pool != "" {
@@ -221,7 +298,9 @@
 }
 
 // emptySurplus gives no more work to the hosts that a pool has too many, so
-// that they can be moved once their tasks have ended: those with the fewest.
+// that they can be moved once their tasks have ended and the ends are written:
+// those with the fewest. Where hosts are short, work waits also in the pool that
+// has too many, and would fill a host again as soon as it is empty.
 func (l *Leader) emptySurplus(needs []*poolNeed) {
 	for _, need := range needs {
 		if need.lack() >= 0 {
@@ -230,7 +309,10 @@
 		var surplus []*endpoint
 		for _, h := range l.hosts.byID {
 			e := l.endpointOf(h)
-			if h.row.Pool == need.pool && h.change == nil && e != nil && len(e.runs) > 0 && e.lastingRuns() == 0 {
+			if h.row.Pool != need.pool || h.change != nil || e == nil || e.lastingRuns() > 0 {
+				continue
+			}
+			if len(e.runs) > 0 || need.isCut {
 				surplus = append(surplus, e)
 			}
 		}
--- a/internal/policy/policy.go
+++ b/internal/policy/policy.go
@@ -36,6 +36,11 @@
 	return Resources{CPU: r.CPU - other.CPU, Memory: r.Memory - other.Memory, GPU: r.GPU - other.GPU}
 }
 
+// Times returns n times each resource.
+func (r Resources) Times(n int64) Resources {
+	return Resources{CPU: r.CPU * n, Memory: r.Memory * n, GPU: r.GPU * n}
+}
+
 // Fits reports whether r is within room in each resource.
 func (r Resources) Fits(room Resources) bool {
 	return r.CPU <= room.CPU && r.Memory <= room.Memory && r.GPU <= room.GPU
