Let a leader keep its claim while the store comes back for all

Being turned away alone is now told from an outage for all: after one, the leader waits a second with a peer served and itself not.

Ruled out: the order of peers asked (the strongest first, but none of them had tried again yet).

--- a/internal/member/leadership.go
+++ b/internal/member/leadership.go
@@ -41,8 +41,9 @@
 	isCut := n.storeFailedAt.After(n.storeOKAt) && storeSince > storeSilence
 	isStale := storeSince > membersEvery
 	n.mu.Unlock()
-	if isCut && !n.reachesStore(ctx) {
-		n.handOver(ctx, "store turns us away")
+	if !isCut || n.reachesStore(ctx) {
+		n.passedOver.note(true, false, time.Now())
+	} else if n.handOver(ctx, "store turns us away") {
 		return
 	}
 	if isStale {
@@ -183,11 +184,13 @@
 	n.signal()
 }
 
-// handOver asks a peer that reaches the store to lead.
-func (n *Node) handOver(ctx context.Context, why string) {
+// handOver asks a peer to lead that has reached the store while we did not, for
+// some time. It reports whether one has taken over.
+func (n *Node) handOver(ctx context.Context, why string) bool {
 	n.mu.Lock()
 	token := n.claim.Token
 	n.mu.Unlock()
+	isPeerServed := false
 	for _, member := range n.others() {
 		view, err := n.ask(ctx, member.Address)
 		if err != nil {
@@ -197,15 +200,23 @@
 		if !view.StoreReached {
 			continue
 		}
+		isPeerServed = true
+		if !n.passedOver.note(false, true, time.Now()) {
+			return false
+		}
 		lead, cancel := context.WithTimeout(ctx, helloTimeout)
 		_, err = n.dialer.dial(member.Address).Lead(lead, &memberpb.LeadRequest{Token: token})
 		cancel()
 		if err == nil {
 			n.config.Journal.Note("leadership handed over", "to", member.Name, "token", token, "why", why)
 			n.Lost(token, why)
-			return
+			return true
 		}
 	}
+	if !isPeerServed {
+		n.passedOver.note(false, false, time.Now())
+	}
+	return false
 }
 
 // Stop releases the claim, so that a successor takes over at once. The node
--- a/internal/member/node.go
+++ b/internal/member/node.go
@@ -85,6 +85,8 @@
 	// renewedAt is when the leader's renewal last changed, as far as we have read it.
 	renewal   uint64
 	renewedAt time.Time
+	// passedOver is for the goroutine of Run alone.
+	passedOver passedOver
 	// peersWithStore lists the members that said that they reach the store.
 	peersWithStore map[string]time.Time
 	// largest is the most that one host has, as the leader told.
