Count inherited lasting tasks as at work once old stops are over

Stops take up to stop-ms, which is read from the settings now; a run that is adopted counts as at work once that has passed since it was seen. No later stop can come: the look has fenced the endpoint.

TestAdoptedRunsAreAtWorkOnceOldStopsAreOver fails before.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -51,6 +51,8 @@
 	LeaseMost time.Duration
 	// StatusKept is how long a job's state can be asked for after its end.
 	StatusKept time.Duration
+	// Stop is how long an endpoint takes at most to stop a run.
+	Stop time.Duration
 	// Move and Upkeep are how long a host is away for either.
 	Move, Upkeep time.Duration
 	// TurnWithin is the time within which two leaders must not change one host.
--- a/internal/fleet/hosts_test.go
+++ b/internal/fleet/hosts_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/lovagedyke/lovagedyke/internal/fleet"
+	"github.com/lovagedyke/lovagedyke/internal/job"
 	"github.com/lovagedyke/lovagedyke/internal/policy"
 )
 
@@ -286,6 +287,29 @@
 	}
 }
 
+// The leader before may have stopped a run that is still listed.
+func TestAdoptedRunsAreAtWorkOnceOldStopsAreOver(t *testing.T) {
+	w := newWorld(t, worldConfig{token: 2, jobs: []fleet.Stored{{Submission: submission(1, lasting(2, 1))}}})
+	for index, id := range []fleet.EndpointID{"a", "b"} {
+		w.running[id] = []fleet.RunningTask{{Task: job.Task{Job: idOf(1), Index: index}, Run: 1, Share: 100}}
+		w.endpoint(id)
+	}
+	w.endpoint("c")
+	w.listHostsOf("a", "b", "c")
+	draining := endpointRow("a")
+	draining.Draining = true
+	w.leader.EndpointListed(draining, w.now)
+	if got := len(w.step().Stops); got != 0 {
+		t.Errorf("stops at once: got %d, want 0", got)
+	}
+	w.pass(250 * time.Millisecond)
+	w.look("a")
+	w.look("b")
+	if got := len(w.step().Stops); got != 1 {
+		t.Errorf("stops once the other is known to be at work: got %d, want 1", got)
+	}
+}
+
 // An endpoint that has gone dark keeps its last report.
 func TestOldReportsAreNoWork(t *testing.T) {
 	w := newWorld(t, worldConfig{})
--- a/internal/fleet/leader_test.go
+++ b/internal/fleet/leader_test.go
@@ -49,7 +49,7 @@
 	}
 	w.leader = fleet.New(fleet.Config{Token: config.token, Now: now, Bounds: fleet.Bounds{
 		LeaseMost: 10 * time.Second, StatusKept: 120 * time.Second, Move: 1500 * time.Millisecond,
-		Upkeep: 2 * time.Second, TurnWithin: 3 * time.Second,
+		Upkeep: 2 * time.Second, TurnWithin: 3 * time.Second, Stop: 200 * time.Millisecond,
 	}})
 	if config.policy.Queues == nil {
 		config.policy = defaultPolicy()
--- a/internal/fleet/look.go
+++ b/internal/fleet/look.go
@@ -153,7 +153,7 @@
 	}
 	r.share = running.Share
 	r.tail = running.Tail
-	if r.atWorkAt.IsZero() && running.Share >= 100 {
+	if r.atWorkAt.IsZero() && running.Share >= 100 && !now.Before(r.settledAt) {
 		r.atWorkAt = now
 	}
 }
@@ -184,6 +184,7 @@
 		return nil
 	}
 	r.job = j
+	r.settledAt = now.Add(l.config.Bounds.Stop)
 	r.reserved = step.Reserved()
 	e.runs[key] = r
 	duplicate := len(j.active[key.task]) > 0
--- a/internal/fleet/run.go
+++ b/internal/fleet/run.go
@@ -49,6 +49,8 @@
 	percent  int
 	tail     time.Duration
 	reserved policy.Resources
+	// settledAt is when stops that an earlier leader may have ordered are over.
+	settledAt time.Time
 	// atWorkAt is when the endpoint first reported the run at work.
 	atWorkAt time.Time
 }
