Fit durations over guesses; begin jobs with time to spare; wait with waves

- Callers' guesses say little there (off by a factor of 2.5 either way), and one mean ratio of duration over guess per pool doubled what arriving work was thought to take.
Durations are now fitted per queue by a line over the guesses' logarithms: guesses count as far as they have proved right.
What has not begun now counts as in time only with a margin.

--- a/internal/fleet/end.go
+++ b/internal/fleet/end.go
@@ -73,7 +73,7 @@
 	}
 	if opened := j.steps[key]; opened != nil && took > 0 {
 		opened.took = append(opened.took, took)
-		l.rhythmOf(l.poolOf(j)).tookFor(step, took)
+		l.durationsOf(j.submission.Queue).note(step.Estimate, took)
 	}
 	indexes := []int{ended.Task.Index}
 	if step.Gang {
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -68,6 +68,7 @@
 	jobs      map[job.ID]*jobState
 	hosts     hosts
 	rhythms   map[string]*rhythm
+	durations map[string]*durations
 	// earlyCancels holds cancels of jobs that are not known yet.
 	earlyCancels map[job.ID]time.Time
 	// lookups holds jobs that endpoints know and we do not.
@@ -95,7 +96,7 @@
 		endpoints: map[EndpointID]*endpoint{}, jobs: map[job.ID]*jobState{}, live: map[job.ID]*jobState{}, inUse: map[string]policy.Resources{},
 		earlyCancels: map[job.ID]time.Time{},
 		lookups:      map[job.ID]lookup{}, shares: map[string]*shareState{},
-		hosts: newHosts(), rhythms: map[string]*rhythm{}, ledger: newLedger(),
+		hosts: newHosts(), rhythms: map[string]*rhythm{}, durations: map[string]*durations{}, ledger: newLedger(),
 	}
 	return leader
 }
--- a/internal/fleet/hosts.go
+++ b/internal/fleet/hosts.go
@@ -283,10 +283,12 @@
 		}
 	}
 	l.noteIdle(now)
+	needs := l.poolNeeds(pools, now)
+	free := l.freeHosts(needs)
 	for _, number := range l.waveNumbers() {
-		l.planWave(l.hosts.waves[number], orders, now)
+		free -= l.planWave(l.hosts.waves[number], free, orders, now)
 	}
-	l.planMoves(pools, orders, now)
+	l.planMoves(needs, orders, now)
 }
 
 // noteIdle keeps since when each host's endpoint has been empty, or unknown.
--- a/internal/fleet/jobstate.go
+++ b/internal/fleet/jobstate.go
@@ -179,7 +179,7 @@
 	l.live[submission.ID] = j
 	delete(l.lookups, submission.ID)
 	j.excess = !l.withinShare(submission.Account, now)
-	l.rhythmOf(l.poolOf(j)).arrived(j, now)
+	l.noteArrival(j, now)
 	if _, ok := l.earlyCancels[submission.ID]; ok {
 		delete(l.earlyCancels, submission.ID)
 		l.cancel(j, now)
--- a/internal/fleet/move.go
+++ b/internal/fleet/move.go
@@ -42,12 +42,12 @@
 
 // planMoves takes hosts to the pools that need them, and those that none
 // needs to the spare pool, where they cost nothing.
-func (l *Leader) planMoves(pools map[string][]*jobState, orders *Orders, now time.Time) {
+func (l *Leader) planMoves(needs []*poolNeed, orders *Orders, now time.Time) {
 	spare, ok := l.policy.SparePool()
 	if !ok || l.hostSize() == (policy.Resources{}) {
 		return
 	}
-	needs := l.poolNeeds(pools, now)
+	l.countHosts(needs, now)
 	l.noteNeeds(needs, now)
 	givers := l.givers(needs, spare, now)
 	l.emptySurplus(needs)
@@ -113,7 +113,7 @@
 	l.note("move", "host", h.row.ID, "from", h.row.Pool, "to", pool)
 }
 
-// poolNeeds returns the pools that run tasks, the one that lacks most first.
+// poolNeeds returns what the pools that run tasks need.
 func (l *Leader) poolNeeds(pools map[string][]*jobState, now time.Time) []*poolNeed {
 	var needs []*poolNeed
 	size, sum := l.hostSize(), 0
@@ -123,20 +123,41 @@
 		}
 		need := &poolNeed{pool: name, need: max(poolLeast, spread(pools[name]), hostsFor(l.expected(name, pools[name], now), size))}
 		sum += need.need
-		for _, h := range l.hosts.byID {
-			if h.listed && l.headsFor(h, name, now) {
-				need.have++
-			}
-		}
 		needs = append(needs, need)
 	}
 	if total := l.usableHosts(); sum > total {
 		l.divide(total, needs, pools, size, now)
 	}
+	return needs
+}
+
+// countHosts counts what each pool has, and sorts the pools, the one that lacks
+// most first.
+func (l *Leader) countHosts(needs []*poolNeed, now time.Time) {
+	for _, need := range needs {
+		for _, h := range l.hosts.byID {
+			if h.listed && l.headsFor(h, need.pool, now) {
+				need.have++
+			}
+		}
+	}
 	slices.SortFunc(needs, func(a, b *poolNeed) int {
 		return cmp.Or(cmp.Compare(b.lack(), a.lack()), cmp.Compare(a.pool, b.pool))
 	})
-	return needs
+}
+
+// freeHosts counts the hosts that are up and that no pool needs.
+func (l *Leader) freeHosts(needs []*poolNeed) int {
+	free := 0
+	for _, h := range l.hosts.byID {
+		if h.listed && h.row.State != HostDown && h.row.State != HostUpkeep {
+			free++
+		}
+	}
+	for _, need := range needs {
+		free -= need.need
+	}
+	return max(0, free)
 }
 
 // usableHosts counts the hosts that are not down.
--- a/internal/fleet/rank.go
+++ b/internal/fleet/rank.go
@@ -11,6 +11,14 @@
 // platform's page of rules).
 const lateFactor = 3
 
+const (
+	// startMargin and restMargin, a part of the work left, are the time that a job
+	// must have to spare when it begins to count as in time: estimates are rough.
+	// Where all is full, jobs would else begin at the last moment and end late.
+	startMargin = 100 * time.Millisecond
+	restMargin  = 0.25
+)
+
 // hope tells what starting a job can still bring.
 type hope int
 
@@ -82,8 +90,13 @@
 	}
 	rest := l.restOf(j, step)
 	out.latest = begin.Add(objective - rest)
+	margin := time.Duration(0)
+	if !j.begun {
+		// What has begun goes on; what has not must have time to spare.
+		margin = startMargin + time.Duration(restMargin*float64(rest))
+	}
 	switch {
-	case !now.After(out.latest):
+	case !now.Add(margin).After(out.latest):
 		out.hope = hopeInTime
 	case !now.After(begin.Add(lateFactor*objective - rest)):
 		out.hope = hopeLate
@@ -93,11 +106,6 @@
 	return out
 }
 
-// durationOf estimates how long a task of a step takes.
-func (l *Leader) durationOf(j *jobState, step job.Step) time.Duration {
-	return l.rhythmOf(l.poolOf(j)).estimate(step)
-}
-
 // chainOf estimates a job's longest chain of work.
 func (l *Leader) chainOf(j *jobState) time.Duration {
 	var longest time.Duration
--- a/internal/fleet/wave.go
+++ b/internal/fleet/wave.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 )
@@ -73,10 +74,11 @@
 }
 
 // planWave takes the wave's next hosts down, those that cost least first,
-// and empties the ones after them.
-func (l *Leader) planWave(wave *waveState, orders *Orders, now time.Time) {
+// and empties the ones after them. It takes as many as are free, or as have to be
+// down at once for the wave to be over in time. It returns how many it began with.
+func (l *Leader) planWave(wave *waveState, free int, orders *Orders, now time.Time) int {
 	if wave.complete || wave.listedAt.IsZero() {
-		return
+		return 0
 	}
 	var due []*hostState
 	down, known := 0, 0
@@ -97,27 +99,50 @@
 	if known > 0 && down == 0 && l.waveDone(wave) {
 		wave.complete, wave.dirty = true, true
 		l.note("wave complete", "wave", wave.row.Number, "took", now.Sub(wave.listedAt).Round(time.Millisecond).String())
-		return
+		return 0
 	}
+	atOnce := min(wave.row.AtOnce, max(down+free, l.wavePace(wave, len(due), now)))
+	begun := 0
 	slices.SortFunc(due, func(a, b *hostState) int {
 		return cmp.Or(cmp.Compare(l.upkeepCost(a), l.upkeepCost(b)), cmp.Compare(a.row.ID, b.row.ID))
 	})
 	// As many as may be down at once are emptied ahead.
 	for i, h := range due {
-		if i >= 2*wave.row.AtOnce-down {
-			return
+		if i >= 2*atOnce-down {
+			break
 		}
 		e := l.endpointOf(h)
 		if e != nil {
 			e.leaving = true
 		}
-		if down < wave.row.AtOnce && l.isEmpty(h, now) {
+		if down < atOnce && l.isEmpty(h, now) {
 			down++
+			begun++
 			h.change = &change{wave: wave.row.Number, orderedAt: now}
 			orders.Upkeeps = append(orders.Upkeeps, Upkeep{Host: h.row.ID, Wave: wave.row.Number})
-			l.note("upkeep", "host", h.row.ID, "pool", h.row.Pool, "wave", wave.row.Number, "down", down, "at-once", wave.row.AtOnce)
+			l.note("upkeep", "host", h.row.ID, "pool", h.row.Pool, "wave", wave.row.Number, "down", down, "at-once", atOnce)
 		}
 	}
+	return begun
+}
+
+const (
+	// wavePart is the part of a wave's time in which it should be over where hosts
+	// are short; the rest is for hosts that are slow to be emptied.
+	wavePart = 0.6
+	// emptyingTime is about how long a busy host takes until it is empty.
+	emptyingTime = 1500 * time.Millisecond
+)
+
+// wavePace returns how many hosts have to be down at once for the wave to be
+// over in good time.
+func (l *Leader) wavePace(wave *waveState, due int, now time.Time) int {
+	left := time.Duration(wavePart*float64(wave.row.Within)) - now.Sub(wave.listedAt)
+	each := l.config.Bounds.Upkeep + emptyingTime
+	if left < each {
+		return due
+	}
+	return int(math.Ceil(float64(due) * each.Seconds() / left.Seconds()))
 }
 
 // waveDone reports whether the upkeep of all the wave's hosts has begun.
