Show a turn's rise early; test durations, margins and waves that wait

Arriving work was measured over 1.1 s alone, so that a turn was known in full only after that. 400 ms count where ten jobs or more arrived within them, less the deviation of such a count.

--- a/internal/fleet/backlog_test.go
+++ b/internal/fleet/backlog_test.go
@@ -70,3 +70,20 @@
 		t.Errorf("moves: got %v, want %v", got, want)
 	}
 }
+
+// Pattern: turns-beyond-the-pool. A job that would have to begin at its last moment
+// waits for one that has time to spare.
+func TestJobsBeginWithTimeToSpare(t *testing.T) {
+	w := newWorld(t, worldConfig{})
+	w.endpoint("a")
+	w.pass(1500 * time.Millisecond)
+	// The first one's objective is 2.6 s after its hand-in, of which its work takes 1 s.
+	tight, fresh := submission(1, tasks(16)), submission(2, tasks(16))
+	fresh.Accepted = w.now
+	w.accept(tight)
+	w.accept(fresh)
+	starts := w.step().Starts
+	if len(starts) != 16 || starts[0].Task.Job != fresh.ID {
+		t.Errorf("starts: got %v, want the fresh job's 16 tasks", starts)
+	}
+}
--- a/internal/fleet/hosts_test.go
+++ b/internal/fleet/hosts_test.go
@@ -233,6 +233,40 @@
 	}
 }
 
+// Pattern: upkeep-at-the-peak. A wave takes hosts that no pool needs, and otherwise
+// no more at once than it must to be over in time.
+func TestWaveWaitsForFreeHosts(t *testing.T) {
+	const atOnce, spares = 6, 12
+	tests := map[string]struct {
+		jobs   int
+		within time.Duration
+		want   int
+	}{
+		"nothing to do":        {within: time.Minute, want: atOnce},
+		"peak, and time":       {jobs: 40, within: time.Minute, want: 2},
+		"peak, and hardly any": {jobs: 40, within: 10 * time.Second, want: atOnce},
+	}
+	for name, c := range tests {
+		t.Run(name, func(t *testing.T) {
+			w := newWorld(t, worldConfig{})
+			hosts := pools()
+			row := fleet.WaveRow{Number: 1, AtOnce: atOnce, Within: c.within}
+			for n := range spares {
+				hosts = append(hosts, spareHost(n))
+				row.Hosts = append(row.Hosts, spareHost(n).ID)
+			}
+			w.listHosts(hosts...)
+			for n := range c.jobs {
+				w.accept(submission(n+1, tasks(16)))
+			}
+			w.leader.WaveListed(row, w.now)
+			if got := len(w.step().Upkeeps); got != c.want {
+				t.Errorf("upkeeps: got %d, want %d", got, c.want)
+			}
+		})
+	}
+}
+
 func TestUpkeepWaitsForUnknownEndpoints(t *testing.T) {
 	w := newWorld(t, worldConfig{token: 2})
 	unseen := hostOf(poolName, "unseen")
--- a/internal/fleet/rhythm.go
+++ b/internal/fleet/rhythm.go
@@ -1,13 +1,21 @@
 package fleet
 
 import (
+	"math"
 	"time"
 
 	"github.com/lovagedyke/lovagedyke/internal/policy"
 )
 
-// arrivalWindow is the time over which a pool's arriving work is measured.
-const arrivalWindow = 1100 * time.Millisecond
+const (
+	// arrivalWindow is the time over which a pool's arriving work is measured.
+	arrivalWindow = 1100 * time.Millisecond
+	// burstWindow is the same for a sudden rise, which burstLeast jobs have to show.
+	burstWindow = 400 * time.Millisecond
+	burstLeast  = 10
+	// flowMargin is how much more room than the mean of arriving work is kept.
+	flowMargin = 1.4
+)
 
 // arrival is the work of a job that arrived.
 type arrival struct {
@@ -48,19 +56,35 @@
 }
 
 // flow returns how much would run at one time if work went on arriving as it
-// did within the last window.
+// did within the last window, or the last short one if that shows a steeper rise.
 func (r *rhythm) flow(now time.Time) policy.Resources {
+	first := 0
+	for first < len(r.arrivals) && now.Sub(r.arrivals[first].at) > arrivalWindow {
+		first++
+	}
+	r.arrivals = r.arrivals[first:]
+	recent := len(r.arrivals)
+	for recent > 0 && now.Sub(r.arrivals[recent-1].at) <= burstWindow {
+		recent--
+	}
+	flow := flowOf(r.arrivals, arrivalWindow)
+	burst := r.arrivals[recent:]
+	if len(burst) < burstLeast {
+		return flow
+	}
+	// What a count may exceed its mean by is not taken for a rise.
+	sure := 1 - 1/math.Sqrt(float64(len(burst)))
+	rise := flowOf(burst, time.Duration(float64(burstWindow)/sure))
+	return largerOf(flow, rise)
+}
+
+// flowOf is what runs at one time of work that arrives within a window.
+func flowOf(arrivals []arrival, window time.Duration) policy.Resources {
 	var cpu, memory float64
-	first := len(r.arrivals)
-	for i, work := range r.arrivals {
-		if now.Sub(work.at) > arrivalWindow {
-			continue
-		}
-		first = min(first, i)
+	for _, work := range arrivals {
 		cpu += work.cpu
 		memory += work.memory
 	}
-	r.arrivals = r.arrivals[first:]
-	window := arrivalWindow.Seconds()
-	return policy.Resources{CPU: int64(1.4 * cpu / window), Memory: int64(1.4 * memory / window)}
+	scale := flowMargin / window.Seconds()
+	return policy.Resources{CPU: int64(scale * cpu), Memory: int64(scale * memory)}
 }
