Need hosts for what waits beside what arrives

A pool needed hosts for what runs and waits, or for what arrives if that was more: hosts that came for arriving work left the backlog of the 1.7 s in which they were on their way. Now what waits counts beside the larger of what runs and what arrives.

--- a/internal/fleet/move.go
+++ b/internal/fleet/move.go
@@ -175,9 +175,7 @@
 func (l *Leader) divide(total int, needs []*poolNeed, pools map[string][]*jobState, size policy.Resources, now time.Time) {
 	wanted := make([][layers]int, len(needs))
 	for i, need := range needs {
-		demand := l.demandByLayer(pools[need.pool], now)
-		flow := l.rhythmOf(need.pool).flow(now)
-		demand[layerInTime] = largerOf(demand[layerInTime], demand[layerLeast].Plus(flow))
+		demand := l.demandByLayer(pools[need.pool], l.rhythmOf(need.pool).flow(now), now)
 		least := max(poolLeast, spread(pools[need.pool]))
 		for at := range layers {
 			wanted[i][at] = max(least, hostsFor(demand[at], size))
@@ -195,9 +193,11 @@
 }
 
 // demandByLayer is what a pool's tasks take, each layer with those below it.
-// What runs counts as in time: its hosts can't be had before it ends.
-func (l *Leader) demandByLayer(jobs []*jobState, now time.Time) [layers]policy.Resources {
+// What runs counts as in time, its hosts can't be had before it ends; as much as
+// runs of what arrives does, too.
+func (l *Leader) demandByLayer(jobs []*jobState, flow policy.Resources, now time.Time) [layers]policy.Resources {
 	var sums [layers]policy.Resources
+	var running policy.Resources
 	for _, j := range jobs {
 		for _, step := range j.steps {
 			each := step.step.Reserved()
@@ -206,13 +206,14 @@
 				sums[layerLeast] = sums[layerLeast].Plus(each.Times(active + pending))
 				continue
 			}
-			sums[layerInTime] = sums[layerInTime].Plus(each.Times(active))
+			running = running.Plus(each.Times(active))
 			if pending > 0 {
 				at := layerOf(l.rankOf(j, step, now).hope)
 				sums[at] = sums[at].Plus(each.Times(pending))
 			}
 		}
 	}
+	sums[layerInTime] = sums[layerInTime].Plus(largerOf(running, flow))
 	for at := layerInTime; at < layers; at++ {
 		sums[at] = sums[at].Plus(sums[at-1])
 	}
@@ -286,25 +287,19 @@
 	return most
 }
 
-// expected is what a pool's tasks take now or, if that is more, soon: work that
-// has just begun to arrive faster has not yet opened its later steps.
+// expected is what a pool's tasks take soon: those that wait, beside those that
+// run now or that will run of what arrives, if that is more. Hosts that come for
+// arriving work alone would leave those that wait waiting.
 func (l *Leader) expected(pool string, jobs []*jobState, now time.Time) policy.Resources {
-	demand, flow := l.demand(jobs), l.rhythmOf(pool).flow(now)
-	return policy.Resources{CPU: max(demand.CPU, flow.CPU), Memory: max(demand.Memory, flow.Memory)}
-}
-
-// demand is what the pool's tasks that run or wait take.
-func (l *Leader) demand(jobs []*jobState) policy.Resources {
-	var sum policy.Resources
+	var active, pending policy.Resources
 	for _, j := range jobs {
 		for _, step := range j.steps {
 			each := step.step.Reserved()
-			count := int64(len(step.pending) + j.activeOf(step.key))
-			sum.CPU += each.CPU * count
-			sum.Memory += each.Memory * count
+			active = active.Plus(each.Times(int64(j.activeOf(step.key))))
+			pending = pending.Plus(each.Times(int64(len(step.pending))))
 		}
 	}
-	return sum
+	return pending.Plus(largerOf(active, l.rhythmOf(pool).flow(now)))
 }
 
 // activeOf counts the tasks of a step that run.
