Order hosts for the backlog that grows while they are on their way

When a turn begins, what arrives beyond what the pool can take waits for 2 s until more hosts are there: these have to clear it, too. It is counted as cleared in 2 s.

--- a/internal/fleet/move.go
+++ b/internal/fleet/move.go
@@ -299,7 +299,27 @@
 			pending = pending.Plus(each.Times(int64(len(step.pending))))
 		}
 	}
-	return pending.Plus(largerOf(active, l.rhythmOf(pool).flow(now)))
+	flow := l.rhythmOf(pool).flow(now)
+	return pending.Plus(largerOf(active, flow)).Plus(l.comingBacklog(pool, flow))
+}
+
+// clearTime is how soon a backlog should be cleared that will have grown until
+// hosts that are ordered now are there.
+const clearTime = 2 * time.Second
+
+// comingBacklog is what has to run at one time to clear soon what arrives, beyond
+// what the pool's endpoints can take, while more hosts are on their way.
+func (l *Leader) comingBacklog(pool string, flow policy.Resources) policy.Resources {
+	var room policy.Resources
+	for _, e := range l.endpoints {
+		if e.row.Pool == pool && e.listed && e.reached && !e.gone && !e.leaving {
+			room = room.Plus(e.row.Capacity)
+		}
+	}
+	part := float64(l.config.Bounds.Move+arrivalTime) / float64(clearTime)
+	scale := func(amount int64) int64 { return int64(part * float64(max(0, amount))) }
+	excess := flow.Minus(room)
+	return policy.Resources{CPU: scale(excess.CPU), Memory: scale(excess.Memory)}
 }
 
 // activeOf counts the tasks of a step that run.
