--- a/internal/fleet/rhythm.go
+++ b/internal/fleet/rhythm.go
@@ -14,7 +14,7 @@
 	burstWindow = 400 * time.Millisecond
 	burstLeast  = 10
 	// flowMargin is how much more room than the mean of arriving work is kept.
-	flowMargin = 1.4
+	flowMargin = 1.15
 )
 
 // arrival is the work of a job that arrived.
