Keep the hosts of a pool in which tasks find no room

A pool in which a task that may run has found none for 300 ms keeps what it has.

TestCrowdedPoolKeepsItsHosts fails before.

--- a/internal/fleet/backlog_test.go
+++ b/internal/fleet/backlog_test.go
@@ -87,3 +87,38 @@
 		t.Errorf("starts: got %v, want the fresh job's 16 tasks", starts)
 	}
 }
+
+// Pattern: turns-beyond-the-pool. Tasks that need more than what is left of each host
+// find no room, although the hosts' sizes together are more than enough.
+func TestCrowdedPoolKeepsItsHosts(t *testing.T) {
+	w := newWorld(t, worldConfig{})
+	hosts := pools()
+	for n := range 8 {
+		hosts = append(hosts, hostOf(poolName, fleet.EndpointID(fmt.Sprintf("more-%d", n))))
+	}
+	w.listHosts(hosts...)
+	wide := tasks(len(hosts) - keptHosts + 1)
+	wide.Resources = policy.Resources{CPU: 9000, Memory: 100}
+	w.accept(submission(1, wide))
+	starts := w.step().Starts
+	if got, want := len(starts), wide.Count-1; got != want {
+		t.Fatalf("starts: got %d, want %d", got, want)
+	}
+	w.take()
+	for range 4 {
+		w.pass(500 * time.Millisecond)
+		for _, h := range hosts {
+			w.look(h.Endpoint)
+		}
+		w.step()
+	}
+	for _, start := range starts {
+		if start.Endpoint == "more-0" {
+			w.end(start, fleet.EndDone)
+		}
+	}
+	w.look("more-0")
+	if starts := w.step().Starts; len(starts) != 1 || starts[0].Endpoint != "more-0" {
+		t.Errorf("starts: got %v, want the task that waits, on the host that is free", starts)
+	}
+}
--- a/internal/fleet/move.go
+++ b/internal/fleet/move.go
@@ -33,6 +33,8 @@
 	need int
 	// isCut is true where the pool wants more than its portion.
 	isCut bool
+	// isCrowded is true where tasks have found no room for a while.
+	isCrowded bool
 }
 
 // lack is how many hosts are missing; a negative one tells how many are too many.
@@ -122,6 +124,7 @@
 			continue
 		}
 		need := &poolNeed{pool: name, need: max(poolLeast, spread(pools[name]), hostsFor(l.expected(name, pools[name], now), size))}
+		need.isCrowded = l.isCrowded(pools[name], now)
 		sum += need.need
 		needs = append(needs, need)
 	}
@@ -140,12 +143,32 @@
 				need.have++
 			}
 		}
+		if need.isCrowded && !need.isCut {
+			// Its hosts are not as free as their sizes tell.
+			need.need = max(need.need, need.have)
+		}
 	}
 	slices.SortFunc(needs, func(a, b *poolNeed) int {
 		return cmp.Or(cmp.Compare(b.lack(), a.lack()), cmp.Compare(a.pool, b.pool))
 	})
 }
 
+// crowdedAfter is how long a task has to find no room for its pool to be crowded.
+const crowdedAfter = 300 * time.Millisecond
+
+// isCrowded reports whether tasks that may run have found no room for a while.
+func (l *Leader) isCrowded(jobs []*jobState, now time.Time) bool {
+	for _, j := range jobs {
+		for _, step := range j.steps {
+			mayRun := len(step.pending) > 0 && l.underCap(j.submission.Account, step.step.Resources, 1)
+			if mayRun && now.Sub(step.openedAt) > crowdedAfter {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // freeHosts counts the hosts that are up and that no pool needs.
 func (l *Leader) freeHosts(needs []*poolNeed) int {
 	free := 0
