--- a/internal/fleet/wave.go
+++ b/internal/fleet/wave.go
@@ -129,9 +129,9 @@
 const (
 	// wavePart is the part of a wave's time in which it should be over where hosts
 	// are short; the rest is for hosts that are slow to be emptied.
-	wavePart = 0.6
+	wavePart = 0.4
 	// emptyingTime is about how long a busy host takes until it is empty.
-	emptyingTime = 1500 * time.Millisecond
+	emptyingTime = 3 * time.Second
 )
 
 // wavePace returns how many hosts have to be down at once for the wave to be
