--- a/internal/process/node.go
+++ b/internal/process/node.go
@@ -27,6 +27,9 @@
 const (
 	// storeTimeout bounds a call to the store; a slow store takes a second or more.
 	storeTimeout = 1800 * time.Millisecond
+	// gcPercent lets the heap grow to four times what is in use before it is
+	// collected, within the memory limit: a leader's processor is scarcer.
+	gcPercent = 300
 	// endpointTimeout bounds an order to an endpoint.
 	endpointTimeout = 400 * time.Millisecond
 	// hostTimeout bounds a call to the host interface.
@@ -81,6 +84,7 @@
 
 // RunNode runs a front node until ctx ends, and then stops it in order.
 func RunNode(ctx context.Context, config NodeConfig) error {
+	debug.SetGCPercent(gcPercent)
 	debug.SetMemoryLimit(int64(float64(config.Settings.MemoryMiB) * memoryShare * (1 << 20)))
 	n := newFrontNode(config)
 	n.journal.Note("start", "data-centre", n.settings.DataCentre, "callers", n.settings.Callers.String(),
