--- a/internal/fleet/hosts.go
+++ b/internal/fleet/hosts.go
@@ -26,6 +26,8 @@
 	lackNotedAt time.Time
 	// isListed is true once the platform's list has been read.
 	isListed bool
+	// needed is how many hosts all pools together have needed lately.
+	needed recentMost
 	// needsNotedAt is when the journal last told the pools' sizes.
 	needsNotedAt time.Time
 }
@@ -284,7 +286,7 @@
 	}
 	l.noteIdle(now)
 	needs := l.poolNeeds(pools, now)
-	free := l.freeHosts(needs)
+	free := l.freeHosts(needs, now)
 	for _, number := range l.waveNumbers() {
 		free -= l.planWave(l.hosts.waves[number], free, orders, now)
 	}
--- a/internal/fleet/move.go
+++ b/internal/fleet/move.go
@@ -169,18 +169,19 @@
 	return false
 }
 
-// freeHosts counts the hosts that are up and that no pool needs.
-func (l *Leader) freeHosts(needs []*poolNeed) int {
-	free := 0
+// freeHosts counts the hosts that are up and that no pool needs, or has needed
+// lately: needs fall for a moment within a turn, too.
+func (l *Leader) freeHosts(needs []*poolNeed, now time.Time) int {
+	free, needed := 0, 0
 	for _, h := range l.hosts.byID {
 		if h.listed && h.row.State != HostDown && h.row.State != HostUpkeep {
 			free++
 		}
 	}
 	for _, need := range needs {
-		free -= need.need
+		needed += need.need
 	}
-	return max(0, free)
+	return max(0, free-l.hosts.needed.note(needed, now))
 }
 
 // usableHosts counts the hosts that are not down.
