--- a/internal/process/node.go
+++ b/internal/process/node.go
@@ -89,6 +89,9 @@
 	n := newFrontNode(config)
 	n.journal.Note("start", "data-centre", n.settings.DataCentre, "callers", n.settings.Callers.String(),
 		"peers", n.settings.Peers.String(), "first-start", n.settings.FirstStart)
+	if n.settings.OrdersWithReports {
+		n.journal.Note("orders are sent by calls", "setting", "heartbeat", "why", "the platform's pages show no form for orders in answers to reports")
+	}
 	return n.run(ctx)
 }
 
