--- a/internal/fleet/move.go
+++ b/internal/fleet/move.go
@@ -31,6 +31,8 @@
 	// have counts the hosts that are up or on their way.
 	have int
 	need int
+	// least is how many hosts it needs whatever its tasks take together.
+	least int
 	// isCut is true where the pool wants more than its portion.
 	isCut bool
 	// isCrowded is true where tasks have found no room for a while.
@@ -123,8 +125,12 @@
 		if pool.Spare {
 			continue
 		}
-		need := &poolNeed{pool: name, need: max(poolLeast, spread(pools[name]), hostsFor(l.expected(name, pools[name], now), size))}
-		need.isCrowded = l.isCrowded(pools[name], now)
+		demand := l.demandOf(pools[name], now)
+		need := &poolNeed{
+			pool: name, isCrowded: demand.isCrowded,
+			need: max(poolLeast, demand.spread, hostsFor(l.expected(name, demand, now), size)),
+		}
+		need.least = max(poolLeast, demand.spread)
 		sum += need.need
 		needs = append(needs, need)
 	}
@@ -153,22 +159,6 @@
 	})
 }
 
-// crowdedAfter is how long a task has to find no room for its pool to be crowded.
-const crowdedAfter = 300 * time.Millisecond
-
-// isCrowded reports whether tasks that may run have found no room for a while.
-func (l *Leader) isCrowded(jobs []*jobState, now time.Time) bool {
-	for _, j := range jobs {
-		for _, step := range j.steps {
-			mayRun := len(step.pending) > 0 && l.underCap(j.submission.Account, step.step.Resources, 1)
-			if mayRun && now.Sub(step.openedAt) > crowdedAfter {
-				return true
-			}
-		}
-	}
-	return false
-}
-
 // freeHosts counts the hosts that are up and that no pool needs, or has needed
 // lately: needs fall for a moment within a turn, too.
 func (l *Leader) freeHosts(needs []*poolNeed, now time.Time) int {
@@ -200,9 +190,8 @@
 	wanted := make([][layers]int, len(needs))
 	for i, need := range needs {
 		demand := l.demandByLayer(pools[need.pool], l.rhythmOf(need.pool).flow(now), now)
-		least := max(poolLeast, spread(pools[need.pool]))
 		for at := range layers {
-			wanted[i][at] = max(least, hostsFor(demand[at], size))
+			wanted[i][at] = max(need.least, hostsFor(demand[at], size))
 		}
 	}
 	for i, portion := range portions(total, wanted) {
@@ -297,34 +286,47 @@
 	return count
 }
 
-// spread is how many hosts the steps need that bound their tasks on one endpoint.
-func spread(jobs []*jobState) int {
-	most := 0
+// crowdedAfter is how long a task has to find no room for its pool to be crowded.
+const crowdedAfter = 300 * time.Millisecond
+
+// demand is what a pool's jobs ask of it now.
+type demand struct {
+	// active and pending are what the tasks that run and that wait take.
+	active, pending policy.Resources
+	// spread is how many hosts the steps need that bound their tasks on one endpoint.
+	spread int
+	// isCrowded is true if tasks that may run have found no room for a while.
+	isCrowded bool
+}
+
+// demandOf sums up a pool's jobs.
+func (l *Leader) demandOf(jobs []*jobState, now time.Time) demand {
+	var out demand
 	for _, j := range jobs {
 		for _, step := range j.steps {
-			if each := step.step.MaxPerEndpoint; each > 0 {
-				count := len(step.pending) + j.activeOf(step.key)
-				most = max(most, (count+each-1)/each)
+			each, active, pending := step.step.Reserved(), j.activeOf(step.key), len(step.pending)
+			out.active = out.active.Plus(each.Times(int64(active)))
+			if most := step.step.MaxPerEndpoint; most > 0 {
+				out.spread = max(out.spread, (active+pending+most-1)/most)
+			}
+			if pending == 0 {
+				continue
+			}
+			out.pending = out.pending.Plus(each.Times(int64(pending)))
+			if now.Sub(step.openedAt) > crowdedAfter && l.underCap(j.submission.Account, step.step.Resources, 1) {
+				out.isCrowded = true
 			}
 		}
 	}
-	return most
+	return out
 }
 
 // expected is what a pool's tasks take soon: those that wait, beside those that
 // run now or that will run of what arrives, if that is more. Hosts that come for
 // arriving work alone would leave those that wait waiting.
-func (l *Leader) expected(pool string, jobs []*jobState, now time.Time) policy.Resources {
-	var active, pending policy.Resources
-	for _, j := range jobs {
-		for _, step := range j.steps {
-			each := step.step.Reserved()
-			active = active.Plus(each.Times(int64(j.activeOf(step.key))))
-			pending = pending.Plus(each.Times(int64(len(step.pending))))
-		}
-	}
+func (l *Leader) expected(pool string, demand demand, now time.Time) policy.Resources {
 	flow := l.rhythmOf(pool).flow(now)
-	return pending.Plus(largerOf(active, flow)).Plus(l.comingBacklog(pool, flow))
+	return demand.pending.Plus(largerOf(demand.active, flow)).Plus(l.comingBacklog(pool, flow))
 }
 
 // clearTime is how soon a backlog should be cleared that will have grown until
