--- a/cmd/lovagedyke-standin/main.go
+++ b/cmd/lovagedyke-standin/main.go
@@ -23,6 +23,7 @@
 		Subcommands: []*ffcli.Command{
 			platformCommand(logger),
 			fleetCommand(logger),
+			soakCommand(logger),
 			endpointCommand(logger),
 			workerCommand(logger),
 			loadCommand(),
--- /dev/null
+++ b/internal/soak/process.go
@@ -0,0 +1,68 @@
+package soak
+
+import (
+	"context"
+	"os"
+	"os/exec"
+	"sync"
+	"syscall"
+	"time"
+)
+
+// restartAfter is how long a process is away after it has ended.
+const restartAfter = 700 * time.Millisecond
+
+// process keeps a node running: it is started again whenever it ends.
+type process struct {
+	binary, settings, log string
+
+	mu      sync.Mutex
+	command *exec.Cmd
+}
+
+// keep runs the node until ctx ends, and then kills it.
+func (p *process) keep(ctx context.Context) {
+	for ctx.Err() == nil {
+		if err := p.runOnce(ctx); err != nil {
+			return
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(restartAfter):
+		}
+	}
+}
+
+// runOnce starts the node and waits for its end, whatever it is.
+func (p *process) runOnce(ctx context.Context) error {
+	out, err := os.OpenFile(p.log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = out.Close() }()
+	command := exec.Command(p.binary, "node")
+	command.Env = append(os.Environ(), "LOVAGEDYKE_CONFIG="+p.settings)
+	command.Stdout, command.Stderr = out, out
+	p.mu.Lock()
+	err = command.Start()
+	p.command = command
+	p.mu.Unlock()
+	if err != nil {
+		return err
+	}
+	stop := context.AfterFunc(ctx, func() { p.signal(syscall.SIGKILL) })
+	defer stop()
+	// How it ended is in its log; that it ended is part of the plan.
+	_ = command.Wait()
+	return nil
+}
+
+// signal sends a signal to the node, if it runs.
+func (p *process) signal(signal syscall.Signal) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.command != nil && p.command.Process != nil {
+		// A process that has ended meanwhile takes no signal.
+		_ = p.command.Process.Signal(signal)
+	}
+}
