Ask peers for a configuration in turn; let weak leaders yield

Weak nodes have links of 10 Mbit/s: one that did not read the text from the store within 1.6 s took the store for lost and asked all 44 peers for it at once, half a megabyte each, which filled its link for more than ten seconds; its calls to the store then timed out, too. Peers are asked two at a time until one had something newer.

A leader with less than half of another's processor hands over to it after two seconds, if that one reaches the store.

Ruled out: a cut or paused node (it answered callers all the while, with the old version); fences and leases.

Tests: TestAskInTurn (pattern large-configuration-over-small-links), TestWeakLeaderYields.

--- a/internal/member/leadership.go
+++ b/internal/member/leadership.go
@@ -41,10 +41,16 @@
 	isCut := n.storeFailedAt.After(n.storeOKAt) && storeSince > storeSilence
 	isStale := storeSince > membersEvery
 	n.mu.Unlock()
-	if !isCut || n.reachesStore(ctx) {
+	switch {
+	case isCut && !n.reachesStore(ctx):
+		if n.handOver(ctx, "store turns us away") {
+			return
+		}
+	default:
 		n.passedOver.note(true, false, time.Now())
-	} else if n.handOver(ctx, "store turns us away") {
-		return
+		if n.yield(ctx) {
+			return
+		}
 	}
 	if isStale {
 		n.readMembers(ctx)
@@ -163,6 +169,7 @@
 	}
 	n.claim, n.claimVersion = claim, version
 	n.leading, n.resign = true, resign
+	n.wonAt = time.Now()
 	n.heardAt = time.Now()
 	n.mu.Unlock()
 	metrics.GetOrCreateCounter("leaderships_total").Inc()
@@ -204,12 +211,7 @@
 		if !n.passedOver.note(false, true, time.Now()) {
 			return false
 		}
-		lead, cancel := context.WithTimeout(ctx, helloTimeout)
-		_, err = n.dialer.dial(member.Address).Lead(lead, &memberpb.LeadRequest{Token: token})
-		cancel()
-		if err == nil {
-			n.config.Journal.Note("leadership handed over", "to", member.Name, "token", token, "why", why)
-			n.Lost(token, why)
+		if n.offer(ctx, member, token, why) {
 			return true
 		}
 	}
@@ -219,6 +221,43 @@
 	return false
 }
 
+// yield hands the leadership to a much stronger process that has come back, once
+// we have led for a while. It reports whether one has taken over.
+func (n *Node) yield(ctx context.Context) bool {
+	n.mu.Lock()
+	token, since := n.claim.Token, time.Since(n.wonAt)
+	n.mu.Unlock()
+	if since < yieldAfter {
+		return false
+	}
+	for _, member := range n.others() {
+		if member.Processor < yieldFactor*n.config.Processor {
+			// They come in the order of their processors.
+			return false
+		}
+		view, err := n.ask(ctx, member.Address)
+		if err != nil || !view.StoreReached {
+			continue
+		}
+		if n.offer(ctx, member, token, "a stronger process is there") {
+			return true
+		}
+	}
+	return false
+}
+
+// offer asks a process to lead in our place. It reports whether it will.
+func (n *Node) offer(ctx context.Context, member record.Member, token uint64, why string) bool {
+	lead, cancel := context.WithTimeout(ctx, helloTimeout)
+	defer cancel()
+	if _, err := n.dialer.dial(member.Address).Lead(lead, &memberpb.LeadRequest{Token: token}); err != nil {
+		return false
+	}
+	n.config.Journal.Note("leadership handed over", "to", member.Name, "token", token, "why", why)
+	n.Lost(token, why)
+	return true
+}
+
 // Stop releases the claim, so that a successor takes over at once. The node
 // leads no more.
 func (n *Node) Stop(ctx context.Context) {
--- a/internal/member/member_test.go
+++ b/internal/member/member_test.go
@@ -93,6 +93,12 @@
 }
 
 func newProcess(t *testing.T, name string, store table.Store) *process {
+	t.Helper()
+	return newProcessOf(t, name, store, 1)
+}
+
+// newProcessOf starts a process with some of a processor.
+func newProcessOf(t *testing.T, name string, store table.Store, processor float64) *process {
 	t.Helper()
 	socket, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -100,7 +106,7 @@
 	}
 	p := &process{address: netip.MustParseAddrPort(socket.Addr().String()), gate: &gate{Store: store}, ended: make(chan struct{})}
 	p.node = member.New(member.Config{
-		Name: name, Address: netip.MustParseAddrPort(socket.Addr().String()), Store: p.gate, Journal: silent{},
+		Name: name, Address: netip.MustParseAddrPort(socket.Addr().String()), Store: p.gate, Journal: silent{}, Processor: processor,
 		Won: func(_ context.Context, claim record.Claim, _ uint64) {
 			p.mu.Lock()
 			defer p.mu.Unlock()
@@ -226,6 +232,23 @@
 	}
 }
 
+// A weak process that leads gives way to a strong one that has come back.
+func TestWeakLeaderYields(t *testing.T) {
+	store := table.NewMemory()
+	strong := newProcessOf(t, "a", store, 0.8)
+	leaderOf(t, 0, strong)
+	weak := newProcessOf(t, "b", store, 0.2)
+	middling := newProcessOf(t, "c", store, 0.3)
+	strong.kill()
+	next := leaderOf(t, 1, weak, middling)
+	again := newProcessOf(t, "a", store, 0.8)
+	leaderOf(t, next.newest(), again)
+	time.Sleep(3 * time.Second)
+	if !again.leads() {
+		t.Error("strong process leads: got false after a while, want true")
+	}
+}
+
 func TestOneLeaderOfMany(t *testing.T) {
 	processes := three(t, table.NewMemory())
 	leaderOf(t, 0, processes...)
--- a/internal/member/node.go
+++ b/internal/member/node.go
@@ -29,6 +29,11 @@
 	// storeSilence is how long a leader keeps its claim while the store turns it
 	// away and serves a peer.
 	storeSilence = time.Second
+	// yieldAfter is how long a process leads before it looks for one with yieldFactor
+	// times its processor: a weak one falls behind where there are many hosts, and
+	// each change costs half a second without a leader.
+	yieldAfter  = 2 * time.Second
+	yieldFactor = 2
 	// spreadMost spreads the candidates' attempts.
 	spreadMost = 120 * time.Millisecond
 	// strongerPause is waited for each process that has more processor, up to
@@ -76,6 +81,8 @@
 	followedAt map[string]time.Time
 	heardAt    time.Time
 	leading    bool
+	// wonAt is when our last leadership began.
+	wonAt time.Time
 	// wished is true once the leader has asked us to take over.
 	wished   bool
 	stopping bool
--- a/internal/process/feeds.go
+++ b/internal/process/feeds.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -32,8 +33,12 @@
 	hintPause = 120 * time.Millisecond
 	// pendingHints is how many hints wait.
 	pendingHints = 16
-	// peerCall bounds a call about the configuration.
+	// peerCall bounds a call about the configuration, and textCall one that may bring
+	// its text, of some hundred kilobytes, over a small link.
 	peerCall = time.Second
+	textCall = 1500 * time.Millisecond
+	// peersAtOnce is how many peers are asked for a text at a time.
+	peersAtOnce = 2
 )
 
 // memberClaim is the claim with which a leadership is won.
@@ -164,23 +169,45 @@
 		if n.member.StoreReached() {
 			continue
 		}
+		peers := n.member.Peers()
+		rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
+		askInTurn(peers, func(peer record.Member) bool { return n.askPolicy(ctx, peer) })
+	}
+}
+
+// askInTurn asks a few peers at a time until one of them had something newer. A
+// configuration may be large and our link small: were all peers asked at once, their
+// answers would fill it for many seconds, and none would come in time.
+func askInTurn(peers []record.Member, ask func(peer record.Member) bool) {
+	for first := 0; first < len(peers); first += peersAtOnce {
+		var isNewer atomic.Bool
 		callers := pool.New()
-		for _, peer := range n.member.Peers() {
-			callers.Go(func() { n.askPolicy(ctx, peer) })
+		for _, peer := range peers[first:min(first+peersAtOnce, len(peers))] {
+			callers.Go(func() {
+				if ask(peer) {
+					isNewer.Store(true)
+				}
+			})
 		}
 		callers.Wait()
+		if isNewer.Load() {
+			return
+		}
 	}
 }
 
-// askPolicy asks one peer.
-func (n *frontNode) askPolicy(ctx context.Context, peer record.Member) {
-	call, cancel := context.WithTimeout(ctx, peerCall)
+// askPolicy asks one peer. It reports whether that had a newer configuration.
+func (n *frontNode) askPolicy(ctx context.Context, peer record.Member) bool {
+	call, cancel := context.WithTimeout(ctx, textCall)
 	defer cancel()
-	reply, err := n.member.Dial(peer.Address).Policy(call, &memberpb.PolicyRequest{Have: n.holder.Version()})
+	have := n.holder.Version()
+	reply, err := n.member.Dial(peer.Address).Policy(call, &memberpb.PolicyRequest{Have: have})
 	if err != nil {
-		return
+		n.journal.Note("configuration not read from a peer", "peer", peer.Name, "have", have, "error", err.Error())
+		return false
 	}
 	n.holder.Offer(reply.Value, "peer")
+	return n.holder.Version() > have
 }
 
 // dump is the process's state for operators.
--- a/internal/process/feeds_test.go
+++ b/internal/process/feeds_test.go
@@ -1,44 +1,39 @@
 package process
 
 import (
+	"fmt"
+	"sync"
 	"testing"
 
-	"github.com/lovagedyke/lovagedyke/internal/policy"
 	"github.com/lovagedyke/lovagedyke/internal/record"
 )
 
-type silentJournal struct{}
-
-func (silentJournal) Note(string, ...any) {}
-
-// A configuration of many queues is asked for once it is news, and not taken
-// again from each process that has it.
-func TestHints(t *testing.T) {
-	const current = 3
-	holder := policy.NewHolder(policy.HolderConfig{
-		Decode:  func([]byte) (*policy.Policy, error) { return policy.New(policy.Config{Version: current}), nil },
-		Changed: func(*policy.Policy, bool) {},
-		Journal: silentJournal{},
-	})
-	holder.Offer([]byte("x"), policy.SourceStore)
-	cases := map[string]struct {
-		version uint64
-		times   int
-		want    int
+// Pattern: large-configuration-over-small-links. All 44 peers have a newer text.
+func TestAskInTurn(t *testing.T) {
+	var peers []record.Member
+	for n := range 44 {
+		peers = append(peers, record.Member{Name: fmt.Sprint("node-", n)})
+	}
+	tests := map[string]struct {
+		newer               map[string]bool
+		wantLeast, wantMost int
 	}{
-		"older":          {current - 1, 1, 0},
-		"the same":       {current, 1, 0},
-		"newer":          {current + 1, 1, 1},
-		"more than wait": {current + 1, 3 * pendingHints, pendingHints},
+		"none has news":      {wantLeast: len(peers), wantMost: len(peers)},
+		"the first has news": {newer: map[string]bool{"node-0": true}, wantLeast: 1, wantMost: peersAtOnce},
+		"one later has":      {newer: map[string]bool{"node-9": true}, wantLeast: 10, wantMost: 10 + peersAtOnce},
 	}
-	for name, c := range cases {
+	for name, c := range tests {
 		t.Run(name, func(t *testing.T) {
-			n := &frontNode{holder: holder, hints: make(chan hint, pendingHints)}
-			for range c.times {
-				n.takeHint(c.version, record.Member{Name: "peer"})
-			}
-			if got := len(n.hints); got != c.want {
-				t.Errorf("hints that wait: got %d, want %d", got, c.want)
+			var mu sync.Mutex
+			asked := 0
+			askInTurn(peers, func(peer record.Member) bool {
+				mu.Lock()
+				defer mu.Unlock()
+				asked++
+				return c.newer[peer.Name]
+			})
+			if asked < c.wantLeast || asked > c.wantMost {
+				t.Errorf("peers asked: got %d, want %d to %d", asked, c.wantLeast, c.wantMost)
 			}
 		})
 	}
