--- a/internal/fleet/backlog_test.go
+++ b/internal/fleet/backlog_test.go
@@ -122,3 +122,28 @@
 		t.Errorf("starts: got %v, want the task that waits, on the host that is free", starts)
 	}
 }
+
+// Pattern: hopeless-jobs-among-good. Jobs that are later than is of any use go after
+// those that can be in time, whatever they waited.
+func TestHopelessJobsGoLast(t *testing.T) {
+	w := newWorld(t, worldConfig{})
+	w.endpoint("a")
+	for n := range 20 {
+		w.accept(submission(n+1, tasks(8)))
+	}
+	w.pass(time.Minute)
+	for n := range 2 {
+		good := submission(n+101, tasks(8))
+		good.Accepted = w.now
+		w.accept(good)
+	}
+	starts := w.step().Starts
+	if got, want := len(starts), 16; got != want {
+		t.Fatalf("starts: got %d, want %d", got, want)
+	}
+	for _, start := range starts {
+		if start.Task.Job != idOf(101) && start.Task.Job != idOf(102) {
+			t.Errorf("start: got one of %v, want those of the good jobs alone", start.Task.Job)
+		}
+	}
+}
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -13,27 +13,27 @@
 // The kinds of harm. Those of a link concern the connections of one node to the
 // store, or of all nodes to one endpoint.
 const (
-	Kill          Kind = "kill"
-	Pause         Kind = "pause"
-	Stop          Kind = "stop"
-	KillAll       Kind = "kill-all"
-	StoreDelayed  Kind = "store-delayed"
-	StoreReset    Kind = "store-reset"
-	StoreOneWay   Kind = "store-one-way"
-	StoreSilent   Kind = "store-silent"
-	StoreAway     Kind = "store-away"
-	StoreLoses    Kind = "store-loses-answers"
-	StoreForgets  Kind = "store-forgets"
-	EndpointLate  Kind = "endpoint-delayed"
-	EndpointReset Kind = "endpoint-reset"
-	EndpointOnce  Kind = "endpoint-one-way"
-	EndpointDark  Kind = "endpoint-silent"
-	EndpointCrash Kind = "endpoint-crash"
+	Kill            Kind = "kill"
+	Pause           Kind = "pause"
+	Stop            Kind = "stop"
+	KillAll         Kind = "kill-all"
+	StoreDelayed    Kind = "store-delayed"
+	StoreReset      Kind = "store-reset"
+	StoreOneWay     Kind = "store-one-way"
+	StoreSilent     Kind = "store-silent"
+	StoreAway       Kind = "store-away"
+	StoreLoses      Kind = "store-loses-answers"
+	StoreForgets    Kind = "store-forgets"
+	EndpointDelayed Kind = "endpoint-delayed"
+	EndpointReset   Kind = "endpoint-reset"
+	EndpointOneWay  Kind = "endpoint-one-way"
+	EndpointSilent  Kind = "endpoint-silent"
+	EndpointCrash   Kind = "endpoint-crash"
 )
 
 var kinds = []Kind{
 	Kill, Pause, Stop, KillAll, StoreDelayed, StoreReset, StoreOneWay, StoreSilent, StoreAway, StoreLoses, StoreForgets,
-	EndpointLate, EndpointReset, EndpointOnce, EndpointDark, EndpointCrash,
+	EndpointDelayed, EndpointReset, EndpointOneWay, EndpointSilent, EndpointCrash,
 }
 
 // Harm is one thing that is done to the system.
@@ -95,7 +95,7 @@
 
 func (h Harm) isOfEndpoint() bool {
 	switch h.Kind {
-	case EndpointLate, EndpointReset, EndpointOnce, EndpointDark, EndpointCrash:
+	case EndpointDelayed, EndpointReset, EndpointOneWay, EndpointSilent, EndpointCrash:
 		return true
 	default:
 		return false
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -199,13 +199,13 @@
 		during(func() { s.stage.SetLoseAnswers(true) }, func() { s.stage.SetLoseAnswers(false) })
 	case StoreForgets:
 		s.stage.ForgetHistory()
-	case EndpointLate:
+	case EndpointDelayed:
 		link(endpoint, linkDelayed)
 	case EndpointReset:
 		endpoint.reset()
-	case EndpointOnce:
+	case EndpointOneWay:
 		link(endpoint, linkOneWay)
-	case EndpointDark:
+	case EndpointSilent:
 		link(endpoint, linkSilent)
 	case EndpointCrash:
 		s.stage.CrashHost(harm.Target + 1)
