--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -10,6 +10,8 @@
 	"testing"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/lovagedyke/lovagedyke/internal/loops"
 )
 
@@ -93,40 +95,48 @@
 			if err != nil {
 				t.Fatal(err)
 			}
-			conn, err := net.Dial("tcp", p.address().String())
-			if err != nil {
-				t.Fatal(err)
-			}
-			defer func() { _ = conn.Close() }()
-			lines := bufio.NewReader(conn)
-			say := func() error {
-				if _, err := io.WriteString(conn, "x\n"); err != nil {
-					return err
-				}
-				_, err := lines.ReadString('\n')
-				return err
-			}
-			if err := say(); err != nil {
+			caller := connect(t, p)
+			if err := caller.say(); err != nil {
 				t.Fatalf("before the harm: got %v, want an answer", err)
 			}
 			c.harm(p)
 			if c.wantHeld {
-				_ = conn.SetReadDeadline(time.Now().Add(soon))
+				_ = caller.conn.SetReadDeadline(time.Now().Add(soon))
 			}
-			err = say()
-			var timeout net.Error
-			isHeld := err != nil && asNetError(err, &timeout) && timeout.Timeout()
-			if isHeld != c.wantHeld || (err != nil && !isHeld) != c.wantBroken {
+			err = caller.say()
+			isHeld := isTimeout(err)
+			if isBroken := err != nil && !isHeld; isHeld != c.wantHeld || isBroken != c.wantBroken {
 				t.Errorf("answer: got %v, want held %v, broken %v", err, c.wantHeld, c.wantBroken)
 			}
 		})
 	}
 }
 
-func asNetError(err error, target *net.Error) bool {
-	found, ok := err.(net.Error)
-	if ok {
-		*target = found
+// caller sends lines and reads their echo.
+type caller struct {
+	conn  net.Conn
+	lines *bufio.Reader
+}
+
+func connect(t *testing.T, p *proxy) caller {
+	t.Helper()
+	conn, err := net.Dial("tcp", p.address().String())
+	if err != nil {
+		t.Fatal(err)
 	}
-	return ok
+	t.Cleanup(func() { _ = conn.Close() })
+	return caller{conn: conn, lines: bufio.NewReader(conn)}
+}
+
+func (c caller) say() error {
+	if _, err := io.WriteString(c.conn, "x\n"); err != nil {
+		return err
+	}
+	_, err := c.lines.ReadString('\n')
+	return err
+}
+
+func isTimeout(err error) bool {
+	var timeout net.Error
+	return errors.As(err, &timeout) && timeout.Timeout()
 }
