Start the soak's processes in test files alone

No program of ours starts another; the soak's driver is given its processes by the tests that run it. make soak plays fifty seeds through go test; the command of the stand-in is gone.

--- a/Makefile
+++ b/Makefile
@@ -40,8 +40,8 @@
 
 # Fifty seeds of harm to real processes, one after the other; SEED is the first.
 SEED := 1
-soak: build
-	$(BIN)/lovagedyke-standin soak -seed $(SEED) -seeds 50 -for 15s
+soak:
+	go test -count=1 -timeout 1h -v ./test -run TestSoakByHand -soak-seed $(SEED) -soak-seeds 50
 
 bench: build
 	$(BIN)/lovagedyke-experiment all
--- a/cmd/lovagedyke-standin/main.go
+++ b/cmd/lovagedyke-standin/main.go
@@ -23,7 +23,6 @@
 		Subcommands: []*ffcli.Command{
 			platformCommand(logger),
 			fleetCommand(logger),
-			soakCommand(logger),
 			endpointCommand(logger),
 			workerCommand(logger),
 			loadCommand(),
--- a/internal/soak/doc.go
+++ b/internal/soak/doc.go
@@ -3,7 +3,7 @@
 //
 // Usage:
 //
-//	report, err := soak.Run(ctx, soak.Config{Seed: 7, Length: 20 * time.Second, Binary: "bin/lovagedyke", Dir: dir})
+//	report, err := soak.Run(ctx, soak.Config{Seed: 7, Length: 20 * time.Second, Dir: dir, NewProcess: start})
 //	// report.Violations lists broken promises; it must be empty.
 //
 // A seed gives a plan: processes that are killed, paused and stopped, alone, in
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -41,12 +41,22 @@
 	// Length is how long harm is done.
 	Length           time.Duration
 	Nodes, Endpoints int
-	// Binary is the program under test, Dir a folder for settings and logs.
-	Binary, Dir string
+	// Dir is a folder for settings and logs.
+	Dir string
+	// NewProcess returns a node that runs with a settings file and logs to another.
+	NewProcess func(settings, log string) Process
 	// FirstPort is the first of the nodes' ports, which have to be free.
 	FirstPort uint16
 }
 
+// Process is a node in a process of its own.
+type Process interface {
+	// Keep runs the node until ctx ends, and starts it again whenever it ends.
+	Keep(ctx context.Context)
+	// Signal sends the node a signal, if it runs.
+	Signal(signal syscall.Signal)
+}
+
 // Report is what a soak has seen.
 type Report struct {
 	Harms                          int
@@ -60,7 +70,7 @@
 	config    Config
 	stage     *standin.Stage
 	group     *loops.Group
-	processes []*process
+	processes []Process
 	callers   []netip.AddrPort
 	stores    []*proxy
 	endpoints []*proxy
@@ -124,17 +134,15 @@
 			_ = socket.Close()
 		}
 		name := fmt.Sprintf("node-%d", n+1)
-		p := &process{
-			binary: s.config.Binary, settings: filepath.Join(s.config.Dir, name+".json"),
-			log: filepath.Join(s.config.Dir, name+".log"),
-		}
+		settings := filepath.Join(s.config.Dir, name+".json")
 		text := s.stage.SettingsThrough(name, ports[0], ports[1], ports[2], door.address())
-		if err := os.WriteFile(p.settings, text, 0o600); err != nil {
+		if err := os.WriteFile(settings, text, 0o600); err != nil {
 			return errors.Wrap(err, "write a node's settings")
 		}
+		p := s.config.NewProcess(settings, filepath.Join(s.config.Dir, name+".log"))
 		s.processes = append(s.processes, p)
 		s.callers = append(s.callers, ports[0])
-		s.group.Go(p.keep)
+		s.group.Go(p.Keep)
 	}
 	return nil
 }
@@ -176,14 +184,14 @@
 	store, endpoint := s.stores[harm.Target%len(s.stores)], s.endpoints[harm.Target%len(s.endpoints)]
 	switch harm.Kind {
 	case Kill:
-		node.signal(syscall.SIGKILL)
+		node.Signal(syscall.SIGKILL)
 	case Stop:
-		node.signal(syscall.SIGTERM)
+		node.Signal(syscall.SIGTERM)
 	case Pause:
-		during(func() { node.signal(syscall.SIGSTOP) }, func() { node.signal(syscall.SIGCONT) })
+		during(func() { node.Signal(syscall.SIGSTOP) }, func() { node.Signal(syscall.SIGCONT) })
 	case KillAll:
 		for _, p := range s.processes {
-			p.signal(syscall.SIGKILL)
+			p.Signal(syscall.SIGKILL)
 		}
 	case StoreDelayed:
 		link(store, linkDelayed)
@@ -220,7 +228,7 @@
 		door.set(linkWell)
 	}
 	for _, p := range s.processes {
-		p.signal(syscall.SIGCONT)
+		p.Signal(syscall.SIGCONT)
 	}
 }
 
--- a/test/soak_test.go
+++ b/test/soak_test.go
@@ -2,14 +2,26 @@
 
 import (
 	"context"
+	"flag"
+	"fmt"
+	"os"
+	"path/filepath"
 	"testing"
 	"time"
 
 	"github.com/lovagedyke/lovagedyke/internal/soak"
 )
 
-// soakPort is the first of the soak's ports; other tests use lower and higher ones.
-const soakPort = 18400
+// The flags of a soak by hand: make soak.
+var (
+	soakSeed      = flag.Uint64("soak-seed", 1, "first seed of TestSoakByHand")
+	soakSeeds     = flag.Uint64("soak-seeds", 0, "number of seeds, 0 for none")
+	soakFor       = flag.Duration("soak-for", 15*time.Second, "how long harm is done, each seed")
+	soakNodes     = flag.Int("soak-nodes", 3, "number of nodes")
+	soakEndpoints = flag.Int("soak-endpoints", 6, "number of endpoints")
+	soakPort      = flag.Uint("soak-port", 18400, "first of the nodes' ports; other tests use lower and higher ones")
+	soakDir       = flag.String("soak-dir", os.TempDir(), "folder for the logs of seeds that broke a promise")
+)
 
 // TestSoak plays seeds that have failed before, for a short time each.
 func TestSoak(t *testing.T) {
@@ -20,18 +32,47 @@
 	}
 	for name, seed := range seeds {
 		t.Run(name, func(t *testing.T) {
-			report, err := soak.Run(context.Background(), soak.Config{
-				Seed: seed, Length: 8 * time.Second, Nodes: 3, Endpoints: 6, Binary: binary, Dir: t.TempDir(), FirstPort: soakPort,
-			})
-			if err != nil {
+			playSeed(t, soak.Config{Seed: seed, Length: 8 * time.Second, Nodes: 3, Endpoints: 6, Dir: t.TempDir()})
+		})
+	}
+}
+
+// TestSoakByHand plays as many seeds as the flags ask for.
+func TestSoakByHand(t *testing.T) {
+	for seed := *soakSeed; seed < *soakSeed+*soakSeeds; seed++ {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			dir := filepath.Join(*soakDir, fmt.Sprintf("lovagedyke-soak-%d", seed))
+			if err := os.MkdirAll(dir, 0o700); err != nil {
 				t.Fatal(err)
 			}
-			for _, violation := range report.Violations {
-				t.Error(violation)
+			playSeed(t, soak.Config{Seed: seed, Length: *soakFor, Nodes: *soakNodes, Endpoints: *soakEndpoints, Dir: dir})
+			if t.Failed() {
+				t.Logf("logs: %s", dir)
+				return
 			}
-			if report.Accepted == 0 || report.Harms == 0 {
-				t.Errorf("soak: got %d jobs accepted and %d harms, want some of both", report.Accepted, report.Harms)
+			if err := os.RemoveAll(dir); err != nil {
+				t.Error(err)
 			}
 		})
 	}
 }
+
+// playSeed plays a soak with the binary under test, and reports what it broke.
+func playSeed(t *testing.T, config soak.Config) {
+	t.Helper()
+	config.FirstPort = uint16(*soakPort)
+	config.NewProcess = func(settings, log string) soak.Process {
+		return &soakProcess{binary: binary, settings: settings, log: log}
+	}
+	report, err := soak.Run(context.Background(), config)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Logf("%d harms, %d jobs accepted, %d refused, %d unsure, %d runs", report.Harms, report.Accepted, report.Refused, report.Unsure, report.Ran)
+	for _, violation := range report.Violations {
+		t.Error(violation)
+	}
+	if report.Accepted == 0 || report.Harms == 0 {
+		t.Errorf("soak: got %d jobs accepted and %d harms, want some of both", report.Accepted, report.Harms)
+	}
+}
--- a/internal/soak/process.go
+++ b/test/soakprocess_test.go
@@ -1,4 +1,4 @@
-package soak
+package test
 
 import (
 	"context"
@@ -12,16 +12,16 @@
 // restartAfter is how long a process is away after it has ended.
 const restartAfter = 700 * time.Millisecond
 
-// process keeps a node running: it is started again whenever it ends.
-type process struct {
+// soakProcess keeps a node running: it is started again whenever it ends.
+type soakProcess struct {
 	binary, settings, log string
 
 	mu      sync.Mutex
 	command *exec.Cmd
 }
 
-// keep runs the node until ctx ends, and then kills it.
-func (p *process) keep(ctx context.Context) {
+// Keep runs the node until ctx ends, and then kills it.
+func (p *soakProcess) Keep(ctx context.Context) {
 	for ctx.Err() == nil {
 		if err := p.runOnce(ctx); err != nil {
 			return
@@ -34,7 +34,7 @@
 }
 
 // runOnce starts the node and waits for its end, whatever it is.
-func (p *process) runOnce(ctx context.Context) error {
+func (p *soakProcess) runOnce(ctx context.Context) error {
 	out, err := os.OpenFile(p.log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
 		return err
@@ -50,15 +50,15 @@
 	if err != nil {
 		return err
 	}
-	stop := context.AfterFunc(ctx, func() { p.signal(syscall.SIGKILL) })
+	stop := context.AfterFunc(ctx, func() { p.Signal(syscall.SIGKILL) })
 	defer stop()
 	// How it ended is in its log; that it ended is part of the plan.
 	_ = command.Wait()
 	return nil
 }
 
-// signal sends a signal to the node, if it runs.
-func (p *process) signal(signal syscall.Signal) {
+// Signal sends a signal to the node, if it runs.
+func (p *soakProcess) Signal(signal syscall.Signal) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.command != nil && p.command.Process != nil {
