--- a/test/fleet_test.go
+++ b/test/fleet_test.go
@@ -16,6 +16,7 @@
 	"os/exec"
 	"path/filepath"
 	"strings"
+	"sync"
 	"syscall"
 	"testing"
 	"time"
@@ -162,12 +163,19 @@
 	return file
 }
 
+// givenPorts are those that have been given out: nothing listens there until the
+// process that got one has started.
+var givenPorts sync.Map
+
 // freeAddress returns a loopback address that nothing listens on. Its port is
 // below those that the system gives to outgoing connections, one of which could
 // take it before the process listens.
 func (f *fleet) freeAddress() netip.AddrPort {
 	for range maxPortTries {
 		port := firstPort + rand.IntN(lastPort-firstPort)
+		if _, isGiven := givenPorts.LoadOrStore(port, true); isGiven {
+			continue
+		}
 		listener, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port))
 		if err == nil {
 			_ = listener.Close()
--- a/test/soak_test.go
+++ b/test/soak_test.go
@@ -19,7 +19,7 @@
 	soakFor       = flag.Duration("soak-for", 15*time.Second, "how long harm is done, each seed")
 	soakNodes     = flag.Int("soak-nodes", 3, "number of nodes")
 	soakEndpoints = flag.Int("soak-endpoints", 6, "number of endpoints")
-	soakPort      = flag.Uint("soak-port", 18400, "first of the nodes' ports; other tests use lower and higher ones")
+	soakPort      = flag.Uint("soak-port", 14700, "first of the nodes' ports, below those of other tests")
 	soakDir       = flag.String("soak-dir", os.TempDir(), "folder for the logs of seeds that broke a promise")
 )
 
