Log and measure how far a process is behind the newest configuration

A process notes the versions that peers announce and that their views name (sent with every view, read by nobody until now). While it is behind it says so each second; on catching up it says for how long. No change to what is fetched, from whom or when.

--- a/internal/member/node.go
+++ b/internal/member/node.go
@@ -71,6 +71,9 @@
 	Won func(ctx context.Context, claim record.Claim, version uint64)
 	// PolicyVersion returns the version of the newest configuration.
 	PolicyVersion func() uint64
+	// OnPolicyVersion is called with the version of another process's configuration,
+	// as its views tell it; it must return at once. It may be nil.
+	OnPolicyVersion func(version uint64, from record.Member)
 	// MaxHostResources returns, per resource, the largest amount that a single
 	// host has, or zeros while this process does not lead.
 	MaxHostResources func() policy.Resources
--- a/internal/member/view.go
+++ b/internal/member/view.go
@@ -90,6 +90,9 @@
 	if !ok {
 		return
 	}
+	if from.Name != n.config.Name && n.config.OnPolicyVersion != nil {
+		n.config.OnPolicyVersion(view.PolicyVersion, from)
+	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if from.Name != n.config.Name {
--- a/internal/process/feeds.go
+++ b/internal/process/feeds.go
@@ -50,6 +50,7 @@
 // was read from the store.
 func (n *nodeProcess) policyChanged(current *policy.Policy, fromStore bool) {
 	n.control.SetPolicy(current)
+	n.policyInForce(current.Version)
 	if !fromStore {
 		return
 	}
@@ -107,6 +108,7 @@
 // queueHint queues a peer's hint if its version is newer. Hints that find the
 // queue full are dropped.
 func (n *nodeProcess) queueHint(version uint64, from record.Member) {
+	n.policyAnnounced(version, from)
 	if version <= n.holder.Version() {
 		return
 	}
@@ -207,10 +209,11 @@
 func (n *nodeProcess) fetchPolicy(ctx context.Context, peer record.Member) bool {
 	callCtx, cancel := context.WithTimeout(ctx, policyCallTimeout)
 	defer cancel()
-	have := n.holder.Version()
+	have, started := n.holder.Version(), time.Now()
 	reply, err := n.member.Dial(peer.Address).Policy(callCtx, &memberpb.PolicyRequest{Have: have})
 	if err != nil {
-		n.journal.Info("configuration not fetched from a peer", "peer", peer.Name, "have", have, "error", err.Error())
+		n.journal.Info("configuration not fetched from a peer", "peer", peer.Name, "have", have,
+			"took", time.Since(started).Round(time.Millisecond).String(), "error", err.Error())
 		return false
 	}
 	n.holder.Update(reply.Value, "peer")
@@ -220,18 +223,25 @@
 // dump returns the process's state for the operators' state dump.
 func (n *nodeProcess) dump() any {
 	leader, isSelf, known := n.member.Leader()
+	announced, behind := n.lag.Behind(time.Now())
 	return struct {
-		Name          string          `json:"name"`
-		DataCentre    string          `json:"data-centre"`
-		Configuration uint64          `json:"configuration"`
-		Leader        string          `json:"leader"`
-		Leading       bool            `json:"leading"`
-		LeaderKnown   bool            `json:"leader-known"`
-		StoreReached  bool            `json:"store-reached"`
-		Members       []record.Member `json:"members"`
-		Fleet         any             `json:"fleet,omitempty"`
+		Name          string `json:"name"`
+		DataCentre    string `json:"data-centre"`
+		Configuration uint64 `json:"configuration"`
+		// AnnouncedConfiguration is the newest version that this process has heard of.
+		AnnouncedConfiguration uint64 `json:"announced-configuration"`
+		// ConfigurationBehind is for how long it has known of a newer version than
+		// the one in force, in seconds.
+		ConfigurationBehind float64         `json:"configuration-behind-seconds"`
+		Leader              string          `json:"leader"`
+		Leading             bool            `json:"leading"`
+		LeaderKnown         bool            `json:"leader-known"`
+		StoreReached        bool            `json:"store-reached"`
+		Members             []record.Member `json:"members"`
+		Fleet               any             `json:"fleet,omitempty"`
 	}{
 		Name: n.settings.Name, DataCentre: n.settings.DataCentre, Configuration: n.holder.Version(),
+		AnnouncedConfiguration: announced, ConfigurationBehind: behind.Seconds(),
 		Leader: leader.Name, Leading: isSelf, LeaderKnown: known, StoreReached: n.member.StoreReached(),
 		Members: n.member.Peers(), Fleet: n.control.Dump(),
 	}
--- a/internal/process/node.go
+++ b/internal/process/node.go
@@ -79,6 +79,7 @@
 	store    *platform.Store
 	operator platform.OperatorRows
 	holder   *policy.Holder
+	lag      policy.Lag
 	member   *member.Node
 	control  *control.Control
 	ingress  *ingress.Ingress
@@ -125,6 +126,7 @@
 		Seeds: settings.Seeds, Store: n.store, Journal: n.journal,
 		Won:              func(ctx context.Context, won leadershipClaim, version uint64) { n.control.Lead(ctx, won, version) },
 		PolicyVersion:    n.holder.Version,
+		OnPolicyVersion:  n.policyAnnounced,
 		MaxHostResources: func() policy.Resources { return n.control.MaxHostResources() },
 	})
 	endpoints := platform.NewEndpoints(platform.EndpointsConfig{Client: client, Timeout: endpointTimeout})
@@ -192,6 +194,7 @@
 	group.Go(n.peerFeed)
 	group.Go(n.announceLoop)
 	group.Go(n.hintLoop)
+	group.Go(n.lagLoop)
 	for _, s := range servers {
 		group.Go(s.serve)
 	}
