--- a/internal/member/dialer.go
+++ b/internal/member/dialer.go
@@ -1,6 +1,7 @@
 package member
 
 import (
+	"context"
 	"net"
 	"net/http"
 	"net/netip"
@@ -20,6 +21,9 @@
 	maxIdlePeerConns = 4
 )
 
+// dialFunc opens a connection, as net.Dialer's DialContext does.
+type dialFunc = func(ctx context.Context, network, address string) (net.Conn, error)
+
 // dialer caches one client per address.
 type dialer struct {
 	http    *http.Client
@@ -27,9 +31,13 @@
 	clients map[netip.AddrPort]memberpb.Member
 }
 
-func newDialer() *dialer {
+// newDialer returns a dialer whose connections are opened by dial, or over TCP if it is nil.
+func newDialer(dial dialFunc) *dialer {
+	if dial == nil {
+		dial = (&net.Dialer{Timeout: dialTimeout, KeepAlive: -1}).DialContext
+	}
 	transport := &http.Transport{
-		DialContext:         (&net.Dialer{Timeout: dialTimeout, KeepAlive: -1}).DialContext,
+		DialContext:         dial,
 		MaxIdleConnsPerHost: maxIdlePeerConns,
 		IdleConnTimeout:     time.Minute,
 		DisableCompression:  true,
--- a/internal/member/node.go
+++ b/internal/member/node.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"net/netip"
 	"sync"
 	"time"
@@ -66,6 +67,8 @@
 	Seeds   []netip.AddrPort
 	Store   table.Store
 	Journal Journal
+	// Dial opens connections to other processes; nil means over TCP.
+	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 	// Won is called when this process becomes the leader, and must return at
 	// once; the leadership ends with ctx.
 	Won func(ctx context.Context, claim record.Claim, version uint64)
@@ -124,7 +127,7 @@
 // New returns a node that knows no other members yet.
 func New(config Config) *Node {
 	return &Node{
-		config: config, dialer: newDialer(), members: map[string]record.Member{},
+		config: config, dialer: newDialer(config.Dial), members: map[string]record.Member{},
 		peersWithStore: map[string]time.Time{}, confirmedAt: map[string]time.Time{}, wake: make(chan struct{}, 1),
 	}
 }
--- /dev/null
+++ b/internal/process/configuration_test.go
@@ -0,0 +1,233 @@
+package process
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"net/netip"
+	"strconv"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/lovagedyke/lovagedyke/internal/journal"
+	"github.com/lovagedyke/lovagedyke/internal/member"
+	"github.com/lovagedyke/lovagedyke/internal/member/memberpb"
+	"github.com/lovagedyke/lovagedyke/platform"
+)
+
+// configurationStore is the platform's store with one row, the configuration.
+type configurationStore struct {
+	mu      sync.Mutex
+	version uint64
+	// answer is the response to a process that does not have the version.
+	answer  []byte
+	changed chan struct{}
+}
+
+// set writes the configuration.
+func (s *configurationStore) set(t *testing.T, version uint64, value []byte) {
+	t.Helper()
+	row := map[string]any{"table": "op", "key": "config", "value": value, "ver": version}
+	answer, err := json.Marshal(map[string]any{"ver": version, "rows": []any{row}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.version, s.answer = version, answer
+	if s.changed != nil {
+		close(s.changed)
+	}
+	s.changed = make(chan struct{})
+}
+
+func (s *configurationStore) read() (version uint64, answer []byte, changed chan struct{}) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.version, s.answer, s.changed
+}
+
+// ServeHTTP answers rows-get and rows-feed.
+func (s *configurationStore) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	version, answer, changed := s.read()
+	after, _ := strconv.ParseUint(r.URL.Query().Get("after"), 10, 64)
+	wait, _ := strconv.Atoi(r.URL.Query().Get("wait_ms"))
+	if version <= after {
+		select {
+		case <-changed:
+			version, answer, _ = s.read()
+		case <-time.After(time.Duration(wait) * time.Millisecond):
+		case <-r.Context().Done():
+		}
+	}
+	if version <= after {
+		answer = fmt.Appendf(nil, `{"ver": %d, "rows": []}`, version)
+	}
+	_, _ = w.Write(answer) // fails if the process has given up
+}
+
+// encodeConfiguration returns a configuration with the given number of queues, in the
+// operators' format, with names that no other queue has.
+func encodeConfiguration(t *testing.T, version uint64, queues int) []byte {
+	t.Helper()
+	random := rand.New(rand.NewPCG(version, 1))
+	var routes []map[string]any
+	for n := range queues {
+		routes = append(routes, map[string]any{
+			"name": fmt.Sprintf("r-%07x-%d", random.Uint32(), n), "host": fmt.Sprintf("%06x.example", random.Uint32()>>8),
+			"prefix": fmt.Sprintf("/%08x/", random.Uint32()), "service": "pool", "anonymous": false, "priority": n % 3,
+			"max_attempts": 4, "stretch": 1.6, "target_completion_ms": 600, "timeout_ms": 3000, "require_key": true,
+		})
+	}
+	encoded, err := json.Marshal(map[string]any{
+		"version": version, "routes": routes, "services": []map[string]any{{"name": "pool", "rejects_overload": true}},
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return encoded
+}
+
+// configurationFleet is a number of processes that follow the operators' rows.
+type configurationFleet struct {
+	network   *testNetwork
+	store     *configurationStore
+	processes []*nodeProcess
+	stop      func()
+}
+
+const storeAddress = "10.0.0.1:80"
+
+// memberAddress returns the address of the process with the given index.
+func memberAddress(index int) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 1, byte(index)}), 80)
+}
+
+// startConfigurationFleet starts a process for each link, a little after each other, so
+// that their waits for changes end at different moments.
+func startConfigurationFleet(t *testing.T, links []float64) *configurationFleet {
+	t.Helper()
+	f := &configurationFleet{network: newTestNetwork(), store: &configurationStore{}}
+	f.store.set(t, 1, encodeConfiguration(t, 1, 50))
+	ctx, cancel := context.WithCancel(t.Context())
+	var wait sync.WaitGroup
+	servers := []*http.Server{f.serve(&wait, f.network.listen(storeAddress, 4000), f.store)}
+	for index, mbps := range links {
+		address := memberAddress(index)
+		listener := f.network.listen(address.String(), mbps)
+		n := newNodeProcess(NodeConfig{
+			Settings: platform.Settings{
+				Name: fmt.Sprint("node-", index), Callers: address, Peers: address, LinkMbps: mbps, CPUCores: 1,
+				Store: netip.MustParseAddrPort(storeAddress), RowBytes: 4 << 20,
+			},
+			Journal: journal.New(journal.Config{Writer: io.Discard}),
+			Dial:    f.network.dialFrom(address.String()),
+		})
+		f.processes = append(f.processes, n)
+		service := member.NewService(member.ServiceConfig{Node: n.member, Fleet: n.control, Policy: n.holder, OnPolicyHint: n.queueHint})
+		servers = append(servers, f.serve(&wait, listener, memberpb.NewMemberServer(service)))
+		for other := range links {
+			if other != index {
+				view := &memberpb.View{From: &memberpb.Address{Name: fmt.Sprint("node-", other), Address: memberAddress(other).String(), Link: links[other]}}
+				if _, err := service.Hello(ctx, view); err != nil {
+					t.Fatal(err)
+				}
+			}
+		}
+	}
+	for _, n := range f.processes {
+		for _, loop := range n.configurationLoops() {
+			wait.Go(func() { loop(ctx) })
+		}
+		time.Sleep(operatorFeedTimeout / time.Duration(len(links)))
+	}
+	f.stop = func() {
+		cancel()
+		for _, server := range servers {
+			_ = server.Close()
+		}
+		f.network.close()
+		wait.Wait()
+	}
+	return f
+}
+
+// serve serves handler on a listener until the server is closed.
+func (f *configurationFleet) serve(wait *sync.WaitGroup, listener *testListener, handler http.Handler) *http.Server {
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: time.Minute}
+	wait.Go(func() { _ = server.Serve(listener) })
+	return server
+}
+
+// change writes a configuration with the given number of queues.
+func (f *configurationFleet) change(t *testing.T, version uint64, queues int) {
+	t.Helper()
+	f.store.set(t, version, encodeConfiguration(t, version, queues))
+}
+
+// wantInForce fails the test for each process with an older version than want.
+func (f *configurationFleet) wantInForce(t *testing.T, want uint64) {
+	t.Helper()
+	for _, n := range f.processes {
+		if got := n.holder.Version(); got < want {
+			t.Errorf("version in force at %s, with a link of %g Mbit/s: got %d, want %d", n.settings.Name, n.settings.LinkMbps, got, want)
+		}
+	}
+}
+
+// Pattern: large-configuration-over-small-links. Guards against processes that never
+// get a large configuration because each transfer of it is cut and begun again while
+// others share the link. The platform wants a change in force 3 s after its
+// acknowledgement, 4 s in the largest fleets.
+func TestLargeConfigurationReachesSmallLinks(t *testing.T) {
+	// Few processes have a wide link, as on the users' sites.
+	fleetOf := func(narrow float64) []float64 {
+		links := []float64{200, 200}
+		for range 6 {
+			links = append(links, narrow)
+		}
+		return links
+	}
+	tests := map[string]struct {
+		links []float64
+		// queues are those of each version, and gap the time between two of them.
+		queues []int
+		gap    time.Duration
+		// storeCut is true if a process with a narrow link does not reach the store.
+		storeCut bool
+		bound    time.Duration
+	}{
+		"one change":                  {links: fleetOf(10), queues: []int{4250}, bound: 3 * time.Second},
+		"a second change soon after":  {links: fleetOf(10), queues: []int{4250, 4251}, gap: 3700 * time.Millisecond, bound: 3 * time.Second},
+		"changes in quick succession": {links: fleetOf(10), queues: []int{2850, 2851, 4250, 4251}, gap: 500 * time.Millisecond, bound: 3 * time.Second},
+		"no wide link":                {links: []float64{10, 10, 10, 10, 10, 10}, queues: []int{4250}, bound: 3 * time.Second},
+		"a process cut off the store": {links: fleetOf(10), queues: []int{4250}, storeCut: true, bound: 3 * time.Second},
+		"narrow links":                {links: fleetOf(2), queues: []int{4250}, bound: 4 * time.Second},
+	}
+	for name, c := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := startConfigurationFleet(t, c.links)
+				defer f.stop()
+				time.Sleep(3 * time.Second)
+				f.wantInForce(t, 1)
+				if c.storeCut {
+					f.network.cutOff(memberAddress(len(c.links)-1).String(), storeAddress)
+				}
+				for index, queues := range c.queues {
+					if index > 0 {
+						time.Sleep(c.gap)
+					}
+					f.change(t, uint64(index+2), queues)
+				}
+				time.Sleep(c.bound)
+				f.wantInForce(t, uint64(len(c.queues)+1))
+			})
+		})
+	}
+}
--- a/internal/process/feeds.go
+++ b/internal/process/feeds.go
@@ -46,6 +46,11 @@
 // leadershipClaim is the claim row of a leader.
 type leadershipClaim = record.Claim
 
+// configurationLoops returns the loops that keep the configuration up to date.
+func (n *nodeProcess) configurationLoops() []func(ctx context.Context) {
+	return []func(ctx context.Context){n.operatorFeed, n.peerFeed, n.announceLoop, n.hintLoop, n.lagLoop}
+}
+
 // policyChanged applies a newer configuration, and announces it to peers if it
 // was read from the store.
 func (n *nodeProcess) policyChanged(current *policy.Policy, fromStore bool) {
--- a/internal/process/node.go
+++ b/internal/process/node.go
@@ -69,6 +69,8 @@
 	// address disables them.
 	Metrics netip.AddrPort
 	Journal *journal.Journal
+	// Dial opens connections to the platform and to other processes; nil means over TCP.
+	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 }
 
 // nodeProcess is a process that accepts callers' jobs and can lead the fleet.
@@ -110,7 +112,7 @@
 // newNodeProcess creates the node's parts and connects them.
 func newNodeProcess(config NodeConfig) *nodeProcess {
 	settings := config.Settings
-	client := platform.NewClient(platform.ClientConfig{AckTimeout: ackTimeout, DialTimeout: connectTimeout})
+	client := platform.NewClient(platform.ClientConfig{AckTimeout: ackTimeout, DialTimeout: connectTimeout, Dial: config.Dial})
 	n := &nodeProcess{
 		config: config, settings: settings, journal: config.Journal, policyUpdates: make(chan uint64, 1),
 		hints: make(chan hint, hintQueueSize),
@@ -123,7 +125,7 @@
 	n.holder = policy.NewHolder(policy.HolderConfig{Decode: platform.DecodePolicy, OnChange: n.policyChanged, Journal: n.journal})
 	n.member = member.New(member.Config{
 		Name: settings.Name, Address: settings.Peers, CPUCores: settings.CPUCores, LinkMbps: settings.LinkMbps,
-		Seeds: settings.Seeds, Store: n.store, Journal: n.journal,
+		Seeds: settings.Seeds, Store: n.store, Journal: n.journal, Dial: config.Dial,
 		Won:              func(ctx context.Context, won leadershipClaim, version uint64) { n.control.Lead(ctx, won, version) },
 		PolicyVersion:    n.holder.Version,
 		OnPolicyVersion:  n.policyAnnounced,
@@ -190,11 +192,9 @@
 	group.Go(n.carrier.Run)
 	group.Go(n.couriers.Run)
 	group.Go(n.ingress.Run)
-	group.Go(n.operatorFeed)
-	group.Go(n.peerFeed)
-	group.Go(n.announceLoop)
-	group.Go(n.hintLoop)
-	group.Go(n.lagLoop)
+	for _, loop := range n.configurationLoops() {
+		group.Go(loop)
+	}
 	for _, s := range servers {
 		group.Go(s.serve)
 	}
