A process that is behind asks peers for the configuration also while the store answers

Cause: peers were asked only while the last call to the store had failed. A version that a view named was not looked at, and a hint was tried once.

Change: a process that has known of a newer version for half a second asks peers. Ruled out: asking the process whose view named it, which is the leader for all others, and its link is what large fleets are short of.

Measured: TestProcessBehindAsksPeersWhileStoreIsReached fails before (got 1, want 2) and passes after.

--- a/internal/process/configuration_test.go
+++ b/internal/process/configuration_test.go
@@ -98,6 +98,7 @@
 	network   *testNetwork
 	store     *configurationStore
 	processes []*nodeProcess
+	services  []*member.Service
 	stop      func()
 }
 
@@ -130,6 +131,7 @@
 		})
 		f.processes = append(f.processes, n)
 		service := member.NewService(member.ServiceConfig{Node: n.member, Fleet: n.control, Policy: n.holder, OnPolicyHint: n.queueHint})
+		f.services = append(f.services, service)
 		servers = append(servers, f.serve(&wait, listener, memberpb.NewMemberServer(service)))
 		for other := range links {
 			if other != index {
@@ -146,6 +148,7 @@
 		}
 		time.Sleep(operatorFeedTimeout / time.Duration(len(links)))
 	}
+	wait.Go(func() { f.exchangeViews(ctx) })
 	f.stop = func() {
 		cancel()
 		for _, server := range servers {
@@ -157,6 +160,19 @@
 	return f
 }
 
+// exchangeViews gives all processes the view of the first one, as a leader does.
+func (f *configurationFleet) exchangeViews(ctx context.Context) {
+	for ctx.Err() == nil {
+		sleep(ctx, 250*time.Millisecond)
+		view, err := f.services[0].Hello(ctx, &memberpb.View{})
+		for _, service := range f.services[1:] {
+			if err == nil {
+				_, err = service.Hello(ctx, view)
+			}
+		}
+	}
+}
+
 // serve serves handler on a listener until the server is closed.
 func (f *configurationFleet) serve(wait *sync.WaitGroup, listener *testListener, handler http.Handler) *http.Server {
 	server := &http.Server{Handler: handler, ReadHeaderTimeout: time.Minute}
@@ -231,3 +247,33 @@
 		})
 	}
 }
+
+// Pattern: large-configuration-over-small-links. Guards against a process that never
+// asks for a newer configuration because its small calls to the store succeed, while its
+// reads of the operators' rows fail and no announcement of a peer reaches it.
+func TestProcessBehindAsksPeersWhileStoreIsReached(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := startConfigurationFleet(t, []float64{10, 10, 10, 10})
+		defer f.stop()
+		time.Sleep(3 * time.Second)
+		behind := len(f.processes) - 1
+		f.network.cutOff(memberAddress(behind).String(), storeAddress)
+		for index := range behind {
+			f.network.cutOff(memberAddress(index).String(), memberAddress(behind).String())
+		}
+		ctx, cancel := context.WithCancel(t.Context())
+		ended := make(chan struct{})
+		go func() {
+			defer close(ended)
+			for ctx.Err() == nil {
+				f.processes[behind].member.ObserveStore(nil)
+				sleep(ctx, 10*time.Millisecond)
+			}
+		}()
+		f.change(t, 2, 4250)
+		time.Sleep(3 * time.Second)
+		f.wantInForce(t, 2)
+		cancel()
+		<-ended
+	})
+}
--- a/internal/process/feeds.go
+++ b/internal/process/feeds.go
@@ -23,8 +23,10 @@
 	// operatorRetryDelay is the time before a failed call of the feed is retried.
 	operatorRetryDelay = 150 * time.Millisecond
 	// peerPolicyInterval is the time between two attempts to get a newer
-	// configuration from peers while the store does not answer.
+	// configuration from peers while the store does not answer, or has not sent a
+	// version that peers have had for peerPolicyDelay.
 	peerPolicyInterval = 300 * time.Millisecond
+	peerPolicyDelay    = 500 * time.Millisecond
 	// announceFanout is the number of peers to which a process announces a new
 	// configuration that it has read from the store.
 	announceFanout = 6
@@ -173,11 +175,12 @@
 	}
 }
 
-// peerFeed asks peers for a newer configuration while the store does not answer.
+// peerFeed asks peers for a newer configuration while the store does not answer, or is
+// slower than they are. The store may answer small calls and not deliver a large row.
 func (n *nodeProcess) peerFeed(ctx context.Context) {
 	for ctx.Err() == nil {
 		sleep(ctx, peerPolicyInterval)
-		if n.member.StoreReached() {
+		if _, behind := n.lag.Behind(time.Now()); n.member.StoreReached() && behind < peerPolicyDelay {
 			continue
 		}
 		peers := n.member.Peers()
