fleet: count an endpoint's runs instead of walking them in each step

Cause: each step walked all runs of all endpoints five times: for free capacity, persistent tasks, stops, best-effort tasks, and once more for each pool to see whether all runs of a former leader are known.

Change: endpoints keep counts (runTally), which change where runs are added, removed and stopped; the step looks at runs only of endpoints that have stops or best-effort tasks.

--- a/internal/fleet/accounting.go
+++ b/internal/fleet/accounting.go
@@ -18,11 +18,7 @@
 
 // untrackRun reverses trackRun and removes the run from its endpoint.
 func (l *Leader) untrackRun(r *run) {
-	if r.endpoint.runs[r.key] != r {
-		return
-	}
-	delete(r.endpoint.runs, r.key)
-	if r.job == nil {
+	if !r.endpoint.removeRun(r) || r.job == nil {
 		return
 	}
 	task := r.key.task
@@ -84,6 +80,9 @@
 		return
 	}
 	r.state = runStopping
+	if r.endpoint.runs[r.key] == r {
+		r.endpoint.tally.stopping++
+	}
 	r.reason = reason
 	r.stopAt = now
 }
--- a/internal/fleet/bench_test.go
+++ b/internal/fleet/bench_test.go
@@ -11,7 +11,7 @@
 // BenchmarkStartAndEnd measures the leader's work for a task, from its start to its
 // acknowledged completion, with 50 endpoints.
 func BenchmarkStartAndEnd(b *testing.B) {
-	s := newSimulation(&testing.T{}, simulationConfig{})
+	s := newSimulation(&testing.T{}, simulationConfig{unchecked: true})
 	for n := range 50 {
 		s.addEndpoint(fleet.EndpointID(fmt.Sprintf("i-%02d", n)))
 	}
@@ -47,7 +47,7 @@
 }
 
 func benchmarkStepAtPeak(b *testing.B, hostCount int) {
-	s := newSimulation(&testing.T{}, simulationConfig{})
+	s := newSimulation(&testing.T{}, simulationConfig{unchecked: true})
 	var hosts []fleet.Host
 	for n := range hostCount {
 		hosts = append(hosts, newHost([]string{poolName, otherPool}[n%2], fleet.EndpointID(fmt.Sprintf("i-%04d", n))))
--- a/internal/fleet/endpointstate.go
+++ b/internal/fleet/endpointstate.go
@@ -48,6 +48,7 @@
 	// leaseUntil is the latest lease that was sent, on the endpoint's clock.
 	leaseUntil time.Duration
 	runs       map[runKey]*run
+	tally      runTally
 	// lastRead is the number of the newest completion that was read, ackable the newest
 	// that may be acknowledged, and acked the newest that has been.
 	lastRead, ackable, acked int64
@@ -86,15 +87,6 @@
 	return &endpoint{row: row, listed: true, listedAt: now, startedAt: row.StartedAt, runs: map[runKey]*run{}}
 }
 
-// used returns the capacity reserved by the endpoint's runs.
-func (e *endpoint) used() policy.Resources {
-	var sum policy.Resources
-	for _, r := range e.runs {
-		sum = sum.Plus(r.reserved)
-	}
-	return sum
-}
-
 // isEmpty reports whether the endpoint has no runs and no unacknowledged completions.
 // A later leader could not read such completions anywhere else.
 func (e *endpoint) isEmpty() bool {
@@ -103,7 +95,7 @@
 
 // available returns the endpoint's free capacity.
 func (e *endpoint) available() policy.Resources {
-	return e.row.Capacity.Minus(e.used())
+	return e.row.Capacity.Minus(e.tally.reserved)
 }
 
 // rack returns the endpoint's rack, the first label of the form r...-...; the kind precedes it.
--- a/internal/fleet/leader_test.go
+++ b/internal/fleet/leader_test.go
@@ -26,8 +26,9 @@
 	startedAt time.Time
 	orders    fleet.Orders
 	// running and ended are what each endpoint reports.
-	running map[fleet.EndpointID][]fleet.RunningTask
-	ended   map[fleet.EndpointID][]fleet.Completion
+	running   map[fleet.EndpointID][]fleet.RunningTask
+	ended     map[fleet.EndpointID][]fleet.Completion
+	unchecked bool
 }
 
 type simulationConfig struct {
@@ -35,6 +36,8 @@
 	policy   policy.Config
 	jobs     []fleet.StoredJob
 	unloaded bool
+	// unchecked is set by benchmarks: the check of the counts takes longer than a step.
+	unchecked bool
 }
 
 func newSimulation(t *testing.T, config simulationConfig) *simulation {
@@ -44,7 +47,7 @@
 		config.token = 1
 	}
 	s := &simulation{
-		t: t, now: now, startedAt: now,
+		t: t, unchecked: config.unchecked, now: now, startedAt: now,
 		running: map[fleet.EndpointID][]fleet.RunningTask{}, ended: map[fleet.EndpointID][]fleet.Completion{},
 	}
 	s.leader = fleet.New(fleet.Config{Token: config.token, Now: now, Bounds: fleet.Bounds{
@@ -106,6 +109,12 @@
 // step runs one step of the leader.
 func (s *simulation) step() fleet.Orders {
 	s.orders = s.leader.Step(s.now, s.now)
+	if s.unchecked {
+		return s.orders
+	}
+	if err := s.leader.CheckTallies(); err != nil {
+		s.t.Error(err)
+	}
 	return s.orders
 }
 
--- a/internal/fleet/move.go
+++ b/internal/fleet/move.go
@@ -246,7 +246,7 @@
 		var surplus []*endpoint
 		for _, h := range l.hosts.byID {
 			e := l.endpointOf(h)
-			if h.row.Pool != need.pool || h.pendingChange != nil || e == nil || e.persistentRuns() > 0 {
+			if h.row.Pool != need.pool || h.pendingChange != nil || e == nil || e.tally.persistent > 0 {
 				continue
 			}
 			if len(e.runs) > 0 || need.isReduced {
--- a/internal/fleet/renewal.go
+++ b/internal/fleet/renewal.go
@@ -199,7 +199,7 @@
 		return nil
 	}
 	if j == nil {
-		e.runs[key] = r
+		e.addRun(r)
 		l.stopRun(r, "job does not exist", now)
 		return r
 	}
@@ -210,7 +210,7 @@
 	r.job = j
 	r.inheritedStopsEnd = now.Add(l.config.Bounds.Stop)
 	r.reserved = step.Reserved()
-	e.runs[key] = r
+	e.addRun(r)
 	duplicate := len(j.active[key.task]) > 0
 	l.trackRun(r)
 	j.started = true
--- a/internal/fleet/step.go
+++ b/internal/fleet/step.go
@@ -28,8 +28,9 @@
 		pools[pool] = append(pools[pool], j)
 	}
 	if l.confirmed(now) {
+		allRunsKnown := l.allRunsKnown(now)
 		for pool, jobs := range pools {
-			l.schedule(pool, jobs, &orders, now)
+			l.schedule(pool, jobs, allRunsKnown, &orders, now)
 		}
 		l.findOverdue(&orders, now)
 		if l.hosts.planIsDue(now) {
@@ -38,8 +39,12 @@
 	}
 	l.evacuate(now)
 	for _, e := range l.endpoints {
-		l.orderStops(e, &orders, now)
-		l.throttleBestEffort(e, &orders, now)
+		if e.tally.stopping > 0 {
+			l.orderStops(e, &orders, now)
+		}
+		if e.tally.bestEffort > 0 {
+			l.throttleBestEffort(e, &orders, now)
+		}
 	}
 	return orders
 }
@@ -64,9 +69,8 @@
 }
 
 // schedule starts a pool's pending tasks in the order of their ranks, while there is
-// free capacity.
-func (l *Leader) schedule(pool string, jobs []*jobState, orders *Orders, now time.Time) {
-	allRunsKnown := l.allRunsKnown(now)
+// free capacity. Inherited jobs wait until all runs are known.
+func (l *Leader) schedule(pool string, jobs []*jobState, allRunsKnown bool, orders *Orders, now time.Time) {
 	var groups []taskGroup
 	for _, j := range jobs {
 		if j.inherited && !allRunsKnown {
@@ -134,7 +138,7 @@
 		if e.row.Pool != pool || !e.acceptsWork(now) {
 			continue
 		}
-		candidates = append(candidates, &candidateEndpoint{endpoint: e, available: e.available(), persistent: e.persistentRuns()})
+		candidates = append(candidates, &candidateEndpoint{endpoint: e, available: e.available(), persistent: e.tally.persistent})
 	}
 	slices.SortFunc(candidates, func(a, b *candidateEndpoint) int {
 		switch {
@@ -149,17 +153,6 @@
 	return candidates
 }
 
-// persistentRuns counts the endpoint's runs of persistent tasks.
-func (e *endpoint) persistentRuns() int {
-	count := 0
-	for _, r := range e.runs {
-		if r.isPersistent() {
-			count++
-		}
-	}
-	return count
-}
-
 // isPersistent reports whether the run belongs to a persistent task.
 func (r *run) isPersistent() bool {
 	return r.job != nil && r.job.submission.Steps[r.key.task.Step].Persistent
@@ -227,7 +220,7 @@
 		key: runKey{task, number}, endpoint: e, job: g.job, state: runStarting, orderedAt: now,
 		percent: 100, reserved: g.step.step.Reserved(), checkpoint: g.job.checkpoint[task],
 	}
-	e.runs[r.key] = r
+	e.addRun(r)
 	l.trackRun(r)
 	g.job.recordRun(r.key)
 	g.job.started = true
--- a/internal/fleet/wave.go
+++ b/internal/fleet/wave.go
@@ -180,6 +180,6 @@
 		}
 		return costUnknown
 	}
-	persistent := e.persistentRuns()
+	persistent := e.tally.persistent
 	return persistent*costPersistent + (len(e.runs)-persistent)*costRun
 }
