control: answers to hellos do not wait for the leader's decisions

Cause: the answer to a hello asks whether the jobs are loaded and for the largest hosts. Both took the lock under which steps, replies and submissions are worked on, and for each hello 2,200 hosts and endpoints were walked.

Change: both are read without that lock; the largest hosts are those of the last step.

Test: TestHelloDoesNotWaitForDecisions, which waits forever with the former code.

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -203,9 +203,7 @@
 	if t == nil {
 		return policy.Resources{}
 	}
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return t.leader.MaxHostResources()
+	return *t.maxHostResources.Load()
 }
 
 // EndpointCount returns how many endpoints the leader has, also while it still reads
--- a/internal/control/load.go
+++ b/internal/control/load.go
@@ -58,7 +58,8 @@
 	for _, id := range rows.earlyCancels {
 		t.leader.CancelJob(id, now)
 	}
-	t.loaded = true
+	t.recordMaxHostResources()
+	t.loaded.Store(true)
 }
 
 // loadedRows is the stored state that a new leader starts from.
--- a/internal/control/load_test.go
+++ b/internal/control/load_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/lovagedyke/lovagedyke/internal/fleet"
 	"github.com/lovagedyke/lovagedyke/internal/job"
+	"github.com/lovagedyke/lovagedyke/internal/policy"
 	"github.com/lovagedyke/lovagedyke/internal/record"
 	"github.com/lovagedyke/lovagedyke/internal/table"
 )
@@ -103,3 +104,27 @@
 		t.Errorf("rows decoded once it is known: got %d, want %d", got, want)
 	}
 }
+
+// Pattern: turns-beyond-the-pool. A leader whose answers to hellos wait for its
+// decisions is taken for dead at the peak, and replaced when that costs most.
+func TestHelloDoesNotWaitForDecisions(t *testing.T) {
+	control := New(Config{Store: table.NewMemory(), Journal: discardJournal{}})
+	control.term = newTerm(context.Background(), control, record.Claim{Token: 2}, 1)
+	control.term.leader.Load(nil, time.Now(), time.Now())
+	control.term.loaded.Store(true)
+	want := policy.Resources{CPU: 16000, Memory: 65536}
+	control.term.leader.UpdateEndpoint(fleet.EndpointRow{ID: "i-1", Capacity: want}, time.Now())
+	control.term.mu.Lock()
+	defer control.term.mu.Unlock()
+	control.term.recordMaxHostResources()
+	answered := make(chan policy.Resources, 1)
+	go func() { answered <- control.MaxHostResources() }()
+	select {
+	case got := <-answered:
+		if got != want {
+			t.Errorf("largest host: got %+v, want %+v", got, want)
+		}
+	case <-time.After(10 * time.Second):
+		t.Error("the answer to a hello waits while the leader decides")
+	}
+}
--- a/internal/control/term.go
+++ b/internal/control/term.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -54,9 +55,14 @@
 	writer  *writer
 	group   *loops.Group
 
+	// maxHostResources and loaded are in the answer to a hello, which must not wait for
+	// the decisions of a busy leader: others would take over.
+	maxHostResources atomic.Pointer[policy.Resources]
+
+	loaded atomic.Bool
+
 	mu       sync.Mutex
 	leader   *fleet.Leader
-	loaded   bool
 	sessions map[fleet.EndpointID]*endpointSession
 	// wakeStep wakes stepLoop, wakeBatch wakes batchLoop.
 	wakeStep, wakeBatch chan struct{}
@@ -76,6 +82,7 @@
 		hostOrders: make(chan hostOrder, hostOrderQueueSize), adviceRequests: make(chan fleet.AdviceRequest, adviceQueueSize),
 		lookups: make(chan job.ID, lookupQueueSize),
 	}
+	t.maxHostResources.Store(&policy.Resources{})
 	t.writer = newWriter(writerConfig{
 		Store: c.config.Store, Journal: c.config.Journal, Token: claim.Token, ClaimVersion: version,
 		Confirmed: func(sentAt time.Time) { t.locked(func() { t.leader.ConfirmLeadership(sentAt) }) },
@@ -154,9 +161,7 @@
 }
 
 func (t *term) isLoaded() bool {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return t.loaded
+	return t.loaded.Load()
 }
 
 // setPolicy applies a new configuration.
@@ -238,11 +243,19 @@
 	t.locked(func() {
 		t.leader.ConfirmLeadership(confirmedAt)
 		t.queueOrders(t.leader.Step(started, started))
+		t.recordMaxHostResources()
 	})
 	metrics.GetOrCreateHistogram("leader_step_seconds").UpdateDuration(started)
 	return time.Since(started)
 }
 
+// recordMaxHostResources records the largest hosts for answers to hellos; t.mu must be
+// held.
+func (t *term) recordMaxHostResources() {
+	largest := t.leader.MaxHostResources()
+	t.maxHostResources.Store(&largest)
+}
+
 // queueOrders queues the orders of a step; t.mu must be held.
 func (t *term) queueOrders(orders fleet.Orders) {
 	t.syncSessions()
