A process without the store asks a few peers for a newer configuration, not all

Cause: while the store did not answer, each process asked all peers, two at a time and again 0.3 s after the last. At 147 processes that is some hundred calls a second for each of them, and as many to answer, for a version that announcements and views tell of anyway.

Change: six peers a round, all of them once a newer version has been heard of.

Test: TestPeersToAsk.

--- a/internal/process/feeds.go
+++ b/internal/process/feeds.go
@@ -40,6 +40,9 @@
 	// policyCallTimeout one that transfers a part of the configuration over a slow link.
 	hintCallTimeout   = time.Second
 	policyCallTimeout = 1500 * time.Millisecond
+	// maxUninformedAsks is the number of peers asked in a round by a process that has
+	// not heard of a newer version.
+	maxUninformedAsks = 6
 	// peerBatchSize is the number of peers asked for a configuration at a time.
 	peerBatchSize = 2
 )
@@ -180,15 +183,26 @@
 func (n *nodeProcess) peerFeed(ctx context.Context) {
 	for ctx.Err() == nil {
 		sleep(ctx, peerPolicyInterval)
-		if _, behind := n.lag.Behind(time.Now()); n.member.StoreReached() && behind < peerPolicyDelay {
+		_, behind := n.lag.Behind(time.Now())
+		if n.member.StoreReached() && behind < peerPolicyDelay {
 			continue
 		}
 		peers := n.member.Peers()
 		rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
-		askInBatches(peers, func(peer record.Member) bool { return n.fetchPolicy(ctx, peer) })
+		askInBatches(peersToAsk(peers, behind), func(peer record.Member) bool { return n.fetchPolicy(ctx, peer) })
 	}
 }
 
+// peersToAsk returns the peers to ask in one round: all until one has the newer version
+// that this process has heard of, or a few if it has heard of none. In a large fleet
+// without a store, asking all would take much of every processor.
+func peersToAsk(peers []record.Member, behind time.Duration) []record.Member {
+	if behind > 0 {
+		return peers
+	}
+	return peers[:min(len(peers), maxUninformedAsks)]
+}
+
 // askInBatches asks a few peers at a time until one of them has a newer
 // configuration. A configuration may be large and the link slow: if all peers
 // were asked at once, their answers would fill the link for many seconds, and all
--- a/internal/process/feeds_test.go
+++ b/internal/process/feeds_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"sync"
 	"testing"
+	"time"
 
 	"github.com/lovagedyke/lovagedyke/internal/record"
 )
@@ -39,3 +40,27 @@
 		})
 	}
 }
+
+// Pattern: store-away-in-a-large-fleet. With the store away for all, each of 147
+// processes asked all others several times a second for a version that none had.
+func TestPeersToAsk(t *testing.T) {
+	peers := make([]record.Member, 146)
+	tests := map[string]struct {
+		peers  []record.Member
+		behind time.Duration
+		want   int
+	}{
+		"no newer version heard of":     {peers: peers, want: maxUninformedAsks},
+		"a newer version heard of":      {peers: peers, behind: time.Millisecond, want: len(peers)},
+		"small fleet, none heard of":    {peers: peers[:2], want: 2},
+		"no peers, a newer version":     {behind: time.Second},
+		"no peers, no version heard of": {},
+	}
+	for name, c := range tests {
+		t.Run(name, func(t *testing.T) {
+			if got := len(peersToAsk(c.peers, c.behind)); got != c.want {
+				t.Errorf("peers asked: got %d, want %d", got, c.want)
+			}
+		})
+	}
+}
