control: after a batch only the endpoints that it concerns are woken

Cause: after each batch, up to 33 times a second, the sessions of all endpoints were woken to see whether completions can be acknowledged: each of a thousand took the leader's lock, looked and set a timer again.

Change: MarkBatchWritten returns the endpoints whose completions can be acknowledged.

Test: TestBatchNamesEndpointsToAcknowledge.

--- a/internal/control/batch.go
+++ b/internal/control/batch.go
@@ -72,8 +72,7 @@
 	}
 	t.writeWaveStatus(ctx, waves)
 	if hasBatch {
-		t.locked(func() { t.leader.MarkBatchWritten(batch, time.Now()) })
-		t.wakeEndpoints()
+		t.locked(func() { t.wakeSessions(t.leader.MarkBatchWritten(batch, time.Now())) })
 		t.requestStep()
 	}
 	return true
--- a/internal/control/endpoints.go
+++ b/internal/control/endpoints.go
@@ -96,12 +96,13 @@
 	}
 }
 
-// wakeEndpoints lets the sessions check whether completions can be acknowledged.
-func (t *term) wakeEndpoints() {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	for _, session := range t.sessions {
-		signal(session.wake)
+// wakeSessions lets endpoints' sessions check what is due; t.mu must be held. Waking
+// all of a thousand after each batch would take a part of the leader's processor.
+func (t *term) wakeSessions(endpoints []fleet.EndpointID) {
+	for _, id := range endpoints {
+		if session := t.sessions[id]; session != nil {
+			signal(session.wake)
+		}
 	}
 }
 
--- a/internal/fleet/leader_test.go
+++ b/internal/fleet/leader_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"net/netip"
 	"testing"
 	"time"
@@ -239,6 +240,42 @@
 	}
 }
 
+// Pattern: turns-beyond-the-pool. After each batch only endpoints whose completions it
+// held are looked at: looking at a thousand of them takes a part of the leader's
+// processor. An endpoint that is left out would not be acknowledged.
+func TestBatchNamesEndpointsToAcknowledge(t *testing.T) {
+	s := newSimulation(t, simulationConfig{})
+	for _, id := range []fleet.EndpointID{"a", "b", "c"} {
+		s.addEndpoint(id)
+	}
+	s.submit(submission(1, tasks(12)))
+	starts := s.step().Starts
+	s.acceptStarts()
+	want := map[fleet.EndpointID]bool{}
+	for _, start := range starts {
+		if start.Endpoint != "c" {
+			s.endRun(start, fleet.CompletionDone)
+			want[start.Endpoint] = true
+		}
+	}
+	for id := range want {
+		s.renewLease(id)
+	}
+	got := map[fleet.EndpointID]bool{}
+	for {
+		batch, ok := s.leader.NextBatch()
+		if !ok {
+			break
+		}
+		for _, id := range s.leader.MarkBatchWritten(batch, s.now) {
+			got[id] = true
+		}
+	}
+	if len(want) == 0 || !maps.Equal(got, want) {
+		t.Errorf("endpoints to acknowledge: got %v, want %v", got, want)
+	}
+}
+
 // The lease of an idle endpoint is rarely renewed, and it must still accept work.
 func TestIdleEndpointAcceptsWorkAfterLongTime(t *testing.T) {
 	s := newSimulation(t, simulationConfig{})
--- a/internal/fleet/renewal.go
+++ b/internal/fleet/renewal.go
@@ -151,12 +151,15 @@
 	}
 }
 
-// advanceAcks makes completions ackable whose batches have been written.
-func (e *endpoint) advanceAcks(written uint64) {
+// advanceAcks makes completions ackable whose batches have been written. It reports
+// whether there were any.
+func (e *endpoint) advanceAcks(written uint64) bool {
+	before := len(e.unpersisted)
 	for len(e.unpersisted) > 0 && e.unpersisted[0].batch <= written {
 		e.ackable = e.unpersisted[0].number
 		e.unpersisted = e.unpersisted[1:]
 	}
+	return len(e.unpersisted) < before
 }
 
 // handleReportedRun processes an active run in a report.
--- a/internal/fleet/writequeue.go
+++ b/internal/fleet/writequeue.go
@@ -89,8 +89,9 @@
 	return encoded
 }
 
-// MarkBatchWritten records that the store holds a batch.
-func (l *Leader) MarkBatchWritten(batch Batch, now time.Time) {
+// MarkBatchWritten records that the store holds a batch. It returns the endpoints whose
+// completions can be acknowledged now.
+func (l *Leader) MarkBatchWritten(batch Batch, now time.Time) []EndpointID {
 	l.writeQueue.written = max(l.writeQueue.written, batch.Number)
 	for id, state := range batch.states {
 		j := l.jobs[id]
@@ -105,9 +106,13 @@
 			delete(l.writeQueue.batchByJob, id)
 		}
 	}
-	for _, e := range l.endpoints {
-		e.advanceAcks(l.writeQueue.written)
+	var ackable []EndpointID
+	for id, e := range l.endpoints {
+		if e.advanceAcks(l.writeQueue.written) {
+			ackable = append(ackable, id)
+		}
 	}
+	return ackable
 }
 
 // ExpiredJobs returns at most limit jobs whose rows have outlived their retention.
