fleet: endpoints without room for the smallest waiting task are not tried

Cause: for each waiting size a step tried all endpoints of the pool, of which nearly all are full at the peak.

Change: a step tries those that have room for the smallest size of each resource among the waiting tasks. Which endpoint is chosen does not change.

Test: TestWithRoom.

--- a/internal/fleet/step.go
+++ b/internal/fleet/step.go
@@ -87,9 +87,10 @@
 	}
 	slices.SortFunc(groups, func(a, b taskGroup) int { return a.rank.compare(b.rank) })
 	candidates := l.candidates(pool, now)
+	open := withRoom(candidates, groups)
 	var unplaceable unplaceableSizes
 	for _, g := range groups {
-		l.startGroup(g, candidates, &unplaceable, orders, now)
+		l.startGroup(g, candidates, open, &unplaceable, orders, now)
 		l.logWait(g, candidates, now)
 	}
 }
@@ -158,13 +159,13 @@
 	return r.job != nil && r.job.submission.Steps[r.key.task.Step].Persistent
 }
 
-// startGroup starts as many of a step's pending tasks as fit.
-func (l *Leader) startGroup(g taskGroup, candidates []*candidateEndpoint, unplaceable *unplaceableSizes, orders *Orders, now time.Time) {
+// startGroup starts as many of a step's pending tasks as fit on the open candidates.
+func (l *Leader) startGroup(g taskGroup, candidates, open []*candidateEndpoint, unplaceable *unplaceableSizes, orders *Orders, now time.Time) {
 	if !l.hasAdvice(g, candidates, orders, now) || unplaceable.contains(g.step.step.Reserved()) {
 		return
 	}
 	if g.step.step.Gang {
-		l.startGang(g, candidates, orders, now)
+		l.startGang(g, open, orders, now)
 		return
 	}
 	var remaining []int
@@ -174,14 +175,14 @@
 			break
 		}
 		task := g.job.taskAt(g.step.key, index)
-		target := l.choose(g, task, candidates)
+		target := l.choose(g, task, open)
 		if target == nil {
 			// The same limits apply to the other tasks of the step.
 			remaining = append(remaining, g.step.pending[i:]...)
 			if g.step.step.Persistent {
 				holdHosts(g, len(remaining), candidates)
 			}
-			if fitsNowhere(g.step.step.Reserved(), candidates) {
+			if fitsNowhere(g.step.step.Reserved(), open) {
 				unplaceable.add(g.step.step.Reserved())
 			}
 			break
--- a/internal/fleet/unplaceable.go
+++ b/internal/fleet/unplaceable.go
@@ -30,6 +30,25 @@
 	u.rejected = append(kept, size)
 }
 
+// withRoom returns the candidates that may have room for a task of some group. At the peak
+// most have none, and need not be tried for each task.
+func withRoom(candidates []*candidateEndpoint, groups []taskGroup) []*candidateEndpoint {
+	smallest := groups[0].step.step.Reserved()
+	for _, g := range groups {
+		size := g.step.step.Reserved()
+		smallest = policy.Resources{
+			CPU: min(smallest.CPU, size.CPU), Memory: min(smallest.Memory, size.Memory), GPU: min(smallest.GPU, size.GPU),
+		}
+	}
+	var open []*candidateEndpoint
+	for _, candidate := range candidates {
+		if smallest.FitsIn(candidate.available) {
+			open = append(open, candidate)
+		}
+	}
+	return open
+}
+
 // fitsNowhere reports whether no candidate has enough free capacity for a size.
 func fitsNowhere(size policy.Resources, candidates []*candidateEndpoint) bool {
 	for _, candidate := range candidates {
--- a/internal/fleet/unplaceable_test.go
+++ b/internal/fleet/unplaceable_test.go
@@ -3,6 +3,7 @@
 import (
 	"testing"
 
+	"github.com/lovagedyke/lovagedyke/internal/job"
 	"github.com/lovagedyke/lovagedyke/internal/policy"
 )
 
@@ -33,3 +34,34 @@
 		})
 	}
 }
+
+// Pattern: turns-beyond-the-pool. At the peak nearly all endpoints are full: trying each
+// of them for each task takes a large part of a step.
+func TestWithRoom(t *testing.T) {
+	size := func(cpu, memory int64) policy.Resources { return policy.Resources{CPU: cpu, Memory: memory} }
+	tests := map[string]struct {
+		available, sizes []policy.Resources
+		want             int
+	}{
+		"all full":                     {available: []policy.Resources{size(0, 9), size(1, 1)}, sizes: []policy.Resources{size(2, 2)}},
+		"room for the smallest of two": {available: []policy.Resources{size(0, 9), size(2, 2)}, sizes: []policy.Resources{size(8, 8), size(2, 2)}, want: 1},
+		"room for one in each part":    {available: []policy.Resources{size(2, 2)}, sizes: []policy.Resources{size(2, 8), size(8, 2)}, want: 1},
+		"a size of nothing":            {available: []policy.Resources{size(0, 0), size(-1, 4)}, sizes: []policy.Resources{size(0, 0)}, want: 1},
+		"no endpoint":                  {sizes: []policy.Resources{size(1, 1)}},
+	}
+	for name, c := range tests {
+		t.Run(name, func(t *testing.T) {
+			var candidates []*candidateEndpoint
+			for _, available := range c.available {
+				candidates = append(candidates, &candidateEndpoint{available: available})
+			}
+			var groups []taskGroup
+			for _, size := range c.sizes {
+				groups = append(groups, taskGroup{step: &stepState{step: job.Step{Resources: size}}})
+			}
+			if got := len(withRoom(candidates, groups)); got != c.want {
+				t.Errorf("endpoints with room: got %d, want %d", got, c.want)
+			}
+		})
+	}
+}
