node: a metrics port above 65535 is an error

It wrapped: -metrics-port 65536 served no metrics, 65537 port 1. TestExitCodes 'port out of range' fails before (the command asks for its settings file instead).

--- a/cmd/lovagedyke/cmd_node.go
+++ b/cmd/lovagedyke/cmd_node.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"flag"
+	"math"
 	"net/netip"
 
 	"github.com/cockroachdb/errors"
@@ -20,6 +21,9 @@
 		level := flags.String("log-level", "info", "log level: debug, info, warn or error")
 		port := flags.Uint("metrics-port", 0, "port on this host's address that serves metrics and the state dump; 0 disables it")
 		return func(ctx context.Context, env *Env, _ []string) error {
+			if *port > math.MaxUint16 {
+				return usagef("-metrics-port is %d, want at most %d", *port, math.MaxUint16)
+			}
 			return node(ctx, env, *level, uint16(*port))
 		}
 	},
