--- a/cmd/lovagedyke/cmd_node.go
+++ b/cmd/lovagedyke/cmd_node.go
@@ -20,7 +20,10 @@
 	Setup: func(flags *flag.FlagSet, env *Env) Action {
 		level := flags.String("log-level", "info", "log level: debug, info, warn or error")
 		port := flags.Uint("metrics-port", 0, "port on this host's address that serves metrics and the state dump; 0 disables it")
-		return func(ctx context.Context, env *Env, _ []string) error {
+		return func(ctx context.Context, env *Env, args []string) error {
+			if len(args) > 0 {
+				return usagef("got %d arguments, want none (%q is not a flag)", len(args), args[0])
+			}
 			if *port > math.MaxUint16 {
 				return usagef("-metrics-port is %d, want at most %d", *port, math.MaxUint16)
 			}
