--- a/internal/control/term.go
+++ b/internal/control/term.go
@@ -58,8 +58,7 @@
 	// maxHostResources and loaded are in the answer to a hello, which must not wait for
 	// the decisions of a busy leader: others would take over.
 	maxHostResources atomic.Pointer[policy.Resources]
-
-	loaded atomic.Bool
+	loaded           atomic.Bool
 
 	mu       sync.Mutex
 	leader   *fleet.Leader
--- a/internal/process/node.go
+++ b/internal/process/node.go
@@ -82,7 +82,8 @@
 	store    *platform.Store
 	operator platform.OperatorRows
 	holder   *policy.Holder
-	lag      policy.Lag
+	// lag is how far this process is behind the newest configuration.
+	lag policy.Lag
 	// download is the configuration that peers are sending, and downloading is held
 	// by the goroutine that adds to it.
 	download    policy.Download
