--- a/internal/manager/waves.go
+++ b/internal/manager/waves.go
@@ -19,8 +19,8 @@
 	waveInterval = 500 * time.Millisecond
 	// waveKeyPrefix is the key prefix of the waves' rows, one for each pool.
 	waveKeyPrefix = "wave/"
-	// fullAvailabilityBudget is passed to waves because the use of the
-	// availability budget is not measured yet.
+	// fullAvailabilityBudget is passed to waves, since managers do not track how
+	// much of the availability budget is used.
 	fullAvailabilityBudget = 1
 )
 
