process: the test of large configurations uses the stand-in's store

Cause: it had a store and an encoder of configurations of its own, with the platform's names outside platform/ and a second copy of what platform/standin has.

Cases and bounds are as before; a feed now returns each version between, as the stand-in does.

--- a/internal/process/configuration_test.go
+++ b/internal/process/configuration_test.go
@@ -2,13 +2,10 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"io"
-	"math/rand/v2"
 	"net/http"
 	"net/netip"
-	"strconv"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -18,85 +15,13 @@
 	"github.com/lovagedyke/lovagedyke/internal/member"
 	"github.com/lovagedyke/lovagedyke/internal/member/memberpb"
 	"github.com/lovagedyke/lovagedyke/platform"
+	"github.com/lovagedyke/lovagedyke/platform/standin"
 )
 
-// configurationStore is the platform's store with one row, the configuration.
-type configurationStore struct {
-	mu      sync.Mutex
-	version uint64
-	// answer is the response to a process that does not have the version.
-	answer  []byte
-	changed chan struct{}
-}
-
-// set writes the configuration.
-func (s *configurationStore) set(t *testing.T, version uint64, value []byte) {
-	t.Helper()
-	row := map[string]any{"table": "op", "key": "config", "value": value, "ver": version}
-	answer, err := json.Marshal(map[string]any{"ver": version, "rows": []any{row}})
-	if err != nil {
-		t.Fatal(err)
-	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.version, s.answer = version, answer
-	if s.changed != nil {
-		close(s.changed)
-	}
-	s.changed = make(chan struct{})
-}
-
-func (s *configurationStore) read() (version uint64, answer []byte, changed chan struct{}) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.version, s.answer, s.changed
-}
-
-// ServeHTTP answers rows-get and rows-feed.
-func (s *configurationStore) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	version, answer, changed := s.read()
-	after, _ := strconv.ParseUint(r.URL.Query().Get("after"), 10, 64)
-	wait, _ := strconv.Atoi(r.URL.Query().Get("wait_ms"))
-	if version <= after {
-		select {
-		case <-changed:
-			version, answer, _ = s.read()
-		case <-time.After(time.Duration(wait) * time.Millisecond):
-		case <-r.Context().Done():
-		}
-	}
-	if version <= after {
-		answer = fmt.Appendf(nil, `{"ver": %d, "rows": []}`, version)
-	}
-	_, _ = w.Write(answer) // fails if the process has given up
-}
-
-// encodeConfiguration returns a configuration with the given number of queues, in the
-// operators' format, with names that no other queue has.
-func encodeConfiguration(t *testing.T, version uint64, queues int) []byte {
-	t.Helper()
-	random := rand.New(rand.NewPCG(version, 1))
-	var routes []map[string]any
-	for n := range queues {
-		routes = append(routes, map[string]any{
-			"name": fmt.Sprintf("r-%07x-%d", random.Uint32(), n), "host": fmt.Sprintf("%06x.example", random.Uint32()>>8),
-			"prefix": fmt.Sprintf("/%08x/", random.Uint32()), "service": "pool", "anonymous": false, "priority": n % 3,
-			"max_attempts": 4, "stretch": 1.6, "target_completion_ms": 600, "timeout_ms": 3000, "require_key": true,
-		})
-	}
-	encoded, err := json.Marshal(map[string]any{
-		"version": version, "routes": routes, "services": []map[string]any{{"name": "pool", "rejects_overload": true}},
-	})
-	if err != nil {
-		t.Fatal(err)
-	}
-	return encoded
-}
-
 // configurationFleet is a number of processes that follow the operators' rows.
 type configurationFleet struct {
 	network   *testNetwork
-	store     *configurationStore
+	store     *standin.Store
 	processes []*nodeProcess
 	services  []*member.Service
 	stop      func()
@@ -113,8 +38,8 @@
 // that their waits for changes end at different moments.
 func startConfigurationFleet(t *testing.T, links []float64) *configurationFleet {
 	t.Helper()
-	f := &configurationFleet{network: newTestNetwork(), store: &configurationStore{}}
-	f.store.set(t, 1, encodeConfiguration(t, 1, 50))
+	f := &configurationFleet{network: newTestNetwork(), store: standin.NewStore()}
+	f.store.WritePolicy(1, 50)
 	ctx, cancel := context.WithCancel(t.Context())
 	var wait sync.WaitGroup
 	servers := []*http.Server{f.serve(&wait, f.network.listen(storeAddress, 4000), f.store)}
@@ -156,6 +81,8 @@
 		}
 		f.network.close()
 		wait.Wait()
+		// The store's handlers notice after their waits that their callers are gone.
+		time.Sleep(2 * operatorFeedTimeout)
 	}
 	return f
 }
@@ -180,12 +107,6 @@
 	return server
 }
 
-// change writes a configuration with the given number of queues.
-func (f *configurationFleet) change(t *testing.T, version uint64, queues int) {
-	t.Helper()
-	f.store.set(t, version, encodeConfiguration(t, version, queues))
-}
-
 // wantInForce fails the test for each process with an older version than want.
 func (f *configurationFleet) wantInForce(t *testing.T, want uint64) {
 	t.Helper()
@@ -239,7 +160,7 @@
 					if index > 0 {
 						time.Sleep(c.gap)
 					}
-					f.change(t, uint64(index+2), queues)
+					f.store.WritePolicy(index+2, queues)
 				}
 				time.Sleep(c.bound)
 				f.wantInForce(t, uint64(len(c.queues)+1))
@@ -270,7 +191,7 @@
 				sleep(ctx, 10*time.Millisecond)
 			}
 		}()
-		f.change(t, 2, 4250)
+		f.store.WritePolicy(2, 4250)
 		time.Sleep(3 * time.Second)
 		f.wantInForce(t, 2)
 		cancel()
