--- a/internal/control/batch.go
+++ b/internal/control/batch.go
@@ -6,6 +6,7 @@
 
 	"github.com/lovagedyke/lovagedyke/internal/fleet"
 	"github.com/lovagedyke/lovagedyke/internal/job"
+	"github.com/lovagedyke/lovagedyke/internal/loops"
 	"github.com/lovagedyke/lovagedyke/internal/record"
 	"github.com/lovagedyke/lovagedyke/internal/table"
 )
@@ -36,7 +37,7 @@
 			signal(t.wakeBatch)
 			continue
 		}
-		if !sleep(ctx, minBatchPause) {
+		if !loops.Sleep(ctx, minBatchPause) {
 			return
 		}
 	}
@@ -94,7 +95,7 @@
 			if err := t.config.Store.Commit(ctx, txn); err == nil || table.IsConflict(err) {
 				break
 			}
-			if !sleep(ctx, commitRetryDelay) {
+			if !loops.Sleep(ctx, commitRetryDelay) {
 				return
 			}
 		}
@@ -103,7 +104,7 @@
 
 // cleanupLoop deletes the rows of jobs whose retention has expired.
 func (t *term) cleanupLoop(ctx context.Context) {
-	for sleep(ctx, cleanupInterval) {
+	for loops.Sleep(ctx, cleanupInterval) {
 		var ids []job.ID
 		t.locked(func() { ids = t.leader.ExpiredJobs(time.Now(), maxCleanupJobs) })
 		if len(ids) > 0 && t.deleteRows(ctx, ids) {
--- a/internal/control/endpoints.go
+++ b/internal/control/endpoints.go
@@ -7,6 +7,7 @@
 	"github.com/VictoriaMetrics/metrics"
 
 	"github.com/lovagedyke/lovagedyke/internal/fleet"
+	"github.com/lovagedyke/lovagedyke/internal/loops"
 )
 
 const (
@@ -177,7 +178,7 @@
 			continue
 		}
 		if !s.renewLease(ctx, renewal) {
-			sleep(ctx, renewRetryDelay)
+			loops.Sleep(ctx, renewRetryDelay)
 		}
 	}
 }
@@ -220,7 +221,7 @@
 		t.config.Lost(t.claim.Token, "an endpoint knows a newer leader")
 	}
 	if len(report.Completions) > 0 {
-		sleep(ctx, completionBatchDelay)
+		loops.Sleep(ctx, completionBatchDelay)
 	}
 	return reply.Outcome == fleet.OrderAccepted
 }
--- a/internal/control/feeds.go
+++ b/internal/control/feeds.go
@@ -8,6 +8,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/lovagedyke/lovagedyke/internal/fleet"
+	"github.com/lovagedyke/lovagedyke/internal/loops"
 	"github.com/lovagedyke/lovagedyke/internal/table"
 )
 
@@ -53,7 +54,7 @@
 			t.config.Journal.Info("endpoint list not read", "version", version, "error", err.Error())
 			pause = feedRetryDelay
 		}
-		if !sleep(ctx, pause) {
+		if !loops.Sleep(ctx, pause) {
 			return
 		}
 	}
@@ -122,7 +123,7 @@
 		if err != nil {
 			pause = feedRetryDelay
 		}
-		if !sleep(ctx, pause) {
+		if !loops.Sleep(ctx, pause) {
 			return
 		}
 	}
--- a/internal/control/hosts.go
+++ b/internal/control/hosts.go
@@ -8,6 +8,7 @@
 	"github.com/sourcegraph/conc/pool"
 
 	"github.com/lovagedyke/lovagedyke/internal/fleet"
+	"github.com/lovagedyke/lovagedyke/internal/loops"
 	"github.com/lovagedyke/lovagedyke/internal/record"
 	"github.com/lovagedyke/lovagedyke/internal/table"
 )
@@ -91,7 +92,7 @@
 		case <-ctx.Done():
 			return
 		case first := <-t.hostOrders:
-			if !sleep(ctx, hostBatchDelay) {
+			if !loops.Sleep(ctx, hostBatchDelay) {
 				return
 			}
 			t.executeHostOrders(ctx, t.collectHostOrders(first))
@@ -174,7 +175,7 @@
 		}
 		interval := max(busyHostListInterval, time.Duration(len(list))*listIntervalPerHost)
 		for waited := time.Duration(0); waited < hostListInterval; waited += interval {
-			if !sleep(ctx, interval) {
+			if !loops.Sleep(ctx, interval) {
 				return
 			}
 			t.locked(func() {
--- a/internal/control/load.go
+++ b/internal/control/load.go
@@ -11,6 +11,7 @@
 
 	"github.com/lovagedyke/lovagedyke/internal/fleet"
 	"github.com/lovagedyke/lovagedyke/internal/job"
+	"github.com/lovagedyke/lovagedyke/internal/loops"
 	"github.com/lovagedyke/lovagedyke/internal/record"
 	"github.com/lovagedyke/lovagedyke/internal/table"
 )
@@ -27,7 +28,7 @@
 			return rows.versions, true
 		}
 		t.config.Journal.Info("leader state not loaded from the store", "error", err.Error())
-		if !sleep(t.ctx, loadRetryDelay) {
+		if !loops.Sleep(t.ctx, loadRetryDelay) {
 			return nil, false
 		}
 	}
--- a/internal/control/term.go
+++ b/internal/control/term.go
@@ -147,18 +147,6 @@
 	}
 }
 
-// sleep waits for d. It returns false early when ctx ends.
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
-
 func (t *term) isLoaded() bool {
 	return t.loaded.Load()
 }
@@ -229,7 +217,7 @@
 		}
 		timer.Stop()
 		took := t.step()
-		if !sleep(ctx, min(maxStepPause, max(minStepPause, stepPauseFactor*took))) {
+		if !loops.Sleep(ctx, min(maxStepPause, max(minStepPause, stepPauseFactor*took))) {
 			return
 		}
 	}
--- a/internal/control/writer.go
+++ b/internal/control/writer.go
@@ -8,6 +8,7 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/cockroachdb/errors"
 
+	"github.com/lovagedyke/lovagedyke/internal/loops"
 	"github.com/lovagedyke/lovagedyke/internal/record"
 	"github.com/lovagedyke/lovagedyke/internal/table"
 )
@@ -58,7 +59,7 @@
 			continue
 		}
 		metrics.GetOrCreateCounter("leader_commit_failures_total").Inc()
-		if !retry || !sleep(ctx, commitRetryDelay) {
+		if !retry || !loops.Sleep(ctx, commitRetryDelay) {
 			return false
 		}
 	}
--- a/internal/courier/link.go
+++ b/internal/courier/link.go
@@ -176,7 +176,7 @@
 				return
 			case <-l.wake:
 			}
-			if !sleep(ctx, sendDelay) {
+			if !loops.Sleep(ctx, sendDelay) {
 				return
 			}
 			if batch, ok := l.take(); ok {
@@ -299,15 +299,3 @@
 	}
 	return fleet.Reply{Outcome: fleet.OrderUnknown}
 }
-
-// sleep waits for d. It returns false early when ctx ends.
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
--- a/internal/loops/loops.go
+++ b/internal/loops/loops.go
@@ -8,6 +8,7 @@
 //	group.Go(part.pollLoop)
 //	group.Go(part.gossipLoop)
 //	group.Wait() // returns once ctx has ended and all loops have too
+//	loops.Sleep(ctx, interval) // within a loop
 package loops
 
 import (
--- a/internal/process/configuration_test.go
+++ b/internal/process/configuration_test.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/lovagedyke/lovagedyke/internal/journal"
+	"github.com/lovagedyke/lovagedyke/internal/loops"
 	"github.com/lovagedyke/lovagedyke/internal/member"
 	"github.com/lovagedyke/lovagedyke/internal/member/memberpb"
 	"github.com/lovagedyke/lovagedyke/platform"
@@ -90,7 +91,7 @@
 // exchangeViews gives all processes the view of the first one, as a leader does.
 func (f *configurationFleet) exchangeViews(ctx context.Context) {
 	for ctx.Err() == nil {
-		sleep(ctx, 250*time.Millisecond)
+		loops.Sleep(ctx, 250*time.Millisecond)
 		view, err := f.services[0].Hello(ctx, &memberpb.View{})
 		for _, service := range f.services[1:] {
 			if err == nil {
@@ -188,7 +189,7 @@
 			defer close(ended)
 			for ctx.Err() == nil {
 				f.processes[behind].member.ObserveStore(nil)
-				sleep(ctx, 10*time.Millisecond)
+				loops.Sleep(ctx, 10*time.Millisecond)
 			}
 		}()
 		f.store.WritePolicy(2, 4250)
--- a/internal/process/entry.go
+++ b/internal/process/entry.go
@@ -10,6 +10,7 @@
 
 	"github.com/lovagedyke/lovagedyke/internal/entry"
 	"github.com/lovagedyke/lovagedyke/internal/httpserver"
+	"github.com/lovagedyke/lovagedyke/internal/loops"
 	"github.com/lovagedyke/lovagedyke/internal/roster"
 	"github.com/lovagedyke/lovagedyke/internal/settings"
 )
@@ -68,7 +69,7 @@
 	p.log.Info("stopping", "balancer-delay", p.config.BalancerDelay, "grace", p.config.Grace)
 	p.setReady(errDraining)
 	callerServer.Drain()
-	sleep(context.Background(), p.config.BalancerDelay)
+	loops.Sleep(context.Background(), p.config.BalancerDelay)
 	// Requests that outlive the grace period are aborted, so that permits and
 	// claims can still be handed over.
 	requestCtx, cancel := context.WithTimeout(context.Background(), p.config.Grace)
@@ -96,7 +97,7 @@
 				close(dropped)
 				return
 			}
-			sleep(ctx, time.Second)
+			loops.Sleep(ctx, time.Second)
 		}
 	}()
 	return dropped
--- a/internal/process/feeds.go
+++ b/internal/process/feeds.go
@@ -8,6 +8,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/sourcegraph/conc/pool"
 
+	"github.com/lovagedyke/lovagedyke/internal/loops"
 	"github.com/lovagedyke/lovagedyke/internal/member/memberpb"
 	"github.com/lovagedyke/lovagedyke/internal/policy"
 	"github.com/lovagedyke/lovagedyke/internal/record"
@@ -125,7 +126,7 @@
 			if hinted.version <= n.holder.Version() {
 				continue
 			}
-			sleep(ctx, hintDelay+rand.N(hintDelay))
+			loops.Sleep(ctx, hintDelay+rand.N(hintDelay))
 			if hinted.version > n.holder.Version() {
 				n.fetchPolicy(ctx, hinted.from)
 			}
@@ -152,7 +153,7 @@
 		known = err == nil || known && !errors.Is(err, table.ErrHistoryLost)
 		if err != nil {
 			n.journal.Info("operators' rows not read", "version", version, "error", err.Error())
-			sleep(ctx, operatorRetryDelay)
+			loops.Sleep(ctx, operatorRetryDelay)
 		}
 	}
 }
--- a/internal/process/lag.go
+++ b/internal/process/lag.go
@@ -6,6 +6,7 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
+	"github.com/lovagedyke/lovagedyke/internal/loops"
 	"github.com/lovagedyke/lovagedyke/internal/record"
 )
 
@@ -32,7 +33,7 @@
 // how long it has been behind.
 func (n *nodeProcess) lagLoop(ctx context.Context) {
 	for ctx.Err() == nil {
-		sleep(ctx, lagInterval)
+		loops.Sleep(ctx, lagInterval)
 		n.measureLag()
 		if announced, behind := n.lag.Behind(time.Now()); behind > 0 {
 			n.journal.Info("configuration behind", "have", n.holder.Version(), "announced", announced,
--- a/internal/process/peerfeed.go
+++ b/internal/process/peerfeed.go
@@ -9,6 +9,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/sourcegraph/conc/pool"
 
+	"github.com/lovagedyke/lovagedyke/internal/loops"
 	"github.com/lovagedyke/lovagedyke/internal/member/memberpb"
 	"github.com/lovagedyke/lovagedyke/internal/policy"
 	"github.com/lovagedyke/lovagedyke/internal/record"
@@ -34,7 +35,7 @@
 // slower than they are. The store may answer small calls and not deliver a large row.
 func (n *nodeProcess) peerFeed(ctx context.Context) {
 	for ctx.Err() == nil {
-		sleep(ctx, peerPolicyInterval)
+		loops.Sleep(ctx, peerPolicyInterval)
 		_, behind := n.lag.Behind(time.Now())
 		if n.member.StoreReached() && behind < peerPolicyDelay {
 			continue
--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -210,11 +210,3 @@
 	p.dialer.Close()
 	p.platform.Close()
 }
-
-// sleep waits for d, or until the context ends.
-func sleep(ctx context.Context, d time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(d):
-	}
-}
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -162,7 +162,7 @@
 	faults := loops.New(ctx)
 	for _, fault := range plan {
 		faults.Go(func(ctx context.Context) {
-			sleep(ctx, time.Until(start.Add(fault.At)))
+			loops.Sleep(ctx, time.Until(start.Add(fault.At)))
 			s.inject(ctx, fault)
 		})
 	}
@@ -178,7 +178,7 @@
 	// temporarily starts an effect and stops it after the fault's duration.
 	temporarily := func(start, stop func()) {
 		start()
-		sleep(ctx, fault.Duration)
+		loops.Sleep(ctx, fault.Duration)
 		stop()
 	}
 	setLink := func(link *proxy, state linkState) {
@@ -243,7 +243,7 @@
 	attempts := loops.New(ctx)
 	for n := 0; time.Now().Before(end) && ctx.Err() == nil; n++ {
 		attempts.Go(func(ctx context.Context) { s.submitJob(ctx, n) })
-		sleep(ctx, jobInterval)
+		loops.Sleep(ctx, jobInterval)
 	}
 	attempts.Wait()
 }
@@ -267,7 +267,7 @@
 			// There was no response, or one that leaves open whether the job will run.
 			outcomeUnknown = true
 		}
-		sleep(ctx, time.Duration(attempt+1)*jobInterval)
+		loops.Sleep(ctx, time.Duration(attempt+1)*jobInterval)
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -282,7 +282,7 @@
 func (s *soak) pollStates(ctx context.Context, end time.Time) {
 	random := rand.New(rand.NewPCG(s.config.Seed, 1))
 	for time.Now().Before(end) && ctx.Err() == nil {
-		sleep(ctx, jobInterval)
+		loops.Sleep(ctx, jobInterval)
 		s.mu.Lock()
 		var due []string
 		for id, at := range s.accepted {
@@ -319,7 +319,7 @@
 				s.addViolation("accepted job %s has state %q %s after the last fault", id, state, recoveryTimeout)
 				break
 			}
-			sleep(ctx, jobInterval)
+			loops.Sleep(ctx, jobInterval)
 		}
 	}
 }
@@ -348,12 +348,3 @@
 	defer s.mu.Unlock()
 	s.report.Violations = append(s.report.Violations, fmt.Sprintf(format, args...))
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
