deflate: one codec for rows of jobs, specs and the configuration

The three compressed and decompressed with a pool, a limit and errors of their own each. The formats are the same: the tests of the three, among them those of bad input, pass unchanged but for the name of the function that inflates.

--- a/internal/courier/specs.go
+++ b/internal/courier/specs.go
@@ -1,30 +1,21 @@
 package courier
 
 import (
-	"bytes"
 	"compress/flate"
-	"io"
 	"strings"
-	"sync"
 
 	"github.com/cockroachdb/errors"
 
 	"github.com/lovagedyke/lovagedyke/internal/courier/courierpb"
+	"github.com/lovagedyke/lovagedyke/internal/deflate"
 	"github.com/lovagedyke/lovagedyke/internal/job"
 )
 
 // minDeflatedBytes is the total size of specs from which compression is worth its time.
 const minDeflatedBytes = 512
 
-// deflaters holds compressors. Huffman coding alone is fast, and specs rarely repeat.
-var deflaters = sync.Pool{New: func() any {
-	deflater, err := flate.NewWriter(nil, flate.HuffmanOnly)
-	if err != nil {
-		// Cannot happen: the level is valid.
-		panic(err)
-	}
-	return deflater
-}}
+// specCodec compresses by Huffman coding alone: that is fast, and specs rarely repeat.
+var specCodec = deflate.New(deflate.Config{Level: flate.HuffmanOnly})
 
 // deflateSpecs compresses a request's specs if they are long: they are most of what a
 // leader sends.
@@ -33,19 +24,10 @@
 	if len(all) < minDeflatedBytes {
 		return
 	}
-	var out bytes.Buffer
-	deflater := deflaters.Get().(*flate.Writer)
-	defer deflaters.Put(deflater)
-	deflater.Reset(&out)
-	_, writeErr := io.WriteString(deflater, all)
-	if err := errors.CombineErrors(writeErr, deflater.Close()); err != nil {
-		// Cannot happen: writes to a buffer do not fail.
-		panic(err)
-	}
 	for _, spec := range request.Specs {
 		request.Lengths = append(request.Lengths, int64(len(spec)))
 	}
-	request.Specs, request.DeflatedSpecs = nil, out.Bytes()
+	request.Specs, request.DeflatedSpecs = nil, specCodec.Append(nil, []byte(all))
 }
 
 // inflateSpecs returns a request's specs.
@@ -60,9 +42,9 @@
 		}
 		total += length
 	}
-	data, err := io.ReadAll(io.LimitReader(flate.NewReader(bytes.NewReader(request.DeflatedSpecs)), total+1))
+	data, err := specCodec.Inflate(request.DeflatedSpecs, int(total))
 	if err != nil {
-		return nil, errors.Wrap(err, "decompress specs")
+		return nil, errors.Wrap(err, "specs")
 	}
 	if int64(len(data)) != total {
 		return nil, errors.Newf("specs have %d bytes, want %d", len(data), total)
--- a/internal/job/row.go
+++ b/internal/job/row.go
@@ -1,13 +1,12 @@
 package job
 
 import (
-	"bytes"
 	"compress/flate"
 	"encoding/json"
-	"io"
-	"sync"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/lovagedyke/lovagedyke/internal/deflate"
 )
 
 // progressRow is the JSON form of Progress.
@@ -75,15 +74,7 @@
 	`","steps":[{"count":8,"resources":{"cpu":1000,"memory":4096},"estimate":500000000},` +
 	`{"count":16,"resources":{"cpu":2000,"memory":4096,"gpu":1},"estimate":1000000000,"after":[0]}],"accepted":"2026-`
 
-// deflaters holds compressors, each of which takes most of a megabyte.
-var deflaters = sync.Pool{New: func() any {
-	deflater, err := flate.NewWriterDict(nil, flate.DefaultCompression, []byte(rowDictionary))
-	if err != nil {
-		// Cannot happen: the level is valid.
-		panic(err)
-	}
-	return deflater
-}}
+var rowCodec = deflate.New(deflate.Config{Level: flate.DefaultCompression, Dictionary: rowDictionary})
 
 // EncodeSubmission returns a job's row.
 func EncodeSubmission(submission *Submission, format RowFormat) []byte {
@@ -95,22 +86,9 @@
 	if format < RowDeflated {
 		return encoded
 	}
-	var row bytes.Buffer
-	row.WriteByte(deflatedMark)
-	deflater := deflaters.Get().(*flate.Writer)
-	defer deflaters.Put(deflater)
-	deflater.Reset(&row)
-	_, writeErr := deflater.Write(encoded)
-	if err := errors.CombineErrors(writeErr, deflater.Close()); err != nil {
-		// Cannot happen: writes to a buffer do not fail.
-		panic(err)
-	}
-	return row.Bytes()
+	return rowCodec.Append([]byte{deflatedMark}, encoded)
 }
 
-// inflaters holds decompressors, each of which takes some 40 kB.
-var inflaters = sync.Pool{New: func() any { return flate.NewReader(nil) }}
-
 // maxSubmissionBytes bounds what a row may decompress to: the platform's rows have at
 // most 64 KiB, and a submission that is accepted fits into one without compression.
 const maxSubmissionBytes = 1 << 20
@@ -120,19 +98,8 @@
 	if len(row) == 0 || row[0] != deflatedMark {
 		return row, nil
 	}
-	inflater := inflaters.Get().(io.Reader)
-	defer inflaters.Put(inflater)
-	if err := inflater.(flate.Resetter).Reset(bytes.NewReader(row[1:]), []byte(rowDictionary)); err != nil {
-		return nil, errors.Wrap(err, "decompress job")
-	}
-	data, err := io.ReadAll(io.LimitReader(inflater, maxSubmissionBytes+1))
-	if err != nil {
-		return nil, errors.Wrap(err, "decompress job")
-	}
-	if len(data) > maxSubmissionBytes {
-		return nil, errors.Newf("job row decompresses to more than %d bytes", maxSubmissionBytes)
-	}
-	return data, nil
+	data, err := rowCodec.Inflate(row[1:], maxSubmissionBytes)
+	return data, errors.Wrap(err, "job row")
 }
 
 // DecodeSubmission decodes and validates a job's row, in any form.
--- a/internal/policy/download.go
+++ b/internal/policy/download.go
@@ -1,13 +1,13 @@
 package policy
 
 import (
-	"bytes"
 	"compress/flate"
 	"hash/crc32"
-	"io"
 	"sync"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/lovagedyke/lovagedyke/internal/deflate"
 )
 
 const (
@@ -45,20 +45,12 @@
 	text     []byte
 }
 
+var codec = deflate.New(deflate.Config{Level: flate.DefaultCompression})
+
 // compress compresses a configuration in the operators' format.
 func compress(version uint64, encoded []byte) compressed {
-	var buffer bytes.Buffer
-	writer, err := flate.NewWriter(&buffer, flate.DefaultCompression)
-	if err != nil {
-		// Cannot happen: the level is valid.
-		panic(err)
-	}
-	_, writeErr := writer.Write(encoded)
-	if err := errors.CombineErrors(writeErr, writer.Close()); err != nil {
-		// Cannot happen: writes to a buffer do not fail.
-		panic(err)
-	}
-	return compressed{version: version, checksum: crc32.ChecksumIEEE(buffer.Bytes()), text: buffer.Bytes()}
+	text := codec.Append(nil, encoded)
+	return compressed{version: version, checksum: crc32.ChecksumIEEE(text), text: text}
 }
 
 // part returns the part that follows after a position, or the first one if the position
@@ -113,17 +105,6 @@
 	if got := crc32.ChecksumIEEE(text); got != checksum {
 		return nil, errors.Newf("configuration %d: the checksum of its parts is %08x, not %08x", part.Version, got, checksum)
 	}
-	return decompress(text)
-}
-
-// decompress returns a configuration in the operators' format.
-func decompress(text []byte) ([]byte, error) {
-	encoded, err := io.ReadAll(io.LimitReader(flate.NewReader(bytes.NewReader(text)), maxEncodedBytes+1))
-	if err != nil {
-		return nil, errors.Wrap(err, "decompress the configuration")
-	}
-	if len(encoded) > maxEncodedBytes {
-		return nil, errors.Newf("the configuration decompresses to more than %d bytes", maxEncodedBytes)
-	}
-	return encoded, nil
+	encoded, err := codec.Inflate(text, maxEncodedBytes)
+	return encoded, errors.Wrapf(err, "configuration %d", part.Version)
 }
--- a/internal/policy/download_test.go
+++ b/internal/policy/download_test.go
@@ -21,7 +21,7 @@
 // it ended, also from another process, instead of beginning anew.
 func TestDownloadContinues(t *testing.T) {
 	text := testText(7, 3*partBytes+100)
-	want, err := decompress(text.text)
+	want, err := codec.Inflate(text.text, maxEncodedBytes)
 	if err != nil {
 		t.Fatal(err)
 	}
