Soak: a completion that was never reported has to be run again

The soak counted each task that ever ended as done, also where an endpoint crashed before it had told anybody.

--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -327,7 +327,7 @@
 // checkRuns compares the runs at the endpoints with the responses to callers.
 func (s *soak) checkRuns() {
 	for id := range s.accepted {
-		if got, want := s.platform.EverDoneTasks(id), stepsPerJob*tasksPerStep; got != want {
+		if got, want := s.platform.DoneTasks(id), stepsPerJob*tasksPerStep; got != want {
 			s.addViolation("accepted job %s: got %d tasks done, want %d", id, got, want)
 		}
 	}
