fleet: a lost run is logged with all that was known of it

The log said why a run was taken for lost, but not when it had been ordered and answered, which incarnation of the endpoint was known, nor how old its report, clock and lease were, so that it could not tell an answer of another incarnation, an order that waited and a lease that was wrongly taken for expired. An answer to a start whose run was already given up left no line at all.

No decision changes.

--- a/internal/fleet/accounting.go
+++ b/internal/fleet/accounting.go
@@ -58,7 +58,11 @@
 
 // runLost ends a run for which the endpoint has reported no completion.
 func (l *Leader) runLost(r *run, reason string, now time.Time) {
-	l.log("run lost", "job", r.key.task.Job, "step", r.key.task.Step, "index", r.key.task.Index, "run", r.key.run, "endpoint", r.endpoint.row.ID, "why", reason)
+	e := r.endpoint
+	l.log("run lost", "job", r.key.task.Job, "step", r.key.task.Step, "index", r.key.task.Index, "run", r.key.run, "endpoint", e.row.ID, "why", reason,
+		"state", r.state.String(), "ordered-ago", age(r.orderedAt, now), "answered-ago", age(r.answeredAt, now),
+		"report-age", age(e.reportedAt, now), "life", e.startedAt.UnixMilli(), "listed-life", e.row.StartedAt.UnixMilli(),
+		"clock", e.clock.String(), "lease-until", e.leaseUntil.String())
 	l.untrackRun(r)
 	if r.job == nil {
 		return
@@ -86,3 +90,11 @@
 	r.reason = reason
 	r.stopAt = now
 }
+
+// age returns how long ago a time was, for the journal, or "never" if it is zero.
+func age(at, now time.Time) string {
+	if at.IsZero() {
+		return "never"
+	}
+	return now.Sub(at).Round(time.Millisecond).String()
+}
--- a/internal/fleet/reply.go
+++ b/internal/fleet/reply.go
@@ -15,6 +15,9 @@
 	}
 	r := e.runs[runKey{start.Task, start.Run}]
 	if r == nil {
+		l.log("start answered after its run was given up", "job", start.Task.Job, "step", start.Task.Step, "index", start.Task.Index,
+			"run", start.Run, "endpoint", start.Endpoint, "outcome", string(reply.Outcome), "life", e.startedAt.UnixMilli(),
+			"report-age", age(e.reportedAt, now))
 		return reply.Outcome != OrderFenced
 	}
 	l.logReply("start answered", r, reply)
--- a/internal/fleet/run.go
+++ b/internal/fleet/run.go
@@ -27,6 +27,22 @@
 	runStopping
 )
 
+// String returns the state's name, for the journal.
+func (s runState) String() string {
+	switch s {
+	case runStarting:
+		return "starting"
+	case runLive:
+		return "live"
+	case runUnconfirmed:
+		return "unconfirmed"
+	case runStopping:
+		return "stopping"
+	default:
+		return "unknown"
+	}
+}
+
 // run is a run that is or may be on an endpoint.
 type run struct {
 	key      runKey
