--- a/internal/fleet/endpoint.go
+++ b/internal/fleet/endpoint.go
@@ -137,4 +137,6 @@
 	Outcome OrderOutcome
 	// Clock is the reading of the endpoint's monotonic clock, or 0 if the reply has none.
 	Clock time.Duration
+	// SentAt is when the order was sent.
+	SentAt time.Time
 }
--- a/internal/fleet/leader_test.go
+++ b/internal/fleet/leader_test.go
@@ -27,11 +27,19 @@
 	startedAt time.Time
 	orders    fleet.Orders
 	// running and ended are what each endpoint reports.
-	running   map[fleet.EndpointID][]fleet.RunningTask
-	ended     map[fleet.EndpointID][]fleet.Completion
+	running map[fleet.EndpointID][]fleet.RunningTask
+	ended   map[fleet.EndpointID][]fleet.Completion
+	// lives holds the incarnation of each endpoint that has restarted.
+	lives     map[fleet.EndpointID]life
 	unchecked bool
 }
 
+// life is an incarnation of a simulated endpoint.
+type life struct {
+	// startedAt is the start by the endpoint's own wall clock, began by the simulation's.
+	startedAt, began time.Time
+}
+
 type simulationConfig struct {
 	token    uint64
 	policy   policy.Config
@@ -50,6 +58,7 @@
 	s := &simulation{
 		t: t, unchecked: config.unchecked, now: now, startedAt: now,
 		running: map[fleet.EndpointID][]fleet.RunningTask{}, ended: map[fleet.EndpointID][]fleet.Completion{},
+		lives: map[fleet.EndpointID]life{},
 	}
 	s.leader = fleet.New(fleet.Config{Token: config.token, Now: now, Bounds: fleet.Bounds{
 		MaxLease: 10 * time.Second, StatusRetention: 120 * time.Second, Move: 1500 * time.Millisecond,
@@ -101,12 +110,26 @@
 	if !due {
 		return
 	}
-	s.leader.HandleReport(id, renewal, s.now, fleet.Report{
-		Clock: s.now.Sub(s.startedAt), StartedAt: time.UnixMilli(1000), Running: s.running[id], Completions: s.ended[id],
-	}, s.now.Add(time.Millisecond))
+	s.leader.HandleReport(id, renewal, s.now, s.reportOf(id), s.now.Add(time.Millisecond))
 	s.advance(2 * time.Millisecond)
 }
 
+// reportOf returns what an endpoint reports now.
+func (s *simulation) reportOf(id fleet.EndpointID) fleet.Report {
+	current := s.lifeOf(id)
+	return fleet.Report{
+		Clock: s.now.Sub(current.began), StartedAt: current.startedAt, Running: s.running[id], Completions: s.ended[id],
+	}
+}
+
+// lifeOf returns an endpoint's incarnation.
+func (s *simulation) lifeOf(id fleet.EndpointID) life {
+	if restarted, ok := s.lives[id]; ok {
+		return restarted
+	}
+	return life{startedAt: time.UnixMilli(1000), began: s.startedAt}
+}
+
 // step runs one step of the leader.
 func (s *simulation) step() fleet.Orders {
 	s.orders = s.leader.Step(s.now, s.now)
