fleet: only reports tell an endpoint's incarnations apart

Cause: the leader took the list and the reports for signs of a new incarnation, whichever came first, and took the one with the later wall clock for the newer. Two ways led to a restart: a report of the earlier incarnation that arrived after the list's row was applied to the new one, so that completions of the new one were passed over by their numbers and acknowledged unread; and an incarnation whose wall clock had been set back was not noticed at all, with the same effect.

Change: reports decide, and any difference of the start time means a new incarnation. Renewals of one endpoint do not overlap, so reports arrive in the order in which they were made; the list lags and wall clocks jump. A row with another start time only makes the next renewal due at once, without an acknowledgement, and keeps work away until it is answered. Ruled out: comparing start times more carefully, since no comparison is right for both a late report and a clock that was set back.

--- a/internal/fleet/endpoint.go
+++ b/internal/fleet/endpoint.go
@@ -84,7 +84,8 @@
 type Report struct {
 	// Clock is the reading of the endpoint's monotonic clock.
 	Clock time.Duration
-	// StartedAt is when this incarnation of the endpoint started.
+	// StartedAt is when this incarnation of the endpoint started, by the host's wall clock,
+	// or zero if the endpoint does not say.
 	StartedAt   time.Time
 	Running     []RunningTask
 	Completions []Completion
--- a/internal/fleet/endpointstate.go
+++ b/internal/fleet/endpointstate.go
@@ -41,9 +41,13 @@
 	// longer run anything.
 	gone bool
 	// reached is true once this incarnation has answered under the leader's token.
-	reached   bool
+	reached bool
+	// startedAt identifies the incarnation of the last report, or that of the list before
+	// the first report.
 	startedAt time.Time
-	clock     time.Duration
+	// mayHaveRestarted is true from a sign of a new incarnation until the next report.
+	mayHaveRestarted bool
+	clock            time.Duration
 	clockAt   time.Time
 	// leaseUntil is the latest lease that was sent, on the endpoint's clock.
 	leaseUntil time.Duration
@@ -157,8 +161,8 @@
 		l.log("endpoint listed", "endpoint", row.ID, "pool", row.Pool, "draining", row.Draining)
 		return
 	}
-	if !row.StartedAt.Equal(known.startedAt) && row.StartedAt.After(known.startedAt) {
-		l.newIncarnation(known, row.StartedAt, "list", now)
+	if !row.StartedAt.Equal(known.row.StartedAt) && !row.StartedAt.Equal(known.startedAt) {
+		l.suspectRestart(known, "list", now)
 	}
 	if row.Draining != known.row.Draining {
 		l.log("endpoint changed its draining state", "endpoint", row.ID, "pool", row.Pool, "draining", row.Draining, "runs", len(known.runs))
@@ -193,6 +197,18 @@
 	delete(l.endpoints, e.row.ID)
 }
 
+// suspectRestart requests a report from an endpoint that may have restarted, and gives it
+// no work until then. Only reports tell incarnations apart: they arrive in order, since
+// renewals do not overlap, whereas the list lags and wall clocks can be set back.
+func (l *Leader) suspectRestart(e *endpoint, source string, now time.Time) {
+	if e.mayHaveRestarted {
+		return
+	}
+	l.log("endpoint may have restarted", "endpoint", e.row.ID, "source", source, "runs", len(e.runs),
+		"life", e.startedAt.UnixMilli(), "report-age", age(e.reportedAt, now))
+	e.mayHaveRestarted, e.reached = true, false
+}
+
 // newIncarnation resets an endpoint that has restarted; all its earlier runs are lost.
 func (l *Leader) newIncarnation(e *endpoint, startedAt time.Time, source string, now time.Time) {
 	l.log("endpoint has a new life", "endpoint", e.row.ID, "source", source, "lost-runs", len(e.runs))
--- a/internal/fleet/renewal.go
+++ b/internal/fleet/renewal.go
@@ -12,7 +12,7 @@
 		return LeaseRenewal{}, false
 	}
 	renewal := LeaseRenewal{}
-	if e.ackable > e.acked {
+	if e.ackable > e.acked && !e.mayHaveRestarted {
 		// Sent only if it has advanced: a new incarnation restarts the numbers of completions.
 		renewal.AckedUpTo = e.ackable
 	}
@@ -87,10 +87,11 @@
 	if !ok {
 		return
 	}
-	if report.StartedAt.After(e.startedAt) {
+	if !report.StartedAt.IsZero() && !report.StartedAt.Equal(e.startedAt) {
 		l.newIncarnation(e, report.StartedAt, "report", now)
 		renewal.AckedUpTo = 0
 	}
+	e.mayHaveRestarted = false
 	if !l.loaded {
 		// The report is requested again once the jobs are known.
 		e.unresponsive = false
