fleet: a restart of an endpoint ends only runs that its report lacks

Cause: on the first sign of a new incarnation the leader took all runs of the endpoint for lost and started their tasks elsewhere. Orders name an endpoint by its ID alone, so a start that was queued, on its way or just answered when the endpoint restarted is carried out by the new incarnation; its answer found no run and was ignored without a line, and the run went on beside the other one until a later report showed it.

Change: a new incarnation resets what is known of the endpoint, not its runs. They are judged by the report like any others: one that was answered before the report was requested and is missing has ended with the earlier incarnation; one without an answer must be stopped first, and a stop counts only for the incarnation that accepted it. An accepted start whose clock reading is below the known one, or whose run is not tracked, makes a report due at once. Ruled out: judging by the list's row, which says nothing of runs, and by the deadline of the start, which is on the clock of the earlier incarnation.

--- a/internal/fleet/endpointstate.go
+++ b/internal/fleet/endpointstate.go
@@ -48,7 +48,7 @@
 	// mayHaveRestarted is true from a sign of a new incarnation until the next report.
 	mayHaveRestarted bool
 	clock            time.Duration
-	clockAt   time.Time
+	clockAt          time.Time
 	// leaseUntil is the latest lease that was sent, on the endpoint's clock.
 	leaseUntil time.Duration
 	runs       map[runKey]*run
@@ -209,11 +209,16 @@
 	e.mayHaveRestarted, e.reached = true, false
 }
 
-// newIncarnation resets an endpoint that has restarted; all its earlier runs are lost.
-func (l *Leader) newIncarnation(e *endpoint, startedAt time.Time, source string, now time.Time) {
-	l.log("endpoint has a new life", "endpoint", e.row.ID, "source", source, "lost-runs", len(e.runs))
+// newIncarnation resets what is known of an endpoint whose report shows that it has
+// restarted. Its runs are judged by the report: orders name an endpoint by its ID alone,
+// so that the new incarnation may have carried out, or may yet carry out, starts that were
+// meant for the earlier one.
+func (l *Leader) newIncarnation(e *endpoint, startedAt, now time.Time) {
+	l.log("endpoint has a new life", "endpoint", e.row.ID, "runs", len(e.runs), "life", startedAt.UnixMilli(),
+		"earlier-life", e.startedAt.UnixMilli(), "listed-life", e.row.StartedAt.UnixMilli(), "report-age", age(e.reportedAt, now))
 	for _, r := range e.runs {
-		l.runLost(r, "endpoint restarted as a new incarnation", now)
+		// The new incarnation does not know of stops that the earlier one accepted.
+		r.stopAcceptedAt, r.stopAt = time.Time{}, now
 	}
 	e.startedAt = startedAt
 	e.reached, e.gone, e.listedAt = false, false, now
--- a/internal/fleet/order.go
+++ b/internal/fleet/order.go
@@ -18,6 +18,10 @@
 	Checkpoint string
 	// Ticket is the advice service's ticket, or "".
 	Ticket string
+	// incarnation and clock are the start time and the clock's last reading of the endpoint's
+	// incarnation that was known when the start was ordered.
+	incarnation time.Time
+	clock       time.Duration
 }
 
 // Stop orders an endpoint to end a run, or prevents the run if it has not started.
@@ -25,6 +29,9 @@
 	Endpoint EndpointID
 	Task     job.Task
 	Run      int64
+	// incarnation is the start time of the endpoint's incarnation that was known when the
+	// stop was ordered.
+	incarnation time.Time
 }
 
 // Throttle limits the speed of a run to a percentage of full speed.
--- a/internal/fleet/renewal.go
+++ b/internal/fleet/renewal.go
@@ -63,10 +63,7 @@
 		return
 	}
 	if reply.Outcome == OrderOtherIncarnation {
-		// Another incarnation answers at this address: the expected one is gone.
-		l.newIncarnation(e, e.startedAt, "refusal", now)
-		e.listed = false
-		l.forgetEndpoint(e, now)
+		l.endpointReplaced(e, now)
 		return
 	}
 	e.pausedUntil = now.Add(unhealthyPause)
@@ -88,7 +85,7 @@
 		return
 	}
 	if !report.StartedAt.IsZero() && !report.StartedAt.Equal(e.startedAt) {
-		l.newIncarnation(e, report.StartedAt, "report", now)
+		l.newIncarnation(e, report.StartedAt, now)
 		renewal.AckedUpTo = 0
 	}
 	e.mayHaveRestarted = false
@@ -232,3 +229,14 @@
 	}
 	return r
 }
+
+// endpointReplaced handles a refusal by another endpoint at an endpoint's address: the
+// expected one is gone.
+func (l *Leader) endpointReplaced(e *endpoint, now time.Time) {
+	l.log("endpoint replaced", "endpoint", e.row.ID, "runs", len(e.runs))
+	for _, r := range e.runs {
+		l.runLost(r, "another endpoint answers at the address", now)
+	}
+	e.listed, e.reached = false, false
+	l.forgetEndpoint(e, now)
+}
--- a/internal/fleet/reply.go
+++ b/internal/fleet/reply.go
@@ -15,15 +15,21 @@
 	}
 	r := e.runs[runKey{start.Task, start.Run}]
 	if r == nil {
-		l.log("start answered after its run was given up", "job", start.Task.Job, "step", start.Task.Step, "index", start.Task.Index,
+		l.log("start of an untracked run answered", "job", start.Task.Job, "step", start.Task.Step, "index", start.Task.Index,
 			"run", start.Run, "endpoint", start.Endpoint, "outcome", string(reply.Outcome), "life", e.startedAt.UnixMilli(),
 			"report-age", age(e.reportedAt, now))
+		if reply.Outcome == OrderAccepted {
+			l.suspectRestart(e, "untracked start", now)
+		}
 		return reply.Outcome != OrderFenced
 	}
 	l.logReply("start answered", r, reply)
 	switch reply.Outcome {
 	case OrderAccepted:
 		l.startAccepted(r, now)
+		if start.incarnation.Equal(e.startedAt) && reply.Clock > 0 && reply.Clock < start.clock {
+			l.suspectRestart(e, "clock", now)
+		}
 	case OrderFenced:
 		return false
 	case OrderUnknown:
@@ -33,9 +39,7 @@
 			r.wasUnconfirmed = true
 		}
 	case OrderOtherIncarnation:
-		l.newIncarnation(e, e.startedAt, "refusal", now)
-		e.listed = false
-		l.forgetEndpoint(e, now)
+		l.endpointReplaced(e, now)
 	default:
 		l.startRejected(r, reply, now)
 	}
@@ -98,13 +102,15 @@
 	case OrderFenced:
 		return false
 	case OrderAccepted, OrderStaleRun:
+		if !stop.incarnation.Equal(e.startedAt) {
+			// It binds an earlier incarnation alone: the stop is ordered again.
+			return true
+		}
 		// Whether or not it ran, it can no longer start: the next report resolves it.
 		r.stopAt = now.Add(renewalInterval)
 		r.stopAcceptedAt = now
 	case OrderOtherIncarnation:
-		l.newIncarnation(e, e.startedAt, "refusal", now)
-		e.listed = false
-		l.forgetEndpoint(e, now)
+		l.endpointReplaced(e, now)
 	}
 	return true
 }
--- a/internal/fleet/step.go
+++ b/internal/fleet/step.go
@@ -56,7 +56,7 @@
 			continue
 		}
 		r.stopAt = now.Add(stopRetryDelay)
-		orders.Stops = append(orders.Stops, Stop{Endpoint: e.row.ID, Task: r.key.task, Run: r.key.run})
+		orders.Stops = append(orders.Stops, Stop{Endpoint: e.row.ID, Task: r.key.task, Run: r.key.run, incarnation: e.startedAt})
 		l.log("run stop", "job", r.key.task.Job, "step", r.key.task.Step, "index", r.key.task.Index, "run", r.key.run, "endpoint", e.row.ID, "why", r.reason)
 	}
 }
@@ -231,7 +231,7 @@
 	}
 	orders.Starts = append(orders.Starts, Start{
 		Endpoint: e.row.ID, Task: task, Run: number, Spec: g.job.submission.Spec, Lease: e.nextLease(now, l.leaseDuration()),
-		Checkpoint: r.checkpoint, Ticket: g.step.tickets[e.row.ID],
+		Checkpoint: r.checkpoint, Ticket: g.step.tickets[e.row.ID], incarnation: e.startedAt, clock: e.clock,
 	})
 	l.log("run start", "job", task.Job, "step", task.Step, "index", task.Index, "run", number, "endpoint", e.row.ID,
 		"endpoint-seen-ago", now.Sub(e.reportedAt).Round(time.Millisecond).String(), "waited", now.Sub(g.step.openedAt).Round(time.Millisecond).String())
