fleet: leases that orders for an earlier incarnation set are waited out

Cause: a deadline is a reading of the endpoint's clock, which begins anew with each incarnation. An order or renewal for the earlier incarnation that the new one carries out has a deadline far ahead, and the endpoint cuts it to its longest lease, twice as long as those that we grant. The leader forgot all leases at a restart, so it took the run for lost at the next call that failed.

Change: the latest lease that such orders may have set is kept beside those that were granted: the deadline itself while a start is not resolved, the longest lease from then on. It delays the loss of runs on an endpoint that restarted and fell silent; it is not sent in renewals, so granted leases stay short for the next leader.

--- a/internal/fleet/endpointstate.go
+++ b/internal/fleet/endpointstate.go
@@ -51,8 +51,11 @@
 	clockAt          time.Time
 	// leaseUntil is the latest lease that was sent, on the endpoint's clock.
 	leaseUntil time.Duration
-	runs       map[runKey]*run
-	tally      runTally
+	// foreignLeaseUntil is the latest lease that orders meant for an earlier incarnation may
+	// have set, on the endpoint's clock, or 0.
+	foreignLeaseUntil time.Duration
+	runs              map[runKey]*run
+	tally             runTally
 	// lastRead is the number of the newest completion that was read, ackable the newest
 	// that may be acknowledged, and acked the newest that has been.
 	lastRead, ackable, acked int64
@@ -146,11 +149,43 @@
 	return e.leaseUntil
 }
 
-// leaseExpired reports whether the latest lease has expired, even if the endpoint's clock
+// leaseExpired reports whether each lease that the endpoint may hold has expired, even if the endpoint's clock
 // is as slow as maxClockDrift allows.
 func (e *endpoint) leaseExpired(now time.Time) bool {
 	minClock := e.clock + time.Duration(float64(now.Sub(e.clockAt))*(1-maxClockDrift))
-	return minClock > e.leaseUntil+leaseMargin
+	return minClock > max(e.leaseUntil, e.foreignLeaseUntil)+leaseMargin
+}
+
+// limitForeignLease lowers the bound of leases from orders for an earlier incarnation: the
+// endpoint cuts each lease to the longest one when it receives it. Orders that are still
+// on their way are bounded by their deadline alone.
+func (l *Leader) limitForeignLease(e *endpoint, now time.Time) {
+	if e.foreignLeaseUntil == 0 || e.clockAt.IsZero() || l.config.Bounds.MaxLease <= 0 {
+		return
+	}
+	limit := l.longestLease(e, now)
+	for _, r := range e.runs {
+		if r.isUnresolved() && !r.incarnation.Equal(e.startedAt) {
+			limit = max(limit, r.lease)
+		}
+	}
+	e.foreignLeaseUntil = min(e.foreignLeaseUntil, limit)
+}
+
+// longestLease returns the latest lease that an order received until now may have set.
+func (l *Leader) longestLease(e *endpoint, now time.Time) time.Duration {
+	return e.clockNow(now) + l.config.Bounds.MaxLease + orderDuration
+}
+
+// extendForeignLease covers the leases of runs that a new incarnation, which has not
+// reported yet, may have accepted.
+func (l *Leader) extendForeignLease(e *endpoint, now time.Time) {
+	for _, r := range e.runs {
+		if !r.reported {
+			e.foreignLeaseUntil = max(e.foreignLeaseUntil, l.longestLease(e, now))
+			return
+		}
+	}
 }
 
 // UpdateEndpoint processes an endpoint's row in the platform's list.
@@ -207,6 +242,7 @@
 	l.log("endpoint may have restarted", "endpoint", e.row.ID, "source", source, "runs", len(e.runs),
 		"life", e.startedAt.UnixMilli(), "report-age", age(e.reportedAt, now))
 	e.mayHaveRestarted, e.reached = true, false
+	l.extendForeignLease(e, now)
 }
 
 // newIncarnation resets what is known of an endpoint whose report shows that it has
@@ -216,9 +252,11 @@
 func (l *Leader) newIncarnation(e *endpoint, startedAt, now time.Time) {
 	l.log("endpoint has a new life", "endpoint", e.row.ID, "runs", len(e.runs), "life", startedAt.UnixMilli(),
 		"earlier-life", e.startedAt.UnixMilli(), "listed-life", e.row.StartedAt.UnixMilli(), "report-age", age(e.reportedAt, now))
+	e.foreignLeaseUntil = 0
 	for _, r := range e.runs {
 		// The new incarnation does not know of stops that the earlier one accepted.
-		r.stopAcceptedAt, r.stopAt = time.Time{}, now
+		r.reported, r.stopAcceptedAt, r.stopAt = false, time.Time{}, now
+		e.foreignLeaseUntil = max(e.foreignLeaseUntil, r.lease)
 	}
 	e.startedAt = startedAt
 	e.reached, e.gone, e.listedAt = false, false, now
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -23,9 +23,11 @@
 	// confirmationTimeout is how long a leader acts without confirmation that it still
 	// leads. Its successor adds this time to the leases that it may have granted.
 	confirmationTimeout = 1500 * time.Millisecond
+	// orderDuration is how long an order may be on its way.
+	orderDuration = time.Second
 	// formerLeaderGrace is how long after a takeover the former leader may still send
-	// orders: confirmationTimeout plus the duration of an order.
-	formerLeaderGrace = confirmationTimeout + time.Second
+	// orders.
+	formerLeaderGrace = confirmationTimeout + orderDuration
 	// startRetryDelay is the time before a task starts again after a rejected start.
 	startRetryDelay = 50 * time.Millisecond
 )
--- a/internal/fleet/renewal.go
+++ b/internal/fleet/renewal.go
@@ -86,6 +86,7 @@
 	}
 	if !report.StartedAt.IsZero() && !report.StartedAt.Equal(e.startedAt) {
 		l.newIncarnation(e, report.StartedAt, now)
+		e.foreignLeaseUntil = max(e.foreignLeaseUntil, renewal.Lease)
 		renewal.AckedUpTo = 0
 	}
 	e.mayHaveRestarted = false
@@ -102,6 +103,7 @@
 	e.clock, e.clockAt = report.Clock, now
 	e.reportedAt = now
 	e.acked = max(e.acked, renewal.AckedUpTo)
+	l.limitForeignLease(e, now)
 	// Completions are processed first, so that a completed run does not count as lost.
 	e.blocked = false
 	for _, completion := range report.Completions {
@@ -173,6 +175,7 @@
 		r.state = runLive
 		r.answeredAt = now
 	}
+	r.reported = true
 	if running.Checkpoint != "" {
 		r.checkpoint = running.Checkpoint
 	}
--- a/internal/fleet/reply.go
+++ b/internal/fleet/reply.go
@@ -27,6 +27,7 @@
 	switch reply.Outcome {
 	case OrderAccepted:
 		l.startAccepted(r, now)
+		l.limitForeignLease(e, now)
 		if start.incarnation.Equal(e.startedAt) && reply.Clock > 0 && reply.Clock < start.clock {
 			l.suspectRestart(e, "clock", now)
 		}
--- a/internal/fleet/run.go
+++ b/internal/fleet/run.go
@@ -49,6 +49,12 @@
 	endpoint *endpoint
 	job      *jobState
 	state    runState
+	// incarnation is the start time of the endpoint's incarnation for which the start was
+	// ordered, and lease the deadline on its clock.
+	incarnation time.Time
+	lease       time.Duration
+	// reported is true once the endpoint's current incarnation has reported the run.
+	reported bool
 	// orderedAt is when the start was ordered, answeredAt when the endpoint confirmed it.
 	orderedAt, answeredAt time.Time
 	// wasUnconfirmed is true once a start got no answer: it may be executed late.
@@ -70,3 +76,9 @@
 	// fullSpeedAt is when the endpoint first reported the run at full speed.
 	fullSpeedAt time.Time
 }
+
+// isUnresolved reports whether the start may still be carried out: it has no answer, and
+// the endpoint has accepted no stop.
+func (r *run) isUnresolved() bool {
+	return (r.answeredAt.IsZero() || r.wasUnconfirmed && !r.reported) && r.stopAcceptedAt.IsZero()
+}
--- a/internal/fleet/step.go
+++ b/internal/fleet/step.go
@@ -221,6 +221,7 @@
 		key: runKey{task, number}, endpoint: e, job: g.job, state: runStarting, orderedAt: now,
 		percent: 100, reserved: g.step.step.Reserved(), checkpoint: g.job.checkpoint[task],
 	}
+	r.incarnation, r.lease = e.startedAt, e.nextLease(now, l.leaseDuration())
 	e.addRun(r)
 	l.trackRun(r)
 	g.job.recordRun(r.key)
@@ -230,7 +231,7 @@
 		target.persistent++
 	}
 	orders.Starts = append(orders.Starts, Start{
-		Endpoint: e.row.ID, Task: task, Run: number, Spec: g.job.submission.Spec, Lease: e.nextLease(now, l.leaseDuration()),
+		Endpoint: e.row.ID, Task: task, Run: number, Spec: g.job.submission.Spec, Lease: r.lease,
 		Checkpoint: r.checkpoint, Ticket: g.step.tickets[e.row.ID], incarnation: e.startedAt, clock: e.clock,
 	})
 	l.log("run start", "job", task.Job, "step", task.Step, "index", task.Index, "run", number, "endpoint", e.row.ID,
