fleet: adopted runs keep the lease of the leader that started them

Cause: a renewal that fails ends the runs of the endpoint if its lease has expired, and the lease counted as expired while the new leader had granted none. Runs that it had adopted with the first report were lost at one failed call, 206 ms after the takeover in the test, while they ran on under the former leader's lease. The other two places that judge inherited leases knew of this; this one did not.

Change: without a lease of its own, the leader waits until all leases of earlier leaders have expired.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -162,6 +162,15 @@
 	return now.After(l.inheritedLeasesEnd()) && (e.leaseUntil == 0 || e.leaseExpired(now))
 }
 
+// leasesOver reports whether the runs that are tracked on an endpoint have lost their
+// lease. Adopted runs keep that of the earlier leader until this one has granted its own.
+func (l *Leader) leasesOver(e *endpoint, now time.Time) bool {
+	if e.leaseUntil == 0 && e.foreignLeaseUntil == 0 {
+		return now.After(l.inheritedLeasesEnd())
+	}
+	return e.leaseExpired(now)
+}
+
 // allHostsReached reports whether the endpoint of each host that is up has been
 // reached. The endpoint list does not suffice: its entries lapse while the store is
 // unavailable, and return seconds after it.
--- a/internal/fleet/renewal.go
+++ b/internal/fleet/renewal.go
@@ -68,7 +68,7 @@
 	}
 	e.pausedUntil = now.Add(unhealthyPause)
 	e.unresponsive = true
-	if e.clockAt.IsZero() || !e.leaseExpired(now) {
+	if e.clockAt.IsZero() || !l.leasesOver(e, now) {
 		return
 	}
 	for _, r := range e.runs {
