fleet: a refusal by another endpoint ends only runs that were answered before

Cause: a refusal says that another endpoint answers at the address to which a call was sent. The leader took it to mean that the expected endpoint had ended, whatever address the call had gone to and whatever had happened since, and lost all its runs, also those on an incarnation that had started meanwhile.

Change: a refused start is requeued, and a refused order makes a renewal due at once. Only a refused renewal, at the address that is still listed, ends runs, and only those that were answered before it was sent.

--- a/internal/control/endpoints.go
+++ b/internal/control/endpoints.go
@@ -207,9 +207,14 @@
 	if ctx.Err() != nil {
 		return false
 	}
+	reply.SentAt = sentAt
 	now := time.Now()
 	metrics.GetOrCreateCounter(`orders_total{kind="look",outcome="` + string(reply.Outcome) + `"}`).Inc()
 	t.locked(func() {
+		if current, _ := t.leader.AddressOf(s.id); reply.Outcome == fleet.OrderOtherIncarnation && current != to {
+			// The endpoint has moved to another address meanwhile.
+			reply.Outcome = fleet.OrderNotSent
+		}
 		if reply.Outcome == fleet.OrderAccepted {
 			t.leader.HandleReport(s.id, renewal, sentAt, report, now)
 		} else {
--- a/internal/fleet/renewal.go
+++ b/internal/fleet/renewal.go
@@ -63,7 +63,7 @@
 		return
 	}
 	if reply.Outcome == OrderOtherIncarnation {
-		l.endpointReplaced(e, now)
+		l.endpointReplaced(e, reply.SentAt, now)
 		return
 	}
 	e.pausedUntil = now.Add(unhealthyPause)
@@ -233,12 +233,15 @@
 	return r
 }
 
-// endpointReplaced handles a refusal by another endpoint at an endpoint's address: the
-// expected one is gone.
-func (l *Leader) endpointReplaced(e *endpoint, now time.Time) {
-	l.log("endpoint replaced", "endpoint", e.row.ID, "runs", len(e.runs))
+// endpointReplaced handles a renewal sent at sentAt that another endpoint refused, at the
+// address at which the expected one is listed. Runs that were answered before have
+// ended; later ones may be on an incarnation that has taken the address back.
+func (l *Leader) endpointReplaced(e *endpoint, sentAt, now time.Time) {
+	l.log("endpoint replaced", "endpoint", e.row.ID, "runs", len(e.runs), "sent-ago", age(sentAt, now))
 	for _, r := range e.runs {
-		l.runLost(r, "another endpoint answers at the address", now)
+		if !r.answeredAt.IsZero() && r.answeredAt.Before(sentAt) {
+			l.runLost(r, "another endpoint answers at the address", now)
+		}
 	}
 	e.listed, e.reached = false, false
 	l.forgetEndpoint(e, now)
--- a/internal/fleet/reply.go
+++ b/internal/fleet/reply.go
@@ -39,8 +39,6 @@
 			r.answeredAt = now
 			r.wasUnconfirmed = true
 		}
-	case OrderOtherIncarnation:
-		l.endpointReplaced(e, now)
 	default:
 		l.startRejected(r, reply, now)
 	}
@@ -73,6 +71,8 @@
 		}
 	case OrderMalformed:
 		notBefore = now.Add(time.Second)
+	case OrderOtherIncarnation:
+		l.suspectRestart(e, "refusal", now)
 	}
 	l.untrackRun(r)
 	l.requeue(r.job, r.key.task, notBefore)
@@ -111,7 +111,7 @@
 		r.stopAt = now.Add(renewalInterval)
 		r.stopAcceptedAt = now
 	case OrderOtherIncarnation:
-		l.endpointReplaced(e, now)
+		l.suspectRestart(e, "refusal", now)
 	}
 	return true
 }
