fleet: a start that is rejected as stale waits for the report

Cause: an endpoint rejects a start whose run has been stopped or has ended there. The leader started the task again at once, although that very run may have ended as done, which only the next report says: the start may have been carried out twice, by courier and again directly, or late.

Change: such a run is resolved like one whose stop was accepted, by the next report.

--- a/internal/fleet/leader_test.go
+++ b/internal/fleet/leader_test.go
@@ -483,6 +483,11 @@
 				t.Errorf("still leading: got %t, want %t", got, want)
 			}
 			s.advance(1100 * time.Millisecond)
+			// The task of a stale run waits for the report that says whether it ended.
+			if c.outcome == fleet.OrderAccepted {
+				s.run(start)
+			}
+			s.renewLease("a")
 			starts := s.step().Starts
 			if len(starts) != c.retries {
 				t.Fatalf("starts: got %d, want %d", len(starts), c.retries)
--- a/internal/fleet/reply.go
+++ b/internal/fleet/reply.go
@@ -39,6 +39,10 @@
 			r.answeredAt = now
 			r.wasUnconfirmed = true
 		}
+	case OrderStaleRun:
+		// The run cannot start any more, but it may have run: the next report says.
+		l.stopRun(r, "start rejected as stale", now)
+		r.stopAt, r.stopAcceptedAt = now.Add(renewalInterval), now
 	default:
 		l.startRejected(r, reply, now)
 	}
