control: queued starts are withdrawn once the leader has given up their run

Cause: starts wait in a queue for their endpoint, three at a time, behind calls to a silent endpoint or while the process is paused. Nothing asked the leader again before they were sent, so that a start went to the next incarnation of the endpoint, which knows no token and no stop, or from a leader that others had replaced, while its task ran elsewhere. Its deadline does not stop it: it is on the former incarnation's clock.

Change: each start is confirmed with the leader right before it is sent: same incarnation, run still wanted, leadership confirmed. Otherwise its run is taken back and the task requeued at once, since nothing was sent; the line 'start withdrawn' says why.

--- a/internal/control/endpoints.go
+++ b/internal/control/endpoints.go
@@ -129,29 +129,23 @@
 // execute sends an order and reports its outcome to the leader.
 func (s *endpointSession) execute(ctx context.Context, next order) {
 	t := s.term
-	to, ok := s.address()
 	reply := fleet.Reply{Outcome: fleet.OrderNotSent}
 	kind := "pace"
 	isLeader := true
 	switch {
 	case next.start != nil:
 		kind = "start"
-		if ok {
-			reply = t.config.Endpoints.Start(ctx, to, t.claim.Token, *next.start)
-		}
-		t.locked(func() {
-			isLeader = t.leader.HandleStartReply(*next.start, reply, time.Now())
-		})
+		reply, isLeader = s.sendStart(ctx, *next.start, time.Now())
 	case next.stop != nil:
 		kind = "stop"
-		if ok {
+		if to, ok := s.address(); ok {
 			reply = t.config.Endpoints.Stop(ctx, to, t.claim.Token, *next.stop)
 		}
 		t.locked(func() {
 			isLeader = t.leader.HandleStopReply(*next.stop, reply, time.Now())
 		})
 	default:
-		if ok {
+		if to, ok := s.address(); ok {
 			reply = t.config.Endpoints.Throttle(ctx, to, t.claim.Token, *next.throttle)
 		}
 	}
@@ -165,6 +159,28 @@
 	}
 }
 
+// sendStart sends a start, unless the leader has withdrawn it since it was queued, and
+// reports its outcome. It returns false if the endpoint knows a newer leader.
+func (s *endpointSession) sendStart(ctx context.Context, start fleet.Start, now time.Time) (fleet.Reply, bool) {
+	t := s.term
+	var to fleet.EndpointAddress
+	isCurrent := false
+	t.locked(func() {
+		if isCurrent = t.leader.ConfirmStart(start, now); isCurrent {
+			to, isCurrent = t.leader.AddressOf(s.id)
+		}
+	})
+	if !isCurrent {
+		return fleet.Reply{Outcome: fleet.OrderNotSent}, true
+	}
+	reply := t.config.Endpoints.Start(ctx, to, t.claim.Token, start)
+	isLeader := true
+	t.locked(func() {
+		isLeader = t.leader.HandleStartReply(start, reply, time.Now())
+	})
+	return reply, isLeader
+}
+
 // renewLoop renews the endpoint's lease whenever the leader says it is due.
 func (s *endpointSession) renewLoop(ctx context.Context) {
 	for ctx.Err() == nil {
--- a/internal/fleet/reply.go
+++ b/internal/fleet/reply.go
@@ -6,6 +6,30 @@
 	"github.com/lovagedyke/lovagedyke/internal/job"
 )
 
+// ConfirmStart reports whether a start that has waited may be sent now: for the same
+// incarnation of the endpoint, while its run is still wanted and no other process leads.
+// Otherwise it withdraws the start, which was never sent.
+func (l *Leader) ConfirmStart(start Start, now time.Time) bool {
+	e := l.endpoints[start.Endpoint]
+	if e == nil {
+		return false
+	}
+	r := e.runs[runKey{start.Task, start.Run}]
+	if r == nil {
+		return false
+	}
+	isSameIncarnation := e.reached && !e.gone && start.incarnation.Equal(e.startedAt)
+	if r.state == runStarting && isSameIncarnation && l.confirmed(now) {
+		return true
+	}
+	l.log("start withdrawn", "job", start.Task.Job, "step", start.Task.Step, "index", start.Task.Index, "run", start.Run,
+		"endpoint", start.Endpoint, "state", r.state.String(), "ordered-ago", age(r.orderedAt, now),
+		"same-incarnation", isSameIncarnation, "confirmed-ago", age(l.confirmedAt, now))
+	l.untrackRun(r)
+	l.requeue(r.job, start.Task, now)
+	return false
+}
+
 // HandleStartReply processes an endpoint's reply to a start. It returns false if the
 // endpoint knows a newer leader.
 func (l *Leader) HandleStartReply(start Start, reply Reply, now time.Time) bool {
