control: reports of a dropped session are ignored

The leader relies on the order of an endpoint's reports. A session whose endpoint was dropped, and listed again, could deliver a report beside those of the new session: the context was looked at before the lock.

Change: a report counts only while its session is the endpoint's current one.

Measured: TestReportOfDroppedSessionIsIgnored failed without the change and passes.

--- a/internal/control/endpoints.go
+++ b/internal/control/endpoints.go
@@ -227,6 +227,11 @@
 	now := time.Now()
 	metrics.GetOrCreateCounter(`orders_total{kind="look",outcome="` + string(reply.Outcome) + `"}`).Inc()
 	t.locked(func() {
+		if t.sessions[s.id] != s {
+			// The leader has dropped the endpoint meanwhile. If it is listed again, only the
+			// reports of its new session arrive in order.
+			return
+		}
 		if current, _ := t.leader.AddressOf(s.id); reply.Outcome == fleet.OrderOtherIncarnation && current != to {
 			// The endpoint has moved to another address meanwhile.
 			reply.Outcome = fleet.OrderNotSent
--- a/internal/control/endpoints_test.go
+++ b/internal/control/endpoints_test.go
@@ -80,6 +80,51 @@
 	}
 }
 
+// droppingEndpoints drops an endpoint's session while its renewal is on its way.
+type droppingEndpoints struct {
+	Endpoints
+	drop func()
+}
+
+func (e *droppingEndpoints) RenewLease(context.Context, fleet.EndpointAddress, uint64, fleet.LeaseRenewal) (fleet.Report, fleet.Reply) {
+	e.drop()
+	return fleet.Report{Clock: time.Hour, StartedAt: time.UnixMilli(1000)}, fleet.Reply{Outcome: fleet.OrderAccepted}
+}
+
+// Guards against reports out of order, which would be taken for restarts: an endpoint is
+// dropped and listed again while the renewal of its former session is on its way.
+func TestReportOfDroppedSessionIsIgnored(t *testing.T) {
+	tests := map[string]struct {
+		isDropped   bool
+		wantReached bool
+	}{
+		"session in use":  {wantReached: true},
+		"session dropped": {isDropped: true},
+	}
+	for name, c := range tests {
+		t.Run(name, func(t *testing.T) {
+			endpoints := &droppingEndpoints{}
+			control := New(Config{Store: table.NewMemory(), Endpoints: endpoints, Journal: discardJournal{}})
+			current := newTerm(context.Background(), control, record.Claim{Token: 1}, 1)
+			now := time.Now()
+			current.leader.Load(nil, now, now)
+			current.leader.UpdateEndpoint(endpointRow(1000), now)
+			session := &endpointSession{term: current, id: "i-1", wake: make(chan struct{}, 1)}
+			current.sessions["i-1"] = session
+			endpoints.drop = func() {
+				if c.isDropped {
+					delete(current.sessions, "i-1")
+				}
+			}
+			session.renewLease(context.Background(), fleet.LeaseRenewal{})
+			_, isDue := current.leader.NextRenewal("i-1", time.Now())
+			if got := !isDue; got != c.wantReached {
+				t.Errorf("endpoint reached: got %t, want %t", got, c.wantReached)
+			}
+		})
+	}
+}
+
 // endpointRow returns the list's row of an endpoint that started at the given Unix time in
 // milliseconds.
 func endpointRow(startedAt int64) fleet.EndpointRow {
