fleet: an unanswered start is waited for as long as it may be carried out late

Cause: an endpoint may carry out an order seconds after it left it unanswered. Within one incarnation the order's deadline bounds that, but an endpoint that is silent may have restarted, and then its clock is behind the deadline. The leader gave such a start up with the lease, after 5.3 s in the test. The bound that replaced it for an incarnation whose restart was noticed was the deadline itself, hours ahead on a long-lived endpoint.

Change: a start without an answer on a silent endpoint is given up once it can neither be carried out any more (15 s) nor hold the longest lease. A stop that the endpoint accepts, its report or the host list resolve it earlier, as before. Tasks whose start was answered are not affected.

Measured: TestUnansweredStartOnSilentEndpoint failed before (a start after 5.3 s) and so did TestDeadlineOfEarlierIncarnationIsNotWaitedOut (none after 40 s); both pass.

--- a/internal/fleet/endpointstate.go
+++ b/internal/fleet/endpointstate.go
@@ -157,16 +157,16 @@
 }
 
 // limitForeignLease lowers the bound of leases from orders for an earlier incarnation: the
-// endpoint cuts each lease to the longest one when it receives it. Orders that are still
-// on their way are bounded by their deadline alone.
+// endpoint cuts each lease to the longest one when it receives it.
 func (l *Leader) limitForeignLease(e *endpoint, now time.Time) {
 	if e.foreignLeaseUntil == 0 || e.clockAt.IsZero() || l.config.Bounds.MaxLease <= 0 {
 		return
 	}
-	limit := l.longestLease(e, now)
+	longest := l.longestLease(e, now)
+	limit := longest
 	for _, r := range e.runs {
 		if r.isUnresolved() && !r.incarnation.Equal(e.startedAt) {
-			limit = max(limit, r.lease)
+			limit = max(limit, min(r.lease, longest+maxOrderDelay))
 		}
 	}
 	e.foreignLeaseUntil = min(e.foreignLeaseUntil, limit)
--- a/internal/fleet/incarnation_test.go
+++ b/internal/fleet/incarnation_test.go
@@ -347,3 +347,56 @@
 		t.Errorf("state: got %s, want complete", got)
 	}
 }
+
+// Guards against two runs of a task at once: an endpoint leaves a start unanswered, falls
+// silent, restarts unnoticed and carries the start out late. Its lease does not bound
+// that, since the clock of the new incarnation is behind the start's deadline.
+func TestUnansweredStartOnSilentEndpoint(t *testing.T) {
+	const orderDelay, longestLease = 12 * time.Second, 10 * time.Second
+	s := longRunning(t)
+	s.submit(submission(1, tasks(1)))
+	start := s.step().Starts[0]
+	s.addEndpoint("b")
+	s.leader.HandleStartReply(start, fleet.Reply{Outcome: fleet.OrderUnknown}, s.now)
+	orderedAt := s.now
+	startsAfter := func(d time.Duration) int {
+		for s.now.Sub(orderedAt) < d {
+			s.advance(100 * time.Millisecond)
+			s.leader.RenewalFailed("a", fleet.Reply{Outcome: fleet.OrderUnknown}, s.now)
+			s.renewLease("b")
+			if got := len(s.step().Starts); got != 0 {
+				return got
+			}
+		}
+		return 0
+	}
+	if got := startsAfter(orderDelay + longestLease); got != 0 {
+		t.Fatalf("starts %s after the order: got %d, want 0", s.now.Sub(orderedAt), got)
+	}
+	if got := startsAfter(orderDelay + longestLease + 10*time.Second); got != 1 {
+		t.Errorf("starts after the late order's lease: got %d, want 1", got)
+	}
+}
+
+// Guards against tasks that wait for hours: an unanswered start has a deadline on the clock
+// of a long-lived incarnation, and the next one falls silent after its first report.
+func TestDeadlineOfEarlierIncarnationIsNotWaitedOut(t *testing.T) {
+	s := longRunning(t)
+	s.submit(submission(1, tasks(1)))
+	start := s.step().Starts[0]
+	s.addEndpoint("b")
+	s.leader.HandleStartReply(start, fleet.Reply{Outcome: fleet.OrderUnknown}, s.now)
+	s.restart("a", laterStart)
+	s.advance(10 * time.Millisecond)
+	s.report("a", s.now)
+	orderedAt := s.now
+	for s.now.Sub(orderedAt) < 40*time.Second {
+		s.advance(100 * time.Millisecond)
+		s.leader.RenewalFailed("a", fleet.Reply{Outcome: fleet.OrderUnknown}, s.now)
+		s.renewLease("b")
+		if len(s.step().Starts) == 1 {
+			return
+		}
+	}
+	t.Errorf("starts %s after the endpoint fell silent: got none, want the waiting task's", s.now.Sub(orderedAt))
+}
--- a/internal/fleet/renewal.go
+++ b/internal/fleet/renewal.go
@@ -72,11 +72,20 @@
 		return
 	}
 	for _, r := range e.runs {
-		l.runLost(r, "endpoint's lease has expired", now)
+		if !l.mayStartLate(r, now) {
+			l.runLost(r, "endpoint's lease has expired", now)
+		}
 	}
 	l.forgetEndpoint(e, now)
 }
 
+// mayStartLate reports whether a start without an answer may still be carried out, or run,
+// on an endpoint that may have restarted unnoticed: its deadline is on a clock that has
+// begun anew then.
+func (l *Leader) mayStartLate(r *run, now time.Time) bool {
+	return r.isUnresolved() && now.Sub(r.orderedAt) <= maxOrderDelay+maxElapsed(l.config.Bounds.MaxLease)+leaseMargin
+}
+
 // HandleReport processes an endpoint's report. sentAt is when the renewal was sent:
 // the report may lack runs whose start was answered later.
 func (l *Leader) HandleReport(id EndpointID, renewal LeaseRenewal, sentAt time.Time, report Report, now time.Time) {
