--- a/cmd/lovagedyke/cmd_dump.go
+++ b/cmd/lovagedyke/cmd_dump.go
@@ -6,13 +6,13 @@
 	"encoding/json"
 	"flag"
 	"fmt"
-	"io"
 	"net/http"
 	"net/netip"
 	"time"
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/lovagedyke/lovagedyke/internal/bounded"
 	"github.com/lovagedyke/lovagedyke/pkg/client"
 )
 
@@ -52,9 +52,9 @@
 	if response.StatusCode != http.StatusOK {
 		return fmt.Errorf("process at %s returned status %s", address, response.Status)
 	}
-	content, err := io.ReadAll(io.LimitReader(response.Body, maxDumpBytes))
+	content, err := bounded.ReadAll(response.Body, maxDumpBytes)
 	if err != nil {
-		return err
+		return errors.Wrapf(err, "read the dump of %s", address)
 	}
 	var indented bytes.Buffer
 	if err := json.Indent(&indented, content, "", "  "); err != nil {
--- a/internal/httpclient/client.go
+++ b/internal/httpclient/client.go
@@ -14,13 +14,14 @@
 import (
 	"bytes"
 	"context"
-	"io"
 	"net/http"
 	"net/http/httptrace"
 	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/lovagedyke/lovagedyke/internal/bounded"
 )
 
 // ErrNotSent marks the error of a call that failed before it got a connection.
@@ -74,10 +75,10 @@
 	c.client.CloseIdleConnections()
 }
 
-// Do makes one request and reads up to maxResponseBytes of the response body; the
-// rest of a longer body is dropped without an error. An error marked ErrNotSent
-// means that the request was not sent. If reading the body fails, Do returns the
-// error together with the response's status and the part that was read.
+// Do makes one request and reads the response body. An error marked ErrNotSent means
+// that the request was not sent. If reading the body fails, or the body is longer than
+// maxResponseBytes, Do returns the error together with the response's status and the
+// part that was read.
 func (c *Client) Do(ctx context.Context, method, url string, body []byte) (Response, error) {
 	ctx, cancel := context.WithTimeout(ctx, c.timeout)
 	defer cancel()
@@ -98,6 +99,6 @@
 		return Response{}, err
 	}
 	defer func() { _ = response.Body.Close() }()
-	data, err := io.ReadAll(io.LimitReader(response.Body, maxResponseBytes))
+	data, err := bounded.ReadAll(response.Body, maxResponseBytes)
 	return Response{Status: response.StatusCode, Body: data}, err
 }
--- a/pkg/client/client.go
+++ b/pkg/client/client.go
@@ -18,7 +18,6 @@
 	"crypto/tls"
 	"encoding/json"
 	"fmt"
-	"io"
 	"net/http"
 	"net/netip"
 	"net/url"
@@ -27,6 +26,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/lovagedyke/lovagedyke/internal/bounded"
 	"github.com/lovagedyke/lovagedyke/internal/keyring"
 	"github.com/lovagedyke/lovagedyke/pkg/api"
 )
@@ -264,7 +264,7 @@
 		return errors.Mark(fmt.Errorf("manager %s: %w", manager, err), ErrUnavailable)
 	}
 	defer response.Body.Close()
-	content, err := io.ReadAll(io.LimitReader(response.Body, maxResponseBytes))
+	content, err := bounded.ReadAll(response.Body, maxResponseBytes)
 	if err != nil {
 		return errors.Mark(fmt.Errorf("read response of manager %s: %w", manager, err), ErrUnavailable)
 	}
