--- a/cmd/lovagedyke/cmd.go
+++ b/cmd/lovagedyke/cmd.go
@@ -14,6 +14,7 @@
 
 // Env is the environment that a command runs in.
 type Env struct {
+	Stdin          io.Reader
 	Stdout, Stderr io.Writer
 	Getenv         func(name string) string
 }
--- a/cmd/lovagedyke/cmd_explain.go
+++ b/cmd/lovagedyke/cmd_explain.go
@@ -1,37 +1,54 @@
 package main
 
 import (
-	"bytes"
 	"context"
+	"flag"
 	"fmt"
-	"io"
-	"os"
+	"time"
 
 	"github.com/cockroachdb/errors"
 
 	"github.com/lovagedyke/lovagedyke/internal/explain"
 )
 
+// explainProgressInterval is the time between two lines about the progress of a long read.
+const explainProgressInterval = 2 * time.Second
+
 var cmdExplain = &Cmd{
-	Name:   "explain",
-	Args:   "<id> <log> ...",
-	Desc:   "show a job's timeline from the processes' logs",
-	Action: explainJob,
+	Name: "explain",
+	Args: "[-endpoints] <id> <log or directory> ...",
+	Desc: "show a job's timeline from the processes' logs",
+	Setup: func(flags *flag.FlagSet, env *Env) Action {
+		withEndpoints := flags.Bool("endpoints", false, "add what was logged about the endpoints that ran the job")
+		return func(ctx context.Context, _ *Env, args []string) error {
+			return explainJob(ctx, env, args, *withEndpoints)
+		}
+	},
 }
 
-func explainJob(_ context.Context, env *Env, args []string) error {
+func explainJob(ctx context.Context, env *Env, args []string, withEndpoints bool) error {
 	if len(args) < 2 {
-		return usageError{errors.New("arguments are missing, want a job ID and at least one log file")}
+		return usageError{errors.New("arguments are missing, want a job ID and at least one log, directory or -")}
 	}
-	var logs []io.Reader
-	for _, path := range args[1:] {
-		text, err := os.ReadFile(path)
-		if err != nil {
-			return errors.Wrap(err, "read log file")
+	logs, err := explain.Logs(args[1:], env.Stdin)
+	if err != nil {
+		return err
+	}
+	collector := explain.NewCollector(explain.CollectorConfig{ID: args[0], WithEndpoints: withEndpoints})
+	shownAt := time.Now()
+	for n, log := range logs {
+		if err := ctx.Err(); err != nil {
+			return err
+		}
+		if time.Since(shownAt) >= explainProgressInterval {
+			shownAt = time.Now()
+			fmt.Fprintf(env.Stderr, "%s: %d of %d logs read\n", programName, n, len(logs))
+		}
+		if err := log.AddTo(collector); err != nil {
+			return err
 		}
-		logs = append(logs, bytes.NewReader(text))
 	}
-	timeline, err := explain.Read(args[0], logs...)
+	timeline, err := collector.Timeline()
 	if err != nil {
 		return err
 	}
--- a/cmd/lovagedyke/cmd_test.go
+++ b/cmd/lovagedyke/cmd_test.go
@@ -58,6 +58,7 @@
 	fleet       *fakeFleet
 	environment map[string]string
 	dir         string
+	stdin       string
 }
 
 func newTestCLI(t *testing.T) *testCLI {
@@ -92,7 +93,7 @@
 // run returns the exit code and the output of a command.
 func (c *testCLI) run(args ...string) (code int, stdout, stderr string) {
 	var out, messages bytes.Buffer
-	env := &Env{Stdout: &out, Stderr: &messages, Getenv: func(name string) string { return c.environment[name] }}
+	env := &Env{Stdin: strings.NewReader(c.stdin), Stdout: &out, Stderr: &messages, Getenv: func(name string) string { return c.environment[name] }}
 	code = run(context.Background(), env, commands, args)
 	return code, out.String(), messages.String()
 }
@@ -253,3 +254,10 @@
 	defer process.Close()
 	newTestCLI(t).expect(t, exitOK, "\"revision\": 1", "dump", process.Listener.Addr().String())
 }
+
+func TestExplainReadsStandardInput(t *testing.T) {
+	cli := newTestCLI(t)
+	cli.stdin = `{"time":"2026-12-01T06:00:00Z","msg":"job taken","process":"front-2","job":"5c0e7a21d94b36f8"}`
+	cli.expect(t, exitOK, "job taken", "explain", "-endpoints", "5c0e7a21d94b36f8", "-")
+	cli.expect(t, exitUsage, "want a job ID and at least one log", "explain", "5c0e7a21d94b36f8")
+}
--- a/cmd/lovagedyke/main.go
+++ b/cmd/lovagedyke/main.go
@@ -34,7 +34,7 @@
 
 func main() {
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
-	env := &Env{Stdout: os.Stdout, Stderr: os.Stderr, Getenv: os.Getenv}
+	env := &Env{Stdin: os.Stdin, Stdout: os.Stdout, Stderr: os.Stderr, Getenv: os.Getenv}
 	code := run(ctx, env, commands, os.Args[1:])
 	stop()
 	os.Exit(code)
--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -31,12 +31,14 @@
 	minGap = 2 * time.Second
 )
 
-// Names of the fields that every line has.
+// Names of fields. Every line has the first four.
 const (
 	fieldTime    = "time"
 	fieldMessage = "msg"
 	fieldProcess = "process"
 	fieldLevel   = "level"
+	// fieldEndpoint is the endpoint that a line is about, if any.
+	fieldEndpoint = "endpoint"
 )
 
 // idFields are the fields that hold a job's ID.
@@ -70,38 +72,100 @@
 // Read returns the timeline of the job with an ID. It is an error if no line is
 // that of a lovagedyke process, or if none mentions the job.
 func Read(id string, logs ...io.Reader) (Timeline, error) {
-	var timeline Timeline
-	parsed := 0
+	collector := NewCollector(CollectorConfig{ID: id})
 	for _, log := range logs {
-		scanner := bufio.NewScanner(log)
-		scanner.Buffer(nil, maxLineBytes)
-		for scanner.Scan() {
-			line, fields, ok := parse(scanner.Bytes())
-			if !ok {
-				continue
-			}
-			parsed++
-			if mentionsJob(fields, id) {
-				timeline.Lines = append(timeline.Lines, line)
-			}
+		if err := collector.Add(log); err != nil {
+			return Timeline{}, err
 		}
-		if err := scanner.Err(); err != nil {
-			return Timeline{}, errors.Wrap(err, "read the log")
+	}
+	return collector.Timeline()
+}
+
+// CollectorConfig configures a Collector.
+type CollectorConfig struct {
+	// ID is the job's ID.
+	ID string
+	// WithEndpoints adds what the processes logged, during the job's time, about the
+	// endpoints that its lines name.
+	WithEndpoints bool
+}
+
+// Collector collects the lines about a job from logs that are read one after the other.
+type Collector struct {
+	config CollectorConfig
+	parsed int
+	lines  []Line
+	// endpoints holds the endpoints that the job's lines name, endpointLines the lines about
+	// any endpoint that name no job.
+	endpoints     map[string]bool
+	endpointLines map[string][]Line
+}
+
+// NewCollector returns a Collector without lines.
+func NewCollector(config CollectorConfig) *Collector {
+	return &Collector{config: config, endpoints: map[string]bool{}, endpointLines: map[string][]Line{}}
+}
+
+// Add reads a log to its end.
+func (c *Collector) Add(log io.Reader) error {
+	scanner := bufio.NewScanner(log)
+	scanner.Buffer(nil, maxLineBytes)
+	for scanner.Scan() {
+		line, fields, ok := parse(scanner.Bytes())
+		if !ok {
+			continue
 		}
+		c.parsed++
+		c.add(line, fields)
 	}
-	if parsed == 0 {
+	return errors.Wrap(scanner.Err(), "read the log")
+}
+
+// add keeps a line if it may be part of the timeline.
+func (c *Collector) add(line Line, fields map[string]any) {
+	endpoint, _ := fields[fieldEndpoint].(string)
+	if mentionsJob(fields, c.config.ID) {
+		c.lines = append(c.lines, line)
+		if endpoint != "" {
+			c.endpoints[endpoint] = true
+		}
+		return
+	}
+	if c.config.WithEndpoints && endpoint != "" && !namesJob(fields) {
+		c.endpointLines[endpoint] = append(c.endpointLines[endpoint], line)
+	}
+}
+
+// Timeline returns the collected lines in order of time. It is an error if no line is
+// that of a lovagedyke process, or if none mentions the job.
+func (c *Collector) Timeline() (Timeline, error) {
+	if c.parsed == 0 {
 		return Timeline{}, errors.New("the logs contain no line of a lovagedyke process")
 	}
-	if len(timeline.Lines) == 0 {
-		return Timeline{}, errors.Newf("none of %d lines names %s", parsed, id)
+	if len(c.lines) == 0 {
+		return Timeline{}, errors.Newf("none of %d lines names %s", c.parsed, c.config.ID)
 	}
-	slices.SortStableFunc(timeline.Lines, func(a, b Line) int { return a.At.Compare(b.At) })
-	for i := 1; i < len(timeline.Lines); i++ {
-		if gap := timeline.Lines[i].At.Sub(timeline.Lines[i-1].At); gap >= minGap {
-			timeline.Lines[i].Gap = gap
+	lines := slices.Clone(c.lines)
+	sortByTime(lines)
+	first, last := lines[0].At, lines[len(lines)-1].At
+	for endpoint := range c.endpoints {
+		for _, line := range c.endpointLines[endpoint] {
+			if !line.At.Before(first) && !line.At.After(last) {
+				lines = append(lines, line)
+			}
 		}
 	}
-	return timeline, nil
+	sortByTime(lines)
+	for i := 1; i < len(lines); i++ {
+		if gap := lines[i].At.Sub(lines[i-1].At); gap >= minGap {
+			lines[i].Gap = gap
+		}
+	}
+	return Timeline{Lines: lines}, nil
+}
+
+func sortByTime(lines []Line) {
+	slices.SortStableFunc(lines, func(a, b Line) int { return a.At.Compare(b.At) })
 }
 
 // parse decodes a line. It returns false for lines of other programs.
@@ -133,6 +197,11 @@
 	return line, fields, true
 }
 
+// namesJob reports whether one of the idFields is there.
+func namesJob(fields map[string]any) bool {
+	return slices.ContainsFunc(idFields, func(field string) bool { return fields[field] != nil })
+}
+
 // mentionsJob reports whether one of the idFields holds the job's ID.
 func mentionsJob(fields map[string]any, id string) bool {
 	for _, field := range idFields {
