fleet: a host list ends only runs that were answered before it was requested

Cause: a list that shows that an endpoint has ended took all its runs for lost. A run that was answered after the list was requested may be on the incarnation that has restarted under the same ID since; a start without an answer may yet be carried out there, seconds later. Such an endpoint was not asked for a report any more either, and once it was listed again, its completions were acknowledged by the numbers of the earlier incarnation.

Change: the list ends runs that the endpoint had confirmed before the request. The others keep the endpoint known, and are resolved by their answers, by later lists, by a report or by the end of the lease: an endpoint that is gone is renewed while it has runs, without a lease and an acknowledgement. If it answers or is on a host again, it may have restarted. Ruled out: waiting for the longest lease of a next incarnation while none is seen, since tasks would wait 11 s after each crash and not 5.

Measured: TestHostListOlderThanAnswer and all six cases of TestUnansweredStartOnGoneEndpoint fail before (a second start at once) and pass. TestHostListShowsCrash, where the tasks of a crashed host start at once, still passes.

--- a/internal/fleet/endpointstate.go
+++ b/internal/fleet/endpointstate.go
@@ -37,9 +37,10 @@
 	listed bool
 	// listedAt is when this incarnation was first listed.
 	listedAt time.Time
-	// gone is true once the platform's host list shows that this incarnation can no
-	// longer run anything.
-	gone bool
+	// gone is true once the host list, or a change of its host, has shown that this incarnation
+	// can no longer run anything; goneAt is when that was last learnt.
+	gone   bool
+	goneAt time.Time
 	// reached is true once this incarnation has answered under the leader's token.
 	reached bool
 	// startedAt identifies the incarnation of the last report, or that of the list before
@@ -100,6 +101,16 @@
 	return len(e.runs) == 0 && len(e.unpersisted) == 0 && e.ackable == e.acked
 }
 
+// hasLiveRun reports whether the endpoint has confirmed a run that is not being stopped.
+func (e *endpoint) hasLiveRun() bool {
+	for _, r := range e.runs {
+		if r.state == runLive {
+			return true
+		}
+	}
+	return false
+}
+
 // available returns the endpoint's free capacity.
 func (e *endpoint) available() policy.Resources {
 	return e.row.Capacity.Minus(e.tally.reserved)
--- a/internal/fleet/evacuate.go
+++ b/internal/fleet/evacuate.go
@@ -49,7 +49,7 @@
 // isAtFullSpeed reports whether a recent report shows the run at full speed, or a
 // throttled run at the speed that was ordered.
 func (r *run) isAtFullSpeed(now time.Time) bool {
-	return r.endpoint.listed && now.Sub(r.endpoint.reportedAt) < maxReportAge && !r.fullSpeedAt.IsZero() && r.speedPercent >= min(100, r.percent)
+	return r.endpoint.listed && !r.endpoint.gone && now.Sub(r.endpoint.reportedAt) < maxReportAge && !r.fullSpeedAt.IsZero() && r.speedPercent >= min(100, r.percent)
 }
 
 // hasAlternative reports whether another endpoint of the pool can run the task now.
--- /dev/null
+++ b/internal/fleet/hostevidence_test.go
@@ -0,0 +1,159 @@
+package fleet_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/lovagedyke/lovagedyke/internal/fleet"
+)
+
+// downHost returns the host of an endpoint that has crashed.
+func downHost(id fleet.EndpointID) fleet.Host {
+	h := newHost(poolName, id)
+	h.State, h.Endpoint = fleet.HostDown, ""
+	return h
+}
+
+// listed delivers a host list that was requested now.
+func (s *simulation) listed(hosts ...fleet.Host) {
+	s.leader.UpdateHosts(hosts, s.now, s.now)
+	s.advance(time.Millisecond)
+}
+
+// startOn returns a simulation in which a task's start has been ordered on endpoint "a", and
+// has no answer yet, beside the empty endpoint "b".
+func startOn(t *testing.T) (*simulation, fleet.Start) {
+	onePool := defaultPolicy()
+	onePool.Pools = onePool.Pools[:1]
+	s := newSimulation(t, simulationConfig{policy: onePool})
+	s.startedAt = s.now.Add(-time.Hour)
+	s.addEndpoint("a")
+	s.submit(submission(1, tasks(1)))
+	start := s.step().Starts[0]
+	s.addEndpoint("b")
+	s.listed(newHost(poolName, "a"), newHost(poolName, "b"))
+	return s, start
+}
+
+// accept answers a start, whose run the endpoint reports from now on.
+func (s *simulation) accept(start fleet.Start) {
+	s.run(start)
+	s.leader.HandleStartReply(start, fleet.Reply{Outcome: fleet.OrderAccepted, Clock: s.now.Sub(s.lifeOf(start.Endpoint).began)}, s.now)
+	s.advance(time.Millisecond)
+}
+
+// Guards against two runs of a task at once: a host list was requested before the endpoint
+// had restarted under its ID, and arrives once the new incarnation has accepted a task.
+func TestHostListOlderThanAnswer(t *testing.T) {
+	s, start := startOn(t)
+	requestedAt := s.now
+	s.advance(10 * time.Millisecond)
+	s.restart("a", laterStart)
+	s.accept(start)
+	s.leader.UpdateHosts([]fleet.Host{downHost("a"), newHost(poolName, "b")}, requestedAt, s.now)
+	s.wantOrders("after a list that is older than the answer", 0, 0)
+	s.renewLease("a")
+	s.wantOrders("after the report", 0, 0)
+	s.advance(time.Millisecond)
+	s.listed(newHost(poolName, "a"), newHost(poolName, "b"))
+	s.renewLease("a")
+	s.wantOrders("after the next list and report", 0, 0)
+}
+
+// Guards against two runs of a task at once: a start without an answer, on an endpoint whose
+// host is down, is carried out by the incarnation that the host starts next. Its task waits
+// for the answer, a report or the end of the lease, and the endpoint is kept until then.
+func TestUnansweredStartOnGoneEndpoint(t *testing.T) {
+	hosts := []fleet.Host{downHost("a"), newHost(poolName, "b")}
+	tests := map[string]struct {
+		// isAnswered is true if the call has ended, without an answer.
+		isAnswered bool
+		resolve    func(s *simulation, start fleet.Start)
+		starts     int
+	}{
+		"on its way, rejected": {false, func(s *simulation, start fleet.Start) {
+			s.leader.HandleStartReply(start, fleet.Reply{Outcome: fleet.OrderNotSent}, s.now)
+			s.advance(100 * time.Millisecond)
+		}, 1},
+		"on its way, accepted before the crash": {false, func(s *simulation, start fleet.Start) {
+			s.leader.HandleStartReply(start, fleet.Reply{Outcome: fleet.OrderAccepted}, s.now)
+			s.wantOrders("before the next list", 0, 0)
+			s.advance(time.Millisecond)
+			if !s.leader.NeedsHostList(s.now) {
+				s.t.Error("host list needed for a run that was answered after the last one: got false, want true")
+			}
+			s.listed(hosts...)
+		}, 1},
+		"on its way, accepted by the next incarnation": {false, func(s *simulation, start fleet.Start) {
+			s.restart("a", laterStart)
+			s.accept(start)
+			s.renewLease("a")
+		}, 0},
+		"unanswered, reported by the next incarnation": {true, func(s *simulation, start fleet.Start) {
+			s.restart("a", laterStart)
+			s.run(start)
+			s.renewLease("a")
+		}, 0},
+		"unanswered, listed and reported again": {true, func(s *simulation, start fleet.Start) {
+			s.restart("a", laterStart)
+			s.run(start)
+			s.listed(newHost(poolName, "a"), newHost(poolName, "b"))
+			s.renewLease("a")
+		}, 0},
+		"unanswered, silent until the lease has expired": {true, func(s *simulation, _ fleet.Start) {
+			s.outwaitLease()
+		}, 1},
+	}
+	for name, c := range tests {
+		t.Run(name, func(t *testing.T) {
+			s, start := startOn(t)
+			if c.isAnswered {
+				s.leader.HandleStartReply(start, fleet.Reply{Outcome: fleet.OrderUnknown}, s.now)
+			}
+			s.advance(10 * time.Millisecond)
+			s.listed(hosts...)
+			s.wantOrders("while the start is not resolved", 0, 0)
+			s.leader.RemoveEndpoint("a", s.now)
+			if got, want := s.leader.EndpointCount(), 2; got != want {
+				t.Fatalf("endpoints while the start is not resolved: got %d, want %d", got, want)
+			}
+			renewal, due := s.leader.NextRenewal("a", s.now)
+			if !due || renewal.Lease != 0 || renewal.AckedUpTo != 0 {
+				t.Errorf("renewal: got %+v (due %t), want one without lease and acknowledgement", renewal, due)
+			}
+			c.resolve(s, start)
+			starts := s.step().Starts
+			if len(starts) != c.starts {
+				t.Fatalf("starts: got %v, want %d", starts, c.starts)
+			}
+			if c.starts == 1 {
+				s.listed(hosts...)
+			}
+			if got, want := s.leader.EndpointCount(), 2-c.starts; got != want {
+				t.Errorf("endpoints after that: got %d, want %d", got, want)
+			}
+		})
+	}
+}
+
+// failRenewal lets an endpoint's renewal fail if one is due.
+func (s *simulation) failRenewal(id fleet.EndpointID) {
+	if _, due := s.leader.NextRenewal(id, s.now); due {
+		s.leader.RenewalFailed(id, fleet.Reply{Outcome: fleet.OrderUnknown, SentAt: s.now}, s.now)
+	}
+}
+
+// outwaitLease lets endpoint "a" be silent until a lease that was granted now has expired, and
+// checks that nothing starts before.
+func (s *simulation) outwaitLease() {
+	s.t.Helper()
+	const lease, slack = 5 * time.Second, 300 * time.Millisecond
+	for waited := time.Duration(0); waited < lease+slack; waited += 100 * time.Millisecond {
+		if waited < lease {
+			s.wantOrders("before the lease has expired", 0, 0)
+		}
+		s.advance(100 * time.Millisecond)
+		s.failRenewal("a")
+		s.renewLease("b")
+	}
+}
--- a/internal/fleet/hosts.go
+++ b/internal/fleet/hosts.go
@@ -87,7 +87,7 @@
 // endpointOf returns the listed endpoint on a host, or nil.
 func (l *Leader) endpointOf(h *hostState) *endpoint {
 	e := l.endpoints[h.row.Endpoint]
-	if e == nil || !e.listed {
+	if e == nil || !e.listed || e.gone {
 		return nil
 	}
 	return e
@@ -129,20 +129,34 @@
 		return
 	}
 	for _, e := range l.endpoints {
-		if e.gone && onHost[e.row.ID] && e.listedAt.Before(sentAt) {
-			// The earlier list was wrong or outdated.
-			e.gone, e.reached = false, false
+		switch {
+		case onHost[e.row.ID]:
+			if e.gone && !sentAt.Before(e.goneAt) {
+				// It has restarted, or the earlier list was wrong.
+				e.gone = false
+				l.suspectRestart(e, "host list", now)
+			}
+		case e.listedAt.Before(sentAt) && !e.reportedAt.After(sentAt):
+			l.endpointEnded(e, "host no longer runs the endpoint", sentAt, now)
 		}
-		if e.gone || onHost[e.row.ID] || !e.listedAt.Before(sentAt) || e.reportedAt.After(sentAt) {
-			continue
-		}
-		l.log("endpoint gone", "endpoint", e.row.ID, "pool", e.row.Pool, "runs", len(e.runs), "list-age", now.Sub(sentAt).Round(time.Millisecond).String())
-		e.gone = true
-		for _, r := range e.runs {
-			l.runLost(r, "host no longer runs the endpoint", now)
+	}
+}
+
+// endpointEnded handles evidence, requested at sentAt, that an endpoint's incarnation has
+// ended. Its remaining runs, which were answered later or not at all, may be on the next
+// incarnation: they are resolved by their answers, its report, later evidence or the end of
+// the lease.
+func (l *Leader) endpointEnded(e *endpoint, reason string, sentAt, now time.Time) {
+	if !e.gone {
+		l.log("endpoint gone", "endpoint", e.row.ID, "pool", e.row.Pool, "why", reason, "runs", len(e.runs), "list-age", age(sentAt, now))
+	}
+	e.gone, e.goneAt = true, now
+	for _, r := range e.runs {
+		if r.wasRunningBefore(sentAt) {
+			l.runLost(r, reason, now)
 		}
-		l.forgetEndpoint(e, now)
 	}
+	l.forgetEndpoint(e, now)
 }
 
 // updateHost applies a host's row, unless the row predates the host's change.
@@ -190,9 +204,13 @@
 }
 
 // NeedsHostList reports whether the host list should be read soon: a change is due
-// to end, or an unresponsive endpoint may have crashed.
+// to end, an unresponsive endpoint may have crashed, or runs were answered after the evidence
+// that their endpoint has ended.
 func (l *Leader) NeedsHostList(now time.Time) bool {
 	for _, e := range l.endpoints {
+		if e.gone && e.hasLiveRun() {
+			return true
+		}
 		isUnresponsive := e.unresponsive && len(e.runs) > 0 || !e.reached && !l.inheritedLeaseOver(e, now)
 		if isUnresponsive && !e.gone && len(l.hosts.byID) > 0 {
 			return true
--- a/internal/fleet/hosts_test.go
+++ b/internal/fleet/hosts_test.go
@@ -10,9 +10,14 @@
 	"github.com/lovagedyke/lovagedyke/internal/policy"
 )
 
+// hostOf returns the name of the host that runs an endpoint.
+func hostOf(id fleet.EndpointID) string {
+	return "m-" + string(id)
+}
+
 // newHost returns a host that runs an endpoint.
 func newHost(pool string, id fleet.EndpointID) fleet.Host {
-	return fleet.Host{ID: fleet.HostID("m-" + string(id)), Pool: pool, State: fleet.HostUp, Endpoint: id, Capacity: endpointSize}
+	return fleet.Host{ID: fleet.HostID(hostOf(id)), Pool: pool, State: fleet.HostUp, Endpoint: id, Capacity: endpointSize}
 }
 
 // spareHost returns a host that is switched off.
--- a/internal/fleet/leader_test.go
+++ b/internal/fleet/leader_test.go
@@ -85,7 +85,7 @@
 
 func endpointRow(id fleet.EndpointID) fleet.EndpointRow {
 	return fleet.EndpointRow{
-		ID: id, Pool: poolName, Capacity: endpointSize, Labels: []string{"a", "r1-1"},
+		ID: id, Host: hostOf(id), Pool: poolName, Capacity: endpointSize, Labels: []string{"a", "r1-1"},
 		StartedAt: time.UnixMilli(1000), Address: netip.MustParseAddrPort("127.0.0.1:1"),
 	}
 }
--- a/internal/fleet/renewal.go
+++ b/internal/fleet/renewal.go
@@ -11,14 +11,17 @@
 	if !ok {
 		return LeaseRenewal{}, false
 	}
+	if e.gone {
+		// Only another incarnation can answer, which may have carried out the starts that are
+		// left. Without them, the list shows when there is one.
+		return LeaseRenewal{}, len(e.runs) > 0
+	}
 	renewal := LeaseRenewal{}
 	if e.ackable > e.acked && !e.mayHaveRestarted {
 		// Sent only if it has advanced: a new incarnation restarts the numbers of completions.
 		renewal.AckedUpTo = e.ackable
 	}
 	switch {
-	case e.gone:
-		return renewal, false
 	case !e.reached && !l.loaded && !e.clockAt.IsZero():
 		// Its runs are not known yet. They are kept alive while the jobs are being read.
 		isDue := e.leaseUntil == 0 || e.unresponsive || now.Sub(e.reportedAt) >= renewalInterval
--- a/internal/fleet/reply.go
+++ b/internal/fleet/reply.go
@@ -51,6 +51,11 @@
 	switch reply.Outcome {
 	case OrderAccepted:
 		l.startAccepted(r, now)
+		if e.gone {
+			// Another incarnation may have answered.
+			e.gone = false
+			l.suspectRestart(e, "start on a gone endpoint", now)
+		}
 		l.limitForeignLease(e, now)
 		if start.incarnation.Equal(e.startedAt) && reply.Clock > 0 && reply.Clock < start.clock {
 			l.suspectRestart(e, "clock", now)
--- a/internal/fleet/run.go
+++ b/internal/fleet/run.go
@@ -82,3 +82,10 @@
 func (r *run) isUnresolved() bool {
 	return (r.answeredAt.IsZero() || r.wasUnconfirmed && !r.reported) && r.stopAcceptedAt.IsZero()
 }
+
+// wasRunningBefore reports whether the endpoint has confirmed, before a time, that it runs
+// the run: it has ended with the incarnation of the endpoint if that is seen to have ended
+// since. A run without an answer may yet be started by the next incarnation.
+func (r *run) wasRunningBefore(at time.Time) bool {
+	return !r.answeredAt.IsZero() && r.answeredAt.Before(at) && (!r.wasUnconfirmed || r.reported)
+}
