fleet: a host change ends only the endpoint that was on the host when it was ordered

Cause: an accepted change ended all runs of the endpoint that the host's row names when the answer is processed. If the answer to a move was lost and the list is read only after the host has come back, that is the new endpoint, whose runs go on; if an answer is late and the endpoint has restarted under its ID, it is the new incarnation. The leader also forgot that endpoint until its next entry in the platform's list.

Change: a change remembers the endpoint and the incarnation that it ends, and ends runs that were answered before it was ordered. If the list shows that an unanswered change was made, the list alone says what has become of the endpoint. A host that is up with another endpoint is back at once, and its endpoint is not drained for the change. Ruled out: taking an unanswered maintenance for done because the host has another endpoint: it may have crashed, and the wave would be called complete too early.

--- a/internal/fleet/endpointstate.go
+++ b/internal/fleet/endpointstate.go
@@ -208,6 +208,7 @@
 		return
 	}
 	if !row.StartedAt.Equal(known.row.StartedAt) && !row.StartedAt.Equal(known.startedAt) {
+		known.gone = false
 		l.suspectRestart(known, "list", now)
 	}
 	if row.Draining != known.row.Draining {
--- a/internal/fleet/hostevidence_test.go
+++ b/internal/fleet/hostevidence_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/lovagedyke/lovagedyke/internal/fleet"
+	"github.com/lovagedyke/lovagedyke/internal/job"
 )
 
 // downHost returns the host of an endpoint that has crashed.
@@ -157,3 +158,88 @@
 		s.renewLease("b")
 	}
 }
+
+// Guards against two runs of a task at once: the platform's answer to a host change is lost or
+// late, and arrives, or is replaced by the list, when the host is back and its new endpoint, or
+// the same one after a restart, already runs tasks.
+func TestHostChangeEndsOnlyEarlierEndpoint(t *testing.T) {
+	const maintained = true
+	tests := map[string]struct {
+		// before is the endpoint on the host when the change is ordered; "x" is on it after.
+		before      fleet.EndpointID
+		maintenance bool
+		outcome     fleet.ChangeOutcome
+	}{
+		"move unanswered, new endpoint":          {"", false, fleet.ChangeUnknown},
+		"move unanswered, other endpoint":        {"w", false, fleet.ChangeUnknown},
+		"move unanswered, same endpoint":         {"x", false, fleet.ChangeUnknown},
+		"move answered late, new endpoint":       {"", false, fleet.ChangeAccepted},
+		"move answered late, other endpoint":     {"w", false, fleet.ChangeAccepted},
+		"move answered late, same endpoint":      {"x", false, fleet.ChangeAccepted},
+		"maintenance unanswered, other endpoint": {"w", maintained, fleet.ChangeUnknown},
+		"maintenance answered late, same":        {"x", maintained, fleet.ChangeAccepted},
+		"maintenance answered late, other":       {"w", maintained, fleet.ChangeAccepted},
+	}
+	for name, c := range tests {
+		t.Run(name, func(t *testing.T) {
+			s := newSimulation(t, simulationConfig{})
+			host := fleet.Host{ID: "m-x", Pool: spareName, State: fleet.HostUp, Endpoint: c.before, Capacity: endpointSize}
+			others := baseHosts()
+			s.listHosts(append(others, host)...)
+			const fitting = 16 * minPoolHosts
+			s.submit(submission(1, tasks(fitting+1)))
+			answer := s.changeHost(host.ID, c.maintenance)
+			s.acceptStarts()
+			if c.outcome == fleet.ChangeUnknown {
+				answer(fleet.ChangeUnknown)
+			}
+			s.advance(2 * time.Second)
+			s.restart("x", laterStart)
+			s.list("x")
+			s.run(fleet.Start{Endpoint: "x", Task: job.Task{Job: jobID(1), Index: fitting}, Run: 1})
+			s.endRun(s.orders.Starts[0], fleet.CompletionDone)
+			s.renewAll()
+			if c.outcome == fleet.ChangeAccepted {
+				answer(fleet.ChangeAccepted)
+			}
+			host.Endpoint = "x"
+			if !c.maintenance {
+				host.Pool = poolName
+			}
+			for range 10 {
+				s.wantOrders("while the task runs on the host", 0, 0)
+				s.advance(300 * time.Millisecond)
+				s.listed(append(others, host)...)
+				s.renewAll()
+			}
+		})
+	}
+}
+
+// changeHost runs the step in which a host is moved or maintained, and returns a function that
+// delivers the platform's answer.
+func (s *simulation) changeHost(id fleet.HostID, maintenance bool) func(outcome fleet.ChangeOutcome) {
+	s.t.Helper()
+	if maintenance {
+		s.leader.UpdateWave(fleet.WaveRow{Number: 1, MaxDown: 1, Hosts: []fleet.HostID{id}, TimeLimit: time.Second}, s.now)
+	}
+	orders := s.step()
+	if len(orders.Moves)+len(orders.Maintenance) != 1 || maintenance != (len(orders.Maintenance) == 1) {
+		s.t.Fatalf("host changes: got %d moves and %d maintenance orders, want one", len(orders.Moves), len(orders.Maintenance))
+	}
+	return func(outcome fleet.ChangeOutcome) {
+		if maintenance {
+			s.leader.HandleMaintenanceReply(orders.Maintenance[0], outcome, s.now)
+			return
+		}
+		s.leader.HandleMoveReply(orders.Moves[0], outcome, s.now)
+	}
+}
+
+// renewAll delivers the reports that are due.
+func (s *simulation) renewAll() {
+	s.advance(time.Millisecond)
+	for _, id := range s.leader.EndpointIDs() {
+		s.renewLease(id)
+	}
+}
--- a/internal/fleet/hosts.go
+++ b/internal/fleet/hosts.go
@@ -61,11 +61,29 @@
 type pendingChange struct {
 	pool string
 	wave int64
+	// endpoint and incarnation are the endpoint that was on the host when the change was
+	// ordered, and its start time, or zero if the endpoint was not known. The change ends it.
+	endpoint    EndpointID
+	incarnation time.Time
 	// orderedAt is when it was ordered, acceptedAt when the platform accepted it.
 	orderedAt, acceptedAt time.Time
 	isUnconfirmed         bool
 }
 
+// ends reports whether the change ends the endpoint, rather than a later one on the host.
+func (c *pendingChange) ends(e *endpoint) bool {
+	return e.row.ID == c.endpoint && (c.incarnation.IsZero() || c.incarnation.Equal(e.startedAt))
+}
+
+// startChange marks a host as being changed from now on.
+func (l *Leader) startChange(h *hostState, change pendingChange, now time.Time) {
+	change.orderedAt, change.endpoint = now, h.row.Endpoint
+	if e := l.endpoints[h.row.Endpoint]; e != nil {
+		change.incarnation = e.startedAt
+	}
+	h.pendingChange = &change
+}
+
 // hostState is a host and its pending change.
 type hostState struct {
 	row           Host
@@ -175,21 +193,28 @@
 	h.row = row
 	if c.isUnconfirmed {
 		l.resolveChange(h, now)
+	}
+	if c.acceptedAt.IsZero() {
 		return
 	}
-	if row.State == HostUp && (c.wave != 0 || row.Pool == c.pool) && now.Sub(c.acceptedAt) > l.changeDuration(c)/2 {
+	hasNewEndpoint := row.Endpoint != "" && row.Endpoint != c.endpoint
+	if row.State == HostUp && (c.wave != 0 || row.Pool == c.pool) && (hasNewEndpoint || now.Sub(c.acceptedAt) > l.changeDuration(c)/2) {
 		l.log("host back", "host", row.ID, "pool", row.Pool, "wave", c.wave, "took", now.Sub(c.acceptedAt).Round(time.Millisecond).String())
 		h.pendingChange = nil
 	}
 }
 
-// resolveChange determines from the list whether an unanswered change was made.
+// resolveChange determines from the list whether an unanswered change was made. The list
+// also shows what has become of the endpoint.
 func (l *Leader) resolveChange(h *hostState, now time.Time) {
 	c := h.pendingChange
 	isMade := c.wave != 0 && h.row.State == HostMaintenance || c.wave == 0 && (h.row.State == HostMoving || h.row.Pool == c.pool)
 	switch {
 	case isMade:
-		l.changeAccepted(h, now)
+		l.changeMade(h, now)
+		if e := l.endpointOf(h); e != nil && c.ends(e) && h.row.State == HostUp {
+			l.suspectRestart(e, "host change", now)
+		}
 	case h.row.State == HostUp && now.Sub(c.orderedAt) > changeTimeout:
 		h.pendingChange = nil
 	}
@@ -237,24 +262,27 @@
 	return false
 }
 
-// changeAccepted handles a host that has become unavailable for its change: its runs are lost.
+// changeAccepted handles the platform's acceptance of a change: the endpoint that was on the
+// host has ended. The answer may arrive when the host is back with another endpoint, or with
+// another incarnation of the same one.
 func (l *Leader) changeAccepted(h *hostState, now time.Time) {
 	c := h.pendingChange
-	c.acceptedAt, c.isUnconfirmed = now, false
-	if e := l.endpoints[h.row.Endpoint]; e != nil {
-		for _, r := range e.runs {
-			l.runLost(r, "host is being moved or maintained", now)
-		}
-		e.listed, e.gone = false, true
-		l.forgetEndpoint(e, now)
+	if e := l.endpoints[c.endpoint]; e != nil && c.ends(e) {
+		l.endpointEnded(e, "host is being moved or maintained", c.orderedAt, now)
 	}
-	h.idleSince = time.Time{}
-	if c.wave == 0 {
-		h.row.State = HostMoving
-		return
+	l.changeMade(h, now)
+	h.row.State = HostMoving
+	if c.wave != 0 {
+		h.row.State = HostMaintenance
 	}
-	h.row.State = HostMaintenance
-	if wave := l.hosts.waves[c.wave]; wave != nil {
+}
+
+// changeMade records that the change of a host was made.
+func (l *Leader) changeMade(h *hostState, now time.Time) {
+	c := h.pendingChange
+	c.acceptedAt, c.isUnconfirmed = now, false
+	h.idleSince = time.Time{}
+	if wave := l.hosts.waves[c.wave]; c.wave != 0 && wave != nil {
 		wave.done[h.row.ID] = true
 		wave.dirty = true
 	}
@@ -318,7 +346,7 @@
 		e.leaving = false
 	}
 	for _, h := range l.hosts.byID {
-		if e := l.endpointOf(h); e != nil && h.pendingChange != nil {
+		if e := l.endpointOf(h); e != nil && h.pendingChange != nil && h.pendingChange.ends(e) {
 			e.leaving = true
 		}
 	}
--- a/internal/fleet/move.go
+++ b/internal/fleet/move.go
@@ -107,7 +107,7 @@
 
 // orderMove orders the move of a host to a pool.
 func (l *Leader) orderMove(h *hostState, pool string, orders *Orders, now time.Time) {
-	h.pendingChange = &pendingChange{pool: pool, orderedAt: now}
+	l.startChange(h, pendingChange{pool: pool}, now)
 	if e := l.endpointOf(h); e != nil {
 		e.leaving = true
 	}
--- a/internal/fleet/wave.go
+++ b/internal/fleet/wave.go
@@ -118,7 +118,7 @@
 		if down < maxDown && l.isEmpty(h, now) {
 			down++
 			started++
-			h.pendingChange = &pendingChange{wave: wave.row.Number, orderedAt: now}
+			l.startChange(h, pendingChange{wave: wave.row.Number}, now)
 			orders.Maintenance = append(orders.Maintenance, MaintenanceOrder{Host: h.row.ID, Wave: wave.row.Number})
 			l.log("upkeep", "host", h.row.ID, "pool", h.row.Pool, "wave", wave.row.Number, "down", down, "at-once", maxDown)
 		}
