fleet: an endpoint that a host list lacks is gone only if its host shows why

Cause: one list in which no host names an endpoint ended its runs, whatever the reason: a page that was read while the hosts changed, a host that is up but does not name its endpoint yet, a host that is missing.

Change: the endpoint's own host decides, which the endpoint names in its entry. If that is down, being moved or maintained, or runs another endpoint, the endpoint has ended, and its tasks start at once as before. Otherwise two lists in a row must lack the endpoint, without a report of it in between, and end only runs that were answered before the first was requested; the second list is read at once. Ruled out: ending the runs of an endpoint whose host is down but still names it, which may be unreachable alone.

--- a/internal/fleet/endpointstate.go
+++ b/internal/fleet/endpointstate.go
@@ -41,6 +41,11 @@
 	// can no longer run anything; goneAt is when that was last learnt.
 	gone   bool
 	goneAt time.Time
+	// lastHost is the host that last named the endpoint in the host list, or "".
+	lastHost HostID
+	// missingSince is when the first of the host lists in a row was requested that lack the
+	// endpoint although its host does not show that it has ended, or zero.
+	missingSince time.Time
 	// reached is true once this incarnation has answered under the leader's token.
 	reached bool
 	// startedAt identifies the incarnation of the last report, or that of the list before
@@ -101,6 +106,19 @@
 	return len(e.runs) == 0 && len(e.unpersisted) == 0 && e.ackable == e.acked
 }
 
+// hostID returns the host that runs the endpoint, or "" if it is not known.
+func (e *endpoint) hostID() HostID {
+	if e.row.Host != "" {
+		return HostID(e.row.Host)
+	}
+	return e.lastHost
+}
+
+// isMissing reports whether the host list lacks the endpoint, which has not reported since.
+func (e *endpoint) isMissing() bool {
+	return !e.missingSince.IsZero() && !e.reportedAt.After(e.missingSince)
+}
+
 // hasLiveRun reports whether the endpoint has confirmed a run that is not being stopped.
 func (e *endpoint) hasLiveRun() bool {
 	for _, r := range e.runs {
--- a/internal/fleet/hostevidence_test.go
+++ b/internal/fleet/hostevidence_test.go
@@ -243,3 +243,60 @@
 		s.renewLease(id)
 	}
 }
+
+// Guards against two runs of a task at once: one host list lacks an endpoint that runs on, since
+// its parts were read at different moments, or since the host has just come back. A list in which
+// the endpoint's host shows that it has ended frees its tasks at once.
+func TestEndpointMissingFromHostList(t *testing.T) {
+	with := func(change func(h *fleet.Host)) fleet.Host {
+		h := newHost(poolName, "a")
+		change(&h)
+		return h
+	}
+	tests := map[string]struct {
+		// lists are the rows of the endpoint's host in lists that follow each other.
+		lists [][]fleet.Host
+		// reports is true if the endpoint reports after each list.
+		reports bool
+		// unnamed is true if the endpoint does not name its host.
+		unnamed bool
+		starts  int
+	}{
+		"host missing once":             {lists: [][]fleet.Host{{}}, starts: 0},
+		"host missing twice":            {lists: [][]fleet.Host{{}, {}}, starts: 1},
+		"host missing twice, reported":  {lists: [][]fleet.Host{{}, {}, {}}, reports: true, starts: 0},
+		"missing, listed, missing":      {lists: [][]fleet.Host{{}, {newHost(poolName, "a")}, {}}, starts: 0},
+		"no endpoint on it once":        {lists: [][]fleet.Host{{with(func(h *fleet.Host) { h.Endpoint = "" })}}, starts: 0},
+		"down":                          {lists: [][]fleet.Host{{downHost("a")}}, starts: 1},
+		"down, host known from a list":  {lists: [][]fleet.Host{{downHost("a")}}, unnamed: true, starts: 1},
+		"down, but names its endpoint":  {lists: [][]fleet.Host{{with(func(h *fleet.Host) { h.State = fleet.HostDown })}}, starts: 0},
+		"moving":                        {lists: [][]fleet.Host{{with(func(h *fleet.Host) { h.State, h.Endpoint = fleet.HostMoving, "" })}}, starts: 1},
+		"maintained":                    {lists: [][]fleet.Host{{with(func(h *fleet.Host) { h.State, h.Endpoint = fleet.HostMaintenance, "" })}}, starts: 1},
+		"other endpoint":                {lists: [][]fleet.Host{{with(func(h *fleet.Host) { h.Endpoint = "c" })}}, starts: 1},
+		"other endpoint, elsewhere too": {lists: [][]fleet.Host{{with(func(h *fleet.Host) { h.Endpoint = "c" }), with(func(h *fleet.Host) { h.ID = "m-2" })}}, starts: 0},
+	}
+	for name, c := range tests {
+		t.Run(name, func(t *testing.T) {
+			s, start := startOn(t)
+			s.accept(start)
+			s.renewLease("a")
+			if c.unnamed {
+				row := endpointRow("a")
+				row.Host = ""
+				s.leader.UpdateEndpoint(row, s.now)
+			}
+			got := 0
+			for _, rows := range c.lists {
+				got += len(s.step().Starts)
+				s.advance(10 * time.Millisecond)
+				s.listed(append(rows, newHost(poolName, "b"))...)
+				if c.reports {
+					s.renewAll()
+				}
+			}
+			if got += len(s.step().Starts); got != c.starts {
+				t.Errorf("starts: got %d, want %d", got, c.starts)
+			}
+		})
+	}
+}
--- a/internal/fleet/hosts.go
+++ b/internal/fleet/hosts.go
@@ -137,29 +137,52 @@
 // platform knows of a crash or a change before the endpoint's lease expires. An
 // endpoint that is only unreachable is still on its host.
 func (l *Leader) removeGoneEndpoints(list []Host, sentAt, now time.Time) {
-	onHost := map[EndpointID]bool{}
+	rows, onHost := make(map[HostID]Host, len(list)), map[EndpointID]Host{}
 	for _, row := range list {
+		rows[row.ID] = row
 		if row.Endpoint != "" {
-			onHost[row.Endpoint] = true
+			onHost[row.Endpoint] = row
 		}
 	}
 	if len(onHost) == 0 {
 		return
 	}
 	for _, e := range l.endpoints {
-		switch {
-		case onHost[e.row.ID]:
-			if e.gone && !sentAt.Before(e.goneAt) {
-				// It has restarted, or the earlier list was wrong.
-				e.gone = false
-				l.suspectRestart(e, "host list", now)
-			}
-		case e.listedAt.Before(sentAt) && !e.reportedAt.After(sentAt):
-			l.endpointEnded(e, "host no longer runs the endpoint", sentAt, now)
+		row, isNamed := onHost[e.row.ID]
+		if !isNamed {
+			l.handleUnnamed(e, rows[e.hostID()], sentAt, now)
+			continue
+		}
+		e.lastHost, e.missingSince = row.ID, time.Time{}
+		if e.gone && row.State == HostUp && !sentAt.Before(e.goneAt) {
+			// It has restarted, or the earlier list was wrong.
+			e.gone = false
+			l.suspectRestart(e, "host list", now)
 		}
 	}
 }
 
+// handleUnnamed handles an endpoint that no host names in the list requested at sentAt. It
+// has ended if its own host, whose row is zero if the host is missing, shows why. Otherwise
+// it has to be missing from two lists in a row: the parts of a list are read at different
+// moments, and a host that has just come back may not name its endpoint yet.
+func (l *Leader) handleUnnamed(e *endpoint, row Host, sentAt, now time.Time) {
+	isNewer := !e.listedAt.Before(sentAt) || e.reportedAt.After(sentAt)
+	isReplaced := row.State == HostUp && row.Endpoint != ""
+	isOut := row.State == HostDown || row.State == HostMoving || row.State == HostMaintenance
+	switch {
+	case isNewer:
+		e.missingSince = time.Time{}
+	case isReplaced || isOut:
+		l.endpointEnded(e, "host no longer runs the endpoint", sentAt, now)
+	case e.isMissing():
+		l.endpointEnded(e, "two host lists lack the endpoint", e.missingSince, now)
+		e.missingSince = sentAt
+	default:
+		e.missingSince = sentAt
+	}
+}
+
 // endpointEnded handles evidence, requested at sentAt, that an endpoint's incarnation has
 // ended. Its remaining runs, which were answered later or not at all, may be on the next
 // incarnation: they are resolved by their answers, its report, later evidence or the end of
@@ -229,11 +252,11 @@
 }
 
 // NeedsHostList reports whether the host list should be read soon: a change is due
-// to end, an unresponsive endpoint may have crashed, or runs were answered after the evidence
-// that their endpoint has ended.
+// to end, an endpoint that is unresponsive or missing from the list may have crashed, or runs
+// were answered after the evidence that their endpoint has ended.
 func (l *Leader) NeedsHostList(now time.Time) bool {
 	for _, e := range l.endpoints {
-		if e.gone && e.hasLiveRun() {
+		if e.gone && e.hasLiveRun() || e.isMissing() && len(e.runs) > 0 {
 			return true
 		}
 		isUnresponsive := e.unresponsive && len(e.runs) > 0 || !e.reached && !l.inheritedLeaseOver(e, now)
