fleet: a host that one list lacks stays in its wave

Change: a host is left out once two lists in a row lack it. While it is missing it is not changed.

Measured: two of the three cases of TestWaveWhileHostIsMissingFromList fail before (one maintenance order too many, a complete wave); all pass.

--- a/internal/fleet/hostevidence_test.go
+++ b/internal/fleet/hostevidence_test.go
@@ -1,6 +1,7 @@
 package fleet_test
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -300,3 +301,60 @@
 		})
 	}
 }
+
+// Guards against waves that are called complete too early, and against more hosts down at once
+// than allowed: one host list lacks a host of the wave, since its parts were read at different
+// moments.
+func TestWaveWhileHostIsMissingFromList(t *testing.T) {
+	newWave := func(t *testing.T) (*simulation, []fleet.Host) {
+		s := newSimulation(t, simulationConfig{})
+		hosts := baseHosts()
+		s.listHosts(hosts...)
+		s.leader.UpdateWave(fleet.WaveRow{Number: 1, MaxDown: 1, Hosts: []fleet.HostID{hosts[0].ID, hosts[1].ID}, TimeLimit: time.Second}, s.now)
+		orders := s.step().Maintenance
+		if len(orders) != 1 {
+			t.Fatalf("maintenance orders at first: got %d, want 1", len(orders))
+		}
+		s.leader.HandleMaintenanceReply(orders[0], fleet.ChangeAccepted, s.now)
+		s.advance(time.Millisecond)
+		if orders[0].Host == hosts[1].ID {
+			hosts[0], hosts[1] = hosts[1], hosts[0]
+		}
+		return s, hosts
+	}
+	without := func(hosts []fleet.Host, index int) []fleet.Host {
+		return slices.Delete(slices.Clone(hosts), index, index+1)
+	}
+	t.Run("host that is down", func(t *testing.T) {
+		s, hosts := newWave(t)
+		s.listed(without(hosts, 0)...)
+		if got := len(s.step().Maintenance); got != 0 {
+			t.Errorf("maintenance orders while a host is down: got %d, want 0", got)
+		}
+	})
+	t.Run("host that is due", func(t *testing.T) {
+		s, hosts := newWave(t)
+		s.advance(3 * time.Second)
+		s.listed(without(hosts, 1)...)
+		s.step()
+		for _, wave := range s.leader.WaveProgress() {
+			if wave.Complete {
+				t.Errorf("wave with a host that is due: got complete, want running")
+			}
+		}
+		s.listed(hosts...)
+		if got := len(s.step().Maintenance); got != 1 {
+			t.Errorf("maintenance orders once it is listed: got %d, want 1", got)
+		}
+	})
+	t.Run("host that was taken away", func(t *testing.T) {
+		s, hosts := newWave(t)
+		s.advance(3 * time.Second)
+		s.listed(without(hosts, 1)...)
+		s.listed(without(hosts, 1)...)
+		s.step()
+		if progress := s.leader.WaveProgress(); len(progress) != 1 || !progress[0].Complete {
+			t.Errorf("progress after two lists without the host: got %v, want that of the complete wave", progress)
+		}
+	})
+}
--- a/internal/fleet/hosts.go
+++ b/internal/fleet/hosts.go
@@ -94,12 +94,13 @@
 	idleSince time.Time
 	// unknownSince is since when its endpoint has been unlisted or unresponsive, or zero.
 	unknownSince time.Time
-	listed       bool
+	// listed is false once two lists in a row lack the host, isMissing true once one does.
+	listed, isMissing bool
 }
 
 // canChange reports whether a host may be changed.
 func (h *hostState) canChange(now time.Time) bool {
-	return h.listed && h.pendingChange == nil && h.row.State == HostUp && !now.Before(h.notBefore)
+	return h.listed && !h.isMissing && h.pendingChange == nil && h.row.State == HostUp && !now.Before(h.notBefore)
 }
 
 // endpointOf returns the listed endpoint on a host, or nil.
@@ -121,13 +122,13 @@
 			h = &hostState{}
 			l.hosts.byID[row.ID] = h
 		}
-		h.listed = true
+		h.listed, h.isMissing = true, false
 		l.updateHost(h, row, sentAt, now)
 	}
 	l.hosts.isLoaded = true
 	for id, h := range l.hosts.byID {
 		if !listed[id] {
-			h.listed = false
+			h.listed, h.isMissing = h.listed && !h.isMissing, true
 		}
 	}
 	l.removeGoneEndpoints(list, sentAt, now)
