--- /dev/null
+++ b/internal/fleet/hostevidence_test.go
@@ -0,0 +1,360 @@
+package fleet_test
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/lovagedyke/lovagedyke/internal/fleet"
+	"github.com/lovagedyke/lovagedyke/internal/job"
+)
+
+// downHost returns the host of an endpoint that has crashed.
+func downHost(id fleet.EndpointID) fleet.Host {
+	h := newHost(poolName, id)
+	h.State, h.Endpoint = fleet.HostDown, ""
+	return h
+}
+
+// listed delivers a host list that was requested now.
+func (s *simulation) listed(hosts ...fleet.Host) {
+	s.leader.UpdateHosts(hosts, s.now, s.now)
+	s.advance(time.Millisecond)
+}
+
+// startOn returns a simulation in which a task's start has been ordered on endpoint "a", and
+// has no answer yet, beside the empty endpoint "b".
+func startOn(t *testing.T) (*simulation, fleet.Start) {
+	onePool := defaultPolicy()
+	onePool.Pools = onePool.Pools[:1]
+	s := newSimulation(t, simulationConfig{policy: onePool})
+	s.startedAt = s.now.Add(-time.Hour)
+	s.addEndpoint("a")
+	s.submit(submission(1, tasks(1)))
+	start := s.step().Starts[0]
+	s.addEndpoint("b")
+	s.listed(newHost(poolName, "a"), newHost(poolName, "b"))
+	return s, start
+}
+
+// accept answers a start, whose run the endpoint reports from now on.
+func (s *simulation) accept(start fleet.Start) {
+	s.run(start)
+	s.leader.HandleStartReply(start, fleet.Reply{Outcome: fleet.OrderAccepted, Clock: s.now.Sub(s.lifeOf(start.Endpoint).began)}, s.now)
+	s.advance(time.Millisecond)
+}
+
+// Guards against two runs of a task at once: a host list was requested before the endpoint
+// had restarted under its ID, and arrives once the new incarnation has accepted a task.
+func TestHostListOlderThanAnswer(t *testing.T) {
+	s, start := startOn(t)
+	requestedAt := s.now
+	s.advance(10 * time.Millisecond)
+	s.restart("a", laterStart)
+	s.accept(start)
+	s.leader.UpdateHosts([]fleet.Host{downHost("a"), newHost(poolName, "b")}, requestedAt, s.now)
+	s.wantOrders("after a list that is older than the answer", 0, 0)
+	s.renewLease("a")
+	s.wantOrders("after the report", 0, 0)
+	s.advance(time.Millisecond)
+	s.listed(newHost(poolName, "a"), newHost(poolName, "b"))
+	s.renewLease("a")
+	s.wantOrders("after the next list and report", 0, 0)
+}
+
+// Guards against two runs of a task at once: a start without an answer, on an endpoint whose
+// host is down, is carried out by the incarnation that the host starts next. Its task waits
+// for the answer, a report or the end of the lease, and the endpoint is kept until then.
+func TestUnansweredStartOnGoneEndpoint(t *testing.T) {
+	hosts := []fleet.Host{downHost("a"), newHost(poolName, "b")}
+	tests := map[string]struct {
+		// isAnswered is true if the call has ended, without an answer.
+		isAnswered bool
+		resolve    func(s *simulation, start fleet.Start)
+		starts     int
+	}{
+		"on its way, rejected": {false, func(s *simulation, start fleet.Start) {
+			s.leader.HandleStartReply(start, fleet.Reply{Outcome: fleet.OrderNotSent}, s.now)
+			s.advance(100 * time.Millisecond)
+		}, 1},
+		"on its way, accepted before the crash": {false, func(s *simulation, start fleet.Start) {
+			s.leader.HandleStartReply(start, fleet.Reply{Outcome: fleet.OrderAccepted}, s.now)
+			s.wantOrders("before the next list", 0, 0)
+			s.advance(time.Millisecond)
+			if !s.leader.NeedsHostList(s.now) {
+				s.t.Error("host list needed for a run that was answered after the last one: got false, want true")
+			}
+			s.listed(hosts...)
+		}, 1},
+		"on its way, accepted by the next incarnation": {false, func(s *simulation, start fleet.Start) {
+			s.restart("a", laterStart)
+			s.accept(start)
+			s.renewLease("a")
+		}, 0},
+		"unanswered, reported by the next incarnation": {true, func(s *simulation, start fleet.Start) {
+			s.restart("a", laterStart)
+			s.run(start)
+			s.renewLease("a")
+		}, 0},
+		"unanswered, listed and reported again": {true, func(s *simulation, start fleet.Start) {
+			s.restart("a", laterStart)
+			s.run(start)
+			s.listed(newHost(poolName, "a"), newHost(poolName, "b"))
+			s.renewLease("a")
+		}, 0},
+		"unanswered, silent until the lease has expired": {true, func(s *simulation, _ fleet.Start) {
+			s.outwaitLease()
+		}, 1},
+	}
+	for name, c := range tests {
+		t.Run(name, func(t *testing.T) {
+			s, start := startOn(t)
+			if c.isAnswered {
+				s.leader.HandleStartReply(start, fleet.Reply{Outcome: fleet.OrderUnknown}, s.now)
+			}
+			s.advance(10 * time.Millisecond)
+			s.listed(hosts...)
+			s.wantOrders("while the start is not resolved", 0, 0)
+			s.leader.RemoveEndpoint("a", s.now)
+			if got, want := s.leader.EndpointCount(), 2; got != want {
+				t.Fatalf("endpoints while the start is not resolved: got %d, want %d", got, want)
+			}
+			renewal, due := s.leader.NextRenewal("a", s.now)
+			if !due || renewal.Lease != 0 || renewal.AckedUpTo != 0 {
+				t.Errorf("renewal: got %+v (due %t), want one without lease and acknowledgement", renewal, due)
+			}
+			c.resolve(s, start)
+			starts := s.step().Starts
+			if len(starts) != c.starts {
+				t.Fatalf("starts: got %v, want %d", starts, c.starts)
+			}
+			if c.starts == 1 {
+				s.listed(hosts...)
+			}
+			if got, want := s.leader.EndpointCount(), 2-c.starts; got != want {
+				t.Errorf("endpoints after that: got %d, want %d", got, want)
+			}
+		})
+	}
+}
+
+// failRenewal lets an endpoint's renewal fail if one is due.
+func (s *simulation) failRenewal(id fleet.EndpointID) {
+	if _, due := s.leader.NextRenewal(id, s.now); due {
+		s.leader.RenewalFailed(id, fleet.Reply{Outcome: fleet.OrderUnknown, SentAt: s.now}, s.now)
+	}
+}
+
+// outwaitLease lets endpoint "a" be silent until a lease that was granted now has expired, and
+// checks that nothing starts before.
+func (s *simulation) outwaitLease() {
+	s.t.Helper()
+	const lease, slack = 5 * time.Second, 300 * time.Millisecond
+	for waited := time.Duration(0); waited < lease+slack; waited += 100 * time.Millisecond {
+		if waited < lease {
+			s.wantOrders("before the lease has expired", 0, 0)
+		}
+		s.advance(100 * time.Millisecond)
+		s.failRenewal("a")
+		s.renewLease("b")
+	}
+}
+
+// Guards against two runs of a task at once: the platform's answer to a host change is lost or
+// late, and arrives, or is replaced by the list, when the host is back and its new endpoint, or
+// the same one after a restart, already runs tasks.
+func TestHostChangeEndsOnlyEarlierEndpoint(t *testing.T) {
+	const maintained = true
+	tests := map[string]struct {
+		// before is the endpoint on the host when the change is ordered; "x" is on it after.
+		before      fleet.EndpointID
+		maintenance bool
+		outcome     fleet.ChangeOutcome
+	}{
+		"move unanswered, new endpoint":          {"", false, fleet.ChangeUnknown},
+		"move unanswered, other endpoint":        {"w", false, fleet.ChangeUnknown},
+		"move unanswered, same endpoint":         {"x", false, fleet.ChangeUnknown},
+		"move answered late, new endpoint":       {"", false, fleet.ChangeAccepted},
+		"move answered late, other endpoint":     {"w", false, fleet.ChangeAccepted},
+		"move answered late, same endpoint":      {"x", false, fleet.ChangeAccepted},
+		"maintenance unanswered, other endpoint": {"w", maintained, fleet.ChangeUnknown},
+		"maintenance answered late, same":        {"x", maintained, fleet.ChangeAccepted},
+		"maintenance answered late, other":       {"w", maintained, fleet.ChangeAccepted},
+	}
+	for name, c := range tests {
+		t.Run(name, func(t *testing.T) {
+			s := newSimulation(t, simulationConfig{})
+			host := fleet.Host{ID: "m-x", Pool: spareName, State: fleet.HostUp, Endpoint: c.before, Capacity: endpointSize}
+			others := baseHosts()
+			s.listHosts(append(others, host)...)
+			const fitting = 16 * minPoolHosts
+			s.submit(submission(1, tasks(fitting+1)))
+			answer := s.changeHost(host.ID, c.maintenance)
+			s.acceptStarts()
+			if c.outcome == fleet.ChangeUnknown {
+				answer(fleet.ChangeUnknown)
+			}
+			s.advance(2 * time.Second)
+			s.restart("x", laterStart)
+			s.list("x")
+			s.run(fleet.Start{Endpoint: "x", Task: job.Task{Job: jobID(1), Index: fitting}, Run: 1})
+			s.endRun(s.orders.Starts[0], fleet.CompletionDone)
+			s.renewAll()
+			if c.outcome == fleet.ChangeAccepted {
+				answer(fleet.ChangeAccepted)
+			}
+			host.Endpoint = "x"
+			if !c.maintenance {
+				host.Pool = poolName
+			}
+			for range 10 {
+				s.wantOrders("while the task runs on the host", 0, 0)
+				s.advance(300 * time.Millisecond)
+				s.listed(append(others, host)...)
+				s.renewAll()
+			}
+		})
+	}
+}
+
+// changeHost runs the step in which a host is moved or maintained, and returns a function that
+// delivers the platform's answer.
+func (s *simulation) changeHost(id fleet.HostID, maintenance bool) func(outcome fleet.ChangeOutcome) {
+	s.t.Helper()
+	if maintenance {
+		s.leader.UpdateWave(fleet.WaveRow{Number: 1, MaxDown: 1, Hosts: []fleet.HostID{id}, TimeLimit: time.Second}, s.now)
+	}
+	orders := s.step()
+	if len(orders.Moves)+len(orders.Maintenance) != 1 || maintenance != (len(orders.Maintenance) == 1) {
+		s.t.Fatalf("host changes: got %d moves and %d maintenance orders, want one", len(orders.Moves), len(orders.Maintenance))
+	}
+	return func(outcome fleet.ChangeOutcome) {
+		if maintenance {
+			s.leader.HandleMaintenanceReply(orders.Maintenance[0], outcome, s.now)
+			return
+		}
+		s.leader.HandleMoveReply(orders.Moves[0], outcome, s.now)
+	}
+}
+
+// renewAll delivers the reports that are due.
+func (s *simulation) renewAll() {
+	s.advance(time.Millisecond)
+	for _, id := range s.leader.EndpointIDs() {
+		s.renewLease(id)
+	}
+}
+
+// Guards against two runs of a task at once: one host list lacks an endpoint that runs on, since
+// its parts were read at different moments, or since the host has just come back. A list in which
+// the endpoint's host shows that it has ended frees its tasks at once.
+func TestEndpointMissingFromHostList(t *testing.T) {
+	with := func(change func(h *fleet.Host)) fleet.Host {
+		h := newHost(poolName, "a")
+		change(&h)
+		return h
+	}
+	tests := map[string]struct {
+		// lists are the rows of the endpoint's host in lists that follow each other.
+		lists [][]fleet.Host
+		// reports is true if the endpoint reports after each list.
+		reports bool
+		// unnamed is true if the endpoint does not name its host.
+		unnamed bool
+		starts  int
+	}{
+		"host missing once":             {lists: [][]fleet.Host{{}}, starts: 0},
+		"host missing twice":            {lists: [][]fleet.Host{{}, {}}, starts: 1},
+		"host missing twice, reported":  {lists: [][]fleet.Host{{}, {}, {}}, reports: true, starts: 0},
+		"missing, listed, missing":      {lists: [][]fleet.Host{{}, {newHost(poolName, "a")}, {}}, starts: 0},
+		"no endpoint on it once":        {lists: [][]fleet.Host{{with(func(h *fleet.Host) { h.Endpoint = "" })}}, starts: 0},
+		"down":                          {lists: [][]fleet.Host{{downHost("a")}}, starts: 1},
+		"down, host known from a list":  {lists: [][]fleet.Host{{downHost("a")}}, unnamed: true, starts: 1},
+		"down, but names its endpoint":  {lists: [][]fleet.Host{{with(func(h *fleet.Host) { h.State = fleet.HostDown })}}, starts: 0},
+		"moving":                        {lists: [][]fleet.Host{{with(func(h *fleet.Host) { h.State, h.Endpoint = fleet.HostMoving, "" })}}, starts: 1},
+		"maintained":                    {lists: [][]fleet.Host{{with(func(h *fleet.Host) { h.State, h.Endpoint = fleet.HostMaintenance, "" })}}, starts: 1},
+		"other endpoint":                {lists: [][]fleet.Host{{with(func(h *fleet.Host) { h.Endpoint = "c" })}}, starts: 1},
+		"other endpoint, elsewhere too": {lists: [][]fleet.Host{{with(func(h *fleet.Host) { h.Endpoint = "c" }), with(func(h *fleet.Host) { h.ID = "m-2" })}}, starts: 0},
+	}
+	for name, c := range tests {
+		t.Run(name, func(t *testing.T) {
+			s, start := startOn(t)
+			s.accept(start)
+			s.renewLease("a")
+			if c.unnamed {
+				row := endpointRow("a")
+				row.Host = ""
+				s.leader.UpdateEndpoint(row, s.now)
+			}
+			got := 0
+			for _, rows := range c.lists {
+				got += len(s.step().Starts)
+				s.advance(10 * time.Millisecond)
+				s.listed(append(rows, newHost(poolName, "b"))...)
+				if c.reports {
+					s.renewAll()
+				}
+			}
+			if got += len(s.step().Starts); got != c.starts {
+				t.Errorf("starts: got %d, want %d", got, c.starts)
+			}
+		})
+	}
+}
+
+// Guards against waves that are called complete too early, and against more hosts down at once
+// than allowed: one host list lacks a host of the wave, since its parts were read at different
+// moments.
+func TestWaveWhileHostIsMissingFromList(t *testing.T) {
+	newWave := func(t *testing.T) (*simulation, []fleet.Host) {
+		s := newSimulation(t, simulationConfig{})
+		hosts := baseHosts()
+		s.listHosts(hosts...)
+		s.leader.UpdateWave(fleet.WaveRow{Number: 1, MaxDown: 1, Hosts: []fleet.HostID{hosts[0].ID, hosts[1].ID}, TimeLimit: time.Second}, s.now)
+		orders := s.step().Maintenance
+		if len(orders) != 1 {
+			t.Fatalf("maintenance orders at first: got %d, want 1", len(orders))
+		}
+		s.leader.HandleMaintenanceReply(orders[0], fleet.ChangeAccepted, s.now)
+		s.advance(time.Millisecond)
+		if orders[0].Host == hosts[1].ID {
+			hosts[0], hosts[1] = hosts[1], hosts[0]
+		}
+		return s, hosts
+	}
+	without := func(hosts []fleet.Host, index int) []fleet.Host {
+		return slices.Delete(slices.Clone(hosts), index, index+1)
+	}
+	t.Run("host that is down", func(t *testing.T) {
+		s, hosts := newWave(t)
+		s.listed(without(hosts, 0)...)
+		if got := len(s.step().Maintenance); got != 0 {
+			t.Errorf("maintenance orders while a host is down: got %d, want 0", got)
+		}
+	})
+	t.Run("host that is due", func(t *testing.T) {
+		s, hosts := newWave(t)
+		s.advance(3 * time.Second)
+		s.listed(without(hosts, 1)...)
+		s.step()
+		for _, wave := range s.leader.WaveProgress() {
+			if wave.Complete {
+				t.Errorf("wave with a host that is due: got complete, want running")
+			}
+		}
+		s.listed(hosts...)
+		if got := len(s.step().Maintenance); got != 1 {
+			t.Errorf("maintenance orders once it is listed: got %d, want 1", got)
+		}
+	})
+	t.Run("host that was taken away", func(t *testing.T) {
+		s, hosts := newWave(t)
+		s.advance(3 * time.Second)
+		s.listed(without(hosts, 1)...)
+		s.listed(without(hosts, 1)...)
+		s.step()
+		if progress := s.leader.WaveProgress(); len(progress) != 1 || !progress[0].Complete {
+			t.Errorf("progress after two lists without the host: got %v, want that of the complete wave", progress)
+		}
+	})
+}
--- a/internal/fleet/hosts.go
+++ b/internal/fleet/hosts.go
@@ -61,11 +61,29 @@
 type pendingChange struct {
 	pool string
 	wave int64
+	// endpoint and incarnation are the endpoint that was on the host when the change was
+	// ordered, and its start time, or zero if the endpoint was not known. The change ends it.
+	endpoint    EndpointID
+	incarnation time.Time
 	// orderedAt is when it was ordered, acceptedAt when the platform accepted it.
 	orderedAt, acceptedAt time.Time
 	isUnconfirmed         bool
 }
 
+// ends reports whether the change ends the endpoint, rather than a later one on the host.
+func (c *pendingChange) ends(e *endpoint) bool {
+	return e.row.ID == c.endpoint && (c.incarnation.IsZero() || c.incarnation.Equal(e.startedAt))
+}
+
+// startChange marks a host as being changed from now on.
+func (l *Leader) startChange(h *hostState, change pendingChange, now time.Time) {
+	change.orderedAt, change.endpoint = now, h.row.Endpoint
+	if e := l.endpoints[h.row.Endpoint]; e != nil {
+		change.incarnation = e.startedAt
+	}
+	h.pendingChange = &change
+}
+
 // hostState is a host and its pending change.
 type hostState struct {
 	row           Host
@@ -76,18 +94,19 @@
 	idleSince time.Time
 	// unknownSince is since when its endpoint has been unlisted or unresponsive, or zero.
 	unknownSince time.Time
-	listed       bool
+	// listed is false once two lists in a row lack the host, isMissing true once one does.
+	listed, isMissing bool
 }
 
 // canChange reports whether a host may be changed.
 func (h *hostState) canChange(now time.Time) bool {
-	return h.listed && h.pendingChange == nil && h.row.State == HostUp && !now.Before(h.notBefore)
+	return h.listed && !h.isMissing && h.pendingChange == nil && h.row.State == HostUp && !now.Before(h.notBefore)
 }
 
 // endpointOf returns the listed endpoint on a host, or nil.
 func (l *Leader) endpointOf(h *hostState) *endpoint {
 	e := l.endpoints[h.row.Endpoint]
-	if e == nil || !e.listed {
+	if e == nil || !e.listed || e.gone {
 		return nil
 	}
 	return e
@@ -103,13 +122,13 @@
 			h = &hostState{}
 			l.hosts.byID[row.ID] = h
 		}
-		h.listed = true
+		h.listed, h.isMissing = true, false
 		l.updateHost(h, row, sentAt, now)
 	}
 	l.hosts.isLoaded = true
 	for id, h := range l.hosts.byID {
 		if !listed[id] {
-			h.listed = false
+			h.listed, h.isMissing = h.listed && !h.isMissing, true
 		}
 	}
 	l.removeGoneEndpoints(list, sentAt, now)
@@ -119,30 +138,67 @@
 // platform knows of a crash or a change before the endpoint's lease expires. An
 // endpoint that is only unreachable is still on its host.
 func (l *Leader) removeGoneEndpoints(list []Host, sentAt, now time.Time) {
-	onHost := map[EndpointID]bool{}
+	rows, onHost := make(map[HostID]Host, len(list)), map[EndpointID]Host{}
 	for _, row := range list {
+		rows[row.ID] = row
 		if row.Endpoint != "" {
-			onHost[row.Endpoint] = true
+			onHost[row.Endpoint] = row
 		}
 	}
 	if len(onHost) == 0 {
 		return
 	}
 	for _, e := range l.endpoints {
-		if e.gone && onHost[e.row.ID] && e.listedAt.Before(sentAt) {
-			// The earlier list was wrong or outdated.
-			e.gone, e.reached = false, false
-		}
-		if e.gone || onHost[e.row.ID] || !e.listedAt.Before(sentAt) || e.reportedAt.After(sentAt) {
+		row, isNamed := onHost[e.row.ID]
+		if !isNamed {
+			l.handleUnnamed(e, rows[e.hostID()], sentAt, now)
 			continue
 		}
-		l.log("endpoint gone", "endpoint", e.row.ID, "pool", e.row.Pool, "runs", len(e.runs), "list-age", now.Sub(sentAt).Round(time.Millisecond).String())
-		e.gone = true
-		for _, r := range e.runs {
-			l.runLost(r, "host no longer runs the endpoint", now)
+		e.lastHost, e.missingSince = row.ID, time.Time{}
+		if e.gone && row.State == HostUp && !sentAt.Before(e.goneAt) {
+			// It has restarted, or the earlier list was wrong.
+			e.gone = false
+			l.suspectRestart(e, "host list", now)
+		}
+	}
+}
+
+// handleUnnamed handles an endpoint that no host names in the list requested at sentAt. It
+// has ended if its own host, whose row is zero if the host is missing, shows why. Otherwise
+// it has to be missing from two lists in a row: the parts of a list are read at different
+// moments, and a host that has just come back may not name its endpoint yet.
+func (l *Leader) handleUnnamed(e *endpoint, row Host, sentAt, now time.Time) {
+	isNewer := !e.listedAt.Before(sentAt) || e.reportedAt.After(sentAt)
+	isReplaced := row.State == HostUp && row.Endpoint != ""
+	isOut := row.State == HostDown || row.State == HostMoving || row.State == HostMaintenance
+	switch {
+	case isNewer:
+		e.missingSince = time.Time{}
+	case isReplaced || isOut:
+		l.endpointEnded(e, "host no longer runs the endpoint", sentAt, now)
+	case e.isMissing():
+		l.endpointEnded(e, "two host lists lack the endpoint", e.missingSince, now)
+		e.missingSince = sentAt
+	default:
+		e.missingSince = sentAt
+	}
+}
+
+// endpointEnded handles evidence, requested at sentAt, that an endpoint's incarnation has
+// ended. Its remaining runs, which were answered later or not at all, may be on the next
+// incarnation: they are resolved by their answers, its report, later evidence or the end of
+// the lease.
+func (l *Leader) endpointEnded(e *endpoint, reason string, sentAt, now time.Time) {
+	if !e.gone {
+		l.log("endpoint gone", "endpoint", e.row.ID, "pool", e.row.Pool, "why", reason, "runs", len(e.runs), "list-age", age(sentAt, now))
+	}
+	e.gone, e.goneAt = true, now
+	for _, r := range e.runs {
+		if r.wasRunningBefore(sentAt) {
+			l.runLost(r, reason, now)
 		}
-		l.forgetEndpoint(e, now)
 	}
+	l.forgetEndpoint(e, now)
 }
 
 // updateHost applies a host's row, unless the row predates the host's change.
@@ -161,21 +217,28 @@
 	h.row = row
 	if c.isUnconfirmed {
 		l.resolveChange(h, now)
+	}
+	if c.acceptedAt.IsZero() {
 		return
 	}
-	if row.State == HostUp && (c.wave != 0 || row.Pool == c.pool) && now.Sub(c.acceptedAt) > l.changeDuration(c)/2 {
+	hasNewEndpoint := row.Endpoint != "" && row.Endpoint != c.endpoint
+	if row.State == HostUp && (c.wave != 0 || row.Pool == c.pool) && (hasNewEndpoint || now.Sub(c.acceptedAt) > l.changeDuration(c)/2) {
 		l.log("host back", "host", row.ID, "pool", row.Pool, "wave", c.wave, "took", now.Sub(c.acceptedAt).Round(time.Millisecond).String())
 		h.pendingChange = nil
 	}
 }
 
-// resolveChange determines from the list whether an unanswered change was made.
+// resolveChange determines from the list whether an unanswered change was made. The list
+// also shows what has become of the endpoint.
 func (l *Leader) resolveChange(h *hostState, now time.Time) {
 	c := h.pendingChange
 	isMade := c.wave != 0 && h.row.State == HostMaintenance || c.wave == 0 && (h.row.State == HostMoving || h.row.Pool == c.pool)
 	switch {
 	case isMade:
-		l.changeAccepted(h, now)
+		l.changeMade(h, now)
+		if e := l.endpointOf(h); e != nil && c.ends(e) && h.row.State == HostUp {
+			l.suspectRestart(e, "host change", now)
+		}
 	case h.row.State == HostUp && now.Sub(c.orderedAt) > changeTimeout:
 		h.pendingChange = nil
 	}
@@ -190,9 +253,13 @@
 }
 
 // NeedsHostList reports whether the host list should be read soon: a change is due
-// to end, or an unresponsive endpoint may have crashed.
+// to end, an endpoint that is unresponsive or missing from the list may have crashed, or runs
+// were answered after the evidence that their endpoint has ended.
 func (l *Leader) NeedsHostList(now time.Time) bool {
 	for _, e := range l.endpoints {
+		if e.gone && e.hasLiveRun() || e.isMissing() && len(e.runs) > 0 {
+			return true
+		}
 		isUnresponsive := e.unresponsive && len(e.runs) > 0 || !e.reached && !l.inheritedLeaseOver(e, now)
 		if isUnresponsive && !e.gone && len(l.hosts.byID) > 0 {
 			return true
@@ -219,24 +286,27 @@
 	return false
 }
 
-// changeAccepted handles a host that has become unavailable for its change: its runs are lost.
+// changeAccepted handles the platform's acceptance of a change: the endpoint that was on the
+// host has ended. The answer may arrive when the host is back with another endpoint, or with
+// another incarnation of the same one.
 func (l *Leader) changeAccepted(h *hostState, now time.Time) {
 	c := h.pendingChange
-	c.acceptedAt, c.isUnconfirmed = now, false
-	if e := l.endpoints[h.row.Endpoint]; e != nil {
-		for _, r := range e.runs {
-			l.runLost(r, "host is being moved or maintained", now)
-		}
-		e.listed, e.gone = false, true
-		l.forgetEndpoint(e, now)
+	if e := l.endpoints[c.endpoint]; e != nil && c.ends(e) {
+		l.endpointEnded(e, "host is being moved or maintained", c.orderedAt, now)
 	}
-	h.idleSince = time.Time{}
-	if c.wave == 0 {
-		h.row.State = HostMoving
-		return
+	l.changeMade(h, now)
+	h.row.State = HostMoving
+	if c.wave != 0 {
+		h.row.State = HostMaintenance
 	}
-	h.row.State = HostMaintenance
-	if wave := l.hosts.waves[c.wave]; wave != nil {
+}
+
+// changeMade records that the change of a host was made.
+func (l *Leader) changeMade(h *hostState, now time.Time) {
+	c := h.pendingChange
+	c.acceptedAt, c.isUnconfirmed = now, false
+	h.idleSince = time.Time{}
+	if wave := l.hosts.waves[c.wave]; c.wave != 0 && wave != nil {
 		wave.done[h.row.ID] = true
 		wave.dirty = true
 	}
@@ -300,7 +370,7 @@
 		e.leaving = false
 	}
 	for _, h := range l.hosts.byID {
-		if e := l.endpointOf(h); e != nil && h.pendingChange != nil {
+		if e := l.endpointOf(h); e != nil && h.pendingChange != nil && h.pendingChange.ends(e) {
 			e.leaving = true
 		}
 	}
