fleet: a sign of a restart keeps only new work and acknowledgements away

An answer that the report of its run's end had overtaken counted as a sign, and withdrew members of a gang.

Cause: the sign was kept in 'reached', which also says whether earlier leaders' runs are known, and was taken back by any report.

Change: the suspicion is a state of its own. It lasts until a report that was requested after the sign, or one of another incarnation; meanwhile the endpoint gets no work, no acknowledgement and a renewal at once, and the lease that a next incarnation may have given is waited for. Ends are acknowledged only to an endpoint whose last renewal was answered. Starts are withdrawn from an endpoint that does not answer. A refused renewal is evidence like that of the host list.

--- a/internal/control/endpoints.go
+++ b/internal/control/endpoints.go
@@ -135,7 +135,7 @@
 	switch {
 	case next.start != nil:
 		kind = "start"
-		reply, isLeader = s.sendStart(ctx, *next.start, time.Now())
+		reply, isLeader = s.sendStart(ctx, *next.start)
 	case next.stop != nil:
 		kind = "stop"
 		if to, ok := s.address(); ok {
@@ -161,12 +161,12 @@
 
 // sendStart sends a start, unless the leader has withdrawn it since it was queued, and
 // reports its outcome. It returns false if the endpoint knows a newer leader.
-func (s *endpointSession) sendStart(ctx context.Context, start fleet.Start, now time.Time) (fleet.Reply, bool) {
+func (s *endpointSession) sendStart(ctx context.Context, start fleet.Start) (fleet.Reply, bool) {
 	t := s.term
 	var to fleet.EndpointAddress
 	isCurrent := false
 	t.locked(func() {
-		if isCurrent = t.leader.ConfirmStart(start, now); isCurrent {
+		if isCurrent = t.leader.ConfirmStart(start, time.Now()); isCurrent {
 			to, isCurrent = t.leader.AddressOf(s.id)
 		}
 	})
--- a/internal/control/endpoints_test.go
+++ b/internal/control/endpoints_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/netip"
 	"testing"
 	"time"
 
@@ -33,8 +34,8 @@
 	}
 	tests := map[string]struct {
 		event func(leader *fleet.Leader, queuedAt time.Time)
-		// confirmed is when the leadership was last confirmed, before the start is sent.
-		confirmed time.Duration
+		// queuedFor is how long ago the start was queued and the leadership last confirmed.
+		queuedFor time.Duration
 		want      int
 	}{
 		"nothing happened": {event: func(*fleet.Leader, time.Time) {}, want: 1},
@@ -47,18 +48,19 @@
 		"another endpoint answers at the address": {event: func(leader *fleet.Leader, queuedAt time.Time) {
 			leader.RenewalFailed("i-1", fleet.Reply{Outcome: fleet.OrderOtherIncarnation, SentAt: queuedAt}, queuedAt)
 		}},
-		"leadership not confirmed": {event: func(*fleet.Leader, time.Time) {}, confirmed: -confirmationTimeout},
+		"leadership not confirmed": {event: func(*fleet.Leader, time.Time) {}, queuedFor: confirmationTimeout},
 	}
 	for name, c := range tests {
 		t.Run(name, func(t *testing.T) {
 			endpoints := &recordingEndpoints{}
 			control := New(Config{Store: table.NewMemory(), Endpoints: endpoints, Journal: discardJournal{}})
 			current := newTerm(context.Background(), control, record.Claim{Token: 1}, 1)
-			leader := current.leader
+			queuedAt := time.Now().Add(-c.queuedFor)
+			leader := fleet.New(fleet.Config{Token: 1, Now: queuedAt, Journal: discardJournal{}})
+			current.leader = leader
 			leader.SetPolicy(policy.New(policy.Config{
 				Queues: []policy.Queue{{Name: "q", Pool: "p", MaxAttempts: 2}}, Pools: []policy.Pool{{Name: "p", Guarded: true}},
 			}))
-			queuedAt := time.Now()
 			leader.Load(nil, queuedAt, queuedAt)
 			leader.UpdateEndpoint(endpointRow(1000), queuedAt)
 			leader.HandleReport("i-1", fleet.LeaseRenewal{}, queuedAt, report(time.Hour, 1000), queuedAt)
@@ -72,7 +74,7 @@
 			}
 			c.event(leader, queuedAt)
 			session := &endpointSession{term: current, id: "i-1", wake: make(chan struct{}, 1)}
-			session.sendStart(context.Background(), orders.Starts[0], queuedAt.Add(-c.confirmed))
+			session.sendStart(context.Background(), orders.Starts[0])
 			if got := len(endpoints.started); got != c.want {
 				t.Errorf("starts sent: got %d, want %d", got, c.want)
 			}
@@ -125,6 +127,52 @@
 	}
 }
 
+// movingEndpoints refuses renewals, as another endpoint does that has the address.
+type movingEndpoints struct {
+	Endpoints
+	move func()
+}
+
+func (e *movingEndpoints) RenewLease(context.Context, fleet.EndpointAddress, uint64, fleet.LeaseRenewal) (fleet.Report, fleet.Reply) {
+	e.move()
+	return fleet.Report{}, fleet.Reply{Outcome: fleet.OrderOtherIncarnation}
+}
+
+// Guards against an endpoint that is dropped because its former address refuses a renewal,
+// while the list has shown a new address.
+func TestRefusalFromFormerAddress(t *testing.T) {
+	tests := map[string]struct {
+		address       string
+		wantEndpoints int
+	}{
+		"at its address": {address: "127.0.0.1:1"},
+		"moved":          {address: "127.0.0.1:2", wantEndpoints: 1},
+	}
+	for name, c := range tests {
+		t.Run(name, func(t *testing.T) {
+			endpoints := &movingEndpoints{}
+			control := New(Config{Store: table.NewMemory(), Endpoints: endpoints, Journal: discardJournal{}})
+			current := newTerm(context.Background(), control, record.Claim{Token: 1}, 1)
+			now := time.Now()
+			current.leader.Load(nil, now, now)
+			row := endpointRow(1000)
+			row.Address = netip.MustParseAddrPort("127.0.0.1:1")
+			current.leader.UpdateEndpoint(row, now)
+			current.leader.HandleReport("i-1", fleet.LeaseRenewal{}, now, fleet.Report{Clock: time.Hour, StartedAt: time.UnixMilli(1000)}, now)
+			session := &endpointSession{term: current, id: "i-1", wake: make(chan struct{}, 1)}
+			current.sessions["i-1"] = session
+			endpoints.move = func() {
+				row.Address = netip.MustParseAddrPort(c.address)
+				current.leader.UpdateEndpoint(row, now)
+			}
+			session.renewLease(context.Background(), fleet.LeaseRenewal{})
+			if got := current.leader.EndpointCount(); got != c.wantEndpoints {
+				t.Errorf("endpoints: got %d, want %d", got, c.wantEndpoints)
+			}
+		})
+	}
+}
+
 // endpointRow returns the list's row of an endpoint that started at the given Unix time in
 // milliseconds.
 func endpointRow(startedAt int64) fleet.EndpointRow {
--- a/internal/fleet/completion.go
+++ b/internal/fleet/completion.go
@@ -35,6 +35,12 @@
 		if completion.Checkpoint == "" {
 			completion.Checkpoint = r.checkpoint
 		}
+		if r.awaitsAnswer {
+			if e.endedUnanswered == nil {
+				e.endedUnanswered = map[runKey]bool{}
+			}
+			e.endedUnanswered[key] = true
+		}
 		l.untrackRun(r)
 	}
 	j := l.jobs[completion.Task.Job]
--- a/internal/fleet/endpointstate.go
+++ b/internal/fleet/endpointstate.go
@@ -51,17 +51,22 @@
 	// startedAt identifies the incarnation of the last report, or that of the list before
 	// the first report.
 	startedAt time.Time
-	// mayHaveRestarted is true from a sign of a new incarnation until the next report.
+	// mayHaveRestarted is true from a sign of a new incarnation, at suspectedAt, until a report
+	// that was requested later, or that is of another incarnation.
 	mayHaveRestarted bool
+	suspectedAt      time.Time
 	clock            time.Duration
 	clockAt          time.Time
 	// leaseUntil is the latest lease that was sent, on the endpoint's clock.
 	leaseUntil time.Duration
 	// foreignLeaseUntil is the latest lease that orders meant for an earlier incarnation may
-	// have set, on the endpoint's clock, or 0.
-	foreignLeaseUntil time.Duration
-	runs              map[runKey]*run
-	tally             runTally
+	// have set, on the endpoint's clock, or 0. suspectedLeaseUntil is the same for the
+	// incarnation that may have followed, while that is not known.
+	foreignLeaseUntil, suspectedLeaseUntil time.Duration
+	// endedUnanswered holds runs whose end was reported before their start was answered.
+	endedUnanswered map[runKey]bool
+	runs            map[runKey]*run
+	tally           runTally
 	// lastRead is the number of the newest completion that was read, ackable the newest
 	// that may be acknowledged, and acked the newest that has been.
 	lastRead, ackable, acked int64
@@ -151,10 +156,16 @@
 
 // acceptsWork reports whether the endpoint may get new runs.
 func (e *endpoint) acceptsWork(now time.Time) bool {
-	return e.listed && e.reached && !e.gone && !e.unresponsive && !e.row.Draining && !e.leaving &&
+	return e.listed && e.isKnown() && !e.gone && !e.unresponsive && !e.row.Draining && !e.leaving &&
 		!now.Before(e.pausedUntil) && !now.Before(e.fullUntil) && e.isFresh(now)
 }
 
+// isKnown reports whether the endpoint's current incarnation has reported under the
+// leader's token, as far as is known.
+func (e *endpoint) isKnown() bool {
+	return e.reached && !e.mayHaveRestarted
+}
+
 // isFresh reports whether the endpoint has reported recently. An idle endpoint is
 // rarely renewed: the platform's list shows when it is gone.
 func (e *endpoint) isFresh(now time.Time) bool {
@@ -182,7 +193,7 @@
 // is as slow as maxClockDrift allows.
 func (e *endpoint) leaseExpired(now time.Time) bool {
 	minClock := e.clock + time.Duration(float64(now.Sub(e.clockAt))*(1-maxClockDrift))
-	return minClock > max(e.leaseUntil, e.foreignLeaseUntil)+leaseMargin
+	return minClock > max(e.leaseUntil, e.foreignLeaseUntil, e.suspectedLeaseUntil)+leaseMargin
 }
 
 // limitForeignLease lowers the bound of leases from orders for an earlier incarnation: the
@@ -206,15 +217,15 @@
 	return e.clockNow(now) + l.config.Bounds.MaxLease + orderDuration
 }
 
-// extendForeignLease covers the leases of runs that a new incarnation, which has not
-// reported yet, may have accepted.
-func (l *Leader) extendForeignLease(e *endpoint, now time.Time) {
+// suspectedLease returns the latest lease of runs that a new incarnation, which has not
+// reported yet, may have accepted, or 0 without such runs.
+func (l *Leader) suspectedLease(e *endpoint, now time.Time) time.Duration {
 	for _, r := range e.runs {
 		if !r.reported {
-			e.foreignLeaseUntil = max(e.foreignLeaseUntil, l.longestLease(e, now))
-			return
+			return l.longestLease(e, now)
 		}
 	}
+	return 0
 }
 
 // UpdateEndpoint processes an endpoint's row in the platform's list.
@@ -256,23 +267,25 @@
 	if e.listed || len(e.runs) > 0 {
 		return
 	}
-	if !e.reached && !e.gone && !l.inheritedLeaseOver(e, now) {
+	if !e.isKnown() && !e.gone && !l.inheritedLeaseOver(e, now) {
 		return
 	}
 	delete(l.endpoints, e.row.ID)
 }
 
 // suspectRestart requests a report from an endpoint that may have restarted, and gives it
-// no work until then. Only reports tell incarnations apart: they arrive in order, since
-// renewals do not overlap, whereas the list lags and wall clocks can be set back.
+// no work and no acknowledgement until then. Only reports tell incarnations apart: they
+// arrive in order, since renewals do not overlap, whereas the list lags and wall clocks can
+// be set back.
 func (l *Leader) suspectRestart(e *endpoint, source string, now time.Time) {
+	e.suspectedAt = now
 	if e.mayHaveRestarted {
 		return
 	}
 	l.log("endpoint may have restarted", "endpoint", e.row.ID, "source", source, "runs", len(e.runs),
 		"life", e.startedAt.UnixMilli(), "report-age", age(e.reportedAt, now))
-	e.mayHaveRestarted, e.reached = true, false
-	l.extendForeignLease(e, now)
+	e.mayHaveRestarted = true
+	e.suspectedLeaseUntil = l.suspectedLease(e, now)
 }
 
 // newIncarnation resets what is known of an endpoint whose report shows that it has
@@ -288,11 +301,12 @@
 		r.reported, r.stopAcceptedAt, r.stopAt = false, time.Time{}, now
 		e.foreignLeaseUntil = max(e.foreignLeaseUntil, r.lease)
 	}
-	e.startedAt = startedAt
+	e.startedAt, e.mayHaveRestarted = startedAt, false
 	e.reached, e.gone, e.listedAt = false, false, now
 	e.clock, e.clockAt, e.leaseUntil = 0, time.Time{}, 0
 	e.lastRead, e.ackable, e.acked, e.unpersisted = 0, 0, 0, nil
 	e.failureStreak = failureStreak{}
+	e.endedUnanswered = nil
 }
 
 // EndpointIDs returns the IDs of all known endpoints.
--- a/internal/fleet/hosts.go
+++ b/internal/fleet/hosts.go
@@ -260,7 +260,7 @@
 		if e.gone && e.hasLiveRun() || e.isMissing() && len(e.runs) > 0 {
 			return true
 		}
-		isUnresponsive := e.unresponsive && len(e.runs) > 0 || !e.reached && !l.inheritedLeaseOver(e, now)
+		isUnresponsive := (e.unresponsive || e.mayHaveRestarted) && len(e.runs) > 0 || !e.reached && !l.inheritedLeaseOver(e, now)
 		if isUnresponsive && !e.gone && len(l.hosts.byID) > 0 {
 			return true
 		}
@@ -401,7 +401,7 @@
 func (l *Leader) recordIdle(now time.Time) {
 	for _, h := range l.hosts.byID {
 		e := l.endpointOf(h)
-		isKnown := e != nil && e.reached && !e.unresponsive
+		isKnown := e != nil && e.isKnown() && !e.unresponsive
 		updateSince(&h.idleSince, isKnown && e.isEmpty(), now)
 		updateSince(&h.unknownSince, !isKnown, now)
 	}
--- a/internal/fleet/incarnation_test.go
+++ b/internal/fleet/incarnation_test.go
@@ -202,7 +202,6 @@
 	}
 	s.report("a", s.now)
 	s.writeBatches()
-	s.report("a", s.now)
 	s.restart("a", earlierStart)
 	s.list("a")
 	s.advance(time.Millisecond)
--- a/internal/fleet/renewal.go
+++ b/internal/fleet/renewal.go
@@ -17,8 +17,9 @@
 		return LeaseRenewal{}, len(e.runs) > 0
 	}
 	renewal := LeaseRenewal{}
-	if e.ackable > e.acked && !e.mayHaveRestarted {
-		// Sent only if it has advanced: a new incarnation restarts the numbers of completions.
+	if e.ackable > e.acked && !e.mayHaveRestarted && !e.unresponsive {
+		// Sent only if it has advanced, to an endpoint that has just answered: a new incarnation
+		// restarts the numbers of completions.
 		renewal.AckedUpTo = e.ackable
 	}
 	switch {
@@ -29,7 +30,7 @@
 			renewal.Lease = e.nextLease(now, l.leaseDuration())
 		}
 		return renewal, isDue
-	case !e.reached:
+	case !e.isKnown():
 		return renewal, true
 	case e.blocked && now.Sub(e.reportedAt) < unknownJobDelay:
 		return renewal, false
@@ -66,7 +67,8 @@
 		return
 	}
 	if reply.Outcome == OrderOtherIncarnation {
-		l.endpointReplaced(e, reply.SentAt, now)
+		e.listed = false
+		l.endpointEnded(e, "another endpoint answers at the address", reply.SentAt, now)
 		return
 	}
 	e.pausedUntil = now.Add(unhealthyPause)
@@ -101,7 +103,12 @@
 		e.foreignLeaseUntil = max(e.foreignLeaseUntil, renewal.Lease)
 		renewal.AckedUpTo = 0
 	}
-	e.mayHaveRestarted = false
+	if !sentAt.Before(e.suspectedAt) {
+		e.mayHaveRestarted = false
+	}
+	if !e.mayHaveRestarted {
+		e.suspectedLeaseUntil = 0
+	}
 	if !l.loaded {
 		// The report is requested again once the jobs are known.
 		e.unresponsive = false
@@ -244,17 +251,3 @@
 	}
 	return r
 }
-
-// endpointReplaced handles a renewal sent at sentAt that another endpoint refused, at the
-// address at which the expected one is listed. Runs that were answered before have
-// ended; later ones may be on an incarnation that has taken the address back.
-func (l *Leader) endpointReplaced(e *endpoint, sentAt, now time.Time) {
-	l.log("endpoint replaced", "endpoint", e.row.ID, "runs", len(e.runs), "sent-ago", age(sentAt, now))
-	for _, r := range e.runs {
-		if !r.answeredAt.IsZero() && r.answeredAt.Before(sentAt) {
-			l.runLost(r, "another endpoint answers at the address", now)
-		}
-	}
-	e.listed, e.reached = false, false
-	l.forgetEndpoint(e, now)
-}
--- a/internal/fleet/reply.go
+++ b/internal/fleet/reply.go
@@ -15,10 +15,10 @@
 		return false
 	}
 	r := e.runs[runKey{start.Task, start.Run}]
-	if r == nil {
+	if r == nil || !r.answeredAt.IsZero() {
 		return false
 	}
-	isSameIncarnation := e.reached && !e.gone && start.incarnation.Equal(e.startedAt)
+	isSameIncarnation := e.isKnown() && !e.gone && !e.unresponsive && start.incarnation.Equal(e.startedAt)
 	if r.state == runStarting && isSameIncarnation && l.confirmed(now) {
 		return true
 	}
@@ -37,7 +37,12 @@
 	if e == nil {
 		return reply.Outcome != OrderFenced
 	}
-	r := e.runs[runKey{start.Task, start.Run}]
+	key := runKey{start.Task, start.Run}
+	if e.endedUnanswered[key] {
+		delete(e.endedUnanswered, key)
+		return reply.Outcome != OrderFenced
+	}
+	r := e.runs[key]
 	if r == nil {
 		l.log("start of an untracked run answered", "job", start.Task.Job, "step", start.Task.Step, "index", start.Task.Index,
 			"run", start.Run, "endpoint", start.Endpoint, "outcome", string(reply.Outcome), "life", e.startedAt.UnixMilli(),
@@ -47,6 +52,7 @@
 		}
 		return reply.Outcome != OrderFenced
 	}
+	r.awaitsAnswer = false
 	l.logReply("start answered", r, reply)
 	switch reply.Outcome {
 	case OrderAccepted:
--- a/internal/fleet/run.go
+++ b/internal/fleet/run.go
@@ -53,6 +53,8 @@
 	// ordered, and lease the deadline on its clock.
 	incarnation time.Time
 	lease       time.Duration
+	// awaitsAnswer is true until the start that this leader ordered is answered.
+	awaitsAnswer bool
 	// reported is true once the endpoint's current incarnation has reported the run.
 	reported bool
 	// orderedAt is when the start was ordered, answeredAt when the endpoint confirmed it.
--- a/internal/fleet/step.go
+++ b/internal/fleet/step.go
@@ -221,6 +221,7 @@
 		key: runKey{task, number}, endpoint: e, job: g.job, state: runStarting, orderedAt: now,
 		percent: 100, reserved: g.step.step.Reserved(), checkpoint: g.job.checkpoint[task],
 	}
+	r.awaitsAnswer = true
 	r.incarnation, r.lease = e.startedAt, e.nextLease(now, l.leaseDuration())
 	e.addRun(r)
 	l.trackRun(r)
--- a/internal/fleet/wave.go
+++ b/internal/fleet/wave.go
@@ -174,7 +174,7 @@
 // maintenanceCost ranks a host by what its maintenance disrupts.
 func (l *Leader) maintenanceCost(h *hostState) int {
 	e := l.endpointOf(h)
-	if e == nil || !e.reached {
+	if e == nil || !e.isKnown() {
 		if h.row.Endpoint == "" {
 			return 0
 		}
