soak: faults around restarts of endpoints

Seven kinds of faults: restart under the ID, with the wall clock set back, or at another address; hang, and hang then restart; late orders and delayed answers, mostly with a restart meanwhile. Plans take a list of kinds, and the regression case of seed 31 keeps its own; TestPlanKeepsItsMeaning holds it. Each fault is logged as it is injected. -soak-parallel runs several seeds at a time in one test process.

--- a/internal/soak/doc.go
+++ b/internal/soak/doc.go
@@ -12,10 +12,17 @@
 //   - a loopback proxy delays, resets, cuts in one direction or silences connections
 //     to the store and to endpoints;
 //   - the store is unavailable, loses responses or drops its history;
-//   - endpoints crash.
+//   - endpoints crash, or restart under their ID: at once or after a pause, with the wall
+//     clock set back, or at another address;
+//   - endpoints hang and go on or restart, carry orders out late without an answer, or
+//     answer late, also across a restart.
 //
-// Callers keep their connections open. At no time may a task run twice concurrently
-// or again after its end, nor may a node report an accepted job as unknown. After
-// the last fault, each accepted job has to complete, and no refused job may have
+// Each fault is written to faults.log in Config.Dir as it is injected. A plan can be
+// limited to some kinds of faults, so that seeds keep their meaning when kinds are added.
+//
+// Callers keep their connections open. At no time may a task run twice concurrently,
+// or again after its end; the latter is allowed if the end was not acknowledged before the
+// endpoint crashed or its lease expired. Nor may a node report an accepted job as unknown.
+// After the last fault, each accepted job has to complete, and no refused job may have
 // run.
 package soak
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -29,11 +29,40 @@
 	EndpointOneWay    Kind = "endpoint-one-way"
 	EndpointSilent    Kind = "endpoint-silent"
 	EndpointCrash     Kind = "endpoint-crash"
+	// EndpointRestart, EndpointRestartEarlier and EndpointRestartElsewhere begin a new
+	// incarnation under the endpoint's ID after Duration: as is, with the wall clock set
+	// back, or at another address. EndpointHang holds back orders; EndpointHangRestart
+	// restarts before they are carried out. EndpointLateOrders breaks off orders and
+	// carries them out seconds later, EndpointDelayedAnswers delays responses.
+	EndpointRestart          Kind = "endpoint-restart"
+	EndpointRestartEarlier   Kind = "endpoint-restart-earlier"
+	EndpointRestartElsewhere Kind = "endpoint-restart-elsewhere"
+	EndpointHang             Kind = "endpoint-hang"
+	EndpointHangRestart      Kind = "endpoint-hang-restart"
+	EndpointLateOrders       Kind = "endpoint-late-orders"
+	EndpointDelayedAnswers   Kind = "endpoint-delayed-answers"
 )
 
-var kinds = []Kind{
-	Kill, Pause, Stop, KillAll, StoreDelayed, StoreReset, StoreOneWay, StoreSilent, StoreUnavailable, StoreLosesAnswers, StoreDropsHistory,
-	EndpointDelayed, EndpointReset, EndpointOneWay, EndpointSilent, EndpointCrash,
+// KindsWithoutRestarts returns the kinds of faults in which each endpoint has one
+// incarnation.
+func KindsWithoutRestarts() []Kind {
+	return []Kind{
+		Kill, Pause, Stop, KillAll, StoreDelayed, StoreReset, StoreOneWay, StoreSilent, StoreUnavailable, StoreLosesAnswers, StoreDropsHistory,
+		EndpointDelayed, EndpointReset, EndpointOneWay, EndpointSilent, EndpointCrash,
+	}
+}
+
+// RestartKinds returns the kinds of faults around restarts of endpoints.
+func RestartKinds() []Kind {
+	return []Kind{
+		EndpointRestart, EndpointRestartEarlier, EndpointRestartElsewhere, EndpointHang, EndpointHangRestart, EndpointLateOrders,
+		EndpointDelayedAnswers,
+	}
+}
+
+// AllKinds returns all kinds of faults.
+func AllKinds() []Kind {
+	return append(KindsWithoutRestarts(), RestartKinds()...)
 }
 
 // Fault is one fault to inject.
@@ -56,10 +85,18 @@
 	seriesFraction = 0.25
 	seriesLength   = 3
 	seriesInterval = 300 * time.Millisecond
+	// promptFraction is the fraction of restarts without a pause, maxRestartPause the
+	// longest pause of the others.
+	promptFraction  = 0.5
+	maxRestartPause = maxFaultDuration / 3
+	// companionFraction is the fraction of late orders and delayed answers during which
+	// the endpoint restarts.
+	companionFraction = 0.75
 )
 
-// Plan returns the faults of a seed in order of time.
-func Plan(seed uint64, duration time.Duration, nodes, endpoints int) []Fault {
+// Plan returns the faults of a seed in order of time, of the given kinds. A plan of
+// KindsWithoutRestarts does not depend on what other kinds there are.
+func Plan(seed uint64, duration time.Duration, nodes, endpoints int, kinds []Kind) []Fault {
 	random := rand.New(rand.NewPCG(seed, 0))
 	var plan []Fault
 	crashes := 0
@@ -82,6 +119,16 @@
 			plan = append(plan, fault)
 			continue
 		}
+		if fault.isRestart() {
+			fault.Duration = fault.Duration * time.Duration(maxRestartPause) / maxFaultDuration
+			if random.Float64() < promptFraction {
+				fault.Duration = 0
+			}
+		}
+		if hasCompanion := fault.Kind == EndpointLateOrders || fault.Kind == EndpointDelayedAnswers; hasCompanion && random.Float64() < companionFraction {
+			at := fault.At + time.Duration(random.Int64N(int64(fault.Duration)+1))
+			plan = append(plan, Fault{Kind: EndpointRestart, At: at, Target: fault.Target})
+		}
 		repeats := 1
 		if random.Float64() < seriesFraction {
 			repeats = seriesLength
@@ -100,6 +147,11 @@
 	case EndpointDelayed, EndpointReset, EndpointOneWay, EndpointSilent, EndpointCrash:
 		return true
 	default:
-		return false
+		return slices.Contains(RestartKinds(), f.Kind)
 	}
 }
+
+// isRestart reports whether the fault is a restart after a pause of its duration.
+func (f Fault) isRestart() bool {
+	return f.Kind == EndpointRestart || f.Kind == EndpointRestartEarlier || f.Kind == EndpointRestartElsewhere
+}
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -33,17 +33,26 @@
 	maxPropagationDelay = 3 * time.Second
 	// recoveryTimeout limits the time from the last fault until all jobs have ended.
 	recoveryTimeout = 90 * time.Second
-	// portsPerNode is the number of ports on which a node listens.
-	portsPerNode = 3
+	// clockSetBack is how far a host's wall clock is set back before a restart.
+	clockSetBack = time.Hour
+	// orderDelay is how late late orders are carried out, answerDelay how long delayed
+	// answers take. The nodes wait a little longer for answers.
+	orderDelay  = 2 * time.Second
+	answerDelay = 300 * time.Millisecond
 )
 
+// PortsPerNode is the number of ports on which a node listens.
+const PortsPerNode = 3
+
 // Config configures a soak.
 type Config struct {
 	Seed uint64
 	// Duration is how long faults are injected and jobs submitted.
 	Duration         time.Duration
 	Nodes, Endpoints int
-	// Dir is the directory for the nodes' settings and logs.
+	// Kinds are the kinds of faults; nil means all.
+	Kinds []Kind
+	// Dir is the directory for the nodes' settings and logs, and for a log of the faults.
 	Dir string
 	// NewProcess returns a node with the given settings file and log file.
 	NewProcess func(settings, log string) Process
@@ -71,6 +80,7 @@
 type soak struct {
 	config          Config
 	platform        *standin.Platform
+	faultLog        *os.File
 	group           *loops.Group
 	processes       []Process
 	callerAddresses []netip.AddrPort
@@ -88,7 +98,15 @@
 func Run(ctx context.Context, config Config) (Report, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	s := &soak{config: config, group: loops.New(ctx), accepted: map[string]time.Time{}}
+	if config.Kinds == nil {
+		config.Kinds = AllKinds()
+	}
+	faultLog, err := os.Create(filepath.Join(config.Dir, "faults.log"))
+	if err != nil {
+		return Report{}, errors.Wrap(err, "create the log of faults")
+	}
+	defer func() { _ = faultLog.Close() }()
+	s := &soak{config: config, faultLog: faultLog, group: loops.New(ctx), accepted: map[string]time.Time{}}
 	platform, err := standin.New(standin.Config{Hosts: config.Endpoints, TaskTime: taskTime, Expose: s.expose})
 	if err != nil {
 		return Report{}, errors.Wrap(err, "start the simulated platform")
@@ -113,6 +131,8 @@
 	if err != nil {
 		return endpoint
 	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	s.endpointProxies = append(s.endpointProxies, link)
 	return link.address()
 }
@@ -126,9 +146,9 @@
 			return errors.Wrap(err, "start a proxy for the store")
 		}
 		s.storeProxies = append(s.storeProxies, link)
-		var ports [portsPerNode]netip.AddrPort
+		var ports [PortsPerNode]netip.AddrPort
 		for i := range ports {
-			ports[i] = netip.AddrPortFrom(loopback, s.config.FirstPort+uint16(n*portsPerNode+i))
+			ports[i] = netip.AddrPortFrom(loopback, s.config.FirstPort+uint16(n*PortsPerNode+i))
 			listener, err := net.Listen("tcp", ports[i].String())
 			if err != nil {
 				return errors.Wrap(err, "check that a node's port is free")
@@ -152,7 +172,7 @@
 // run injects the faults while callers submit jobs, then waits for the jobs to end
 // and checks their runs.
 func (s *soak) run(ctx context.Context) {
-	plan := Plan(s.config.Seed, s.config.Duration, s.config.Nodes, s.config.Endpoints)
+	plan := Plan(s.config.Seed, s.config.Duration, s.config.Nodes, s.config.Endpoints, s.config.Kinds)
 	s.report.Faults = len(plan)
 	calls := loops.New(ctx)
 	end := time.Now().Add(s.config.Duration)
@@ -185,7 +205,10 @@
 		temporarily(func() { link.setState(state) }, func() { link.setState(linkHealthy) })
 	}
 	node := s.processes[fault.Target%len(s.processes)]
-	store, endpoint := s.storeProxies[fault.Target%len(s.storeProxies)], s.endpointProxies[fault.Target%len(s.endpointProxies)]
+	store, endpoint := s.storeProxies[fault.Target%len(s.storeProxies)], s.endpointProxy(fault.Target)
+	host := fault.Target%s.config.Endpoints + 1
+	// A line that cannot be written is missing in the log of a failed seed only.
+	_, _ = fmt.Fprintf(s.faultLog, "%s %s target %d for %s\n", time.Now().UTC().Format(time.RFC3339Nano), fault.Kind, fault.Target+1, fault.Duration)
 	switch fault.Kind {
 	case Kill:
 		node.Signal(syscall.SIGKILL)
@@ -220,7 +243,37 @@
 	case EndpointSilent:
 		setLink(endpoint, linkSilent)
 	case EndpointCrash:
-		s.platform.CrashHost(fault.Target + 1)
+		s.platform.CrashHost(host)
+	case EndpointRestart:
+		s.restartHost(host, standin.Restart{Pause: fault.Duration})
+	case EndpointRestartEarlier:
+		s.restartHost(host, standin.Restart{Pause: fault.Duration, ClockStep: -clockSetBack})
+	case EndpointRestartElsewhere:
+		s.restartHost(host, standin.Restart{Pause: fault.Duration, Elsewhere: true})
+	case EndpointHang:
+		temporarily(func() { s.platform.SetHung(host, true) }, func() { s.platform.SetHung(host, false) })
+	case EndpointHangRestart:
+		temporarily(func() { s.platform.SetHung(host, true) }, func() {
+			s.restartHost(host, standin.Restart{})
+			s.platform.SetHung(host, false)
+		})
+	case EndpointLateOrders:
+		temporarily(func() { s.platform.SetOrderDelay(host, orderDelay) }, func() { s.platform.SetOrderDelay(host, 0) })
+	case EndpointDelayedAnswers:
+		temporarily(func() { s.platform.SetAnswerDelay(host, answerDelay) }, func() { s.platform.SetAnswerDelay(host, 0) })
+	}
+}
+
+// endpointProxy returns the proxy of the address at which an endpoint was first listed.
+func (s *soak) endpointProxy(target int) *proxy {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.endpointProxies[target%s.config.Endpoints]
+}
+
+func (s *soak) restartHost(host int, restart standin.Restart) {
+	if err := s.platform.RestartHost(host, restart); err != nil {
+		s.addViolation("fault not injected: restart of the endpoint of host %d: %v", host, err)
 	}
 }
 
@@ -228,7 +281,13 @@
 func (s *soak) clearFaults() {
 	s.platform.SetStoreDown(false)
 	s.platform.SetLoseAnswers(false)
-	for _, link := range append(s.storeProxies, s.endpointProxies...) {
+	for n := range s.config.Endpoints {
+		s.endpointProxy(n).setState(linkHealthy)
+		s.platform.SetHung(n+1, false)
+		s.platform.SetOrderDelay(n+1, 0)
+		s.platform.SetAnswerDelay(n+1, 0)
+	}
+	for _, link := range s.storeProxies {
 		link.setState(linkHealthy)
 	}
 	for _, p := range s.processes {
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -18,17 +18,17 @@
 func TestPlan(t *testing.T) {
 	const nodes, endpoints = 3, 6
 	duration := time.Minute
-	plan := Plan(7, duration, nodes, endpoints)
-	if again := Plan(7, duration, nodes, endpoints); !reflect.DeepEqual(plan, again) {
+	plan := Plan(7, duration, nodes, endpoints, AllKinds())
+	if again := Plan(7, duration, nodes, endpoints, AllKinds()); !reflect.DeepEqual(plan, again) {
 		t.Error("plan of the same seed: got another one")
 	}
-	if other := Plan(8, duration, nodes, endpoints); reflect.DeepEqual(plan, other) {
+	if other := Plan(8, duration, nodes, endpoints, AllKinds()); reflect.DeepEqual(plan, other) {
 		t.Error("plan of another seed: got the same one")
 	}
 	seen, crashes := map[Kind]bool{}, 0
 	for seed := range uint64(50) {
 		crashes = 0
-		for _, fault := range Plan(seed, duration, nodes, endpoints) {
+		for _, fault := range Plan(seed, duration, nodes, endpoints, AllKinds()) {
 			seen[fault.Kind] = true
 			if fault.Kind == EndpointCrash {
 				crashes++
@@ -45,13 +45,33 @@
 			t.Errorf("crashes of seed %d: got %d, want at most %d", seed, crashes, endpoints/2)
 		}
 	}
-	for _, kind := range kinds {
+	for _, kind := range AllKinds() {
 		if !seen[kind] {
 			t.Errorf("kind %v in 50 seeds: got none, want some", kind)
 		}
 	}
 }
 
+// Guards against regression cases that no longer test what they were kept for: a plan of the
+// kinds that were there when its seed failed stays the same when kinds are added.
+func TestPlanKeepsItsMeaning(t *testing.T) {
+	want := []Fault{
+		{Kind: Pause, At: 278310379, Duration: 925608054, Target: 2},
+		{Kind: KillAll, At: 2134500028, Duration: 429859183},
+		{Kind: Pause, At: 2801418019, Duration: 2306419039},
+		{Kind: StoreDropsHistory, At: 3027307877, Duration: 3585412952, Target: 2},
+		{Kind: Pause, At: 3101418019, Duration: 2306419039},
+		{Kind: StoreDropsHistory, At: 3327307877, Duration: 3585412952, Target: 2},
+		{Kind: Pause, At: 3401418019, Duration: 2306419039},
+		{Kind: StoreDropsHistory, At: 3627307877, Duration: 3585412952, Target: 2},
+		{Kind: StoreUnavailable, At: 3738148889, Duration: 639241318},
+	}
+	got := Plan(31, 8*time.Second, 3, 6, KindsWithoutRestarts())
+	if len(got) != 18 || !reflect.DeepEqual(got[:len(want)], want) {
+		t.Errorf("plan of seed 31: got %d faults %v, want 18 that begin with %v", len(got), got, want)
+	}
+}
+
 // startEchoServer starts a server that echoes all bytes.
 func startEchoServer(t *testing.T) netip.AddrPort {
 	t.Helper()
--- a/test/soak_test.go
+++ b/test/soak_test.go
@@ -20,6 +20,7 @@
 	soakNodes     = flag.Int("soak-nodes", 3, "number of nodes")
 	soakEndpoints = flag.Int("soak-endpoints", 6, "number of endpoints")
 	soakPort      = flag.Uint("soak-port", 14700, "first of the nodes' ports, below those of other tests")
+	soakParallel  = flag.Int("soak-parallel", 1, "number of seeds at a time")
 	soakDir       = flag.String("soak-dir", os.TempDir(), "folder for the logs of seeds that failed")
 )
 
@@ -32,20 +33,29 @@
 	}
 	for name, seed := range seeds {
 		t.Run(name, func(t *testing.T) {
-			runSeed(t, soak.Config{Seed: seed, Duration: 8 * time.Second, Nodes: 3, Endpoints: 6, Dir: t.TempDir()})
+			runSeed(t, soak.Config{Seed: seed, Duration: 8 * time.Second, Nodes: 3, Endpoints: 6, Kinds: soak.KindsWithoutRestarts(), Dir: t.TempDir(), FirstPort: uint16(*soakPort)})
 		})
 	}
 }
 
 // TestSoakByHand runs the seeds that the flags select.
 func TestSoakByHand(t *testing.T) {
+	ports := make(chan uint16, *soakParallel)
+	for n := range *soakParallel {
+		ports <- uint16(*soakPort) + uint16(n*soak.PortsPerNode**soakNodes)
+	}
 	for seed := *soakSeed; seed < *soakSeed+*soakSeeds; seed++ {
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			if *soakParallel > 1 {
+				t.Parallel()
+			}
+			port := <-ports
+			defer func() { ports <- port }()
 			dir := filepath.Join(*soakDir, fmt.Sprintf("lovagedyke-soak-%d", seed))
 			if err := os.MkdirAll(dir, 0o700); err != nil {
 				t.Fatal(err)
 			}
-			runSeed(t, soak.Config{Seed: seed, Duration: *soakDuration, Nodes: *soakNodes, Endpoints: *soakEndpoints, Dir: dir})
+			runSeed(t, soak.Config{Seed: seed, Duration: *soakDuration, Nodes: *soakNodes, Endpoints: *soakEndpoints, Dir: dir, FirstPort: port})
 			if t.Failed() {
 				t.Logf("logs: %s", dir)
 				return
@@ -60,7 +70,6 @@
 // runSeed runs a soak with the binary under test and reports every violation.
 func runSeed(t *testing.T, config soak.Config) {
 	t.Helper()
-	config.FirstPort = uint16(*soakPort)
 	config.NewProcess = func(settings, log string) soak.Process {
 		return &soakProcess{binary: binary, settings: settings, log: log}
 	}
