fleet: a host whose endpoint reports runs is not empty, named or not

Change: a host is not empty while an endpoint that names it, or was last named by it, has runs, or has completions that it can still report.

Measured: all three cases of TestMaintenanceWaitsForRunsOfUnnamedEndpoint fail before (a maintenance order while the run is reported); all pass, and the host is maintained once the run has ended.

--- a/internal/fleet/endpointstate.go
+++ b/internal/fleet/endpointstate.go
@@ -129,6 +129,12 @@
 	return false
 }
 
+// occupiesHost reports whether a change of the host could end a run of the endpoint, or lose
+// a completion that it can still report.
+func (e *endpoint) occupiesHost() bool {
+	return len(e.runs) > 0 || !e.gone && e.reached && !e.unresponsive && !e.isEmpty()
+}
+
 // available returns the endpoint's free capacity.
 func (e *endpoint) available() policy.Resources {
 	return e.row.Capacity.Minus(e.tally.reserved)
--- a/internal/fleet/hostevidence_test.go
+++ b/internal/fleet/hostevidence_test.go
@@ -358,3 +358,50 @@
 		}
 	})
 }
+
+// Guards against maintenance of a host with a task at work: the platform's list has lost the
+// endpoint's entry, or the host does not name its endpoint, while the endpoint reports its run.
+func TestMaintenanceWaitsForRunsOfUnnamedEndpoint(t *testing.T) {
+	tests := map[string]struct {
+		hostNames fleet.EndpointID
+		unlisted  bool
+	}{
+		"endpoint not listed":     {hostNames: "a", unlisted: true},
+		"host names no endpoint":  {},
+		"neither names the other": {unlisted: true},
+	}
+	for name, c := range tests {
+		t.Run(name, func(t *testing.T) {
+			s, start := startOn(t)
+			s.accept(start)
+			s.renewAll()
+			if c.unlisted {
+				s.leader.RemoveEndpoint("a", s.now)
+			}
+			host := newHost(poolName, "a")
+			host.Endpoint = c.hostNames
+			s.leader.UpdateWave(fleet.WaveRow{Number: 1, MaxDown: 1, Hosts: []fleet.HostID{host.ID}, TimeLimit: time.Second}, s.now)
+			maintain := func() int {
+				s.advance(500 * time.Millisecond)
+				s.renewAll()
+				s.listed(host, newHost(poolName, "b"))
+				return len(s.step().Maintenance)
+			}
+			for range 20 {
+				if got := maintain(); got != 0 {
+					t.Fatalf("maintenance orders while the endpoint reports a run: got %d, want 0", got)
+				}
+			}
+			s.endRun(start, fleet.CompletionDone)
+			s.renewAll()
+			s.writeBatches()
+			got := 0
+			for range 20 {
+				got += maintain()
+			}
+			if got != 1 {
+				t.Errorf("maintenance orders after the run: got %d, want 1", got)
+			}
+		})
+	}
+}
--- a/internal/fleet/hosts.go
+++ b/internal/fleet/hosts.go
@@ -94,6 +94,9 @@
 	idleSince time.Time
 	// unknownSince is since when its endpoint has been unlisted or unresponsive, or zero.
 	unknownSince time.Time
+	// isOccupied is true while an endpoint that names the host, or was on it, may have runs or
+	// unacknowledged completions.
+	isOccupied bool
 	// listed is false once two lists in a row lack the host, isMissing true once one does.
 	listed, isMissing bool
 }
@@ -404,6 +407,12 @@
 		isKnown := e != nil && e.reached && !e.unresponsive
 		updateSince(&h.idleSince, isKnown && e.isEmpty(), now)
 		updateSince(&h.unknownSince, !isKnown, now)
+		h.isOccupied = false
+	}
+	for _, e := range l.endpoints {
+		if h := l.hosts.byID[e.hostID()]; h != nil && e.occupiesHost() {
+			h.isOccupied = true
+		}
 	}
 }
 
@@ -418,8 +427,13 @@
 }
 
 // isEmpty reports whether changing a host ends no run: it has no endpoint, its
-// endpoint is empty, or the endpoint has been unknown for longer than any lease.
+// endpoint is empty, or the endpoint has been unknown for longer than any lease. An
+// endpoint with runs counts although its host does not name it, or the platform's list
+// lacks it.
 func (l *Leader) isEmpty(h *hostState, now time.Time) bool {
+	if h.isOccupied {
+		return false
+	}
 	if h.row.Endpoint == "" || !h.idleSince.IsZero() {
 		return true
 	}
