fleet: an endpoint with runs of unknown jobs is not forgotten

Cause: a run of a job whose row the leader has not read yet is not tracked; its endpoint is marked as blocked, and inherited tasks wait. If the endpoint's entry then left the platform's list, as it does while the store is away, the endpoint was forgotten together with the mark, and the task started elsewhere once the job was known.

Change: a blocked endpoint is kept until its lease has expired or its host shows that it has ended.

--- a/internal/fleet/endpointstate.go
+++ b/internal/fleet/endpointstate.go
@@ -262,7 +262,9 @@
 	if e.listed || len(e.runs) > 0 {
 		return
 	}
-	if !e.reached && !e.gone && !l.inheritedLeaseOver(e, now) {
+	// A blocked endpoint has runs of jobs that are not known yet.
+	mayHaveRuns := !e.reached && !l.inheritedLeaseOver(e, now) || e.blocked && !l.leasesOver(e, now)
+	if mayHaveRuns && !e.gone {
 		return
 	}
 	delete(l.endpoints, e.row.ID)
