fleet: a report that is older than the sign of a restart leaves the endpoint suspected

Cause: any report ended the suspicion that an endpoint has restarted, also one that was requested before the list showed the restart and is the earlier incarnation's. The next renewal acknowledged that one's completions, by their numbers, to the new incarnation, which then forgets its own unread; it also set the lease by the former clock, and tasks started.

Change: only a report that was requested after the sign of a restart, or that shows another start time, ends the suspicion.

Measured: both cases of TestReportOlderThanSignOfRestart fail before (acknowledged up to 1, one start); both pass.

--- a/internal/fleet/endpointstate.go
+++ b/internal/fleet/endpointstate.go
@@ -51,8 +51,10 @@
 	// startedAt identifies the incarnation of the last report, or that of the list before
 	// the first report.
 	startedAt time.Time
-	// mayHaveRestarted is true from a sign of a new incarnation until the next report.
+	// mayHaveRestarted is true from a sign of a new incarnation, at suspectedAt, until the next
+	// report that was requested later.
 	mayHaveRestarted bool
+	suspectedAt      time.Time
 	clock            time.Duration
 	clockAt          time.Time
 	// leaseUntil is the latest lease that was sent, on the endpoint's clock.
@@ -274,6 +276,7 @@
 // no work until then. Only reports tell incarnations apart: they arrive in order, since
 // renewals do not overlap, whereas the list lags and wall clocks can be set back.
 func (l *Leader) suspectRestart(e *endpoint, source string, now time.Time) {
+	e.suspectedAt = now
 	if e.mayHaveRestarted {
 		return
 	}
@@ -296,7 +299,7 @@
 		r.reported, r.stopAcceptedAt, r.stopAt = false, time.Time{}, now
 		e.foreignLeaseUntil = max(e.foreignLeaseUntil, r.lease)
 	}
-	e.startedAt = startedAt
+	e.startedAt, e.suspectedAt = startedAt, time.Time{}
 	e.reached, e.gone, e.listedAt = false, false, now
 	e.clock, e.clockAt, e.leaseUntil = 0, time.Time{}, 0
 	e.lastRead, e.ackable, e.acked, e.unpersisted = 0, 0, 0, nil
--- a/internal/fleet/hostevidence_test.go
+++ b/internal/fleet/hostevidence_test.go
@@ -447,3 +447,50 @@
 		})
 	}
 }
+
+// Guards against a task that runs again after its end: a report that was on its way when the
+// endpoint restarted arrives after the sign of the restart. Completions of the earlier
+// incarnation are then acknowledged to the new one, which forgets its own, unread.
+func TestReportOlderThanSignOfRestart(t *testing.T) {
+	signs := map[string]func(s *simulation){
+		"endpoint list": func(s *simulation) { s.list("a") },
+		"host list":     func(s *simulation) { s.listed(downHost("a"), newHost(poolName, "b")) },
+	}
+	for name, sign := range signs {
+		t.Run(name, func(t *testing.T) {
+			s, start := startOn(t)
+			s.accept(start)
+			s.endRun(start, fleet.CompletionDone)
+			s.advance(time.Millisecond)
+			requestedAt := s.now
+			renewal, _ := s.leader.NextRenewal("a", s.now)
+			earlier := s.reportOf("a")
+			s.restart("a", laterStart)
+			s.advance(time.Millisecond)
+			sign(s)
+			s.leader.HandleReport("a", renewal, requestedAt, earlier, s.now)
+			s.writeBatches()
+			s.advance(time.Millisecond)
+			if next, due := s.leader.NextRenewal("a", s.now); !due || next.AckedUpTo != 0 {
+				t.Errorf("renewal after the report: got %+v (due %t), want one without acknowledgement", next, due)
+			}
+			s.submit(submission(2, tasks(1)))
+			for _, start := range s.step().Starts {
+				if start.Endpoint == "a" {
+					t.Errorf("start before the next report: got one on %s, want none", start.Endpoint)
+				}
+			}
+			s.renewLease("a")
+			s.submit(submission(3, tasks(32)))
+			starts := 0
+			for _, start := range s.step().Starts {
+				if start.Endpoint == "a" {
+					starts++
+				}
+			}
+			if starts == 0 {
+				t.Error("starts after the next report: got none on a, want some")
+			}
+		})
+	}
+}
--- a/internal/fleet/hosts.go
+++ b/internal/fleet/hosts.go
@@ -195,7 +195,7 @@
 	if !e.gone {
 		l.log("endpoint gone", "endpoint", e.row.ID, "pool", e.row.Pool, "why", reason, "runs", len(e.runs), "list-age", age(sentAt, now))
 	}
-	e.gone, e.goneAt, e.blocked = true, now, false
+	e.gone, e.goneAt, e.suspectedAt, e.blocked = true, now, now, false
 	for _, r := range e.runs {
 		if r.wasRunningBefore(sentAt) {
 			l.runLost(r, reason, now)
--- a/internal/fleet/renewal.go
+++ b/internal/fleet/renewal.go
@@ -92,17 +92,18 @@
 		e.foreignLeaseUntil = max(e.foreignLeaseUntil, renewal.Lease)
 		renewal.AckedUpTo = 0
 	}
-	e.mayHaveRestarted = false
+	// A report that was requested before the sign of a restart may be the earlier incarnation's.
+	e.mayHaveRestarted = sentAt.Before(e.suspectedAt)
 	if !l.loaded {
 		// The report is requested again once the jobs are known.
 		e.unresponsive = false
 		e.clock, e.clockAt, e.reportedAt = report.Clock, now, now
 		return
 	}
-	if !e.reached {
+	if !e.reached && !e.mayHaveRestarted {
 		l.log("endpoint reached", "endpoint", id, "pool", e.row.Pool, "running", len(report.Running), "ended", len(report.Completions))
 	}
-	e.reached, e.unresponsive, e.gone = true, false, false
+	e.reached, e.unresponsive, e.gone = !e.mayHaveRestarted, false, false
 	e.clock, e.clockAt = report.Clock, now
 	e.reportedAt = now
 	e.acked = max(e.acked, renewal.AckedUpTo)
