fleet: an endpoint whose report is on its way is not missing yet

An endpoint with runs waits for up to 600 ms before it reports, and two host lists may be read within 300 ms.

Change: an endpoint that two lists lack is gone once a call to it has failed, or no report has come for as long as one may take. Nothing changes if its host shows that it has ended.

Measured: 'host missing twice, report on its way' of TestEndpointMissingFromHostList fails before (a second start) and passes.

--- a/internal/fleet/hostevidence_test.go
+++ b/internal/fleet/hostevidence_test.go
@@ -257,24 +257,26 @@
 	tests := map[string]struct {
 		// lists are the rows of the endpoint's host in lists that follow each other.
 		lists [][]fleet.Host
-		// reports is true if the endpoint reports after each list.
-		reports bool
+		// between happens after each list.
+		between func(s *simulation)
 		// unnamed is true if the endpoint does not name its host.
 		unnamed bool
 		starts  int
 	}{
-		"host missing once":             {lists: [][]fleet.Host{{}}, starts: 0},
-		"host missing twice":            {lists: [][]fleet.Host{{}, {}}, starts: 1},
-		"host missing twice, reported":  {lists: [][]fleet.Host{{}, {}, {}}, reports: true, starts: 0},
-		"missing, listed, missing":      {lists: [][]fleet.Host{{}, {newHost(poolName, "a")}, {}}, starts: 0},
-		"no endpoint on it once":        {lists: [][]fleet.Host{{with(func(h *fleet.Host) { h.Endpoint = "" })}}, starts: 0},
-		"down":                          {lists: [][]fleet.Host{{downHost("a")}}, starts: 1},
-		"down, host known from a list":  {lists: [][]fleet.Host{{downHost("a")}}, unnamed: true, starts: 1},
-		"down, but names its endpoint":  {lists: [][]fleet.Host{{with(func(h *fleet.Host) { h.State = fleet.HostDown })}}, starts: 0},
-		"moving":                        {lists: [][]fleet.Host{{with(func(h *fleet.Host) { h.State, h.Endpoint = fleet.HostMoving, "" })}}, starts: 1},
-		"maintained":                    {lists: [][]fleet.Host{{with(func(h *fleet.Host) { h.State, h.Endpoint = fleet.HostMaintenance, "" })}}, starts: 1},
-		"other endpoint":                {lists: [][]fleet.Host{{with(func(h *fleet.Host) { h.Endpoint = "c" })}}, starts: 1},
-		"other endpoint, elsewhere too": {lists: [][]fleet.Host{{with(func(h *fleet.Host) { h.Endpoint = "c" }), with(func(h *fleet.Host) { h.ID = "m-2" })}}, starts: 0},
+		"host missing once":                     {lists: [][]fleet.Host{{}}, starts: 0},
+		"host missing twice, call fails":        {lists: [][]fleet.Host{{}, {}}, between: func(s *simulation) { s.failRenewal("a") }, starts: 1},
+		"host missing twice, silent":            {lists: [][]fleet.Host{{}, {}}, between: func(s *simulation) { s.advance(1500 * time.Millisecond) }, starts: 1},
+		"host missing twice, report on its way": {lists: [][]fleet.Host{{}, {}, {}}, between: func(s *simulation) { s.advance(300 * time.Millisecond) }, starts: 0},
+		"host missing, reports":                 {lists: [][]fleet.Host{{}, {}, {}}, between: (*simulation).renewAll, starts: 0},
+		"missing, listed, missing":              {lists: [][]fleet.Host{{}, {newHost(poolName, "a")}, {}}, starts: 0},
+		"no endpoint on it once":                {lists: [][]fleet.Host{{with(func(h *fleet.Host) { h.Endpoint = "" })}}, starts: 0},
+		"down":                                  {lists: [][]fleet.Host{{downHost("a")}}, starts: 1},
+		"down, host known from a list":          {lists: [][]fleet.Host{{downHost("a")}}, unnamed: true, starts: 1},
+		"down, but names its endpoint":          {lists: [][]fleet.Host{{with(func(h *fleet.Host) { h.State = fleet.HostDown })}}, starts: 0},
+		"moving":                                {lists: [][]fleet.Host{{with(func(h *fleet.Host) { h.State, h.Endpoint = fleet.HostMoving, "" })}}, starts: 1},
+		"maintained":                            {lists: [][]fleet.Host{{with(func(h *fleet.Host) { h.State, h.Endpoint = fleet.HostMaintenance, "" })}}, starts: 1},
+		"other endpoint":                        {lists: [][]fleet.Host{{with(func(h *fleet.Host) { h.Endpoint = "c" })}}, starts: 1},
+		"other endpoint, elsewhere too":         {lists: [][]fleet.Host{{with(func(h *fleet.Host) { h.Endpoint = "c" }), with(func(h *fleet.Host) { h.ID = "m-2" })}}, starts: 0},
 	}
 	for name, c := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -291,8 +293,8 @@
 				got += len(s.step().Starts)
 				s.advance(10 * time.Millisecond)
 				s.listed(append(rows, newHost(poolName, "b"))...)
-				if c.reports {
-					s.renewAll()
+				if c.between != nil {
+					c.between(s)
 				}
 			}
 			if got += len(s.step().Starts); got != c.starts {
--- a/internal/fleet/hosts.go
+++ b/internal/fleet/hosts.go
@@ -168,8 +168,8 @@
 
 // handleUnnamed handles an endpoint that no host names in the list requested at sentAt. It
 // has ended if its own host, whose row is zero if the host is missing, shows why. Otherwise
-// it has to be missing from two lists in a row: the parts of a list are read at different
-// moments, and a host that has just come back may not name its endpoint yet.
+// it has to be missing from two lists in a row, and silent meanwhile: the parts of a list are
+// read at different moments, and a host that has just come back may not name its endpoint yet.
 func (l *Leader) handleUnnamed(e *endpoint, row Host, sentAt, now time.Time) {
 	isNewer := !e.listedAt.Before(sentAt) || e.reportedAt.After(sentAt)
 	isReplaced := row.State == HostUp && row.Endpoint != ""
@@ -179,6 +179,8 @@
 		e.missingSince = time.Time{}
 	case isReplaced || isOut:
 		l.endpointEnded(e, "host no longer runs the endpoint", sentAt, now)
+	case e.isMissing() && !e.unresponsive && now.Sub(e.missingSince) < maxReportAge:
+		// Its report may be on its way.
 	case e.isMissing():
 		l.endpointEnded(e, "two host lists lack the endpoint", e.missingSince, now)
 		e.missingSince = sentAt
--- a/internal/fleet/leader_test.go
+++ b/internal/fleet/leader_test.go
@@ -540,6 +540,7 @@
 			for range 2 {
 				s.advance(time.Millisecond)
 				s.listHostsOf("a")
+				s.failRenewal("b")
 			}
 		}, 1},
 		"inherited leases expired": {func(s *simulation) {
