fleet: a host list that lags does not end an endpoint that is newer than its row

A host that has come back runs an endpoint that is listed, and runs tasks, while the host list may still show the host as it was before, down or with its earlier endpoint. Nothing says that the two lists agree at each moment.

Change: a row that has shown the same state and endpoint since before the endpoint was listed shows nothing of it; two lists and silence are needed then.

Measured: both cases of TestHostListThatLags fail before (a second start); both pass.

--- a/internal/fleet/hostevidence_test.go
+++ b/internal/fleet/hostevidence_test.go
@@ -496,3 +496,35 @@
 		})
 	}
 }
+
+// Guards against two runs of a task at once: a host has come back with an endpoint that already
+// runs tasks, while the host list still shows it as it was before.
+func TestHostListThatLags(t *testing.T) {
+	replaced := newHost(poolName, "a")
+	replaced.Endpoint = "former"
+	tests := map[string]fleet.Host{"host down": downHost("a"), "earlier endpoint": replaced}
+	for name, lagging := range tests {
+		t.Run(name, func(t *testing.T) {
+			onePool := defaultPolicy()
+			onePool.Pools = onePool.Pools[:1]
+			s := newSimulation(t, simulationConfig{policy: onePool})
+			other := newHost(poolName, "b")
+			s.listed(lagging, other)
+			s.addEndpoint("a")
+			s.submit(submission(1, tasks(1)))
+			start := s.step().Starts[0]
+			s.accept(start)
+			s.addEndpoint("b")
+			for range 4 {
+				s.renewLease("a")
+				s.advance(300 * time.Millisecond)
+				s.listed(lagging, other)
+				s.wantOrders("while the list lags", 0, 0)
+			}
+			s.listed(newHost(poolName, "a"), other)
+			s.advance(time.Millisecond)
+			s.listed(lagging, other)
+			s.wantOrders("after the list has shown the endpoint, and then its end", 1, 0)
+		})
+	}
+}
--- a/internal/fleet/hosts.go
+++ b/internal/fleet/hosts.go
@@ -88,6 +88,10 @@
 type hostState struct {
 	row           Host
 	pendingChange *pendingChange
+	// shown is the newest row in the list, and shownSince when the list first showed its state
+	// and endpoint. Unlike row, they disregard the pending change.
+	shown      Host
+	shownSince time.Time
 	// notBefore delays the next change after a rejected one.
 	notBefore time.Time
 	// idleSince is since when its endpoint has been empty, or zero.
@@ -126,6 +130,10 @@
 			l.hosts.byID[row.ID] = h
 		}
 		h.listed, h.isMissing = true, false
+		if h.shownSince.IsZero() || h.shown.State != row.State || h.shown.Endpoint != row.Endpoint {
+			h.shownSince = now
+		}
+		h.shown = row
 		l.updateHost(h, row, sentAt, now)
 	}
 	l.hosts.isLoaded = true
@@ -172,12 +180,10 @@
 // read at different moments, and a host that has just come back may not name its endpoint yet.
 func (l *Leader) handleUnnamed(e *endpoint, row Host, sentAt, now time.Time) {
 	isNewer := !e.listedAt.Before(sentAt) || e.reportedAt.After(sentAt)
-	isReplaced := row.State == HostUp && row.Endpoint != ""
-	isOut := row.State == HostDown || row.State == HostMoving || row.State == HostMaintenance
 	switch {
 	case isNewer:
 		e.missingSince = time.Time{}
-	case isReplaced || isOut:
+	case l.showsEnd(e, row):
 		l.endpointEnded(e, "host no longer runs the endpoint", sentAt, now)
 	case e.isMissing() && !e.unresponsive && now.Sub(e.missingSince) < maxReportAge:
 		// Its report may be on its way.
@@ -189,6 +195,19 @@
 	}
 }
 
+// showsEnd reports whether the row of an endpoint's host, which does not name the endpoint,
+// shows that the endpoint has ended. A row that has not changed since before the endpoint was
+// listed may lag.
+func (l *Leader) showsEnd(e *endpoint, row Host) bool {
+	isReplaced := row.State == HostUp && row.Endpoint != ""
+	isOut := row.State == HostDown || row.State == HostMoving || row.State == HostMaintenance
+	if !isReplaced && !isOut {
+		return false
+	}
+	h := l.hosts.byID[row.ID]
+	return h != nil && !e.listedAt.After(h.shownSince)
+}
+
 // endpointEnded handles evidence, requested at sentAt, that an endpoint's incarnation has
 // ended. Its remaining runs, which were answered later or not at all, may be on the next
 // incarnation: they are resolved by their answers, its report, later evidence or the end of
