control: queued host changes are withdrawn once the host has changed

A move or maintenance is recorded in the store before it is sent, and waits while the store is away.

Change: a change is confirmed with the leader right before it is sent: the host is up with the same endpoint, no run would end, leadership is confirmed. Otherwise it is planned again; the line 'host change withdrawn' says why.

--- a/internal/control/hosts.go
+++ b/internal/control/hosts.go
@@ -131,12 +131,22 @@
 	}
 	callers := pool.New().WithMaxGoroutines(maxHostCalls)
 	for _, next := range changes {
-		callers.Go(func() { t.executeHostOrder(ctx, next) })
+		callers.Go(func() { t.executeHostOrder(ctx, next, time.Now()) })
 	}
 	callers.Wait()
 }
 
-func (t *term) executeHostOrder(ctx context.Context, next hostOrder) {
+// executeHostOrder makes a change, unless the leader withdraws it: it may have waited for the
+// store for long.
+func (t *term) executeHostOrder(ctx context.Context, next hostOrder, now time.Time) {
+	isCurrent := false
+	t.locked(func() {
+		isCurrent = t.leader.ConfirmHostChange(next.host(), now)
+	})
+	if !isCurrent {
+		t.requestStep()
+		return
+	}
 	kind := "upkeep"
 	var outcome fleet.ChangeOutcome
 	if next.move != nil {
--- a/internal/fleet/hosts.go
+++ b/internal/fleet/hosts.go
@@ -310,6 +310,37 @@
 	return false
 }
 
+// ConfirmHostChange reports whether a host change that has waited may be sent now: the host is
+// as it was when the change was ordered, no run would end, and no other process leads.
+// Otherwise it withdraws the change, which was never sent.
+func (l *Leader) ConfirmHostChange(id HostID, now time.Time) bool {
+	h := l.hosts.byID[id]
+	if h == nil || h.pendingChange == nil {
+		return false
+	}
+	c := h.pendingChange
+	isSame := h.shown.State == HostUp && h.shown.Endpoint == c.endpoint
+	isOccupied := l.isOccupied(id)
+	if isSame && !isOccupied && l.confirmed(now) {
+		return true
+	}
+	l.log("host change withdrawn", "host", id, "to", c.pool, "wave", c.wave, "ordered-ago", age(c.orderedAt, now),
+		"state", string(h.shown.State), "endpoint", h.shown.Endpoint, "occupied", isOccupied, "confirmed-ago", age(l.confirmedAt, now))
+	h.pendingChange = nil
+	h.notBefore = now.Add(changeRetryDelay)
+	return false
+}
+
+// isOccupied reports whether an endpoint occupies a host.
+func (l *Leader) isOccupied(id HostID) bool {
+	for _, e := range l.endpoints {
+		if e.hostID() == id && e.occupiesHost() {
+			return true
+		}
+	}
+	return false
+}
+
 // changeAccepted handles the platform's acceptance of a change: the endpoint that was on the
 // host has ended. The answer may arrive when the host is back with another endpoint, or with
 // another incarnation of the same one.
