--- a/internal/fleet/hosts.go
+++ b/internal/fleet/hosts.go
@@ -216,7 +216,7 @@
 	if !e.gone {
 		l.log("endpoint gone", "endpoint", e.row.ID, "pool", e.row.Pool, "why", reason, "runs", len(e.runs), "list-age", age(sentAt, now))
 	}
-	e.gone, e.goneAt, e.suspectedAt, e.blocked = true, now, now, false
+	e.gone, e.goneAt, e.blocked = true, now, false
 	for _, r := range e.runs {
 		if r.wasRunningBefore(sentAt) {
 			l.runLost(r, reason, now)
@@ -284,7 +284,7 @@
 		if e.gone && e.hasLiveRun() || e.isMissing() && len(e.runs) > 0 {
 			return true
 		}
-		isUnresponsive := e.unresponsive && len(e.runs) > 0 || !e.reached && !l.inheritedLeaseOver(e, now)
+		isUnresponsive := (e.unresponsive || e.mayHaveRestarted) && len(e.runs) > 0 || !e.reached && !l.inheritedLeaseOver(e, now)
 		if isUnresponsive && !e.gone && len(l.hosts.byID) > 0 {
 			return true
 		}
@@ -456,7 +456,7 @@
 func (l *Leader) recordIdle(now time.Time) {
 	for _, h := range l.hosts.byID {
 		e := l.endpointOf(h)
-		isKnown := e != nil && e.reached && !e.unresponsive
+		isKnown := e != nil && e.isKnown() && !e.unresponsive
 		updateSince(&h.idleSince, isKnown && e.isEmpty(), now)
 		updateSince(&h.unknownSince, !isKnown, now)
 		h.isOccupied = false
--- a/internal/fleet/renewal.go
+++ b/internal/fleet/renewal.go
@@ -17,8 +17,9 @@
 		return LeaseRenewal{}, len(e.runs) > 0
 	}
 	renewal := LeaseRenewal{}
-	if e.ackable > e.acked && !e.mayHaveRestarted {
-		// Sent only if it has advanced: a new incarnation restarts the numbers of completions.
+	if e.ackable > e.acked && !e.mayHaveRestarted && !e.unresponsive {
+		// Sent only if it has advanced, to an endpoint that has just answered: a new incarnation
+		// restarts the numbers of completions.
 		renewal.AckedUpTo = e.ackable
 	}
 	switch {
@@ -29,7 +30,7 @@
 			renewal.Lease = e.nextLease(now, l.leaseDuration())
 		}
 		return renewal, isDue
-	case !e.reached:
+	case !e.isKnown():
 		return renewal, true
 	case e.blocked && now.Sub(e.reportedAt) < unknownJobDelay:
 		return renewal, false
@@ -66,7 +67,8 @@
 		return
 	}
 	if reply.Outcome == OrderOtherIncarnation {
-		l.endpointReplaced(e, reply.SentAt, now)
+		e.listed = false
+		l.endpointEnded(e, "another endpoint answers at the address", reply.SentAt, now)
 		return
 	}
 	e.pausedUntil = now.Add(unhealthyPause)
@@ -75,11 +77,20 @@
 		return
 	}
 	for _, r := range e.runs {
-		l.runLost(r, "endpoint's lease has expired", now)
+		if !l.mayStartLate(r, now) {
+			l.runLost(r, "endpoint's lease has expired", now)
+		}
 	}
 	l.forgetEndpoint(e, now)
 }
 
+// mayStartLate reports whether a start without an answer may still be carried out, or run,
+// on an endpoint that may have restarted unnoticed: its deadline is on a clock that has
+// begun anew then. A restart of an endpoint that the platform shows as gone is noticed.
+func (l *Leader) mayStartLate(r *run, now time.Time) bool {
+	return !r.endpoint.gone && r.isUnresolved() && now.Sub(r.orderedAt) <= maxOrderDelay+maxElapsed(l.config.Bounds.MaxLease)+leaseMargin
+}
+
 // HandleReport processes an endpoint's report. sentAt is when the renewal was sent:
 // the report may lack runs whose start was answered later.
 func (l *Leader) HandleReport(id EndpointID, renewal LeaseRenewal, sentAt time.Time, report Report, now time.Time) {
@@ -92,18 +103,26 @@
 		e.foreignLeaseUntil = max(e.foreignLeaseUntil, renewal.Lease)
 		renewal.AckedUpTo = 0
 	}
-	// A report that was requested before the sign of a restart may be the earlier incarnation's.
-	e.mayHaveRestarted = sentAt.Before(e.suspectedAt)
+	if e.gone && sentAt.Before(e.goneAt) {
+		// It may be the report of the incarnation that has ended since.
+		l.suspectRestart(e, "report older than the end", now)
+	}
+	if !sentAt.Before(e.suspectedAt) {
+		e.mayHaveRestarted = false
+	}
+	if !e.mayHaveRestarted {
+		e.suspectedLeaseUntil = 0
+	}
 	if !l.loaded {
 		// The report is requested again once the jobs are known.
 		e.unresponsive = false
 		e.clock, e.clockAt, e.reportedAt = report.Clock, now, now
 		return
 	}
-	if !e.reached && !e.mayHaveRestarted {
+	if !e.reached {
 		l.log("endpoint reached", "endpoint", id, "pool", e.row.Pool, "running", len(report.Running), "ended", len(report.Completions))
 	}
-	e.reached, e.unresponsive, e.gone = !e.mayHaveRestarted, false, false
+	e.reached, e.unresponsive, e.gone = true, false, false
 	e.clock, e.clockAt = report.Clock, now
 	e.reportedAt = now
 	e.acked = max(e.acked, renewal.AckedUpTo)
@@ -236,17 +255,3 @@
 	}
 	return r
 }
-
-// endpointReplaced handles a renewal sent at sentAt that another endpoint refused, at the
-// address at which the expected one is listed. Runs that were answered before have
-// ended; later ones may be on an incarnation that has taken the address back.
-func (l *Leader) endpointReplaced(e *endpoint, sentAt, now time.Time) {
-	l.log("endpoint replaced", "endpoint", e.row.ID, "runs", len(e.runs), "sent-ago", age(sentAt, now))
-	for _, r := range e.runs {
-		if !r.answeredAt.IsZero() && r.answeredAt.Before(sentAt) {
-			l.runLost(r, "another endpoint answers at the address", now)
-		}
-	}
-	e.listed, e.reached = false, false
-	l.forgetEndpoint(e, now)
-}
