fleet: a start without an answer is given up with the lease although renewals are refused

Callers would see a task wait for good. Cause: while another endpoint answers at the address, each renewal is refused, and a refusal ended the handling of the failed renewal before the lease was looked at.

Change: a refused renewal is one that failed, too.

Measured: 'unanswered, another endpoint answers at the address' of TestUnansweredStartOnGoneEndpoint fails before (no start) and passes.

--- a/internal/fleet/hostevidence_test.go
+++ b/internal/fleet/hostevidence_test.go
@@ -103,7 +103,10 @@
 			s.renewLease("a")
 		}, 0},
 		"unanswered, silent until the lease has expired": {true, func(s *simulation, _ fleet.Start) {
-			s.outwaitLease()
+			s.outwaitLease(fleet.OrderUnknown)
+		}, 1},
+		"unanswered, another endpoint answers at the address": {true, func(s *simulation, _ fleet.Start) {
+			s.outwaitLease(fleet.OrderOtherIncarnation)
 		}, 1},
 	}
 	for name, c := range tests {
@@ -139,15 +142,15 @@
 }
 
 // failRenewal lets an endpoint's renewal fail if one is due.
-func (s *simulation) failRenewal(id fleet.EndpointID) {
+func (s *simulation) failRenewal(id fleet.EndpointID, outcome fleet.OrderOutcome) {
 	if _, due := s.leader.NextRenewal(id, s.now); due {
-		s.leader.RenewalFailed(id, fleet.Reply{Outcome: fleet.OrderUnknown, SentAt: s.now}, s.now)
+		s.leader.RenewalFailed(id, fleet.Reply{Outcome: outcome, SentAt: s.now}, s.now)
 	}
 }
 
-// outwaitLease lets endpoint "a" be silent until a lease that was granted now has expired, and
-// checks that nothing starts before.
-func (s *simulation) outwaitLease() {
+// outwaitLease lets the renewals of endpoint "a" fail until a lease that was granted now has
+// expired, and checks that nothing starts before.
+func (s *simulation) outwaitLease(outcome fleet.OrderOutcome) {
 	s.t.Helper()
 	const lease, slack = 5 * time.Second, 500 * time.Millisecond
 	for waited := time.Duration(0); waited < lease+slack; waited += 100 * time.Millisecond {
@@ -155,7 +158,7 @@
 			s.wantOrders("before the lease has expired", 0, 0)
 		}
 		s.advance(100 * time.Millisecond)
-		s.failRenewal("a")
+		s.failRenewal("a", outcome)
 		s.renewLease("b")
 	}
 }
@@ -264,7 +267,7 @@
 		starts  int
 	}{
 		"host missing once":                     {lists: [][]fleet.Host{{}}, starts: 0},
-		"host missing twice, call fails":        {lists: [][]fleet.Host{{}, {}}, between: func(s *simulation) { s.failRenewal("a") }, starts: 1},
+		"host missing twice, call fails":        {lists: [][]fleet.Host{{}, {}}, between: func(s *simulation) { s.failRenewal("a", fleet.OrderUnknown) }, starts: 1},
 		"host missing twice, silent":            {lists: [][]fleet.Host{{}, {}}, between: func(s *simulation) { s.advance(1500 * time.Millisecond) }, starts: 1},
 		"host missing twice, report on its way": {lists: [][]fleet.Host{{}, {}, {}}, between: func(s *simulation) { s.advance(300 * time.Millisecond) }, starts: 0},
 		"host missing, reports":                 {lists: [][]fleet.Host{{}, {}, {}}, between: (*simulation).renewAll, starts: 0},
@@ -420,7 +423,7 @@
 		"reports on":                 {false, func(s *simulation) { s.renewAll() }, 0},
 		"host is down":               {false, func(s *simulation) { s.listed(downHost("a"), newHost(poolName, "b")) }, 1},
 		"host is down, still listed": {true, func(s *simulation) { s.listed(downHost("a"), newHost(poolName, "b")) }, 1},
-		"silent for a lease":         {false, func(s *simulation) { s.outwaitLease() }, 1},
+		"silent for a lease":         {false, func(s *simulation) { s.outwaitLease(fleet.OrderUnknown) }, 1},
 	}
 	for name, c := range tests {
 		t.Run(name, func(t *testing.T) {
--- a/internal/fleet/leader_test.go
+++ b/internal/fleet/leader_test.go
@@ -540,7 +540,7 @@
 			for range 2 {
 				s.advance(time.Millisecond)
 				s.listHostsOf("a")
-				s.failRenewal("b")
+				s.failRenewal("b", fleet.OrderUnknown)
 			}
 		}, 1},
 		"inherited leases expired": {func(s *simulation) {
--- a/internal/fleet/renewal.go
+++ b/internal/fleet/renewal.go
@@ -69,7 +69,6 @@
 	if reply.Outcome == OrderOtherIncarnation {
 		e.listed = false
 		l.endpointEnded(e, "another endpoint answers at the address", reply.SentAt, now)
-		return
 	}
 	e.pausedUntil = now.Add(unhealthyPause)
 	e.unresponsive = true
