fleet: a spare host whose endpoint reports runs is not moved; tests of the order of evidence

A spare host was given to a pool without a look at its endpoint, which ended what ran there. Seen in the test of host changes, whose spare host runs a task after its maintenance.

Change: a host that is occupied is no donor.

TestOrderOfEvidence and TestOrderOfChangeAndList check lists, changes, answers and reports that overtake each other; checks of the renewal, of draining and of moves are added to the tests of host changes, and 'host is moving' to that of queued changes.

Measured: without the change, TestHostChangeEndsOnlyEarlierEndpoint fails in its three cases of maintenance (a move of the host); it passes. The other new tests passed at once.

--- a/internal/control/hosts_test.go
+++ b/internal/control/hosts_test.go
@@ -28,7 +28,8 @@
 func TestQueuedHostChangeIsWithdrawn(t *testing.T) {
 	const confirmationTimeout = 1500 * time.Millisecond
 	host := fleet.Host{ID: "m-1", Pool: "p", State: fleet.HostUp, Endpoint: "i-1", Capacity: policy.Resources{CPU: 16000, Memory: 65536}}
-	replaced, crashed := host, host
+	replaced, crashed, moving := host, host, host
+	moving.State = fleet.HostMoving
 	replaced.Endpoint = "i-2"
 	crashed.State, crashed.Endpoint = fleet.HostDown, ""
 	task := job.Task{Job: "5c0e7a21d94b36f8"}
@@ -45,6 +46,9 @@
 		"host is down": {event: func(leader *fleet.Leader, now time.Time) {
 			leader.UpdateHosts([]fleet.Host{crashed}, now, now)
 		}},
+		"host is moving": {event: func(leader *fleet.Leader, now time.Time) {
+			leader.UpdateHosts([]fleet.Host{moving}, now, now)
+		}},
 		"endpoint reports a run": {event: func(leader *fleet.Leader, now time.Time) {
 			running := []fleet.RunningTask{{Task: task, Run: 1, SpeedPercent: 100}}
 			leader.HandleReport("i-1", fleet.LeaseRenewal{}, now, fleet.Report{Clock: time.Hour, StartedAt: time.UnixMilli(1000), Running: running}, now)
--- a/internal/fleet/hostevidence_test.go
+++ b/internal/fleet/hostevidence_test.go
@@ -54,6 +54,9 @@
 	s.accept(start)
 	s.leader.UpdateHosts([]fleet.Host{downHost("a"), newHost(poolName, "b")}, requestedAt, s.now)
 	s.wantOrders("after a list that is older than the answer", 0, 0)
+	if !s.leader.NeedsHostList(s.now) {
+		t.Error("host list needed for the run that it did not end: got false, want true")
+	}
 	s.renewLease("a")
 	s.wantOrders("after the report", 0, 0)
 	s.advance(time.Millisecond)
@@ -206,12 +209,19 @@
 			if c.outcome == fleet.ChangeAccepted {
 				answer(fleet.ChangeAccepted)
 			}
+			s.advance(time.Millisecond)
+			if renewal, due := s.leader.NextRenewal("x", s.now); !due || renewal.Lease == 0 {
+				t.Errorf("renewal of the endpoint that is on the host: got %+v (due %t), want one with a lease", renewal, due)
+			}
 			host.Endpoint = "x"
 			if !c.maintenance {
 				host.Pool = poolName
 			}
 			for range 10 {
 				s.wantOrders("while the task runs on the host", 0, 0)
+				if !c.maintenance && s.isLeaving("x") || len(s.orders.Moves) != 0 {
+					t.Errorf("endpoint that is on the host after the change: got it drained or moved (%v), want not", s.orders.Moves)
+				}
 				s.advance(300 * time.Millisecond)
 				s.listed(append(others, host)...)
 				s.renewAll()
@@ -240,6 +250,24 @@
 	}
 }
 
+// isLeaving reports whether an endpoint is being drained.
+func (s *simulation) isLeaving(id fleet.EndpointID) bool {
+	for _, e := range s.leader.Dump().Endpoints {
+		if e.ID == id {
+			return e.Leaving
+		}
+	}
+	return false
+}
+
+// wantGone checks whether an endpoint without runs counts as gone, so that it is not renewed.
+func (s *simulation) wantGone(when string, id fleet.EndpointID, want bool) {
+	s.t.Helper()
+	if renewal, due := s.leader.NextRenewal(id, s.now); due == want {
+		s.t.Errorf("renewal of %s %s: got %+v (due %t), want due %t", id, when, renewal, due, !want)
+	}
+}
+
 // renewAll delivers the reports that are due.
 func (s *simulation) renewAll() {
 	s.advance(time.Millisecond)
@@ -399,6 +427,9 @@
 			}
 			s.endRun(start, fleet.CompletionDone)
 			s.renewAll()
+			if got := maintain(); got != 0 {
+				t.Fatalf("maintenance orders before the end is written: got %d, want 0", got)
+			}
 			s.writeBatches()
 			got := 0
 			for range 20 {
@@ -531,3 +562,139 @@
 		})
 	}
 }
+
+// Guards against sound endpoints that are taken for gone, and against gone ones that are taken
+// for sound: lists, changes and reports that overtake each other.
+func TestOrderOfEvidence(t *testing.T) {
+	a, b := newHost(poolName, "a"), newHost(poolName, "b")
+	tests := map[string]func(s *simulation, start fleet.Start){
+		"list older than the last report": func(s *simulation, start fleet.Start) {
+			s.accept(start)
+			requestedAt := s.now
+			s.advance(time.Millisecond)
+			s.renewAll()
+			s.leader.UpdateHosts([]fleet.Host{downHost("a"), b}, requestedAt, s.now)
+			s.wantOrders("after the list", 0, 0)
+		},
+		"list older than the endpoint": func(s *simulation, _ fleet.Start) {
+			requestedAt := s.now
+			s.leader.UpdateEndpoint(endpointRow("c"), s.now)
+			s.leader.UpdateHosts([]fleet.Host{a, b, downHost("c")}, requestedAt, s.now)
+			s.wantGone("after a list that is older", "c", false)
+		},
+		"answered between two lists without the endpoint": func(s *simulation, start fleet.Start) {
+			s.listed(b)
+			s.accept(start)
+			s.failRenewal("a", fleet.OrderUnknown)
+			s.listed(b)
+			s.wantOrders("after two lists, one of them older than the answer", 0, 0)
+			s.listed(b)
+			s.wantOrders("after two lists since the answer", 1, 0)
+		},
+		"unanswered, but reported": func(s *simulation, start fleet.Start) {
+			s.leader.HandleStartReply(start, fleet.Reply{Outcome: fleet.OrderUnknown}, s.now)
+			s.run(start)
+			s.advance(time.Millisecond)
+			s.renewAll()
+			s.listed(downHost("a"), b)
+			s.wantOrders("after the host has crashed", 1, 0)
+		},
+		"listed once without the endpoint": func(s *simulation, start fleet.Start) {
+			s.accept(start)
+			s.renewAll()
+			s.listed(b)
+			if !s.leader.NeedsHostList(s.now) {
+				s.t.Error("second list needed: got false, want true")
+			}
+		},
+		"gone, then on its host again": func(s *simulation, start fleet.Start) {
+			s.accept(start)
+			s.endRun(start, fleet.CompletionDone)
+			s.renewAll()
+			s.writeBatches()
+			s.listed(downHost("a"), b)
+			s.wantGone("after its host went down", "a", true)
+			s.listed(a, b)
+			s.wantGone("after its host came back", "a", false)
+			if renewal, _ := s.leader.NextRenewal("a", s.now); renewal.AckedUpTo != 0 || renewal.Lease != 0 {
+				s.t.Errorf("renewal: got %+v, want one without acknowledgement and lease", renewal)
+			}
+		},
+		"gone, then listed with another start": func(s *simulation, start fleet.Start) {
+			s.leader.HandleStartReply(start, fleet.Reply{Outcome: fleet.OrderNotSent}, s.now)
+			s.listed(downHost("a"), b)
+			s.restart("a", laterStart)
+			s.list("a")
+			s.wantGone("after it was listed with another start", "a", false)
+		},
+	}
+	for name, check := range tests {
+		t.Run(name, func(t *testing.T) {
+			s, start := startOn(t)
+			check(s, start)
+		})
+	}
+}
+
+// Guards against the same, for the answer to a host change.
+func TestOrderOfChangeAndList(t *testing.T) {
+	maintained := func(t *testing.T) (*simulation, []fleet.Host, func(outcome fleet.ChangeOutcome)) {
+		s := newSimulation(t, simulationConfig{})
+		hosts := append(baseHosts(), newHost(poolName, "x"))
+		s.listHosts(hosts...)
+		return s, hosts, s.changeHost("m-x", true)
+	}
+	t.Run("list older than the answer", func(t *testing.T) {
+		s, hosts, answer := maintained(t)
+		requestedAt := s.now
+		s.advance(time.Millisecond)
+		answer(fleet.ChangeAccepted)
+		s.leader.UpdateHosts(hosts, requestedAt, s.now)
+		s.wantGone("after a list that is older than the change", "x", true)
+	})
+	t.Run("list names the endpoint during the change", func(t *testing.T) {
+		s, hosts, answer := maintained(t)
+		answer(fleet.ChangeAccepted)
+		s.advance(time.Millisecond)
+		hosts[len(hosts)-1].State = fleet.HostMaintenance
+		s.listed(hosts...)
+		s.wantGone("while its host is maintained", "x", true)
+	})
+	t.Run("run that was reported after the order", func(t *testing.T) {
+		s, hosts, answer := maintained(t)
+		s.submit(submission(1, tasks(1)))
+		s.run(fleet.Start{Endpoint: "x", Task: job.Task{Job: jobID(1)}, Run: 1})
+		s.advance(time.Millisecond)
+		s.report("x", s.now)
+		answer(fleet.ChangeAccepted)
+		s.wantOrders("after the answer", 0, 0)
+		s.advance(time.Millisecond)
+		last := &hosts[len(hosts)-1]
+		last.State, last.Endpoint = fleet.HostMaintenance, ""
+		s.listed(hosts...)
+		s.wantOrders("after the list has shown the change", 1, 0)
+	})
+	t.Run("endpoint that was not known", func(t *testing.T) {
+		s := newSimulation(t, simulationConfig{})
+		s.listed(newHost(poolName, "x"))
+		s.step()
+		s.advance(8 * time.Second)
+		answer := s.changeHost("m-x", true)
+		s.leader.UpdateEndpoint(endpointRow("x"), s.now)
+		answer(fleet.ChangeAccepted)
+		s.wantGone("after the answer", "x", true)
+	})
+	t.Run("restart that only the list shows", func(t *testing.T) {
+		s := newSimulation(t, simulationConfig{})
+		host := newHost(spareName, "x")
+		hosts := append(baseHosts(), host)
+		s.listHosts(hosts...)
+		s.submit(submission(1, tasks(16*minPoolHosts+1)))
+		answer := s.changeHost(host.ID, false)
+		answer(fleet.ChangeUnknown)
+		s.advance(2 * time.Second)
+		hosts[len(hosts)-1].Pool = poolName
+		s.listed(hosts...)
+		s.wantGone("after the list has shown the move", "x", false)
+	})
+}
--- a/internal/fleet/hosts.go
+++ b/internal/fleet/hosts.go
@@ -182,7 +182,7 @@
 	isNewer := !e.listedAt.Before(sentAt) || e.reportedAt.After(sentAt)
 	switch {
 	case isNewer:
-		e.missingSince = time.Time{}
+		// The list may be older than the endpoint, or than its last report.
 	case l.showsEnd(e, row):
 		l.endpointEnded(e, "host no longer runs the endpoint", sentAt, now)
 	case e.isMissing() && !e.unresponsive && now.Sub(e.missingSince) < maxReportAge:
--- a/internal/fleet/move.go
+++ b/internal/fleet/move.go
@@ -267,7 +267,7 @@
 func (l *Leader) donors(needs []*poolNeed, spare string, now time.Time) []*hostState {
 	var donors []*hostState
 	for _, h := range l.hosts.byID {
-		if !h.canChange(now) {
+		if !h.canChange(now) || h.isOccupied {
 			continue
 		}
 		if h.row.Pool == spare {
