--- a/internal/fleet/endpointstate.go
+++ b/internal/fleet/endpointstate.go
@@ -134,6 +134,12 @@
 	return false
 }
 
+// occupiesHost reports whether a change of the host could end a run of the endpoint, or lose
+// a completion that it can still report.
+func (e *endpoint) occupiesHost() bool {
+	return len(e.runs) > 0 || !e.gone && e.reached && !e.unresponsive && !e.isEmpty()
+}
+
 // available returns the endpoint's free capacity.
 func (e *endpoint) available() policy.Resources {
 	return e.row.Capacity.Minus(e.tally.reserved)
@@ -267,7 +273,9 @@
 	if e.listed || len(e.runs) > 0 {
 		return
 	}
-	if !e.isKnown() && !e.gone && !l.inheritedLeaseOver(e, now) {
+	// A blocked endpoint has runs of jobs that are not known yet.
+	mayHaveRuns := !e.isKnown() && !l.inheritedLeaseOver(e, now) || e.blocked && !l.leasesOver(e, now)
+	if mayHaveRuns && !e.gone {
 		return
 	}
 	delete(l.endpoints, e.row.ID)
--- a/internal/fleet/hosts.go
+++ b/internal/fleet/hosts.go
@@ -88,12 +88,19 @@
 type hostState struct {
 	row           Host
 	pendingChange *pendingChange
+	// shown is the newest row in the list, and shownSince when the list first showed its state
+	// and endpoint. Unlike row, they disregard the pending change.
+	shown      Host
+	shownSince time.Time
 	// notBefore delays the next change after a rejected one.
 	notBefore time.Time
 	// idleSince is since when its endpoint has been empty, or zero.
 	idleSince time.Time
 	// unknownSince is since when its endpoint has been unlisted or unresponsive, or zero.
 	unknownSince time.Time
+	// isOccupied is true while an endpoint that names the host, or was on it, may have runs or
+	// unacknowledged completions.
+	isOccupied bool
 	// listed is false once two lists in a row lack the host, isMissing true once one does.
 	listed, isMissing bool
 }
@@ -123,6 +130,10 @@
 			l.hosts.byID[row.ID] = h
 		}
 		h.listed, h.isMissing = true, false
+		if h.shownSince.IsZero() || h.shown.State != row.State || h.shown.Endpoint != row.Endpoint {
+			h.shownSince = now
+		}
+		h.shown = row
 		l.updateHost(h, row, sentAt, now)
 	}
 	l.hosts.isLoaded = true
@@ -165,17 +176,17 @@
 
 // handleUnnamed handles an endpoint that no host names in the list requested at sentAt. It
 // has ended if its own host, whose row is zero if the host is missing, shows why. Otherwise
-// it has to be missing from two lists in a row: the parts of a list are read at different
-// moments, and a host that has just come back may not name its endpoint yet.
+// it has to be missing from two lists in a row, and silent meanwhile: the parts of a list are
+// read at different moments, and a host that has just come back may not name its endpoint yet.
 func (l *Leader) handleUnnamed(e *endpoint, row Host, sentAt, now time.Time) {
 	isNewer := !e.listedAt.Before(sentAt) || e.reportedAt.After(sentAt)
-	isReplaced := row.State == HostUp && row.Endpoint != ""
-	isOut := row.State == HostDown || row.State == HostMoving || row.State == HostMaintenance
 	switch {
 	case isNewer:
-		e.missingSince = time.Time{}
-	case isReplaced || isOut:
+		// The list may be older than the endpoint, or than its last report.
+	case l.showsEnd(e, row):
 		l.endpointEnded(e, "host no longer runs the endpoint", sentAt, now)
+	case e.isMissing() && !e.unresponsive && now.Sub(e.missingSince) < maxReportAge:
+		// Its report may be on its way.
 	case e.isMissing():
 		l.endpointEnded(e, "two host lists lack the endpoint", e.missingSince, now)
 		e.missingSince = sentAt
@@ -184,6 +195,19 @@
 	}
 }
 
+// showsEnd reports whether the row of an endpoint's host, which does not name the endpoint,
+// shows that the endpoint has ended. A row that has not changed since before the endpoint was
+// listed may lag.
+func (l *Leader) showsEnd(e *endpoint, row Host) bool {
+	isReplaced := row.State == HostUp && row.Endpoint != ""
+	isOut := row.State == HostDown || row.State == HostMoving || row.State == HostMaintenance
+	if !isReplaced && !isOut {
+		return false
+	}
+	h := l.hosts.byID[row.ID]
+	return h != nil && !e.listedAt.After(h.shownSince)
+}
+
 // endpointEnded handles evidence, requested at sentAt, that an endpoint's incarnation has
 // ended. Its remaining runs, which were answered later or not at all, may be on the next
 // incarnation: they are resolved by their answers, its report, later evidence or the end of
@@ -192,7 +216,7 @@
 	if !e.gone {
 		l.log("endpoint gone", "endpoint", e.row.ID, "pool", e.row.Pool, "why", reason, "runs", len(e.runs), "list-age", age(sentAt, now))
 	}
-	e.gone, e.goneAt = true, now
+	e.gone, e.goneAt, e.blocked = true, now, false
 	for _, r := range e.runs {
 		if r.wasRunningBefore(sentAt) {
 			l.runLost(r, reason, now)
@@ -286,6 +310,37 @@
 	return false
 }
 
+// ConfirmHostChange reports whether a host change that has waited may be sent now: the host is
+// as it was when the change was ordered, no run would end, and no other process leads.
+// Otherwise it withdraws the change, which was never sent.
+func (l *Leader) ConfirmHostChange(id HostID, now time.Time) bool {
+	h := l.hosts.byID[id]
+	if h == nil || h.pendingChange == nil {
+		return false
+	}
+	c := h.pendingChange
+	isSame := h.shown.State == HostUp && h.shown.Endpoint == c.endpoint
+	isOccupied := l.isOccupied(id)
+	if isSame && !isOccupied && l.confirmed(now) {
+		return true
+	}
+	l.log("host change withdrawn", "host", id, "to", c.pool, "wave", c.wave, "ordered-ago", age(c.orderedAt, now),
+		"state", string(h.shown.State), "endpoint", h.shown.Endpoint, "occupied", isOccupied, "confirmed-ago", age(l.confirmedAt, now))
+	h.pendingChange = nil
+	h.notBefore = now.Add(changeRetryDelay)
+	return false
+}
+
+// isOccupied reports whether an endpoint occupies a host.
+func (l *Leader) isOccupied(id HostID) bool {
+	for _, e := range l.endpoints {
+		if e.hostID() == id && e.occupiesHost() {
+			return true
+		}
+	}
+	return false
+}
+
 // changeAccepted handles the platform's acceptance of a change: the endpoint that was on the
 // host has ended. The answer may arrive when the host is back with another endpoint, or with
 // another incarnation of the same one.
@@ -404,6 +459,12 @@
 		isKnown := e != nil && e.isKnown() && !e.unresponsive
 		updateSince(&h.idleSince, isKnown && e.isEmpty(), now)
 		updateSince(&h.unknownSince, !isKnown, now)
+		h.isOccupied = false
+	}
+	for _, e := range l.endpoints {
+		if h := l.hosts.byID[e.hostID()]; h != nil && e.occupiesHost() {
+			h.isOccupied = true
+		}
 	}
 }
 
@@ -418,8 +479,13 @@
 }
 
 // isEmpty reports whether changing a host ends no run: it has no endpoint, its
-// endpoint is empty, or the endpoint has been unknown for longer than any lease.
+// endpoint is empty, or the endpoint has been unknown for longer than any lease. An
+// endpoint with runs counts although its host does not name it, or the platform's list
+// lacks it.
 func (l *Leader) isEmpty(h *hostState, now time.Time) bool {
+	if h.isOccupied {
+		return false
+	}
 	if h.row.Endpoint == "" || !h.idleSince.IsZero() {
 		return true
 	}
--- a/internal/fleet/renewal.go
+++ b/internal/fleet/renewal.go
@@ -69,7 +69,6 @@
 	if reply.Outcome == OrderOtherIncarnation {
 		e.listed = false
 		l.endpointEnded(e, "another endpoint answers at the address", reply.SentAt, now)
-		return
 	}
 	e.pausedUntil = now.Add(unhealthyPause)
 	e.unresponsive = true
@@ -103,6 +102,10 @@
 		e.foreignLeaseUntil = max(e.foreignLeaseUntil, renewal.Lease)
 		renewal.AckedUpTo = 0
 	}
+	if e.gone && sentAt.Before(e.goneAt) {
+		// It may be the report of the incarnation that has ended since.
+		l.suspectRestart(e, "report older than the end", now)
+	}
 	if !sentAt.Before(e.suspectedAt) {
 		e.mayHaveRestarted = false
 	}
