courier: a link's replies are its own

What callers would see: a start that the leader takes for accepted, refused or rejected though its endpoint has not answered, or one endpoint's report taken for another's.

Cause: a courier keeps replies by the leader's session, and a reply names its order by a number. The session was the process's, while each link counts from 1. When the record of a courier changes (its size, or a former address that comes back from an old list), its link is replaced; both links then collect the same replies, and the numbers of one match orders of the other. Looked through for the same reason: a restart of the courier (its sessions are gone), of the leader (its session differs) and a new term of the same process (the link and its numbers go on) could not do it.

Change: each link has a session of its own.

--- a/internal/courier/client.go
+++ b/internal/courier/client.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"net/netip"
 	"sync"
 	"time"
@@ -54,9 +53,7 @@
 // Client sends a leader's orders and lease renewals to endpoints, by courier if
 // the fleet is too large for this process alone. It implements control.Endpoints.
 type Client struct {
-	config ClientConfig
-	// session tells this process's orders from those of its earlier lives.
-	session  uint64
+	config   ClientConfig
 	newLinks chan *link
 
 	mu       sync.Mutex
@@ -70,8 +67,7 @@
 // NewClient returns a client that calls directly until Run runs.
 func NewClient(config ClientConfig) *Client {
 	return &Client{
-		config: config, session: rand.Uint64(), newLinks: make(chan *link, maxLinks),
-		links: map[string]*link{}, direct: map[fleet.EndpointID]time.Time{},
+		config: config, newLinks: make(chan *link, maxLinks), links: map[string]*link{}, direct: map[fleet.EndpointID]time.Time{},
 	}
 }
 
@@ -231,7 +227,7 @@
 		l.reuse(time.Now())
 		return
 	}
-	l := newLink(member, c.config.Dial(member.Address), c.session, c.config.Journal)
+	l := newLink(member, c.config.Dial(member.Address), c.config.Journal)
 	select {
 	case c.newLinks <- l:
 		c.links[member.Name] = l
--- a/internal/courier/link.go
+++ b/internal/courier/link.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net"
 	"sync"
 	"time"
@@ -47,8 +48,10 @@
 
 // link sends the orders of a leader to one courier.
 type link struct {
-	member  record.Member
-	peer    courierpb.Courier
+	member record.Member
+	peer   courierpb.Courier
+	// session tells the link's orders from those of other links to the same courier,
+	// whose numbers are the same.
 	session uint64
 	journal Journal
 	wake    chan struct{}
@@ -82,9 +85,9 @@
 	err   error
 }
 
-func newLink(member record.Member, peer courierpb.Courier, session uint64, journal Journal) *link {
+func newLink(member record.Member, peer courierpb.Courier, journal Journal) *link {
 	return &link{
-		member: member, peer: peer, session: session, journal: journal,
+		member: member, peer: peer, session: rand.Uint64(), journal: journal,
 		wake: make(chan struct{}, 1), waiting: map[uint64]*pendingOrder{},
 	}
 }
