courier: an order that was given up is not sent

What callers would see: a start that is carried out although the leader has given it up, by another incarnation of the endpoint or beside another run of its task.

Cause: an order waits in a link's queue while three calls to its courier are open, for instance to one that is paused. When its time was over, its sender was told that the outcome was unknown, but the order stayed in the queue and was sent up to a second later. After a pause of the leader's process, it could be sent before its sender ran. Ruled out: an order both by courier and directly. It goes directly only after a dial that failed or a courier that refused the whole message; a renewal may be repeated.

Change: an order leaves the queue with its sender, who is told that it was not sent; one whose time is over is not taken from the queue.

Measured: TestAbandonedOrderIsNotSent ('orders sent: got 4, want 3') and TestOrderIsNotSentAfterItsTimeout ('got 1, want 0') failed without the change and pass, 20 times with -race. TestSilentCourier failed 2 of 150 times with -race with this change and 2 of 150 without: its first two orders can race to the first choice of couriers.

--- a/internal/courier/link.go
+++ b/internal/courier/link.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -46,6 +47,9 @@
 // errNotTaken is the result of an order that did not reach the courier.
 var errNotTaken = errors.New("the courier did not take the order")
 
+// errWithdrawn is the result of an order that its sender gave up before it was sent.
+var errWithdrawn = errors.New("the order was withdrawn before it was sent")
+
 // link sends the orders of a leader to one courier.
 type link struct {
 	member record.Member
@@ -77,6 +81,10 @@
 	// spec is the text of a start, or "".
 	spec string
 	done chan result
+	// expires is when the sender gives the order up.
+	expires time.Time
+	// sent is true once the order may have reached the courier.
+	sent bool
 }
 
 // result is a reply, or why there is none.
@@ -93,12 +101,13 @@
 }
 
 // deliver sends an order and waits for its reply, for at most timeout. Errors:
-// errNotTaken, errNoReply.
+// errNotTaken, errWithdrawn, errNoReply.
 func (l *link) deliver(ctx context.Context, pending *pendingOrder, timeout time.Duration) (*courierpb.Reply, error) {
 	l.mu.Lock()
 	l.next++
 	pending.order.Number = l.next
 	pending.done = make(chan result, 1)
+	pending.expires = time.Now().Add(timeout)
 	l.queue = append(l.queue, pending)
 	l.mu.Unlock()
 	l.signal()
@@ -110,19 +119,23 @@
 	case <-ctx.Done():
 	case <-timer.C:
 	}
-	l.abandon(pending)
-	return nil, errNoReply
+	return nil, l.abandon(pending)
 }
 
-// abandon forgets an order. If the courier has returned nothing for some time,
-// it counts as failed.
-func (l *link) abandon(pending *pendingOrder) {
+// abandon forgets an order: one that has not been sent never will be. If the courier
+// has returned nothing for some time, it counts as failed.
+func (l *link) abandon(pending *pendingOrder) error {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	delete(l.waiting, pending.order.Number)
 	if time.Since(l.heardAt) > silenceLimit {
 		l.fail("silent")
 	}
+	if pending.sent {
+		return errNoReply
+	}
+	l.queue = slices.DeleteFunc(l.queue, func(queued *pendingOrder) bool { return queued == pending })
+	return errWithdrawn
 }
 
 // fail marks the courier as failed; l.mu must be held.
@@ -196,6 +209,9 @@
 func (l *link) take() ([]*pendingOrder, bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	// After a pause of the process, orders may have expired before their senders run.
+	now := time.Now()
+	l.queue = slices.DeleteFunc(l.queue, func(queued *pendingOrder) bool { return !now.Before(queued.expires) })
 	if l.calls >= maxCalls || len(l.queue) == 0 && (l.calls > 0 || len(l.waiting) == 0) {
 		return nil, false
 	}
@@ -213,6 +229,7 @@
 		l.heardAt = time.Now()
 	}
 	for _, pending := range batch {
+		pending.sent = true
 		l.waiting[pending.order.Number] = pending
 	}
 	l.calls++
@@ -297,7 +314,7 @@
 
 // unsent reports an order's outcome by the error of deliver.
 func unsent(err error) fleet.Reply {
-	if errors.Is(err, errNotTaken) {
+	if errors.Is(err, errNotTaken) || errors.Is(err, errWithdrawn) {
 		return fleet.Reply{Outcome: fleet.OrderNotSent}
 	}
 	return fleet.Reply{Outcome: fleet.OrderUnknown}
--- a/internal/courier/link_test.go
+++ b/internal/courier/link_test.go
@@ -3,16 +3,129 @@
 import (
 	"context"
 	"net/netip"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/lovagedyke/lovagedyke/internal/courier/courierpb"
 	"github.com/lovagedyke/lovagedyke/internal/fleet"
 	"github.com/lovagedyke/lovagedyke/internal/record"
 )
 
+// orderTimeout is how long the tests' senders wait for a reply.
+const orderTimeout = 300 * time.Millisecond
+
+// pausedCourier records the orders that it is sent, and answers no call before resumed
+// is closed.
+type pausedCourier struct {
+	resumed chan struct{}
+
+	mu   sync.Mutex
+	sent []uint64
+}
+
+// Deliver implements courierpb.Courier.
+func (p *pausedCourier) Deliver(ctx context.Context, request *courierpb.DeliverRequest) (*courierpb.DeliverReply, error) {
+	p.mu.Lock()
+	for _, order := range request.Orders {
+		p.sent = append(p.sent, order.Number)
+	}
+	p.mu.Unlock()
+	select {
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	case <-p.resumed:
+		return &courierpb.DeliverReply{}, nil
+	}
+}
+
+// deliverBehind delivers an order to a paused courier behind others, in a call each, and
+// resumes the courier when the order's sender has given it up.
+func deliverBehind(peer *pausedCourier, others int, timeout time.Duration) error {
+	ctx, cancel := context.WithCancel(context.Background())
+	l := newLink(record.Member{Name: "courier"}, peer, discardJournal{})
+	ended := make(chan struct{}, others+1)
+	go func() {
+		l.run(ctx)
+		ended <- struct{}{}
+	}()
+	for range others {
+		go func() {
+			_, _ = l.deliver(ctx, &pendingOrder{order: &courierpb.Order{}}, time.Minute)
+			ended <- struct{}{}
+		}()
+		time.Sleep(2 * sendDelay)
+	}
+	_, err := l.deliver(ctx, &pendingOrder{order: &courierpb.Order{}}, timeout)
+	close(peer.resumed)
+	time.Sleep(2 * sendDelay)
+	cancel()
+	for range others + 1 {
+		<-ended
+	}
+	return err
+}
+
+// Guards against two runs of a task at once: an order that waits for a courier is sent
+// after its sender has given it up, and its task has been started elsewhere.
+func TestAbandonedOrderIsNotSent(t *testing.T) {
+	tests := map[string]struct {
+		// busy is the number of calls that the courier has not answered.
+		busy     int
+		timeout  time.Duration
+		wantErr  error
+		wantSent int
+	}{
+		"courier free":                 {timeout: orderTimeout, wantErr: errNoReply, wantSent: 1},
+		"all calls in use":             {busy: maxCalls, timeout: orderTimeout, wantErr: errWithdrawn, wantSent: maxCalls},
+		"given up before it was taken": {timeout: sendDelay / 2, wantErr: errWithdrawn},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				peer := &pausedCourier{resumed: make(chan struct{})}
+				err := deliverBehind(peer, test.busy, test.timeout)
+				if !errors.Is(err, test.wantErr) {
+					t.Errorf("error: got %v, want %v", err, test.wantErr)
+				}
+				if got := len(peer.sent); got != test.wantSent {
+					t.Errorf("orders sent: got %d, want %d", got, test.wantSent)
+				}
+			})
+		})
+	}
+}
+
+// Guards against two runs of a task at once: the leader's process is paused while an
+// order waits for a courier, and sends it when it resumes.
+func TestOrderIsNotSentAfterItsTimeout(t *testing.T) {
+	tests := map[string]struct {
+		pause    time.Duration
+		wantSent int
+	}{
+		"no pause":                    {wantSent: 1},
+		"paused for the order's time": {pause: orderTimeout},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				l := newLink(record.Member{Name: "courier"}, &pausedCourier{}, discardJournal{})
+				now := time.Now()
+				l.queue = []*pendingOrder{{order: &courierpb.Order{Number: 1}, expires: now.Add(orderTimeout)}}
+				time.Sleep(test.pause)
+				batch, _ := l.take()
+				if got := len(batch); got != test.wantSent {
+					t.Errorf("orders sent: got %d, want %d", got, test.wantSent)
+				}
+			})
+		})
+	}
+}
+
 // Guards against a reply to one order that is taken for that to another: a courier's
 // record changes and its link is replaced, while replies to the former link's orders
 // are still to be collected.
