--- a/internal/fleet/doc.go
+++ b/internal/fleet/doc.go
@@ -16,10 +16,13 @@
 //	batch, ok := leader.NextBatch()                          // rows to write
 //	leader.MarkBatchWritten(batch, now)                      // publishes states, acknowledges completions
 //
-// Two rules prevent a task from running twice. First, a run that may be on an
-// endpoint counts as active until the endpoint reports its completion, confirms a
-// stop, or starts a new incarnation, or until the run's lease has certainly expired on
-// the endpoint's own clock. Second, after a change of leader, a task of an inherited job
-// starts only when each endpoint has been reached under the new token, or can no
-// longer hold a lease from an earlier leader.
+// Three rules prevent a task from running twice. First, a run that may be on an endpoint
+// counts as active until the endpoint reports its completion, confirms a stop, or no longer
+// reports the run, until the host list or an accepted change of the host shows that the
+// endpoint has ended, or until each lease that the endpoint may hold has expired. Second,
+// evidence ends only runs that were answered before the evidence was requested, and only on
+// the incarnation that it concerns: orders name an endpoint by its ID alone, so that its next
+// incarnation may carry out a start that had no answer, late as well. Third, after a change
+// of leader, a task of an inherited job starts only when each endpoint has been reached
+// under the new token, or can no longer hold a lease from an earlier leader.
 package fleet
