courier: orders wait while couriers are chosen

TestSilentCourier failed now and then ('start: got taken, want unknown', 'the next order: got unknown, want taken'). Cause: while one order chose the couriers for the first time, orders beside it found none and went directly, in a fleet that is too large for that.

Change: they wait for the choice.

Measured: TestOrderWaitsForChoice failed without the change, 20 of 20 times, and passes 20 of 20 with it, with -race; TestSilentCourier with -race failed 2 of 150 times before and 0 of 150 after.

--- a/internal/courier/client.go
+++ b/internal/courier/client.go
@@ -55,6 +55,8 @@
 type Client struct {
 	config   ClientConfig
 	newLinks chan *link
+	// choosing is held while couriers are chosen: orders wait for the choice.
+	choosing sync.Mutex
 
 	mu       sync.Mutex
 	links    map[string]*link
@@ -193,6 +195,8 @@
 
 // chooseIfDue chooses the couriers again if the last choice is old.
 func (c *Client) chooseIfDue(now time.Time) {
+	c.choosing.Lock()
+	defer c.choosing.Unlock()
 	c.mu.Lock()
 	isDue := now.Sub(c.chosenAt) > chooseInterval
 	if isDue {
--- a/internal/courier/link_test.go
+++ b/internal/courier/link_test.go
@@ -179,3 +179,27 @@
 	time.Sleep(chooseInterval + 600*time.Millisecond)
 	return fleet.Reply{Outcome: fleet.OrderAccepted, Clock: time.Duration(start.Run) * time.Millisecond}
 }
+
+// Guards against orders that go directly although the fleet is too large for that: they
+// are sent while couriers are chosen for the first time.
+func TestOrderWaitsForChoice(t *testing.T) {
+	client := NewClient(ClientConfig{
+		Self: record.Member{Name: "leader", CPUCores: 0.8, LinkMbps: 200}, Timeout: time.Second,
+		Dial: func(netip.AddrPort) courierpb.Courier { return nil },
+		Members: func() []Member {
+			time.Sleep(time.Millisecond)
+			return []Member{{Member: record.Member{Name: "courier", CPUCores: 8, LinkMbps: 200}}}
+		},
+		EndpointCount: func() int { return 1000 },
+		Journal:       discardJournal{},
+	})
+	links := make(chan *link, 2)
+	for range 2 {
+		go func() { links <- client.linkFor("i-1") }()
+	}
+	for range 2 {
+		if got := <-links; got == nil {
+			t.Error("way of the order: got direct, want by courier")
+		}
+	}
+}
