task: a former claim of the same process wins no shard

What callers would see: two runs of a task at once, or a task that must not be repeated run twice.

Cause: when the outcome of a claim was unknown, the process read the rows and won if they named it. Its own claim of a term that had ended names it as well, for instance after the queues of a pool have changed and its runner was replaced. It then led with the epoch of that term, and what compares epochs failed: attempts of the former term, whose starts had been sent, counted as never started, so that they could be recalled from a worker that leaves, or be taken for not run after a restart of the worker; stamps of rows repeated.

Change: only the claim that the candidate made last wins.

--- a/internal/task/election.go
+++ b/internal/task/election.go
@@ -36,6 +36,8 @@
 	cfg              ElectionConfig
 	heartbeatVersion uint64
 	unchangedSince   time.Time
+	// claim is the last one that Observe has returned.
+	claim Claim
 }
 
 // NewElection returns a candidate that has not observed any heartbeat.
@@ -68,25 +70,26 @@
 	if !free && now.Sub(e.unchangedSince) < e.cfg.HeartbeatTimeout {
 		return table.Txn{}, false
 	}
-	claim := Claim{Holder: e.cfg.Holder, Epoch: decodeClaim(fence).Epoch + 1}
+	e.claim = Claim{Holder: e.cfg.Holder, Epoch: decodeClaim(fence).Epoch + 1}
 	return table.Txn{
 		Conditions: []table.Condition{
 			{Key: fence.Key, Version: fence.Version},
 			{Key: heartbeatRow.Key, Version: heartbeatRow.Version},
 		},
 		Writes: []table.Write{
-			{Key: fence.Key, Value: encode(claim)},
+			{Key: fence.Key, Value: encode(e.claim)},
 			{Key: heartbeatRow.Key, Value: encode(heartbeat{})},
 		},
 	}, true
 }
 
-// Won reports whether the rows, read after a claim, name this process as the
-// holder, and returns the fence condition and the epoch.
+// Won reports whether the rows hold the last claim that Observe has returned, and
+// returns the fence condition and the epoch. An earlier claim of the same process does
+// not count: its epoch was that of a term that has ended.
 func (e *Election) Won(rows []table.Row) (table.Condition, uint64, bool) {
 	claim := decodeClaim(rows[0])
 	fence := table.Condition{Key: rows[0].Key, Version: rows[0].Version}
-	return fence, claim.Epoch, claim.Holder == e.cfg.Holder && claim.Epoch > 0
+	return fence, claim.Epoch, claim == e.claim && claim.Epoch > 0
 }
 
 // CurrentClaim returns the claim that the rows hold.
--- a/internal/task/election_test.go
+++ b/internal/task/election_test.go
@@ -89,3 +89,84 @@
 		}
 	})
 }
+
+var releasedShard = task.ElectionConfig{Shard: "pool-a", Holder: "manager-1", HeartbeatTimeout: 10 * time.Second}
+
+// released is a candidate for a shard that it has held and released.
+type released struct {
+	*task.Election
+	t     *testing.T
+	store *table.Memory
+}
+
+// holdAndRelease lets a candidate hold a shard with epoch 1 and release it.
+func holdAndRelease(t *testing.T) *released {
+	e := &released{Election: task.NewElection(releasedShard), t: t, store: table.NewMemory()}
+	e.commit(e.claim())
+	fence, epoch, won := e.Won(e.read())
+	if !won || epoch != 1 {
+		t.Fatalf("free shard: got %t with epoch %d, want it won with epoch 1", won, epoch)
+	}
+	e.commit(e.Heartbeat(fence, true))
+	return e
+}
+
+func (e *released) read() []table.Row {
+	rows, err := e.store.Get(context.Background(), e.Keys()...)
+	if err != nil {
+		e.t.Fatal(err)
+	}
+	return rows
+}
+
+func (e *released) commit(txn table.Txn) {
+	if err := e.store.Commit(context.Background(), txn); err != nil {
+		e.t.Fatal(err)
+	}
+}
+
+// claim returns the candidate's claim.
+func (e *released) claim() table.Txn {
+	txn, claims := e.Observe(time.Unix(1, 0), e.read())
+	if !claims {
+		e.t.Fatal("shard that is free: got no claim, want one")
+	}
+	return txn
+}
+
+// Guards against two runs of a task at once: a process claims a shard again that it held
+// before, and the claim has no effect. If it took its former claim for the new one, it
+// would lead with the epoch of its former term, and take that term's attempts for ones
+// that it has never started.
+func TestClaimWithoutEffect(t *testing.T) {
+	tests := map[string]struct {
+		// restarted is true if the process campaigns anew, as for changed queues.
+		restarted bool
+		commit    bool
+		wantEpoch uint64
+	}{
+		"claim applied":                        {commit: true, wantEpoch: 2},
+		"claim not applied":                    {},
+		"claim of a new candidate applied":     {restarted: true, commit: true, wantEpoch: 2},
+		"claim of a new candidate not applied": {restarted: true},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			e := holdAndRelease(t)
+			if test.restarted {
+				e.Election = task.NewElection(releasedShard)
+			}
+			claim := e.claim()
+			if test.commit {
+				e.commit(claim)
+			}
+			_, epoch, won := e.Won(e.read())
+			if got, want := won, test.wantEpoch > 0; got != want {
+				t.Errorf("won: got %t with epoch %d, want %t", got, epoch, want)
+			}
+			if won && epoch != test.wantEpoch {
+				t.Errorf("epoch: got %d, want %d", epoch, test.wantEpoch)
+			}
+		})
+	}
+}
