runner: a report of another worker joins nobody

What callers would see: two runs of a task at once, and a worker with more tasks than it has room for.

Cause: the host list lags by up to five seconds, and addresses pass to other workers sooner. The report of whoever answered at a host's address was taken for that of the host's worker. Tasks were then placed under one name and run by another worker; when the list showed the worker's new address, the process there was another one, so that these runs counted as ended and their tasks started elsewhere.

Change: a report that names another worker is logged and ignored. Answers of another process at the address still end the runs of the one that had it: a process keeps its address for its life, and an address is used by one process at a time.

Measured: TestReportOfAnotherWorker failed without the change ('workers: got [worker-1], want []') and passes; internal/task/runner and internal/manager with -race, and go test ./test -run 'Task|Worker', pass.

--- a/internal/task/runner/hosts.go
+++ b/internal/task/runner/hosts.go
@@ -130,12 +130,17 @@
 }
 
 // fetchReport requests a report from a worker and joins the worker to the
-// controller.
+// controller, unless another worker answers.
 func (t *term) fetchReport(ctx context.Context, host platform.Host, address netip.AddrPort) {
 	report, err := t.cfg.Workers.Report(ctx, address)
 	if err != nil {
 		return
 	}
+	if report.Worker != host.Name {
+		// The list lags: the address has passed to another worker.
+		t.cfg.Log.Warn("report of another worker ignored", "worker", host.Name, "address", address.String(), "answered", report.Worker)
+		return
+	}
 	t.update(func(c *task.Controller, now time.Time) {
 		if t.leaving[host.Name] {
 			return // It began to leave while the report was being fetched.
