member: an answer confirms the leader as of its request

What callers would see: two runs of a task at once, when a leader that was paused starts tasks beside its successor.

Cause: a member's answer to the leader's hello confirmed it at the time at which the answer was read. An answer can lie in the socket while the process is paused; a successor may have been elected meanwhile, but the leader took itself for confirmed now.

Change: the confirmation counts from the request. Not covered: a member's own hello, which can wait in the leader's socket in the same way and does not say when it was made.

Measured: TestConfirmationIsAsOldAsItsRequest failed without the change ('got 10s after the request, want 0s') and passes, 10 times with -race; internal/member and internal/process pass with -race.

--- a/internal/member/leadership.go
+++ b/internal/member/leadership.go
@@ -117,12 +117,13 @@
 func (n *Node) peersLostLeader(ctx context.Context, sinceRenewal time.Duration) bool {
 	answered := 0
 	for _, member := range n.others() {
+		sentAt := time.Now()
 		view, err := n.fetchView(ctx, member.Address)
 		if err != nil {
 			continue
 		}
 		answered++
-		n.applyView(view)
+		n.applyView(view, sentAt)
 		if view.Leading || view.LeaderHeardMs < leaderTimeout.Milliseconds()/2 {
 			n.config.Journal.Info("takeover cancelled: another process hears the leader", "by", member.Name)
 			return false
@@ -209,11 +210,12 @@
 	n.mu.Unlock()
 	isPeerReachable := false
 	for _, member := range n.others() {
+		sentAt := time.Now()
 		view, err := n.fetchView(ctx, member.Address)
 		if err != nil {
 			continue
 		}
-		n.applyView(view)
+		n.applyView(view, sentAt)
 		if !view.StoreReached {
 			continue
 		}
--- a/internal/member/service.go
+++ b/internal/member/service.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/twitchtv/twirp"
@@ -55,7 +56,7 @@
 
 // Hello implements memberpb.Member.
 func (s *Service) Hello(_ context.Context, view *memberpb.View) (*memberpb.View, error) {
-	s.config.Node.applyView(view)
+	s.config.Node.applyView(view, time.Now())
 	return s.config.Node.view(view.MembersVersion), nil
 }
 
--- a/internal/member/view.go
+++ b/internal/member/view.go
@@ -20,11 +20,12 @@
 func (n *Node) callHello(ctx context.Context, address netip.AddrPort) bool {
 	ctx, cancel := context.WithTimeout(ctx, helloTimeout)
 	defer cancel()
+	sentAt := time.Now()
 	view, err := n.dialer.dial(address).Hello(ctx, n.view(unknownMembers))
 	if err != nil {
 		return false
 	}
-	n.applyView(view)
+	n.applyView(view, sentAt)
 	if !view.Leading {
 		return false
 	}
@@ -81,8 +82,9 @@
 	return max(sum, unknownMembers+1)
 }
 
-// applyView updates the node's state from another process's view.
-func (n *Node) applyView(view *memberpb.View) {
+// applyView updates the node's state from another process's view, which is not older
+// than at: the time of the request for an answer, since that may have waited.
+func (n *Node) applyView(view *memberpb.View, at time.Time) {
 	if leader, ok := decodeAddress(view.Leader); ok {
 		n.observeClaim(record.Claim{Token: view.Token, Name: leader.Name, Address: leader.Address}, "peer")
 	}
@@ -101,8 +103,8 @@
 	if view.Leading && view.LargestCpu > 0 {
 		n.maxHostResources = policy.Resources{CPU: view.LargestCpu, Memory: view.LargestMemory, GPU: view.LargestGpu}
 	}
-	if n.leading && view.Token <= n.claim.Token {
-		n.confirmedAt[from.Name] = time.Now()
+	if n.leading && view.Token <= n.claim.Token && at.After(n.confirmedAt[from.Name]) {
+		n.confirmedAt[from.Name] = at
 	}
 	delete(n.peersWithStore, from.Name)
 	if view.StoreReached {
