fleet: a host list shows what was so when it was requested

Callers would see two runs of a task at once: a host list that lags is no evidence against an endpoint that is newer than its row, but the row's age counted from the arrival of the list. A list that took longer than the endpoint's first report made the row look newer.

Change: the age counts from the request, as for all evidence.

Measured: TestListThatLagsAndIsSlow failed without the change (one start) and passes.

--- a/internal/fleet/hostevidence_test.go
+++ b/internal/fleet/hostevidence_test.go
@@ -698,3 +698,24 @@
 		s.wantGone("after the list has shown the move", "x", false)
 	})
 }
+
+// Guards against two runs of a task at once: a list that lags took longer than the endpoint's
+// first report, so that its arrival seemed to show what happened after the endpoint was listed.
+func TestListThatLagsAndIsSlow(t *testing.T) {
+	onePool := defaultPolicy()
+	onePool.Pools = onePool.Pools[:1]
+	s := newSimulation(t, simulationConfig{policy: onePool})
+	lagging, other := downHost("a"), newHost(poolName, "b")
+	requestedAt := s.now
+	s.advance(10 * time.Millisecond)
+	s.addEndpoint("a")
+	s.advance(40 * time.Millisecond)
+	s.leader.UpdateHosts([]fleet.Host{lagging, other}, requestedAt, s.now)
+	s.submit(submission(1, tasks(1)))
+	s.accept(s.step().Starts[0])
+	s.addEndpoint("b")
+	s.renewLease("a")
+	s.advance(300 * time.Millisecond)
+	s.listed(lagging, other)
+	s.wantOrders("while the list lags and the endpoint reports its run", 0, 0)
+}
--- a/internal/fleet/hosts.go
+++ b/internal/fleet/hosts.go
@@ -88,8 +88,8 @@
 type hostState struct {
 	row           Host
 	pendingChange *pendingChange
-	// shown is the newest row in the list, and shownSince when the list first showed its state
-	// and endpoint. Unlike row, they disregard the pending change.
+	// shown is the newest row in the list, and shownSince when the list was requested that
+	// first showed its state and endpoint. Unlike row, they disregard the pending change.
 	shown      Host
 	shownSince time.Time
 	// notBefore delays the next change after a rejected one.
@@ -131,7 +131,7 @@
 		}
 		h.listed, h.isMissing = true, false
 		if h.shownSince.IsZero() || h.shown.State != row.State || h.shown.Endpoint != row.Endpoint {
-			h.shownSince = now
+			h.shownSince = sentAt
 		}
 		h.shown = row
 		l.updateHost(h, row, sentAt, now)
