fleet: a withdrawn host change is ordered again from the newest row

Operators would see a host that is never moved or maintained: a change is withdrawn if the host list shows another endpoint than when it was ordered, and was then ordered again from the same old row, since rows are not taken over while a change is pending.

Change: the withdrawal takes over the newest row.

Measured: TestWithdrawnChangeIsOrderedFromTheNewestRow failed without the change (every change withdrawn) and passes: one is withdrawn, the next one is sent.

--- a/internal/fleet/hostevidence_test.go
+++ b/internal/fleet/hostevidence_test.go
@@ -719,3 +719,32 @@
 	s.listed(lagging, other)
 	s.wantOrders("while the list lags and the endpoint reports its run", 0, 0)
 }
+
+// Guards against a host that is never changed: each change is withdrawn since it was ordered
+// from a row of the host that is older than the list.
+func TestWithdrawnChangeIsOrderedFromTheNewestRow(t *testing.T) {
+	s := newSimulation(t, simulationConfig{})
+	unnamed := newHost(poolName, "c")
+	unnamed.Endpoint = ""
+	s.addEndpoint("b")
+	s.listed(unnamed, newHost(poolName, "b"))
+	s.leader.UpdateWave(fleet.WaveRow{Number: 1, MaxDown: 1, Hosts: []fleet.HostID{unnamed.ID}, TimeLimit: time.Second}, s.now)
+	s.addEndpoint("c")
+	withdrawn := 0
+	for range 50 {
+		s.advance(100 * time.Millisecond)
+		if len(s.step().Maintenance) == 0 {
+			continue
+		}
+		// A list arrives while the order waits for the store.
+		s.advance(100 * time.Millisecond)
+		s.listed(newHost(poolName, "c"), newHost(poolName, "b"))
+		if s.leader.ConfirmHostChange(unnamed.ID, s.now) {
+			break
+		}
+		withdrawn++
+	}
+	if withdrawn != 1 {
+		t.Errorf("changes that were withdrawn before one was sent: got %d, want 1", withdrawn)
+	}
+}
--- a/internal/fleet/hosts.go
+++ b/internal/fleet/hosts.go
@@ -326,7 +326,7 @@
 	}
 	l.log("host change withdrawn", "host", id, "to", c.pool, "wave", c.wave, "ordered-ago", age(c.orderedAt, now),
 		"state", string(h.shown.State), "endpoint", h.shown.Endpoint, "occupied", isOccupied, "confirmed-ago", age(l.confirmedAt, now))
-	h.pendingChange = nil
+	h.pendingChange, h.row = nil, h.shown
 	h.notBefore = now.Add(changeRetryDelay)
 	return false
 }
