fleet: a host with a run of a job that is looked up is not maintained

Callers would see a run ended by maintenance in the first step after a takeover: the endpoint reports a run of a job whose rows the new leader has still to look up, and its host counted as empty.

Change: such an endpoint occupies its host.

Measured: TestHostOfUnknownJobIsNotMaintained failed without the change and passes.

--- a/internal/fleet/endpointstate.go
+++ b/internal/fleet/endpointstate.go
@@ -137,7 +137,7 @@
 // occupiesHost reports whether a change of the host could end a run of the endpoint, or lose
 // a completion that it can still report.
 func (e *endpoint) occupiesHost() bool {
-	return len(e.runs) > 0 || !e.gone && e.reached && !e.unresponsive && !e.isEmpty()
+	return len(e.runs) > 0 || e.blocked || !e.gone && e.reached && !e.unresponsive && !e.isEmpty()
 }
 
 // available returns the endpoint's free capacity.
--- a/internal/fleet/hostevidence_test.go
+++ b/internal/fleet/hostevidence_test.go
@@ -748,3 +748,21 @@
 		t.Errorf("changes that were withdrawn before one was sent: got %d, want 1", withdrawn)
 	}
 }
+
+// Guards against runs of inherited jobs that are ended by maintenance: the endpoint reports
+// a run of a job that is still being looked up.
+func TestHostOfUnknownJobIsNotMaintained(t *testing.T) {
+	s := newSimulation(t, simulationConfig{token: 2})
+	s.running["a"] = []fleet.RunningTask{{Task: job.Task{Job: jobID(7)}, Run: 1, SpeedPercent: 100}}
+	s.addEndpoint("a")
+	s.addEndpoint("b")
+	s.listed(newHost(poolName, "a"), newHost(poolName, "b"))
+	s.leader.UpdateWave(fleet.WaveRow{Number: 1, MaxDown: 1, Hosts: []fleet.HostID{"m-a"}, TimeLimit: time.Second}, s.now)
+	for range 20 {
+		if got := len(s.step().Maintenance); got != 0 {
+			t.Fatalf("maintenance orders while a job is looked up: got %d, want 0", got)
+		}
+		s.advance(100 * time.Millisecond)
+		s.renewLease("a")
+	}
+}
