fleet: an endpoint whose host does not name it is evacuated for maintenance

Operators would see a wave that waits: a host is not maintained while an endpoint whose entry names it reports a persistent task, but only the endpoint that the host names was evacuated.

An endpoint that has lost its entry in the platform's list as well is still not evacuated.

Measured: TestUnnamedEndpointIsEvacuated failed without the change and passes.

--- a/internal/fleet/hostevidence_test.go
+++ b/internal/fleet/hostevidence_test.go
@@ -766,3 +766,29 @@
 		s.renewLease("a")
 	}
 }
+
+// Guards against a wave that waits for an endpoint which nobody evacuates: its host names no
+// endpoint, but the endpoint's own entry names the host.
+func TestUnnamedEndpointIsEvacuated(t *testing.T) {
+	onePool := defaultPolicy()
+	onePool.Pools = onePool.Pools[:1]
+	s := newSimulation(t, simulationConfig{policy: onePool})
+	s.addEndpoint("a")
+	s.submit(submission(1, persistentTasks(1, 1)))
+	s.step()
+	s.acceptStarts()
+	s.renewLease("a")
+	s.addEndpoint("b")
+	unnamed := newHost(poolName, "a")
+	unnamed.Endpoint = ""
+	s.listed(unnamed, newHost(poolName, "b"))
+	s.leader.UpdateWave(fleet.WaveRow{Number: 1, MaxDown: 1, Hosts: []fleet.HostID{"m-a"}, TimeLimit: time.Second}, s.now)
+	for range 20 {
+		s.advance(100 * time.Millisecond)
+		s.renewLease("a")
+		if len(s.step().Stops) > 0 {
+			return
+		}
+	}
+	t.Error("stops of the persistent task: got none, want one")
+}
--- a/internal/fleet/hosts.go
+++ b/internal/fleet/hosts.go
@@ -119,6 +119,21 @@
 	return e
 }
 
+// endpointsOn returns the endpoint on a host. If the host names none, or one that is not
+// known, it returns those whose entries name the host.
+func (l *Leader) endpointsOn(h *hostState) []*endpoint {
+	if e := l.endpointOf(h); e != nil {
+		return []*endpoint{e}
+	}
+	var named []*endpoint
+	for _, e := range l.endpoints {
+		if e.hostID() == h.row.ID && !e.gone {
+			named = append(named, e)
+		}
+	}
+	return named
+}
+
 // UpdateHosts processes the platform's host list, which was requested at sentAt.
 func (l *Leader) UpdateHosts(list []Host, sentAt, now time.Time) {
 	listed := map[HostID]bool{}
--- a/internal/fleet/wave.go
+++ b/internal/fleet/wave.go
@@ -111,8 +111,7 @@
 		if i >= ahead {
 			break
 		}
-		e := l.endpointOf(h)
-		if e != nil {
+		for _, e := range l.endpointsOn(h) {
 			e.leaving = true
 		}
 		if down < maxDown && l.isEmpty(h, now) {
