fleet: an endpoint is asked often while a start that was given up may be carried out

Callers would see two runs of a task at once, for up to ten seconds: a start without an answer is given up while the host list shows its endpoint as gone; the endpoint restarts under its ID, reports nothing, and carries the start out after that. An idle endpoint is asked for a report every 20 s.

Change: it is asked every 100 ms until no such start can be carried out any more, so that the run is seen and stopped. The second run itself is not prevented: waiting for 25 s instead would keep persistent tasks of endpoints that are gone for good away too long.

Measured: TestLateStartAfterEndpointWasGone failed without the change (no stop within a second) and passes.

--- a/internal/fleet/hostevidence_test.go
+++ b/internal/fleet/hostevidence_test.go
@@ -792,3 +792,36 @@
 	}
 	t.Error("stops of the persistent task: got none, want one")
 }
+
+// Guards against two runs of a task for seconds: the start was given up while the host list
+// showed the endpoint as gone, and its next incarnation carries it out after its first
+// report. An idle endpoint is not asked for twenty seconds.
+func TestLateStartAfterEndpointWasGone(t *testing.T) {
+	s, start := startOn(t)
+	s.leader.HandleStartReply(start, fleet.Reply{Outcome: fleet.OrderUnknown}, s.now)
+	for range 70 {
+		s.advance(100 * time.Millisecond)
+		s.failRenewal("a", fleet.OrderUnknown)
+		s.listed(downHost("a"), newHost(poolName, "b"))
+		s.renewLease("b")
+		if len(s.step().Starts) > 0 {
+			s.acceptStarts()
+			s.renewLease("b")
+			break
+		}
+	}
+	s.restart("a", laterStart)
+	s.list("a")
+	s.listed(newHost(poolName, "a"), newHost(poolName, "b"))
+	s.advance(10 * time.Millisecond)
+	s.renewLease("a")
+	s.run(start)
+	for range 10 {
+		s.advance(100 * time.Millisecond)
+		s.renewLease("a")
+		if len(s.step().Stops) > 0 {
+			return
+		}
+	}
+	t.Error("stops of the late run within a second: got none, want one")
+}
--- a/internal/fleet/renewal.go
+++ b/internal/fleet/renewal.go
@@ -38,7 +38,7 @@
 		// Completions that cannot be acknowledged yet would be reported again at once.
 		return renewal, false
 	case len(e.runs) == 0 && e.ackable == e.acked && !e.blocked:
-		return renewal, e.unresponsive || now.Sub(e.reportedAt) > idleRenewalInterval
+		return renewal, e.unresponsive || now.Sub(e.reportedAt) > l.idleInterval(e, now)
 	}
 	if !e.unresponsive && l.confirmed(now) {
 		renewal.Lease = e.nextLease(now, l.leaseDuration())
@@ -49,6 +49,20 @@
 	return renewal, true
 }
 
+// idleInterval returns the time between two renewals of an idle endpoint. It is short while a
+// start that was given up may yet be carried out, so that its run is soon seen and stopped.
+func (l *Leader) idleInterval(e *endpoint, now time.Time) time.Duration {
+	until, ok := l.lateStarts[e.row.ID]
+	if !ok {
+		return idleRenewalInterval
+	}
+	if now.After(until) {
+		delete(l.lateStarts, e.row.ID)
+		return idleRenewalInterval
+	}
+	return unresolvedReportWait
+}
+
 // reportWait returns how long the endpoint may wait for a completion before it
 // reports: only briefly if the report resolves the outcome of a start or stop.
 func (e *endpoint) reportWait() time.Duration {
