standin, soak: renewals, lists, clocks and stops that lag behind

The soak had restarts under the same ID, but no lease renewal that is carried out late, no list that does not know of a restart yet, no slow clock and no stop that takes time. A start after the end of a task was allowed once the endpoint had crashed, also if the job had been shown as complete before: the platform's rule has no such exception.

Four kinds of faults are added, in a list of their own, so that plans of the earlier kinds stay as they were (three more plans are pinned).

--- a/internal/soak/doc.go
+++ b/internal/soak/doc.go
@@ -14,15 +14,16 @@
 //   - the store is unavailable, loses responses or drops its history;
 //   - endpoints crash, or restart under their ID: at once or after a pause, with the wall
 //     clock set back, or at another address;
-//   - endpoints hang and go on or restart, carry orders out late without an answer, or
-//     answer late, also across a restart.
+//   - endpoints hang and go on or restart, carry orders or lease renewals out late without an
+//     answer, or answer late, also across a restart;
+//   - the lists lag behind a restart, an endpoint's clock is slow, or runs take long to stop.
 //
 // Each fault is written to faults.log in Config.Dir as it is injected. A plan can be
 // limited to some kinds of faults, so that seeds keep their meaning when kinds are added.
 //
 // Callers keep their connections open. At no time may a task run twice concurrently,
 // or again after its end; the latter is allowed if the end was not acknowledged before the
-// endpoint crashed or its lease expired. Nor may a node report an accepted job as unknown.
+// endpoint crashed or its lease expired, until the job is shown as complete. Nor may a node report an accepted job as unknown.
 // After the last fault, each accepted job has to complete, and no refused job may have
 // run.
 package soak
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -41,6 +41,14 @@
 	EndpointHangRestart      Kind = "endpoint-hang-restart"
 	EndpointLateOrders       Kind = "endpoint-late-orders"
 	EndpointDelayedAnswers   Kind = "endpoint-delayed-answers"
+	// EndpointLateRenewals breaks off lease renewals and carries them out seconds later.
+	// EndpointRestartUnlisted and EndpointRestartSlow begin a new incarnation of which the
+	// lists do not know for a while, or whose monotonic clock is slow. EndpointSlowStops
+	// lets runs go on for a while after they were told to stop.
+	EndpointLateRenewals    Kind = "endpoint-late-renewals"
+	EndpointRestartUnlisted Kind = "endpoint-restart-unlisted"
+	EndpointRestartSlow     Kind = "endpoint-restart-slow"
+	EndpointSlowStops       Kind = "endpoint-slow-stops"
 )
 
 // KindsWithoutRestarts returns the kinds of faults in which each endpoint has one
@@ -60,9 +68,21 @@
 	}
 }
 
+// LagKinds returns the kinds of faults in which renewals, lists, clocks or stops of
+// endpoints lag behind.
+func LagKinds() []Kind {
+	return []Kind{EndpointLateRenewals, EndpointRestartUnlisted, EndpointRestartSlow, EndpointSlowStops}
+}
+
+// KindsWithRestarts returns the kinds of faults without those in which something lags
+// behind.
+func KindsWithRestarts() []Kind {
+	return append(KindsWithoutRestarts(), RestartKinds()...)
+}
+
 // AllKinds returns all kinds of faults.
 func AllKinds() []Kind {
-	return append(KindsWithoutRestarts(), RestartKinds()...)
+	return append(KindsWithRestarts(), LagKinds()...)
 }
 
 // Fault is one fault to inject.
@@ -89,13 +109,13 @@
 	// longest pause of the others.
 	promptFraction  = 0.5
 	maxRestartPause = maxFaultDuration / 3
-	// companionFraction is the fraction of late orders and delayed answers during which
-	// the endpoint restarts.
+	// companionFraction is the fraction of late orders, late renewals and delayed answers
+	// during which the endpoint restarts.
 	companionFraction = 0.75
 )
 
-// Plan returns the faults of a seed in order of time, of the given kinds. A plan of
-// KindsWithoutRestarts does not depend on what other kinds there are.
+// Plan returns the faults of a seed in order of time, of the given kinds. It does not depend
+// on what other kinds there are.
 func Plan(seed uint64, duration time.Duration, nodes, endpoints int, kinds []Kind) []Fault {
 	random := rand.New(rand.NewPCG(seed, 0))
 	var plan []Fault
@@ -125,7 +145,7 @@
 				fault.Duration = 0
 			}
 		}
-		if hasCompanion := fault.Kind == EndpointLateOrders || fault.Kind == EndpointDelayedAnswers; hasCompanion && random.Float64() < companionFraction {
+		if fault.hasCompanion() && random.Float64() < companionFraction {
 			at := fault.At + time.Duration(random.Int64N(int64(fault.Duration)+1))
 			plan = append(plan, Fault{Kind: EndpointRestart, At: at, Target: fault.Target})
 		}
@@ -147,11 +167,21 @@
 	case EndpointDelayed, EndpointReset, EndpointOneWay, EndpointSilent, EndpointCrash:
 		return true
 	default:
-		return slices.Contains(RestartKinds(), f.Kind)
+		return slices.Contains(RestartKinds(), f.Kind) || slices.Contains(LagKinds(), f.Kind)
 	}
 }
 
 // isRestart reports whether the fault is a restart after a pause of its duration.
 func (f Fault) isRestart() bool {
-	return f.Kind == EndpointRestart || f.Kind == EndpointRestartEarlier || f.Kind == EndpointRestartElsewhere
+	switch f.Kind {
+	case EndpointRestart, EndpointRestartEarlier, EndpointRestartElsewhere, EndpointRestartUnlisted, EndpointRestartSlow:
+		return true
+	default:
+		return false
+	}
+}
+
+// hasCompanion reports whether the endpoint may restart during the fault.
+func (f Fault) hasCompanion() bool {
+	return f.Kind == EndpointLateOrders || f.Kind == EndpointLateRenewals || f.Kind == EndpointDelayedAnswers
 }
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -8,6 +8,7 @@
 	"net/netip"
 	"os"
 	"path/filepath"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -35,10 +36,14 @@
 	recoveryTimeout = 90 * time.Second
 	// clockSetBack is how far a host's wall clock is set back before a restart.
 	clockSetBack = time.Hour
-	// orderDelay is how late late orders are carried out, answerDelay how long delayed
-	// answers take. The nodes wait a little longer for answers.
+	// orderDelay is how late late orders and renewals are carried out, answerDelay how long
+	// delayed answers take. The nodes wait a little longer for answers.
 	orderDelay  = 2 * time.Second
 	answerDelay = 300 * time.Millisecond
+	// listLag is how long the lists do not know of an unlisted restart.
+	listLag = 2 * time.Second
+	// stopTime is how long slow stops take.
+	stopTime = time.Second
 )
 
 // PortsPerNode is the number of ports on which a node listens.
@@ -107,7 +112,11 @@
 	}
 	defer func() { _ = faultLog.Close() }()
 	s := &soak{config: config, faultLog: faultLog, group: loops.New(ctx), accepted: map[string]time.Time{}}
-	platform, err := standin.New(standin.Config{Hosts: config.Endpoints, TaskTime: taskTime, Expose: s.expose})
+	standinConfig := standin.Config{Hosts: config.Endpoints, TaskTime: taskTime, Expose: s.expose}
+	if slices.Contains(config.Kinds, EndpointSlowStops) {
+		standinConfig.MaxStopTime = stopTime
+	}
+	platform, err := standin.New(standinConfig)
 	if err != nil {
 		return Report{}, errors.Wrap(err, "start the simulated platform")
 	}
@@ -250,6 +259,10 @@
 		s.restartHost(host, standin.Restart{Pause: fault.Duration, ClockStep: -clockSetBack})
 	case EndpointRestartElsewhere:
 		s.restartHost(host, standin.Restart{Pause: fault.Duration, Elsewhere: true})
+	case EndpointRestartUnlisted:
+		s.restartHost(host, standin.Restart{Pause: fault.Duration, ListLag: listLag})
+	case EndpointRestartSlow:
+		s.restartHost(host, standin.Restart{Pause: fault.Duration, SlowClock: true})
 	case EndpointHang:
 		temporarily(func() { s.platform.SetHung(host, true) }, func() { s.platform.SetHung(host, false) })
 	case EndpointHangRestart:
@@ -259,6 +272,10 @@
 		})
 	case EndpointLateOrders:
 		temporarily(func() { s.platform.SetOrderDelay(host, orderDelay) }, func() { s.platform.SetOrderDelay(host, 0) })
+	case EndpointLateRenewals:
+		temporarily(func() { s.platform.SetRenewalDelay(host, orderDelay) }, func() { s.platform.SetRenewalDelay(host, 0) })
+	case EndpointSlowStops:
+		temporarily(func() { s.platform.SetStopTime(host, stopTime) }, func() { s.platform.SetStopTime(host, 0) })
 	case EndpointDelayedAnswers:
 		temporarily(func() { s.platform.SetAnswerDelay(host, answerDelay) }, func() { s.platform.SetAnswerDelay(host, 0) })
 	}
@@ -285,6 +302,8 @@
 		s.endpointProxy(n).setState(linkHealthy)
 		s.platform.SetHung(n+1, false)
 		s.platform.SetOrderDelay(n+1, 0)
+		s.platform.SetRenewalDelay(n+1, 0)
+		s.platform.SetStopTime(n+1, 0)
 		s.platform.SetAnswerDelay(n+1, 0)
 	}
 	for _, link := range s.storeProxies {
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -55,20 +55,61 @@
 // Guards against regression cases that no longer test what they were kept for: a plan of the
 // kinds that were there when its seed failed stays the same when kinds are added.
 func TestPlanKeepsItsMeaning(t *testing.T) {
-	want := []Fault{
-		{Kind: Pause, At: 278310379, Duration: 925608054, Target: 2},
-		{Kind: KillAll, At: 2134500028, Duration: 429859183},
-		{Kind: Pause, At: 2801418019, Duration: 2306419039},
-		{Kind: StoreDropsHistory, At: 3027307877, Duration: 3585412952, Target: 2},
-		{Kind: Pause, At: 3101418019, Duration: 2306419039},
-		{Kind: StoreDropsHistory, At: 3327307877, Duration: 3585412952, Target: 2},
-		{Kind: Pause, At: 3401418019, Duration: 2306419039},
-		{Kind: StoreDropsHistory, At: 3627307877, Duration: 3585412952, Target: 2},
-		{Kind: StoreUnavailable, At: 3738148889, Duration: 639241318},
+	tests := map[string]struct {
+		seed      uint64
+		duration  time.Duration
+		kinds     []Kind
+		wantCount int
+		wantFirst []Fault
+	}{
+		"without restarts": {
+			seed: 31, duration: 8 * time.Second, kinds: KindsWithoutRestarts(), wantCount: 18,
+			wantFirst: []Fault{
+				{Kind: Pause, At: 278310379, Duration: 925608054, Target: 2},
+				{Kind: KillAll, At: 2134500028, Duration: 429859183},
+				{Kind: Pause, At: 2801418019, Duration: 2306419039},
+				{Kind: StoreDropsHistory, At: 3027307877, Duration: 3585412952, Target: 2},
+				{Kind: Pause, At: 3101418019, Duration: 2306419039},
+				{Kind: StoreDropsHistory, At: 3327307877, Duration: 3585412952, Target: 2},
+				{Kind: Pause, At: 3401418019, Duration: 2306419039},
+				{Kind: StoreDropsHistory, At: 3627307877, Duration: 3585412952, Target: 2},
+				{Kind: StoreUnavailable, At: 3738148889, Duration: 639241318},
+			},
+		},
+		"with restarts, seed 4": {
+			seed: 4, duration: 12 * time.Second, kinds: KindsWithRestarts(), wantCount: 12,
+			wantFirst: []Fault{
+				{Kind: EndpointDelayedAnswers, At: 815169980, Duration: 77087083, Target: 4},
+				{Kind: EndpointRestart, At: 825505568, Target: 4},
+				{Kind: KillAll, At: 3208065447, Duration: 200883036, Target: 2},
+				{Kind: StoreDelayed, At: 3710553318, Duration: 891398028, Target: 1},
+				{Kind: EndpointRestartElsewhere, At: 3779818510},
+			},
+		},
+		"with restarts, seed 6": {
+			seed: 6, duration: 12 * time.Second, kinds: KindsWithRestarts(), wantCount: 11,
+			wantFirst: []Fault{
+				{Kind: Pause, At: 1117456349, Duration: 3287892097},
+				{Kind: Pause, At: 1417456349, Duration: 3287892097},
+				{Kind: Pause, At: 1717456349, Duration: 3287892097},
+				{Kind: KillAll, At: 6305643064, Duration: 3537095238, Target: 1},
+			},
+		},
+		"with restarts, seed 16": {
+			seed: 16, duration: 12 * time.Second, kinds: KindsWithRestarts(), wantCount: 11,
+			wantFirst: []Fault{
+				{Kind: StoreOneWay, At: 362702492, Duration: 2899874949, Target: 1},
+				{Kind: EndpointRestartEarlier, At: 2495444721, Duration: 1198687175, Target: 2},
+			},
+		},
 	}
-	got := Plan(31, 8*time.Second, 3, 6, KindsWithoutRestarts())
-	if len(got) != 18 || !reflect.DeepEqual(got[:len(want)], want) {
-		t.Errorf("plan of seed 31: got %d faults %v, want 18 that begin with %v", len(got), got, want)
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			got := Plan(tc.seed, tc.duration, 3, 6, tc.kinds)
+			if len(got) != tc.wantCount || !reflect.DeepEqual(got[:len(tc.wantFirst)], tc.wantFirst) {
+				t.Errorf("plan of seed %d: got %d faults %v, want %d that begin with %v", tc.seed, len(got), got, tc.wantCount, tc.wantFirst)
+			}
+		})
 	}
 }
 
