--- a/test/soak_test.go
+++ b/test/soak_test.go
@@ -26,14 +26,30 @@
 
 // TestSoak runs seeds that have failed before, for a short time each.
 func TestSoak(t *testing.T) {
-	seeds := map[string]uint64{
+	tests := map[string]struct {
+		seed     uint64
+		duration time.Duration
+		kinds    []soak.Kind
+	}{
 		// An endpoint crashed after it had reported completions and before they were
 		// acknowledged: the check counted that work as not done.
-		"endpoint crashes with unacknowledged completions": 31,
+		"endpoint crashes with unacknowledged completions": {seed: 31, duration: 8 * time.Second, kinds: soak.KindsWithoutRestarts()},
+		// A restarted endpoint accepted a start before the leader knew of the restart: the
+		// leader took the run for lost with those before, and started the task elsewhere.
+		"new incarnation accepts a start unnoticed": {seed: 4, duration: 12 * time.Second, kinds: soak.KindsWithRestarts()},
+		// An endpoint restarted with an earlier start time: the leader took what it said
+		// for words of an earlier incarnation, and did not see that its runs were lost.
+		"new incarnation has an earlier start time": {seed: 6, duration: 12 * time.Second, kinds: soak.KindsWithRestarts()},
+		// The host list did not have an endpoint that was restarting while a start was on
+		// its way: the leader took the start for lost, and the new incarnation accepted it.
+		"host list lacks an endpoint with a start on its way": {seed: 16, duration: 12 * time.Second, kinds: soak.KindsWithRestarts()},
 	}
-	for name, seed := range seeds {
+	for name, tc := range tests {
 		t.Run(name, func(t *testing.T) {
-			runSeed(t, soak.Config{Seed: seed, Duration: 8 * time.Second, Nodes: 3, Endpoints: 6, Kinds: soak.KindsWithoutRestarts(), Dir: t.TempDir(), FirstPort: uint16(*soakPort)})
+			runSeed(t, soak.Config{
+				Seed: tc.seed, Duration: tc.duration, Nodes: 3, Endpoints: 6, Kinds: tc.kinds,
+				Dir: t.TempDir(), FirstPort: uint16(*soakPort),
+			})
 		})
 	}
 }
