--- a/internal/fleet/hosts.go
+++ b/internal/fleet/hosts.go
@@ -119,21 +119,6 @@
 	return e
 }
 
-// endpointsOn returns the endpoint on a host. If the host names none, or one that is not
-// known, it returns those whose entries name the host.
-func (l *Leader) endpointsOn(h *hostState) []*endpoint {
-	if e := l.endpointOf(h); e != nil {
-		return []*endpoint{e}
-	}
-	var named []*endpoint
-	for _, e := range l.endpoints {
-		if e.hostID() == h.row.ID && !e.gone {
-			named = append(named, e)
-		}
-	}
-	return named
-}
-
 // UpdateHosts processes the platform's host list, which was requested at sentAt.
 func (l *Leader) UpdateHosts(list []Host, sentAt, now time.Time) {
 	listed := map[HostID]bool{}
@@ -160,86 +145,6 @@
 	l.removeGoneEndpoints(list, sentAt, now)
 }
 
-// removeGoneEndpoints ends the runs of endpoints that no host runs any more: the
-// platform knows of a crash or a change before the endpoint's lease expires. An
-// endpoint that is only unreachable is still on its host.
-func (l *Leader) removeGoneEndpoints(list []Host, sentAt, now time.Time) {
-	rows, onHost := make(map[HostID]Host, len(list)), map[EndpointID]Host{}
-	for _, row := range list {
-		rows[row.ID] = row
-		if row.Endpoint != "" {
-			onHost[row.Endpoint] = row
-		}
-	}
-	if len(onHost) == 0 {
-		return
-	}
-	for _, e := range l.endpoints {
-		row, isNamed := onHost[e.row.ID]
-		if !isNamed {
-			l.handleUnnamed(e, rows[e.hostID()], sentAt, now)
-			continue
-		}
-		e.lastHost, e.missingSince = row.ID, time.Time{}
-		if e.gone && row.State == HostUp && !sentAt.Before(e.goneAt) {
-			// It has restarted, or the earlier list was wrong.
-			e.gone = false
-			l.suspectRestart(e, "host list", now)
-		}
-	}
-}
-
-// handleUnnamed handles an endpoint that no host names in the list requested at sentAt. It
-// has ended if its own host, whose row is zero if the host is missing, shows why. Otherwise
-// it has to be missing from two lists in a row, and silent meanwhile: the parts of a list are
-// read at different moments, and a host that has just come back may not name its endpoint yet.
-func (l *Leader) handleUnnamed(e *endpoint, row Host, sentAt, now time.Time) {
-	isNewer := !e.listedAt.Before(sentAt) || e.reportedAt.After(sentAt)
-	switch {
-	case isNewer:
-		// The list may be older than the endpoint, or than its last report.
-	case l.showsEnd(e, row):
-		l.endpointEnded(e, "host no longer runs the endpoint", sentAt, now)
-	case e.isMissing() && !e.unresponsive && now.Sub(e.missingSince) < maxReportAge:
-		// Its report may be on its way.
-	case e.isMissing():
-		l.endpointEnded(e, "two host lists lack the endpoint", e.missingSince, now)
-		e.missingSince = sentAt
-	default:
-		e.missingSince = sentAt
-	}
-}
-
-// showsEnd reports whether the row of an endpoint's host, which does not name the endpoint,
-// shows that the endpoint has ended. A row that has not changed since before the endpoint was
-// listed may lag.
-func (l *Leader) showsEnd(e *endpoint, row Host) bool {
-	isReplaced := row.State == HostUp && row.Endpoint != ""
-	isOut := row.State == HostDown || row.State == HostMoving || row.State == HostMaintenance
-	if !isReplaced && !isOut {
-		return false
-	}
-	h := l.hosts.byID[row.ID]
-	return h != nil && !e.listedAt.After(h.shownSince)
-}
-
-// endpointEnded handles evidence, requested at sentAt, that an endpoint's incarnation has
-// ended. Its remaining runs, which were answered later or not at all, may be on the next
-// incarnation: they are resolved by their answers, its report, later evidence or the end of
-// the lease.
-func (l *Leader) endpointEnded(e *endpoint, reason string, sentAt, now time.Time) {
-	if !e.gone {
-		l.log("endpoint gone", "endpoint", e.row.ID, "pool", e.row.Pool, "why", reason, "runs", len(e.runs), "list-age", age(sentAt, now))
-	}
-	e.gone, e.goneAt, e.blocked = true, now, false
-	for _, r := range e.runs {
-		if r.wasRunningBefore(sentAt) {
-			l.runLost(r, reason, now)
-		}
-	}
-	l.forgetEndpoint(e, now)
-}
-
 // updateHost applies a host's row, unless the row predates the host's change.
 func (l *Leader) updateHost(h *hostState, row Host, sentAt, now time.Time) {
 	c := h.pendingChange
