test: a fleet is ready once managers list its hosts

Cause: the stand-in's host list lags by 500 ms, managers read it for each request, and the test asked for a host before it was shown. Starting a fleet takes about 1.1 s as a rule; in that run its processes were ready after 0.2 s. No fault of the manager: the host was not in the platform's list.

Change: newFleet waits until managers list the hosts of the endpoints, which its tests rely on. No check is changed.

--- a/test/fleet_test.go
+++ b/test/fleet_test.go
@@ -114,6 +114,7 @@
 	t.Cleanup(f.stopAll)
 	f.awaitReady()
 	f.configure()
+	f.eventually("managers list the endpoints' hosts", func() bool { return len(f.poolHosts("p")) == len(f.endpoints) })
 	return f
 }
 
