fleet: no acknowledgement while a start's answer is overdue

Cause: an acknowledgement names no incarnation, and is sent as soon as rows are written. It is wrong only if the new incarnation has ended a run, so of a start whose answer the leader has not read: with the answer, the clock shows the restart.

Change: ends are not acknowledged while a start on the endpoint has had no answer for 100 ms, which is longer than answers take and shorter than tasks. Ruled out: holding back while any start is on its way, since on a busy endpoint one nearly always is.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -25,6 +25,8 @@
 	confirmationTimeout = 1500 * time.Millisecond
 	// orderDuration is how long an order may be on its way.
 	orderDuration = time.Second
+	// overdueAnswer is how long after an order its answer is late. Tasks run for longer.
+	overdueAnswer = 100 * time.Millisecond
 	// maxOrderDelay is how late an endpoint may carry out an order that it has not answered.
 	maxOrderDelay = 15 * time.Second
 	// formerLeaderGrace is how long after a takeover the former leader may still send
--- a/internal/fleet/renewal.go
+++ b/internal/fleet/renewal.go
@@ -17,10 +17,14 @@
 		return LeaseRenewal{}, len(e.runs) > 0
 	}
 	renewal := LeaseRenewal{}
+	isAckWithheld := false
 	if e.ackable > e.acked && !e.mayHaveRestarted && !e.unresponsive {
 		// Sent only if it has advanced, to an endpoint that has just answered: a new incarnation
 		// restarts the numbers of completions.
-		renewal.AckedUpTo = e.ackable
+		isAckWithheld = e.hasOverdueStart(now)
+		if !isAckWithheld {
+			renewal.AckedUpTo = e.ackable
+		}
 	}
 	switch {
 	case !e.reached && !l.loaded && !e.clockAt.IsZero():
@@ -34,6 +38,8 @@
 		return renewal, true
 	case e.blocked && now.Sub(e.reportedAt) < unknownJobDelay:
 		return renewal, false
+	case isAckWithheld && now.Sub(e.reportedAt) < unresolvedReportWait:
+		return renewal, false
 	case len(e.unpersisted) > 0 && now.Sub(e.reportedAt) < renewalInterval:
 		// Completions that cannot be acknowledged yet would be reported again at once.
 		return renewal, false
@@ -49,6 +55,18 @@
 	return renewal, true
 }
 
+// hasOverdueStart reports whether a start on the endpoint has no answer for longer than
+// answers take. It may have been carried out, and ended, on a new incarnation of which there
+// is no other sign: an acknowledgement would make that forget the end unread.
+func (e *endpoint) hasOverdueStart(now time.Time) bool {
+	for _, r := range e.runs {
+		if (r.awaitsAnswer || r.wasUnconfirmed && r.isUnresolved()) && now.Sub(r.orderedAt) > overdueAnswer {
+			return true
+		}
+	}
+	return false
+}
+
 // idleInterval returns the time between two renewals of an idle endpoint. It is short while a
 // start that was given up may yet be carried out, so that its run is soon seen and stopped.
 func (l *Leader) idleInterval(e *endpoint, now time.Time) time.Duration {
--- a/internal/fleet/suspicion_test.go
+++ b/internal/fleet/suspicion_test.go
@@ -127,6 +127,40 @@
 	}
 }
 
+// Guards against tasks that run again after their end: the endpoint restarts while answers
+// are slow, carries out starts that were on their way, and an acknowledgement that is based
+// on the last report of the earlier incarnation makes it forget their ends unread.
+func TestNoAcknowledgementWhileAnswerIsOverdue(t *testing.T) {
+	tests := map[string]struct {
+		answer fleet.OrderOutcome
+		// age is how long ago the start was ordered.
+		age       time.Duration
+		wantAcked int64
+	}{
+		"on its way":         {age: 50 * time.Millisecond, wantAcked: 3},
+		"overdue":            {age: 200 * time.Millisecond},
+		"answered":           {answer: fleet.OrderAccepted, age: 200 * time.Millisecond, wantAcked: 3},
+		"without an answer":  {answer: fleet.OrderUnknown, age: 200 * time.Millisecond},
+		"rejected long ago":  {answer: fleet.OrderNoCapacity, age: 200 * time.Millisecond, wantAcked: 3},
+		"answered and young": {answer: fleet.OrderAccepted, age: 50 * time.Millisecond, wantAcked: 3},
+	}
+	for name, c := range tests {
+		t.Run(name, func(t *testing.T) {
+			s := longRunning(t)
+			s.submit(submission(2, tasks(1)))
+			start := s.step().Starts[0]
+			s.endTasks(1)
+			s.advance(c.age)
+			if c.answer != "" {
+				s.leader.HandleStartReply(start, fleet.Reply{Outcome: c.answer, Clock: 2 * time.Hour}, s.now)
+			}
+			if got, _ := s.leader.NextRenewal("a", s.now); got.AckedUpTo != c.wantAcked {
+				t.Errorf("acknowledged: got %d, want %d", got.AckedUpTo, c.wantAcked)
+			}
+		})
+	}
+}
+
 // Guards against false signs of a restart, which would keep work away, let tasks wait for
 // longer leases, and withdraw members of a gang whose partners have been sent: the answer
 // to a start is overtaken by the report of its run's end.
