--- a/test/soak_test.go
+++ b/test/soak_test.go
@@ -43,6 +43,11 @@
 		// The host list did not have an endpoint that was restarting while a start was on
 		// its way: the leader took the start for lost, and the new incarnation accepted it.
 		"host list lacks an endpoint with a start on its way": {seed: 16, duration: 12 * time.Second, kinds: soak.KindsWithRestarts()},
+		// An endpoint restarted while its answers were delayed: ends of the earlier
+		// incarnation were acknowledged, and the new one forgot its own unread.
+		"acknowledgement to a new incarnation while answers are delayed": {
+			seed: 236, duration: 12 * time.Second, kinds: append(soak.KindsWithRestarts(), soak.LagKinds()...),
+		},
 	}
 	for name, tc := range tests {
 		t.Run(name, func(t *testing.T) {
