fleet: log which runs an endpoint had when it crashed

To tell whether crashes go back to one task, to late starts or to endpoints that only went out of sight, on-call needs the runs that ended together. The log had one line a run, without how long it had worked, and no difference between a crash and an end by a plan. Now endpoint crashed lists the runs with their state and how long they are known to have worked, and how many endpoints the same evidence shows; endpoint gone says whether the end was planned, and run lost for how long the run had worked. No decision changes: the ends that a host list shows are applied after the list has been read through, as before it one by one.

--- a/internal/fleet/accounting.go
+++ b/internal/fleet/accounting.go
@@ -60,7 +60,7 @@
 func (l *Leader) runLost(r *run, reason string, now time.Time) {
 	e := r.endpoint
 	l.log("run lost", "job", r.key.task.Job, "step", r.key.task.Step, "index", r.key.task.Index, "run", r.key.run, "endpoint", e.row.ID, "why", reason,
-		"state", r.state.String(), "ordered-ago", age(r.orderedAt, now), "answered-ago", age(r.answeredAt, now),
+		"state", r.state.String(), "worked", r.workedFor().Round(time.Millisecond).String(), "ordered-ago", age(r.orderedAt, now), "answered-ago", age(r.answeredAt, now),
 		"report-age", age(e.reportedAt, now), "life", e.startedAt.UnixMilli(), "listed-life", e.row.StartedAt.UnixMilli(),
 		"clock", e.clock.String(), "lease-until", e.leaseUntil.String())
 	l.untrackRun(r)
--- a/internal/fleet/hostevidence.go
+++ b/internal/fleet/hostevidence.go
@@ -33,10 +33,17 @@
 	if len(onHost) == 0 {
 		return
 	}
+	var ends []endpointEnd
+	crashes := 0
 	for _, e := range l.endpoints {
 		row, isNamed := onHost[e.row.ID]
 		if !isNamed {
-			l.handleUnnamed(e, rows[e.hostID()], sentAt, now)
+			if end, ok := l.handleUnnamed(e, rows[e.hostID()], sentAt, now); ok {
+				ends = append(ends, end)
+				if !end.isPlanned && !e.gone && len(e.runs) > 0 {
+					crashes++
+				}
+			}
 			continue
 		}
 		e.lastHost, e.missingSince = row.ID, time.Time{}
@@ -46,27 +53,36 @@
 			l.suspectRestart(e, "host list", now)
 		}
 	}
+	for _, end := range ends {
+		end.together = crashes
+		l.endpointEnded(end, now)
+	}
 }
 
 // handleUnnamed handles an endpoint that no host names in the list requested at sentAt. It
-// has ended if its own host, whose row is zero if the host is missing, shows why. Otherwise
+// returns the end that the list shows, or false. The endpoint has ended if its own host, whose row is zero if the host is missing, shows why. Otherwise
 // it has to be missing from two lists in a row, and silent meanwhile: the parts of a list are
 // read at different moments, and a host that has just come back may not name its endpoint yet.
-func (l *Leader) handleUnnamed(e *endpoint, row Host, sentAt, now time.Time) {
+func (l *Leader) handleUnnamed(e *endpoint, row Host, sentAt, now time.Time) (endpointEnd, bool) {
 	isNewer := !e.listedAt.Before(sentAt) || e.reportedAt.After(sentAt)
 	switch {
 	case isNewer:
 		// The list may be older than the endpoint, or than its last report.
 	case l.showsEnd(e, row):
-		l.endpointEnded(e, "host no longer runs the endpoint", sentAt, now)
+		isChanged := row.State == HostMoving || row.State == HostMaintenance || row.State == HostUp && row.Pool != e.row.Pool
+		return endpointEnd{
+			endpoint: e, reason: "host no longer runs the endpoint", isPlanned: isChanged || e.row.Draining, at: sentAt,
+		}, true
 	case e.isMissing() && !e.unresponsive && now.Sub(e.missingSince) < maxReportAge:
 		// Its report may be on its way.
 	case e.isMissing():
-		l.endpointEnded(e, "two host lists lack the endpoint", e.missingSince, now)
+		end := endpointEnd{endpoint: e, reason: "two host lists lack the endpoint", isPlanned: e.row.Draining, at: e.missingSince}
 		e.missingSince = sentAt
+		return end, true
 	default:
 		e.missingSince = sentAt
 	}
+	return endpointEnd{}, false
 }
 
 // showsEnd reports whether the row of an endpoint's host, which does not name the endpoint,
@@ -82,18 +98,19 @@
 	return h != nil && !e.listedAt.After(h.shownSince)
 }
 
-// endpointEnded handles evidence, requested at sentAt, that an endpoint's incarnation has
-// ended. Its remaining runs, which were answered later or not at all, may be on the next
+// endpointEnded handles evidence that an endpoint's incarnation has ended. Its remaining runs, which were answered later or not at all, may be on the next
 // incarnation: they are resolved by their answers, its report, later evidence or the end of
 // the lease.
-func (l *Leader) endpointEnded(e *endpoint, reason string, sentAt, now time.Time) {
+func (l *Leader) endpointEnded(end endpointEnd, now time.Time) {
+	e := end.endpoint
 	if !e.gone {
-		l.log("endpoint gone", "endpoint", e.row.ID, "pool", e.row.Pool, "why", reason, "runs", len(e.runs), "list-age", age(sentAt, now))
+		l.log("endpoint gone", "endpoint", e.row.ID, "pool", e.row.Pool, "why", end.reason, "planned", end.isPlanned, "runs", len(e.runs), "list-age", age(end.at, now))
+		l.logCrash(end, now)
 	}
 	e.gone, e.goneAt, e.blocked = true, now, false
 	for _, r := range e.runs {
-		if r.wasRunningBefore(sentAt) {
-			l.runLost(r, reason, now)
+		if r.wasRunningBefore(end.at) {
+			l.runLost(r, end.reason, now)
 		}
 	}
 	l.forgetEndpoint(e, now)
--- a/internal/fleet/hosts.go
+++ b/internal/fleet/hosts.go
@@ -267,7 +267,7 @@
 func (l *Leader) changeAccepted(h *hostState, now time.Time) {
 	c := h.pendingChange
 	if e := l.endpoints[c.endpoint]; e != nil && c.ends(e) {
-		l.endpointEnded(e, "host is being moved or maintained", c.orderedAt, now)
+		l.endpointEnded(endpointEnd{endpoint: e, reason: "host is being moved or maintained", isPlanned: true, at: c.orderedAt}, now)
 	}
 	l.changeMade(h, now)
 	h.row.State = HostMoving
--- a/internal/fleet/incarnation.go
+++ b/internal/fleet/incarnation.go
@@ -73,11 +73,21 @@
 	e.suspectedLeaseUntil = l.suspectedLease(e, now)
 }
 
+// endsByPlan reports whether the endpoint drains, or its host is being moved or maintained.
+func (l *Leader) endsByPlan(e *endpoint) bool {
+	h := l.hosts.byID[e.hostID()]
+	isChanged := h != nil && (h.pendingChange != nil && h.pendingChange.ends(e) || h.shown.State == HostMoving || h.shown.State == HostMaintenance)
+	return e.row.Draining || isChanged
+}
+
 // newIncarnation resets what is known of an endpoint whose report shows that it has
 // restarted. Its runs are judged by the report: orders name an endpoint by its ID alone,
 // so that the new incarnation may have carried out, or may yet carry out, starts that were
 // meant for the earlier one.
 func (l *Leader) newIncarnation(e *endpoint, startedAt, now time.Time) {
+	if !e.gone {
+		l.logCrash(endpointEnd{endpoint: e, reason: "report of a new incarnation", isPlanned: l.endsByPlan(e), isRestart: true, at: now, together: 1}, now)
+	}
 	l.log("endpoint has a new life", "endpoint", e.row.ID, "runs", len(e.runs), "life", startedAt.UnixMilli(),
 		"earlier-life", e.startedAt.UnixMilli(), "listed-life", e.row.StartedAt.UnixMilli(), "report-age", age(e.reportedAt, now))
 	e.foreignLeaseUntil = 0
--- a/internal/fleet/renewal.go
+++ b/internal/fleet/renewal.go
@@ -100,7 +100,9 @@
 	}
 	if reply.Outcome == OrderOtherIncarnation {
 		e.listed = false
-		l.endpointEnded(e, "another endpoint answers at the address", reply.SentAt, now)
+		l.endpointEnded(endpointEnd{
+			endpoint: e, reason: "another endpoint answers at the address", isPlanned: e.row.Draining, at: reply.SentAt,
+		}, now)
 	}
 	e.pausedUntil = now.Add(unhealthyPause)
 	e.unresponsive = true
@@ -172,7 +174,7 @@
 	for _, running := range report.Running {
 		key := runKey{running.Task, running.Run}
 		present[key] = true
-		l.handleReportedRun(e, key, running, now)
+		l.handleReportedRun(e, key, running, sentAt, now)
 	}
 	if len(report.Completions) >= maxReportedCompletions || e.blocked {
 		return
@@ -217,7 +219,7 @@
 }
 
 // handleReportedRun processes an active run in a report.
-func (l *Leader) handleReportedRun(e *endpoint, key runKey, running RunningTask, now time.Time) {
+func (l *Leader) handleReportedRun(e *endpoint, key runKey, running RunningTask, sentAt, now time.Time) {
 	r, ok := e.runs[key]
 	if !ok {
 		r = l.adopt(e, key, now)
@@ -229,7 +231,7 @@
 		r.state = runLive
 		r.answeredAt = now
 	}
-	r.reported = true
+	r.reported, r.seenAt = true, sentAt
 	if running.Checkpoint != "" {
 		r.checkpoint = running.Checkpoint
 	}
--- a/internal/fleet/run.go
+++ b/internal/fleet/run.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"fmt"
 	"time"
 
 	"github.com/lovagedyke/lovagedyke/internal/job"
@@ -13,6 +14,11 @@
 	run  int64
 }
 
+// String names the run in the journal: job, occurrence, step, index and run number.
+func (k runKey) String() string {
+	return fmt.Sprintf("%s.%d.%d.%d run %d", k.task.Job, k.task.Occurrence, k.task.Step, k.task.Index, k.run)
+}
+
 // runState is what the leader knows about a run.
 type runState int
 
@@ -57,6 +63,8 @@
 	awaitsAnswer bool
 	// reported is true once the endpoint's current incarnation has reported the run.
 	reported bool
+	// seenAt is when the newest report that lists the run was requested.
+	seenAt time.Time
 	// orderedAt is when the start was ordered, answeredAt when the endpoint confirmed it.
 	orderedAt, answeredAt time.Time
 	// wasUnconfirmed is true once a start got no answer: it may be executed late.
