fleet: failing tests of tasks that crash their endpoint

A fleet in virtual time keeps the truth that the leader has to guess: crashes, restarts under new and the same IDs, host lists, entries that expire, a store and a list that are away, leaders that change.

--- /dev/null
+++ b/internal/fleet/crash_test.go
@@ -0,0 +1,170 @@
+package fleet_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/lovagedyke/lovagedyke/internal/job"
+)
+
+// crashAtStart is how soon after its start a task crashes its endpoint.
+const crashAtStart = 20 * time.Millisecond
+
+// first makes the first task of the first step of jobs crash their endpoints.
+func first(after time.Duration, isDeadly func(id job.ID) bool) func(task job.Task) (time.Duration, bool) {
+	return func(task job.Task) (time.Duration, bool) {
+		return after, isDeadly(task.Job) && task.Step == 0 && task.Index == 0 && task.Occurrence == 0
+	}
+}
+
+func isJobOne(id job.ID) bool { return id == jobID(1) }
+
+func noJob(job.ID) bool { return false }
+
+// Guards against a task that crashes each endpoint that starts it and is started without
+// end: a run that is lost with its endpoint counted for nothing. The jobs beside it
+// complete, and it fails.
+func TestTaskThatCrashesEndpoints(t *testing.T) {
+	gang := tasks(3)
+	gang.Gang = true
+	speculative := tasks(4)
+	speculative.Speculative = true
+	bestEffort := tasks(2)
+	bestEffort.BestEffort = true
+	checkpoints := tasks(2)
+	checkpoints.Checkpoint = true
+	cases := map[string]struct {
+		step      job.Step
+		times     int
+		after     time.Duration
+		keepsID   bool
+		endpoints int
+		beside    job.Step
+		during    func(w *crashWorld)
+	}{
+		"at its start":                       {step: tasks(4)},
+		"beside few endpoints":               {step: tasks(4), endpoints: 3},
+		"restarts under the same ID":         {step: tasks(4), keepsID: true},
+		"after some work":                    {step: tasks(4), after: 700 * time.Millisecond},
+		"gang":                               {step: gang},
+		"speculative":                        {step: speculative},
+		"persistent":                         {step: persistentTasks(4, 1)},
+		"persistent, beside persistent ones": {step: persistentTasks(4, 1), beside: persistentTasks(3, 1)},
+		"batch, beside persistent ones":      {step: tasks(4), beside: persistentTasks(3, 1)},
+		"best effort":                        {step: bestEffort},
+		"checkpoints":                        {step: checkpoints},
+		"occurrences":                        {step: tasks(2), times: 3},
+		"leaders change": {step: tasks(4), during: func(w *crashWorld) {
+			for range 6 {
+				w.runFor(1700 * time.Millisecond)
+				w.replaceLeader()
+			}
+		}},
+		"leaders change often": {step: tasks(4), during: func(w *crashWorld) {
+			for range 12 {
+				w.runFor(700 * time.Millisecond)
+				w.replaceLeader()
+			}
+		}},
+		"store away": {step: tasks(4), during: func(w *crashWorld) {
+			w.isStoreOut = true
+			w.runFor(8 * time.Second)
+			w.isStoreOut = false
+		}},
+		"host list away": {step: tasks(4), during: func(w *crashWorld) {
+			w.isListOut = true
+			w.runFor(12 * time.Second)
+			w.isListOut = false
+		}},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			if c.after == 0 {
+				c.after = crashAtStart
+			}
+			if c.endpoints == 0 {
+				c.endpoints = 8
+			}
+			if c.beside.Count == 0 {
+				c.beside = tasks(3)
+			}
+			w := newCrashWorld(t, crashWorldConfig{endpoints: c.endpoints, keepsID: c.keepsID, deadly: first(c.after, isJobOne)})
+			w.runFor(100 * time.Millisecond)
+			deadly := submission(1, c.step)
+			if c.times > 0 {
+				deadly.Times, deadly.Interval, deadly.Start = c.times, 2*time.Second, w.now
+			}
+			w.submit(deadly)
+			for n := 2; n <= 30; n++ {
+				w.submit(submission(n, c.beside))
+			}
+			if c.during != nil {
+				c.during(w)
+			}
+			w.runFor(45 * time.Second)
+			w.wantBudget()
+			w.wantStates(isJobOne)
+		})
+	}
+}
+
+// Guards against many tasks at once that crash their endpoints and take the work of all
+// others along: a tenth of the jobs crash their endpoints, for ten seconds.
+func TestManyTasksThatCrashEndpoints(t *testing.T) {
+	isTenth := func(id job.ID) bool { return id[len(id)-1] == '7' }
+	w := newCrashWorld(t, crashWorldConfig{endpoints: 12, racks: 3, deadly: first(crashAtStart, isTenth)})
+	w.runFor(100 * time.Millisecond)
+	w.submit(submission(5000, persistentTasks(5, 1)))
+	for n := range 50 {
+		w.submit(submission(n+1, tasks(6)))
+		w.runFor(200 * time.Millisecond)
+	}
+	w.runFor(40 * time.Second)
+	w.wantBudget()
+	w.wantStates(isTenth)
+}
+
+// Guards against sound tasks that are given up, or held back, since endpoints crash by no
+// task's doing: single ones again and again, or whole racks.
+func TestCrashesByNoTask(t *testing.T) {
+	cases := map[string]func(w *crashWorld){
+		"single endpoints": func(w *crashWorld) {
+			if h := w.hosts[w.random.IntN(len(w.hosts))]; h.runner != nil {
+				w.crash(h)
+			}
+		},
+		"racks": func(w *crashWorld) {
+			rack := w.hosts[w.random.IntN(len(w.hosts))].rack
+			for _, h := range w.hosts {
+				if h.runner != nil && h.rack == rack {
+					w.crash(h)
+				}
+			}
+		},
+	}
+	for name, strike := range cases {
+		t.Run(name, func(t *testing.T) {
+			w := newCrashWorld(t, crashWorldConfig{endpoints: 12, racks: 4})
+			w.runFor(100 * time.Millisecond)
+			w.submit(submission(5000, persistentTasks(5, 1)))
+			for n := range 60 {
+				w.submit(submission(n+1, tasks(6)))
+				w.runFor(500 * time.Millisecond)
+				if n%5 == 4 {
+					strike(w)
+				}
+			}
+			w.runFor(15 * time.Second)
+			w.wantStates(noJob)
+			slow := 0
+			for _, id := range w.order {
+				if took := w.doneAt[id].Sub(w.jobs[id].Submission.Accepted); !w.jobs[id].Submission.Persistent() && took > 5*time.Second {
+					slow++
+				}
+			}
+			if slow > 0 {
+				t.Errorf("jobs that took longer than 5s: got %d, want 0", slow)
+			}
+		})
+	}
+}
