fleet: a task under which endpoints crash is tried alone, and given up

Cause: a run that is lost with its endpoint counted for nothing. Only ends that an endpoint reports were counted, and one that has crashed reports none.

Change: the end of an endpoint without a plan accuses the runs that cannot have shown yet that they do not crash it: those not known to have worked for 200 ms. Their tasks start again on trial, each alone on an endpoint, the one started last first; a trial ends once the run has worked for that long, and clears the task. A task that crashes another endpoint while it is alone there clears those that were accused with it. After three crashes, or two if the job was taken over from another leader, the job fails. The count is in the job's progress, and stored before the next start. Runs that have worked for longer, crashes of four endpoints or of a rack at once, expired leases and starts that were not confirmed only count as doubt; two doubts ask for a trial, and none fails a job. Ends by a plan (draining, move, maintenance) count for nothing.

Ruled out: a plain count for each run that was lost, at 2 it gives up the neighbours, ten and more at each crash; a count of a task's own starts, which condemns tasks on endpoints that crash for other reasons; trials of all that was lost, up to 21 runs at a crash.

Five older tests expected the start right after the crash of the only run. It waits for the row now: they write the batch first, three of them check that nothing starts before.

--- a/internal/fleet/accounting.go
+++ b/internal/fleet/accounting.go
@@ -71,6 +71,7 @@
 		return
 	}
 	l.keepCheckpoint(r, r.checkpoint)
+	l.countCrash(r, now)
 	l.requeue(r.job, r.key.task, now)
 }
 
--- a/internal/fleet/completion.go
+++ b/internal/fleet/completion.go
@@ -94,6 +94,9 @@
 		task := completion.Task
 		task.Index = index
 		changed = j.progress.MarkDone(task) || changed
+		if j.crashRecords[task] != nil {
+			l.clearSuspect(j, task, "it is done", now)
+		}
 		j.dropPending(task)
 		for _, duplicate := range slices.Clone(j.active[task]) {
 			if !step.Gang {
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -100,6 +100,7 @@
 	// loaded is true once all rows from before the takeover are known.
 	loaded     bool
 	writeQueue writeQueue
+	crashes    CrashCounts
 }
 
 // New returns a leader without jobs, endpoints or hosts.
--- a/internal/fleet/hostevidence.go
+++ b/internal/fleet/hostevidence.go
@@ -34,18 +34,20 @@
 		return
 	}
 	var ends []endpointEnd
-	crashes := 0
+	crashes, crashedOnRack, onRack := 0, map[string]int{}, map[string]int{}
 	for _, e := range l.endpoints {
 		row, isNamed := onHost[e.row.ID]
 		if !isNamed {
 			if end, ok := l.handleUnnamed(e, rows[e.hostID()], sentAt, now); ok {
 				ends = append(ends, end)
-				if !end.isPlanned && !e.gone && len(e.runs) > 0 {
+				if !end.isPlanned && !e.gone {
 					crashes++
+					crashedOnRack[e.rack()]++
 				}
 			}
 			continue
 		}
+		onRack[e.rack()]++
 		e.lastHost, e.missingSince = row.ID, time.Time{}
 		if e.gone && row.State == HostUp && !sentAt.Before(e.goneAt) {
 			// It has restarted, or the earlier list was wrong.
@@ -54,7 +56,9 @@
 		}
 	}
 	for _, end := range ends {
+		rack := end.endpoint.rack()
 		end.together = crashes
+		end.isWholeRack = rack != "" && onRack[rack] == 0 && crashedOnRack[rack] > 1
 		l.endpointEnded(end, now)
 	}
 }
@@ -76,7 +80,7 @@
 	case e.isMissing() && !e.unresponsive && now.Sub(e.missingSince) < maxReportAge:
 		// Its report may be on its way.
 	case e.isMissing():
-		end := endpointEnd{endpoint: e, reason: "two host lists lack the endpoint", isPlanned: e.row.Draining, at: e.missingSince}
+		end := endpointEnd{endpoint: e, reason: "two host lists lack the endpoint", isPlanned: e.row.Draining, isVague: true, at: e.missingSince}
 		e.missingSince = sentAt
 		return end, true
 	default:
@@ -105,7 +109,7 @@
 	e := end.endpoint
 	if !e.gone {
 		l.log("endpoint gone", "endpoint", e.row.ID, "pool", e.row.Pool, "why", end.reason, "planned", end.isPlanned, "runs", len(e.runs), "list-age", age(end.at, now))
-		l.logCrash(end, now)
+		l.judgeRuns(end, now)
 	}
 	e.gone, e.goneAt, e.blocked = true, now, false
 	for _, r := range e.runs {
--- a/internal/fleet/hostevidence_test.go
+++ b/internal/fleet/hostevidence_test.go
@@ -130,6 +130,7 @@
 				t.Errorf("renewal: got %+v (due %t), want one without lease and acknowledgement", renewal, due)
 			}
 			c.resolve(s, start)
+			s.writeBatches()
 			starts := s.step().Starts
 			if len(starts) != c.starts {
 				t.Fatalf("starts: got %v, want %d", starts, c.starts)
@@ -328,6 +329,7 @@
 					c.between(s)
 				}
 			}
+			s.writeBatches()
 			if got += len(s.step().Starts); got != c.starts {
 				t.Errorf("starts: got %d, want %d", got, c.starts)
 			}
@@ -597,6 +599,8 @@
 			s.advance(time.Millisecond)
 			s.renewAll()
 			s.listed(downHost("a"), b)
+			s.wantOrders("before the crash is stored", 0, 0)
+			s.writeBatches()
 			s.wantOrders("after the host has crashed", 1, 0)
 		},
 		"listed once without the endpoint": func(s *simulation, start fleet.Start) {
--- a/internal/fleet/incarnation.go
+++ b/internal/fleet/incarnation.go
@@ -86,7 +86,7 @@
 // meant for the earlier one.
 func (l *Leader) newIncarnation(e *endpoint, startedAt, now time.Time) {
 	if !e.gone {
-		l.logCrash(endpointEnd{endpoint: e, reason: "report of a new incarnation", isPlanned: l.endsByPlan(e), isRestart: true, at: now, together: 1}, now)
+		l.judgeRuns(endpointEnd{endpoint: e, reason: "report of a new incarnation", isPlanned: l.endsByPlan(e), isRestart: true, at: now, together: 1}, now)
 	}
 	l.log("endpoint has a new life", "endpoint", e.row.ID, "runs", len(e.runs), "life", startedAt.UnixMilli(),
 		"earlier-life", e.startedAt.UnixMilli(), "listed-life", e.row.StartedAt.UnixMilli(), "report-age", age(e.reportedAt, now))
--- a/internal/fleet/jobstate.go
+++ b/internal/fleet/jobstate.go
@@ -34,6 +34,8 @@
 	avoid map[job.Task][]EndpointID
 	// overdueCount counts, by task, how many of its runs were overdue.
 	overdueCount map[job.Task]int
+	// crashRecords holds, by task or by the first member of a gang, the crashes under it.
+	crashRecords map[job.Task]*crashRecord
 	// endedAt is when the final state was written.
 	endedAt time.Time
 	dirty   bool
@@ -153,6 +155,7 @@
 		j.persistedState = stored.Progress.State
 		j.started = len(stored.Progress.Steps) > 0
 	}
+	j.loadCrashRecords(now)
 	l.jobs[stored.Submission.ID] = j
 	if !j.over() {
 		l.live[stored.Submission.ID] = j
--- a/internal/fleet/leader_test.go
+++ b/internal/fleet/leader_test.go
@@ -357,6 +357,8 @@
 	s.advance(100 * time.Millisecond)
 	s.leader.RenewalFailed(crashed, fleet.Reply{Outcome: fleet.OrderUnknown}, s.now)
 	s.leader.UpdateHosts([]fleet.Host{newHost(poolName, survivor), downHost(crashed)}, s.now, s.now)
+	s.wantOrders("before the crash is stored", 0, 0)
+	s.writeBatches()
 	starts := s.step().Starts
 	if len(starts) != 1 || starts[0].Endpoint != survivor {
 		t.Errorf("starts: got %v, want one on %s", starts, survivor)
@@ -691,6 +693,8 @@
 		t.Errorf("first renewal: got %+v (due %t), want one without lease and acknowledgement", renewal, due)
 	}
 	s.leader.HandleReport("a", renewal, s.now, fleet.Report{Clock: time.Millisecond, StartedAt: time.UnixMilli(5000)}, s.now)
+	s.wantOrders("before the crash is stored", 0, 0)
+	s.writeBatches()
 	starts := s.step().Starts
 	if len(starts) != 1 || starts[0].Run != 2 {
 		t.Errorf("starts: got %v, want run 2", starts)
--- a/internal/fleet/move.go
+++ b/internal/fleet/move.go
@@ -129,6 +129,7 @@
 			need: max(minPoolHosts, demand.spread, hostsFor(l.expectedDemand(name, demand, now), size)),
 		}
 		need.minimum = max(minPoolHosts, demand.spread)
+		need.need += min(l.trialHosts(pools[name]), max(minTrials, need.need/trialShare))
 		sum += need.need
 		needs = append(needs, need)
 	}
--- a/internal/fleet/overdue.go
+++ b/internal/fleet/overdue.go
@@ -45,7 +45,7 @@
 	for index := range step.step.Count {
 		task := j.taskAt(step.key, index)
 		runs := j.active[task]
-		if len(runs) != 1 || runs[0].state != runLive {
+		if len(runs) != 1 || runs[0].state != runLive || runs[0].onTrial {
 			continue
 		}
 		threshold := limit
--- a/internal/fleet/renewal.go
+++ b/internal/fleet/renewal.go
@@ -84,6 +84,9 @@
 // reportWait returns how long the endpoint may wait for a completion before it
 // reports: only briefly if the report resolves the outcome of a start or stop.
 func (e *endpoint) reportWait() time.Duration {
+	if wait, ok := e.trialWait(); ok {
+		return wait
+	}
 	for _, r := range e.runs {
 		if r.state == runUnconfirmed || r.state == runStopping && !r.stopAcceptedAt.IsZero() {
 			return unresolvedReportWait
@@ -111,6 +114,10 @@
 	}
 	for _, r := range e.runs {
 		if !l.mayStartLate(r, now) {
+			if !e.gone && !l.endsByPlan(e) && r.workedFor() <= maxCrashAge {
+				// It has crashed, or is out of reach.
+				r.verdict = max(r.verdict, doubtful)
+			}
 			l.runLost(r, "endpoint's lease has expired", now)
 		}
 	}
@@ -231,7 +238,7 @@
 		r.state = runLive
 		r.answeredAt = now
 	}
-	r.reported, r.seenAt = true, sentAt
+	r.reported, r.seenAt, r.verdict = true, sentAt, notInvolved
 	if running.Checkpoint != "" {
 		r.checkpoint = running.Checkpoint
 	}
@@ -240,6 +247,7 @@
 	if r.fullSpeedAt.IsZero() && running.SpeedPercent >= 100 && !now.Before(r.inheritedStopsEnd) {
 		r.fullSpeedAt = now
 	}
+	l.clearIfProven(r, now)
 }
 
 // adopt takes over a run that an earlier leader started, or whose start was executed
@@ -270,6 +278,8 @@
 	r.job = j
 	r.inheritedStopsEnd = now.Add(l.config.Bounds.Stop)
 	r.reserved = step.Reserved()
+	r.onTrial = j.isSuspect(key.task)
+	r.isFormerLeaders = !r.onTrial && key.run <= int64(l.config.Token-1)*runsPerToken
 	e.addRun(r)
 	duplicate := len(j.active[key.task]) > 0
 	l.trackRun(r)
--- a/internal/fleet/run.go
+++ b/internal/fleet/run.go
@@ -83,6 +83,15 @@
 	reserved    policy.Resources
 	// inheritedStopsEnd is when all stops that an earlier leader may have ordered have ended.
 	inheritedStopsEnd time.Time
+	// onTrial is true while no other run may start beside the run, whose task is suspected.
+	onTrial bool
+	// isFormerLeaders is true if a former leader started the run.
+	isFormerLeaders bool
+	// verdict is what the end of the endpoint says about the run, crash the end for which it
+	// is suspected, and crashOrder its place among the suspects.
+	verdict    verdict
+	crash      *crash
+	crashOrder int
 	// fullSpeedAt is when the endpoint first reported the run at full speed.
 	fullSpeedAt time.Time
 }
--- a/internal/fleet/step.go
+++ b/internal/fleet/step.go
@@ -87,6 +87,7 @@
 	}
 	slices.SortFunc(groups, func(a, b taskGroup) int { return a.rank.compare(b.rank) })
 	candidates := l.candidates(pool, now)
+	l.startTrials(groups, candidates, orders, now)
 	open := withRoom(candidates, groups)
 	var unplaceable unplaceableSizes
 	for _, g := range groups {
@@ -130,6 +131,8 @@
 	persistent int
 	// isHeld is true if the endpoint is kept free for persistent tasks.
 	isHeld bool
+	// isTaken is true if the endpoint is kept for suspected tasks, or has one on trial.
+	isTaken bool
 }
 
 // candidates returns the endpoints of a pool that accept work, sorted by ID.
@@ -139,7 +142,11 @@
 		if e.row.Pool != pool || !e.acceptsWork(now) {
 			continue
 		}
-		candidates = append(candidates, &candidateEndpoint{endpoint: e, available: e.available(), persistent: e.tally.persistent})
+		candidate := &candidateEndpoint{endpoint: e, available: e.available(), persistent: e.tally.persistent}
+		if e.tally.trials > 0 {
+			candidate.take()
+		}
+		candidates = append(candidates, candidate)
 	}
 	slices.SortFunc(candidates, func(a, b *candidateEndpoint) int {
 		switch {
@@ -165,11 +172,17 @@
 		return
 	}
 	if g.step.step.Gang {
-		l.startGang(g, open, orders, now)
+		if len(g.step.pending) > 0 && !g.job.isSuspect(g.job.taskAt(g.step.key, g.step.pending[0])) {
+			l.startGang(g, open, orders, now)
+		}
 		return
 	}
 	var remaining []int
 	for i, index := range g.step.pending {
+		if g.job.isSuspect(g.job.taskAt(g.step.key, index)) {
+			remaining = append(remaining, index)
+			continue
+		}
 		if !l.underCap(g.job.submission.Account, g.step.step.Resources, 1) {
 			remaining = append(remaining, g.step.pending[i:]...)
 			break
@@ -221,7 +234,7 @@
 		key: runKey{task, number}, endpoint: e, job: g.job, state: runStarting, orderedAt: now,
 		percent: 100, reserved: g.step.step.Reserved(), checkpoint: g.job.checkpoint[task],
 	}
-	r.awaitsAnswer = true
+	r.awaitsAnswer, r.onTrial = true, g.job.isSuspect(task)
 	r.incarnation, r.lease = e.startedAt, e.nextLease(now, l.leaseDuration())
 	e.addRun(r)
 	l.trackRun(r)
--- a/internal/fleet/tally.go
+++ b/internal/fleet/tally.go
@@ -10,6 +10,8 @@
 	// persistent and bestEffort count the runs of such tasks, stopping those that
 	// are being stopped.
 	persistent, bestEffort, stopping int
+	// trials counts the runs on trial.
+	trials int
 }
 
 // add adds a run n times; -1 removes it.
@@ -24,6 +26,9 @@
 	if r.state == runStopping {
 		t.stopping += n
 	}
+	if r.onTrial {
+		t.trials += n
+	}
 }
 
 // addRun adds a run to the endpoint's runs. Its job and size must not change after this.
--- a/internal/job/progress.go
+++ b/internal/job/progress.go
@@ -30,6 +30,9 @@
 	// FailedRuns lists the failed runs by task index. A counter would count a run
 	// twice, since an endpoint repeats the report of its end until it is acknowledged.
 	FailedRuns map[int][]int64 `json:"failed-runs,omitempty"`
+	// Crashes counts, by task index, the endpoints that crashed under a task that is
+	// suspected of it.
+	Crashes map[int]int `json:"crashes,omitempty"`
 }
 
 // isDone reports whether the task with the given index has completed.
@@ -92,6 +95,26 @@
 	return len(runs) + 1, true
 }
 
+// RecordCrash records that an endpoint crashed under a task, and returns how many have.
+func (p *Progress) RecordCrash(task Task) int {
+	step := p.step(StepKey{task.Occurrence, task.Step})
+	if step.Crashes == nil {
+		step.Crashes = map[int]int{}
+	}
+	step.Crashes[task.Index]++
+	return step.Crashes[task.Index]
+}
+
+// ForgetCrashes removes the record of a task's crashes, and reports whether there was one.
+func (p *Progress) ForgetCrashes(task Task) bool {
+	step := p.Steps[StepKey{task.Occurrence, task.Step}]
+	if step == nil || step.Crashes[task.Index] == 0 {
+		return false
+	}
+	delete(step.Crashes, task.Index)
+	return true
+}
+
 // FailureCount returns how many runs of a task have failed.
 func (p *Progress) FailureCount(task Task) int {
 	step := p.Steps[StepKey{task.Occurrence, task.Step}]
