--- a/internal/control/term.go
+++ b/internal/control/term.go
@@ -68,6 +68,8 @@
 	hostOrders          chan hostOrder
 	adviceRequests      chan fleet.AdviceRequest
 	lookups             chan job.ID
+	// crashes holds the leader's counts that the metrics show already.
+	crashes fleet.CrashCounts
 }
 
 func newTerm(ctx context.Context, c *Control, claim record.Claim, version uint64) *term {
@@ -231,6 +233,7 @@
 		t.leader.ConfirmLeadership(confirmedAt)
 		t.queueOrders(t.leader.Step(started, started))
 		t.recordMaxHostResources()
+		t.countCrashes()
 	})
 	metrics.GetOrCreateHistogram("leader_step_seconds").UpdateDuration(started)
 	return time.Since(started)
@@ -243,6 +246,16 @@
 	t.maxHostResources.Store(&largest)
 }
 
+// countCrashes adds what the leader has counted since the last call to the metrics; t.mu must
+// be held.
+func (t *term) countCrashes() {
+	counts := t.leader.CrashCounts()
+	metrics.GetOrCreateCounter("endpoint_crashes_total").Add(counts.Endpoints - t.crashes.Endpoints)
+	metrics.GetOrCreateCounter("tasks_suspected_total").Add(counts.Suspects - t.crashes.Suspects)
+	metrics.GetOrCreateCounter("tasks_given_up_total").Add(counts.GivenUp - t.crashes.GivenUp)
+	t.crashes = counts
+}
+
 // queueOrders queues the orders of a step; t.mu must be held.
 func (t *term) queueOrders(orders fleet.Orders) {
 	t.syncSessions()
