fleet: a task is given up for crashes on trial; doubts are stored and explained

What callers would see: a task that crashes its endpoint some hundred milliseconds after its start was cleared by its trial and started on, jobs were given up for single crashes by no task's doing after a takeover, and a leader that took over forgot the doubts of the former one.

Cause: a task that had passed its trial lost its record, a trial took no longer than it takes a run to be above suspicion, and any run that had worked for 200 ms was left out as soon as a younger one was there. The limit after a takeover counted crashes in which the task was one of many suspects.

Change: a job fails once two endpoints have crashed under a task while it was alone there, or one after four crashes in all. Passing a trial lets the task run beside others again, but its record stays until a run has worked for three seconds or is done. Runs that have worked for longer than the suspects are in doubt; doubts are stored, and dropped once another task that was on the endpoint crashes one alone. A trial takes 0.5 s.

The test has one pool now.

Not covered: a task that crashes its endpoint after more than three seconds of work.

--- a/internal/fleet/completion.go
+++ b/internal/fleet/completion.go
@@ -95,7 +95,7 @@
 		task.Index = index
 		changed = j.progress.MarkDone(task) || changed
 		if j.crashRecords[task] != nil {
-			l.clearSuspect(j, task, "it is done", now)
+			l.forgetCrashes(j, task, "it is done", now)
 		}
 		j.dropPending(task)
 		for _, duplicate := range slices.Clone(j.active[task]) {
--- a/internal/fleet/crash.go
+++ b/internal/fleet/crash.go
@@ -9,16 +9,18 @@
 )
 
 const (
-	// maxCrashes is the number of endpoints that crash under a task before its job fails.
-	// After a takeover it is maxInheritedCrashes: the former leader may not have recorded
-	// the last one.
-	maxCrashes          = 3
-	maxInheritedCrashes = 2
-	// provenAfter is how long a run must work to show that its task does not crash its
-	// endpoint. If one has crashed after a longer time, it must work for longer than that.
-	provenAfter = 200 * time.Millisecond
-	// maxCrashAge is for how long a run must work at most.
-	maxCrashAge = 10 * time.Second
+	// maxTrialCrashes is the number of endpoints that crash under a task on trial before its
+	// job fails. Once maxCrashes in all have crashed under it, one on trial suffices. A
+	// former leader may not have recorded its last one.
+	maxTrialCrashes = 2
+	maxCrashes      = 4
+	// provenAfter is how long a run must work to show that its task hardly crashes its
+	// endpoint. A run on trial must work for trialDuration; if one of its task had worked for
+	// longer before a crash, for longer than that.
+	provenAfter   = 200 * time.Millisecond
+	trialDuration = 500 * time.Millisecond
+	// maxCrashAge is after which time at work a run does not crash its endpoint any more.
+	maxCrashAge = 3 * time.Second
 	// doubtsToSuspect is the number of losses, each with another likely cause, after which
 	// a task is suspected nevertheless.
 	doubtsToSuspect = 2
@@ -56,18 +58,22 @@
 const (
 	// notInvolved runs have not crashed the endpoint, or it has not crashed.
 	notInvolved verdict = iota
-	// doubtful runs may have crashed it, but another cause is more likely.
+	// unclear runs may not have been carried out, or their endpoint may not have crashed.
+	unclear
+	// doubtful runs may have crashed it, but others are more likely to.
 	doubtful
 	// suspected runs are among the few that can have crashed it.
 	suspected
 )
 
-// crash is the end of an endpoint for which several tasks are suspected.
+// crash is the end of an endpoint, and the tasks that may be its cause.
 type crash struct {
 	suspects []suspect
+	// isExplained is true once one of the tasks has crashed another endpoint, alone on it.
+	isExplained bool
 }
 
-// suspect is a task, or a gang, that is suspected for a crash.
+// suspect is a task, or a gang, that is suspected of a crash.
 type suspect struct {
 	job  *jobState
 	unit job.Task
@@ -75,15 +81,18 @@
 
 // crashRecord is what is known of a task, or of a gang, under which endpoints have ended.
 type crashRecord struct {
-	// crashes counts the endpoints that crashed under it while it was suspected; they are
-	// in the job's progress. batch is the batch that stores them.
-	crashes int
+	// counted are the crashes for which it was suspected. The job's progress has them and the
+	// doubts, and batch is the batch that stores it.
+	counted job.Crashes
 	batch   uint64
-	// doubts counts the other ends.
-	doubts int
-	// cause is the crash for which it was first suspected, and order its place among the
-	// suspects: the run that was started last comes first.
-	cause *crash
+	// isInherited is true if a former leader suspected the task.
+	isInherited bool
+	// causes are the crashes that are counted, and doubts the other ends.
+	causes, doubts []*crash
+	// isCleared is true once a run on trial has worked for long enough.
+	isCleared bool
+	// order is its place among the suspects of the last crash: the run that was started last
+	// comes first.
 	order int
 	// reached is for how long its runs are known to have worked before such ends.
 	reached time.Duration
@@ -95,7 +104,18 @@
 
 // isSuspect reports whether the task may only start on trial.
 func (c *crashRecord) isSuspect() bool {
-	return c != nil && (c.crashes > 0 || c.doubts >= doubtsToSuspect)
+	return c != nil && (c.counted.Total > 0 && !c.isCleared || c.openDoubts() >= doubtsToSuspect)
+}
+
+// openDoubts counts the doubts that no other task explains.
+func (c *crashRecord) openDoubts() int {
+	count := 0
+	for _, doubt := range c.doubts {
+		if !doubt.isExplained {
+			count++
+		}
+	}
+	return count
 }
 
 // requiredWork returns for how long a run of the task must work to clear it.
@@ -103,7 +123,7 @@
 	if c == nil {
 		return provenAfter
 	}
-	return min(c.reached, maxCrashAge) + provenAfter
+	return max(trialDuration, min(c.reached, maxCrashAge)+provenAfter)
 }
 
 // crashUnit returns the task on which crashes under a task are counted: the members of a gang
@@ -126,9 +146,13 @@
 // loadCrashRecords takes over what a former leader has recorded.
 func (j *jobState) loadCrashRecords(now time.Time) {
 	for key, step := range j.progress.Steps {
-		for index, crashes := range step.Crashes {
+		for index, counted := range step.Crashes {
 			unit := job.Task{Job: j.submission.ID, Occurrence: key.Occurrence, Step: key.Step, Index: index}
-			j.addCrashRecord(unit, now).crashes = crashes
+			record := j.addCrashRecord(unit, now)
+			record.counted, record.isInherited = counted, counted.Total > 0
+			for range counted.Doubts {
+				record.doubts = append(record.doubts, &crash{})
+			}
 		}
 	}
 }
@@ -149,7 +173,7 @@
 func (r *run) workedFor() time.Duration {
 	worked := time.Duration(0)
 	if r.isFormerLeaders {
-		worked = provenAfter
+		worked = trialDuration
 	}
 	if r.answeredAt.IsZero() || !r.seenAt.After(r.answeredAt) {
 		return worked
@@ -190,32 +214,32 @@
 			unproven = append(unproven, r)
 		}
 	}
-	cause := &crash{}
+	suspects := unproven
 	switch {
 	case len(trials) > 0:
-		cause.accuse(trials, len(trials))
+		suspects, runs = trials, nil
 	case len(unproven) > 0 && end.hasCommonCause():
-		cause.accuse(unproven, 1)
-	case len(unproven) > 0:
-		cause.accuse(unproven, len(unproven))
-	default:
-		cause.accuse(runs, 0)
+		suspects = unproven[:1]
+	}
+	cause := &crash{}
+	for _, r := range runs {
+		cause.accuse(r, doubtful, 0)
+	}
+	for i, r := range suspects {
+		cause.accuse(r, suspected, i)
 	}
 }
 
-// accuse gives runs their verdict, in the order in which they are suspected: the first ones
-// are suspects, the others in doubt. Only a run that has been confirmed can be known to have
+// accuse gives a run its verdict. Only a run that has been confirmed can be known to have
 // crashed its endpoint.
-func (c *crash) accuse(runs []*run, suspects int) {
-	for i, r := range runs {
-		switch {
-		case r.workedFor() > maxCrashAge:
-		case i >= suspects || !r.wasConfirmed():
-			r.verdict = doubtful
-		default:
-			r.verdict, r.crash, r.crashOrder = suspected, c, i
-		}
+func (c *crash) accuse(r *run, given verdict, order int) {
+	if r.workedFor() > maxCrashAge {
+		return
+	}
+	if !r.wasConfirmed() {
+		given = unclear
 	}
+	r.verdict, r.crash, r.crashOrder = given, c, order
 }
 
 // wasConfirmed reports whether the endpoint has confirmed that it runs the run.
@@ -225,8 +249,8 @@
 
 // countCrash applies the verdict on a run that is lost.
 func (l *Leader) countCrash(r *run, now time.Time) {
-	j, given := r.job, r.verdict
-	r.verdict = notInvolved
+	j, given, cause := r.job, r.verdict, r.crash
+	r.verdict, r.crash = notInvolved, nil
 	if given == notInvolved || j == nil || j.over() || j.progress.IsDone(r.key.task) {
 		return
 	}
@@ -235,82 +259,125 @@
 	if record.lastRun == r.key.run {
 		return
 	}
+	if cause == nil {
+		cause = &crash{}
+	}
 	record.lastRun, record.since = r.key.run, now
 	record.reached = max(record.reached, min(maxCrashAge, r.workedFor()))
-	if given == doubtful {
-		record.doubts++
+	cause.suspects = append(cause.suspects, suspect{job: j, unit: unit})
+	if given == unclear || given == doubtful && record.counted.Total == 0 {
+		record.doubts = append(record.doubts, cause)
+		l.storeCrashes(j, unit, record)
 		l.logSuspect("loss of a run in doubt", r, record)
 		return
 	}
-	wasSuspect := record.isSuspect()
-	record.crashes = j.progress.RecordCrash(unit)
-	record.batch = l.markDirty(j)
-	record.order = r.crashOrder
-	if !wasSuspect {
+	if !record.isSuspect() {
 		l.crashes.Suspects++
 	}
+	record.counted.Total++
+	if r.onTrial {
+		record.counted.Alone++
+	}
+	l.storeCrashes(j, unit, record)
+	record.order, record.isCleared = r.crashOrder, false
 	l.logSuspect("task suspected", r, record)
-	if record.cause == nil {
-		record.cause = r.crash
-		r.crash.suspects = append(r.crash.suspects, suspect{job: j, unit: unit})
-	} else if r.onTrial {
-		l.clearOthers(record.cause, unit, now)
+	isCulprit := record.isCulprit()
+	if r.onTrial {
+		l.explainCrashes(record, unit, now)
 	}
-	if record.crashes >= l.maxCrashesOf(j) {
+	record.causes = append(record.causes, cause)
+	if isCulprit {
 		l.giveUp(j, r.key.task, record, now)
 	}
 }
 
-// maxCrashesOf returns under how many crashes a task of the job is given up.
-func (l *Leader) maxCrashesOf(j *jobState) int {
-	if j.inherited {
-		return maxInheritedCrashes
+// isCulprit reports whether the task is taken for the cause of the crashes under it.
+func (c *crashRecord) isCulprit() bool {
+	crashes := c.counted.Total + c.openDoubts()
+	if c.isInherited {
+		crashes++
+	}
+	return c.counted.Alone >= maxTrialCrashes || c.counted.Alone > 0 && crashes >= maxCrashes
+}
+
+// storeCrashes updates the record in the job's progress.
+func (l *Leader) storeCrashes(j *jobState, unit job.Task, record *crashRecord) {
+	record.counted.Doubts = record.openDoubts()
+	if j.progress.RecordCrashes(unit, record.counted) && !j.over() {
+		record.batch = l.markDirty(j)
+	}
+}
+
+// explainCrashes takes a task for the cause of all earlier crashes under it, since it has
+// crashed an endpoint alone, and clears the tasks that were suspected only of these.
+func (l *Leader) explainCrashes(record *crashRecord, culprit job.Task, now time.Time) {
+	for _, cause := range slices.Concat(record.causes, record.doubts) {
+		cause.isExplained = true
+		for _, other := range cause.suspects {
+			otherRecord := other.job.crashRecords[other.unit]
+			if other.unit == culprit || otherRecord == nil {
+				continue
+			}
+			if otherRecord.isExplained() {
+				l.forgetCrashes(other.job, other.unit, "another task crashes endpoints", now)
+			} else {
+				l.storeCrashes(other.job, other.unit, otherRecord)
+			}
+		}
 	}
-	return maxCrashes
 }
 
-// clearOthers clears the tasks that were suspected for a crash together with one that has
-// crashed another endpoint since, alone.
-func (l *Leader) clearOthers(cause *crash, culprit job.Task, now time.Time) {
-	for _, other := range cause.suspects {
-		record := other.job.crashRecords[other.unit]
-		if other.unit != culprit && record != nil && record.cause == cause && record.crashes == 1 {
-			l.clearSuspect(other.job, other.unit, "another task crashes endpoints", now)
+// isExplained reports whether other tasks explain all crashes that are counted.
+func (c *crashRecord) isExplained() bool {
+	for _, cause := range c.causes {
+		if !cause.isExplained {
+			return false
 		}
 	}
-	cause.suspects = nil
+	return c.counted.Alone == 0 && len(c.causes) == c.counted.Total && c.openDoubts() == 0
 }
 
-// clearSuspect forgets what is known of a task.
-func (l *Leader) clearSuspect(j *jobState, unit job.Task, why string, now time.Time) {
+// forgetCrashes forgets what is known of a task.
+func (l *Leader) forgetCrashes(j *jobState, unit job.Task, why string, now time.Time) {
 	record := j.crashRecords[unit]
 	delete(j.crashRecords, unit)
-	if record.isSuspect() {
-		l.log("task cleared", "job", unit.Job, "occurrence", unit.Occurrence, "step", unit.Step, "index", unit.Index, "why", why,
-			"crashes", record.crashes, "doubts", record.doubts, "suspected-ago", age(record.since, now))
-	}
-	if j.progress.ForgetCrashes(unit) && !j.over() {
-		l.markDirty(j)
-	}
+	l.logCleared(record, unit, why, now)
+	l.storeCrashes(j, unit, &crashRecord{})
 }
 
-// clearIfProven ends the trial of a run that has worked for long enough, and clears its task.
-func (l *Leader) clearIfProven(r *run, now time.Time) {
-	if r.job == nil || r.job.crashRecordOf(r.key.task) == nil || !r.isProven() {
+// updateTrial ends the trial of a run that has worked for long enough. Its task is cleared, and
+// its record forgotten once no run of its age crashes an endpoint.
+func (l *Leader) updateTrial(r *run, now time.Time) {
+	if r.job == nil {
+		return
+	}
+	record := r.job.crashRecordOf(r.key.task)
+	if record == nil || !r.isProven() {
 		return
 	}
 	unit := r.job.crashUnit(r.key.task)
-	l.clearSuspect(r.job, unit, "its run works", now)
-	for index := range r.job.submission.Steps[unit.Step].Count {
-		if r.key.task.Index != index && r.job.crashUnit(r.job.taskAt(job.StepKey{Occurrence: unit.Occurrence, Step: unit.Step}, index)) != unit {
-			continue
-		}
-		for _, member := range r.job.active[r.job.taskAt(job.StepKey{Occurrence: unit.Occurrence, Step: unit.Step}, index)] {
+	if r.workedFor() > maxCrashAge {
+		l.forgetCrashes(r.job, unit, "its run has worked for long", now)
+	} else if !record.isCleared {
+		l.logCleared(record, unit, "its run works", now)
+		record.isCleared, record.doubts = true, nil
+	}
+	for _, member := range r.endpoint.runs {
+		if member.job == r.job && r.job.crashUnit(member.key.task) == unit {
 			member.endTrial()
 		}
 	}
 }
 
+// logCleared logs that a suspected task may start beside other work again.
+func (l *Leader) logCleared(record *crashRecord, unit job.Task, why string, now time.Time) {
+	if !record.isSuspect() {
+		return
+	}
+	l.log("task cleared", "job", unit.Job, "occurrence", unit.Occurrence, "step", unit.Step, "index", unit.Index, "why", why,
+		"crashes", record.counted.Total, "on-trial", record.counted.Alone, "doubts", len(record.doubts), "suspected-ago", age(record.since, now))
+}
+
 // endTrial lets the run's endpoint take other work again.
 func (r *run) endTrial() {
 	if !r.onTrial {
@@ -327,7 +394,8 @@
 	l.crashes.GivenUp++
 	j.progress.State = job.Failed
 	l.log("job failed", "job", j.submission.ID, "occurrence", task.Occurrence, "step", task.Step, "index", task.Index,
-		"cause", "endpoints crash under a task", "crashes", record.crashes, "most", l.maxCrashesOf(j), "inherited", j.inherited)
+		"cause", "endpoints crash under a task", "crashes", record.counted.Total, "on-trial", record.counted.Alone,
+		"doubts", len(record.doubts), "inherited", record.isInherited)
 	l.endJob(j, "job has failed", now)
 }
 
@@ -358,6 +426,6 @@
 func (l *Leader) logSuspect(event string, r *run, record *crashRecord) {
 	task := r.key.task
 	l.log(event, "job", task.Job, "occurrence", task.Occurrence, "step", task.Step, "index", task.Index, "run", r.key.run, "endpoint", r.endpoint.row.ID,
-		"on-trial", r.onTrial, "worked", r.workedFor().Round(time.Millisecond).String(), "crashes", record.crashes, "doubts", record.doubts,
-		"most", l.maxCrashesOf(r.job))
+		"on-trial", r.onTrial, "worked", r.workedFor().Round(time.Millisecond).String(), "crashes", record.counted.Total, "crashes-on-trial", record.counted.Alone,
+		"doubts", len(record.doubts), "inherited", record.isInherited)
 }
--- a/internal/fleet/crash_test.go
+++ b/internal/fleet/crash_test.go
@@ -1,6 +1,7 @@
 package fleet_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -184,3 +185,58 @@
 		})
 	}
 }
+
+// Guards against combinations: tasks that crash their endpoints, beside crashes by no task's
+// doing, lost answers, a store and a host list that are away, and leaders that change.
+func TestCrashesAtRandom(t *testing.T) {
+	isDeadly := func(id job.ID) bool { return id[len(id)-1] == '7' }
+	for seed := range uint64(crashSeeds) {
+		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
+			w := newCrashWorld(t, crashWorldConfig{
+				endpoints: 10, racks: 3, seed: seed, lostAnswers: 0.03, keepsID: seed%2 == 1, staysUp: seed%3 == 1,
+				deadly: first(crashAtStart+time.Duration(seed%4)*50*time.Millisecond, isDeadly),
+			})
+			w.runFor(100 * time.Millisecond)
+			w.submit(submission(0x8000, persistentTasks(4, 1)))
+			w.submit(submission(0x8007, persistentTasks(4, 1)))
+			// strikes are the faults by the number of the job that they follow.
+			strikes := map[int][]func(){}
+			strike := func(times int, fault func()) {
+				for range times {
+					n := w.random.IntN(100)
+					strikes[n] = append(strikes[n], fault)
+				}
+			}
+			var storeBack, listBack time.Time
+			strike(5, func() {
+				if h := w.hosts[w.random.IntN(len(w.hosts))]; h.runner != nil {
+					w.crash(h)
+				}
+			})
+			strike(1, func() { w.isStoreOut, storeBack = true, w.now.Add(4*time.Second) })
+			strike(1, func() { w.isListOut, listBack = true, w.now.Add(4*time.Second) })
+			strike(2, func() {
+				// A leader is replaced by a write to the store.
+				if !w.isStoreOut {
+					w.replaceLeader()
+				}
+			})
+			for n := range 100 {
+				w.submit(submission(n+1, tasks(1+w.random.IntN(6))))
+				for _, fault := range strikes[n] {
+					fault()
+				}
+				w.runFor(200 * time.Millisecond)
+				w.isStoreOut = w.isStoreOut && w.now.Before(storeBack)
+				w.isListOut = w.isListOut && w.now.Before(listBack)
+			}
+			w.isStoreOut, w.isListOut = false, false
+			w.runFor(70 * time.Second)
+			w.wantBudget()
+			w.wantStates(isDeadly)
+		})
+	}
+}
+
+// crashSeeds is the number of seeds that TestCrashesAtRandom plays.
+const crashSeeds = 24
--- a/internal/fleet/crashworld_test.go
+++ b/internal/fleet/crashworld_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math/rand/v2"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -46,6 +47,32 @@
 	listedAt   time.Time
 	isStoreOut bool
 	isListOut  bool
+	journal    worldJournal
+}
+
+// worldJournal keeps the leader's lines about each task.
+type worldJournal struct {
+	now   func() time.Time
+	lines map[job.Task][]string
+}
+
+// Info implements fleet.Journal.
+func (j worldJournal) Info(event string, fields ...any) {
+	var task job.Task
+	for i := 0; i+1 < len(fields); i += 2 {
+		switch fields[i] {
+		case "job":
+			task.Job, _ = fields[i+1].(job.ID)
+		case "step":
+			task.Step, _ = fields[i+1].(int)
+		case "index":
+			task.Index, _ = fields[i+1].(int)
+		}
+	}
+	if event == "endpoint crashed" {
+		task = job.Task{}
+	}
+	j.lines[task] = append(j.lines[task], fmt.Sprint(j.now().Format("05.000"), " ", event, " ", fields))
 }
 
 type crashWorldConfig struct {
@@ -60,7 +87,11 @@
 	keepsID bool
 	// staysUp is true if the host list shows hosts as up while their endpoint is away.
 	staysUp bool
-	policy  policy.Config
+	// lostAnswers is the share of starts that are carried out and not answered, and seed
+	// that of the randomness.
+	lostAnswers float64
+	seed        uint64
+	policy      policy.Config
 }
 
 type worldHost struct {
@@ -93,7 +124,7 @@
 	t.Helper()
 	start := time.Date(2026, 12, 1, 6, 0, 0, 0, time.UTC)
 	w := &crashWorld{
-		t: t, config: config, now: start, started: start, random: rand.New(rand.NewPCG(1, 2)),
+		t: t, config: config, now: start, started: start, random: rand.New(rand.NewPCG(1, config.seed)),
 		jobs: map[job.ID]*fleet.StoredJob{}, starts: map[job.Task]int{}, crashes: map[job.Task]int{}, startsAfter: map[job.Task]int{},
 		lost: map[job.ID]int{}, doneAt: map[job.ID]time.Time{},
 	}
@@ -107,6 +138,7 @@
 		w.config.policy = defaultPolicy()
 		w.config.policy.Pools = w.config.policy.Pools[:1]
 	}
+	w.journal = worldJournal{now: func() time.Time { return w.now }, lines: map[job.Task][]string{}}
 	for n := range config.endpoints {
 		h := &worldHost{id: fleet.HostID(fmt.Sprintf("h-%02d", n)), rack: fmt.Sprintf("r1-%d", n%max(1, config.racks))}
 		w.boot(h)
@@ -130,7 +162,8 @@
 // replaceLeader lets a new leader take over with what the store holds.
 func (w *crashWorld) replaceLeader() {
 	w.token++
-	w.leader = fleet.New(fleet.Config{Token: w.token, Now: w.now, Bounds: fleet.Bounds{
+	w.journal.Info("leader replaced", "token", w.token)
+	w.leader = fleet.New(fleet.Config{Token: w.token, Now: w.now, Journal: w.journal, Bounds: fleet.Bounds{
 		MaxLease: 10 * time.Second, StatusRetention: 120 * time.Second, Move: 1500 * time.Millisecond,
 		Maintenance: 2 * time.Second, HostChangeExclusion: 3 * time.Second, Stop: 200 * time.Millisecond,
 	}})
@@ -325,6 +358,10 @@
 	}
 	e.lease = max(e.lease, start.Lease)
 	e.running = append(e.running, worldRun{task: start.Task, run: start.Run, startedAt: w.now})
+	if w.random.Float64() < w.config.lostAnswers {
+		w.leader.HandleStartReply(start, fleet.Reply{Outcome: fleet.OrderUnknown}, w.now)
+		return
+	}
 	w.leader.HandleStartReply(start, fleet.Reply{Outcome: fleet.OrderAccepted, Clock: w.now.Sub(e.startedAt)}, w.now)
 }
 
@@ -367,6 +404,7 @@
 	for task, got := range w.startsAfter {
 		if _, isDeadly := w.config.deadly(task); isDeadly && got >= 3 {
 			w.t.Errorf("starts of %v after three endpoints had crashed under it: got %d of %d, want at most 2", task, got, w.starts[task])
+			w.t.Log(strings.Join(w.journal.lines[task], "\n"))
 		}
 	}
 }
@@ -385,6 +423,11 @@
 		}
 		if got, _ := w.leader.StateOf(id); got != want {
 			w.t.Errorf("state of job %s: got %s, want %s (its runs were lost %d times)", id, got, want, w.lost[id])
+			for task, lines := range w.journal.lines {
+				if task.Job == id {
+					w.t.Log(strings.Join(lines, "\n"))
+				}
+			}
 		}
 	}
 }
--- a/internal/fleet/leader_test.go
+++ b/internal/fleet/leader_test.go
@@ -346,7 +346,10 @@
 }
 
 func TestHostListShowsCrash(t *testing.T) {
-	s := newSimulation(t, simulationConfig{})
+	// A second pool might be given the only host that is left.
+	onePool := defaultPolicy()
+	onePool.Pools = onePool.Pools[:1]
+	s := newSimulation(t, simulationConfig{policy: onePool})
 	s.addEndpoint("a")
 	s.addEndpoint("b")
 	s.submit(submission(1, tasks(1)))
--- a/internal/fleet/renewal.go
+++ b/internal/fleet/renewal.go
@@ -116,7 +116,7 @@
 		if !l.mayStartLate(r, now) {
 			if !e.gone && !l.endsByPlan(e) && r.workedFor() <= maxCrashAge {
 				// It has crashed, or is out of reach.
-				r.verdict = max(r.verdict, doubtful)
+				r.verdict = max(r.verdict, unclear)
 			}
 			l.runLost(r, "endpoint's lease has expired", now)
 		}
@@ -247,7 +247,7 @@
 	if r.fullSpeedAt.IsZero() && running.SpeedPercent >= 100 && !now.Before(r.inheritedStopsEnd) {
 		r.fullSpeedAt = now
 	}
-	l.clearIfProven(r, now)
+	l.updateTrial(r, now)
 }
 
 // adopt takes over a run that an earlier leader started, or whose start was executed
@@ -279,7 +279,7 @@
 	r.inheritedStopsEnd = now.Add(l.config.Bounds.Stop)
 	r.reserved = step.Reserved()
 	r.onTrial = j.isSuspect(key.task)
-	r.isFormerLeaders = !r.onTrial && key.run <= int64(l.config.Token-1)*runsPerToken
+	r.isFormerLeaders = key.run <= int64(l.config.Token-1)*runsPerToken
 	e.addRun(r)
 	duplicate := len(j.active[key.task]) > 0
 	l.trackRun(r)
--- a/internal/fleet/trial.go
+++ b/internal/fleet/trial.go
@@ -80,7 +80,7 @@
 		}
 	}
 	slices.SortStableFunc(waiting, func(a, b trial) int {
-		return cmp.Or(cmp.Compare(b.record.crashes, a.record.crashes), cmp.Compare(a.record.order, b.record.order))
+		return cmp.Or(cmp.Compare(b.record.counted.Total, a.record.counted.Total), cmp.Compare(a.record.order, b.record.order))
 	})
 	return waiting
 }
--- a/internal/job/progress.go
+++ b/internal/job/progress.go
@@ -32,7 +32,16 @@
 	FailedRuns map[int][]int64 `json:"failed-runs,omitempty"`
 	// Crashes counts, by task index, the endpoints that crashed under a task that is
 	// suspected of it.
-	Crashes map[int]int `json:"crashes,omitempty"`
+	Crashes map[int]Crashes `json:"crashes,omitempty"`
+}
+
+// Crashes counts endpoints that crashed under a task.
+type Crashes struct {
+	Total int `json:"total"`
+	// Alone counts those on which the task ran alone, since it was suspected.
+	Alone int `json:"alone,omitempty"`
+	// Doubts counts other losses with an endpoint, which have more likely causes.
+	Doubts int `json:"doubts,omitempty"`
 }
 
 // isDone reports whether the task with the given index has completed.
@@ -95,23 +104,21 @@
 	return len(runs) + 1, true
 }
 
-// RecordCrash records that an endpoint crashed under a task, and returns how many have.
-func (p *Progress) RecordCrash(task Task) int {
+// RecordCrashes records the endpoints that crashed under a task, and reports whether that
+// changes the record.
+func (p *Progress) RecordCrashes(task Task, crashes Crashes) bool {
 	step := p.step(StepKey{task.Occurrence, task.Step})
-	if step.Crashes == nil {
-		step.Crashes = map[int]int{}
-	}
-	step.Crashes[task.Index]++
-	return step.Crashes[task.Index]
-}
-
-// ForgetCrashes removes the record of a task's crashes, and reports whether there was one.
-func (p *Progress) ForgetCrashes(task Task) bool {
-	step := p.Steps[StepKey{task.Occurrence, task.Step}]
-	if step == nil || step.Crashes[task.Index] == 0 {
+	if step.Crashes[task.Index] == crashes {
 		return false
 	}
-	delete(step.Crashes, task.Index)
+	if crashes == (Crashes{}) {
+		delete(step.Crashes, task.Index)
+		return true
+	}
+	if step.Crashes == nil {
+		step.Crashes = map[int]Crashes{}
+	}
+	step.Crashes[task.Index] = crashes
 	return true
 }
 
