fleet: starts stay within a capacity that has shrunk

What callers would see: in pools whose endpoints take whatever they are told to, an endpoint whose capacity has shrunk was brought over it, and its work slowed down or failed.

Cause: a capacity was taken as given once the step had read it. Starts that waited for a sender were sent after the endpoint's row had shown that they do not fit, and a leader that does not reach the list of endpoints went on with the capacities that it had read last, without an end.

Change: a start is checked against the newest row just before it is sent, and withdrawn if it does not fit any more. In pools that are not guarded nothing starts while the list is older than the platform lets a shrunk capacity go unnoticed (contact_ms), less the time of an order; tasks wait says so. The feed of the list waits for one second instead of two, so that its age stays below that in a fleet whose endpoints are silent. Ruled out: the host list's capacity, of which nothing says that it follows.

--- a/internal/control/feeds.go
+++ b/internal/control/feeds.go
@@ -18,6 +18,9 @@
 	endpointFeedInterval = 400 * time.Millisecond
 	// busyEndpointFeedInterval replaces it while hosts are being changed.
 	busyEndpointFeedInterval = 60 * time.Millisecond
+	// endpointFeedTimeout is the long-poll timeout of the endpoint feed. It bounds the age of
+	// the endpoints' capacities while none of them writes.
+	endpointFeedTimeout = time.Second
 	// rowFeedInterval is the pause between two calls of the job and cancel feeds;
 	// the ingress usually notifies the leader directly.
 	rowFeedInterval = 700 * time.Millisecond
@@ -62,6 +65,7 @@
 
 // listEndpoints reads the whole list and returns its version.
 func (t *term) listEndpoints(ctx context.Context) (uint64, error) {
+	sentAt := time.Now()
 	endpoints, version, err := t.config.EndpointList.All(ctx)
 	if err != nil {
 		return 0, err
@@ -78,6 +82,7 @@
 				t.leader.RemoveEndpoint(id, now)
 			}
 		}
+		t.leader.ConfirmEndpoints(sentAt)
 	})
 	t.requestStep()
 	return version, nil
@@ -85,7 +90,8 @@
 
 // followEndpoints reads the changes since a version and returns the next version.
 func (t *term) followEndpoints(ctx context.Context, after uint64) (uint64, error) {
-	listed, gone, next, err := t.config.EndpointList.Changes(ctx, after, feedTimeout)
+	sentAt := time.Now()
+	listed, gone, next, err := t.config.EndpointList.Changes(ctx, after, endpointFeedTimeout)
 	if err != nil {
 		return after, err
 	}
@@ -97,6 +103,7 @@
 		for _, id := range gone {
 			t.leader.RemoveEndpoint(id, now)
 		}
+		t.leader.ConfirmEndpoints(sentAt)
 	})
 	t.requestStep()
 	return next, nil
--- /dev/null
+++ b/internal/fleet/capacity.go
@@ -0,0 +1,46 @@
+package fleet
+
+import (
+	"time"
+
+	"github.com/lovagedyke/lovagedyke/internal/policy"
+)
+
+// defaultCapacityNotice is CapacityNotice if the platform does not say it.
+const defaultCapacityNotice = 3 * time.Second
+
+// ConfirmEndpoints records that the endpoints' rows were current at the given time.
+func (l *Leader) ConfirmEndpoints(at time.Time) {
+	if at.After(l.endpointsAsOf) {
+		l.endpointsAsOf = at
+	}
+}
+
+// knowsCapacity reports whether starts in a pool stay within what its endpoints can take now. An
+// endpoint that takes whatever it is told to may have shrunk since its row was read.
+func (l *Leader) knowsCapacity(pool string, now time.Time) bool {
+	if known, ok := l.policy.Pools[pool]; ok && known.Guarded {
+		return true
+	}
+	notice := l.config.Bounds.CapacityNotice
+	if notice <= 0 {
+		notice = defaultCapacityNotice
+	}
+	return now.Sub(l.endpointsAsOf) <= notice-orderDuration
+}
+
+// hasRoomFor reports whether the endpoint's runs, of which r is one, leave room for r. The
+// capacity may have shrunk since r was ordered.
+func (e *endpoint) hasRoomFor(r *run) bool {
+	available := e.available().Plus(r.reserved)
+	return r.reserved.FitsIn(available)
+}
+
+// setCapacity notes the capacity in the endpoint's newest row.
+func (l *Leader) setCapacity(e *endpoint, capacity policy.Resources) {
+	if capacity == e.row.Capacity {
+		return
+	}
+	l.log("endpoint changed its capacity", "endpoint", e.row.ID, "pool", e.row.Pool, "cpu", capacity.CPU, "memory", capacity.Memory, "gpu", capacity.GPU,
+		"former-cpu", e.row.Capacity.CPU, "former-memory", e.row.Capacity.Memory, "reserved-cpu", e.tally.reserved.CPU, "runs", len(e.runs))
+}
--- a/internal/fleet/endpointstate.go
+++ b/internal/fleet/endpointstate.go
@@ -195,6 +195,7 @@
 	if row.Draining != known.row.Draining {
 		l.log("endpoint changed its draining state", "endpoint", row.ID, "pool", row.Pool, "draining", row.Draining, "runs", len(known.runs))
 	}
+	l.setCapacity(known, row.Capacity)
 	known.row = row
 	if !known.listed {
 		known.listed = true
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -64,6 +64,9 @@
 	Move, Maintenance time.Duration
 	// HostChangeExclusion is the time within which two leaders must not change the same host.
 	HostChangeExclusion time.Duration
+	// CapacityNotice is for how long after an endpoint has announced a smaller capacity starts
+	// may still exceed it, or 0 if the platform does not say.
+	CapacityNotice time.Duration
 	// HostChangesPerSecond is how many changes of hosts the platform accepts, or 0 if
 	// that is not known.
 	HostChangesPerSecond float64
@@ -92,6 +95,8 @@
 	// confirmedAt is when the store, or a majority of the other processes, last
 	// confirmed that no other process leads.
 	confirmedAt time.Time
+	// endpointsAsOf is when the endpoints' rows were last known to be current.
+	endpointsAsOf time.Time
 	// overdueCheckedAt is when overdue runs were last searched for.
 	overdueCheckedAt time.Time
 	// live holds the jobs that have not ended; jobs also keeps those that have, to report
--- a/internal/fleet/reply.go
+++ b/internal/fleet/reply.go
@@ -19,12 +19,13 @@
 		return false
 	}
 	isSameIncarnation := e.isKnown() && !e.gone && !e.unresponsive && start.incarnation.Equal(e.startedAt)
-	if r.state == runStarting && isSameIncarnation && l.confirmed(now) {
+	hasRoom := l.knowsCapacity(e.row.Pool, now) && e.hasRoomFor(r)
+	if r.state == runStarting && isSameIncarnation && hasRoom && l.confirmed(now) {
 		return true
 	}
 	l.log("start withdrawn", "job", start.Task.Job, "step", start.Task.Step, "index", start.Task.Index, "run", start.Run,
 		"endpoint", start.Endpoint, "state", r.state.String(), "ordered-ago", age(r.orderedAt, now),
-		"same-incarnation", isSameIncarnation, "confirmed-ago", age(l.confirmedAt, now))
+		"same-incarnation", isSameIncarnation, "has-room", hasRoom, "list-age", age(l.endpointsAsOf, now), "confirmed-ago", age(l.confirmedAt, now))
 	l.untrackRun(r)
 	l.requeue(r.job, start.Task, now)
 	return false
--- a/internal/fleet/step.go
+++ b/internal/fleet/step.go
@@ -113,6 +113,8 @@
 	switch {
 	case !l.underCap(g.job.submission.Account, g.step.step.Resources, 1):
 		cause = "the client account is at its cap"
+	case !l.knowsCapacity(l.poolOf(g.job), now):
+		cause = "the list of endpoints is outdated"
 	case len(candidates) == 0:
 		cause = "no endpoint of the pool accepts work"
 	case g.step.tickets == nil && g.step.adviceRequested:
@@ -137,6 +139,9 @@
 
 // candidates returns the endpoints of a pool that accept work, sorted by ID.
 func (l *Leader) candidates(pool string, now time.Time) []*candidateEndpoint {
+	if !l.knowsCapacity(pool, now) {
+		return nil
+	}
 	var candidates []*candidateEndpoint
 	for _, e := range l.endpoints {
 		if e.row.Pool != pool || !e.acceptsWork(now) {
