fleet: an endpoint that rejects starts for lack of room is asked less often

What callers would see: tasks that wait although others have room, and the platform's price for each rejected start. An endpoint that guards its capacity and has shrunk rejected 20 starts a second until its row said so, or for ever if its own idea of its room differs from the row.

Cause: the pause after such a rejection was 50 ms each time.

Change: the pause doubles up to 1.6 s, and ends with the next start that is taken, or a row with another capacity.

Measured: TestRoomRefusedAgain failed before: 100 rejections in 5 s, want 3 to 10.

--- a/internal/fleet/capacity.go
+++ b/internal/fleet/capacity.go
@@ -6,8 +6,13 @@
 	"github.com/lovagedyke/lovagedyke/internal/policy"
 )
 
-// defaultCapacityNotice is CapacityNotice if the platform does not say it.
-const defaultCapacityNotice = 3 * time.Second
+const (
+	// defaultCapacityNotice is CapacityNotice if the platform does not say it.
+	defaultCapacityNotice = 3 * time.Second
+	// maxRoomPause is the longest time that an endpoint gets no work after it rejected starts
+	// for lack of capacity, again and again.
+	maxRoomPause = 1600 * time.Millisecond
+)
 
 // ConfirmEndpoints records that the endpoints' rows were current at the given time.
 func (l *Leader) ConfirmEndpoints(at time.Time) {
@@ -36,6 +41,13 @@
 	return r.reserved.FitsIn(available)
 }
 
+// roomRefused pauses the endpoint after it rejected a start for lack of capacity. Its row does
+// not say yet that it has shrunk.
+func (e *endpoint) roomRefused(now time.Time) {
+	e.roomPause = min(maxRoomPause, max(startRetryDelay, 2*e.roomPause))
+	e.fullUntil = now.Add(e.roomPause)
+}
+
 // setCapacity notes the capacity in the endpoint's newest row.
 func (l *Leader) setCapacity(e *endpoint, capacity policy.Resources) {
 	if capacity == e.row.Capacity {
@@ -43,4 +55,5 @@
 	}
 	l.log("endpoint changed its capacity", "endpoint", e.row.ID, "pool", e.row.Pool, "cpu", capacity.CPU, "memory", capacity.Memory, "gpu", capacity.GPU,
 		"former-cpu", e.row.Capacity.CPU, "former-memory", e.row.Capacity.Memory, "reserved-cpu", e.tally.reserved.CPU, "runs", len(e.runs))
+	e.roomPause, e.fullUntil = 0, time.Time{}
 }
--- a/internal/fleet/capacity_test.go
+++ b/internal/fleet/capacity_test.go
@@ -126,3 +126,26 @@
 		})
 	}
 }
+
+// Guards against an endpoint that has shrunk and is asked twenty times a second whether it
+// takes another task: it rejects what does not fit, before its row says so.
+func TestRoomRefusedAgain(t *testing.T) {
+	s := newSimulation(t, simulationConfig{})
+	s.addEndpoint("a")
+	s.submit(submission(1, tasks(1)))
+	refused := 0
+	for range 500 {
+		for _, start := range s.step().Starts {
+			refused++
+			s.leader.HandleStartReply(start, fleet.Reply{Outcome: fleet.OrderNoCapacity}, s.now)
+		}
+		s.renewLease("a")
+		s.advance(10 * time.Millisecond)
+	}
+	if refused < 3 || refused > 10 {
+		t.Errorf("starts refused in 5s: got %d, want 3 to 10", refused)
+	}
+	s.resize("a", 8000)
+	s.advance(100 * time.Millisecond)
+	s.wantOrders("once the row says what there is", 1, 0)
+}
--- a/internal/fleet/endpointstate.go
+++ b/internal/fleet/endpointstate.go
@@ -81,8 +81,10 @@
 	// unresponsive is true after a failed lease renewal. The lease is not extended from
 	// the estimated clock then, or it would never expire.
 	unresponsive bool
-	// fullUntil is when the endpoint may get work again after a start exceeded its capacity.
+	// fullUntil is when the endpoint may get work again after a start exceeded its capacity,
+	// and roomPause how long it got none the last time.
 	fullUntil time.Time
+	roomPause time.Duration
 	// leaving is true while the host is drained for a move or maintenance.
 	leaving  bool
 	throttle throttleState
--- a/internal/fleet/reply.go
+++ b/internal/fleet/reply.go
@@ -91,6 +91,7 @@
 		r.state = runLive
 	}
 	r.answeredAt = now
+	r.endpoint.roomPause = 0
 }
 
 // startRejected removes a run that the endpoint did not start.
@@ -99,7 +100,7 @@
 	notBefore := now.Add(startRetryDelay)
 	switch reply.Outcome {
 	case OrderNoCapacity:
-		e.fullUntil = now.Add(startRetryDelay)
+		e.roomRefused(now)
 	case OrderLeaseExpired:
 		// The estimate of the endpoint's clock is wrong: renew the lease before the next start.
 		e.reached = false
