fleet: suspected tasks are tried on several hosts, the many of a crash together

Cause: crashes of one host counted like those of several; each suspect took an endpoint of its own; a culprit cleared all that had been suspected with it, together with their counts.

Change: a task on trial goes to hosts on which it has not crashed, and rather to those that have not crashed twice within ten seconds; other crashes count as its own only once four losses speak against it. The first suspect of a crash, and tasks that are suspected again, are tried alone, the others up to eight together. A culprit lets the others run on, and their counts stay. With that the many suspects of endpoints that crash together are tried quickly, so that these need no rule of their own: it hid culprits. Runs that have worked longer than the suspects are in doubt whatever is known of their task.

Measured: TestEndpointThatCrashesAgainAndAgain failed before in all plays; TestSeveralTasksOfAJobCrashEndpoints is new and passed as it stood. All tests of the package 24 times: none failed.

--- a/internal/fleet/crash.go
+++ b/internal/fleet/crash.go
@@ -9,11 +9,10 @@
 )
 
 const (
-	// maxTrialCrashes is the number of endpoints that crash under a task on trial before its
-	// job fails. Once maxCrashes in all have crashed under it, one on trial suffices. A
-	// former leader may not have recorded its last one.
+	// maxTrialCrashes is the number of endpoints that crash under a task, alone on them, before
+	// its job fails. One suffices once it has been lost with maxLosses in all.
 	maxTrialCrashes = 2
-	maxCrashes      = 4
+	maxLosses       = 4
 	// provenAfter is how long a run must work to show that its task hardly crashes its
 	// endpoint. A run on trial must work for trialDuration; if one of its task had worked for
 	// longer before a crash, for longer than that.
@@ -24,9 +23,10 @@
 	// doubtsToSuspect is the number of losses, each with another likely cause, after which
 	// a task is suspected nevertheless.
 	doubtsToSuspect = 2
-	// commonCauseCrashes is the number of endpoints whose crash at one time has a common
-	// cause, rather than one task each.
-	commonCauseCrashes = 4
+	// A host is unsteady if unsteadyCrashes of its endpoints have crashed within
+	// unsteadyPeriod.
+	unsteadyCrashes = 2
+	unsteadyPeriod  = 10 * time.Second
 	// maxLoggedRuns bounds the runs that a log line lists.
 	maxLoggedRuns = 16
 )
@@ -41,15 +41,8 @@
 	isRestart bool
 	// at is when the evidence was requested.
 	at time.Time
-	// together is how many endpoints the same evidence shows as ended without a plan, and
-	// isWholeRack true if these are all endpoints of a rack, and several.
-	together    int
-	isWholeRack bool
-}
-
-// hasCommonCause reports whether endpoints have ended together.
-func (d endpointEnd) hasCommonCause() bool {
-	return d.together >= commonCauseCrashes || d.isWholeRack
+	// together is how many endpoints the same evidence shows as ended without a plan.
+	together int
 }
 
 // verdict is what the end of an endpoint says about one of its runs.
@@ -89,6 +82,8 @@
 	isInherited bool
 	// causes are the crashes that are counted, and doubts the other ends.
 	causes, doubts []*crash
+	// hosts are those on which it crashed endpoints, as far as this leader knows.
+	hosts []HostID
 	// isCleared is true once a run on trial has worked for long enough.
 	isCleared bool
 	// order is its place among the suspects of the last crash: the run that was started last
@@ -107,6 +102,11 @@
 	return c != nil && (c.counted.Total > 0 && !c.isCleared || c.openDoubts() >= doubtsToSuspect)
 }
 
+// hasCrashed reports whether the task has crashed an endpoint on the same host.
+func (c *crashRecord) hasCrashed(e *endpoint) bool {
+	return slices.Contains(c.hosts, e.hostID())
+}
+
 // openDoubts counts the doubts that no other task explains.
 func (c *crashRecord) openDoubts() int {
 	count := 0
@@ -181,13 +181,18 @@
 	return worked + r.seenAt.Sub(r.answeredAt)
 }
 
+// crashRecord returns what is known of the run's task, or nil.
+func (r *run) crashRecord() *crashRecord {
+	if r.job == nil {
+		return nil
+	}
+	return r.job.crashRecordOf(r.key.task)
+}
+
 // isProven reports whether the run has worked for long enough to show that its task does
 // not crash its endpoint.
 func (r *run) isProven() bool {
-	if r.job == nil {
-		return true
-	}
-	return r.workedFor() >= r.job.crashRecordOf(r.key.task).requiredWork()
+	return r.job == nil || r.workedFor() >= r.crashRecord().requiredWork()
 }
 
 // judgeRuns notes what the end of an endpoint says about its runs. It counts once a run is
@@ -205,6 +210,7 @@
 	})
 	l.logCrash(end, runs, now)
 	l.crashes.Endpoints++
+	l.recordHostCrash(end.endpoint, now)
 	var trials, unproven []*run
 	for _, r := range runs {
 		if r.onTrial {
@@ -215,21 +221,56 @@
 		}
 	}
 	suspects := unproven
-	switch {
-	case len(trials) > 0:
+	if len(trials) > 0 {
 		suspects, runs = trials, nil
-	case len(unproven) > 0 && end.hasCommonCause():
-		suspects = unproven[:1]
 	}
 	cause := &crash{}
 	for _, r := range runs {
-		cause.accuse(r, doubtful, 0)
+		given := doubtful
+		if record := r.crashRecord(); len(suspects) == 0 && record != nil && record.counted.Total > 0 {
+			given = suspected
+		}
+		cause.accuse(r, given, 0)
 	}
 	for i, r := range suspects {
 		cause.accuse(r, suspected, i)
+		r.wasAlone = r.onTrial && areOneUnit(trials)
+	}
+}
+
+// recordHostCrash records that an endpoint on a host has crashed.
+func (l *Leader) recordHostCrash(e *endpoint, now time.Time) {
+	if h := l.hosts.byID[e.hostID()]; h != nil {
+		h.crashedAt = slices.DeleteFunc(h.crashedAt, func(at time.Time) bool { return now.Sub(at) > unsteadyPeriod })
+		h.crashedAt = append(h.crashedAt, now)
 	}
 }
 
+// isUnsteady reports whether endpoints on the endpoint's host have crashed again and again.
+func (l *Leader) isUnsteady(e *endpoint, now time.Time) bool {
+	h := l.hosts.byID[e.hostID()]
+	if h == nil {
+		return false
+	}
+	recent := 0
+	for _, at := range h.crashedAt {
+		if now.Sub(at) <= unsteadyPeriod {
+			recent++
+		}
+	}
+	return recent >= unsteadyCrashes
+}
+
+// areOneUnit reports whether runs are all of one task, or of one gang.
+func areOneUnit(runs []*run) bool {
+	for _, r := range runs {
+		if r.job != runs[0].job || r.job == nil || r.job.crashUnit(r.key.task) != r.job.crashUnit(runs[0].key.task) {
+			return false
+		}
+	}
+	return true
+}
+
 // accuse gives a run its verdict. Only a run that has been confirmed can be known to have
 // crashed its endpoint.
 func (c *crash) accuse(r *run, given verdict, order int) {
@@ -265,7 +306,7 @@
 	record.lastRun, record.since = r.key.run, now
 	record.reached = max(record.reached, min(maxCrashAge, r.workedFor()))
 	cause.suspects = append(cause.suspects, suspect{job: j, unit: unit})
-	if given == unclear || given == doubtful && record.counted.Total == 0 {
+	if given != suspected {
 		record.doubts = append(record.doubts, cause)
 		l.storeCrashes(j, unit, record)
 		l.logSuspect("loss of a run in doubt", r, record)
@@ -275,14 +316,16 @@
 		l.crashes.Suspects++
 	}
 	record.counted.Total++
-	if r.onTrial {
+	if r.wasAlone && (!record.hasCrashed(r.endpoint) || record.counted.Total >= maxLosses) {
+		// Crashes of one host alone may be the host's doing.
 		record.counted.Alone++
 	}
+	record.hosts = append(record.hosts, r.endpoint.hostID())
 	l.storeCrashes(j, unit, record)
 	record.order, record.isCleared = r.crashOrder, false
 	l.logSuspect("task suspected", r, record)
 	isCulprit := record.isCulprit()
-	if r.onTrial {
+	if r.wasAlone {
 		l.explainCrashes(record, unit, now)
 	}
 	record.causes = append(record.causes, cause)
@@ -293,11 +336,12 @@
 
 // isCulprit reports whether the task is taken for the cause of the crashes under it.
 func (c *crashRecord) isCulprit() bool {
-	crashes := c.counted.Total + c.openDoubts()
+	losses := c.counted.Total + c.openDoubts()
 	if c.isInherited {
-		crashes++
+		// The former leader may not have recorded the last one.
+		losses++
 	}
-	return c.counted.Alone >= maxTrialCrashes || c.counted.Alone > 0 && crashes >= maxCrashes
+	return c.counted.Alone >= maxTrialCrashes || c.counted.Alone > 0 && losses >= maxLosses
 }
 
 // storeCrashes updates the record in the job's progress.
@@ -318,11 +362,12 @@
 			if other.unit == culprit || otherRecord == nil {
 				continue
 			}
-			if otherRecord.isExplained() {
-				l.forgetCrashes(other.job, other.unit, "another task crashes endpoints", now)
-			} else {
-				l.storeCrashes(other.job, other.unit, otherRecord)
+			if otherRecord.isExplained() && !otherRecord.isCleared {
+				// There may be several such tasks: the count stays.
+				l.logCleared(otherRecord, other.unit, "another task crashes endpoints", now)
+				otherRecord.isCleared = true
 			}
+			l.storeCrashes(other.job, other.unit, otherRecord)
 		}
 	}
 }
@@ -348,10 +393,7 @@
 // updateTrial ends the trial of a run that has worked for long enough. Its task is cleared, and
 // its record forgotten once no run of its age crashes an endpoint.
 func (l *Leader) updateTrial(r *run, now time.Time) {
-	if r.job == nil {
-		return
-	}
-	record := r.job.crashRecordOf(r.key.task)
+	record := r.crashRecord()
 	if record == nil || !r.isProven() {
 		return
 	}
@@ -418,7 +460,7 @@
 	}
 	e := end.endpoint
 	l.log("endpoint crashed", "endpoint", e.row.ID, "pool", e.row.Pool, "why", end.reason, "restarted", end.isRestart,
-		"evidence-age", age(end.at, now), "report-age", age(e.reportedAt, now), "together", end.together, "whole-rack", end.isWholeRack,
+		"evidence-age", age(end.at, now), "report-age", age(e.reportedAt, now), "together", end.together,
 		"runs", len(runs), "worked", listed)
 }
 
@@ -426,6 +468,6 @@
 func (l *Leader) logSuspect(event string, r *run, record *crashRecord) {
 	task := r.key.task
 	l.log(event, "job", task.Job, "occurrence", task.Occurrence, "step", task.Step, "index", task.Index, "run", r.key.run, "endpoint", r.endpoint.row.ID,
-		"on-trial", r.onTrial, "worked", r.workedFor().Round(time.Millisecond).String(), "crashes", record.counted.Total, "crashes-on-trial", record.counted.Alone,
+		"on-trial", r.onTrial, "alone", r.wasAlone, "worked", r.workedFor().Round(time.Millisecond).String(), "crashes", record.counted.Total, "crashes-on-trial", record.counted.Alone,
 		"doubts", len(record.doubts), "inherited", record.isInherited)
 }
--- a/internal/fleet/crash_test.go
+++ b/internal/fleet/crash_test.go
@@ -141,6 +141,22 @@
 	}
 }
 
+// Guards against a task that is cleared again and again, since others crash endpoints too: all
+// tasks of a job do so, and start together.
+func TestSeveralTasksOfAJobCrashEndpoints(t *testing.T) {
+	w := newCrashWorld(t, crashWorldConfig{endpoints: 10, deadly: func(task job.Task) (time.Duration, bool) {
+		return crashAtStart, isJobOne(task.Job) && task.Index < 4
+	}})
+	w.runFor(100 * time.Millisecond)
+	w.submit(submission(1, tasks(6)))
+	for n := 2; n <= 20; n++ {
+		w.submit(submission(n, tasks(4)))
+	}
+	w.runFor(30 * time.Second)
+	w.wantBudget()
+	w.wantStates(isJobOne)
+}
+
 // Guards against sound tasks that are given up, or held back, since endpoints crash by no
 // task's doing: single ones again and again, or whole racks.
 func TestCrashesByNoTask(t *testing.T) {
@@ -186,6 +202,27 @@
 	}
 }
 
+// Guards against sound tasks that are given up for the crashes of one endpoint, which goes down
+// and up by turns: it is empty each time it is back, and tasks on trial need an empty one.
+func TestEndpointThatCrashesAgainAndAgain(t *testing.T) {
+	for name, keepsID := range map[string]bool{"under its ID": true, "under new IDs": false} {
+		t.Run(name, func(t *testing.T) {
+			w := newCrashWorld(t, crashWorldConfig{endpoints: 4, keepsID: keepsID, down: 100 * time.Millisecond})
+			w.runFor(100 * time.Millisecond)
+			w.submit(submission(0x8000, persistentTasks(3, 1)))
+			for n := range 60 {
+				w.submit(submission(n+1, tasks(16)))
+				w.runFor(400 * time.Millisecond)
+				if h := w.hosts[0]; h.runner != nil {
+					w.crash(h)
+				}
+			}
+			w.runFor(15 * time.Second)
+			w.wantStates(noJob)
+		})
+	}
+}
+
 // Guards against combinations: tasks that crash their endpoints, beside crashes by no task's
 // doing, lost answers, a store and a host list that are away, and leaders that change.
 func TestCrashesAtRandom(t *testing.T) {
--- a/internal/fleet/crashworld_test.go
+++ b/internal/fleet/crashworld_test.go
@@ -87,6 +87,8 @@
 	keepsID bool
 	// staysUp is true if the host list shows hosts as up while their endpoint is away.
 	staysUp bool
+	// down is how long a crashed endpoint is away; worldDown by default.
+	down time.Duration
 	// lostAnswers is the share of starts that are carried out and not answered, and seed
 	// that of the randomness.
 	lostAnswers float64
@@ -131,6 +133,9 @@
 	if w.config.duration == 0 {
 		w.config.duration = time.Second
 	}
+	if w.config.down == 0 {
+		w.config.down = worldDown
+	}
 	if w.config.deadly == nil {
 		w.config.deadly = func(job.Task) (time.Duration, bool) { return 0, false }
 	}
@@ -265,7 +270,7 @@
 		w.crashes[r.task]++
 	}
 	h.former, h.formerUntil = h.runner, w.now.Add(worldEntryLifetime)
-	h.runner, h.upAt = nil, w.now.Add(worldDown)
+	h.runner, h.upAt = nil, w.now.Add(w.config.down)
 }
 
 func (w *crashWorld) end(e *worldEndpoint, ended worldRun, kind fleet.CompletionKind) {
--- a/internal/fleet/hostevidence.go
+++ b/internal/fleet/hostevidence.go
@@ -34,7 +34,7 @@
 		return
 	}
 	var ends []endpointEnd
-	crashes, crashedOnRack, onRack := 0, map[string]int{}, map[string]int{}
+	crashes := 0
 	for _, e := range l.endpoints {
 		row, isNamed := onHost[e.row.ID]
 		if !isNamed {
@@ -42,12 +42,10 @@
 				ends = append(ends, end)
 				if !end.isPlanned && !e.gone {
 					crashes++
-					crashedOnRack[e.rack()]++
 				}
 			}
 			continue
 		}
-		onRack[e.rack()]++
 		e.lastHost, e.missingSince = row.ID, time.Time{}
 		if e.gone && row.State == HostUp && !sentAt.Before(e.goneAt) {
 			// It has restarted, or the earlier list was wrong.
@@ -56,9 +54,7 @@
 		}
 	}
 	for _, end := range ends {
-		rack := end.endpoint.rack()
 		end.together = crashes
-		end.isWholeRack = rack != "" && onRack[rack] == 0 && crashedOnRack[rack] > 1
 		l.endpointEnded(end, now)
 	}
 }
--- a/internal/fleet/hosts.go
+++ b/internal/fleet/hosts.go
@@ -101,6 +101,8 @@
 	// isOccupied is true while an endpoint that names the host, or was on it, may have runs or
 	// unacknowledged completions.
 	isOccupied bool
+	// crashedAt holds when endpoints on it have crashed recently.
+	crashedAt []time.Time
 	// listed is false once two lists in a row lack the host, isMissing true once one does.
 	listed, isMissing bool
 }
--- a/internal/fleet/run.go
+++ b/internal/fleet/run.go
@@ -85,11 +85,15 @@
 	inheritedStopsEnd time.Time
 	// onTrial is true while no other run may start beside the run, whose task is suspected.
 	onTrial bool
+	// isSolo is true if not even others on trial may start beside it.
+	isSolo bool
 	// isFormerLeaders is true if a former leader started the run.
 	isFormerLeaders bool
 	// verdict is what the end of the endpoint says about the run, crash the end for which it
 	// is suspected, and crashOrder its place among the suspects.
-	verdict    verdict
+	verdict verdict
+	// wasAlone is true if no other suspected run was on the endpoint when it ended.
+	wasAlone   bool
 	crash      *crash
 	crashOrder int
 	// fullSpeedAt is when the endpoint first reported the run at full speed.
--- a/internal/fleet/step.go
+++ b/internal/fleet/step.go
@@ -135,6 +135,11 @@
 	isHeld bool
 	// isTaken is true if the endpoint is kept for suspected tasks, or has one on trial.
 	isTaken bool
+	// trials counts the runs on trial. If isShared, they are tried together, and trialRoom is
+	// the capacity for more.
+	trials    int
+	isShared  bool
+	trialRoom policy.Resources
 }
 
 // candidates returns the endpoints of a pool that accept work, sorted by ID.
@@ -149,7 +154,7 @@
 		}
 		candidate := &candidateEndpoint{endpoint: e, available: e.available(), persistent: e.tally.persistent}
 		if e.tally.trials > 0 {
-			candidate.take()
+			candidate.showTrials()
 		}
 		candidates = append(candidates, candidate)
 	}
@@ -240,6 +245,7 @@
 		percent: 100, reserved: g.step.step.Reserved(), checkpoint: g.job.checkpoint[task],
 	}
 	r.awaitsAnswer, r.onTrial = true, g.job.isSuspect(task)
+	r.isSolo = r.onTrial && (g.step.step.Gang || trial{record: g.job.crashRecordOf(task)}.isSolo())
 	r.incarnation, r.lease = e.startedAt, e.nextLease(now, l.leaseDuration())
 	e.addRun(r)
 	l.trackRun(r)
--- a/internal/fleet/trial.go
+++ b/internal/fleet/trial.go
@@ -15,8 +15,11 @@
 	trialShare = 3
 	minTrials  = 2
 	// trialPatience is how long a suspected task waits for an empty endpoint. After that it
-	// is tried beside other work.
+	// is tried beside other work, and after hostPatience also on hosts on which it has crashed.
 	trialPatience = 500 * time.Millisecond
+	hostPatience  = 2 * time.Second
+	// maxSharedTrials is the number of runs that are tried together on one endpoint.
+	maxSharedTrials = 8
 )
 
 // isSuspect reports whether a task may only start on trial.
@@ -31,9 +34,15 @@
 	record *crashRecord
 }
 
-// startTrials starts suspected tasks, each alone on an endpoint: a crash then shows whether it
-// is the task's doing, and takes no other work along. While too few endpoints are empty, it
-// holds back those with the least work.
+// isSolo reports whether the task is tried alone: it is the first suspect of a crash, or has been
+// suspected again. The many others of a crash, most of them sound, are tried together.
+func (t trial) isSolo() bool {
+	return t.record.counted.Total > 1 || t.record.counted.Total == 1 && t.record.order == 0
+}
+
+// startTrials starts suspected tasks on endpoints without other work: a crash then tells more
+// about its cause, and takes no other work along. While too few endpoints are empty, it holds
+// back those with the least work.
 func (l *Leader) startTrials(groups []taskGroup, candidates []*candidateEndpoint, orders *Orders, now time.Time) {
 	waiting := l.waitingTrials(groups, now)
 	if len(waiting) == 0 {
@@ -47,10 +56,10 @@
 	}
 	unplaced := 0
 	for _, t := range waiting {
-		if free <= 0 {
-			break
+		if !l.hasAdvice(t.group, candidates, orders, now) || !t.isSolo() && l.joinTrial(t, candidates, orders, now) {
+			continue
 		}
-		if !l.hasAdvice(t.group, candidates, orders, now) {
+		if free <= 0 {
 			continue
 		}
 		used := l.startTrial(t, candidates, orders, now)
@@ -85,38 +94,89 @@
 	return waiting
 }
 
-// startTrial starts a suspected task, or the gang to which it belongs, and returns how many
-// endpoints that takes, or 0.
+// joinTrial starts a suspected task beside others that are tried together, and reports whether
+// there is room.
+func (l *Leader) joinTrial(t trial, candidates []*candidateEndpoint, orders *Orders, now time.Time) bool {
+	step := t.group.step.step
+	if step.Gang || !l.underCap(t.group.job.submission.Account, step.Resources, 1) {
+		return false
+	}
+	for _, candidate := range candidates {
+		if !candidate.isShared || candidate.trials >= maxSharedTrials || !step.Reserved().FitsIn(candidate.trialRoom) || !t.group.allowsWithRoom(candidate) {
+			continue
+		}
+		l.startOnTrial(t, candidate, orders, now)
+		return true
+	}
+	return false
+}
+
+// startTrial starts a suspected task, or the gang to which it belongs, on endpoints without
+// other work. It returns how many endpoints that takes, or 0.
 func (l *Leader) startTrial(t trial, candidates []*candidateEndpoint, orders *Orders, now time.Time) int {
 	var suitable []*candidateEndpoint
 	isPatient := now.Sub(t.record.since) < trialPatience
-	for _, candidate := range candidates {
-		if len(candidate.endpoint.runs) == 0 && !candidate.isTaken || !isPatient && candidate.mayRiskTrial() {
+	// A crash on a host on which the task has crashed already tells nothing new.
+	elsewhere := slices.DeleteFunc(slices.Clone(candidates), func(c *candidateEndpoint) bool { return t.record.hasCrashed(c.endpoint) })
+	if len(elsewhere) == 0 || now.Sub(t.record.since) >= hostPatience {
+		elsewhere = candidates
+	}
+	for _, candidate := range elsewhere {
+		isFree := len(candidate.endpoint.runs) == 0 && !candidate.isTaken && !l.isUnsteady(candidate.endpoint, now)
+		if isFree || !isPatient && candidate.mayRiskTrial() {
 			suitable = append(suitable, candidate)
 		}
 	}
-	// The least work is at risk on endpoints with the fewest runs.
+	// The least work is at risk beside the fewest runs.
+	unsteady := func(c *candidateEndpoint) int {
+		switch {
+		case t.record.hasCrashed(c.endpoint):
+			return 2
+		case l.isUnsteady(c.endpoint, now):
+			return 1
+		default:
+			return 0
+		}
+	}
 	slices.SortStableFunc(suitable, func(a, b *candidateEndpoint) int {
-		return cmp.Or(cmp.Compare(a.endpoint.tally.persistent, b.endpoint.tally.persistent), cmp.Compare(len(a.endpoint.runs), len(b.endpoint.runs)))
+		return cmp.Or(cmp.Compare(unsteady(a), unsteady(b)), cmp.Compare(a.endpoint.tally.persistent, b.endpoint.tally.persistent),
+			cmp.Compare(len(a.endpoint.runs), len(b.endpoint.runs)))
 	})
-	g := t.group
-	starts := len(orders.Starts)
-	if g.step.step.Gang {
-		l.startGang(g, suitable, orders, now)
-	} else if l.underCap(g.job.submission.Account, g.step.step.Resources, 1) {
-		for _, candidate := range suitable {
-			if g.allows(candidate) {
-				l.start(g, t.task, candidate, l.nextRun(g.job, t.task), orders, now)
-				g.step.pending = slices.DeleteFunc(g.step.pending, func(index int) bool { return index == t.task.Index })
-				break
-			}
+	if t.group.step.step.Gang {
+		return l.startGangOnTrial(t, suitable, orders, now)
+	}
+	if !l.underCap(t.group.job.submission.Account, t.group.step.step.Resources, 1) {
+		return 0
+	}
+	for _, candidate := range suitable {
+		if t.group.allows(candidate) {
+			l.startOnTrial(t, candidate, orders, now)
+			return 1
 		}
 	}
+	return 0
+}
+
+// startOnTrial starts a suspected task on an endpoint that takes no other work from then on,
+// but for others that are tried together.
+func (l *Leader) startOnTrial(t trial, candidate *candidateEndpoint, orders *Orders, now time.Time) {
+	l.start(t.group, t.task, candidate, l.nextRun(t.group.job, t.task), orders, now)
+	t.group.step.pending = slices.DeleteFunc(t.group.step.pending, func(index int) bool { return index == t.task.Index })
+	candidate.isShared = !t.isSolo()
+	candidate.trials++
+	candidate.trialRoom = candidate.endpoint.available()
+	candidate.take()
+}
+
+// startGangOnTrial starts a suspected gang and returns the number of its endpoints, or 0.
+func (l *Leader) startGangOnTrial(t trial, suitable []*candidateEndpoint, orders *Orders, now time.Time) int {
+	starts := len(orders.Starts)
+	l.startGang(t.group, suitable, orders, now)
 	used := map[EndpointID]bool{}
 	for _, start := range orders.Starts[starts:] {
 		used[start.Endpoint] = true
 	}
-	for _, candidate := range candidates {
+	for _, candidate := range suitable {
 		if used[candidate.endpoint.row.ID] {
 			candidate.take()
 		}
@@ -138,6 +198,17 @@
 	return true
 }
 
+// showTrials notes the runs on trial on the endpoint, beside which only others that are tried
+// together may start.
+func (c *candidateEndpoint) showTrials() {
+	c.trials, c.isShared = c.endpoint.tally.trials, true
+	for _, r := range c.endpoint.runs {
+		c.isShared = c.isShared && !(r.onTrial && r.isSolo)
+	}
+	c.trialRoom = c.endpoint.available()
+	c.take()
+}
+
 // take keeps all other work of the step from an endpoint.
 func (c *candidateEndpoint) take() {
 	c.isTaken, c.isHeld = true, true
@@ -145,16 +216,16 @@
 }
 
 // holdForTrials keeps new work from the endpoints with the fewest runs, so that they become
-// empty.
+// empty, or all their runs have shown that they do not crash them.
 func holdForTrials(candidates []*candidateEndpoint, count int) {
 	var able []*candidateEndpoint
 	for _, candidate := range candidates {
-		if !candidate.isTaken && candidate.endpoint.tally.trials == 0 && candidate.endpoint.tally.persistent == 0 {
+		if !candidate.isTaken && candidate.endpoint.tally.trials == 0 {
 			able = append(able, candidate)
 		}
 	}
 	slices.SortStableFunc(able, func(a, b *candidateEndpoint) int {
-		return cmp.Compare(len(a.endpoint.runs), len(b.endpoint.runs))
+		return cmp.Or(cmp.Compare(a.endpoint.tally.persistent, b.endpoint.tally.persistent), cmp.Compare(len(a.endpoint.runs), len(b.endpoint.runs)))
 	})
 	for _, candidate := range able[:max(0, min(count, len(able)))] {
 		candidate.take()
@@ -183,7 +254,7 @@
 	wait := reportWait
 	for _, r := range e.runs {
 		if r.onTrial && r.wasConfirmed() {
-			wait = min(wait, max(unresolvedReportWait, r.job.crashRecordOf(r.key.task).requiredWork()-r.workedFor()))
+			wait = min(wait, max(unresolvedReportWait, r.crashRecord().requiredWork()-r.workedFor()))
 		}
 	}
 	return wait, true
