standin, soak: tasks that crash endpoints, capacities that change

The first task of a job can crash each endpoint that starts it now, which is back a second later under its ID; an endpoint's capacity can be set while it runs, and is guarded, or not. The ledger lists starts of such a task beyond the second after its third crash, and starts beyond a capacity that has been shown for longer than contact_ms and a heartbeat. Two kinds of faults, deadly-jobs and endpoint-shrinks, in a list of their own, so that kept seeds keep their plans; -soak-kinds selects the lists for runs by hand. A deadly job has to fail, after at least two crashes, all others have to complete.

--- a/internal/soak/doc.go
+++ b/internal/soak/doc.go
@@ -16,7 +16,8 @@
 //     clock set back, or at another address;
 //   - endpoints hang and go on or restart, carry orders or lease renewals out late without an
 //     answer, or answer late, also across a restart;
-//   - the lists lag behind a restart, an endpoint's clock is slow, or runs take long to stop.
+//   - the lists lag behind a restart, an endpoint's clock is slow, or runs take long to stop;
+//   - tasks crash each endpoint that starts them, and endpoints' capacities change.
 //
 // Each fault is written to faults.log in Config.Dir as it is injected. A plan can be
 // limited to some kinds of faults, so that seeds keep their meaning when kinds are added.
@@ -25,5 +26,7 @@
 // or again after its end; the latter is allowed if the end was not acknowledged before the
 // endpoint crashed or its lease expired, until the job is shown as complete. Nor may a node report an accepted job as unknown.
 // After the last fault, each accepted job has to complete, and no refused job may have
-// run.
+// run. A job with a task that crashes endpoints has to fail instead, before the task has been
+// started three times after its third crash. No start may exceed a capacity that has been shown
+// for some time.
 package soak
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -49,6 +49,10 @@
 	EndpointRestartUnlisted Kind = "endpoint-restart-unlisted"
 	EndpointRestartSlow     Kind = "endpoint-restart-slow"
 	EndpointSlowStops       Kind = "endpoint-slow-stops"
+	// DeadlyJobs lets some of the jobs have a task that crashes each endpoint that starts
+	// it. EndpointShrinks changes an endpoint's capacity while it runs.
+	DeadlyJobs      Kind = "deadly-jobs"
+	EndpointShrinks Kind = "endpoint-shrinks"
 )
 
 // KindsWithoutRestarts returns the kinds of faults in which each endpoint has one
@@ -74,6 +78,11 @@
 	return []Kind{EndpointLateRenewals, EndpointRestartUnlisted, EndpointRestartSlow, EndpointSlowStops}
 }
 
+// BudgetKinds returns the kinds of faults that call for limits to starts.
+func BudgetKinds() []Kind {
+	return []Kind{DeadlyJobs, EndpointShrinks}
+}
+
 // KindsWithRestarts returns the kinds of faults without those in which something lags
 // behind.
 func KindsWithRestarts() []Kind {
@@ -82,7 +91,7 @@
 
 // AllKinds returns all kinds of faults.
 func AllKinds() []Kind {
-	return append(KindsWithRestarts(), LagKinds()...)
+	return slices.Concat(KindsWithRestarts(), LagKinds(), BudgetKinds())
 }
 
 // Fault is one fault to inject.
@@ -164,7 +173,7 @@
 
 func (f Fault) targetsEndpoint() bool {
 	switch f.Kind {
-	case EndpointDelayed, EndpointReset, EndpointOneWay, EndpointSilent, EndpointCrash:
+	case EndpointDelayed, EndpointReset, EndpointOneWay, EndpointSilent, EndpointCrash, EndpointShrinks:
 		return true
 	default:
 		return slices.Contains(RestartKinds(), f.Kind) || slices.Contains(LagKinds(), f.Kind)
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -44,6 +44,13 @@
 	listLag = 2 * time.Second
 	// stopTime is how long slow stops take.
 	stopTime = time.Second
+	// deadlyInterval is the share of jobs, one in so many, that are deadly while some are, and
+	// deadlyAfter how long after its start their first task crashes its endpoint.
+	deadlyInterval = 8
+	deadlyAfter    = 10 * time.Millisecond
+	// maxShrunkCPU limits the capacity of an endpoint that has shrunk, and fullCPU is that of
+	// the others.
+	maxShrunkCPU, fullCPU = 4000, 16000
 )
 
 // PortsPerNode is the number of ports on which a node listens.
@@ -77,6 +84,8 @@
 type Report struct {
 	Faults                                  int
 	Accepted, Refused, OutcomeUnknown, Runs int
+	// Deadly is the number of jobs with a task that crashes its endpoints.
+	Deadly int
 	// Violations describes the guarantees that were broken.
 	Violations []string
 }
@@ -94,8 +103,11 @@
 
 	mu       sync.Mutex
 	accepted map[string]time.Time
-	report   Report
-	refused  []string
+	// deadly holds the deadly jobs; some of the next jobs are until deadlyUntil.
+	deadly      map[string]bool
+	deadlyUntil time.Time
+	report      Report
+	refused     []string
 }
 
 // Run injects the faults of a seed and checks the guarantees. It returns an error only
@@ -111,11 +123,12 @@
 		return Report{}, errors.Wrap(err, "create the log of faults")
 	}
 	defer func() { _ = faultLog.Close() }()
-	s := &soak{config: config, faultLog: faultLog, group: loops.New(ctx), accepted: map[string]time.Time{}}
+	s := &soak{config: config, faultLog: faultLog, group: loops.New(ctx), accepted: map[string]time.Time{}, deadly: map[string]bool{}}
 	standinConfig := standin.Config{Hosts: config.Endpoints, TaskTime: taskTime, Expose: s.expose}
 	if slices.Contains(config.Kinds, EndpointSlowStops) {
 		standinConfig.MaxStopTime = stopTime
 	}
+	standinConfig.Unguarded = slices.Contains(config.Kinds, EndpointShrinks) && config.Seed%2 == 0
 	platform, err := standin.New(standinConfig)
 	if err != nil {
 		return Report{}, errors.Wrap(err, "start the simulated platform")
@@ -276,6 +289,12 @@
 		temporarily(func() { s.platform.SetRenewalDelay(host, orderDelay) }, func() { s.platform.SetRenewalDelay(host, 0) })
 	case EndpointSlowStops:
 		temporarily(func() { s.platform.SetStopTime(host, stopTime) }, func() { s.platform.SetStopTime(host, 0) })
+	case DeadlyJobs:
+		s.mu.Lock()
+		s.deadlyUntil = time.Now().Add(fault.Duration)
+		s.mu.Unlock()
+	case EndpointShrinks:
+		temporarily(func() { s.platform.SetCapacity(host, int(fault.Duration.Milliseconds())%maxShrunkCPU) }, func() { s.platform.SetCapacity(host, fullCPU) })
 	case EndpointDelayedAnswers:
 		temporarily(func() { s.platform.SetAnswerDelay(host, answerDelay) }, func() { s.platform.SetAnswerDelay(host, 0) })
 	}
@@ -305,6 +324,7 @@
 		s.platform.SetRenewalDelay(n+1, 0)
 		s.platform.SetStopTime(n+1, 0)
 		s.platform.SetAnswerDelay(n+1, 0)
+		s.platform.SetCapacity(n+1, fullCPU)
 	}
 	for _, link := range s.storeProxies {
 		link.setState(linkHealthy)
@@ -320,12 +340,33 @@
 func (s *soak) submitJobs(ctx context.Context, end time.Time) {
 	attempts := loops.New(ctx)
 	for n := 0; time.Now().Before(end) && ctx.Err() == nil; n++ {
+		s.setDeadly(n)
 		attempts.Go(func(ctx context.Context) { s.submitJob(ctx, n) })
 		loops.Sleep(ctx, jobInterval)
 	}
 	attempts.Wait()
 }
 
+// setDeadly makes one of deadlyInterval jobs deadly while some are.
+func (s *soak) setDeadly(n int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if n%deadlyInterval == 0 && time.Now().Before(s.deadlyUntil) {
+		s.deadly[jobID(n)] = true
+		s.platform.SetDeadly(jobID(n), deadlyAfter)
+	}
+}
+
+// finalState returns the state in which a job has to end.
+func (s *soak) finalState(id string) string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.deadly[id] {
+		return "failed"
+	}
+	return "complete"
+}
+
 // submitJob submits a job to one node after the other until one accepts it, at most
 // maxAttempts times.
 func (s *soak) submitJob(ctx context.Context, n int) {
@@ -376,7 +417,7 @@
 		callCtx, cancel := context.WithTimeout(ctx, callTimeout)
 		state, notFound := s.platform.LookupState(callCtx, node, id)
 		cancel()
-		if notFound || state == "failed" || state == "cancelled" {
+		if notFound || state == "cancelled" || state == "failed" && s.finalState(id) != state {
 			s.addViolation("accepted job %s has state %q (unknown: %v) at node %s", id, state, notFound, node)
 		}
 	}
@@ -390,7 +431,7 @@
 			callCtx, cancel := context.WithTimeout(ctx, callTimeout)
 			state, _ := s.platform.LookupState(callCtx, s.callerAddresses[n%len(s.callerAddresses)], id)
 			cancel()
-			if state == "complete" {
+			if state == s.finalState(id) {
 				break
 			}
 			if time.Now().After(end) || ctx.Err() != nil {
@@ -405,6 +446,12 @@
 // checkRuns compares the runs at the endpoints with the responses to callers.
 func (s *soak) checkRuns() {
 	for id := range s.accepted {
+		if s.deadly[id] {
+			if got, want := s.platform.DeadlyCrashes(id), 2; got < want {
+				s.addViolation("job %s has failed: got %d endpoints that crashed under its task, want at least %d", id, got, want)
+			}
+			continue
+		}
 		if got, want := s.platform.DoneTasks(id), stepsPerJob*tasksPerStep; got != want {
 			s.addViolation("accepted job %s: got %d tasks done, want %d", id, got, want)
 		}
@@ -418,7 +465,13 @@
 	for _, duplicate := range report.DuplicateStarts {
 		s.addViolation("%s, and was started again", duplicate)
 	}
-	s.report.Accepted, s.report.Refused, s.report.Runs = len(s.accepted), len(s.refused), report.Runs
+	for _, start := range report.OverBudget {
+		s.addViolation("started too often: %s", start)
+	}
+	for _, start := range report.OverCapacity {
+		s.addViolation("started beyond the capacity: %s", start)
+	}
+	s.report.Deadly, s.report.Accepted, s.report.Refused, s.report.Runs = len(s.deadly), len(s.accepted), len(s.refused), report.Runs
 }
 
 func (s *soak) addViolation(format string, args ...any) {
--- a/test/soak_test.go
+++ b/test/soak_test.go
@@ -21,6 +21,7 @@
 	soakEndpoints = flag.Int("soak-endpoints", 6, "number of endpoints")
 	soakPort      = flag.Uint("soak-port", 14700, "first of the nodes' ports, below those of other tests")
 	soakParallel  = flag.Int("soak-parallel", 1, "number of seeds at a time")
+	soakKinds     = flag.String("soak-kinds", "all", "kinds of faults: without-restarts, with-restarts, with-lags or all")
 	soakDir       = flag.String("soak-dir", os.TempDir(), "folder for the logs of seeds that failed")
 )
 
@@ -48,6 +49,12 @@
 		"acknowledgement to a new incarnation while answers are delayed": {
 			seed: 236, duration: 12 * time.Second, kinds: append(soak.KindsWithRestarts(), soak.LagKinds()...),
 		},
+		// An endpoint restarted three times in a second, and twice had the same task on trial:
+		// the leader took it for the cause, and the job failed.
+		"task on trial on an endpoint that restarts again and again": {seed: 403, duration: 12 * time.Second, kinds: soak.AllKinds()},
+		// Two jobs had tasks that crash endpoints: each time one was found out, the other was
+		// cleared with its count.
+		"two tasks that crash endpoints beside each other": {seed: 405, duration: 12 * time.Second, kinds: soak.AllKinds()},
 	}
 	for name, tc := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -59,8 +66,20 @@
 	}
 }
 
+// kindsByName returns the kinds of faults that a flag can name.
+func kindsByName() map[string][]soak.Kind {
+	return map[string][]soak.Kind{
+		"without-restarts": soak.KindsWithoutRestarts(), "with-restarts": soak.KindsWithRestarts(),
+		"with-lags": append(soak.KindsWithRestarts(), soak.LagKinds()...), "all": soak.AllKinds(),
+	}
+}
+
 // TestSoakByHand runs the seeds that the flags select.
 func TestSoakByHand(t *testing.T) {
+	kinds, ok := kindsByName()[*soakKinds]
+	if !ok {
+		t.Fatalf("unknown kinds of faults %q", *soakKinds)
+	}
 	ports := make(chan uint16, *soakParallel)
 	for n := range *soakParallel {
 		ports <- uint16(*soakPort) + uint16(n*soak.PortsPerNode**soakNodes)
@@ -76,7 +95,7 @@
 			if err := os.MkdirAll(dir, 0o700); err != nil {
 				t.Fatal(err)
 			}
-			runSeed(t, soak.Config{Seed: seed, Duration: *soakDuration, Nodes: *soakNodes, Endpoints: *soakEndpoints, Dir: dir, FirstPort: port})
+			runSeed(t, soak.Config{Seed: seed, Duration: *soakDuration, Nodes: *soakNodes, Endpoints: *soakEndpoints, Kinds: kinds, Dir: dir, FirstPort: port})
 			if t.Failed() {
 				t.Logf("logs: %s", dir)
 				return
@@ -98,7 +117,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	t.Logf("%d faults, %d jobs accepted, %d refused, %d with unknown outcome, %d runs", report.Faults, report.Accepted, report.Refused, report.OutcomeUnknown, report.Runs)
+	t.Logf("%d faults, %d deadly jobs, %d jobs accepted, %d refused, %d with unknown outcome, %d runs", report.Faults, report.Deadly, report.Accepted, report.Refused, report.OutcomeUnknown, report.Runs)
 	for _, violation := range report.Violations {
 		t.Error(violation)
 	}
