--- a/internal/job/row_test.go
+++ b/internal/job/row_test.go
@@ -1,6 +1,7 @@
 package job_test
 
 import (
+	"encoding/json"
 	"reflect"
 	"strings"
 	"testing"
@@ -83,3 +84,36 @@
 		})
 	}
 }
+
+// Guards against a count of crashes that a takeover forgets: it is in the progress row, and
+// gone from it once it is cleared.
+func TestCrashesInProgressRow(t *testing.T) {
+	task := job.Task{Job: "5c0e7a21d94b36f8", Occurrence: 1, Step: 2, Index: 3}
+	progress := job.NewProgress()
+	want := job.Crashes{Total: 2, Alone: 1, Doubts: 1}
+	if !progress.RecordCrashes(task, want) || progress.RecordCrashes(task, want) {
+		t.Error("record changes: got otherwise, want the first time only")
+	}
+	decode := func() job.Crashes {
+		row, err := json.Marshal(progress)
+		if err != nil {
+			t.Fatal(err)
+		}
+		decoded := job.NewProgress()
+		if err := json.Unmarshal(row, decoded); err != nil {
+			t.Fatal(err)
+		}
+		step := decoded.Steps[job.StepKey{Occurrence: 1, Step: 2}]
+		if step == nil {
+			return job.Crashes{}
+		}
+		return step.Crashes[3]
+	}
+	if got := decode(); got != want {
+		t.Errorf("crashes in the row: got %+v, want %+v", got, want)
+	}
+	progress.RecordCrashes(task, job.Crashes{})
+	if got := decode(); got != (job.Crashes{}) {
+		t.Errorf("crashes in the row once cleared: got %+v, want none", got)
+	}
+}
