fleet: no work on a new incarnation beside an acknowledgement without an answer

By their timelines a renewal that acknowledges ends of an endpoint's earlier incarnation has no answer, and is carried out seconds late by the next one, which forgets its own ends unread. The wire names no incarnation.

A new incarnation gets no work until an order without an answer that acknowledged ends of the earlier one cannot be carried out any more, 15 s after it was sent; without work it has no ends to forget. Not covered: an acknowledgement of a former leader.

Measured: TestNoWorkBesideALateAcknowledgement failed before.

--- a/internal/fleet/endpointstate.go
+++ b/internal/fleet/endpointstate.go
@@ -71,6 +71,11 @@
 	// that may be acknowledged, and acked the newest that has been.
 	lastRead, ackable, acked int64
 	unpersisted              []unpersistedCompletion
+	// sentAck is what the newest renewal acknowledges, or 0 once that is answered, lateAckUntil
+	// until when an acknowledgement without an answer may be carried out, and noWorkUntil the
+	// same if that is on a later incarnation.
+	sentAck                   int64
+	lateAckUntil, noWorkUntil time.Time
 	// pausedUntil is when the endpoint may get work again.
 	pausedUntil   time.Time
 	failureStreak failureStreak
@@ -165,7 +170,7 @@
 // acceptsWork reports whether the endpoint may get new runs.
 func (e *endpoint) acceptsWork(now time.Time) bool {
 	return e.listed && e.isKnown() && !e.gone && !e.unresponsive && !e.row.Draining && !e.leaving &&
-		!now.Before(e.pausedUntil) && !now.Before(e.fullUntil) && e.isFresh(now)
+		!now.Before(e.pausedUntil) && !now.Before(e.noWorkUntil) && !now.Before(e.fullUntil) && e.isFresh(now)
 }
 
 // isFresh reports whether the endpoint has reported recently. An idle endpoint is
--- a/internal/fleet/incarnation.go
+++ b/internal/fleet/incarnation.go
@@ -96,6 +96,9 @@
 		r.reported, r.stopAcceptedAt, r.stopAt = false, time.Time{}, now
 		e.foreignLeaseUntil = max(e.foreignLeaseUntil, r.lease)
 	}
+	// The new incarnation would forget its own ends, unread, for an acknowledgement that was
+	// meant for the earlier one.
+	e.noWorkUntil = e.lateAckUntil
 	e.startedAt, e.mayHaveRestarted = startedAt, false
 	e.reached, e.gone, e.listedAt = false, false, now
 	e.clock, e.clockAt, e.leaseUntil = 0, time.Time{}, 0
--- a/internal/fleet/incarnation_test.go
+++ b/internal/fleet/incarnation_test.go
@@ -399,3 +399,49 @@
 	}
 	t.Errorf("starts %s after the endpoint fell silent: got none, want the waiting task's", s.now.Sub(orderedAt))
 }
+
+// Guards against tasks that run again after their end: an acknowledgement to an endpoint's
+// earlier incarnation has no answer, and is carried out seconds late by the next one, which
+// forgets its own ends unread.
+func TestNoWorkBesideALateAcknowledgement(t *testing.T) {
+	cases := map[string]struct {
+		isAnswered, isRestarted bool
+		starts                  int
+	}{
+		"no answer, restarted":      {isRestarted: true},
+		"no answer, same one":       {starts: 1},
+		"answered, restarted since": {isAnswered: true, isRestarted: true, starts: 1},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			s := longRunning(t)
+			s.submit(submission(1, tasks(1)))
+			start := s.step().Starts[0]
+			s.acceptStarts()
+			s.endRun(start, fleet.CompletionDone)
+			s.report("a", s.now)
+			s.writeBatches()
+			renewal, isDue := s.leader.NextRenewal("a", s.now)
+			if !isDue || renewal.AckedUpTo != 1 {
+				t.Fatalf("renewal: got %+v (due %t), want an acknowledgement of 1", renewal, isDue)
+			}
+			if c.isAnswered {
+				s.ended["a"] = nil
+				s.leader.HandleReport("a", renewal, s.now, s.reportOf("a"), s.now)
+			} else {
+				s.leader.RenewalFailed("a", fleet.Reply{Outcome: fleet.OrderUnknown, SentAt: s.now}, s.now)
+			}
+			s.advance(2 * time.Second)
+			if c.isRestarted {
+				s.restart("a", laterStart)
+				s.list("a")
+			}
+			s.report("a", s.now)
+			s.submit(submission(2, tasks(1)))
+			s.wantOrders("while the acknowledgement may be carried out", c.starts, 0)
+			s.advance(14 * time.Second)
+			s.report("a", s.now)
+			s.wantOrders("after that", 1-c.starts, 0)
+		})
+	}
+}
--- a/internal/fleet/renewal.go
+++ b/internal/fleet/renewal.go
@@ -26,6 +26,7 @@
 			renewal.AckedUpTo = e.ackable
 		}
 	}
+	e.sentAck = renewal.AckedUpTo
 	switch {
 	case !e.reached && !l.loaded && !e.clockAt.IsZero():
 		// Its runs are not known yet. They are kept alive while the jobs are being read.
@@ -107,6 +108,9 @@
 			endpoint: e, reason: "another endpoint answers at the address", isPlanned: e.row.Draining, at: reply.SentAt,
 		}, now)
 	}
+	if e.sentAck > 0 && reply.Outcome == OrderUnknown {
+		e.lateAckUntil = now.Add(maxOrderDelay)
+	}
 	e.pausedUntil = now.Add(unhealthyPause)
 	e.unresponsive = true
 	if e.clockAt.IsZero() || !l.leasesOver(e, now) {
