fleet: losses of runs that had worked count less against a task

The task had been lost 22 times beside tasks that crash endpoints, once of these alone.

Cause: one crash alone was enough once there were four losses in all, and losses of runs that had worked for seconds counted, as did a takeover.

Change: among the losses only those count for which the task was suspected, and doubts in which its run had not worked for 0.2 s. The others still ask for a trial. A takeover counts for nothing: the tests with leaders that change hold without it.

--- a/internal/fleet/crash.go
+++ b/internal/fleet/crash.go
@@ -183,7 +183,7 @@
 	record.reached = max(record.reached, min(maxCrashAge, r.workedFor()))
 	cause.suspects = append(cause.suspects, suspect{job: j, unit: unit})
 	if given != suspected {
-		record.doubts = append(record.doubts, cause)
+		record.doubts = append(record.doubts, doubt{cause: cause, isEarly: r.workedFor() < provenAfter})
 		l.storeCrashes(j, unit, record)
 		l.logSuspect("loss of a run in doubt", r, record)
 		return
@@ -213,7 +213,11 @@
 // explainCrashes takes a task for the cause of all earlier crashes under it, since it has
 // crashed an endpoint alone, and clears the tasks that were suspected only of these.
 func (l *Leader) explainCrashes(record *crashRecord, culprit job.Task, now time.Time) {
-	for _, cause := range slices.Concat(record.causes, record.doubts) {
+	causes := slices.Clone(record.causes)
+	for _, doubt := range record.doubts {
+		causes = append(causes, doubt.cause)
+	}
+	for _, cause := range causes {
 		cause.isExplained = true
 		for _, other := range cause.suspects {
 			otherRecord := other.job.crashRecords[other.unit]
--- a/internal/fleet/crash_test.go
+++ b/internal/fleet/crash_test.go
@@ -70,14 +70,12 @@
 			}
 		}},
 		"store away": {step: tasks(4), during: func(w *crashWorld) {
-			w.isStoreOut = true
+			w.storeOutUntil = w.now.Add(8 * time.Second)
 			w.runFor(8 * time.Second)
-			w.isStoreOut = false
 		}},
 		"host list away": {step: tasks(4), during: func(w *crashWorld) {
-			w.isListOut = true
+			w.listOutUntil = w.now.Add(12 * time.Second)
 			w.runFor(12 * time.Second)
-			w.isListOut = false
 		}},
 	}
 	for name, c := range cases {
@@ -189,13 +187,7 @@
 			}
 			w.runFor(15 * time.Second)
 			w.wantStates(noJob)
-			slow := 0
-			for _, id := range w.order {
-				if took := w.doneAt[id].Sub(w.jobs[id].Submission.Accepted); !w.jobs[id].Submission.Persistent() && took > 5*time.Second {
-					slow++
-				}
-			}
-			if slow > 0 {
+			if slow := w.slowJobs(5 * time.Second); slow > 0 {
 				t.Errorf("jobs that took longer than 5s: got %d, want 0", slow)
 			}
 		})
@@ -236,44 +228,48 @@
 			w.runFor(100 * time.Millisecond)
 			w.submit(submission(0x8000, persistentTasks(4, 1)))
 			w.submit(submission(0x8007, persistentTasks(4, 1)))
-			// strikes are the faults by the number of the job that they follow.
-			strikes := map[int][]func(){}
-			strike := func(times int, fault func()) {
-				for range times {
-					n := w.random.IntN(100)
-					strikes[n] = append(strikes[n], fault)
-				}
-			}
-			var storeBack, listBack time.Time
-			strike(5, func() {
-				if h := w.hosts[w.random.IntN(len(w.hosts))]; h.runner != nil {
-					w.crash(h)
-				}
-			})
-			strike(1, func() { w.isStoreOut, storeBack = true, w.now.Add(4*time.Second) })
-			strike(1, func() { w.isListOut, listBack = true, w.now.Add(4*time.Second) })
-			strike(2, func() {
-				// A leader is replaced by a write to the store.
-				if !w.isStoreOut {
-					w.replaceLeader()
-				}
-			})
-			for n := range 100 {
+			faults := randomFaults(w)
+			for n := range randomJobs {
 				w.submit(submission(n+1, tasks(1+w.random.IntN(6))))
-				for _, fault := range strikes[n] {
+				for _, fault := range faults[n] {
 					fault()
 				}
 				w.runFor(200 * time.Millisecond)
-				w.isStoreOut = w.isStoreOut && w.now.Before(storeBack)
-				w.isListOut = w.isListOut && w.now.Before(listBack)
 			}
-			w.isStoreOut, w.isListOut = false, false
-			w.runFor(70 * time.Second)
+			w.runFor(75 * time.Second)
 			w.wantBudget()
 			w.wantStates(isDeadly)
 		})
 	}
 }
 
+// randomFaults returns the faults of a world by the number of the job that they follow.
+func randomFaults(w *crashWorld) map[int][]func() {
+	faults := map[int][]func(){}
+	add := func(times int, fault func()) {
+		for range times {
+			n := w.random.IntN(randomJobs)
+			faults[n] = append(faults[n], fault)
+		}
+	}
+	add(5, func() {
+		if h := w.hosts[w.random.IntN(len(w.hosts))]; h.runner != nil {
+			w.crash(h)
+		}
+	})
+	add(1, func() { w.storeOutUntil = w.now.Add(4 * time.Second) })
+	add(1, func() { w.listOutUntil = w.now.Add(4 * time.Second) })
+	add(2, func() {
+		// A leader is replaced by a write to the store.
+		if !w.now.Before(w.storeOutUntil) {
+			w.replaceLeader()
+		}
+	})
+	return faults
+}
+
+// randomJobs is the number of jobs that TestCrashesAtRandom submits.
+const randomJobs = 100
+
 // crashSeeds is the number of seeds that TestCrashesAtRandom plays.
 const crashSeeds = 24
--- a/internal/fleet/crashrecord.go
+++ b/internal/fleet/crashrecord.go
@@ -24,6 +24,13 @@
 	isExplained bool
 }
 
+// doubt is an end of an endpoint that a task may have caused, but others more likely.
+type doubt struct {
+	cause *crash
+	// isEarly is true if the task's run was not known to have worked for provenAfter.
+	isEarly bool
+}
+
 // suspect is a task, or a gang, that is suspected of a crash.
 type suspect struct {
 	job  *jobState
@@ -39,7 +46,8 @@
 	// isInherited is true if a former leader suspected the task.
 	isInherited bool
 	// causes are the crashes that are counted, and doubts the other ends.
-	causes, doubts []*crash
+	causes []*crash
+	doubts []doubt
 	// hosts are those on which it crashed endpoints, as far as this leader knows.
 	hosts []HostID
 	// isCleared is true once a run on trial has worked for long enough.
@@ -78,7 +86,19 @@
 func (c *crashRecord) openDoubts() int {
 	count := 0
 	for _, doubt := range c.doubts {
-		if !doubt.isExplained {
+		if !doubt.cause.isExplained {
+			count++
+		}
+	}
+	return count
+}
+
+// earlyDoubts counts those of the open doubts in which the task may have crashed its endpoint
+// at its start.
+func (c *crashRecord) earlyDoubts() int {
+	count := 0
+	for _, doubt := range c.doubts {
+		if !doubt.cause.isExplained && doubt.isEarly {
 			count++
 		}
 	}
@@ -118,7 +138,7 @@
 			record := j.addCrashRecord(unit, now)
 			record.counted, record.isInherited = counted, counted.Total > 0
 			for range counted.Doubts {
-				record.doubts = append(record.doubts, &crash{})
+				record.doubts = append(record.doubts, doubt{cause: &crash{}})
 			}
 		}
 	}
@@ -145,11 +165,7 @@
 
 // isCulprit reports whether the task is taken for the cause of the crashes under it.
 func (c *crashRecord) isCulprit() bool {
-	losses := c.counted.Total + c.openDoubts()
-	if c.isInherited {
-		// The former leader may not have recorded the last one.
-		losses++
-	}
+	losses := c.counted.Total + c.earlyDoubts()
 	return c.counted.Alone >= maxTrialCrashes || c.counted.Alone > 0 && losses >= maxLosses
 }
 
--- a/internal/fleet/crashworld_test.go
+++ b/internal/fleet/crashworld_test.go
@@ -42,12 +42,12 @@
 	// startsAfter counts its starts after the third crash.
 	starts, crashes, startsAfter map[job.Task]int
 	// lost counts the runs of each job that ended with an endpoint.
-	lost       map[job.ID]int
-	doneAt     map[job.ID]time.Time
-	listedAt   time.Time
-	isStoreOut bool
-	isListOut  bool
-	journal    worldJournal
+	lost     map[job.ID]int
+	doneAt   map[job.ID]time.Time
+	listedAt time.Time
+	// storeOutUntil and listOutUntil are until when the store and the host list are away.
+	storeOutUntil, listOutUntil time.Time
+	journal                     worldJournal
 }
 
 // worldJournal keeps the leader's lines about each task.
@@ -200,13 +200,6 @@
 	}
 }
 
-// runUntil advances the world until all jobs have ended, or for at most d.
-func (w *crashWorld) runUntilEnded(d time.Duration) {
-	for end := w.now.Add(d); w.now.Before(end) && len(w.doneAt) < len(w.order); {
-		w.tick()
-	}
-}
-
 func (w *crashWorld) tick() {
 	w.now = w.now.Add(worldTick)
 	w.leader.ConfirmLeadership(w.now)
@@ -224,7 +217,7 @@
 	for _, stop := range orders.Stops {
 		w.stop(stop)
 	}
-	if !w.isStoreOut {
+	if !w.now.Before(w.storeOutUntil) {
 		w.write()
 	}
 	for _, id := range w.order {
@@ -293,7 +286,7 @@
 			h.former = nil
 		}
 	}
-	if w.isListOut || w.now.Sub(w.listedAt) < worldListInterval {
+	if w.now.Before(w.listOutUntil) || w.now.Sub(w.listedAt) < worldListInterval {
 		return
 	}
 	w.listedAt = w.now
@@ -436,3 +429,15 @@
 		}
 	}
 }
+
+// slowJobs counts the jobs without persistent tasks that took longer than a limit.
+func (w *crashWorld) slowJobs(limit time.Duration) int {
+	slow := 0
+	for _, id := range w.order {
+		submission := w.jobs[id].Submission
+		if !submission.Persistent() && w.doneAt[id].Sub(submission.Accepted) > limit {
+			slow++
+		}
+	}
+	return slow
+}
