--- a/internal/fleet/trial.go
+++ b/internal/fleet/trial.go
@@ -127,8 +127,8 @@
 			suitable = append(suitable, candidate)
 		}
 	}
-	// The least work is at risk beside the fewest runs.
-	unsteady := func(c *candidateEndpoint) int {
+	// hostRisk orders the hosts by how likely a crash would be their own doing.
+	hostRisk := func(c *candidateEndpoint) int {
 		switch {
 		case t.record.hasCrashed(c.endpoint):
 			return 2
@@ -138,8 +138,9 @@
 			return 0
 		}
 	}
+	// The least work is at risk beside the fewest runs.
 	slices.SortStableFunc(suitable, func(a, b *candidateEndpoint) int {
-		return cmp.Or(cmp.Compare(unsteady(a), unsteady(b)), cmp.Compare(a.endpoint.tally.persistent, b.endpoint.tally.persistent),
+		return cmp.Or(cmp.Compare(hostRisk(a), hostRisk(b)), cmp.Compare(a.endpoint.tally.persistent, b.endpoint.tally.persistent),
 			cmp.Compare(len(a.endpoint.runs), len(b.endpoint.runs)))
 	})
 	if t.group.step.step.Gang {
