fleet: suspects of a former leader are tried together

Cause: which suspect of a crash was started last is not stored, so that the new leader took each for the first one and tried it alone, half a second each on a third of the pool. The log shows 22 s from taking over to the last of them.

Change: suspects that are loaded are tried up to eight together, as the others of a crash are.

--- a/internal/fleet/crash_test.go
+++ b/internal/fleet/crash_test.go
@@ -215,6 +215,28 @@
 	}
 }
 
+// Guards against sound tasks that wait for half a minute after a takeover: the new leader does
+// not know which of the many suspects of a crash was started last, and tried each alone.
+func TestTakeoverWithManySuspects(t *testing.T) {
+	w := newCrashWorld(t, crashWorldConfig{endpoints: 12, racks: 3})
+	w.runFor(100 * time.Millisecond)
+	small := tasks(8)
+	small.Resources.CPU = 300
+	for n := range 60 {
+		w.submit(submission(n+1, small))
+	}
+	w.runFor(100 * time.Millisecond)
+	for _, h := range w.hosts {
+		if h.rack == w.hosts[0].rack {
+			w.crash(h)
+		}
+	}
+	w.runFor(400 * time.Millisecond)
+	w.replaceLeader()
+	w.runFor(15 * time.Second)
+	w.wantStates(noJob)
+}
+
 // Guards against combinations: tasks that crash their endpoints, beside crashes by no task's
 // doing, lost answers, a store and a host list that are away, and leaders that change.
 func TestCrashesAtRandom(t *testing.T) {
--- a/internal/fleet/crashrecord.go
+++ b/internal/fleet/crashrecord.go
@@ -137,6 +137,8 @@
 			unit := job.Task{Job: j.submission.ID, Occurrence: key.Occurrence, Step: key.Step, Index: index}
 			record := j.addCrashRecord(unit, now)
 			record.counted, record.isInherited = counted, counted.Total > 0
+			// Which suspect came first is not stored: those of one crash are tried together.
+			record.order = 1
 			for range counted.Doubts {
 				record.doubts = append(record.doubts, doubt{cause: &crash{}})
 			}
