fleet: log what the evidence of an endpoint's end is worth

An operator with the log of a task that ran twice could not tell a host list that lags from an answer that was misread: a failed renewal left no line, and 'endpoint gone' had neither the row of the host nor the age of the endpoint.

'endpoint does not answer', 'endpoint answers again' and 'endpoint reports after it was taken for gone' are new, with a metric for the last; 'endpoint gone' says what the host's row shows and since when, how old endpoint and report are, and whether the endpoint answers.

--- a/internal/control/term.go
+++ b/internal/control/term.go
@@ -253,6 +253,7 @@
 	metrics.GetOrCreateCounter("endpoint_crashes_total").Add(counts.Endpoints - t.crashes.Endpoints)
 	metrics.GetOrCreateCounter("tasks_suspected_total").Add(counts.Suspects - t.crashes.Suspects)
 	metrics.GetOrCreateCounter("tasks_given_up_total").Add(counts.GivenUp - t.crashes.GivenUp)
+	metrics.GetOrCreateCounter("endpoints_gone_contradicted_total").Add(counts.Contradicted - t.crashes.Contradicted)
 	t.crashes = counts
 }
 
--- a/internal/fleet/crash.go
+++ b/internal/fleet/crash.go
@@ -286,9 +286,10 @@
 }
 
 // CrashCounts counts, over a leader's term, endpoints that ended without a plan while they
-// had runs, and the tasks that were suspected and given up for that.
+// had runs, the tasks that were suspected and given up for that, and the endpoints that
+// reported after they had been taken for gone.
 type CrashCounts struct {
-	Endpoints, Suspects, GivenUp int
+	Endpoints, Suspects, GivenUp, Contradicted int
 }
 
 // CrashCounts returns the counts since the leader took over.
--- a/internal/fleet/endpoint.go
+++ b/internal/fleet/endpoint.go
@@ -140,4 +140,6 @@
 	Clock time.Duration
 	// SentAt is when the order was sent.
 	SentAt time.Time
+	// Failure says why there is no answer, for the journal, or "".
+	Failure string
 }
--- a/internal/fleet/hostevidence.go
+++ b/internal/fleet/hostevidence.go
@@ -104,7 +104,7 @@
 func (l *Leader) endpointEnded(end endpointEnd, now time.Time) {
 	e := end.endpoint
 	if !e.gone {
-		l.log("endpoint gone", "endpoint", e.row.ID, "pool", e.row.Pool, "why", end.reason, "planned", end.isPlanned, "runs", len(e.runs), "list-age", age(end.at, now))
+		l.logGone(end, now)
 		l.judgeRuns(end, now)
 	}
 	e.gone, e.goneAt, e.blocked = true, now, false
@@ -115,3 +115,18 @@
 	}
 	l.forgetEndpoint(e, now)
 }
+
+// logGone logs why an endpoint is taken for gone, and what the evidence is worth: how old the
+// endpoint, its last report, and the row of its host are.
+func (l *Leader) logGone(end endpointEnd, now time.Time) {
+	e := end.endpoint
+	var shown Host
+	shownSince := time.Time{}
+	if h := l.hosts.byID[e.hostID()]; h != nil {
+		shown, shownSince = h.shown, h.shownSince
+	}
+	l.log("endpoint gone", "endpoint", e.row.ID, "pool", e.row.Pool, "why", end.reason, "planned", end.isPlanned, "runs", len(e.runs),
+		"evidence-age", age(end.at, now), "host", e.hostID(), "host-state", string(shown.State), "host-endpoint", shown.Endpoint,
+		"host-shown-ago", age(shownSince, now), "named-before", e.lastHost != "", "listed-ago", age(e.listedAt, now),
+		"life", e.startedAt.UnixMilli(), "report-age", age(e.reportedAt, now), "answers", !e.unresponsive)
+}
--- a/internal/fleet/renewal.go
+++ b/internal/fleet/renewal.go
@@ -112,6 +112,10 @@
 		e.lateAckUntil = now.Add(maxOrderDelay)
 	}
 	e.pausedUntil = now.Add(unhealthyPause)
+	if !e.unresponsive {
+		l.log("endpoint does not answer", "endpoint", id, "pool", e.row.Pool, "outcome", string(reply.Outcome), "failure", reply.Failure,
+			"runs", len(e.runs), "report-age", age(e.reportedAt, now), "life", e.startedAt.UnixMilli(), "gone", e.gone)
+	}
 	e.unresponsive = true
 	if e.clockAt.IsZero() || !l.leasesOver(e, now) {
 		return
@@ -163,6 +167,14 @@
 		e.clock, e.clockAt, e.reportedAt = report.Clock, now, now
 		return
 	}
+	if e.gone {
+		l.crashes.Contradicted++
+		l.log("endpoint reports after it was taken for gone", "endpoint", id, "pool", e.row.Pool, "gone-ago", age(e.goneAt, now),
+			"running", len(report.Running), "life", e.startedAt.UnixMilli(), "asked-ago", age(sentAt, now))
+	}
+	if e.unresponsive {
+		l.log("endpoint answers again", "endpoint", id, "pool", e.row.Pool, "report-age", age(e.reportedAt, now), "running", len(report.Running))
+	}
 	if !e.reached {
 		l.log("endpoint reached", "endpoint", id, "pool", e.row.Pool, "running", len(report.Running), "ended", len(report.Completions))
 	}
