fleet: an endpoint is asked before a host list ends its runs

The platform promises nothing about the age of its host list. The leader took a row that it saw change, or saw for the first time, as newer than the endpoint that the row does not name, lost all runs that had been answered, and started them elsewhere while the endpoint went on.

Class: hearsay about a thing that can speak for itself is believed over its own word.

The list, and another endpoint that reports from the same host, now only presume an endpoint ended. It gets no work, and is asked at once; an answer clears it, and only a question that stays without one ends it. For an endpoint that is known for less than maxHostListLag the list shows nothing, since it may be older: such an endpoint ends when the process hangs up on a renewal and then refuses connections while the list lacks it, when the host's next endpoint reports, or with its lease.

Ruled out: ending by refused connections alone (a cut that resets looks the same); by the order of rows alone (rows may go back); by two lists (the same lag twice).

Tests that took a list alone for the end now check that nothing starts before the endpoint was asked, and then, without an answer, what they checked before.

--- a/internal/control/hosts.go
+++ b/internal/control/hosts.go
@@ -174,7 +174,7 @@
 		isBusy := false
 		t.locked(func() {
 			if err == nil {
-				t.leader.UpdateHosts(list, sentAt, now)
+				t.wakeSessions(t.leader.UpdateHosts(list, sentAt, now))
 			}
 			isBusy = t.leader.NeedsHostList(now) || err != nil
 		})
--- a/internal/courier/client.go
+++ b/internal/courier/client.go
@@ -159,7 +159,7 @@
 		return nil, err
 	}
 	switch decodeReply(reply).Outcome {
-	case fleet.OrderUnknown, fleet.OrderNotSent:
+	case fleet.OrderUnknown, fleet.OrderNotSent, fleet.OrderHungUp, fleet.OrderRefused:
 		metrics.GetOrCreateCounter(`courier_endpoints_unreached_total`).Inc()
 		c.mu.Lock()
 		c.direct[to.ID] = time.Now().Add(directTime)
--- a/internal/fleet/endpoint.go
+++ b/internal/fleet/endpoint.go
@@ -120,19 +120,29 @@
 	// OrderUnknown orders got no answer: they may have been executed, or may still be
 	// executed seconds later.
 	OrderUnknown OrderOutcome = "unknown"
+	// OrderHungUp renewals got no answer either: the other side closed the connection, as it
+	// does when the endpoint's process exits.
+	OrderHungUp OrderOutcome = "hung-up"
+	// OrderRefused renewals found that nothing listens at the endpoint's address.
+	OrderRefused OrderOutcome = "refused"
 )
 
 // IsKnown reports whether this is one of the outcomes above.
 func (o OrderOutcome) IsKnown() bool {
 	switch o {
 	case OrderAccepted, OrderFenced, OrderStaleRun, OrderLeaseExpired, OrderNoCapacity, OrderInvalidTicket,
-		OrderMalformed, OrderUnhealthy, OrderOtherIncarnation, OrderNotSent, OrderUnknown:
+		OrderMalformed, OrderUnhealthy, OrderOtherIncarnation, OrderNotSent, OrderUnknown, OrderHungUp, OrderRefused:
 		return true
 	default:
 		return false
 	}
 }
 
+// isUnanswered reports whether the endpoint was asked and gave no answer.
+func (o OrderOutcome) isUnanswered() bool {
+	return o == OrderUnknown || o == OrderHungUp || o == OrderRefused
+}
+
 // Reply is an endpoint's answer to an order.
 type Reply struct {
 	Outcome OrderOutcome
--- a/internal/fleet/endpointstate.go
+++ b/internal/fleet/endpointstate.go
@@ -37,8 +37,11 @@
 	listed bool
 	// listedAt is when this incarnation was first listed.
 	listedAt time.Time
-	// gone is true once the host list, or a change of its host, has shown that this incarnation
-	// can no longer run anything; goneAt is when that was last learnt.
+	// presumed is evidence that this incarnation has ended, which it has not contradicted yet,
+	// or nil.
+	presumed *presumedEnd
+	// gone is true once this incarnation can no longer run anything: its host was changed, or
+	// it was presumed ended and has not answered since. goneAt is when that was last learnt.
 	gone   bool
 	goneAt time.Time
 	// lastHost is the host that last named the endpoint in the host list, or "".
@@ -86,6 +89,9 @@
 	// unresponsive is true after a failed lease renewal. The lease is not extended from
 	// the estimated clock then, or it would never expire.
 	unresponsive bool
+	// hungUpAt is when the endpoint hung up on a renewal, and refusedAt when after that nothing
+	// listened at its address, or zero if it has answered since.
+	hungUpAt, refusedAt time.Time
 	// fullUntil is when the endpoint may get work again after a start exceeded its capacity,
 	// and roomPause how long it got none the last time.
 	fullUntil time.Time
@@ -131,6 +137,22 @@
 	return !e.missingSince.IsZero() && !e.reportedAt.After(e.missingSince)
 }
 
+// noteFailure notes how a renewal failed.
+func (e *endpoint) noteFailure(reply Reply, now time.Time) {
+	switch {
+	case reply.Outcome == OrderHungUp:
+		e.hungUpAt = now
+	case reply.Outcome == OrderRefused && !e.hungUpAt.IsZero():
+		e.refusedAt = now
+	}
+}
+
+// hasExited reports whether calls look as if the endpoint's process had exited: it hung up, and
+// nothing listens at its address any more. A link that resets connections does not hang up.
+func (e *endpoint) hasExited() bool {
+	return !e.refusedAt.IsZero()
+}
+
 // hasLiveRun reports whether the endpoint has confirmed a run that is not being stopped.
 func (e *endpoint) hasLiveRun() bool {
 	for _, r := range e.runs {
@@ -169,7 +191,7 @@
 
 // acceptsWork reports whether the endpoint may get new runs.
 func (e *endpoint) acceptsWork(now time.Time) bool {
-	return e.listed && e.isKnown() && !e.gone && !e.unresponsive && !e.row.Draining && !e.leaving &&
+	return e.listed && e.isKnown() && !e.gone && e.presumed == nil && !e.unresponsive && !e.row.Draining && !e.leaving &&
 		!now.Before(e.pausedUntil) && !now.Before(e.noWorkUntil) && !now.Before(e.fullUntil) && e.isFresh(now)
 }
 
--- a/internal/fleet/hostevidence.go
+++ b/internal/fleet/hostevidence.go
@@ -19,10 +19,25 @@
 	return named
 }
 
-// removeGoneEndpoints ends the runs of endpoints that no host runs any more: the
-// platform knows of a crash or a change before the endpoint's lease expires. An
-// endpoint that is only unreachable is still on its host.
-func (l *Leader) removeGoneEndpoints(list []Host, sentAt, now time.Time) {
+// maxHostListLag is how far rows of the host list may lag behind their hosts, and go back. The
+// platform promises nothing; a lag beyond it harms only while the endpoint is out of reach.
+const maxHostListLag = 5 * time.Second
+
+// presumedEnd is evidence that an endpoint has ended. It takes an unanswered question, asked after it,
+// for the endpoint to be taken for ended: what an endpoint says of itself goes before what others
+// say of it.
+type presumedEnd struct {
+	end endpointEnd
+	// since is when the evidence was learnt.
+	since time.Time
+	// isFromList is true if the host list is the witness.
+	isFromList bool
+}
+
+// presumeUnnamedEnded presumes the endpoints ended that no host runs according to a host list, which
+// was requested at sentAt: the platform knows of a crash or a change before the endpoint's lease
+// expires. It returns the endpoints to ask.
+func (l *Leader) presumeUnnamedEnded(list []Host, sentAt, now time.Time) []EndpointID {
 	rows, onHost := make(map[HostID]Host, len(list)), map[EndpointID]Host{}
 	for _, row := range list {
 		rows[row.ID] = row
@@ -31,7 +46,7 @@
 		}
 	}
 	if len(onHost) == 0 {
-		return
+		return nil
 	}
 	var ends []endpointEnd
 	crashes := 0
@@ -47,16 +62,71 @@
 			continue
 		}
 		e.lastHost, e.missingSince = row.ID, time.Time{}
+		if e.presumed != nil && e.presumed.isFromList {
+			e.presumed = nil
+		}
 		if e.gone && row.State == HostUp && !sentAt.Before(e.goneAt) {
 			// It has restarted, or the earlier list was wrong.
 			e.gone = false
 			l.suspectRestart(e, "host list", now)
 		}
 	}
+	var asked []EndpointID
 	for _, end := range ends {
 		end.together = crashes
-		l.endpointEnded(end, now)
+		e := end.endpoint
+		switch {
+		case e.gone || e.hasExited():
+			l.endpointEnded(end, now)
+		case e.knownFor(sentAt) >= maxHostListLag:
+			l.presumeEnded(presumedEnd{end: end, since: now, isFromList: true})
+			asked = append(asked, e.row.ID)
+		}
+	}
+	return asked
+}
+
+// knownFor returns for how long the endpoint's incarnation has surely existed: since it was
+// listed, or since its start by its host's wall clock.
+func (e *endpoint) knownFor(at time.Time) time.Duration {
+	return max(at.Sub(e.listedAt), at.Sub(e.startedAt)-maxWallClockSkew)
+}
+
+// presumeEnded notes evidence that an endpoint has ended, if there is none yet.
+func (l *Leader) presumeEnded(p presumedEnd) {
+	e := p.end.endpoint
+	if e.gone || e.presumed != nil {
+		return
+	}
+	e.presumed = &p
+	l.log("endpoint presumed ended", "endpoint", e.row.ID, "pool", e.row.Pool, "why", p.end.reason, "runs", len(e.runs),
+		"evidence-age", age(p.end.at, p.since), "report-age", age(e.reportedAt, p.since), "answers", !e.unresponsive)
+}
+
+// presumePredecessorsEnded presumes the other endpoints ended on the host of an endpoint that has answered a
+// renewal sent at sentAt: a host runs one at a time.
+func (l *Leader) presumePredecessorsEnded(successor *endpoint, sentAt, now time.Time) {
+	if successor.row.Host == "" {
+		return
+	}
+	for _, e := range l.endpoints {
+		if e == successor || e.row.Host != successor.row.Host || !e.reportedAt.Before(sentAt) {
+			continue
+		}
+		l.presumeEnded(presumedEnd{since: now, end: endpointEnd{
+			endpoint: e, reason: "another endpoint reports from its host", isPlanned: l.endsByPlan(e), at: sentAt, together: 1,
+		}})
+	}
+}
+
+// confirmEnd takes an endpoint for ended that is presumed to be, and has not answered a question sent at sentAt.
+func (l *Leader) confirmEnd(e *endpoint, sentAt, now time.Time) {
+	if e.presumed == nil || sentAt.Before(e.presumed.since) {
+		return
 	}
+	end := e.presumed.end
+	e.presumed = nil
+	l.endpointEnded(end, now)
 }
 
 // handleUnnamed handles an endpoint that no host names in the list requested at sentAt. It
@@ -98,7 +168,7 @@
 	return h != nil && !e.listedAt.After(h.shownSince)
 }
 
-// endpointEnded handles evidence that an endpoint's incarnation has ended. Its remaining runs, which were answered later or not at all, may be on the next
+// endpointEnded takes an endpoint's incarnation for ended. Its remaining runs, which were answered later or not at all, may be on the next
 // incarnation: they are resolved by their answers, its report, later evidence or the end of
 // the lease.
 func (l *Leader) endpointEnded(end endpointEnd, now time.Time) {
@@ -107,7 +177,7 @@
 		l.logGone(end, now)
 		l.judgeRuns(end, now)
 	}
-	e.gone, e.goneAt, e.blocked = true, now, false
+	e.gone, e.goneAt, e.blocked, e.presumed = true, now, false, nil
 	for _, r := range e.runs {
 		if r.wasRunningBefore(end.at) {
 			l.runLost(r, end.reason, now)
--- a/internal/fleet/hostlag_test.go
+++ b/internal/fleet/hostlag_test.go
@@ -129,3 +129,85 @@
 func maxListLag(seed uint64) time.Duration {
 	return time.Duration(1+seed%4) * time.Second
 }
+
+// Guards against two runs of a task at once: a new endpoint is out of reach while the host list
+// lags, which looks like a crash. Also against tasks that wait for a lease although the endpoint's
+// process has exited, or its host has another one.
+func TestEndOfNewEndpoint(t *testing.T) {
+	down := []fleet.Host{downHost("a"), newHost(poolName, "b")}
+	failWith := func(outcomes ...fleet.OrderOutcome) func(s *simulation) {
+		return func(s *simulation) {
+			for _, outcome := range outcomes {
+				s.advance(150 * time.Millisecond)
+				s.failRenewal("a", outcome)
+			}
+		}
+	}
+	succeed := func(s *simulation) {
+		row := endpointRow("next")
+		row.Host, row.StartedAt = hostOf("a"), s.now
+		s.restart("next", s.now)
+		s.leader.UpdateEndpoint(row, s.now)
+		s.advance(time.Millisecond)
+		s.renewLease("next")
+	}
+	tests := map[string]struct {
+		happen func(s *simulation)
+		starts int
+	}{
+		"hangs up and refuses, host is down": {func(s *simulation) {
+			failWith(fleet.OrderHungUp, fleet.OrderRefused)(s)
+			s.listed(down...)
+		}, 1},
+		"hangs up, host is down": {func(s *simulation) {
+			failWith(fleet.OrderHungUp, fleet.OrderUnknown)(s)
+			s.listed(down...)
+		}, 0},
+		"connections reset, then refused, host is down": {func(s *simulation) {
+			failWith(fleet.OrderUnknown, fleet.OrderRefused)(s)
+			s.listed(down...)
+		}, 0},
+		"hangs up and refuses, host as it was": {func(s *simulation) {
+			failWith(fleet.OrderHungUp, fleet.OrderRefused)(s)
+			s.listed(newHost(poolName, "a"), newHost(poolName, "b"))
+		}, 0},
+		"hangs up and refuses, answers, host is down": {func(s *simulation) {
+			failWith(fleet.OrderHungUp, fleet.OrderRefused)(s)
+			s.renewLease("a")
+			s.listed(down...)
+			failWith(fleet.OrderUnknown)(s)
+		}, 0},
+		"silent, host is down": {func(s *simulation) {
+			s.listed(down...)
+			failWith(fleet.OrderUnknown, fleet.OrderUnknown)(s)
+		}, 0},
+		"silent, host is down for longer than the list lags": {func(s *simulation) {
+			failWith(fleet.OrderUnknown)(s)
+			s.advance(4800 * time.Millisecond)
+			s.listed(down...)
+			s.failRenewal("a", fleet.OrderUnknown)
+		}, 1},
+		"silent, another endpoint on its host": {func(s *simulation) {
+			succeed(s)
+			failWith(fleet.OrderUnknown)(s)
+		}, 1},
+		"reports, another endpoint on its host": {func(s *simulation) {
+			succeed(s)
+			s.renewLease("a")
+			failWith(fleet.OrderUnknown)(s)
+		}, 0},
+	}
+	for name, c := range tests {
+		t.Run(name, func(t *testing.T) {
+			s, start := startOnNewEndpoint(t, nil)
+			s.accept(start)
+			s.renewLease("a")
+			s.advance(100 * time.Millisecond)
+			c.happen(s)
+			s.writeBatches()
+			if got := len(s.step().Starts); got != c.starts {
+				t.Errorf("starts: got %d, want %d", got, c.starts)
+			}
+		})
+	}
+}
--- a/internal/fleet/hosts.go
+++ b/internal/fleet/hosts.go
@@ -121,8 +121,9 @@
 	return e
 }
 
-// UpdateHosts processes the platform's host list, which was requested at sentAt.
-func (l *Leader) UpdateHosts(list []Host, sentAt, now time.Time) {
+// UpdateHosts processes the platform's host list, which was requested at sentAt. It returns the
+// endpoints that have to be asked whether they run.
+func (l *Leader) UpdateHosts(list []Host, sentAt, now time.Time) []EndpointID {
 	listed := map[HostID]bool{}
 	for _, row := range list {
 		listed[row.ID] = true
@@ -144,7 +145,7 @@
 			h.listed, h.isMissing = h.listed && !h.isMissing, true
 		}
 	}
-	l.removeGoneEndpoints(list, sentAt, now)
+	return l.presumeUnnamedEnded(list, sentAt, now)
 }
 
 // updateHost applies a host's row, unless the row predates the host's change.
--- a/internal/fleet/incarnation.go
+++ b/internal/fleet/incarnation.go
@@ -100,8 +100,9 @@
 	// meant for the earlier one.
 	e.noWorkUntil = e.lateAckUntil
 	e.startedAt, e.mayHaveRestarted = startedAt, false
-	e.reached, e.gone, e.listedAt = false, false, now
+	e.reached, e.gone, e.presumed, e.listedAt = false, false, nil, now
 	e.clock, e.clockAt, e.leaseUntil = 0, time.Time{}, 0
+	e.hungUpAt, e.refusedAt = time.Time{}, time.Time{}
 	e.lastRead, e.ackable, e.acked, e.unpersisted = 0, 0, 0, nil
 	e.failureStreak = failureStreak{}
 	e.endedUnanswered = nil
--- a/internal/fleet/leader_test.go
+++ b/internal/fleet/leader_test.go
@@ -360,6 +360,9 @@
 	s.advance(100 * time.Millisecond)
 	s.leader.RenewalFailed(crashed, fleet.Reply{Outcome: fleet.OrderUnknown}, s.now)
 	s.leader.UpdateHosts([]fleet.Host{newHost(poolName, survivor), downHost(crashed)}, s.now, s.now)
+	s.writeBatches()
+	s.wantOrders("before the endpoint was asked after the list", 0, 0)
+	s.failRenewal(crashed, fleet.OrderUnknown)
 	s.wantOrders("before the crash is stored", 0, 0)
 	s.writeBatches()
 	starts := s.step().Starts
@@ -534,7 +537,13 @@
 			s.leader.UpdateEndpoint(endpointRow("b"), s.now)
 			s.advance(time.Millisecond)
 			s.listed(newHost(poolName, "a"), downHost("b"))
+			s.failRenewal("b", fleet.OrderUnknown)
 		}, 1},
+		"the other endpoint's host is down, it was not asked": {func(s *simulation) {
+			s.leader.UpdateEndpoint(endpointRow("b"), s.now)
+			s.advance(time.Millisecond)
+			s.listed(newHost(poolName, "a"), downHost("b"))
+		}, 0},
 		"the other endpoint's host is missing once": {func(s *simulation) {
 			s.leader.UpdateEndpoint(endpointRow("b"), s.now)
 			s.advance(time.Millisecond)
--- a/internal/fleet/renewal.go
+++ b/internal/fleet/renewal.go
@@ -18,7 +18,7 @@
 	}
 	renewal := LeaseRenewal{}
 	isAckWithheld := false
-	if e.ackable > e.acked && !e.mayHaveRestarted && !e.unresponsive {
+	if e.ackable > e.acked && !e.mayHaveRestarted && !e.unresponsive && e.presumed == nil {
 		// Sent only if it has advanced, to an endpoint that has just answered: a new incarnation
 		// restarts the numbers of completions.
 		isAckWithheld = e.hasOverdueStart(now)
@@ -37,6 +37,11 @@
 		return renewal, isDue
 	case !e.isKnown():
 		return renewal, true
+	case e.presumed != nil:
+		if !e.unresponsive && len(e.runs) > 0 && l.confirmed(now) {
+			renewal.Lease = e.nextLease(now, l.leaseDuration())
+		}
+		return renewal, true
 	case e.blocked && now.Sub(e.reportedAt) < unknownJobDelay:
 		return renewal, false
 	case isAckWithheld && now.Sub(e.reportedAt) < unresolvedReportWait:
@@ -108,7 +113,7 @@
 			endpoint: e, reason: "another endpoint answers at the address", isPlanned: e.row.Draining, at: reply.SentAt,
 		}, now)
 	}
-	if e.sentAck > 0 && reply.Outcome == OrderUnknown {
+	if e.sentAck > 0 && reply.Outcome.isUnanswered() {
 		e.lateAckUntil = now.Add(maxOrderDelay)
 	}
 	e.pausedUntil = now.Add(unhealthyPause)
@@ -117,6 +122,10 @@
 			"runs", len(e.runs), "report-age", age(e.reportedAt, now), "life", e.startedAt.UnixMilli(), "gone", e.gone)
 	}
 	e.unresponsive = true
+	e.noteFailure(reply, now)
+	if reply.Outcome.isUnanswered() {
+		l.confirmEnd(e, reply.SentAt, now)
+	}
 	if e.clockAt.IsZero() || !l.leasesOver(e, now) {
 		return
 	}
@@ -158,6 +167,11 @@
 	if !sentAt.Before(e.suspectedAt) {
 		e.mayHaveRestarted = false
 	}
+	if e.presumed != nil && !sentAt.Before(e.presumed.since) {
+		l.log("endpoint answers although presumed ended", "endpoint", id, "pool", e.row.Pool, "why", e.presumed.end.reason,
+			"presumed-ago", age(e.presumed.since, now), "running", len(report.Running))
+		e.presumed = nil
+	}
 	if !e.mayHaveRestarted {
 		e.suspectedLeaseUntil = 0
 	}
@@ -177,8 +191,10 @@
 	}
 	if !e.reached {
 		l.log("endpoint reached", "endpoint", id, "pool", e.row.Pool, "running", len(report.Running), "ended", len(report.Completions))
+		l.presumePredecessorsEnded(e, sentAt, now)
 	}
 	e.reached, e.unresponsive, e.gone = true, false, false
+	e.hungUpAt, e.refusedAt = time.Time{}, time.Time{}
 	e.clock, e.clockAt = report.Clock, now
 	e.reportedAt = now
 	e.acked = max(e.acked, renewal.AckedUpTo)
--- a/internal/fleet/reply.go
+++ b/internal/fleet/reply.go
@@ -18,7 +18,7 @@
 	if r == nil || !r.answeredAt.IsZero() {
 		return false
 	}
-	isSameIncarnation := e.isKnown() && !e.gone && !e.unresponsive && start.incarnation.Equal(e.startedAt)
+	isSameIncarnation := e.isKnown() && !e.gone && e.presumed == nil && !e.unresponsive && start.incarnation.Equal(e.startedAt)
 	hasRoom := l.knowsCapacity(e.row.Pool, now) && e.hasRoomFor(r)
 	if r.state == runStarting && isSameIncarnation && hasRoom && l.confirmed(now) {
 		return true
