--- a/internal/fleet/hostlag_test.go
+++ b/internal/fleet/hostlag_test.go
@@ -97,7 +97,7 @@
 	for seed := range uint64(seeds) {
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
 			w := newCrashWorld(t, crashWorldConfig{
-				endpoints: 10, racks: 3, seed: seed, lostAnswers: 0.02, staysUp: seed%3 == 1,
+				endpoints: 10, racks: 3, seed: seed, lostAnswers: 0.02, staysUp: seed%3 == 1, isDark: seed%2 == 1,
 				down: time.Duration(100+seed%4*900) * time.Millisecond, listLag: maxListLag(seed),
 			})
 			w.runFor(100 * time.Millisecond)
