fleet: a new leader does not wait for endpoints that have just been moved

After the fix of lists that lag, inherited jobs waited up to seven seconds for endpoints whose hosts had been moved shortly before a takeover: they were too new for the host list to count, and a new leader has no renewal that they could hang up on.

An endpoint that has not answered this leader yet, refuses connections, and is in no row of the list has ended. What remains is a new endpoint behind a link that resets connections, beside a list that lags, at a takeover. Ruled out: to wait for the leases (the loss above), and to believe the list alone.

--- a/internal/fleet/endpointstate.go
+++ b/internal/fleet/endpointstate.go
@@ -89,8 +89,9 @@
 	// unresponsive is true after a failed lease renewal. The lease is not extended from
 	// the estimated clock then, or it would never expire.
 	unresponsive bool
-	// hungUpAt is when the endpoint hung up on a renewal, and refusedAt when after that nothing
-	// listened at its address, or zero if it has answered since.
+	// hungUpAt is when the endpoint hung up on a renewal, and refusedAt when after that, or
+	// before it had answered this leader, nothing listened at its address. They are zero if it
+	// has answered since.
 	hungUpAt, refusedAt time.Time
 	// fullUntil is when the endpoint may get work again after a start exceeded its capacity,
 	// and roomPause how long it got none the last time.
@@ -142,13 +143,14 @@
 	switch {
 	case reply.Outcome == OrderHungUp:
 		e.hungUpAt = now
-	case reply.Outcome == OrderRefused && !e.hungUpAt.IsZero():
+	case reply.Outcome == OrderRefused && (!e.hungUpAt.IsZero() || !e.reached):
 		e.refusedAt = now
 	}
 }
 
 // hasExited reports whether calls look as if the endpoint's process had exited: it hung up, and
-// nothing listens at its address any more. A link that resets connections does not hang up.
+// nothing listens at its address any more. A link that resets connections does not hang up; to
+// a leader that has not reached the endpoint yet it looks the same.
 func (e *endpoint) hasExited() bool {
 	return !e.refusedAt.IsZero()
 }
--- a/internal/fleet/hostlag_test.go
+++ b/internal/fleet/hostlag_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/lovagedyke/lovagedyke/internal/fleet"
+	"github.com/lovagedyke/lovagedyke/internal/job"
 )
 
 // laggingLists returns, by name, the rows that the host list shows of endpoint "a"'s host before
@@ -211,3 +212,46 @@
 		})
 	}
 }
+
+// Guards against inherited jobs that wait seconds for endpoints that have just ended, as their
+// hosts were moved shortly before the takeover, and against tasks that start a second time since a
+// new endpoint is taken for one of these. Pattern: takeover-beside-moves.
+func TestTakeoverBesideMoves(t *testing.T) {
+	moved := newHost(otherPool, "b")
+	moved.State, moved.Endpoint = fleet.HostMoving, ""
+	refused, unknown := fleet.OrderRefused, fleet.OrderUnknown
+	tests := map[string]struct {
+		host     fleet.Host
+		outcomes []fleet.OrderOutcome
+		answers  bool
+		starts   int
+	}{
+		"refuses, host is moving":               {moved, []fleet.OrderOutcome{refused}, false, 1},
+		"refuses, host names it":                {newHost(poolName, "b"), []fleet.OrderOutcome{refused}, false, 0},
+		"silent, host is moving":                {moved, []fleet.OrderOutcome{unknown, unknown}, false, 0},
+		"refuses once, answers, host is moving": {moved, []fleet.OrderOutcome{refused}, true, 0},
+	}
+	for name, c := range tests {
+		t.Run(name, func(t *testing.T) {
+			stored := fleet.StoredJob{Submission: submission(1, tasks(1))}
+			s := newSimulation(t, simulationConfig{token: 2, jobs: []fleet.StoredJob{stored}})
+			s.addEndpoint("a")
+			s.restart("b", s.now)
+			row := endpointRow("b")
+			row.StartedAt = s.now
+			s.leader.UpdateEndpoint(row, s.now)
+			s.run(fleet.Start{Endpoint: "b", Task: job.Task{Job: jobID(1)}, Run: 1})
+			for _, outcome := range c.outcomes {
+				s.advance(150 * time.Millisecond)
+				s.failRenewal("b", outcome)
+			}
+			if c.answers {
+				s.renewLease("b")
+			}
+			s.listed(newHost(poolName, "a"), c.host)
+			if got := len(s.step().Starts); got != c.starts {
+				t.Errorf("starts of the inherited task: got %d, want %d", got, c.starts)
+			}
+		})
+	}
+}
