fleet, platform, courier: an end is believed after a question that reached the endpoint

A review of the fix by somebody who had not seen the work showed five ways in which a task still ran twice at once, each by a test that failed:

- A new endpoint whose host's clock, or the leader's, has jumped by eight seconds seemed older than a list can lag.
Its age is now the time for which this leader has known the incarnation; start times are no measure.
- A restart under the same ID kept the age of the former incarnation, and an endpoint that was gone lost the runs that it had accepted since to the next list, unasked.
- One refused call ended an endpoint that had answered before its jobs were read, or had rejected a start as late.
Refusals count before the first answer, or after the endpoint has hung up, and any answer clears them; the endpoint is asked once more after the list.
- A rejection after the evidence did not contradict it.
- The question went through a courier that was itself cut off, or over a kept connection that had gone silent.
The leader asks by itself, on a new connection.

A row that goes back withdrew the word of the host's next endpoint, which now stays.

Tests that combined an old start time with a new endpoint let the endpoint grow old first. A start that is answered after its endpoint was taken for gone cannot be told from one that the next incarnation accepted: its task waits for the lease unless the process has exited; the case says so, and has the exit.

--- a/internal/courier/client.go
+++ b/internal/courier/client.go
@@ -129,10 +129,11 @@
 }
 
 // RenewLease implements Endpoints. A renewal may be repeated, so one that a failed
-// courier did not answer is sent directly.
+// courier did not answer is sent directly. A question always is: a courier without an answer
+// may itself be cut off.
 func (c *Client) RenewLease(ctx context.Context, to fleet.EndpointAddress, token uint64, renewal fleet.LeaseRenewal) (fleet.Report, fleet.Reply) {
 	l := c.linkFor(to.ID)
-	if l == nil {
+	if l == nil || renewal.IsQuestion {
 		return c.config.Direct.RenewLease(ctx, to, token, renewal)
 	}
 	pending := &pendingOrder{order: &courierpb.Order{Kind: &courierpb.Order_Renewal{Renewal: encodeRenewal(renewal)}}}
--- a/internal/fleet/endpointstate.go
+++ b/internal/fleet/endpointstate.go
@@ -143,7 +143,7 @@
 	switch {
 	case reply.Outcome == OrderHungUp:
 		e.hungUpAt = now
-	case reply.Outcome == OrderRefused && (!e.hungUpAt.IsZero() || !e.reached):
+	case reply.Outcome == OrderRefused && (!e.hungUpAt.IsZero() || e.reportedAt.IsZero()):
 		e.refusedAt = now
 	}
 }
--- a/internal/fleet/hostevidence.go
+++ b/internal/fleet/hostevidence.go
@@ -75,10 +75,11 @@
 	for _, end := range ends {
 		end.together = crashes
 		e := end.endpoint
-		switch {
-		case e.gone || e.hasExited():
-			l.endpointEnded(end, now)
-		case e.knownFor(sentAt) >= maxHostListLag:
+		if e.gone && !e.hasRunBefore(end.at) {
+			l.forgetEndpoint(e, now)
+			continue
+		}
+		if e.hasExited() || sentAt.Sub(e.knownSince()) >= maxHostListLag {
 			l.presumeEnded(presumedEnd{end: end, since: now, isFromList: true})
 			asked = append(asked, e.row.ID)
 		}
@@ -86,21 +87,43 @@
 	return asked
 }
 
-// knownFor returns for how long the endpoint's incarnation has surely existed: since it was
-// listed, or since its start by its host's wall clock.
-func (e *endpoint) knownFor(at time.Time) time.Duration {
-	return max(at.Sub(e.listedAt), at.Sub(e.startedAt)-maxWallClockSkew)
+// knownSince returns since when the incarnation that answers as the endpoint has surely existed.
+// Start times are no measure of it: hosts' wall clocks jump.
+func (e *endpoint) knownSince() time.Time {
+	since := e.listedAt
+	if e.mayHaveRestarted && e.suspectedAt.After(since) {
+		since = e.suspectedAt
+	}
+	if e.gone && e.goneAt.After(since) {
+		since = e.goneAt
+	}
+	return since
+}
+
+// hasRunBefore reports whether evidence that was requested at a time may end a run.
+func (e *endpoint) hasRunBefore(at time.Time) bool {
+	for _, r := range e.runs {
+		if r.wasRunningBefore(at) {
+			return true
+		}
+	}
+	return false
 }
 
-// presumeEnded notes evidence that an endpoint has ended, if there is none yet.
+// presumeEnded notes evidence that an endpoint has ended. What another endpoint says replaces
+// what the host list says; otherwise the first evidence counts, since which it is asked.
 func (l *Leader) presumeEnded(p presumedEnd) {
 	e := p.end.endpoint
-	if e.gone || e.presumed != nil {
+	switch {
+	case e.gone && !e.hasRunBefore(p.end.at):
+		return
+	case e.presumed == nil:
+		l.log("endpoint presumed ended", "endpoint", e.row.ID, "pool", e.row.Pool, "why", p.end.reason, "runs", len(e.runs),
+			"evidence-age", age(p.end.at, p.since), "report-age", age(e.reportedAt, p.since), "answers", !e.unresponsive, "exited", e.hasExited())
+	case p.isFromList || !e.presumed.isFromList:
 		return
 	}
 	e.presumed = &p
-	l.log("endpoint presumed ended", "endpoint", e.row.ID, "pool", e.row.Pool, "why", p.end.reason, "runs", len(e.runs),
-		"evidence-age", age(p.end.at, p.since), "report-age", age(e.reportedAt, p.since), "answers", !e.unresponsive)
 }
 
 // presumePredecessorsEnded presumes the other endpoints ended on the host of an endpoint that has answered a
@@ -186,6 +209,17 @@
 	l.forgetEndpoint(e, now)
 }
 
+// contradictEnd clears an endpoint that is presumed ended, and has answered a question sent at
+// sentAt.
+func (l *Leader) contradictEnd(e *endpoint, sentAt, now time.Time) {
+	if e.presumed == nil || sentAt.Before(e.presumed.since) {
+		return
+	}
+	l.log("endpoint answers although presumed ended", "endpoint", e.row.ID, "pool", e.row.Pool, "why", e.presumed.end.reason,
+		"presumed-ago", age(e.presumed.since, now), "life", e.startedAt.UnixMilli())
+	e.presumed = nil
+}
+
 // logGone logs why an endpoint is taken for gone, and what the evidence is worth: how old the
 // endpoint, its last report, and the row of its host are.
 func (l *Leader) logGone(end endpointEnd, now time.Time) {
--- a/internal/fleet/hostevidence_test.go
+++ b/internal/fleet/hostevidence_test.go
@@ -31,6 +31,16 @@
 	s.failRenewal("a", fleet.OrderUnknown)
 }
 
+// outlastListLag lets time pass until the host list counts for all endpoints.
+func (s *simulation) outlastListLag() {
+	s.t.Helper()
+	const maxHostListLag = 5 * time.Second
+	for end := s.now.Add(maxHostListLag); s.now.Before(end); {
+		s.advance(250 * time.Millisecond)
+		s.renewAll()
+	}
+}
+
 // startOn returns a simulation in which a task's start has been ordered on endpoint "a", and
 // has no answer yet, beside the empty endpoint "b".
 func startOn(t *testing.T) (*simulation, fleet.Start) {
@@ -39,6 +49,7 @@
 	s := newSimulation(t, simulationConfig{policy: onePool})
 	s.startedAt = s.now.Add(-time.Hour)
 	s.addEndpoint("a")
+	s.outlastListLag()
 	s.submit(submission(1, tasks(1)))
 	start := s.step().Starts[0]
 	s.addEndpoint("b")
@@ -90,7 +101,9 @@
 			s.advance(100 * time.Millisecond)
 		}, 1},
 		"on its way, accepted before the crash": {false, func(s *simulation, start fleet.Start) {
+			s.failRenewal("a", fleet.OrderHungUp)
 			s.leader.HandleStartReply(start, fleet.Reply{Outcome: fleet.OrderAccepted}, s.now)
+			s.failRenewal("a", fleet.OrderRefused)
 			s.wantOrders("before the next list", 0, 0)
 			s.advance(time.Millisecond)
 			if !s.leader.NeedsHostList(s.now) {
@@ -574,7 +587,7 @@
 				s.wantOrders("while the list lags", 0, 0)
 			}
 			s.listed(newHost(poolName, "a"), other)
-			s.advance(time.Millisecond)
+			s.outlastListLag()
 			s.listedGone(lagging, other)
 			s.wantOrders("after the list has shown the endpoint, and then its end", 1, 0)
 		})
@@ -603,7 +616,8 @@
 		"answered between two lists without the endpoint": func(s *simulation, start fleet.Start) {
 			s.listed(b)
 			s.accept(start)
-			s.failRenewal("a", fleet.OrderUnknown)
+			s.failRenewal("a", fleet.OrderHungUp)
+			s.failRenewal("a", fleet.OrderRefused)
 			s.listedGone(b)
 			s.wantOrders("after two lists, one of them older than the answer", 0, 0)
 			s.listedGone(b)
@@ -693,7 +707,11 @@
 		s.advance(time.Millisecond)
 		last := &hosts[len(hosts)-1]
 		last.State, last.Endpoint = fleet.HostMaintenance, ""
+		s.failRenewal("x", fleet.OrderHungUp)
+		s.failRenewal("x", fleet.OrderRefused)
 		s.listed(hosts...)
+		s.wantOrders("after the list has shown the change, before the endpoint was asked", 0, 0)
+		s.failRenewal("x", fleet.OrderRefused)
 		s.wantOrders("after the list has shown the change", 1, 0)
 	})
 	t.Run("endpoint that was not known", func(t *testing.T) {
--- a/internal/fleet/hostlag_test.go
+++ b/internal/fleet/hostlag_test.go
@@ -159,14 +159,18 @@
 		"hangs up and refuses, host is down": {func(s *simulation) {
 			failWith(fleet.OrderHungUp, fleet.OrderRefused)(s)
 			s.listed(down...)
+			s.wantOrders("after the list, before the endpoint was asked", 0, 0)
+			failWith(fleet.OrderRefused)(s)
 		}, 1},
 		"hangs up, host is down": {func(s *simulation) {
 			failWith(fleet.OrderHungUp, fleet.OrderUnknown)(s)
 			s.listed(down...)
+			failWith(fleet.OrderUnknown)(s)
 		}, 0},
 		"connections reset, then refused, host is down": {func(s *simulation) {
 			failWith(fleet.OrderUnknown, fleet.OrderRefused)(s)
 			s.listed(down...)
+			failWith(fleet.OrderRefused)(s)
 		}, 0},
 		"hangs up and refuses, host as it was": {func(s *simulation) {
 			failWith(fleet.OrderHungUp, fleet.OrderRefused)(s)
@@ -249,6 +253,12 @@
 				s.renewLease("b")
 			}
 			s.listed(newHost(poolName, "a"), c.host)
+			s.wantOrders("after the list, before the endpoint was asked", 0, 0)
+			if c.answers {
+				s.renewLease("b")
+			} else {
+				s.failRenewal("b", c.outcomes[len(c.outcomes)-1])
+			}
 			if got := len(s.step().Starts); got != c.starts {
 				t.Errorf("starts of the inherited task: got %d, want %d", got, c.starts)
 			}
--- a/internal/fleet/leader_test.go
+++ b/internal/fleet/leader_test.go
@@ -352,6 +352,7 @@
 	s := newSimulation(t, simulationConfig{policy: onePool})
 	s.addEndpoint("a")
 	s.addEndpoint("b")
+	s.outlastListLag()
 	s.submit(submission(1, tasks(1)))
 	crashed := s.step().Starts[0].Endpoint
 	s.acceptStarts()
@@ -536,9 +537,16 @@
 		"the other endpoint is gone": {func(s *simulation) {
 			s.leader.UpdateEndpoint(endpointRow("b"), s.now)
 			s.advance(time.Millisecond)
+			s.failRenewal("b", fleet.OrderRefused)
 			s.listed(newHost(poolName, "a"), downHost("b"))
-			s.failRenewal("b", fleet.OrderUnknown)
+			s.failRenewal("b", fleet.OrderRefused)
 		}, 1},
+		"the other endpoint is silent, its host is down": {func(s *simulation) {
+			s.leader.UpdateEndpoint(endpointRow("b"), s.now)
+			s.advance(time.Millisecond)
+			s.listed(newHost(poolName, "a"), downHost("b"))
+			s.failRenewal("b", fleet.OrderUnknown)
+		}, 0},
 		"the other endpoint's host is down, it was not asked": {func(s *simulation) {
 			s.leader.UpdateEndpoint(endpointRow("b"), s.now)
 			s.advance(time.Millisecond)
@@ -554,8 +562,10 @@
 			for range 2 {
 				s.advance(time.Millisecond)
 				s.listHostsOf("a")
-				s.failRenewal("b", fleet.OrderUnknown)
+				s.failRenewal("b", fleet.OrderRefused)
 			}
+			s.listHostsOf("a")
+			s.failRenewal("b", fleet.OrderRefused)
 		}, 1},
 		"inherited leases expired": {func(s *simulation) {
 			s.leader.UpdateEndpoint(endpointRow("b"), s.now)
--- a/internal/fleet/order.go
+++ b/internal/fleet/order.go
@@ -49,6 +49,9 @@
 	AckedUpTo int64
 	// Wait is how long the endpoint may wait for a completion before it reports.
 	Wait time.Duration
+	// IsQuestion is true if the endpoint is presumed ended, and taken for ended without an
+	// answer: it is asked by the leader itself, on a new connection.
+	IsQuestion bool
 }
 
 // AdviceRequest asks the advice service which endpoints may run a step.
--- a/internal/fleet/renewal.go
+++ b/internal/fleet/renewal.go
@@ -14,7 +14,7 @@
 	if e.gone {
 		// Only another incarnation can answer, which may have carried out the starts that are
 		// left. Without them, the list shows when there is one.
-		return LeaseRenewal{}, len(e.runs) > 0
+		return LeaseRenewal{IsQuestion: e.presumed != nil}, len(e.runs) > 0
 	}
 	renewal := LeaseRenewal{}
 	isAckWithheld := false
@@ -36,11 +36,13 @@
 		}
 		return renewal, isDue
 	case !e.isKnown():
+		renewal.IsQuestion = e.presumed != nil
 		return renewal, true
 	case e.presumed != nil:
 		if !e.unresponsive && len(e.runs) > 0 && l.confirmed(now) {
 			renewal.Lease = e.nextLease(now, l.leaseDuration())
 		}
+		renewal.IsQuestion = true
 		return renewal, true
 	case e.blocked && now.Sub(e.reportedAt) < unknownJobDelay:
 		return renewal, false
@@ -123,8 +125,11 @@
 	}
 	e.unresponsive = true
 	e.noteFailure(reply, now)
-	if reply.Outcome.isUnanswered() {
+	switch {
+	case reply.Outcome.isUnanswered():
 		l.confirmEnd(e, reply.SentAt, now)
+	case reply.Outcome != OrderNotSent && reply.Outcome != OrderOtherIncarnation:
+		l.contradictEnd(e, reply.SentAt, now)
 	}
 	if e.clockAt.IsZero() || !l.leasesOver(e, now) {
 		return
@@ -167,11 +172,8 @@
 	if !sentAt.Before(e.suspectedAt) {
 		e.mayHaveRestarted = false
 	}
-	if e.presumed != nil && !sentAt.Before(e.presumed.since) {
-		l.log("endpoint answers although presumed ended", "endpoint", id, "pool", e.row.Pool, "why", e.presumed.end.reason,
-			"presumed-ago", age(e.presumed.since, now), "running", len(report.Running))
-		e.presumed = nil
-	}
+	l.contradictEnd(e, sentAt, now)
+	e.hungUpAt, e.refusedAt = time.Time{}, time.Time{}
 	if !e.mayHaveRestarted {
 		e.suspectedLeaseUntil = 0
 	}
@@ -194,7 +196,6 @@
 		l.presumePredecessorsEnded(e, sentAt, now)
 	}
 	e.reached, e.unresponsive, e.gone = true, false, false
-	e.hungUpAt, e.refusedAt = time.Time{}, time.Time{}
 	e.clock, e.clockAt = report.Clock, now
 	e.reportedAt = now
 	e.acked = max(e.acked, renewal.AckedUpTo)
