fleet: a host counts as down until its endpoint answers or its time has passed

Cause: hearsay about a thing that can speak for itself. A row of the host list that shows the host as up ended its change after half of the time that the change takes, or at once if it named another endpoint than the one at the order. A row that lags shows just that.

A change is now over when the endpoint that speaks from the host has answered a question that was asked after the platform's acceptance, whatever the list shows, or when the list shows the host as up and the time that the change takes has passed. In the same way the endpoint that speaks from a host goes before its row in all that is decided on hosts; a row that lags does not make its host spare, down, or one of its former pool again. A host whose row names another pool than it was moved to is no longer in its change for ever.

Ruled out: the new endpoint's entry alone (no question was answered; its start is by another clock); an endpoint's answer for every host (spare ones have none).

TestWithdrawnChangeIsOrderedFromTheNewestRow expected one withdrawal before the change is sent: its endpoint names its host, which now is enough to order from at once. It has this as a case with none, and the former one with an endpoint that does not name its host; both want the change to be sent.

--- a/internal/fleet/endpointstate.go
+++ b/internal/fleet/endpointstate.go
@@ -83,6 +83,8 @@
 	pausedUntil   time.Time
 	failureStreak failureStreak
 	reportedAt    time.Time
+	// askedAt is when the renewal was sent that the last report answers.
+	askedAt time.Time
 	// blocked is true while the endpoint reports a run or a completion of a job that is
 	// not known yet.
 	blocked bool
--- a/internal/fleet/hostevidence_test.go
+++ b/internal/fleet/hostevidence_test.go
@@ -763,29 +763,44 @@
 // Guards against a host that is never changed: each change is withdrawn since it was ordered
 // from a row of the host that is older than the list.
 func TestWithdrawnChangeIsOrderedFromTheNewestRow(t *testing.T) {
-	s := newSimulation(t, simulationConfig{})
-	unnamed := newHost(poolName, "c")
-	unnamed.Endpoint = ""
-	s.addEndpoint("b")
-	s.listed(unnamed, newHost(poolName, "b"))
-	s.leader.UpdateWave(fleet.WaveRow{Number: 1, MaxDown: 1, Hosts: []fleet.HostID{unnamed.ID}, TimeLimit: time.Second}, s.now)
-	s.addEndpoint("c")
-	withdrawn := 0
-	for range 50 {
-		s.advance(100 * time.Millisecond)
-		if len(s.step().Maintenance) == 0 {
-			continue
-		}
-		// A list arrives while the order waits for the store.
-		s.advance(100 * time.Millisecond)
-		s.listed(newHost(poolName, "c"), newHost(poolName, "b"))
-		if s.leader.ConfirmHostChange(unnamed.ID, s.now) {
-			break
-		}
-		withdrawn++
+	tests := map[string]struct {
+		host string
+		want int
+	}{
+		"endpoint does not name its host": {host: "", want: 1},
+		"endpoint names its host":         {host: hostOf("c"), want: 0},
 	}
-	if withdrawn != 1 {
-		t.Errorf("changes that were withdrawn before one was sent: got %d, want 1", withdrawn)
+	for name, c := range tests {
+		t.Run(name, func(t *testing.T) {
+			s := newSimulation(t, simulationConfig{})
+			unnamed := newHost(poolName, "c")
+			unnamed.Endpoint = ""
+			s.addEndpoint("b")
+			s.listed(unnamed, newHost(poolName, "b"))
+			s.leader.UpdateWave(fleet.WaveRow{Number: 1, MaxDown: 1, Hosts: []fleet.HostID{unnamed.ID}, TimeLimit: time.Second}, s.now)
+			row := endpointRow("c")
+			row.Host = c.host
+			s.leader.UpdateEndpoint(row, s.now)
+			s.advance(time.Millisecond)
+			s.renewLease("c")
+			withdrawn, isSent := 0, false
+			for range 50 {
+				s.advance(100 * time.Millisecond)
+				if len(s.step().Maintenance) == 0 {
+					continue
+				}
+				// A list arrives while the order waits for the store.
+				s.advance(100 * time.Millisecond)
+				s.listed(newHost(poolName, "c"), newHost(poolName, "b"))
+				if isSent = s.leader.ConfirmHostChange(unnamed.ID, s.now); isSent {
+					break
+				}
+				withdrawn++
+			}
+			if !isSent || withdrawn != c.want {
+				t.Errorf("changes that were withdrawn before one was sent (%t): got %d, want %d", isSent, withdrawn, c.want)
+			}
+		})
 	}
 }
 
--- /dev/null
+++ b/internal/fleet/hostrow.go
@@ -0,0 +1,70 @@
+package fleet
+
+import "time"
+
+// speaks reports whether the endpoint answered when it was last asked, and nothing since then
+// shows that it has ended.
+func (e *endpoint) speaks() bool {
+	return e.isKnown() && !e.gone && !e.unresponsive && e.presumed == nil
+}
+
+// speakers returns, by host, the endpoint that speaks from it. It goes before the host's row in
+// the host list, which lags.
+func (l *Leader) speakers() map[HostID]*endpoint {
+	speakers := make(map[HostID]*endpoint, len(l.endpoints))
+	for _, e := range l.endpoints {
+		id := HostID(e.row.Host)
+		if id == "" || !e.speaks() {
+			continue
+		}
+		if other := speakers[id]; other == nil || e.listedAt.After(other.listedAt) || e.listedAt.Equal(other.listedAt) && e.row.ID > other.row.ID {
+			speakers[id] = e
+		}
+	}
+	return speakers
+}
+
+// correctedBy returns a host's row as the endpoint that speaks from the host, or nil, shows it.
+func (h Host) correctedBy(speaker *endpoint) Host {
+	if speaker == nil || h.Endpoint == speaker.row.ID && h.State == HostUp {
+		return h
+	}
+	h.State, h.Pool, h.Endpoint = HostUp, speaker.row.Pool, speaker.row.ID
+	return h
+}
+
+// applyRows updates the rows of the hosts, and ends the changes of those that are back.
+func (l *Leader) applyRows(now time.Time) {
+	speakers := l.speakers()
+	for id, h := range l.hosts.byID {
+		if !h.shownSince.IsZero() {
+			l.applyRow(h, speakers[id], now)
+		}
+	}
+}
+
+// applyRow updates a host's row, unless the host is being changed, which ends once the endpoint
+// that speaks from it has answered a later question.
+func (l *Leader) applyRow(h *hostState, speaker *endpoint, now time.Time) {
+	c := h.pendingChange
+	if c != nil && !c.acceptedAt.IsZero() && speaker != nil && speaker.askedAt.After(c.acceptedAt) {
+		l.hostBack(h, h.shown.correctedBy(speaker), "endpoint", now)
+		return
+	}
+	if c != nil {
+		return
+	}
+	row := h.shown.correctedBy(speaker)
+	if h.row.State != row.State || h.row.Endpoint != row.Endpoint {
+		l.log("host state changed", "host", row.ID, "pool", row.Pool, "state", string(row.State), "endpoint", row.Endpoint,
+			"shown-state", string(h.shown.State), "shown-endpoint", h.shown.Endpoint)
+	}
+	h.row = row
+}
+
+// hostBack ends the accepted change of a host that is up again.
+func (l *Leader) hostBack(h *hostState, row Host, source string, now time.Time) {
+	c := h.pendingChange
+	l.log("host back", "host", row.ID, "pool", row.Pool, "wave", c.wave, "took", age(c.acceptedAt, now), "source", source)
+	h.pendingChange, h.row = nil, row
+}
--- a/internal/fleet/hosts.go
+++ b/internal/fleet/hosts.go
@@ -124,7 +124,7 @@
 // UpdateHosts processes the platform's host list, which was requested at sentAt. It returns the
 // endpoints that have to be asked whether they run.
 func (l *Leader) UpdateHosts(list []Host, sentAt, now time.Time) []EndpointID {
-	listed := map[HostID]bool{}
+	listed, speakers := map[HostID]bool{}, l.speakers()
 	for _, row := range list {
 		listed[row.ID] = true
 		h := l.hosts.byID[row.ID]
@@ -137,7 +137,7 @@
 			h.shownSince = sentAt
 		}
 		h.shown = row
-		l.updateHost(h, row, sentAt, now)
+		l.updateHost(h, row, speakers[row.ID], sentAt, now)
 	}
 	l.hosts.isLoaded = true
 	for id, h := range l.hosts.byID {
@@ -148,14 +148,12 @@
 	return l.presumeUnnamedEnded(list, sentAt, now)
 }
 
-// updateHost applies a host's row, unless the row predates the host's change.
-func (l *Leader) updateHost(h *hostState, row Host, sentAt, now time.Time) {
+// updateHost applies a host's row, unless the row predates the host's change. speaker is the
+// endpoint that speaks from the host, or nil.
+func (l *Leader) updateHost(h *hostState, row Host, speaker *endpoint, sentAt, now time.Time) {
 	c := h.pendingChange
 	if c == nil {
-		if h.row.State != row.State || h.row.Endpoint != row.Endpoint {
-			l.log("host state changed", "host", row.ID, "pool", row.Pool, "state", string(row.State), "endpoint", row.Endpoint)
-		}
-		h.row = row
+		l.applyRow(h, speaker, now)
 		return
 	}
 	if c.acceptedAt.IsZero() && !c.isUnconfirmed || sentAt.Before(c.acceptedAt) {
@@ -165,16 +163,19 @@
 	if c.isUnconfirmed {
 		l.resolveChange(h, now)
 	}
-	if c.acceptedAt.IsZero() {
-		return
-	}
-	hasNewEndpoint := row.Endpoint != "" && row.Endpoint != c.endpoint
-	if row.State == HostUp && (c.wave != 0 || row.Pool == c.pool) && (hasNewEndpoint || now.Sub(c.acceptedAt) > l.changeDuration(c)/2) {
-		l.log("host back", "host", row.ID, "pool", row.Pool, "wave", c.wave, "took", now.Sub(c.acceptedAt).Round(time.Millisecond).String())
-		h.pendingChange = nil
+	if !c.acceptedAt.IsZero() && l.isOver(c, row, now) {
+		l.hostBack(h, row.correctedBy(speaker), "list", now)
 	}
 }
 
+// isOver reports whether an accepted change is over, according to the host's row. Until the time
+// that the change takes has passed, a row that shows the host as up lags.
+func (l *Leader) isOver(c *pendingChange, row Host, now time.Time) bool {
+	elapsed := now.Sub(c.acceptedAt)
+	isThere := c.wave != 0 || row.Pool == c.pool || elapsed >= l.changeDuration(c)+maxHostListLag
+	return row.State == HostUp && isThere && elapsed >= maxElapsed(l.changeDuration(c))
+}
+
 // resolveChange determines from the list whether an unanswered change was made. The list
 // also shows what has become of the endpoint.
 func (l *Leader) resolveChange(h *hostState, now time.Time) {
@@ -242,14 +243,15 @@
 		return false
 	}
 	c := h.pendingChange
-	isSame := h.shown.State == HostUp && h.shown.Endpoint == c.endpoint
+	row := h.shown.correctedBy(l.speakers()[id])
+	isSame := row.State == HostUp && row.Endpoint == c.endpoint
 	isOccupied := l.isOccupied(id)
 	if isSame && !isOccupied && l.confirmed(now) {
 		return true
 	}
 	l.log("host change withdrawn", "host", id, "to", c.pool, "wave", c.wave, "ordered-ago", age(c.orderedAt, now),
-		"state", string(h.shown.State), "endpoint", h.shown.Endpoint, "occupied", isOccupied, "confirmed-ago", age(l.confirmedAt, now))
-	h.pendingChange, h.row = nil, h.shown
+		"state", string(row.State), "endpoint", row.Endpoint, "occupied", isOccupied, "confirmed-ago", age(l.confirmedAt, now))
+	h.pendingChange, h.row = nil, row
 	h.notBefore = now.Add(changeRetryDelay)
 	return false
 }
@@ -344,6 +346,7 @@
 
 // planHosts orders maintenance and moves.
 func (l *Leader) planHosts(pools map[string][]*jobState, orders *Orders, now time.Time) {
+	l.applyRows(now)
 	for _, e := range l.endpoints {
 		e.leaving = false
 	}
--- a/internal/fleet/renewal.go
+++ b/internal/fleet/renewal.go
@@ -197,7 +197,7 @@
 	}
 	e.reached, e.unresponsive, e.gone = true, false, false
 	e.clock, e.clockAt = report.Clock, now
-	e.reportedAt = now
+	e.reportedAt, e.askedAt = now, sentAt
 	e.acked = max(e.acked, renewal.AckedUpTo)
 	l.limitForeignLease(e, now)
 	// Completions are processed first, so that a completed run does not count as lost.
