fleet: inherited tasks wait for entries that expired while the store was away

Cause: two lists are believed over an endpoint that neither of them shows. Its entry expired while the store was away, and the host list, which lags, still shows its host as down, moving, spare, without an endpoint or with a former one. Only hosts shown as up with an endpoint were waited for, so all runs counted as known.

A host list shows that all runs are known only once the endpoint list was read 2.5 s after the return of the store; the platform promises the entries within about two seconds. Until then, the inherited leases count. A process notes when the store answered it again after more than a second, so that a takeover while the store was there waits no longer than before.

Ruled out: to wait for the leases of all hosts that are not shown as up with an endpoint (7 s on each takeover, since spare hosts are never shown so); the record of changes (it does not know of crashes, and the skew of wall clocks exceeds a move).

An endpoint that alone does not reach the store for longer than its entry lives, on a host whose row lags, stays unseen.

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -74,6 +74,9 @@
 	MajorityConfirmedAt func() time.Time
 	// ObserveStore is called with the result of each call of the feeds.
 	ObserveStore func(err error)
+	// StoreReachableSince returns since when the store has answered this process, apart from
+	// brief failures.
+	StoreReachableSince func() time.Time
 }
 
 // Control runs the fleet's leader in a process while that process leads.
--- a/internal/control/feeds.go
+++ b/internal/control/feeds.go
@@ -82,6 +82,7 @@
 				t.leader.RemoveEndpoint(id, now)
 			}
 		}
+		t.leader.NoteStoreReturn(t.config.StoreReachableSince())
 		t.leader.ConfirmEndpoints(sentAt)
 	})
 	t.requestStep()
@@ -103,6 +104,7 @@
 		for _, id := range gone {
 			t.leader.RemoveEndpoint(id, now)
 		}
+		t.leader.NoteStoreReturn(t.config.StoreReachableSince())
 		t.leader.ConfirmEndpoints(sentAt)
 	})
 	t.requestStep()
--- a/internal/fleet/capacity.go
+++ b/internal/fleet/capacity.go
@@ -21,6 +21,11 @@
 	}
 }
 
+// NoteStoreReturn records since when the store has been reachable.
+func (l *Leader) NoteStoreReturn(at time.Time) {
+	l.storeReturnedAt = at
+}
+
 // knowsCapacity reports whether starts in a pool stay within what its endpoints can take now. An
 // endpoint that takes whatever it is told to may have shrunk since its row was read.
 func (l *Leader) knowsCapacity(pool string, now time.Time) bool {
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -29,6 +29,9 @@
 	overdueAnswer = 100 * time.Millisecond
 	// maxOrderDelay is how late an endpoint may carry out an order that it has not answered.
 	maxOrderDelay = 15 * time.Second
+	// entryReturnTime is how long after the return of the store the entries of endpoints may be
+	// missing that expired meanwhile: about two seconds by the platform's promise.
+	entryReturnTime = 2500 * time.Millisecond
 	// formerLeaderGrace is how long after a takeover the former leader may still send
 	// orders.
 	formerLeaderGrace = confirmationTimeout + orderDuration
@@ -97,6 +100,8 @@
 	confirmedAt time.Time
 	// endpointsAsOf is when the endpoints' rows were last known to be current.
 	endpointsAsOf time.Time
+	// storeReturnedAt is since when the store has been reachable, or zero if it was never away.
+	storeReturnedAt time.Time
 	// overdueCheckedAt is when overdue runs were last searched for.
 	overdueCheckedAt time.Time
 	// live holds the jobs that have not ended; jobs also keeps those that have, to report
@@ -185,9 +190,9 @@
 
 // allHostsReached reports whether the endpoint of each host that is up has been
 // reached. The endpoint list does not suffice: its entries lapse while the store is
-// unavailable, and return seconds after it.
+// unavailable, and return seconds after it. The host list lags, and does not suffice until then.
 func (l *Leader) allHostsReached() bool {
-	if !l.hosts.isLoaded {
+	if !l.hosts.isLoaded || !l.areEntriesBack() {
 		return false
 	}
 	for _, h := range l.hosts.byID {
@@ -201,6 +206,12 @@
 	return true
 }
 
+// areEntriesBack reports whether the endpoints' rows include those that had expired while the store
+// was unavailable.
+func (l *Leader) areEntriesBack() bool {
+	return l.storeReturnedAt.IsZero() || l.endpointsAsOf.Sub(l.storeReturnedAt) >= entryReturnTime
+}
+
 // inheritedLeasesEnd returns when the last lease of an earlier leader has expired.
 func (l *Leader) inheritedLeasesEnd() time.Time {
 	return l.config.Now.Add(confirmationTimeout + maxElapsed(l.leaseDuration()+maxIdleClockDrift) + leaseMargin)
--- a/internal/fleet/takeover_test.go
+++ b/internal/fleet/takeover_test.go
@@ -79,3 +79,52 @@
 	}
 	t.Error("starts after the lease of the silent endpoint: got none, want the waiting task's")
 }
+
+// Guards against two runs of a task at once: an endpoint's entry has expired while the store was
+// away, and the host list lags, so that no list shows the endpoint to a leader that takes over.
+func TestInheritedTaskWaitsForEntriesThatExpired(t *testing.T) {
+	const entryReturnTime = 2 * time.Second
+	former, moving, unnamed := newHost(poolName, "a"), downHost("a"), newHost(poolName, "a")
+	former.Endpoint, moving.State, unnamed.Endpoint = "b", fleet.HostMoving, ""
+	tests := map[string][]fleet.Host{
+		"host is down":                  {downHost("a")},
+		"host is moving":                {moving},
+		"host names no endpoint":        {unnamed},
+		"host is spare":                 {{ID: former.ID, Pool: spareName, State: fleet.HostUp, Capacity: endpointSize}},
+		"host names another endpoint":   {former},
+		"host is missing from the list": nil,
+	}
+	for name, rows := range tests {
+		t.Run(name, func(t *testing.T) {
+			s := newSimulation(t, simulationConfig{token: 2, jobs: []fleet.StoredJob{{Submission: submission(1, tasks(2))}}})
+			storeReturned := s.now
+			s.running["a"] = []fleet.RunningTask{{Task: job.Task{Job: jobID(1)}, Run: 1, SpeedPercent: 100}}
+			s.addEndpoint("b")
+			for s.now.Sub(storeReturned) < entryReturnTime {
+				s.leader.NoteStoreReturn(storeReturned)
+				s.leader.ConfirmEndpoints(s.now)
+				s.listed(append(rows, newHost(poolName, "b"))...)
+				s.wantOrders("while entries may be missing", 0, 0)
+				s.advance(100 * time.Millisecond)
+			}
+			s.addEndpoint("a")
+			s.advance(time.Second)
+			s.leader.NoteStoreReturn(storeReturned)
+			s.leader.ConfirmEndpoints(s.now)
+			s.listed(append(rows, newHost(poolName, "b"))...)
+			if starts := s.step().Starts; len(starts) != 1 || starts[0].Task.Index != 1 {
+				t.Errorf("starts once all entries are back: got %v, want that of the task that does not run", starts)
+			}
+		})
+	}
+}
+
+// Guards against a takeover that waits although the store has been there all the while.
+func TestInheritedTaskStartsAtOnceIfTheStoreWasThere(t *testing.T) {
+	s := newSimulation(t, simulationConfig{token: 2, jobs: []fleet.StoredJob{{Submission: submission(1, tasks(1))}}})
+	s.addEndpoint("b")
+	s.leader.NoteStoreReturn(s.now.Add(-time.Minute))
+	s.leader.ConfirmEndpoints(s.now)
+	s.listed(downHost("a"), newHost(poolName, "b"))
+	s.wantOrders("with a store that was there", 1, 0)
+}
--- a/internal/member/claim.go
+++ b/internal/member/claim.go
@@ -119,6 +119,9 @@
 	isReached := err == nil || table.IsConflict(err)
 	wasReached := n.storeOKAt.After(n.storeFailedAt)
 	if isReached {
+		if !wasReached && now.Sub(n.storeOKAt) > briefStoreFailure {
+			n.storeReturnedAt = now
+		}
 		n.storeOKAt = now
 	} else {
 		n.storeFailedAt = now
@@ -144,6 +147,17 @@
 	return len(n.members) == 0
 }
 
+// StoreReachableSince returns since when the store has answered this process, apart from brief
+// failures, or the present time if it did not answer the last call.
+func (n *Node) StoreReachableSince() time.Time {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if !n.storeOKAt.After(n.storeFailedAt) {
+		return time.Now()
+	}
+	return n.storeReturnedAt
+}
+
 // StoreReached reports whether the store answered this process's last call.
 func (n *Node) StoreReached() bool {
 	n.mu.Lock()
--- a/internal/member/node.go
+++ b/internal/member/node.go
@@ -35,6 +35,8 @@
 	// storeOutageTimeout is how long a leader keeps its claim while the store
 	// doesn't answer it but answers a peer.
 	storeOutageTimeout = time.Second
+	// briefStoreFailure is how long the store may fail to answer for no endpoint's entry to expire.
+	briefStoreFailure = time.Second
 	// minTermBeforeYield is how long a process leads before it looks for one with
 	// yieldFactor times its strength: a weak leader falls behind in a large fleet, but
 	// each change of leader costs half a second without one.
@@ -108,6 +110,8 @@
 	// storeOKAt and storeFailedAt are the times of the last direct store call
 	// that succeeded and failed.
 	storeOKAt, storeFailedAt time.Time
+	// storeReturnedAt is when the store last answered after it had been unreachable.
+	storeReturnedAt time.Time
 	// renewalVersion is the version of the leader's renewal row, and renewedAt
 	// when this process last observed a change of it.
 	renewalVersion uint64
--- a/internal/process/node.go
+++ b/internal/process/node.go
@@ -157,6 +157,7 @@
 		}),
 		Advice: advice, WaveStatus: platform.WaveStatus{}, Bounds: settings.Bounds.FleetBounds(), Journal: n.journal,
 		Lost: n.member.Lost, MajorityConfirmedAt: n.member.MajorityConfirmedAt, ObserveStore: n.observeStore,
+		StoreReachableSince: n.member.StoreReachableSince,
 	})
 	n.ingress = ingress.New(ingress.Config{
 		Policy: n.holder, Store: n.member.Store(), Fleet: member.NewFleetClient(n.member, n.control),
