fleet: a host change without an answer is repeated

Cause: the host list told whether a change that got no answer was made. A row that lags shows an earlier maintenance or move of the host, which was taken for this one, or the host as up, which was taken for a change that was not made. A move taken for made that was not never ended, since the list never showed the host in the other pool.

The platform's answer to the order is first-hand: it says 200 also if the change was made before. An order without an answer is sent again after 400 ms, while no endpoint on the host has runs, until there is an answer. Until then the host counts as down for its wave. A later refusal says nothing of the first order, nor does "busy" while the host may be busy with it. An endpoint that answers from the host 3 s after the unanswered order ends the change; a wave then orders it anew. The list only makes the leader ask an endpoint.

Ruled out: lists that were requested later than any lag (the host's earlier maintenance may still be on at the order).

TestUnansweredMaintenanceIsRepeated failed in four of five cases, "in maintenance" with Done:[m-x] after no answer at all; TestUnansweredMaintenanceCountsAsDown in all five, "up, with a former endpoint" with an order of the second host; TestUnansweredMoveIsRepeated in two of three with no move ever again.

--- a/internal/fleet/hostchangelag_test.go
+++ b/internal/fleet/hostchangelag_test.go
@@ -100,3 +100,106 @@
 		})
 	}
 }
+
+// laggingRows returns rows that show the host of endpoint "x" as it may have been before a change.
+func laggingRows() map[string]fleet.Host {
+	maintained, moving, former := downHost("x"), downHost("x"), newHost(poolName, "x")
+	maintained.State, moving.State, former.Endpoint = fleet.HostMaintenance, fleet.HostMoving, "former"
+	return map[string]fleet.Host{
+		"in maintenance": maintained, "moving": moving, "down": downHost("x"), "up": newHost(poolName, "x"), "up, with a former endpoint": former,
+	}
+}
+
+// Guards against a wave that is complete while a host of it was not maintained: an order had no
+// answer, and the host list shows the host in the maintenance of an earlier wave.
+func TestUnansweredMaintenanceIsRepeated(t *testing.T) {
+	for name, row := range laggingRows() {
+		t.Run(name, func(t *testing.T) {
+			s := newSimulation(t, simulationConfig{})
+			hosts := append(baseHosts(), newHost(poolName, "x"))
+			s.listHosts(hosts...)
+			answer := s.changeHost("m-x", true)
+			answer(fleet.ChangeUnknown)
+			s.leader.WaveProgress()
+			var repeated []fleet.MaintenanceOrder
+			for range 20 {
+				s.advance(300 * time.Millisecond)
+				s.listed(with(hosts, row)...)
+				if repeated = s.step().Maintenance; len(repeated) > 0 {
+					break
+				}
+				for _, progress := range s.leader.WaveProgress() {
+					t.Fatalf("progress without an answer: got %+v, want none", progress)
+				}
+			}
+			if len(repeated) != 1 || repeated[0] != (fleet.MaintenanceOrder{Host: "m-x", Wave: 1}) {
+				t.Fatalf("maintenance orders after one without an answer: got %v, want it again", repeated)
+			}
+			s.leader.HandleMaintenanceReply(repeated[0], fleet.ChangeAccepted, s.now)
+			if got := s.leader.WaveProgress(); len(got) != 1 || len(got[0].Done) != 1 {
+				t.Errorf("progress after the answer: got %+v, want one host done", got)
+			}
+		})
+	}
+}
+
+// Guards against more hosts in maintenance than a wave allows at once: an order was carried out
+// without an answer, and the host list still shows the host as it was before.
+func TestUnansweredMaintenanceCountsAsDown(t *testing.T) {
+	for name, row := range laggingRows() {
+		t.Run(name, func(t *testing.T) {
+			s := newSimulation(t, simulationConfig{})
+			hosts := append(baseHosts(), newHost(poolName, "x"), newHost(poolName, "y"))
+			s.listHosts(hosts...)
+			s.leader.UpdateWave(fleet.WaveRow{Number: 1, MaxDown: 1, Hosts: []fleet.HostID{"m-x", "m-y"}, TimeLimit: time.Second}, s.now)
+			outcomes := []fleet.ChangeOutcome{fleet.ChangeUnknown, fleet.ChangeUnknown, fleet.ChangeRefused, fleet.ChangeBusy, fleet.ChangeUnknown}
+			ordered := 0
+			for range 20 {
+				for _, order := range s.step().Maintenance {
+					if order.Host != "m-x" {
+						t.Fatalf("maintenance order after %d of m-x without an answer: got %v, want none", ordered, order)
+					}
+					s.leader.HandleMaintenanceReply(order, outcomes[ordered%len(outcomes)], s.now)
+					ordered++
+				}
+				s.advance(300 * time.Millisecond)
+				s.failRenewal("x", fleet.OrderUnknown)
+				s.listed(with(hosts, row)...)
+			}
+			if ordered < 3 {
+				t.Errorf("orders of the host: got %d, want it repeated", ordered)
+			}
+		})
+	}
+}
+
+// Guards against a host that is lost to the fleet: its move had no answer and was not made, and
+// the host list shows an earlier move of it.
+func TestUnansweredMoveIsRepeated(t *testing.T) {
+	spare := spareHost(0)
+	moving, moved := spare, spare
+	moving.State, moved.Pool = fleet.HostMoving, poolName
+	for name, row := range map[string]fleet.Host{"moving": moving, "in the pool": moved, "as it is": spare} {
+		t.Run(name, func(t *testing.T) {
+			s := newSimulation(t, simulationConfig{})
+			hosts := append(baseHosts(), spare)
+			s.listHosts(hosts...)
+			s.submit(submission(1, tasks(16*(minPoolHosts+8))))
+			moves := s.step().Moves
+			if len(moves) != 1 {
+				t.Fatalf("moves: got %v, want one", moves)
+			}
+			s.leader.HandleMoveReply(moves[0], fleet.ChangeUnknown, s.now)
+			s.advance(300 * time.Millisecond)
+			s.listed(with(hosts, row)...)
+			for range 20 {
+				if got := s.step().Moves; len(got) == 1 && got[0] == moves[0] {
+					return
+				}
+				s.advance(300 * time.Millisecond)
+				s.listed(hosts...)
+			}
+			t.Error("moves after one without an answer: got none, want it again")
+		})
+	}
+}
--- a/internal/fleet/hostrow.go
+++ b/internal/fleet/hostrow.go
@@ -44,13 +44,18 @@
 }
 
 // applyRow updates a host's row, unless the host is being changed, which ends once the endpoint
-// that speaks from it has answered a later question.
+// that speaks from it has answered a later question: the host is back, or the change was not made.
 func (l *Leader) applyRow(h *hostState, speaker *endpoint, now time.Time) {
 	c := h.pendingChange
 	if c != nil && !c.acceptedAt.IsZero() && speaker != nil && speaker.askedAt.After(c.acceptedAt) {
 		l.hostBack(h, h.shown.correctedBy(speaker), "endpoint", now)
 		return
 	}
+	if c != nil && c.isUnconfirmed && speaker != nil && speaker.askedAt.Sub(c.unansweredAt) >= changeTimeout {
+		l.log("host change not answered", "host", h.shown.ID, "to", c.pool, "wave", c.wave, "ordered-ago", age(c.orderedAt, now),
+			"endpoint", speaker.row.ID, "same-endpoint", c.ends(speaker))
+		h.pendingChange, c = nil, nil
+	}
 	if c != nil {
 		return
 	}
--- a/internal/fleet/hosts.go
+++ b/internal/fleet/hosts.go
@@ -6,8 +6,7 @@
 )
 
 const (
-	// changeTimeout is how long an unanswered change may take to appear in the host list
-	// before it is ordered again.
+	// changeTimeout is how late the platform may make a change that it has not answered.
 	changeTimeout = 3 * time.Second
 	// changeRetryDelay is the time before a rejected change is ordered again.
 	changeRetryDelay = 400 * time.Millisecond
@@ -67,7 +66,16 @@
 	incarnation time.Time
 	// orderedAt is when it was ordered, acceptedAt when the platform accepted it.
 	orderedAt, acceptedAt time.Time
-	isUnconfirmed         bool
+	// isUnconfirmed is true while an order that got no answer waits to be repeated, which is due
+	// at retryAt. unansweredAt is when the last one got none, and isRepeated true once another
+	// one has been sent.
+	isUnconfirmed, isRepeated bool
+	unansweredAt, retryAt     time.Time
+}
+
+// retryLater lets an order be repeated that got no answer.
+func (c *pendingChange) retryLater(now time.Time) {
+	c.isUnconfirmed, c.retryAt = true, now.Add(changeRetryDelay)
 }
 
 // ends reports whether the change ends the endpoint, rather than a later one on the host.
@@ -161,7 +169,7 @@
 	}
 	h.row = row
 	if c.isUnconfirmed {
-		l.resolveChange(h, now)
+		l.askAfterChange(c, row, now)
 	}
 	if !c.acceptedAt.IsZero() && l.isOver(c, row, now) {
 		l.hostBack(h, row.correctedBy(speaker), "list", now)
@@ -176,19 +184,12 @@
 	return row.State == HostUp && isThere && elapsed >= maxElapsed(l.changeDuration(c))
 }
 
-// resolveChange determines from the list whether an unanswered change was made. The list
-// also shows what has become of the endpoint.
-func (l *Leader) resolveChange(h *hostState, now time.Time) {
-	c := h.pendingChange
-	isMade := c.wave != 0 && h.row.State == HostMaintenance || c.wave == 0 && (h.row.State == HostMoving || h.row.Pool == c.pool)
-	switch {
-	case isMade:
-		l.changeMade(h, now)
-		if e := l.endpointOf(h); e != nil && c.ends(e) && h.row.State == HostUp {
-			l.suspectRestart(e, "host change", now)
-		}
-	case h.row.State == HostUp && now.Sub(c.orderedAt) > changeTimeout:
-		h.pendingChange = nil
+// askAfterChange asks the endpoint that was on a host, and that its row still names, whether it has
+// restarted, if the row looks as if an unanswered change of the host had been made.
+func (l *Leader) askAfterChange(c *pendingChange, row Host, now time.Time) {
+	e := l.endpoints[row.Endpoint]
+	if e != nil && !e.gone && c.ends(e) && c.wave == 0 && row.State == HostUp && row.Pool == c.pool {
+		l.suspectRestart(e, "host change", now)
 	}
 }
 
@@ -246,11 +247,15 @@
 	row := h.shown.correctedBy(l.speakers()[id])
 	isSame := row.State == HostUp && row.Endpoint == c.endpoint
 	isOccupied := l.isOccupied(id)
-	if isSame && !isOccupied && l.confirmed(now) {
+	if (isSame || c.isRepeated) && !isOccupied && l.confirmed(now) {
 		return true
 	}
 	l.log("host change withdrawn", "host", id, "to", c.pool, "wave", c.wave, "ordered-ago", age(c.orderedAt, now),
 		"state", string(row.State), "endpoint", row.Endpoint, "occupied", isOccupied, "confirmed-ago", age(l.confirmedAt, now))
+	if c.isRepeated {
+		c.retryLater(now)
+		return false
+	}
 	h.pendingChange, h.row = nil, row
 	h.notBefore = now.Add(changeRetryDelay)
 	return false
@@ -304,7 +309,8 @@
 	case ChangeAccepted:
 		l.changeAccepted(h, now)
 	case ChangeUnknown:
-		c.isUnconfirmed = true
+		c.unansweredAt = now
+		c.retryLater(now)
 	case ChangeOtherWave, ChangeImpossible:
 		if wave := l.hosts.waves[c.wave]; wave != nil {
 			// The host can never take part in this wave.
@@ -313,9 +319,45 @@
 		}
 		h.pendingChange = nil
 		h.notBefore = now.Add(changeTimeout)
+	case ChangeFenced:
+		l.dropChange(h, now)
+	case ChangeBusy:
+		// The host may be busy with the change itself, until that is over.
+		if c.isRepeated && now.Sub(c.unansweredAt) < maxElapsed(l.changeDuration(c))+changeTimeout {
+			c.retryLater(now)
+			return
+		}
+		l.dropChange(h, now)
 	default:
-		h.pendingChange = nil
-		h.notBefore = now.Add(changeRetryDelay)
+		if c.isRepeated {
+			c.retryLater(now)
+			return
+		}
+		l.dropChange(h, now)
+	}
+}
+
+// dropChange ends a change that was not made, or is over.
+func (l *Leader) dropChange(h *hostState, now time.Time) {
+	h.pendingChange = nil
+	h.notBefore = now.Add(changeRetryDelay)
+}
+
+// repeatChanges orders the changes again that got no answer. Only the platform's answer tells
+// whether they were made, and repeating one that was does nothing.
+func (l *Leader) repeatChanges(orders *Orders, now time.Time) {
+	for id, h := range l.hosts.byID {
+		c := h.pendingChange
+		if c == nil || !c.isUnconfirmed || now.Before(c.retryAt) || h.isOccupied {
+			continue
+		}
+		c.isUnconfirmed, c.isRepeated = false, true
+		if c.wave != 0 {
+			orders.Maintenance = append(orders.Maintenance, MaintenanceOrder{Host: id, Wave: c.wave})
+		} else {
+			orders.Moves = append(orders.Moves, Move{Host: id, Pool: c.pool})
+		}
+		l.log("host change repeated", "host", id, "to", c.pool, "wave", c.wave, "ordered-ago", age(c.orderedAt, now))
 	}
 }
 
@@ -356,6 +398,7 @@
 		}
 	}
 	l.recordIdle(now)
+	l.repeatChanges(orders, now)
 	needs := l.poolNeeds(pools, now)
 	free := l.freeHosts(needs, now)
 	for _, number := range l.waveNumbers() {
