fleet: a wave waits for hosts that the host list lacks for a while

Cause: hosts that two lists in a row lacked, or that no list had shown yet, were left out of the wave: as due, and as down even while the platform maintained them. A list that lags, or lacks hosts for some seconds, is not their end.

A host has left only once lists have lacked it for longer than the list lags (5 s), and no endpoint that answers names it. Hosts of a wave are counted from when it is listed. An endpoint that is only presumed ended still speaks for its host until it was asked; a change of the host is not sent meanwhile.

TestWaveWhileHostIsMissingFromList: "host that was taken away" took two lists for enough, which is this fault; it now wants the wave running for 4.5 s of such lists while the endpoint does not answer, and complete after the next ones.

--- a/internal/fleet/hostchangelag_test.go
+++ b/internal/fleet/hostchangelag_test.go
@@ -203,3 +203,76 @@
 		})
 	}
 }
+
+// Guards against a wave that is complete while a host of it that stays was not maintained: the host
+// list, which lags or was read in part, lacks the host for some time. A host that is gone does not
+// hold the wave up.
+func TestWaveWaitsForHostsThatListsLack(t *testing.T) {
+	tests := map[string]struct {
+		// wasListed is true if the host was listed before, and answers if its endpoint still does.
+		wasListed, answers bool
+		lists              int
+		want               bool
+	}{
+		"listed before, missing twice":           {wasListed: true, lists: 2, want: false},
+		"listed before, missing for seconds":     {wasListed: true, lists: 12, want: false},
+		"listed before, gone":                    {wasListed: true, lists: 40, want: true},
+		"listed before, gone, endpoint answers":  {wasListed: true, answers: true, lists: 40, want: false},
+		"not listed yet":                         {lists: 2, want: false},
+		"not listed yet for seconds":             {lists: 12, want: false},
+		"never listed":                           {lists: 40, want: true},
+		"never listed, but its endpoint answers": {answers: true, lists: 40, want: false},
+	}
+	for name, c := range tests {
+		t.Run(name, func(t *testing.T) {
+			s := newSimulation(t, simulationConfig{})
+			hosts := append(baseHosts(), newHost(poolName, "x"))
+			y := newHost(poolName, "y")
+			if c.wasListed {
+				s.listHosts(append(hosts, y)...)
+			} else {
+				s.listHosts(hosts...)
+			}
+			if c.answers {
+				s.addEndpoint("y")
+			}
+			s.leader.UpdateWave(fleet.WaveRow{Number: 1, MaxDown: 1, Hosts: []fleet.HostID{"m-x", y.ID}, TimeLimit: time.Second}, s.now)
+			for _, order := range s.step().Maintenance {
+				if order.Host != "m-x" {
+					t.Fatalf("maintenance order: got %v, want that of m-x", order)
+				}
+				s.leader.HandleMaintenanceReply(order, fleet.ChangeAccepted, s.now)
+			}
+			s.advance(3 * time.Second)
+			s.listed(hosts...)
+			isComplete := s.completesWave(c.lists, hosts, func(id fleet.EndpointID) bool { return id != "y" || c.answers })
+			if isComplete != c.want {
+				t.Errorf("wave complete after %d lists without the host: got %t, want %t", c.lists, isComplete, c.want)
+			}
+		})
+	}
+}
+
+// completesWave delivers host lists while the endpoints answer for which answers is true, and
+// reports whether a wave was called complete after one of them.
+func (s *simulation) completesWave(lists int, hosts []fleet.Host, answers func(id fleet.EndpointID) bool) bool {
+	s.t.Helper()
+	for range lists {
+		s.step()
+		for _, progress := range s.leader.WaveProgress() {
+			if progress.Complete {
+				return true
+			}
+		}
+		s.advance(300 * time.Millisecond)
+		for _, id := range s.leader.EndpointIDs() {
+			if answers(id) {
+				s.renewLease(id)
+			} else {
+				s.failRenewal(id, fleet.OrderUnknown)
+			}
+		}
+		s.listed(hosts...)
+	}
+	return false
+}
--- a/internal/fleet/hostevidence_test.go
+++ b/internal/fleet/hostevidence_test.go
@@ -391,9 +391,11 @@
 	}
 	t.Run("host that is down", func(t *testing.T) {
 		s, hosts := newWave(t)
-		s.listed(without(hosts, 0)...)
-		if got := len(s.step().Maintenance); got != 0 {
-			t.Errorf("maintenance orders while a host is down: got %d, want 0", got)
+		for n := range 4 {
+			s.listed(without(hosts, 0)...)
+			if got := len(s.step().Maintenance); got != 0 {
+				t.Errorf("maintenance orders while a host is down, %d lists lack it: got %d, want 0", n+1, got)
+			}
 		}
 	})
 	t.Run("host that is due", func(t *testing.T) {
@@ -414,11 +416,14 @@
 	t.Run("host that was taken away", func(t *testing.T) {
 		s, hosts := newWave(t)
 		s.advance(3 * time.Second)
-		s.listed(without(hosts, 1)...)
-		s.listed(without(hosts, 1)...)
-		s.step()
-		if progress := s.leader.WaveProgress(); len(progress) != 1 || !progress[0].Complete {
-			t.Errorf("progress after two lists without the host: got %v, want that of the complete wave", progress)
+		// The list lags by up to five seconds.
+		const lagging = 16
+		answers := func(id fleet.EndpointID) bool { return id != hosts[1].Endpoint }
+		if s.completesWave(lagging, without(hosts, 1), answers) {
+			t.Error("wave while lists without the host may lag: got complete, want running")
+		}
+		if !s.completesWave(lagging, without(hosts, 1), answers) {
+			t.Error("wave after lists without the host: got running, want complete")
 		}
 	})
 }
--- a/internal/fleet/hostrow.go
+++ b/internal/fleet/hostrow.go
@@ -2,10 +2,10 @@
 
 import "time"
 
-// speaks reports whether the endpoint answered when it was last asked, and nothing since then
-// shows that it has ended.
+// speaks reports whether the endpoint answered when it was last asked. What others say of it since
+// then does not count.
 func (e *endpoint) speaks() bool {
-	return e.isKnown() && !e.gone && !e.unresponsive && e.presumed == nil
+	return e.isKnown() && !e.gone && !e.unresponsive
 }
 
 // speakers returns, by host, the endpoint that speaks from it. It goes before the host's row in
@@ -37,6 +37,7 @@
 func (l *Leader) applyRows(now time.Time) {
 	speakers := l.speakers()
 	for id, h := range l.hosts.byID {
+		h.speaks = speakers[id] != nil
 		if !h.shownSince.IsZero() {
 			l.applyRow(h, speakers[id], now)
 		}
--- a/internal/fleet/hosts.go
+++ b/internal/fleet/hosts.go
@@ -39,6 +39,16 @@
 	return hosts{byID: map[HostID]*hostState{}, waves: map[int64]*waveState{}}
 }
 
+// get returns a host's state and creates it if there is none.
+func (h *hosts) get(id HostID) *hostState {
+	host := h.byID[id]
+	if host == nil {
+		host = &hostState{}
+		h.byID[id] = host
+	}
+	return host
+}
+
 const (
 	// planTimePerHost sets how often moves and maintenance are planned in a fleet of more
 	// than smallFleet hosts. They take a step of a large fleet as long as the starts do,
@@ -113,6 +123,17 @@
 	crashedAt []time.Time
 	// listed is false once two lists in a row lack the host, isMissing true once one does.
 	listed, isMissing bool
+	// missingSince and missingUntil are when the first and the last of the lists in a row were
+	// requested that lack the host, or zero.
+	missingSince, missingUntil time.Time
+	// speaks is true if an endpoint on it answers.
+	speaks bool
+}
+
+// hasLeft reports whether a host has left the fleet: the list has lacked it for longer than the list
+// lags, and no endpoint on it answers.
+func (h *hostState) hasLeft() bool {
+	return !h.speaks && h.missingUntil.Sub(h.missingSince) >= maxHostListLag
 }
 
 // canChange reports whether a host may be changed.
@@ -135,12 +156,9 @@
 	listed, speakers := map[HostID]bool{}, l.speakers()
 	for _, row := range list {
 		listed[row.ID] = true
-		h := l.hosts.byID[row.ID]
-		if h == nil {
-			h = &hostState{}
-			l.hosts.byID[row.ID] = h
-		}
+		h := l.hosts.get(row.ID)
 		h.listed, h.isMissing = true, false
+		h.missingSince, h.missingUntil = time.Time{}, time.Time{}
 		if h.shownSince.IsZero() || h.shown.State != row.State || h.shown.Endpoint != row.Endpoint {
 			h.shownSince = sentAt
 		}
@@ -151,6 +169,8 @@
 	for id, h := range l.hosts.byID {
 		if !listed[id] {
 			h.listed, h.isMissing = h.listed && !h.isMissing, true
+			updateSince(&h.missingSince, true, sentAt)
+			h.missingUntil = sentAt
 		}
 	}
 	return l.presumeUnnamedEnded(list, sentAt, now)
@@ -244,7 +264,11 @@
 		return false
 	}
 	c := h.pendingChange
-	row := h.shown.correctedBy(l.speakers()[id])
+	speaker := l.speakers()[id]
+	if speaker != nil && speaker.presumed != nil {
+		speaker = nil
+	}
+	row := h.shown.correctedBy(speaker)
 	isSame := row.State == HostUp && row.Endpoint == c.endpoint
 	isOccupied := l.isOccupied(id)
 	if (isSame || c.isRepeated) && !isOccupied && l.confirmed(now) {
@@ -378,11 +402,7 @@
 	if wait <= 0 {
 		return
 	}
-	h := l.hosts.byID[id]
-	if h == nil {
-		h = &hostState{}
-		l.hosts.byID[id] = h
-	}
+	h := l.hosts.get(id)
 	h.notBefore = now.Add(min(wait, l.config.Bounds.HostChangeExclusion+2*maxWallClockSkew))
 }
 
--- a/internal/fleet/wave.go
+++ b/internal/fleet/wave.go
@@ -43,6 +43,10 @@
 		l.log("wave listed", "wave", row.Number, "hosts", len(row.Hosts), "at-once", row.MaxDown, "within", row.TimeLimit.String())
 	}
 	wave.row = row
+	for _, id := range row.Hosts {
+		// Lists that lack the host are counted from now on.
+		l.hosts.get(id)
+	}
 }
 
 // LoadWave restores a wave's progress as written by an earlier leader.
@@ -84,10 +88,12 @@
 	down, known := 0, 0
 	for _, id := range wave.row.Hosts {
 		h := l.hosts.byID[id]
-		if h == nil || !h.listed {
+		if h == nil || h.hasLeft() {
 			continue
 		}
-		known++
+		if h.listed {
+			known++
+		}
 		isDown := h.pendingChange != nil && h.pendingChange.wave == wave.row.Number || h.row.State == HostMaintenance
 		if isDown {
 			down++
@@ -150,11 +156,11 @@
 	return int(math.Ceil(atOnce * urgency * urgency))
 }
 
-// allMaintenanceBegun reports whether the maintenance of all the wave's hosts has begun.
+// allMaintenanceBegun reports whether the maintenance of all the wave's hosts has begun that have
+// not left the fleet.
 func (l *Leader) allMaintenanceBegun(wave *waveState) bool {
 	for _, id := range wave.row.Hosts {
-		h := l.hosts.byID[id]
-		if h != nil && h.listed && !wave.done[id] {
+		if !wave.done[id] && !l.hosts.get(id).hasLeft() {
 			return false
 		}
 	}
