fleet: maintenance that may be made late counts as down

An endpoint with work that answered from the host 3 s after the order ended it, the next host was ordered, and both could be down at once.

A maintenance order without an answer now counts for its wave for as long as orders may be late (15 s), while the host has runs; without runs it is repeated, and answered, before. A move that is late harms no limit, and keeps its 3 s.

TestLateMaintenanceCountsAsDown failed with the second order after 3.06 s.

--- a/internal/fleet/hostchangelag_test.go
+++ b/internal/fleet/hostchangelag_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/lovagedyke/lovagedyke/internal/fleet"
+	"github.com/lovagedyke/lovagedyke/internal/job"
 )
 
 // maintenanceTime is how long the simulated platform maintains a host.
@@ -276,3 +277,32 @@
 	}
 	return false
 }
+
+// Guards against more hosts in maintenance than a wave allows at once: the platform carries an order
+// out seconds after it got no answer, while another endpoint on the host, which has work, answers.
+func TestLateMaintenanceCountsAsDown(t *testing.T) {
+	const maxDelay = 12 * time.Second
+	s := newSimulation(t, simulationConfig{})
+	hosts := append(baseHosts(), newHost(poolName, "x"), newHost(poolName, "y"))
+	s.listHosts(hosts...)
+	s.leader.UpdateWave(fleet.WaveRow{Number: 1, MaxDown: 1, Hosts: []fleet.HostID{"m-x", "m-y"}, TimeLimit: time.Second}, s.now)
+	unplaceable := tasks(1)
+	unplaceable.Requires = "other"
+	s.submit(submission(1, unplaceable))
+	order := s.step().Maintenance[0]
+	s.leader.HandleMaintenanceReply(order, fleet.ChangeUnknown, s.now)
+	orderedAt := s.now
+	s.restart("next", s.now)
+	row := endpointRow("next")
+	row.Host, row.StartedAt = string(order.Host), s.now
+	s.leader.UpdateEndpoint(row, s.now)
+	s.run(fleet.Start{Endpoint: "next", Task: job.Task{Job: jobID(1)}, Run: 1})
+	for s.now.Sub(orderedAt) < maxDelay {
+		s.advance(200 * time.Millisecond)
+		s.renewAll()
+		s.listed(hosts...)
+		if got := s.step().Maintenance; len(got) != 0 {
+			t.Fatalf("maintenance orders %s after one that may be late: got %v, want none", s.now.Sub(orderedAt), got)
+		}
+	}
+}
--- a/internal/fleet/hostrow.go
+++ b/internal/fleet/hostrow.go
@@ -52,7 +52,7 @@
 		l.hostBack(h, h.shown.correctedBy(speaker), "endpoint", now)
 		return
 	}
-	if c != nil && c.isUnconfirmed && speaker != nil && speaker.askedAt.Sub(c.unansweredAt) >= changeTimeout {
+	if c != nil && c.isUnconfirmed && speaker != nil && speaker.askedAt.Sub(c.unansweredAt) >= c.maxDelay() {
 		l.log("host change not answered", "host", h.shown.ID, "to", c.pool, "wave", c.wave, "ordered-ago", age(c.orderedAt, now),
 			"endpoint", speaker.row.ID, "same-endpoint", c.ends(speaker))
 		h.pendingChange, c = nil, nil
--- a/internal/fleet/hosts.go
+++ b/internal/fleet/hosts.go
@@ -6,7 +6,7 @@
 )
 
 const (
-	// changeTimeout is how late the platform may make a change that it has not answered.
+	// changeTimeout is how long a move without an answer counts as under way.
 	changeTimeout = 3 * time.Second
 	// changeRetryDelay is the time before a rejected change is ordered again.
 	changeRetryDelay = 400 * time.Millisecond
@@ -93,6 +93,15 @@
 	return e.row.ID == c.endpoint && (c.incarnation.IsZero() || c.incarnation.Equal(e.startedAt))
 }
 
+// maxDelay returns how long a change without an answer counts as under way although an endpoint on
+// its host answers. The platform may make it that late, and the maintenance then counts for its wave.
+func (c *pendingChange) maxDelay() time.Duration {
+	if c.wave != 0 {
+		return maxOrderDelay
+	}
+	return changeTimeout
+}
+
 // startChange marks a host as being changed from now on.
 func (l *Leader) startChange(h *hostState, change pendingChange, now time.Time) {
 	change.orderedAt, change.endpoint = now, h.row.Endpoint
@@ -347,7 +356,7 @@
 		l.dropChange(h, now)
 	case ChangeBusy:
 		// The host may be busy with the change itself, until that is over.
-		if c.isRepeated && now.Sub(c.unansweredAt) < maxElapsed(l.changeDuration(c))+changeTimeout {
+		if c.isRepeated && now.Sub(c.unansweredAt) < maxElapsed(l.changeDuration(c))+c.maxDelay() {
 			c.retryLater(now)
 			return
 		}
