fleet: an endpoint gets no work while a change of its host is on its way

Cause: only the endpoint that the host's row named at the order was kept from work. The row lags: a host shown as spare, without an endpoint or with a former one may have an endpoint that answers just after the order. It got starts, and the order, which was checked before it was sent, ended them.

While an order is on its way, no endpoint on its host gets work, from its first report on.

--- a/internal/fleet/hostchangelag_test.go
+++ b/internal/fleet/hostchangelag_test.go
@@ -306,3 +306,43 @@
 		}
 	}
 }
+
+// Guards against tasks that a move or maintenance ends: it was ordered by a row that lags, and an
+// endpoint that the row does not name answers, and gets work, before the platform has the order.
+func TestFreshEndpointGetsNoWorkDuringChange(t *testing.T) {
+	unnamed := newHost(poolName, "fresh")
+	unnamed.Endpoint = ""
+	former := unnamed
+	former.Endpoint = "former"
+	tests := map[string]struct {
+		row         fleet.Host
+		maintenance bool
+	}{
+		"move, spare by its row":                  {fleet.Host{ID: unnamed.ID, Pool: spareName, State: fleet.HostUp, Capacity: endpointSize}, false},
+		"maintenance, no endpoint in its row":     {unnamed, true},
+		"maintenance, former endpoint in its row": {former, true},
+	}
+	for name, c := range tests {
+		t.Run(name, func(t *testing.T) {
+			s := newSimulation(t, simulationConfig{})
+			s.listHosts(baseHosts()...)
+			s.listed(append(baseHosts(), c.row)...)
+			s.step()
+			s.advance(8 * time.Second)
+			s.renewAll()
+			s.submit(submission(1, tasks(16*minPoolHosts+4)))
+			answer := s.changeHost(c.row.ID, c.maintenance)
+			s.acceptStarts()
+			row := endpointRow("fresh")
+			row.StartedAt = s.now
+			s.restart("fresh", s.now)
+			s.leader.UpdateEndpoint(row, s.now)
+			s.advance(time.Millisecond)
+			s.renewLease("fresh")
+			s.wantOrders("while the change is on its way", 0, 0)
+			answer(fleet.ChangeBusy)
+			s.step()
+			s.wantOrders("after it was refused", 4, 0)
+		})
+	}
+}
--- a/internal/fleet/hosts.go
+++ b/internal/fleet/hosts.go
@@ -102,6 +102,18 @@
 	return changeTimeout
 }
 
+// isOnItsWay reports whether an order was sent, or is about to be, and has not been answered.
+func (c *pendingChange) isOnItsWay() bool {
+	return c.acceptedAt.IsZero() && !c.isUnconfirmed
+}
+
+// mayEndByChange reports whether a change of its host may end the endpoint. An order that is on its
+// way ends whatever is on the host, known or not at the order.
+func (l *Leader) mayEndByChange(e *endpoint) bool {
+	h := l.hosts.byID[e.hostID()]
+	return h != nil && h.pendingChange != nil && (h.pendingChange.isOnItsWay() || h.pendingChange.ends(e))
+}
+
 // startChange marks a host as being changed from now on.
 func (l *Leader) startChange(h *hostState, change pendingChange, now time.Time) {
 	change.orderedAt, change.endpoint = now, h.row.Endpoint
@@ -193,7 +205,7 @@
 		l.applyRow(h, speaker, now)
 		return
 	}
-	if c.acceptedAt.IsZero() && !c.isUnconfirmed || sentAt.Before(c.acceptedAt) {
+	if c.isOnItsWay() || sentAt.Before(c.acceptedAt) {
 		return
 	}
 	h.row = row
@@ -419,12 +431,7 @@
 func (l *Leader) planHosts(pools map[string][]*jobState, orders *Orders, now time.Time) {
 	l.applyRows(now)
 	for _, e := range l.endpoints {
-		e.leaving = false
-	}
-	for _, h := range l.hosts.byID {
-		if e := l.endpointOf(h); e != nil && h.pendingChange != nil && h.pendingChange.ends(e) {
-			e.leaving = true
-		}
+		e.leaving = l.mayEndByChange(e)
 	}
 	l.recordIdle(now)
 	l.repeatChanges(orders, now)
@@ -436,6 +443,12 @@
 	budget := l.hosts.changes.take(l.config.Bounds.HostChangesPerSecond, len(orders.Maintenance), l.unansweredChanges(), now)
 	l.planMoves(needs, budget, orders, now)
 	l.hosts.changes.spend(len(orders.Moves))
+	if len(orders.Moves)+len(orders.Maintenance) == 0 {
+		return
+	}
+	for _, e := range l.endpoints {
+		e.leaving = e.leaving || l.mayEndByChange(e)
+	}
 }
 
 // unansweredChanges counts the changes that were ordered and that the platform has not
@@ -443,7 +456,7 @@
 func (l *Leader) unansweredChanges() int {
 	count := 0
 	for _, h := range l.hosts.byID {
-		if h.pendingChange != nil && h.pendingChange.acceptedAt.IsZero() && !h.pendingChange.isUnconfirmed {
+		if h.pendingChange != nil && h.pendingChange.isOnItsWay() {
 			count++
 		}
 	}
--- a/internal/fleet/move.go
+++ b/internal/fleet/move.go
@@ -108,9 +108,6 @@
 // orderMove orders the move of a host to a pool.
 func (l *Leader) orderMove(h *hostState, pool string, orders *Orders, now time.Time) {
 	l.startChange(h, pendingChange{pool: pool}, now)
-	if e := l.endpointOf(h); e != nil {
-		e.leaving = true
-	}
 	orders.Moves = append(orders.Moves, Move{Host: h.row.ID, Pool: pool})
 	l.log("move", "host", h.row.ID, "from", h.row.Pool, "to", pool)
 }
--- a/internal/fleet/renewal.go
+++ b/internal/fleet/renewal.go
@@ -194,6 +194,7 @@
 	if !e.reached {
 		l.log("endpoint reached", "endpoint", id, "pool", e.row.Pool, "running", len(report.Running), "ended", len(report.Completions))
 		l.presumePredecessorsEnded(e, sentAt, now)
+		e.leaving = e.leaving || l.mayEndByChange(e)
 	}
 	e.reached, e.unresponsive, e.gone = true, false, false
 	e.clock, e.clockAt = report.Clock, now
