fleet: hosts in maintenance by a former leader count as down after a takeover

Cause: only the host list told a new leader which hosts are down, and it lags. Even without a lag the former leader may still be sending an order.

The row that announces a change of a host names the wave of a maintenance.

--- a/internal/control/hosts.go
+++ b/internal/control/hosts.go
@@ -54,6 +54,14 @@
 	return o.maintenance.Host
 }
 
+// wave returns the wave of a maintenance, or 0.
+func (o hostOrder) wave() int64 {
+	if o.maintenance == nil {
+		return 0
+	}
+	return o.maintenance.Wave
+}
+
 // queueHostOrder queues a change, and reports it as refused if the queue is
 // full; t.mu must be held.
 func (t *term) queueHostOrder(next hostOrder) {
@@ -118,7 +126,7 @@
 func (t *term) executeHostOrders(ctx context.Context, changes []hostOrder) {
 	var txn table.Txn
 	for _, next := range changes {
-		row := record.HostChange{At: time.Now().Round(0)}
+		row := record.HostChange{At: time.Now().Round(0), Wave: next.wave()}
 		txn.Writes = append(txn.Writes, table.Write{Key: record.HostChangeKey(string(next.host())), Value: record.Encode(row)})
 	}
 	if !t.writer.commit(ctx, txn, false) {
--- a/internal/control/hosts_test.go
+++ b/internal/control/hosts_test.go
@@ -83,3 +83,32 @@
 		})
 	}
 }
+
+// Guards against more hosts in maintenance than a wave allows at once: a new leader has to know of
+// which hosts the former one has ordered the maintenance.
+func TestAnnouncedMaintenanceNamesItsWave(t *testing.T) {
+	ctx := context.Background()
+	store := table.NewMemory()
+	claim := record.Claim{Token: 1, Name: "a"}
+	if err := store.Commit(ctx, table.Txn{Writes: []table.Write{{Key: record.ClaimKey, Value: record.Encode(claim)}}}); err != nil {
+		t.Fatal(err)
+	}
+	rows, err := store.Get(ctx, record.ClaimKey)
+	if err != nil {
+		t.Fatal(err)
+	}
+	control := New(Config{Store: store, Hosts: &recordingHosts{}, Journal: discardJournal{}, Lost: func(uint64, string) {}})
+	current := newTerm(ctx, control, claim, rows[0].Version)
+	current.executeHostOrders(ctx, []hostOrder{
+		{maintenance: &fleet.MaintenanceOrder{Host: "m-1", Wave: 4}}, {move: &fleet.Move{Host: "m-2", Pool: "p"}},
+	})
+	changes, err := current.readChanges()
+	if err != nil {
+		t.Fatal(err)
+	}
+	for host, want := range map[fleet.HostID]int64{"m-1": 4, "m-2": 0} {
+		if got, ok := changes[host]; !ok || got.Wave != want {
+			t.Errorf("announced change of %s: got %+v (%t), want wave %d", host, got, ok, want)
+		}
+	}
+}
--- a/internal/control/load.go
+++ b/internal/control/load.go
@@ -54,6 +54,9 @@
 	}
 	for host, change := range rows.changes {
 		t.leader.LoadHostChange(host, change.At, now.Round(0), now)
+		if change.Wave != 0 {
+			t.leader.LoadMaintenance(host, change.Wave, change.At, now.Round(0), now)
+		}
 	}
 	t.leader.Load(rows.jobs, now, now)
 	for _, id := range rows.earlyCancels {
--- a/internal/fleet/hostchangelag_test.go
+++ b/internal/fleet/hostchangelag_test.go
@@ -346,3 +346,54 @@
 		})
 	}
 }
+
+// Guards against more hosts in maintenance than a wave allows at once: a former leader has ordered
+// the maintenance of a host just before a takeover, or does so still, and the host list lags.
+func TestMaintenanceOfFormerLeaderCountsAsDown(t *testing.T) {
+	tests := map[string]struct {
+		orderedAgo time.Duration
+		isDone     bool
+		// answersAfter is when a new endpoint on the host answers, or zero.
+		answersAfter time.Duration
+		// free is by when at the latest the next host is ordered, held until when it is not.
+		held, free time.Duration
+	}{
+		"ordered just now":               {0, false, 0, 2500 * time.Millisecond, 6 * time.Second},
+		"ordered just now, noted":        {0, true, 0, 2500 * time.Millisecond, 6 * time.Second},
+		"ordered long ago":               {time.Minute, true, 0, 0, 0},
+		"ordered just now, host answers": {0, true, 2600 * time.Millisecond, 2500 * time.Millisecond, 3 * time.Second},
+	}
+	for name, c := range tests {
+		t.Run(name, func(t *testing.T) {
+			s := newSimulation(t, simulationConfig{token: 2})
+			hosts := append(baseHosts(), newHost(poolName, "x"), newHost(poolName, "y"))
+			s.leader.UpdateWave(fleet.WaveRow{Number: 1, MaxDown: 1, Hosts: []fleet.HostID{"m-x", "m-y"}, TimeLimit: time.Minute}, s.now)
+			if c.isDone {
+				s.leader.LoadWave(1, []string{"m-x"}, false)
+			}
+			s.leader.LoadHostChange("m-x", s.now.Add(-c.orderedAgo), s.now, s.now)
+			s.leader.LoadMaintenance("m-x", 1, s.now.Add(-c.orderedAgo), s.now, s.now)
+			s.listHosts(hosts...)
+			takenOver := s.now
+			for s.now.Sub(takenOver) <= c.free {
+				elapsed := s.now.Sub(takenOver)
+				for _, order := range s.step().Maintenance {
+					if elapsed < c.held {
+						t.Fatalf("maintenance order %s after the takeover: got %v, want none before %s", elapsed, order, c.held)
+					}
+					return
+				}
+				if c.answersAfter > 0 && elapsed >= c.answersAfter && s.lifeOf("next").startedAt.Before(takenOver) {
+					row := endpointRow("next")
+					row.Host, row.StartedAt = "m-x", s.now
+					s.restart("next", s.now)
+					s.leader.UpdateEndpoint(row, s.now)
+				}
+				s.advance(50 * time.Millisecond)
+				s.renewAll()
+				s.listed(hosts...)
+			}
+			t.Errorf("maintenance orders until %s after the takeover: got none, want one", c.free)
+		})
+	}
+}
--- a/internal/fleet/hostrow.go
+++ b/internal/fleet/hostrow.go
@@ -37,9 +37,13 @@
 func (l *Leader) applyRows(now time.Time) {
 	speakers := l.speakers()
 	for id, h := range l.hosts.byID {
-		h.speaks = speakers[id] != nil
+		speaker := speakers[id]
+		h.speaks = speaker != nil
+		if h.speaks && speaker.askedAt.Sub(l.config.Now) >= formerLeaderGrace {
+			h.formerUntil = time.Time{}
+		}
 		if !h.shownSince.IsZero() {
-			l.applyRow(h, speakers[id], now)
+			l.applyRow(h, speaker, now)
 		}
 	}
 }
--- a/internal/fleet/hosts.go
+++ b/internal/fleet/hosts.go
@@ -147,6 +147,10 @@
 	// missingSince and missingUntil are when the first and the last of the lists in a row were
 	// requested that lack the host, or zero.
 	missingSince, missingUntil time.Time
+	// formerWave is the wave for which an earlier leader ordered the host's maintenance, which may
+	// last until formerUntil.
+	formerWave  int64
+	formerUntil time.Time
 	// speaks is true if an endpoint on it answers.
 	speaks bool
 }
@@ -162,6 +166,14 @@
 	return h.listed && !h.isMissing && h.pendingChange == nil && h.row.State == HostUp && !now.Before(h.notBefore)
 }
 
+// isDownFor reports whether the host may be down for a wave.
+func (h *hostState) isDownFor(wave int64, now time.Time) bool {
+	if h.pendingChange != nil && h.pendingChange.wave == wave || h.row.State == HostMaintenance {
+		return true
+	}
+	return h.formerWave == wave && now.Before(h.formerUntil)
+}
+
 // endpointOf returns the listed endpoint on a host, or nil.
 func (l *Leader) endpointOf(h *hostState) *endpoint {
 	e := l.endpoints[h.row.Endpoint]
@@ -427,6 +439,18 @@
 	h.notBefore = now.Add(min(wait, l.config.Bounds.HostChangeExclusion+2*maxWallClockSkew))
 }
 
+// LoadMaintenance records when, by its wall clock, an earlier leader announced the maintenance of
+// a host for a wave. The host counts as down until that is surely over.
+func (l *Leader) LoadMaintenance(id HostID, wave int64, at, wall, now time.Time) {
+	longest := maxElapsed(l.config.Bounds.Maintenance) + orderDuration
+	wait := longest + maxWallClockSkew - wall.Sub(at)
+	if wait <= 0 {
+		return
+	}
+	h := l.hosts.get(id)
+	h.formerWave, h.formerUntil = wave, now.Add(min(wait, longest+2*maxWallClockSkew))
+}
+
 // planHosts orders maintenance and moves.
 func (l *Leader) planHosts(pools map[string][]*jobState, orders *Orders, now time.Time) {
 	l.applyRows(now)
--- a/internal/fleet/wave.go
+++ b/internal/fleet/wave.go
@@ -94,8 +94,7 @@
 		if h.listed {
 			known++
 		}
-		isDown := h.pendingChange != nil && h.pendingChange.wave == wave.row.Number || h.row.State == HostMaintenance
-		if isDown {
+		if h.isDownFor(wave.row.Number, now) {
 			down++
 		}
 		if !wave.done[id] && h.canChange(now) {
--- a/internal/record/record.go
+++ b/internal/record/record.go
@@ -94,6 +94,8 @@
 // HostChange announces a move or maintenance of a host, by the leader's wall clock.
 type HostChange struct {
 	At time.Time `json:"at"`
+	// Wave is the wave of a maintenance, or 0.
+	Wave int64 `json:"wave,omitempty"`
 }
 
 // MemberKey returns the key of a member process's row.
