member: a process that starts beside a store that is there does not wait for entries

A leader whose process had restarted started inherited tasks 2.5 s later than before: its first contact with the store counted as the store's return.

The first answer counts as a return only if a call had failed before. A process that starts just after the return of the store, and leads within 2.5 s, does not notice.

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -75,7 +75,7 @@
 	// ObserveStore is called with the result of each call of the feeds.
 	ObserveStore func(err error)
 	// StoreReachableSince returns since when the store has answered this process, apart from
-	// brief failures.
+	// brief failures, or zero if it always has.
 	StoreReachableSince func() time.Time
 }
 
--- a/internal/member/claim.go
+++ b/internal/member/claim.go
@@ -119,7 +119,7 @@
 	isReached := err == nil || table.IsConflict(err)
 	wasReached := n.storeOKAt.After(n.storeFailedAt)
 	if isReached {
-		if !wasReached && now.Sub(n.storeOKAt) > briefStoreFailure {
+		if !wasReached && !n.storeFailedAt.IsZero() && now.Sub(n.storeOKAt) > briefStoreFailure {
 			n.storeReturnedAt = now
 		}
 		n.storeOKAt = now
@@ -148,7 +148,7 @@
 }
 
 // StoreReachableSince returns since when the store has answered this process, apart from brief
-// failures, or the present time if it did not answer the last call.
+// failures: zero if it always has, or the present time if it did not answer the last call.
 func (n *Node) StoreReachableSince() time.Time {
 	n.mu.Lock()
 	defer n.mu.Unlock()
--- a/internal/member/storereturn_test.go
+++ b/internal/member/storereturn_test.go
@@ -34,3 +34,20 @@
 		})
 	}
 }
+
+// Guards against a leader that waits for the list of endpoints after its process has restarted
+// beside a store that was there, and against one that does not after it has started during an outage.
+func TestStoreReachableSinceStart(t *testing.T) {
+	for name, wasAway := range map[string]bool{"store was there": false, "store was away": true} {
+		t.Run(name, func(t *testing.T) {
+			node := New(Config{Name: "self", Journal: discardJournal{}})
+			if wasAway {
+				node.ObserveStore(table.ErrUnavailable)
+			}
+			node.ObserveStore(nil)
+			if got := node.StoreReachableSince(); got.IsZero() == wasAway {
+				t.Errorf("reachable since: got %s, want a time: %t", got, wasAway)
+			}
+		})
+	}
+}
