fleet: a stop of a late start is repeated to the endpoint's next incarnation

A start without an answer was resolved by a stop that the endpoint's incarnation had accepted, and the leader forgot it. The endpoint restarted within the seconds in which the start may still be carried out, and its next incarnation, which knows no stop, did so.

Such starts are now remembered until 15 s after they were sent, by endpoint ID, also when the endpoint is forgotten meanwhile. On the first report of an incarnation that has not accepted the stop, the run is tracked again and stopped; its task does not start before the stop is accepted. That replaces the quick renewals of idle endpoints after a start was given up: such an endpoint holds its renewals back instead, as one with runs does, so that a restart breaks one off and is noticed at once.

Left open: the start may be carried out between the begin of the incarnation and its answer to the stop, some 20 to 200 ms in the logs. Keeping the runs tracked for the 15 s was ruled out: they would reserve room on the endpoint.

--- a/internal/fleet/accounting.go
+++ b/internal/fleet/accounting.go
@@ -64,9 +64,7 @@
 		"report-age", age(e.reportedAt, now), "life", e.startedAt.UnixMilli(), "listed-life", e.row.StartedAt.UnixMilli(),
 		"clock", e.clock.String(), "lease-until", e.leaseUntil.String())
 	l.untrackRun(r)
-	if r.isUnresolved() {
-		l.lateStarts[e.row.ID] = now.Add(maxOrderDelay)
-	}
+	l.noteLateStart(r, now)
 	if r.job == nil {
 		return
 	}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -89,8 +89,10 @@
 	pendingCancels map[job.ID]time.Time
 	// lookups holds unknown jobs that endpoints have reported.
 	lookups map[job.ID]lookup
-	// lateStarts holds, by endpoint, until when a start that was given up may be carried out.
-	lateStarts map[EndpointID]time.Time
+	// lateStarts holds, by endpoint, the starts that were given up and may yet be carried out.
+	lateStarts map[EndpointID]map[runKey]lateStart
+	// lateStartsCheckedAt is when those that cannot be any more were last removed.
+	lateStartsCheckedAt time.Time
 	// shareBuckets holds each client account's token bucket of submissions within its share.
 	shareBuckets map[string]*tokenBucket
 	// inUse is what each client account uses across all pools.
@@ -119,7 +121,7 @@
 		config: config, confirmedAt: config.Now, policy: policy.New(policy.Config{}),
 		endpoints: map[EndpointID]*endpoint{}, jobs: map[job.ID]*jobState{}, live: map[job.ID]*jobState{}, inUse: map[string]policy.Resources{},
 		pendingCancels: map[job.ID]time.Time{},
-		lookups:        map[job.ID]lookup{}, lateStarts: map[EndpointID]time.Time{}, shareBuckets: map[string]*tokenBucket{},
+		lookups:        map[job.ID]lookup{}, lateStarts: map[EndpointID]map[runKey]lateStart{}, shareBuckets: map[string]*tokenBucket{},
 		hosts: newHosts(), arrivalHistories: map[string]*arrivalHistory{}, durations: map[string]*durations{}, writeQueue: newWriteQueue(),
 	}
 	return leader
--- a/internal/fleet/renewal.go
+++ b/internal/fleet/renewal.go
@@ -14,7 +14,7 @@
 	if e.gone {
 		// Only another incarnation can answer, which may have carried out the starts that are
 		// left. Without them, the list shows when there is one.
-		return LeaseRenewal{IsQuestion: e.presumed != nil}, len(e.runs) > 0
+		return LeaseRenewal{IsQuestion: e.presumed != nil}, len(e.runs) > 0 || l.hasLateStart(id, now)
 	}
 	renewal := LeaseRenewal{}
 	isAckWithheld := false
@@ -52,7 +52,7 @@
 		// Completions that cannot be acknowledged yet would be reported again at once.
 		return renewal, false
 	case len(e.runs) == 0 && e.ackable == e.acked && !e.blocked:
-		return renewal, e.unresponsive || now.Sub(e.reportedAt) > l.idleInterval(e, now)
+		return l.idleRenewal(e, renewal, now)
 	}
 	if !e.unresponsive && l.confirmed(now) {
 		renewal.Lease = e.nextLease(now, l.leaseDuration())
@@ -63,6 +63,17 @@
 	return renewal, true
 }
 
+// idleRenewal returns the renewal of an endpoint without runs, and whether it is due. While a
+// start that was given up may yet be carried out there, the endpoint holds the renewals back: it
+// breaks one off when it restarts, so that the next incarnation is soon reached.
+func (l *Leader) idleRenewal(e *endpoint, renewal LeaseRenewal, now time.Time) (LeaseRenewal, bool) {
+	if l.hasLateStart(e.row.ID, now) {
+		renewal.Wait = reportWait
+		return renewal, true
+	}
+	return renewal, e.unresponsive || now.Sub(e.reportedAt) > idleRenewalInterval
+}
+
 // hasOverdueStart reports whether a start on the endpoint has no answer for longer than
 // answers take. It may have been carried out, and ended, on a new incarnation of which there
 // is no other sign: an acknowledgement would make that forget the end unread.
@@ -75,20 +86,6 @@
 	return false
 }
 
-// idleInterval returns the time between two renewals of an idle endpoint. It is short while a
-// start that was given up may yet be carried out, so that its run is soon seen and stopped.
-func (l *Leader) idleInterval(e *endpoint, now time.Time) time.Duration {
-	until, ok := l.lateStarts[e.row.ID]
-	if !ok {
-		return idleRenewalInterval
-	}
-	if now.After(until) {
-		delete(l.lateStarts, e.row.ID)
-		return idleRenewalInterval
-	}
-	return unresolvedReportWait
-}
-
 // reportWait returns how long the endpoint may wait for a completion before it
 // reports: only briefly if the report resolves the outcome of a start or stop.
 func (e *endpoint) reportWait() time.Duration {
@@ -217,6 +214,7 @@
 		present[key] = true
 		l.handleReportedRun(e, key, running, sentAt, now)
 	}
+	l.stopLateStarts(e, now)
 	if len(report.Completions) >= maxReportedCompletions || e.blocked {
 		return
 	}
@@ -263,6 +261,7 @@
 func (l *Leader) handleReportedRun(e *endpoint, key runKey, running RunningTask, sentAt, now time.Time) {
 	r, ok := e.runs[key]
 	if !ok {
+		l.forgetLateStart(e.row.ID, key)
 		r = l.adopt(e, key, now)
 	}
 	if r == nil {
--- a/internal/fleet/reply.go
+++ b/internal/fleet/reply.go
@@ -14,13 +14,16 @@
 	if e == nil {
 		return false
 	}
-	r := e.runs[runKey{start.Task, start.Run}]
+	key := runKey{start.Task, start.Run}
+	r := e.runs[key]
 	if r == nil || !r.answeredAt.IsZero() {
+		l.forgetLateStart(start.Endpoint, key)
 		return false
 	}
 	isSameIncarnation := e.isKnown() && !e.gone && e.presumed == nil && !e.unresponsive && start.incarnation.Equal(e.startedAt)
 	hasRoom := l.knowsCapacity(e.row.Pool, now) && e.hasRoomFor(r)
 	if r.state == runStarting && isSameIncarnation && hasRoom && l.confirmed(now) {
+		r.sentAt = now
 		return true
 	}
 	l.log("start withdrawn", "job", start.Task.Job, "step", start.Task.Step, "index", start.Task.Index, "run", start.Run,
@@ -48,6 +51,9 @@
 		l.log("start of an untracked run answered", "job", start.Task.Job, "step", start.Task.Step, "index", start.Task.Index,
 			"run", start.Run, "endpoint", start.Endpoint, "outcome", string(reply.Outcome), "life", e.startedAt.UnixMilli(),
 			"report-age", age(e.reportedAt, now))
+		if reply.Outcome != OrderUnknown {
+			l.forgetLateStart(start.Endpoint, key)
+		}
 		if reply.Outcome == OrderAccepted {
 			l.suspectRestart(e, "untracked start", now)
 		}
--- a/internal/fleet/run.go
+++ b/internal/fleet/run.go
@@ -65,8 +65,9 @@
 	reported bool
 	// seenAt is when the newest report that lists the run was requested.
 	seenAt time.Time
-	// orderedAt is when the start was ordered, answeredAt when the endpoint confirmed it.
-	orderedAt, answeredAt time.Time
+	// orderedAt is when the start was ordered, sentAt when it was last confirmed to be sent, and
+	// answeredAt when the endpoint confirmed it.
+	orderedAt, sentAt, answeredAt time.Time
 	// wasUnconfirmed is true once a start got no answer: it may be executed late.
 	wasUnconfirmed bool
 	// stopAcceptedAt is when the endpoint accepted a stop.
--- a/internal/fleet/step.go
+++ b/internal/fleet/step.go
@@ -38,6 +38,7 @@
 		}
 	}
 	l.evacuate(now)
+	l.expireLateStarts(now)
 	for _, e := range l.endpoints {
 		if e.tally.stopping > 0 {
 			l.orderStops(e, &orders, now)
@@ -241,7 +242,7 @@
 func (l *Leader) start(g taskGroup, task job.Task, target *candidateEndpoint, number int64, orders *Orders, now time.Time) {
 	e := target.endpoint
 	r := &run{
-		key: runKey{task, number}, endpoint: e, job: g.job, state: runStarting, orderedAt: now,
+		key: runKey{task, number}, endpoint: e, job: g.job, state: runStarting, orderedAt: now, sentAt: now,
 		percent: 100, reserved: g.step.step.Reserved(), checkpoint: g.job.checkpoint[task],
 	}
 	r.awaitsAnswer, r.onTrial = true, g.job.isSuspect(task)
