fleet: a task waits for its late start on an endpoint that restarts again

The task of a start that was resolved by a stop now waits until the start cannot come late any more, 15 s after it was sent at most, if the endpoint has restarted under its ID within 15 s, as far as this leader knows, and has left a stop unanswered in that time. A leader that has taken over less than 15 s ago goes by the start time of the endpoint instead, if another endpoint has restarted under its ID since. The wait ends when the start is answered or its run reported. Persistent tasks do not wait, since nothing would serve for that long, nor do speculative ones, of which two runs do no harm.

Ruled out: waiting for each start without an answer, or each after a restart. Starts that are in flight when an endpoint crashes would wait 15 s; they still start as soon as the new incarnation has accepted the stop.

TestTaskWaitsForLateStartOnRestartingEndpoint, TestHeldTaskIsReleased and TestTaskWaitsForLateStartAfterTakeover failed before with "got 1 starts and 0 stops, want 0 and 0".

--- a/internal/fleet/accounting.go
+++ b/internal/fleet/accounting.go
@@ -41,9 +41,10 @@
 	return r.job.submission.Steps[r.key.task.Step].Resources
 }
 
-// requeue makes a task pending again, unless it is done or another run of it is active.
+// requeue makes a task pending again, unless it is done, another run of it is active, or it
+// waits for a start that may come late.
 func (l *Leader) requeue(j *jobState, task job.Task, notBefore time.Time) {
-	if j == nil || j.over() || len(j.active[task]) > 0 || j.progress.IsDone(task) {
+	if j == nil || j.over() || len(j.active[task]) > 0 || l.heldTasks[task] > 0 || j.progress.IsDone(task) {
 		return
 	}
 	step := j.steps[job.StepKey{Occurrence: task.Occurrence, Step: task.Step}]
--- a/internal/fleet/completion.go
+++ b/internal/fleet/completion.go
@@ -29,7 +29,7 @@
 func (l *Leader) applyCompletion(e *endpoint, completion Completion, now time.Time) uint64 {
 	key := runKey{completion.Task, completion.Run}
 	r := e.runs[key]
-	l.forgetLateStart(e.row.ID, key)
+	l.releaseLateStart(e.row.ID, key, now)
 	var took time.Duration
 	if r != nil {
 		took = now.Sub(r.orderedAt)
--- a/internal/fleet/endpointstate.go
+++ b/internal/fleet/endpointstate.go
@@ -54,6 +54,11 @@
 	// startedAt identifies the incarnation of the last report, or that of the list before
 	// the first report.
 	startedAt time.Time
+	// restartedAt is when this leader learnt that the endpoint has restarted under its ID, or
+	// zero.
+	restartedAt time.Time
+	// stopUnansweredAt is when a stop last got no answer, or zero.
+	stopUnansweredAt time.Time
 	// mayHaveRestarted is true from a sign of a new incarnation, at suspectedAt, until a report
 	// that was requested later, or that is of another incarnation.
 	mayHaveRestarted bool
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -91,6 +91,10 @@
 	lookups map[job.ID]lookup
 	// lateStarts holds, by endpoint, the starts that were given up and may yet be carried out.
 	lateStarts map[EndpointID]map[runKey]lateStart
+	// heldTasks counts, by task, the late starts for which it waits.
+	heldTasks map[job.Task]int
+	// hasSeenRestart is true once an endpoint has restarted under its ID.
+	hasSeenRestart bool
 	// lateStartsCheckedAt is when those that cannot be any more were last removed.
 	lateStartsCheckedAt time.Time
 	// shareBuckets holds each client account's token bucket of submissions within its share.
@@ -121,7 +125,7 @@
 		config: config, confirmedAt: config.Now, policy: policy.New(policy.Config{}),
 		endpoints: map[EndpointID]*endpoint{}, jobs: map[job.ID]*jobState{}, live: map[job.ID]*jobState{}, inUse: map[string]policy.Resources{},
 		pendingCancels: map[job.ID]time.Time{},
-		lookups:        map[job.ID]lookup{}, lateStarts: map[EndpointID]map[runKey]lateStart{}, shareBuckets: map[string]*tokenBucket{},
+		lookups:        map[job.ID]lookup{}, lateStarts: map[EndpointID]map[runKey]lateStart{}, heldTasks: map[job.Task]int{}, shareBuckets: map[string]*tokenBucket{},
 		hosts: newHosts(), arrivalHistories: map[string]*arrivalHistory{}, durations: map[string]*durations{}, writeQueue: newWriteQueue(),
 	}
 	return leader
--- a/internal/fleet/incarnation.go
+++ b/internal/fleet/incarnation.go
@@ -99,7 +99,8 @@
 	// The new incarnation would forget its own ends, unread, for an acknowledgement that was
 	// meant for the earlier one.
 	e.noWorkUntil = e.lateAckUntil
-	e.startedAt, e.mayHaveRestarted = startedAt, false
+	l.hasSeenRestart = true
+	e.startedAt, e.restartedAt, e.mayHaveRestarted = startedAt, now, false
 	e.reached, e.gone, e.presumed, e.listedAt = false, false, nil, now
 	e.clock, e.clockAt, e.leaseUntil = 0, time.Time{}, 0
 	e.hungUpAt, e.refusedAt = time.Time{}, time.Time{}
--- a/internal/fleet/latestart.go
+++ b/internal/fleet/latestart.go
@@ -15,6 +15,8 @@
 	until time.Time
 	// stoppedOn identifies the incarnation that has accepted a stop of the run, or is zero.
 	stoppedOn time.Time
+	// isHeld is true if the run's task waits until the start cannot come late any more.
+	isHeld bool
 }
 
 // mayComeLate reports whether the start of a run that is no longer tracked may still be
@@ -34,19 +36,61 @@
 	if l.lateStarts[id] == nil {
 		l.lateStarts[id] = map[runKey]lateStart{}
 	}
-	late := lateStart{run: r, until: r.sentAt.Add(maxOrderDelay)}
+	late := lateStart{run: r, until: r.sentAt.Add(maxOrderDelay), isHeld: l.holdsTask(r, now)}
 	if !r.stopAcceptedAt.IsZero() {
 		late.stoppedOn = r.endpoint.startedAt
 	}
+	if late.isHeld {
+		l.heldTasks[r.key.task]++
+		l.log("task held", "job", r.key.task.Job, "step", r.key.task.Step, "index", r.key.task.Index, "run", r.key.run,
+			"endpoint", id, "for", late.until.Sub(now).Round(time.Millisecond).String())
+	}
 	l.lateStarts[id][r.key] = late
 }
 
-// forgetLateStart forgets a start that has been carried out, or answered.
-func (l *Leader) forgetLateStart(id EndpointID, key runKey) {
+// holdsTask reports whether a task waits while the start of its run may come late: the next
+// incarnation may carry the start out before it can be stopped. It waits only for an endpoint
+// that seems to carry orders out late and to restart. Persistent tasks are not to wait that long,
+// and copies of speculative ones do no harm.
+func (l *Leader) holdsTask(r *run, now time.Time) bool {
+	if r.job == nil || r.step().Persistent || r.step().Speculative {
+		return false
+	}
+	e := r.endpoint
+	carriesOutLate := !e.stopUnansweredAt.IsZero() && now.Sub(e.stopUnansweredAt) < maxOrderDelay
+	return carriesOutLate && l.mayRestartAgain(e, now)
+}
+
+// mayRestartAgain reports whether the endpoint has just restarted under its ID. Right after a
+// takeover, the former leader may have seen it do so: then it counts as restarted if it has just
+// begun and another one has restarted under its ID since, as they do on some platforms only.
+func (l *Leader) mayRestartAgain(e *endpoint, now time.Time) bool {
+	isRestarted := !e.restartedAt.IsZero() && now.Sub(e.restartedAt) < maxOrderDelay
+	isTakeover := l.config.Token > 1 && l.hasSeenRestart && now.Sub(l.config.Now) < maxOrderDelay
+	return isRestarted || isTakeover && now.Sub(e.startedAt) < maxOrderDelay+maxWallClockSkew
+}
+
+// releaseLateStart forgets a start that cannot come late any more. Its task waits no longer.
+func (l *Leader) releaseLateStart(id EndpointID, key runKey, now time.Time) {
+	if l.forgetLateStart(id, key).isHeld {
+		l.requeue(l.jobs[key.task.Job], key.task, now)
+	}
+}
+
+// forgetLateStart forgets a start, and returns what was known of it.
+func (l *Leader) forgetLateStart(id EndpointID, key runKey) lateStart {
+	late := l.lateStarts[id][key]
 	delete(l.lateStarts[id], key)
 	if len(l.lateStarts[id]) == 0 {
 		delete(l.lateStarts, id)
 	}
+	if late.isHeld {
+		l.heldTasks[key.task]--
+		if l.heldTasks[key.task] == 0 {
+			delete(l.heldTasks, key.task)
+		}
+	}
+	return late
 }
 
 // hasLateStart reports whether a start that was given up may yet be carried out on an
@@ -70,7 +114,7 @@
 	for id, starts := range l.lateStarts {
 		for key, late := range starts {
 			if !now.Before(late.until) {
-				l.forgetLateStart(id, key)
+				l.releaseLateStart(id, key, now)
 			}
 		}
 	}
@@ -84,10 +128,11 @@
 		if late.stoppedOn.Equal(e.startedAt) {
 			continue
 		}
-		l.forgetLateStart(e.row.ID, key)
 		if e.runs[key] != nil || !now.Before(late.until) {
+			l.releaseLateStart(e.row.ID, key, now)
 			continue
 		}
+		l.forgetLateStart(e.row.ID, key)
 		l.trackLateStart(e, late.run, now)
 	}
 }
--- a/internal/fleet/latestart_test.go
+++ b/internal/fleet/latestart_test.go
@@ -177,3 +177,162 @@
 		})
 	}
 }
+
+// resolveOnNextIncarnation lets endpoint "a", which has left a start unanswered and leaves a
+// stop unanswered if isLate is set, restart, accept a stop and report.
+func (s *simulation) resolveOnNextIncarnation(start fleet.Start, isLate bool) {
+	s.t.Helper()
+	s.leader.HandleStartReply(start, fleet.Reply{Outcome: fleet.OrderUnknown}, s.now)
+	s.restart("a", laterStart)
+	s.advance(10 * time.Millisecond)
+	s.report("a", s.now)
+	if isLate {
+		s.leader.HandleStopReply(s.step().Stops[0], fleet.Reply{Outcome: fleet.OrderUnknown}, s.now)
+		s.advance(400 * time.Millisecond)
+	}
+	s.acceptStop()
+	s.advance(10 * time.Millisecond)
+	s.report("a", s.now)
+}
+
+// Guards against a task that is started again after its end was acknowledged (soak seeds 405
+// and 415): an endpoint that leaves orders unanswered restarts twice within seconds, and its
+// third incarnation carries a start out before it can be stopped again. Also against tasks
+// that wait for that without a sign of it, or for good.
+func TestTaskWaitsForLateStartOnRestartingEndpoint(t *testing.T) {
+	persistent, speculative := tasks(1), tasks(1)
+	persistent.Persistent, speculative.Speculative = true, true
+	cases := map[string]struct {
+		step   job.Step
+		isLate bool
+		isHeld bool
+	}{
+		"stop unanswered":                   {step: tasks(1), isLate: true, isHeld: true},
+		"stop answered at once":             {step: tasks(1)},
+		"stop unanswered, persistent task":  {step: persistent, isLate: true},
+		"stop unanswered, speculative task": {step: speculative, isLate: true},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			s := longRunning(t)
+			s.submit(submission(1, c.step))
+			start := s.step().Starts[0]
+			sentAt := s.now
+			s.addEndpoint("b")
+			s.resolveOnNextIncarnation(start, c.isLate)
+			if !c.isHeld {
+				s.wantOrders("after the stop was accepted", 1, 0)
+				return
+			}
+			for s.now.Sub(sentAt) < 14500*time.Millisecond {
+				s.wantOrders("while the start may come late", 0, 0)
+				s.advance(500 * time.Millisecond)
+				s.report("a", s.now)
+				s.report("b", s.now)
+			}
+			s.advance(2 * time.Second)
+			s.report("a", s.now)
+			s.report("b", s.now)
+			s.step()
+			s.advance(time.Second)
+			s.report("a", s.now)
+			s.report("b", s.now)
+			if got := len(s.orders.Starts) + len(s.step().Starts); got != 1 {
+				t.Errorf("starts once the start cannot come late any more: got %d, want 1", got)
+			}
+		})
+	}
+}
+
+// Guards against a task that waits although its late start has been answered, carried out or
+// stopped on the next incarnation, or has ended there.
+func TestHeldTaskIsReleased(t *testing.T) {
+	cases := map[string]struct {
+		resolve func(s *simulation, start fleet.Start)
+		starts  int
+	}{
+		"late start is rejected": {resolve: func(s *simulation, start fleet.Start) {
+			s.leader.HandleStartReply(start, fleet.Reply{Outcome: fleet.OrderNoCapacity}, s.now)
+		}, starts: 1},
+		"late start is accepted, and runs": {resolve: func(s *simulation, start fleet.Start) {
+			s.leader.HandleStartReply(start, fleet.Reply{Outcome: fleet.OrderAccepted}, s.now)
+			s.wantOrders("after the late start was accepted", 0, 0)
+			s.run(start)
+			s.report("a", s.now)
+		}},
+		"late start runs": {resolve: func(s *simulation, start fleet.Start) {
+			s.run(start)
+			s.report("a", s.now)
+		}},
+		"late start is done": {resolve: func(s *simulation, start fleet.Start) {
+			s.run(start)
+			s.endRun(start, fleet.CompletionDone)
+			s.report("a", s.now)
+		}},
+		"late start has failed": {resolve: func(s *simulation, start fleet.Start) {
+			s.run(start)
+			s.endRun(start, fleet.CompletionFailed)
+			s.report("a", s.now)
+		}, starts: 1},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			s := longRunning(t)
+			s.submit(submission(1, tasks(1)))
+			start := s.step().Starts[0]
+			s.addEndpoint("b")
+			s.resolveOnNextIncarnation(start, true)
+			s.wantOrders("while the task is held", 0, 0)
+			c.resolve(s, start)
+			s.advance(100 * time.Millisecond)
+			s.wantOrders("after that", c.starts, 0)
+		})
+	}
+}
+
+// Guards against a task that is started again after its end was acknowledged (soak seed 405):
+// the endpoint had restarted before the takeover, as its start time shows, leaves a stop of the
+// new leader unanswered, and may restart again.
+func TestTaskWaitsForLateStartAfterTakeover(t *testing.T) {
+	cases := map[string]struct {
+		token  uint64
+		uptime time.Duration
+		// isRestarted is true if another endpoint has restarted under its ID since.
+		isRestarted bool
+		starts      int
+	}{
+		"endpoint has just begun":         {token: 2, uptime: 3 * time.Second, isRestarted: true},
+		"endpoint has run for an hour":    {token: 2, uptime: time.Hour, isRestarted: true, starts: 1},
+		"there was no leader before this": {token: 1, uptime: 3 * time.Second, isRestarted: true, starts: 1},
+		"none has restarted under its ID": {token: 2, uptime: 3 * time.Second, starts: 1},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			onePool := defaultPolicy()
+			onePool.Pools = onePool.Pools[:1]
+			s := newSimulation(t, simulationConfig{token: c.token, policy: onePool})
+			row := endpointRow("a")
+			row.StartedAt = s.now.Add(-c.uptime)
+			s.lives["a"] = life{startedAt: row.StartedAt, began: row.StartedAt}
+			s.leader.UpdateEndpoint(row, s.now)
+			s.report("a", s.now)
+			s.listHostsOf("a")
+			s.submit(submission(1, tasks(1)))
+			start := s.step().Starts[0]
+			s.leader.HandleStartReply(start, fleet.Reply{Outcome: fleet.OrderUnknown}, s.now)
+			s.advance(10 * time.Millisecond)
+			s.report("a", s.now)
+			s.leader.HandleStopReply(s.step().Stops[0], fleet.Reply{Outcome: fleet.OrderUnknown}, s.now)
+			s.advance(400 * time.Millisecond)
+			s.acceptStop()
+			s.addEndpoint("b")
+			if c.isRestarted {
+				s.restart("b", laterStart)
+				s.report("b", s.now)
+			}
+			s.advance(10 * time.Millisecond)
+			s.report("a", s.now)
+			s.wantOrders("after the stop was accepted", c.starts, 0)
+		})
+	}
+}
--- a/internal/fleet/renewal.go
+++ b/internal/fleet/renewal.go
@@ -261,7 +261,7 @@
 func (l *Leader) handleReportedRun(e *endpoint, key runKey, running RunningTask, sentAt, now time.Time) {
 	r, ok := e.runs[key]
 	if !ok {
-		l.forgetLateStart(e.row.ID, key)
+		l.releaseLateStart(e.row.ID, key, now)
 		r = l.adopt(e, key, now)
 	}
 	if r == nil {
--- a/internal/fleet/reply.go
+++ b/internal/fleet/reply.go
@@ -17,7 +17,7 @@
 	key := runKey{start.Task, start.Run}
 	r := e.runs[key]
 	if r == nil || !r.answeredAt.IsZero() {
-		l.forgetLateStart(start.Endpoint, key)
+		l.releaseLateStart(start.Endpoint, key, now)
 		return false
 	}
 	isSameIncarnation := e.isKnown() && !e.gone && e.presumed == nil && !e.unresponsive && start.incarnation.Equal(e.startedAt)
@@ -51,11 +51,13 @@
 		l.log("start of an untracked run answered", "job", start.Task.Job, "step", start.Task.Step, "index", start.Task.Index,
 			"run", start.Run, "endpoint", start.Endpoint, "outcome", string(reply.Outcome), "life", e.startedAt.UnixMilli(),
 			"report-age", age(e.reportedAt, now))
-		if reply.Outcome != OrderUnknown {
-			l.forgetLateStart(start.Endpoint, key)
-		}
-		if reply.Outcome == OrderAccepted {
+		switch reply.Outcome {
+		case OrderAccepted:
+			// The next report shows the run, or its end.
 			l.suspectRestart(e, "untracked start", now)
+		case OrderUnknown:
+		default:
+			l.releaseLateStart(start.Endpoint, key, now)
 		}
 		return reply.Outcome != OrderFenced
 	}
@@ -159,6 +161,8 @@
 		r.stopAcceptedAt = now
 	case OrderOtherIncarnation:
 		l.suspectRestart(e, "refusal", now)
+	case OrderUnknown:
+		e.stopUnansweredAt = now
 	}
 	return true
 }
