model: late starts across a restart, and acknowledgements of a former leader

The model dropped each start that an endpoint had barred by an accepted stop when the endpoint restarted, and each order of a former leader to an incarnation after the one that the new leader had reached. Now such a start is left on its way while its task has not started again, and the leader must repeat the stop before it starts the task; and an endpoint that restarts knows no token, so that the former leader's acknowledgements, stops and renewals reach it. Still excluded: that the task starts before the leader knows of the restart, and starts of the former leader there.

--- a/model/runs-broken-former-leader.pml
+++ b/model/runs-broken-former-leader.pml
@@ -1,5 +1,5 @@
 /*
- * Excluded event: an order of the former leader is carried out by an incarnation that
+ * Excluded event: a start of the former leader is carried out by an incarnation that
  * began after the new leader had reached an earlier one.
  */
 #define BROKEN_FORMER_LEADER
--- a/model/runs.pml
+++ b/model/runs.pml
@@ -20,9 +20,9 @@
  * - An acknowledgement that was sent before the leader had a sign of a restart is carried
  *   out by the next incarnation (runs-broken-ack-in-flight.pml).
  * - A start is carried out although the endpoint has accepted a stop of its run and
- *   reported since: it was overtaken, and the endpoint restarted
- *   (runs-broken-late-start.pml).
- * - An order of the former leader is carried out by an incarnation that began after the
+ *   reported since: it was overtaken, and the endpoint restarted; and the task's next run
+ *   starts before the leader knows of that (runs-broken-late-start.pml).
+ * - A start of the former leader is carried out by an incarnation that began after the
  *   new leader had reached an earlier one (runs-broken-former-leader.pml).
  *
  * Also excluded: renewals that are carried out after the leader has given them up, orders
@@ -61,6 +61,7 @@
 byte life[2] = 1;
 byte restarts;
 bit seenToken[2];          /* the newest leader that has called */
+bit newLeaderCalled[2];    /* the new leader has called, also an earlier incarnation */
 byte highestEnded[2];      /* highest run that was stopped or ended here */
 byte running[2];           /* the task's run, or 0 */
 bit lease[2];
@@ -95,6 +96,7 @@
 bit wasUnconfirmed[LEADERS];
 byte stopAccepted[LEADERS];      /* likewise, of the stop */
 bit answeredBeforeList[LEADERS];
+byte lateRun[LEADERS];           /* given up after a stop, its start may come late, or 0 */
 
 /* A leader's view of an endpoint. */
 byte knownLife[VIEWS] = 1;
@@ -108,6 +110,7 @@
 /* Orders. */
 bit queued[RUNS + 1];
 bit start[RUNS + 1];       /* on its way to the endpoint */
+bit barred[RUNS + 1];      /* was on its way when the incarnation ended that had accepted a stop of it */
 bit waiting[RUNS + 1];     /* the leader waits for the answer */
 #define ACCEPTED 1
 #define STALE 2
@@ -237,6 +240,11 @@
 	completion[m] = completionCount[at]
 }
 
+inline called(at, leader) {
+	seenToken[at] = (leader > seenToken[at] -> leader : seenToken[at]);
+	newLeaderCalled[at] = (newLeaderCalled[at] || leader == 1)
+}
+
 /* drops the starts of a leader that are on their way to the endpoint */
 inline drop_starts(leader) {
 	n = 1;
@@ -292,13 +300,19 @@
 #define CHECK_REACHED skip
 #endif
 
+#ifdef BROKEN_ACK_IN_FLIGHT
+#define ACK_COUNTS true
+#else
+#define ACK_COUNTS (renewalLife[i] == life[e] || renewalInformed[i])
+#endif
+
 inline acknowledge(number) {
 	n = 1;
 	do
 	:: n > RUNS -> break
 	:: else ->
 		if
-		:: runEndpoint[n] == e && completion[n] != 0 && completion[n] <= number ->
+		:: runEndpoint[n] == e && completion[n] != 0 && completion[n] <= number && (ACK_COUNTS || LEADER_OF(n) > l) ->
 			assert(!done[n] || storedDone);
 			if
 			:: done[n] && !leaseExpired[n] -> assert(!startedAfter[n]); acknowledged = 1; CHECK_REACHED
@@ -313,6 +327,12 @@
 	clear_lease(e)
 }
 
+#ifdef BROKEN_LATE_FORGOTTEN
+#define IS_LATE_FORGOTTEN true
+#else
+#define IS_LATE_FORGOTTEN false
+#endif
+
 #ifdef BROKEN_LOST_AT_RESTART
 #define RUN_LOST_AT_RESTART true
 #else
@@ -325,6 +345,14 @@
 	lastRead[i] = 0;
 	gone[i] = 0;
 	if
+	:: lateRun[l] != 0 && runEndpoint[lateRun[l]] == e && tracked[l] == 0 && !IS_LATE_FORGOTTEN ->
+		tracked[l] = lateRun[l];
+		state[l] = STOPPING;
+		wasUnconfirmed[l] = 1;
+		lateRun[l] = 0
+	:: else
+	fi;
+	if
 	:: tracked[l] != 0 && runEndpoint[tracked[l]] == e ->
 		stopAccepted[l] = 0;
 		if
@@ -350,6 +378,18 @@
 #define IS_BARRED(r, l) (r <= highestEnded[e] && (tracked[l] != r || renewal[AT(l, e)] == 2 && stopAccepted[l] == 2))
 #endif
 
+#ifdef BROKEN_FORMER_LEADER
+#define START_IS_FENCED(l) (l < seenToken[e])
+#else
+#define START_IS_FENCED(l) (l < newLeaderCalled[e])
+#endif
+
+/* the next incarnation, of which the leader does not know yet, may carry the start out */
+#define MAY_BE_RUNNING_LATE(r) (barred[r] && (!up[runEndpoint[r]] || knownLife[AT(l, runEndpoint[r])] != life[runEndpoint[r]]))
+
+/* the task has not started again yet */
+#define MAY_COME_LATE(r, l) (LEADERS == 1 && tracked[l] == 0 && lateRun[l] == r && lastRun[l] == r)
+
 #ifdef BROKEN_MISSING
 #define MISSING_SINCE 1
 #else
@@ -406,7 +446,9 @@
 		if
 		:: state[l] == LIVE && answered[l] >= MISSING_SINCE -> forget_run(l)
 		:: state[l] == UNCONFIRMED && answered[l] == 2 -> ordered_stop(l)
-		:: state[l] == STOPPING && (!wasUnconfirmed[l] && answered[l] == 2 || stopAccepted[l] == 2) -> forget_run(l)
+		:: state[l] == STOPPING && (!wasUnconfirmed[l] && answered[l] == 2 || stopAccepted[l] == 2) ->
+			lateRun[l] = (wasUnconfirmed[l] -> tracked[l] : 0);
+			forget_run(l)
 		:: else
 		fi
 	:: else
@@ -420,10 +462,10 @@
 #define MAY_ACK (!suspected[i])
 #endif
 
-#ifdef BROKEN_ACK_IN_FLIGHT
-#define ACK_COUNTS true
+#ifdef BROKEN_FORMER_ACK
+#define RENEWAL_IS_FENCED false
 #else
-#define ACK_COUNTS (renewalLife[i] == life[e] || renewalInformed[i])
+#define RENEWAL_IS_FENCED (l < seenToken[e])
 #endif
 
 #ifdef BROKEN_GONE_KNOWN
@@ -478,7 +520,9 @@
 #if LEADERS == 1
 #define MAY_BE_READ(r) (running[0] == r || running[1] == r || completion[r] != 0 && done[r] && !storedDone)
 #else
-#define MAY_BE_READ(r) false
+#define FORMER_ACKS(e) (renewal[AT(0, e)] == 1 && renewalAck[AT(0, e)] != 0)
+#define MAY_BE_READ(r) (LEADER_OF(r) == 1 && (running[0] == r || running[1] == r || completion[r] != 0 && done[r] && !storedDone) && \
+	(FORMER_ACKS(0) || FORMER_ACKS(1)))
 #endif
 #define IN_FLIGHT(r) (queued[r] || start[r] || startedAfter[r] || MAY_BE_READ(r))
 #define FINISHED (!MAY_START(0, FIRST_RUNS) && (SECOND_RUNS == 0 || takenOver && !MAY_START(LEADERS - 1, RUNS)) && !IN_FLIGHT(1) && !IN_FLIGHT(2) && !IN_FLIGHT(RUNS))
@@ -501,14 +545,15 @@
 	do
 	/* starts the task */
 	:: d_step {
-		leads[l] && tracked[l] == 0 && !knowsDone[l] && reached[i] && !unresponsive[i] && !gone[i] && ALL_RUNS_KNOWN &&
+		leads[l] && tracked[l] == 0 && !MAY_BE_RUNNING_LATE(1) && !knowsDone[l] && reached[i] && !unresponsive[i] && !gone[i] && ALL_RUNS_KNOWN &&
 		lastRun[l] < (l == 0 -> FIRST_RUNS : RUNS) && (l == 1 || lastRun[0] > 0 || e == 0) ->
 		lastRun[l] = ((l == 1 && lastRun[l] == 0) -> FIRST_RUNS + 1 : lastRun[l] + 1);
 		tracked[l] = lastRun[l];
 		state[l] = STARTING;
 		runEndpoint[lastRun[l]] = e;
 		runLife[lastRun[l]] = knownLife[i];
-		queued[lastRun[l]] = 1
+		queued[lastRun[l]] = 1;
+		lateRun[l] = 0
 	}
 	/* sends a renewal */
 	:: d_step {
@@ -529,13 +574,10 @@
 	:: d_step {
 		renewal[i] == 1 && up[e] ->
 		if
-		:: l < seenToken[e] -> end_term(l)
+		:: RENEWAL_IS_FENCED -> end_term(l)
 		:: else ->
-			seenToken[e] = l;
-			if
-			:: ACK_COUNTS -> acknowledge(renewalAck[i])
-			:: else
-			fi;
+			called(e, l);
+			acknowledge(renewalAck[i]);
 			if
 			:: renewalLease[i] && lease[e] -> foreignLease[e] = (foreignLease[e] || IS_FOREIGN(renewalLife[i], e))
 			:: else
@@ -617,13 +659,13 @@
 		start[r] && up[e] ->
 		start[r] = 0;
 		if
-		:: l < seenToken[e] ->
+		:: START_IS_FENCED(l) ->
 			if
 			:: leads[l] && waiting[r] -> end_term(l)
 			:: else
 			fi
 		:: else ->
-			seenToken[e] = l;
+			called(e, l);
 			if
 			:: r <= highestEnded[e] -> startReply[r] = (waiting[r] -> STALE : 0)
 			:: else -> begin_run(e, r); startReply[r] = (waiting[r] -> ACCEPTED : 0)
@@ -633,9 +675,9 @@
 	}
 	/* the endpoint has no room, or is unhealthy */
 	:: d_step {
-		start[r] && up[e] && l >= seenToken[e] ->
+		start[r] && up[e] && !START_IS_FENCED(l) ->
 		start[r] = 0;
-		seenToken[e] = l;
+		called(e, l);
 		startReply[r] = (waiting[r] -> REFUSED : 0);
 		runLife[r] = 0
 	}
@@ -689,7 +731,7 @@
 		if
 		:: l < seenToken[e] -> end_term(l)
 		:: else ->
-			seenToken[e] = l;
+			called(e, l);
 			stop[l] = 2;
 			if
 			:: running[e] == stopRun[l] -> end_run(e, 0)
@@ -769,7 +811,8 @@
 				startedAfter[n] = 0;
 				leaseExpired[n] = 0;
 				if
-				:: start[n] && IS_BARRED(n, LEADER_OF(n)) -> start[n] = 0; runLife[n] = 0
+				:: start[n] && IS_BARRED(n, LEADER_OF(n)) && !MAY_COME_LATE(n, LEADER_OF(n)) -> start[n] = 0; runLife[n] = 0
+				:: start[n] && IS_BARRED(n, LEADER_OF(n)) && MAY_COME_LATE(n, LEADER_OF(n)) -> barred[n] = 1
 				:: else
 				fi
 			:: else
@@ -779,9 +822,7 @@
 		running[e] = 0;
 		lease[e] = 0;
 		foreignLease[e] = 0;
-#ifdef BROKEN_FORMER_LEADER
 		seenToken[e] = 0;
-#endif
 		highestEnded[e] = 0;
 		completionCount[e] = 0
 	}
