fleet: starts that may crash an endpoint outlive the leader

If the leader changes meanwhile, the next one knows neither the run nor, once its entry is gone, the endpoint, and the crash counts for nothing. Before, that took a crash right at a takeover.

Class: an attempt that may do harm is recorded only once its outcome is known.

A start on trial (run, endpoint, its incarnation, host) is now in the job's progress row before it is sent. The decision needs no second write after that of the crash: both are in one row, and the start is held until that is written, for at most 1 s, so that endpoints do not stand idle while the store is away. The next leader, once all runs are known that are left, counts a recorded start without a run and an end if its endpoint has ended: as a crash, alone if no other task was tried there; as a doubt if the endpoint is only out of reach. If the same incarnation answers, the start was not carried out, or was stopped, and counts for nothing; nor does the end of a host that is moved or maintained. Starts of inherited jobs, and of tasks that were cleared, are recorded too, without a wait: first crashes under several leaders in a row were lost as well. A record goes once the run is proven or its end is known; an adopted run that has one is not taken for proven.

Three tests stepped once after a write and expected the start of a suspected task there: they take one more write, and count the starts of both steps.

Open: tasks that crash their endpoint after 0.4 s or 0.7 s, with 12 leaders in a row.

--- a/internal/fleet/accounting.go
+++ b/internal/fleet/accounting.go
@@ -21,6 +21,7 @@
 	if !r.endpoint.removeRun(r) || r.job == nil {
 		return
 	}
+	l.forgetStart(r)
 	task := r.key.task
 	remaining := slices.DeleteFunc(r.job.active[task], func(other *run) bool { return other == r })
 	if len(remaining) == 0 {
--- a/internal/fleet/crash.go
+++ b/internal/fleet/crash.go
@@ -79,7 +79,9 @@
 	}
 	runs := make([]*run, 0, len(end.endpoint.runs))
 	for _, r := range end.endpoint.runs {
-		runs = append(runs, r)
+		if !r.isHeld {
+			runs = append(runs, r)
+		}
 	}
 	slices.SortFunc(runs, func(a, b *run) int {
 		return cmp.Or(b.answeredAt.Compare(a.answeredAt), cmp.Compare(a.key.String(), b.key.String()))
@@ -237,8 +239,12 @@
 // updateTrial ends the trial of a run that has worked for long enough. Its task is cleared, and
 // its record forgotten once no run of its age crashes an endpoint.
 func (l *Leader) updateTrial(r *run, now time.Time) {
+	if !r.isProven() {
+		return
+	}
+	l.forgetStart(r)
 	record := r.crashRecord()
-	if record == nil || !r.isProven() {
+	if record == nil {
 		return
 	}
 	unit := r.job.crashUnit(r.key.task)
--- a/internal/fleet/crash_test.go
+++ b/internal/fleet/crash_test.go
@@ -34,12 +34,21 @@
 	bestEffort.BestEffort = true
 	checkpoints := tasks(2)
 	checkpoints.Checkpoint = true
+	changeLeaders := func(times int, interval time.Duration) func(w *crashWorld) {
+		return func(w *crashWorld) {
+			for range times {
+				w.runFor(interval)
+				w.replaceLeader()
+			}
+		}
+	}
 	cases := map[string]struct {
 		step      job.Step
 		times     int
 		after     time.Duration
 		keepsID   bool
 		staysUp   bool
+		isDark    bool
 		endpoints int
 		beside    job.Step
 		during    func(w *crashWorld)
@@ -57,18 +66,13 @@
 		"best effort":                        {step: bestEffort},
 		"checkpoints":                        {step: checkpoints},
 		"occurrences":                        {step: tasks(2), times: 3},
-		"leaders change": {step: tasks(4), during: func(w *crashWorld) {
-			for range 6 {
-				w.runFor(1700 * time.Millisecond)
-				w.replaceLeader()
-			}
-		}},
-		"leaders change often": {step: tasks(4), during: func(w *crashWorld) {
-			for range 12 {
-				w.runFor(700 * time.Millisecond)
-				w.replaceLeader()
-			}
-		}},
+		"leaders change":                     {step: tasks(4), during: changeLeaders(6, 1700*time.Millisecond)},
+		"leaders change often":               {step: tasks(4), during: changeLeaders(12, 700*time.Millisecond)},
+		"silent ends":                        {step: tasks(4), isDark: true},
+		"silent ends, gang":                  {step: gang, isDark: true},
+		"silent ends, persistent":            {step: persistentTasks(4, 1), isDark: true},
+		"silent ends, leaders change":        {step: tasks(4), isDark: true, during: changeLeaders(6, 1700*time.Millisecond)},
+		"silent ends, leaders change often":  {step: tasks(4), isDark: true, during: changeLeaders(12, 700*time.Millisecond)},
 		"store away": {step: tasks(4), during: func(w *crashWorld) {
 			w.storeOutUntil = w.now.Add(8 * time.Second)
 			w.runFor(8 * time.Second)
@@ -89,7 +93,7 @@
 			if c.beside.Count == 0 {
 				c.beside = tasks(3)
 			}
-			w := newCrashWorld(t, crashWorldConfig{endpoints: c.endpoints, keepsID: c.keepsID, staysUp: c.staysUp, deadly: first(c.after, isJobOne)})
+			w := newCrashWorld(t, crashWorldConfig{endpoints: c.endpoints, keepsID: c.keepsID, staysUp: c.staysUp, isDark: c.isDark, deadly: first(c.after, isJobOne)})
 			w.runFor(100 * time.Millisecond)
 			deadly := submission(1, c.step)
 			if c.times > 0 {
@@ -241,27 +245,33 @@
 // doing, lost answers, a store and a host list that are away, and leaders that change.
 func TestCrashesAtRandom(t *testing.T) {
 	isDeadly := func(id job.ID) bool { return id[len(id)-1] == '7' }
-	for seed := range uint64(crashSeeds) {
-		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
-			w := newCrashWorld(t, crashWorldConfig{
-				endpoints: 10, racks: 3, seed: seed, lostAnswers: 0.03, keepsID: seed%2 == 1, staysUp: seed%3 == 1,
-				deadly: first(crashAtStart+time.Duration(seed%4)*50*time.Millisecond, isDeadly),
-			})
-			w.runFor(100 * time.Millisecond)
-			w.submit(submission(0x8000, persistentTasks(4, 1)))
-			w.submit(submission(0x8007, persistentTasks(4, 1)))
-			faults := randomFaults(w)
-			for n := range randomJobs {
-				w.submit(submission(n+1, tasks(1+w.random.IntN(6))))
-				for _, fault := range faults[n] {
-					fault()
-				}
-				w.runFor(200 * time.Millisecond)
+	for _, isDark := range []bool{false, true} {
+		for seed := range uint64(crashSeeds) {
+			name := fmt.Sprintf("seed %d", seed)
+			if isDark {
+				name += ", silent ends"
 			}
-			w.runFor(75 * time.Second)
-			w.wantBudget()
-			w.wantStates(isDeadly)
-		})
+			t.Run(name, func(t *testing.T) {
+				w := newCrashWorld(t, crashWorldConfig{
+					endpoints: 10, racks: 3, seed: seed, lostAnswers: 0.03, keepsID: seed%2 == 1, staysUp: seed%3 == 1, isDark: isDark,
+					deadly: first(crashAtStart+time.Duration(seed%4)*50*time.Millisecond, isDeadly),
+				})
+				w.runFor(100 * time.Millisecond)
+				w.submit(submission(0x8000, persistentTasks(4, 1)))
+				w.submit(submission(0x8007, persistentTasks(4, 1)))
+				faults := randomFaults(w)
+				for n := range randomJobs {
+					w.submit(submission(n+1, tasks(1+w.random.IntN(6))))
+					for _, fault := range faults[n] {
+						fault()
+					}
+					w.runFor(200 * time.Millisecond)
+				}
+				w.runFor(75 * time.Second)
+				w.wantBudget()
+				w.wantStates(isDeadly)
+			})
+		}
 	}
 }
 
--- a/internal/fleet/crashrecord.go
+++ b/internal/fleet/crashrecord.go
@@ -40,9 +40,11 @@
 // crashRecord is what is known of a task, or of a gang, under which endpoints have ended.
 type crashRecord struct {
 	// counted are the crashes for which it was suspected. The job's progress has them and the
-	// doubts, and batch is the batch that stores it.
+	// doubts.
 	counted job.Crashes
-	batch   uint64
+	// withdrawn is the batch that has to be written before the next trial, since the last one
+	// was held for too long, or 0.
+	withdrawn uint64
 	// isInherited is true if a former leader suspected the task.
 	isInherited bool
 	// causes are the crashes that are counted, and doubts the other ends.
@@ -175,7 +177,7 @@
 func (l *Leader) storeCrashes(j *jobState, unit job.Task, record *crashRecord) {
 	record.counted.Doubts = record.openDoubts()
 	if j.progress.RecordCrashes(unit, record.counted) && !j.over() {
-		record.batch = l.markDirty(j)
+		l.markDirty(j)
 	}
 }
 
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -117,6 +117,11 @@
 	loaded     bool
 	writeQueue writeQueue
 	crashes    CrashCounts
+	// heldTrials are trials whose record is not stored yet.
+	heldTrials []heldTrial
+	// hasFormerStarts is true if jobs have starts that former leaders recorded, and that
+	// are not settled.
+	hasFormerStarts bool
 }
 
 // New returns a leader without jobs, endpoints or hosts.
--- a/internal/fleet/hostevidence_test.go
+++ b/internal/fleet/hostevidence_test.go
@@ -153,7 +153,7 @@
 			}
 			c.resolve(s, start)
 			s.writeBatches()
-			starts := s.step().Starts
+			starts := s.startsOnceStored()
 			if len(starts) != c.starts {
 				t.Fatalf("starts: got %v, want %d", starts, c.starts)
 			}
@@ -359,7 +359,7 @@
 				}
 			}
 			s.writeBatches()
-			if got += len(s.step().Starts); got != c.starts {
+			if got += len(s.startsOnceStored()); got != c.starts {
 				t.Errorf("starts: got %d, want %d", got, c.starts)
 			}
 		})
--- a/internal/fleet/hostlag_test.go
+++ b/internal/fleet/hostlag_test.go
@@ -210,7 +210,7 @@
 			s.advance(100 * time.Millisecond)
 			c.happen(s)
 			s.writeBatches()
-			if got := len(s.step().Starts); got != c.starts {
+			if got := len(s.startsOnceStored()); got != c.starts {
 				t.Errorf("starts: got %d, want %d", got, c.starts)
 			}
 		})
--- a/internal/fleet/jobstate.go
+++ b/internal/fleet/jobstate.go
@@ -156,6 +156,7 @@
 		j.started = len(stored.Progress.Steps) > 0
 	}
 	j.loadCrashRecords(now)
+	l.hasFormerStarts = l.hasFormerStarts || j.progress.StartCount() > 0
 	l.jobs[stored.Submission.ID] = j
 	if !j.over() {
 		l.live[stored.Submission.ID] = j
--- a/internal/fleet/leader_test.go
+++ b/internal/fleet/leader_test.go
@@ -176,6 +176,14 @@
 	}
 }
 
+// startsOnceStored returns the starts that are sent until all that is decided now is stored: those
+// of suspected tasks are stored first.
+func (s *simulation) startsOnceStored() []fleet.Start {
+	starts := s.step().Starts
+	s.writeBatches()
+	return append(starts, s.step().Starts...)
+}
+
 func (s *simulation) submit(submission *job.Submission) {
 	s.leader.AddJob(submission, s.now, s.now)
 }
--- a/internal/fleet/renewal.go
+++ b/internal/fleet/renewal.go
@@ -312,7 +312,7 @@
 	r.inheritedStopsEnd = now.Add(l.config.Bounds.Stop)
 	r.reserved = step.Reserved()
 	r.onTrial = j.isSuspect(key.task)
-	r.isFormerLeaders = key.run <= int64(l.config.Token-1)*runsPerToken
+	r.isFormerLeaders = l.isFormerRun(key.run) && !j.progress.HasStart(key.task, key.run)
 	e.addRun(r)
 	duplicate := len(j.active[key.task]) > 0
 	l.trackRun(r)
--- a/internal/fleet/run.go
+++ b/internal/fleet/run.go
@@ -88,7 +88,9 @@
 	onTrial bool
 	// isSolo is true if not even others on trial may start beside it.
 	isSolo bool
-	// isFormerLeaders is true if a former leader started the run.
+	// isHeld is true until the record of the run's start is stored, and the start is sent.
+	isHeld bool
+	// isFormerLeaders is true if a former leader started the run, and did not doubt it any more.
 	isFormerLeaders bool
 	// verdict is what the end of the endpoint says about the run, crash the end for which it
 	// is suspected, and crashOrder its place among the suspects.
--- a/internal/fleet/step.go
+++ b/internal/fleet/step.go
@@ -29,6 +29,9 @@
 	}
 	if l.confirmed(now) {
 		allRunsKnown := l.allRunsKnown(now)
+		if allRunsKnown {
+			l.settleFormerStarts(now)
+		}
 		for pool, jobs := range pools {
 			l.schedule(pool, jobs, allRunsKnown, &orders, now)
 		}
@@ -37,6 +40,7 @@
 			l.planHosts(pools, &orders, now)
 		}
 	}
+	l.sendTrials(&orders, now)
 	l.evacuate(now)
 	l.expireLateStarts(now)
 	for _, e := range l.endpoints {
@@ -256,10 +260,19 @@
 	if r.isPersistent() {
 		target.persistent++
 	}
-	orders.Starts = append(orders.Starts, Start{
+	order := Start{
 		Endpoint: e.row.ID, Task: task, Run: number, Spec: g.job.submission.Spec, Lease: r.lease,
 		Checkpoint: r.checkpoint, Ticket: g.step.tickets[e.row.ID], incarnation: e.startedAt, clock: e.clock,
-	})
+	}
+	if r.onTrial {
+		l.holdTrial(r, order, now)
+	} else {
+		if g.job.inherited || r.crashRecord() != nil {
+			// Endpoints may have crashed under it, also unnoticed under a former leader.
+			l.recordStart(r)
+		}
+		orders.Starts = append(orders.Starts, order)
+	}
 	l.log("run start", "job", task.Job, "step", task.Step, "index", task.Index, "run", number, "endpoint", e.row.ID,
 		"endpoint-seen-ago", now.Sub(e.reportedAt).Round(time.Millisecond).String(), "waited", now.Sub(g.step.openedAt).Round(time.Millisecond).String())
 }
--- a/internal/fleet/trial.go
+++ b/internal/fleet/trial.go
@@ -71,8 +71,7 @@
 	holdForTrials(candidates, min(unplaced, free))
 }
 
-// waitingTrials returns the suspected tasks that may be started now, most suspected first. A
-// crash is stored before the next start, which it has to outlive.
+// waitingTrials returns the suspected tasks that may be tried now, most suspected first.
 func (l *Leader) waitingTrials(groups []taskGroup, now time.Time) []trial {
 	var waiting []trial
 	for _, g := range groups {
@@ -83,7 +82,7 @@
 			task := g.job.taskAt(g.step.key, index)
 			record := g.job.crashRecordOf(task)
 			isFirst := !g.step.step.Gang || index == slices.Min(g.step.pending)
-			if record.isSuspect() && isFirst && record.batch <= l.writeQueue.written {
+			if record.isSuspect() && isFirst && record.withdrawn <= l.writeQueue.written {
 				waiting = append(waiting, trial{group: g, task: task, record: record})
 			}
 		}
@@ -171,11 +170,13 @@
 
 // startGangOnTrial starts a suspected gang and returns the number of its endpoints, or 0.
 func (l *Leader) startGangOnTrial(t trial, suitable []*candidateEndpoint, orders *Orders, now time.Time) int {
-	starts := len(orders.Starts)
+	held := len(l.heldTrials)
 	l.startGang(t.group, suitable, orders, now)
 	used := map[EndpointID]bool{}
-	for _, start := range orders.Starts[starts:] {
-		used[start.Endpoint] = true
+	for _, trial := range l.heldTrials[held:] {
+		for _, start := range trial.starts {
+			used[start.Endpoint] = true
+		}
 	}
 	for _, candidate := range suitable {
 		if used[candidate.endpoint.row.ID] {
--- a/internal/job/progress.go
+++ b/internal/job/progress.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"time"
 )
 
 // State is the state of a job as reported to callers.
@@ -33,6 +34,20 @@
 	// Crashes counts, by task index, the endpoints that crashed under a task that is
 	// suspected of it.
 	Crashes map[int]Crashes `json:"crashes,omitempty"`
+	// Started holds, by task index, runs of which it is not known yet whether they crash
+	// their endpoint.
+	Started map[int]StartedRun `json:"started,omitempty"`
+}
+
+// StartedRun is a run that was started, and may crash its endpoint.
+type StartedRun struct {
+	Run      int64  `json:"run"`
+	Endpoint string `json:"endpoint"`
+	// EndpointStart is when the endpoint's incarnation started, by its host's wall clock.
+	EndpointStart time.Time `json:"endpoint-start"`
+	// Host is the endpoint's host, or "" if it was not known.
+	Host    string `json:"host,omitempty"`
+	OnTrial bool   `json:"on-trial,omitempty"`
 }
 
 // Crashes counts endpoints that crashed under a task.
@@ -122,6 +137,43 @@
 	return true
 }
 
+// RecordStart records a run of a task before it is started, in place of an earlier one.
+func (p *Progress) RecordStart(task Task, started StartedRun) {
+	step := p.step(StepKey{task.Occurrence, task.Step})
+	if step.Started == nil {
+		step.Started = map[int]StartedRun{}
+	}
+	step.Started[task.Index] = started
+}
+
+// HasStart reports whether the start of a run is recorded.
+func (p *Progress) HasStart(task Task, run int64) bool {
+	step := p.Steps[StepKey{task.Occurrence, task.Step}]
+	if step == nil {
+		return false
+	}
+	started, ok := step.Started[task.Index]
+	return ok && started.Run == run
+}
+
+// ForgetStart removes the record of a run's start, and reports whether there was one.
+func (p *Progress) ForgetStart(task Task, run int64) bool {
+	if !p.HasStart(task, run) {
+		return false
+	}
+	delete(p.Steps[StepKey{task.Occurrence, task.Step}].Started, task.Index)
+	return true
+}
+
+// StartCount returns how many starts are recorded.
+func (p *Progress) StartCount() int {
+	count := 0
+	for _, step := range p.Steps {
+		count += len(step.Started)
+	}
+	return count
+}
+
 // FailureCount returns how many runs of a task have failed.
 func (p *Progress) FailureCount(task Task) int {
 	step := p.Steps[StepKey{task.Occurrence, task.Step}]
--- a/internal/job/row_test.go
+++ b/internal/job/row_test.go
@@ -117,3 +117,37 @@
 		t.Errorf("crashes in the row once cleared: got %+v, want none", got)
 	}
 }
+
+// Guards against a start that a takeover forgets, and against one that outlives its run: the
+// record is in the progress row until the run's outcome is known.
+func TestStartsInProgressRow(t *testing.T) {
+	task := job.Task{Job: "5c0e7a21d94b36f8", Occurrence: 1, Step: 2, Index: 3}
+	want := job.StartedRun{
+		Run: 65538, Endpoint: "i-278e96e7c9", EndpointStart: time.Date(2026, 12, 4, 6, 0, 0, 1000000, time.UTC), Host: "h-12", OnTrial: true,
+	}
+	progress := job.NewProgress()
+	progress.RecordStart(task, want)
+	decode := func() *job.Progress {
+		row, err := json.Marshal(progress)
+		if err != nil {
+			t.Fatal(err)
+		}
+		decoded := job.NewProgress()
+		if err := json.Unmarshal(row, decoded); err != nil {
+			t.Fatal(err)
+		}
+		return decoded
+	}
+	if got := decode().Steps[job.StepKey{Occurrence: 1, Step: 2}].Started[3]; got != want {
+		t.Errorf("start in the row: got %+v, want %+v", got, want)
+	}
+	if progress.ForgetStart(task, 65537) {
+		t.Error("start of another run forgotten: got true, want false")
+	}
+	if !progress.ForgetStart(task, 65538) || progress.ForgetStart(task, 65538) {
+		t.Error("start forgotten: got otherwise, want the first time only")
+	}
+	if got := decode().StartCount(); got != 0 {
+		t.Errorf("starts in the row once forgotten: got %d, want 0", got)
+	}
+}
