standin, soak: one file a concept

Declarations move to files by concept (callers, host list, faults, restarts, report, sites, incarnations; injection, callers, checks). Nothing else changes.

--- /dev/null
+++ b/internal/soak/callers.go
@@ -0,0 +1,99 @@
+package soak
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"github.com/lovagedyke/lovagedyke/internal/loops"
+)
+
+func jobID(n int) string { return fmt.Sprintf("%016x", n+1) }
+
+// submitJobs submits jobs until the end.
+func (s *soak) submitJobs(ctx context.Context, end time.Time) {
+	attempts := loops.New(ctx)
+	for n := 0; time.Now().Before(end) && ctx.Err() == nil; n++ {
+		s.setDeadly(n)
+		attempts.Go(func(ctx context.Context) { s.submitJob(ctx, n) })
+		loops.Sleep(ctx, jobInterval)
+	}
+	attempts.Wait()
+}
+
+// setDeadly makes one of deadlyInterval jobs deadly while some are.
+func (s *soak) setDeadly(n int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if n%deadlyInterval == 0 && time.Now().Before(s.deadlyUntil) {
+		s.deadly[jobID(n)] = true
+		s.platform.SetDeadly(jobID(n), deadlyAfter)
+	}
+}
+
+// finalState returns the state in which a job has to end.
+func (s *soak) finalState(id string) string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.deadly[id] {
+		return "failed"
+	}
+	return "complete"
+}
+
+// submitJob submits a job to one node after the other until one accepts it, at most
+// maxAttempts times.
+func (s *soak) submitJob(ctx context.Context, n int) {
+	outcomeUnknown := false
+	for attempt := range maxAttempts {
+		callCtx, cancel := context.WithTimeout(ctx, callTimeout)
+		status := s.platform.Submit(callCtx, s.callerAddresses[(n+attempt)%len(s.callerAddresses)], jobID(n), stepsPerJob, tasksPerStep)
+		cancel()
+		switch status {
+		case 200:
+			s.mu.Lock()
+			s.accepted[jobID(n)] = time.Now()
+			s.mu.Unlock()
+			return
+		case 429, 503:
+		default:
+			// There was no response, or one that leaves open whether the job will run.
+			outcomeUnknown = true
+		}
+		loops.Sleep(ctx, time.Duration(attempt+1)*jobInterval)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if outcomeUnknown {
+		s.report.OutcomeUnknown++
+		return
+	}
+	s.refused = append(s.refused, jobID(n))
+}
+
+// pollStates asks random nodes for the state of random accepted jobs until the end.
+func (s *soak) pollStates(ctx context.Context, end time.Time) {
+	random := rand.New(rand.NewPCG(s.config.Seed, 1))
+	for time.Now().Before(end) && ctx.Err() == nil {
+		loops.Sleep(ctx, jobInterval)
+		s.mu.Lock()
+		var due []string
+		for id, at := range s.accepted {
+			if time.Since(at) > maxPropagationDelay {
+				due = append(due, id)
+			}
+		}
+		s.mu.Unlock()
+		if len(due) == 0 {
+			continue
+		}
+		id, node := due[random.IntN(len(due))], s.callerAddresses[random.IntN(len(s.callerAddresses))]
+		callCtx, cancel := context.WithTimeout(ctx, callTimeout)
+		state, notFound := s.platform.LookupState(callCtx, node, id)
+		cancel()
+		if notFound || state == "cancelled" || state == "failed" && s.finalState(id) != state {
+			s.addViolation("accepted job %s has state %q (unknown: %v) at node %s", id, state, notFound, node)
+		}
+	}
+}
