soak: seeds in which a host list that lags makes tasks run twice

At 27.111 it is taken for gone, for a host list requested 1 ms before whose row is older ("host no longer runs the endpoint"), 96 ms after its last report. In 517 some of the endpoints are cut off, and "two host lists lack the endpoint" ends others.

What a seed repeats is its faults, not the processes' timing: when the leader reads the list relative to its starts decides whether a play fails.

--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -122,6 +122,22 @@
 				{Kind: DeadlyJobs, At: 4547893103, Duration: 2259356282, Target: 1},
 			},
 		},
+		"around lists, seed 517": {
+			seed: 517, duration: 4 * time.Second, kinds: KindsAroundLists(), wantCount: 4,
+			wantFirst: []Fault{
+				{Kind: EndpointSilent, At: 495576668, Duration: 1653462598},
+				{Kind: EndpointOneWay, At: 532730114, Duration: 3896219159, Target: 3},
+				{Kind: EndpointReplacedUnlisted, At: 2022490455, Duration: 850228457, Target: 1},
+				{Kind: EndpointOneWay, At: 3023917145, Duration: 1523439961, Target: 1},
+			},
+		},
+		"around lists, seed 527": {
+			seed: 527, duration: 4 * time.Second, kinds: KindsAroundLists(), wantCount: 2,
+			wantFirst: []Fault{
+				{Kind: EndpointDelayed, At: 292876094, Duration: 3733044432, Target: 5},
+				{Kind: HostListGoesBack, At: 1512916515, Duration: 3577051288},
+			},
+		},
 	}
 	for name, tc := range tests {
 		t.Run(name, func(t *testing.T) {
--- a/test/soak_test.go
+++ b/test/soak_test.go
@@ -29,9 +29,10 @@
 // TestSoak runs seeds that have failed before, for a short time each.
 func TestSoak(t *testing.T) {
 	tests := map[string]struct {
-		seed     uint64
-		duration time.Duration
-		kinds    []soak.Kind
+		seed      uint64
+		duration  time.Duration
+		kinds     []soak.Kind
+		coldStart bool
 	}{
 		// An endpoint crashed after it had reported completions and before they were
 		// acknowledged: the check counted that work as not done.
@@ -56,11 +57,18 @@
 		// Two jobs had tasks that crash endpoints: each time one was found out, the other was
 		// cleared with its count.
 		"two tasks that crash endpoints beside each other": {seed: 405, duration: 12 * time.Second, kinds: soak.KindsWithBudgets()},
+		// Endpoints had just replaced others on their hosts, reported and accepted tasks; a host
+		// list that lagged showed the hosts as they were before: the leader took the runs for lost
+		// and started the tasks elsewhere, while the endpoints went on.
+		"host list lags behind endpoints that answer": {seed: 527, duration: 4 * time.Second, kinds: soak.KindsAroundLists(), coldStart: true},
+		// The same with some of the endpoints cut off, so that two lists without them, and their
+		// silence, passed for their end.
+		"host list lags behind endpoints that are cut off": {seed: 517, duration: 4 * time.Second, kinds: soak.KindsAroundLists(), coldStart: true},
 	}
 	for name, tc := range tests {
 		t.Run(name, func(t *testing.T) {
 			runSeed(t, soak.Config{
-				Seed: tc.seed, Duration: tc.duration, Nodes: 3, Endpoints: 6, Kinds: tc.kinds,
+				Seed: tc.seed, Duration: tc.duration, Nodes: 3, Endpoints: 6, Kinds: tc.kinds, ColdStart: tc.coldStart,
 				Dir: t.TempDir(), FirstPort: uint16(*soakPort),
 			})
 		})
