--- a/internal/fleet/hostlagend_test.go
+++ b/internal/fleet/hostlagend_test.go
@@ -196,6 +196,7 @@
 	s.listed(newHost(poolName, "a"), newHost(poolName, "b"))
 	s.advance(100 * time.Millisecond)
 	s.failRenewal("a", fleet.OrderUnknown)
+	s.wantOrders("before the crash and the trial are stored", 0, 0)
 	s.writeBatches()
 	s.wantOrders("after the endpoint did not answer", 1, 0)
 }
