--- a/internal/fleet/hostevidence.go
+++ b/internal/fleet/hostevidence.go
@@ -71,9 +71,17 @@
 			l.suspectRestart(e, "host list", now)
 		}
 	}
+	for i := range ends {
+		ends[i].together = crashes
+	}
+	return l.presumeListedEnds(ends, sentAt, now)
+}
+
+// presumeListedEnds presumes the endpoints ended that a host list shows as ended, unless they may
+// be newer than the list, and returns those to ask.
+func (l *Leader) presumeListedEnds(ends []endpointEnd, sentAt, now time.Time) []EndpointID {
 	var asked []EndpointID
 	for _, end := range ends {
-		end.together = crashes
 		e := end.endpoint
 		if e.gone && !e.hasRunBefore(end.at) {
 			l.forgetEndpoint(e, now)
