fleet: a new leader maintains no host whose endpoint may hold inherited runs

Callers would lose runs at a takeover: the host list shows no endpoint on a host whose endpoint, listed and naming the host, has not reported to the new leader yet; the wave ordered its maintenance, and the order was confirmed.

Such an endpoint occupies its host until it reports, has ended, its inherited lease is over, or another endpoint answers from the host.

--- a/internal/fleet/hosts.go
+++ b/internal/fleet/hosts.go
@@ -303,7 +303,7 @@
 	}
 	row := h.shown.correctedBy(speaker)
 	isSame := row.State == HostUp && row.Endpoint == c.endpoint
-	isOccupied := l.isOccupied(id)
+	isOccupied := l.isOccupied(id, now)
 	if (isSame || c.isRepeated) && !isOccupied && l.confirmed(now) {
 		return true
 	}
@@ -319,15 +319,25 @@
 }
 
 // isOccupied reports whether an endpoint occupies a host.
-func (l *Leader) isOccupied(id HostID) bool {
+func (l *Leader) isOccupied(id HostID, now time.Time) bool {
 	for _, e := range l.endpoints {
-		if e.hostID() == id && e.occupiesHost() {
+		if e.hostID() == id && (e.occupiesHost() || l.mayHoldInheritedRuns(e, now)) {
 			return true
 		}
 	}
 	return false
 }
 
+// mayHoldInheritedRuns reports whether an endpoint that has not reported to this leader may run
+// tasks that a former one started. It cannot if another endpoint answers from its host.
+func (l *Leader) mayHoldInheritedRuns(e *endpoint, now time.Time) bool {
+	if e.reached || e.gone || !e.listed || l.config.Token <= 1 || l.inheritedLeaseOver(e, now) {
+		return false
+	}
+	h := l.hosts.byID[e.hostID()]
+	return h == nil || !h.speaks
+}
+
 // changeAccepted handles the platform's acceptance of a change: the endpoint that was on the
 // host has ended. The answer may arrive when the host is back with another endpoint, or with
 // another incarnation of the same one.
@@ -497,7 +507,7 @@
 		h.isOccupied = false
 	}
 	for _, e := range l.endpoints {
-		if h := l.hosts.byID[e.hostID()]; h != nil && e.occupiesHost() {
+		if h := l.hosts.byID[e.hostID()]; h != nil && (e.occupiesHost() || l.mayHoldInheritedRuns(e, now)) {
 			h.isOccupied = true
 		}
 	}
