fleet: a question that fails after a pause of the leader ends nothing

A task would run twice: the leader's process is paused while it asks an endpoint that the host list shows as ended; when it goes on, the call's bound is over, although the answer lies in the socket. Such a failure is passed over, and the endpoint is asked again.

--- a/internal/fleet/hostevidence.go
+++ b/internal/fleet/hostevidence.go
@@ -23,6 +23,10 @@
 // platform promises nothing; a lag beyond it harms only while the endpoint is out of reach.
 const maxHostListLag = 5 * time.Second
 
+// maxQuestionTime is how long a question takes at most. If its failure comes later, this process
+// was paused, and the answer may lie in its socket.
+const maxQuestionTime = 3 * time.Second
+
 // presumedEnd is evidence that an endpoint has ended. It takes an unanswered question, asked after it,
 // for the endpoint to be taken for ended: what an endpoint says of itself goes before what others
 // say of it.
@@ -152,7 +156,7 @@
 
 // confirmEnd takes an endpoint for ended that is presumed to be, and has not answered a question sent at sentAt.
 func (l *Leader) confirmEnd(e *endpoint, sentAt, now time.Time) {
-	if e.presumed == nil || sentAt.Before(e.presumed.since) {
+	if e.presumed == nil || sentAt.Before(e.presumed.since) || now.Sub(sentAt) > maxQuestionTime {
 		return
 	}
 	end := e.presumed.end
--- a/internal/fleet/hostlag_test.go
+++ b/internal/fleet/hostlag_test.go
@@ -265,3 +265,32 @@
 		})
 	}
 }
+
+// Guards against a run that is taken for lost: the leader's process is paused while it asks an
+// endpoint that the host list shows as ended, and takes its own pause for silence.
+func TestQuestionOfPausedLeader(t *testing.T) {
+	for name, c := range map[string]struct {
+		pause  time.Duration
+		starts int
+	}{
+		"not paused": {500 * time.Millisecond, 1},
+		"paused":     {4 * time.Second, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s, start := startOn(t)
+			s.accept(start)
+			s.renewLease("a")
+			s.listed(downHost("a"), newHost(poolName, "b"))
+			askedAt := s.now
+			if _, due := s.leader.NextRenewal("a", s.now); !due {
+				t.Fatal("question to the endpoint that the list shows as ended: got none due, want one")
+			}
+			s.advance(c.pause)
+			s.leader.RenewalFailed("a", fleet.Reply{Outcome: fleet.OrderUnknown, SentAt: askedAt}, s.now)
+			s.writeBatches()
+			if got := len(s.startsOnceStored()); got != c.starts {
+				t.Errorf("starts after the question failed: got %d, want %d", got, c.starts)
+			}
+		})
+	}
+}
