--- a/internal/fleet/hostevidence.go
+++ b/internal/fleet/hostevidence.go
@@ -19,28 +19,9 @@
 	return named
 }
 
-// maxHostListLag is how far rows of the host list may lag behind their hosts, and go back. The
-// platform promises nothing; a lag beyond it harms only while the endpoint is out of reach.
-const maxHostListLag = 5 * time.Second
-
-// maxQuestionTime is how long a question takes at most. If its failure comes later, this process
-// was paused, and the answer may lie in its socket.
-const maxQuestionTime = 3 * time.Second
-
-// presumedEnd is evidence that an endpoint has ended. It takes an unanswered question, asked after it,
-// for the endpoint to be taken for ended: what an endpoint says of itself goes before what others
-// say of it.
-type presumedEnd struct {
-	end endpointEnd
-	// since is when the evidence was learnt.
-	since time.Time
-	// isFromList is true if the host list is the witness.
-	isFromList bool
-}
-
-// presumeUnnamedEnded presumes the endpoints ended that no host runs according to a host list, which
-// was requested at sentAt: the platform knows of a crash or a change before the endpoint's lease
-// expires. It returns the endpoints to ask.
+// presumeUnnamedEnded presumes the endpoints ended that no host runs according to a host list,
+// which was requested at sentAt: the platform knows of a crash or a change before the endpoint's
+// lease expires. It returns the endpoints to ask.
 func (l *Leader) presumeUnnamedEnded(list []Host, sentAt, now time.Time) []EndpointID {
 	rows, onHost := make(map[HostID]Host, len(list)), map[EndpointID]Host{}
 	for _, row := range list {
@@ -99,19 +80,6 @@
 	return asked
 }
 
-// knownSince returns since when the incarnation that answers as the endpoint has surely existed.
-// Start times are no measure of it: hosts' wall clocks jump.
-func (e *endpoint) knownSince() time.Time {
-	since := e.listedAt
-	if e.mayHaveRestarted && e.suspectedAt.After(since) {
-		since = e.suspectedAt
-	}
-	if e.gone && e.goneAt.After(since) {
-		since = e.goneAt
-	}
-	return since
-}
-
 // hasRunBefore reports whether evidence that was requested at a time may end a run.
 func (e *endpoint) hasRunBefore(at time.Time) bool {
 	for _, r := range e.runs {
@@ -122,52 +90,11 @@
 	return false
 }
 
-// presumeEnded notes evidence that an endpoint has ended. What another endpoint says replaces
-// what the host list says; otherwise the first evidence counts, since which it is asked.
-func (l *Leader) presumeEnded(p presumedEnd) {
-	e := p.end.endpoint
-	switch {
-	case e.gone && !e.hasRunBefore(p.end.at):
-		return
-	case e.presumed == nil:
-		l.log("endpoint presumed ended", "endpoint", e.row.ID, "pool", e.row.Pool, "why", p.end.reason, "runs", len(e.runs),
-			"evidence-age", age(p.end.at, p.since), "report-age", age(e.reportedAt, p.since), "answers", !e.unresponsive, "exited", e.hasExited())
-	case p.isFromList || !e.presumed.isFromList:
-		return
-	}
-	e.presumed = &p
-}
-
-// presumePredecessorsEnded presumes the other endpoints ended on the host of an endpoint that has answered a
-// renewal sent at sentAt: a host runs one at a time.
-func (l *Leader) presumePredecessorsEnded(successor *endpoint, sentAt, now time.Time) {
-	if successor.row.Host == "" {
-		return
-	}
-	for _, e := range l.endpoints {
-		if e == successor || e.row.Host != successor.row.Host || !e.reportedAt.Before(sentAt) {
-			continue
-		}
-		l.presumeEnded(presumedEnd{since: now, end: endpointEnd{
-			endpoint: e, reason: "another endpoint reports from its host", isPlanned: l.endsByPlan(e), at: sentAt, together: 1,
-		}})
-	}
-}
-
-// confirmEnd takes an endpoint for ended that is presumed to be, and has not answered a question sent at sentAt.
-func (l *Leader) confirmEnd(e *endpoint, sentAt, now time.Time) {
-	if e.presumed == nil || sentAt.Before(e.presumed.since) || now.Sub(sentAt) > maxQuestionTime {
-		return
-	}
-	end := e.presumed.end
-	e.presumed = nil
-	l.endpointEnded(end, now)
-}
-
 // handleUnnamed handles an endpoint that no host names in the list requested at sentAt. It
-// returns the end that the list shows, or false. The endpoint has ended if its own host, whose row is zero if the host is missing, shows why. Otherwise
-// it has to be missing from two lists in a row, and silent meanwhile: the parts of a list are
-// read at different moments, and a host that has just come back may not name its endpoint yet.
+// returns the end that the list shows, or false. Its own host, whose row is zero if the host is
+// missing, shows the end if it shows why. Otherwise the endpoint has to be missing from two lists
+// in a row, and silent meanwhile: the parts of a list are read at different moments, and a host
+// that has just come back may not name its endpoint yet.
 func (l *Leader) handleUnnamed(e *endpoint, row Host, sentAt, now time.Time) (endpointEnd, bool) {
 	isNewer := !e.listedAt.Before(sentAt) || e.reportedAt.After(sentAt)
 	switch {
@@ -203,9 +130,9 @@
 	return h != nil && !e.listedAt.After(h.shownSince)
 }
 
-// endpointEnded takes an endpoint's incarnation for ended. Its remaining runs, which were answered later or not at all, may be on the next
-// incarnation: they are resolved by their answers, its report, later evidence or the end of
-// the lease.
+// endpointEnded takes an endpoint's incarnation for ended. Its remaining runs, which were answered
+// later or not at all, may be on the next incarnation: they are resolved by their answers, its
+// report, later evidence or the end of the lease.
 func (l *Leader) endpointEnded(end endpointEnd, now time.Time) {
 	e := end.endpoint
 	if !e.gone {
@@ -221,17 +148,6 @@
 	l.forgetEndpoint(e, now)
 }
 
-// contradictEnd clears an endpoint that is presumed ended, and has answered a question sent at
-// sentAt.
-func (l *Leader) contradictEnd(e *endpoint, sentAt, now time.Time) {
-	if e.presumed == nil || sentAt.Before(e.presumed.since) {
-		return
-	}
-	l.log("endpoint answers although presumed ended", "endpoint", e.row.ID, "pool", e.row.Pool, "why", e.presumed.end.reason,
-		"presumed-ago", age(e.presumed.since, now), "life", e.startedAt.UnixMilli())
-	e.presumed = nil
-}
-
 // logGone logs why an endpoint is taken for gone, and what the evidence is worth: how old the
 // endpoint, its last report, and the row of its host are.
 func (l *Leader) logGone(end endpointEnd, now time.Time) {
