fleet: a trial without an answer counts if the endpoint's process has exited

A run that was never confirmed was only in doubt, and doubts fail no job: in virtual time a task that always crashes its endpoint before the answer was started nine times, and its job went on.

On trial nothing else runs on the endpoint. If it hung up and refuses calls, and the host list or the host's next endpoint confirm its end, the run on trial is accused. Hosts that are lost without a sign leave such a run in doubt, as before.

TestTaskThatCrashesEndpoints/crash_before_the_answer failed with 6 starts after the third crash, want at most 2.

--- a/internal/fleet/crash.go
+++ b/internal/fleet/crash.go
@@ -149,13 +149,13 @@
 	return true
 }
 
-// accuse gives a run its verdict. Only a run that has been confirmed can be known to have
-// crashed its endpoint.
+// accuse gives a run its verdict. A run that has not been confirmed may not have been carried out.
+// On trial it is accused all the same if the process has exited: nothing else ran there.
 func (c *crash) accuse(r *run, given verdict, order int) {
 	if r.workedFor() > maxCrashAge {
 		return
 	}
-	if !r.wasConfirmed() {
+	if !r.wasConfirmed() && !(r.onTrial && r.endpoint.hasExited()) {
 		given = unclear
 	}
 	r.verdict, r.crash, r.crashOrder = given, c, order
--- a/internal/fleet/crash_test.go
+++ b/internal/fleet/crash_test.go
@@ -43,36 +43,40 @@
 		}
 	}
 	cases := map[string]struct {
-		step      job.Step
-		times     int
-		after     time.Duration
-		keepsID   bool
-		staysUp   bool
-		isDark    bool
-		endpoints int
-		beside    job.Step
-		during    func(w *crashWorld)
+		step    job.Step
+		times   int
+		after   time.Duration
+		keepsID bool
+		staysUp bool
+		isDark  bool
+		// isUnanswered is true if the starts of the tasks get no answer.
+		isUnanswered bool
+		endpoints    int
+		beside       job.Step
+		during       func(w *crashWorld)
 	}{
-		"at its start":                       {step: tasks(4)},
-		"beside few endpoints":               {step: tasks(4), endpoints: 3},
-		"restarts under the same ID":         {step: tasks(4), keepsID: true},
-		"host list shows no end":             {step: tasks(4), staysUp: true},
-		"after some work":                    {step: tasks(4), after: 700 * time.Millisecond},
-		"gang":                               {step: gang},
-		"speculative":                        {step: speculative},
-		"persistent":                         {step: persistentTasks(4, 1)},
-		"persistent, beside persistent ones": {step: persistentTasks(4, 1), beside: persistentTasks(3, 1)},
-		"batch, beside persistent ones":      {step: tasks(4), beside: persistentTasks(3, 1)},
-		"best effort":                        {step: bestEffort},
-		"checkpoints":                        {step: checkpoints},
-		"occurrences":                        {step: tasks(2), times: 3},
-		"leaders change":                     {step: tasks(4), during: changeLeaders(6, 1700*time.Millisecond)},
-		"leaders change often":               {step: tasks(4), during: changeLeaders(12, 700*time.Millisecond)},
-		"silent ends":                        {step: tasks(4), isDark: true},
-		"silent ends, gang":                  {step: gang, isDark: true},
-		"silent ends, persistent":            {step: persistentTasks(4, 1), isDark: true},
-		"silent ends, leaders change":        {step: tasks(4), isDark: true, during: changeLeaders(6, 1700*time.Millisecond)},
-		"silent ends, leaders change often":  {step: tasks(4), isDark: true, during: changeLeaders(12, 700*time.Millisecond)},
+		"at its start":                            {step: tasks(4)},
+		"beside few endpoints":                    {step: tasks(4), endpoints: 3},
+		"restarts under the same ID":              {step: tasks(4), keepsID: true},
+		"host list shows no end":                  {step: tasks(4), staysUp: true},
+		"after some work":                         {step: tasks(4), after: 700 * time.Millisecond},
+		"gang":                                    {step: gang},
+		"speculative":                             {step: speculative},
+		"persistent":                              {step: persistentTasks(4, 1)},
+		"persistent, beside persistent ones":      {step: persistentTasks(4, 1), beside: persistentTasks(3, 1)},
+		"batch, beside persistent ones":           {step: tasks(4), beside: persistentTasks(3, 1)},
+		"best effort":                             {step: bestEffort},
+		"checkpoints":                             {step: checkpoints},
+		"occurrences":                             {step: tasks(2), times: 3},
+		"leaders change":                          {step: tasks(4), during: changeLeaders(6, 1700*time.Millisecond)},
+		"leaders change often":                    {step: tasks(4), during: changeLeaders(12, 700*time.Millisecond)},
+		"silent ends":                             {step: tasks(4), isDark: true},
+		"crash before the answer":                 {step: tasks(4), isUnanswered: true},
+		"crash before the answer, leaders change": {step: tasks(4), isUnanswered: true, during: changeLeaders(6, 1700*time.Millisecond)},
+		"silent ends, gang":                       {step: gang, isDark: true},
+		"silent ends, persistent":                 {step: persistentTasks(4, 1), isDark: true},
+		"silent ends, leaders change":             {step: tasks(4), isDark: true, during: changeLeaders(6, 1700*time.Millisecond)},
+		"silent ends, leaders change often":       {step: tasks(4), isDark: true, during: changeLeaders(12, 700*time.Millisecond)},
 		"store away": {step: tasks(4), during: func(w *crashWorld) {
 			w.storeOutUntil = w.now.Add(8 * time.Second)
 			w.runFor(8 * time.Second)
@@ -93,7 +97,7 @@
 			if c.beside.Count == 0 {
 				c.beside = tasks(3)
 			}
-			w := newCrashWorld(t, crashWorldConfig{endpoints: c.endpoints, keepsID: c.keepsID, staysUp: c.staysUp, isDark: c.isDark, deadly: first(c.after, isJobOne)})
+			w := newCrashWorld(t, crashWorldConfig{endpoints: c.endpoints, keepsID: c.keepsID, staysUp: c.staysUp, isDark: c.isDark, isUnanswered: c.isUnanswered, deadly: first(c.after, isJobOne)})
 			w.runFor(100 * time.Millisecond)
 			deadly := submission(1, c.step)
 			if c.times > 0 {
--- a/internal/fleet/crashworld_test.go
+++ b/internal/fleet/crashworld_test.go
@@ -87,6 +87,8 @@
 	keepsID bool
 	// staysUp is true if the host list shows hosts as up while their endpoint is away.
 	staysUp bool
+	// isUnanswered is true if tasks crash their endpoint before it answers their start.
+	isUnanswered bool
 	// isDark is true if hosts are lost as a whole, so that calls to their endpoints get no answer
 	// at all.
 	isDark bool
@@ -421,6 +423,15 @@
 	}
 	e.lease = max(e.lease, start.Lease)
 	e.running = append(e.running, worldRun{task: start.Task, run: start.Run, startedAt: w.now})
+	if _, isDeadly := w.config.deadly(start.Task); isDeadly && w.config.isUnanswered {
+		for _, h := range w.hosts {
+			if h.runner == e {
+				w.crash(h)
+			}
+		}
+		w.leader.HandleStartReply(start, fleet.Reply{Outcome: fleet.OrderUnknown}, w.now)
+		return
+	}
 	if w.random.Float64() < w.config.lostAnswers {
 		w.leader.HandleStartReply(start, fleet.Reply{Outcome: fleet.OrderUnknown}, w.now)
 		return
