fleet: the sizes of pools say how many endpoints accept work and how busy they are

Whether a short pool is limited by its capacity or by decisions could not be read from the logs, which are sampled under load.

--- a/internal/fleet/move.go
+++ b/internal/fleet/move.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 
@@ -89,10 +90,24 @@
 	}
 	l.hosts.poolSizesLoggedAt = now
 	for _, need := range needs {
-		l.log("pool size", "pool", need.pool, "hosts", need.have, "needed", need.need)
+		usable, busy := l.poolUse(need.pool, now)
+		l.log("pool size", "pool", need.pool, "hosts", need.have, "needed", need.need, "usable", usable, "busy", busy)
 	}
 }
 
+// poolUse returns how many endpoints of a pool accept work, and the share of their CPU that is reserved.
+func (l *Leader) poolUse(pool string, now time.Time) (usable int, busy float64) {
+	var reserved, capacity int64
+	for _, e := range l.endpoints {
+		if e.row.Pool == pool && e.acceptsWork(now) {
+			usable++
+			reserved += e.tally.reserved.CPU
+			capacity += e.row.Capacity.CPU
+		}
+	}
+	return usable, math.Round(100*float64(reserved)/float64(max(1, capacity))) / 100
+}
+
 // logShortage periodically logs that a pool lacks hosts.
 func (l *Leader) logShortage(need *poolNeed, donors int, now time.Time) {
 	if now.Sub(l.hosts.shortageLoggedAt) < shortageLogInterval {
