Defer the waiting work whose delay costs callers least while a pool is short

Change: package overload plans, in the order of deadlines, what can be in time on the pool's hosts with those on their way, and defers the work with the least value for the capacity that it needs until the rest fits. Levels (persistent, priority, share, lateness) are never traded. Classes of sizes that start in time too rarely, and jobs that have started, are not deferred. -overload-order deadline keeps the former order.

--- a/cmd/lovagedyke/cmd_node.go
+++ b/cmd/lovagedyke/cmd_node.go
@@ -20,6 +20,7 @@
 	Setup: func(flags *flag.FlagSet, env *Env) Action {
 		level := flags.String("log-level", "info", "log level: debug, info, warn or error")
 		port := flags.Uint("metrics-port", 0, "port on this host's address that serves metrics and the state dump; 0 disables it")
+		order := flags.String("overload-order", orderByCost, "what starts first while a pool is short of capacity: cost or deadline")
 		return func(ctx context.Context, env *Env, args []string) error {
 			if len(args) > 0 {
 				return usagef("got %d arguments, want none (%q is not a flag)", len(args), args[0])
@@ -27,12 +28,28 @@
 			if *port > math.MaxUint16 {
 				return usagef("-metrics-port is %d, want at most %d", *port, math.MaxUint16)
 			}
-			return node(ctx, env, *level, uint16(*port))
+			if *order != orderByCost && *order != orderByDeadline {
+				return usagef("-overload-order is %q, want %s or %s", *order, orderByCost, orderByDeadline)
+			}
+			return node(ctx, env, nodeFlags{level: *level, metricsPort: uint16(*port), deadlineOrder: *order == orderByDeadline})
 		}
 	},
 }
 
-func node(ctx context.Context, env *Env, level string, metricsPort uint16) error {
+// Values of -overload-order.
+const (
+	orderByCost     = "cost"
+	orderByDeadline = "deadline"
+)
+
+// nodeFlags holds the flags of the node command.
+type nodeFlags struct {
+	level         string
+	metricsPort   uint16
+	deadlineOrder bool
+}
+
+func node(ctx context.Context, env *Env, flags nodeFlags) error {
 	path := env.Getenv(platform.SettingsVariable)
 	if path == "" {
 		return usageError{errors.Newf("environment variable %s is not set, want the path of a settings file", platform.SettingsVariable)}
@@ -41,11 +58,11 @@
 	if err != nil {
 		return err
 	}
-	config := process.NodeConfig{Settings: settings, SettingsPath: path}
-	if metricsPort != 0 {
-		config.Metrics = netip.AddrPortFrom(settings.Peers.Addr(), metricsPort)
+	config := process.NodeConfig{Settings: settings, SettingsPath: path, DeadlineOrder: flags.deadlineOrder}
+	if flags.metricsPort != 0 {
+		config.Metrics = netip.AddrPortFrom(settings.Peers.Addr(), flags.metricsPort)
 	}
-	config.Journal = journal.New(journal.Config{Writer: env.Stdout, Level: level, Fields: []any{"process", settings.Name}})
+	config.Journal = journal.New(journal.Config{Writer: env.Stdout, Level: flags.level, Fields: []any{"process", settings.Name}})
 	// The log writer stops last, so that shutdown messages are written.
 	logCtx, endLog := context.WithCancel(context.WithoutCancel(ctx))
 	group := loops.New(logCtx)
--- a/cmd/lovagedyke/cmd_test.go
+++ b/cmd/lovagedyke/cmd_test.go
@@ -163,6 +163,7 @@
 		"dump of no process": {args: []string{"dump", "127.0.0.1:1"}, wantCode: exitUnavailable, want: "refused"},
 		"table is down":      {faults: table.Faults{Down: true}, args: []string{"key", "list"}, wantCode: exitUnavailable, want: "table is unavailable"},
 		"port out of range":  {args: []string{"node", "-metrics-port", "65536"}, wantCode: exitUsage, want: "want at most 65535"},
+		"unknown order":      {args: []string{"node", "-overload-order", "size"}, wantCode: exitUsage, want: "want cost or deadline"},
 		"surplus argument":   {args: []string{"node", "metrics-port=1"}, wantCode: exitUsage, want: "want none"},
 		"version":            {args: []string{"version"}, wantCode: exitOK, want: "lovagedyke"},
 	}
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -66,7 +66,9 @@
 	Advice     Advice
 	WaveStatus WaveStatus
 	Bounds     fleet.Bounds
-	Journal    Journal
+	// DeadlineOrder is passed to the leader.
+	DeadlineOrder bool
+	Journal       Journal
 	// Lost is called when the leadership with this token is found to be over.
 	Lost func(token uint64, reason string)
 	// MajorityConfirmedAt returns when a majority of the processes last
--- a/internal/control/term.go
+++ b/internal/control/term.go
@@ -70,6 +70,8 @@
 	lookups             chan job.ID
 	// crashes holds the leader's counts that the metrics show already.
 	crashes fleet.CrashCounts
+	// deferredJobs is the same for the jobs that were deferred.
+	deferredJobs int
 }
 
 func newTerm(ctx context.Context, c *Control, claim record.Claim, version uint64) *term {
@@ -77,6 +79,7 @@
 		control: c, config: c.config, ctx: ctx, claim: claim,
 		leader: fleet.New(fleet.Config{
 			Token: claim.Token, Now: time.Now(), Bounds: c.config.Bounds, Journal: c.config.Journal,
+			DeadlineOrder: c.config.DeadlineOrder,
 		}),
 		sessions: map[fleet.EndpointID]*endpointSession{},
 		wakeStep: make(chan struct{}, 1), wakeBatch: make(chan struct{}, 1),
@@ -233,7 +236,7 @@
 		t.leader.ConfirmLeadership(confirmedAt)
 		t.queueOrders(t.leader.Step(started, started))
 		t.recordMaxHostResources()
-		t.countCrashes()
+		t.countDecisions()
 	})
 	metrics.GetOrCreateHistogram("leader_step_seconds").UpdateDuration(started)
 	return time.Since(started)
@@ -246,15 +249,18 @@
 	t.maxHostResources.Store(&largest)
 }
 
-// countCrashes adds what the leader has counted since the last call to the metrics; t.mu must
+// countDecisions adds what the leader has counted since the last call to the metrics; t.mu must
 // be held.
-func (t *term) countCrashes() {
+func (t *term) countDecisions() {
 	counts := t.leader.CrashCounts()
 	metrics.GetOrCreateCounter("endpoint_crashes_total").Add(counts.Endpoints - t.crashes.Endpoints)
 	metrics.GetOrCreateCounter("tasks_suspected_total").Add(counts.Suspects - t.crashes.Suspects)
 	metrics.GetOrCreateCounter("tasks_given_up_total").Add(counts.GivenUp - t.crashes.GivenUp)
 	metrics.GetOrCreateCounter("endpoints_gone_contradicted_total").Add(counts.Contradicted - t.crashes.Contradicted)
 	t.crashes = counts
+	deferred := t.leader.DeferredJobs()
+	metrics.GetOrCreateCounter("jobs_deferred_total").Add(deferred - t.deferredJobs)
+	t.deferredJobs = deferred
 }
 
 // queueOrders queues the orders of a step; t.mu must be held.
--- /dev/null
+++ b/internal/fleet/cost.go
@@ -0,0 +1,190 @@
+package fleet
+
+import (
+	"math"
+	"slices"
+	"time"
+
+	"github.com/lovagedyke/lovagedyke/internal/job"
+	"github.com/lovagedyke/lovagedyke/internal/overload"
+	"github.com/lovagedyke/lovagedyke/internal/policy"
+)
+
+// sizesOf returns the sizes of a queue's jobs.
+func (l *Leader) sizesOf(queue string) *overload.Sizes {
+	sizes, ok := l.sizes[queue]
+	if !ok {
+		sizes = overload.New(overload.Config{})
+		l.sizes[queue] = sizes
+	}
+	return sizes
+}
+
+// recordSize records the size of a new job.
+func (l *Leader) recordSize(j *jobState) {
+	if j.submission.Persistent() {
+		return
+	}
+	size := l.hostSize()
+	for _, step := range j.submission.Steps {
+		j.hostSeconds += l.hostSecondsOf(j, step, step.Count, size)
+	}
+	sizes := l.sizesOf(j.submission.Queue)
+	j.size = sizes.Observe(j.hostSeconds)
+	j.value = sizes.Value(j.hostSeconds)
+}
+
+// hostSecondsOf returns the capacity that tasks of a step need: the share of a host of the given
+// size, times their expected duration in seconds.
+func (l *Leader) hostSecondsOf(j *jobState, step job.Step, count int, size policy.Resources) float64 {
+	return float64(count) * hostShare(step.Reserved(), size) * l.durationOf(j, step).Seconds()
+}
+
+// hostShare returns the largest share of a host's capacity that an amount takes.
+func hostShare(amount, size policy.Resources) float64 {
+	return max(float64(amount.CPU)/float64(max(1, size.CPU)), float64(amount.Memory)/float64(max(1, size.Memory)))
+}
+
+// countSize counts whether a job started in time, once.
+func (l *Leader) countSize(g taskGroup) {
+	if g.job.isCounted || g.job.inherited || g.step.step.Persistent {
+		return
+	}
+	g.job.isCounted = true
+	l.sizesOf(g.job.submission.Queue).Count(g.job.size, g.rank.lateness == onTime)
+}
+
+// deferCheapest defers steps that wait in a pool that is short of capacity, so that others of their
+// level whose delay would cost callers more can be in time. The groups must be in the order of their
+// ranks, and are so again afterwards.
+func (l *Leader) deferCheapest(pool string, groups []taskGroup, candidates []*candidateEndpoint, now time.Time) {
+	size := l.hostSize()
+	if l.config.DeadlineOrder || size.CPU == 0 {
+		return
+	}
+	backlog := l.backlogOf(pool, candidates, size, now)
+	isChanged := false
+	for start := 0; start < len(groups); {
+		end := start + 1
+		for end < len(groups) && groups[end].rank.isLevelOf(groups[start].rank) {
+			end++
+		}
+		level := groups[start:end]
+		switch {
+		case level[0].step.step.Persistent:
+		case level[0].rank.lateness == onTime:
+			var count int
+			backlog, count = l.deferInLevel(level, backlog, size, now)
+			isChanged = isChanged || count > 0
+		default:
+			// Late work starts by its deadlines: once the shortage is over, most of it can still be
+			// in time to be of value.
+			for _, g := range level {
+				l.countSize(g)
+			}
+		}
+		start = end
+	}
+	if isChanged {
+		slices.SortFunc(groups, func(a, b taskGroup) int { return a.rank.compare(b.rank) })
+	}
+}
+
+// deferInLevel defers steps of one level. It returns the backlog with those that are not deferred,
+// and how many are.
+func (l *Leader) deferInLevel(level []taskGroup, backlog overload.Backlog, size policy.Resources, now time.Time) (overload.Backlog, int) {
+	slices.SortFunc(level, func(a, b taskGroup) int { return a.rank.latestStart.Compare(b.rank.latestStart) })
+	works := make([]overload.Work, len(level))
+	for i, g := range level {
+		works[i] = overload.Work{
+			Deadline: g.rank.latestStart, HostSeconds: l.hostSecondsOf(g.job, g.step.step, len(g.step.pending), size),
+			Remaining: l.remainingHostSeconds(g, size), Value: g.job.value,
+			Protected: g.job.started || l.sizesOf(g.job.submission.Queue).IsFavoured(g.job.size),
+		}
+	}
+	deferred, kept := overload.Defer(works, backlog, now)
+	count := 0
+	for i := range level {
+		if level[i].rank.isDeferred = deferred[i]; deferred[i] {
+			count++
+			l.noteDeferred(level[i], works[i], kept, now)
+		}
+	}
+	return kept, count
+}
+
+// noteDeferred logs and counts a job that is deferred for the first time.
+func (l *Leader) noteDeferred(g taskGroup, work overload.Work, kept overload.Backlog, now time.Time) {
+	if g.job.isDeferred {
+		return
+	}
+	g.job.isDeferred = true
+	l.deferredJobs++
+	l.log("job deferred", "job", g.job.submission.ID, "queue", g.job.submission.Queue, "account", g.job.submission.Account, "pool", l.poolOf(g.job),
+		"value", round(work.Value), "host-seconds", round(work.Remaining), "start-due-in", g.rank.latestStart.Sub(now).Round(time.Millisecond).String(),
+		"ahead-host-seconds", round(kept.HostSeconds), "hosts", round(kept.Hosts))
+}
+
+// DeferredJobs returns how many jobs have been deferred for others.
+func (l *Leader) DeferredJobs() int {
+	return l.deferredJobs
+}
+
+// round rounds a figure for the journal.
+func round(v float64) float64 {
+	return math.Round(100*v) / 100
+}
+
+// isLevelOf reports whether two ranks may only differ in their deadlines and costs.
+func (r rank) isLevelOf(other rank) bool {
+	return r.persistent == other.persistent && r.priority == other.priority && r.beyondShare == other.beyondShare && r.lateness == other.lateness
+}
+
+// isOnItsWayTo reports whether a host is being moved to a pool.
+func (h *hostState) isOnItsWayTo(pool string) bool {
+	if h.pendingChange != nil {
+		return h.pendingChange.pool == pool
+	}
+	return h.row.Pool == pool && h.row.State == HostMoving
+}
+
+// backlogOf returns what runs on a pool's endpoints, apart from persistent tasks, and the hosts
+// that can start more, with those on their way.
+func (l *Leader) backlogOf(pool string, candidates []*candidateEndpoint, size policy.Resources, now time.Time) overload.Backlog {
+	var backlog overload.Backlog
+	for _, candidate := range candidates {
+		e := candidate.endpoint
+		backlog.Hosts += hostShare(e.row.Capacity, size)
+		for _, r := range e.runs {
+			if r.job == nil {
+				continue
+			}
+			if r.isPersistent() {
+				backlog.Hosts -= hostShare(r.reserved, size)
+				continue
+			}
+			left := l.durationOf(r.job, r.step()) - now.Sub(r.orderedAt)
+			backlog.HostSeconds += hostShare(r.reserved, size) * max(0, left).Seconds()
+		}
+	}
+	for _, h := range l.hosts.byID {
+		if h.isOnItsWayTo(pool) {
+			backlog.Hosts += hostShare(h.row.Capacity, size)
+		}
+	}
+	backlog.Hosts /= packingFactor
+	return backlog
+}
+
+// remainingHostSeconds returns the capacity that a job needs from a step on, apart from what runs.
+func (l *Leader) remainingHostSeconds(g taskGroup, size policy.Resources) float64 {
+	sum := l.hostSecondsOf(g.job, g.step.step, len(g.step.pending), size)
+	for number := g.step.key.Step + 1; number < len(g.job.submission.Steps); number++ {
+		key := job.StepKey{Occurrence: g.step.key.Occurrence, Step: number}
+		if g.job.steps[key] == nil && !g.job.progress.StepDone(g.job.submission, key) {
+			step := g.job.submission.Steps[number]
+			sum += l.hostSecondsOf(g.job, step, step.Count, size)
+		}
+	}
+	return sum
+}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/lovagedyke/lovagedyke/internal/job"
+	"github.com/lovagedyke/lovagedyke/internal/overload"
 	"github.com/lovagedyke/lovagedyke/internal/policy"
 )
 
@@ -53,6 +54,8 @@
 	Now     time.Time
 	Bounds  Bounds
 	Journal Journal
+	// DeadlineOrder starts work by its deadlines also while a pool is short of capacity.
+	DeadlineOrder bool
 }
 
 // Bounds holds the platform's time limits that decisions depend on.
@@ -85,6 +88,10 @@
 	hosts            hosts
 	arrivalHistories map[string]*arrivalHistory
 	durations        map[string]*durations
+	// sizes compares, by queue, the capacity that jobs need.
+	sizes map[string]*overload.Sizes
+	// deferredJobs counts the jobs that were deferred for others.
+	deferredJobs int
 	// pendingCancels holds cancels of jobs that are not known yet.
 	pendingCancels map[job.ID]time.Time
 	// lookups holds unknown jobs that endpoints have reported.
@@ -131,7 +138,7 @@
 		endpoints: map[EndpointID]*endpoint{}, jobs: map[job.ID]*jobState{}, live: map[job.ID]*jobState{}, inUse: map[string]policy.Resources{},
 		pendingCancels: map[job.ID]time.Time{},
 		lookups:        map[job.ID]lookup{}, lateStarts: map[EndpointID]map[runKey]lateStart{}, heldTasks: map[job.Task]int{}, shareBuckets: map[string]*tokenBucket{},
-		hosts: newHosts(), arrivalHistories: map[string]*arrivalHistory{}, durations: map[string]*durations{}, writeQueue: newWriteQueue(),
+		hosts: newHosts(), arrivalHistories: map[string]*arrivalHistory{}, durations: map[string]*durations{}, sizes: map[string]*overload.Sizes{}, writeQueue: newWriteQueue(),
 	}
 	return leader
 }
--- a/internal/fleet/jobstate.go
+++ b/internal/fleet/jobstate.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/lovagedyke/lovagedyke/internal/job"
+	"github.com/lovagedyke/lovagedyke/internal/overload"
 )
 
 // jobState is the leader's state of a job.
@@ -21,6 +22,17 @@
 	beyondShare bool
 	// started is true once a task has been started.
 	started bool
+	// hostSeconds is the capacity that the job needed in all at its submission, size its class
+	// within its queue, and value what it is worth to callers.
+	hostSeconds, value float64
+	size               overload.Class
+	// isCounted is true once it is counted whether the job started in time, and isDeferred once
+	// the job has been deferred for others.
+	isCounted, isDeferred bool
+	// startedAfter is the time from submission to the first start, and startLateness the
+	// lateness of that start.
+	startedAfter  time.Duration
+	startLateness lateness
 	// due is the number of occurrences that have become due.
 	due int
 	// steps holds the steps that are ready and not completed.
@@ -189,6 +201,7 @@
 	delete(l.lookups, submission.ID)
 	j.beyondShare = !l.withinShare(submission.Account, now)
 	l.recordArrival(j, now)
+	l.recordSize(j)
 	if _, ok := l.pendingCancels[submission.ID]; ok {
 		delete(l.pendingCancels, submission.ID)
 		l.cancel(j, now)
@@ -243,7 +256,9 @@
 		return
 	}
 	j.progress.State = job.Complete
-	l.log("job complete", "job", j.submission.ID, "queue", j.submission.Queue, "took", now.Sub(j.submission.Accepted).Round(time.Millisecond).String())
+	l.log("job complete", "job", j.submission.ID, "queue", j.submission.Queue, "took", now.Sub(j.submission.Accepted).Round(time.Millisecond).String(),
+		"objective", l.objectiveOf(j).Round(time.Millisecond).String(), "started-after", j.startedAfter.Round(time.Millisecond).String(),
+		"hope-at-start", int(j.startLateness), "deferred", j.isDeferred, "host-seconds", round(j.hostSeconds))
 	l.endJob(j, "job is complete", now)
 }
 
--- a/internal/fleet/rank.go
+++ b/internal/fleet/rank.go
@@ -40,7 +40,10 @@
 	lateness    lateness
 	// latestStart is when the step has to start for the job to meet its objective.
 	latestStart time.Time
-	id          job.ID
+	// isDeferred is true while the pool is short of capacity and others of the same level cost
+	// callers more.
+	isDeferred bool
+	id         job.ID
 }
 
 // compare returns a negative number if r comes before other.
@@ -56,6 +59,7 @@
 		cmp.Compare(r.priority, other.priority),
 		compareBool(r.beyondShare, other.beyondShare),
 		cmp.Compare(r.lateness, other.lateness),
+		compareBool(r.isDeferred, other.isDeferred),
 		r.latestStart.Compare(other.latestStart),
 		cmp.Compare(r.id, other.id),
 	)
@@ -77,13 +81,10 @@
 func (l *Leader) rankOf(j *jobState, step *stepState, now time.Time) rank {
 	out := rank{priority: j.submission.Priority, persistent: step.step.Persistent, beyondShare: j.beyondShare, id: j.submission.ID}
 	queue, ok := l.policy.Queues[j.submission.Queue]
-	stretch, target := j.submission.Stretch, j.submission.Target
 	if ok {
 		out.priority = queue.Priority
-		stretch, target = queue.Stretch, queue.Target
 	}
-	path := l.criticalPath(j)
-	objective := time.Duration(float64(path)*max(1, stretch)) + target
+	objective := l.objectiveOf(j)
 	dueAt := j.submission.Accepted
 	if due := j.submission.Due(step.key.Occurrence); !due.IsZero() {
 		dueAt = due
@@ -106,6 +107,15 @@
 	return out
 }
 
+// objectiveOf estimates the objective of a job's duration.
+func (l *Leader) objectiveOf(j *jobState) time.Duration {
+	stretch, target := j.submission.Stretch, j.submission.Target
+	if queue, ok := l.policy.Queues[j.submission.Queue]; ok {
+		stretch, target = queue.Stretch, queue.Target
+	}
+	return time.Duration(float64(l.criticalPath(j))*max(1, stretch)) + target
+}
+
 // criticalPath estimates the duration of a job's longest chain of steps.
 func (l *Leader) criticalPath(j *jobState) time.Duration {
 	var longest time.Duration
--- a/internal/fleet/step.go
+++ b/internal/fleet/step.go
@@ -92,6 +92,7 @@
 	}
 	slices.SortFunc(groups, func(a, b taskGroup) int { return a.rank.compare(b.rank) })
 	candidates := l.candidates(pool, now)
+	l.deferCheapest(pool, groups, candidates, now)
 	l.startTrials(groups, candidates, orders, now)
 	open := withRoom(candidates, groups)
 	var unplaceable unplaceableSizes
@@ -255,7 +256,11 @@
 	e.addRun(r)
 	l.trackRun(r)
 	g.job.recordRun(r.key)
+	if !g.job.started {
+		g.job.startedAfter, g.job.startLateness = now.Sub(g.job.submission.Accepted), g.rank.lateness
+	}
 	g.job.started = true
+	l.countSize(g)
 	target.available = target.available.Minus(r.reserved)
 	if r.isPersistent() {
 		target.persistent++
--- a/internal/process/node.go
+++ b/internal/process/node.go
@@ -69,7 +69,9 @@
 	// Metrics is the address that serves metrics and the state dump; an invalid
 	// address disables them.
 	Metrics netip.AddrPort
-	Journal *journal.Journal
+	// DeadlineOrder starts work by its deadlines also while a pool is short of capacity.
+	DeadlineOrder bool
+	Journal       *journal.Journal
 	// Dial opens connections to the platform and to other processes; nil means over TCP.
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 }
@@ -156,7 +158,8 @@
 			Client: client, Address: settings.Hosts, Holder: settings.Name, Timeout: hostTimeout,
 		}),
 		Advice: advice, WaveStatus: platform.WaveStatus{}, Bounds: settings.Bounds.FleetBounds(), Journal: n.journal,
-		Lost: n.member.Lost, MajorityConfirmedAt: n.member.MajorityConfirmedAt, ObserveStore: n.observeStore,
+		DeadlineOrder: config.DeadlineOrder,
+		Lost:          n.member.Lost, MajorityConfirmedAt: n.member.MajorityConfirmedAt, ObserveStore: n.observeStore,
 		StoreReachableSince: n.member.StoreReachableSince,
 	})
 	n.ingress = ingress.New(ingress.Config{
