member: Exchange evacuations in hellos

A process that does not reach the store, among them a leader that the store refuses, did not learn of evacuation requests. View carries the set and its version in both directions; the holder keeps the newer one.

TestViewsCarryEvacuations is new and passes with -race.

--- a/internal/member/node.go
+++ b/internal/member/node.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/lovagedyke/lovagedyke/internal/courier/courierpb"
+	"github.com/lovagedyke/lovagedyke/internal/evacuation"
 	"github.com/lovagedyke/lovagedyke/internal/job"
 	"github.com/lovagedyke/lovagedyke/internal/member/memberpb"
 	"github.com/lovagedyke/lovagedyke/internal/policy"
@@ -55,6 +56,13 @@
 	Info(event string, fields ...any)
 }
 
+// EvacuationHolder is this process's copy of the set of evacuated data centres.
+type EvacuationHolder interface {
+	Current() evacuation.Set
+	// Update puts a set in force if it is newer.
+	Update(set evacuation.Set, source string) bool
+}
+
 // Config configures a Node.
 type Config struct {
 	Name    string
@@ -82,6 +90,8 @@
 	// MaxHostResources returns, per resource, the largest amount that a single
 	// host has, or zeros while this process does not lead.
 	MaxHostResources func() policy.Resources
+	// Evacuations is exchanged with the other processes; it may be nil.
+	Evacuations EvacuationHolder
 }
 
 // Node is this process as a member of the group.
--- a/internal/member/view.go
+++ b/internal/member/view.go
@@ -9,6 +9,7 @@
 	"slices"
 	"time"
 
+	"github.com/lovagedyke/lovagedyke/internal/evacuation"
 	"github.com/lovagedyke/lovagedyke/internal/job"
 	"github.com/lovagedyke/lovagedyke/internal/member/memberpb"
 	"github.com/lovagedyke/lovagedyke/internal/policy"
@@ -42,6 +43,10 @@
 // the list of members of version known.
 func (n *Node) view(known uint64) *memberpb.View {
 	largest := n.config.MaxHostResources()
+	var evacuations evacuation.Set
+	if n.config.Evacuations != nil {
+		evacuations = n.config.Evacuations.Current()
+	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	sinceHeard := time.Since(n.leaderHeardAt)
@@ -52,7 +57,7 @@
 		From:  encodeMember(n.self()),
 		Token: n.claim.Token, Leading: n.leading, StoreReached: n.storeOKAt.After(n.storeFailedAt),
 		LeaderHeardMs: sinceHeard.Milliseconds(), PolicyVersion: n.config.PolicyVersion(),
-		MembersVersion: n.leadersMembersVersion,
+		MembersVersion: n.leadersMembersVersion, EvacuationsAsOf: evacuations.AsOf, Evacuated: evacuations.DataCentres,
 	}
 	if n.claim.Token != 0 {
 		view.Leader = &memberpb.Address{Name: n.claim.Name, Address: n.claim.Address.String()}
@@ -88,6 +93,9 @@
 	if leader, ok := decodeAddress(view.Leader); ok {
 		n.observeClaim(record.Claim{Token: view.Token, Name: leader.Name, Address: leader.Address}, "peer")
 	}
+	if n.config.Evacuations != nil {
+		n.config.Evacuations.Update(evacuation.NewSet(view.EvacuationsAsOf, view.Evacuated...), evacuation.SourcePeer)
+	}
 	from, ok := decodeAddress(view.From)
 	if !ok {
 		return
--- a/internal/member/view_test.go
+++ b/internal/member/view_test.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"net/netip"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"github.com/lovagedyke/lovagedyke/internal/evacuation"
 	"github.com/lovagedyke/lovagedyke/internal/member/memberpb"
 	"github.com/lovagedyke/lovagedyke/internal/policy"
 	"github.com/lovagedyke/lovagedyke/internal/record"
@@ -78,3 +80,37 @@
 		})
 	}
 }
+
+// Guards against an evacuation that a process learns of and does not pass on, and against one that
+// an older view undoes.
+func TestViewsCarryEvacuations(t *testing.T) {
+	tests := map[string]struct {
+		has, sent, want evacuation.Set
+	}{
+		"request":                {sent: evacuation.NewSet(5, "suva"), want: evacuation.NewSet(5, "suva")},
+		"withdrawal":             {has: evacuation.NewSet(5, "suva"), sent: evacuation.NewSet(6), want: evacuation.NewSet(6)},
+		"older view":             {has: evacuation.NewSet(5, "suva"), sent: evacuation.NewSet(4), want: evacuation.NewSet(5, "suva")},
+		"process without news":   {has: evacuation.NewSet(5, "suva"), want: evacuation.NewSet(5, "suva")},
+		"both without a request": {has: evacuation.NewSet(5), sent: evacuation.NewSet(7), want: evacuation.NewSet(7)},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			holder := evacuation.New(evacuation.Config{Journal: discardJournal{}})
+			holder.Update(test.has, "test")
+			n := newLeader(nil)
+			n.config.Evacuations = holder
+			answer, err := NewService(ServiceConfig{Node: n}).Hello(context.Background(), &memberpb.View{
+				From: encodeMember(follower), EvacuationsAsOf: test.sent.AsOf, Evacuated: test.sent.DataCentres,
+			})
+			if err != nil {
+				t.Fatal(err)
+			}
+			if got := holder.Current(); got.AsOf != test.want.AsOf || !slices.Equal(got.DataCentres, test.want.DataCentres) {
+				t.Errorf("set: got %v, want %v", got, test.want)
+			}
+			if answer.EvacuationsAsOf != test.want.AsOf || !slices.Equal(answer.Evacuated, test.want.DataCentres) {
+				t.Errorf("answer: got %d %v, want %v", answer.EvacuationsAsOf, answer.Evacuated, test.want)
+			}
+		})
+	}
+}
