fleet: Evacuate data centres

SetEvacuations puts them in force: endpoints of the data centre, and those of which the data centre is not known, accept no work; starts, moves and held trials that wait are withdrawn; the hosts count neither as capacity, nor as free, nor as donors, nor as the largest, so that the missing hosts are ordered elsewhere in the next step; persistent tasks leave as they leave a host that is due for maintenance. Idle evacuated hosts go to the spare pool only while their pool lacks none: they work again at once after a withdrawal.

The stop of persistent tasks on leaving endpoints is renamed from evacuate to relocatePersistent, and looks up the pool's candidates once for all runs.

--- a/internal/fleet/demand.go
+++ b/internal/fleet/demand.go
@@ -61,7 +61,7 @@
 func (l *Leader) expectedBacklog(pool string, inflow policy.Resources) policy.Resources {
 	var capacity policy.Resources
 	for _, e := range l.endpoints {
-		if e.row.Pool == pool && e.listed && e.reached && !e.gone && !e.leaving {
+		if e.row.Pool == pool && e.listed && e.reached && !e.gone && !e.leaving && !l.isEvacuated(e) {
 			capacity = capacity.Plus(e.row.Capacity)
 		}
 	}
--- a/internal/fleet/endpointstate.go
+++ b/internal/fleet/endpointstate.go
@@ -198,7 +198,7 @@
 	return label == "" || slices.Contains(e.row.Labels, label)
 }
 
-// acceptsWork reports whether the endpoint may get new runs.
+// acceptsWork reports whether the endpoint itself may get new runs.
 func (e *endpoint) acceptsWork(now time.Time) bool {
 	return e.listed && e.isKnown() && !e.gone && e.presumed == nil && !e.unresponsive && !e.row.Draining && !e.leaving &&
 		!now.Before(e.pausedUntil) && !now.Before(e.noWorkUntil) && !now.Before(e.fullUntil) && e.isFresh(now)
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -83,6 +83,7 @@
 	endpoints        map[EndpointID]*endpoint
 	jobs             map[job.ID]*jobState
 	hosts            hosts
+	evacuations      evacuations
 	arrivalHistories map[string]*arrivalHistory
 	durations        map[string]*durations
 	// pendingCancels holds cancels of jobs that are not known yet.
--- a/internal/fleet/hostchange.go
+++ b/internal/fleet/hostchange.go
@@ -118,7 +118,8 @@
 }
 
 // ConfirmHostChange reports whether a host change that has waited may be sent now: the host is
-// as it was when the change was ordered, no run would end, and no other process leads.
+// as it was when the change was ordered, no run would end, it is no move of an evacuated host into
+// a pool that runs tasks, and no other process leads.
 // Otherwise it withdraws the change, which was never sent.
 func (l *Leader) ConfirmHostChange(id HostID, now time.Time) bool {
 	h := l.hosts.byID[id]
@@ -133,11 +134,13 @@
 	row := h.shown.correctedBy(speaker)
 	isSame := row.State == HostUp && row.Endpoint == c.endpoint
 	isOccupied := l.isOccupied(id, now)
-	if (isSame || c.isRepeated) && !isOccupied && l.confirmed(now) {
+	// Only the platform's answer to a repeated order tells whether the earlier one was carried out.
+	isProhibited := !c.isRepeated && c.wave == 0 && l.isHostEvacuated(h) && !l.policy.Pools[c.pool].Spare
+	if (isSame || c.isRepeated) && !isOccupied && !isProhibited && l.confirmed(now) {
 		return true
 	}
 	l.log("host change withdrawn", "host", id, "to", c.pool, "wave", c.wave, "ordered-ago", age(c.orderedAt, now),
-		"state", string(row.State), "endpoint", row.Endpoint, "occupied", isOccupied, "confirmed-ago", age(l.confirmedAt, now))
+		"state", string(row.State), "endpoint", row.Endpoint, "occupied", isOccupied, "evacuated", isProhibited, "confirmed-ago", age(l.confirmedAt, now))
 	if c.isRepeated {
 		c.retryLater(now)
 		return false
--- a/internal/fleet/hosts_test.go
+++ b/internal/fleet/hosts_test.go
@@ -288,7 +288,7 @@
 }
 
 // Persistent tasks leave a draining endpoint one at a time.
-func TestEvacuationKeepsOtherTasksRunning(t *testing.T) {
+func TestRelocationKeepsOtherTasksRunning(t *testing.T) {
 	s := newSimulation(t, simulationConfig{})
 	s.addEndpoint("a")
 	s.submit(submission(1, persistentTasks(2, 1)))
--- a/internal/fleet/leader_test.go
+++ b/internal/fleet/leader_test.go
@@ -47,6 +47,7 @@
 	unloaded bool
 	// unchecked is set by benchmarks: the check of the counts takes longer than a step.
 	unchecked bool
+	journal   fleet.Journal
 }
 
 func newSimulation(t *testing.T, config simulationConfig) *simulation {
@@ -60,7 +61,7 @@
 		running: map[fleet.EndpointID][]fleet.RunningTask{}, ended: map[fleet.EndpointID][]fleet.Completion{},
 		lives: map[fleet.EndpointID]life{},
 	}
-	s.leader = fleet.New(fleet.Config{Token: config.token, Now: now, Bounds: fleet.Bounds{
+	s.leader = fleet.New(fleet.Config{Token: config.token, Now: now, Journal: config.journal, Bounds: fleet.Bounds{
 		MaxLease: 10 * time.Second, StatusRetention: 120 * time.Second, Move: 1500 * time.Millisecond,
 		Maintenance: 2 * time.Second, HostChangeExclusion: 3 * time.Second, Stop: 200 * time.Millisecond,
 	}})
--- a/internal/fleet/move.go
+++ b/internal/fleet/move.go
@@ -77,6 +77,33 @@
 		l.orderMove(h, spare, orders, now)
 		ordered++
 	}
+	for _, h := range l.evacuatedSurplus(needs, now) {
+		if ordered >= budget {
+			return
+		}
+		l.orderMove(h, spare, orders, now)
+		ordered++
+	}
+}
+
+// evacuatedSurplus returns the idle evacuated hosts of pools that have what they need without
+// them, sorted. While a pool lacks hosts, its evacuated ones stay: after a withdrawal they work
+// again at once.
+func (l *Leader) evacuatedSurplus(needs []*poolNeed, now time.Time) []*hostState {
+	var surplus []*hostState
+	for _, h := range l.hosts.byID {
+		if !l.isHostEvacuated(h) || !h.canChange(now) || h.isOccupied || h.idleSince.IsZero() || now.Sub(h.idleSince) < idleGrace {
+			continue
+		}
+		need, e := needOf(needs, h.row.Pool), l.endpointOf(h)
+		if need != nil && need.deficit() <= 0 && !need.isReduced && e != nil && !e.leaving && !e.row.Draining {
+			surplus = append(surplus, h)
+		}
+	}
+	slices.SortFunc(surplus, func(a, b *hostState) int {
+		return cmp.Or(a.idleSince.Compare(b.idleSince), cmp.Compare(a.row.ID, b.row.ID))
+	})
+	return surplus
 }
 
 // poolSizeLogInterval is the time between two logs of the pools' sizes.
@@ -161,12 +188,12 @@
 	})
 }
 
-// freeHosts counts the hosts that are up and that no pool has recently needed. The
-// recent maximum bridges moments in which needs drop.
+// freeHosts counts the hosts that are up and that no pool has recently needed, other than those
+// that are evacuated. The recent maximum bridges moments in which needs drop.
 func (l *Leader) freeHosts(needs []*poolNeed, now time.Time) int {
 	free, needed := 0, 0
 	for _, h := range l.hosts.byID {
-		if h.listed && h.row.State != HostDown && h.row.State != HostMaintenance {
+		if h.listed && h.row.State != HostDown && h.row.State != HostMaintenance && !l.isHostEvacuated(h) {
 			free++
 		}
 	}
@@ -176,11 +203,11 @@
 	return max(0, free-l.hosts.needed.observe(needed, now))
 }
 
-// usableHosts counts the hosts that are not down.
+// usableHosts counts the hosts that are neither down nor evacuated.
 func (l *Leader) usableHosts() int {
 	count := 0
 	for _, h := range l.hosts.byID {
-		if h.listed && h.row.State != HostDown {
+		if h.listed && h.row.State != HostDown && !l.isHostEvacuated(h) {
 			count++
 		}
 	}
@@ -202,8 +229,11 @@
 	}
 }
 
-// countsToward reports whether a host is in a pool, or on its way to it.
+// countsToward reports whether a host is in a pool, or on its way to it, and may get work there.
 func (l *Leader) countsToward(h *hostState, pool string, now time.Time) bool {
+	if l.isHostEvacuated(h) {
+		return false
+	}
 	if h.pendingChange != nil && h.pendingChange.pool != "" {
 		return h.pendingChange.pool == pool
 	}
@@ -217,12 +247,22 @@
 	return h.row.Pool == pool && (h.row.State == HostUp || h.row.State == HostMoving || h.row.State == HostMaintenance)
 }
 
-// hostSize returns the mean size of the listed hosts, or zero.
+// hostSize returns the mean size of the listed hosts that are not evacuated, or of all if all are,
+// or zero if none is listed.
 func (l *Leader) hostSize() policy.Resources {
+	size := l.meanSize(func(h *hostState) bool { return h.listed && !l.isHostEvacuated(h) })
+	if size == (policy.Resources{}) {
+		size = l.meanSize(func(h *hostState) bool { return h.listed })
+	}
+	return size
+}
+
+// meanSize returns the mean size of the hosts for which counts is true, or zero.
+func (l *Leader) meanSize(counts func(*hostState) bool) policy.Resources {
 	var sum policy.Resources
 	count := int64(0)
 	for _, h := range l.hosts.byID {
-		if h.listed {
+		if counts(h) {
 			sum = sum.Plus(h.row.Capacity)
 			count++
 		}
@@ -244,7 +284,7 @@
 		var surplus []*endpoint
 		for _, h := range l.hosts.byID {
 			e := l.endpointOf(h)
-			if h.row.Pool != need.pool || h.pendingChange != nil || e == nil || e.tally.persistent > 0 {
+			if h.row.Pool != need.pool || h.pendingChange != nil || e == nil || e.tally.persistent > 0 || l.isHostEvacuated(h) {
 				continue
 			}
 			if len(e.runs) > 0 || need.isReduced {
@@ -261,11 +301,11 @@
 }
 
 // donors returns the hosts that can be moved without ending a run: spare hosts first,
-// then empty hosts of pools with a surplus.
+// then empty hosts of pools with a surplus. Evacuated hosts are not among them.
 func (l *Leader) donors(needs []*poolNeed, spare string, now time.Time) []*hostState {
 	var donors []*hostState
 	for _, h := range l.hosts.byID {
-		if !h.canChange(now) || h.isOccupied {
+		if !h.canChange(now) || h.isOccupied || l.isHostEvacuated(h) {
 			continue
 		}
 		if h.row.Pool == spare {
@@ -320,7 +360,7 @@
 }
 
 // MaxHostResources returns, per resource, the largest amount that a single host or
-// endpoint has.
+// endpoint has that is not evacuated, or zeros if all are.
 func (l *Leader) MaxHostResources() policy.Resources {
 	var largest policy.Resources
 	add := func(capacity policy.Resources) {
@@ -329,10 +369,14 @@
 		largest.GPU = max(largest.GPU, capacity.GPU)
 	}
 	for _, h := range l.hosts.byID {
-		add(h.row.Capacity)
+		if !l.isHostEvacuated(h) {
+			add(h.row.Capacity)
+		}
 	}
 	for _, e := range l.endpoints {
-		add(e.row.Capacity)
+		if !l.isEvacuated(e) {
+			add(e.row.Capacity)
+		}
 	}
 	return largest
 }
--- a/internal/fleet/order.go
+++ b/internal/fleet/order.go
@@ -18,6 +18,8 @@
 	Checkpoint string
 	// Ticket is the advice service's ticket, or "".
 	Ticket string
+	// DataCentre is the endpoint's data centre, or "" if it is not known.
+	DataCentre string
 	// incarnation and clock are the start time and the clock's last reading of the endpoint's
 	// incarnation that was known when the start was ordered.
 	incarnation time.Time
--- a/internal/fleet/reply.go
+++ b/internal/fleet/reply.go
@@ -7,7 +7,8 @@
 )
 
 // ConfirmStart reports whether a start that has waited may be sent now: for the same
-// incarnation of the endpoint, while its run is still wanted and no other process leads.
+// incarnation of the endpoint, while its run is still wanted, its data centre is not evacuated and
+// no other process leads.
 // Otherwise it withdraws the start, which was never sent.
 func (l *Leader) ConfirmStart(start Start, now time.Time) bool {
 	e := l.endpoints[start.Endpoint]
@@ -22,13 +23,14 @@
 	}
 	isSameIncarnation := e.isKnown() && !e.gone && e.presumed == nil && !e.unresponsive && start.incarnation.Equal(e.startedAt)
 	hasRoom := l.knowsCapacity(e.row.Pool, now) && e.hasRoomFor(r)
-	if r.state == runStarting && isSameIncarnation && hasRoom && l.confirmed(now) {
+	isEvacuated := l.isEvacuated(e)
+	if r.state == runStarting && isSameIncarnation && hasRoom && !isEvacuated && l.confirmed(now) {
 		r.sentAt = now
 		return true
 	}
 	l.log("start withdrawn", "job", start.Task.Job, "step", start.Task.Step, "index", start.Task.Index, "run", start.Run,
 		"endpoint", start.Endpoint, "state", r.state.String(), "ordered-ago", age(r.orderedAt, now),
-		"same-incarnation", isSameIncarnation, "has-room", hasRoom, "list-age", age(l.endpointsAsOf, now), "confirmed-ago", age(l.confirmedAt, now))
+		"same-incarnation", isSameIncarnation, "has-room", hasRoom, "evacuated", isEvacuated, "list-age", age(l.endpointsAsOf, now), "confirmed-ago", age(l.confirmedAt, now))
 	l.untrackRun(r)
 	l.requeue(r.job, start.Task, now)
 	return false
--- a/internal/fleet/startrecord.go
+++ b/internal/fleet/startrecord.go
@@ -74,6 +74,8 @@
 	var waiting []heldTrial
 	for _, t := range l.heldTrials {
 		switch {
+		case l.isAnyEvacuated(t):
+			l.withdrawTrial(t, now)
 		case t.batch <= l.writeQueue.written:
 			l.sendTrial(t, orders, now)
 		case now.Sub(t.since) >= maxHold:
@@ -85,6 +87,14 @@
 	l.heldTrials = waiting
 }
 
+// isAnyEvacuated reports whether the data centre of one of the trial's endpoints is evacuated.
+func (l *Leader) isAnyEvacuated(t heldTrial) bool {
+	return slices.ContainsFunc(t.starts, func(start Start) bool {
+		e := l.endpoints[start.Endpoint]
+		return e != nil && l.isEvacuated(e)
+	})
+}
+
 // sendTrial sends a trial unless something has changed since it was decided. A gang is sent as
 // a whole or not at all.
 func (l *Leader) sendTrial(t heldTrial, orders *Orders, now time.Time) {
--- a/internal/fleet/step.go
+++ b/internal/fleet/step.go
@@ -41,7 +41,8 @@
 		}
 	}
 	l.sendTrials(&orders, now)
-	l.evacuate(now)
+	l.relocatePersistent(now)
+	l.logEvacuations(now)
 	l.expireLateStarts(now)
 	for _, e := range l.endpoints {
 		if e.tally.stopping > 0 {
@@ -118,6 +119,8 @@
 	switch {
 	case !l.underCap(g.job.submission.Account, g.step.step.Resources, 1):
 		cause = "the client account is at its cap"
+	case l.isEvacuationWait(g):
+		cause = "the endpoints that could run it are being evacuated"
 	case !l.knowsCapacity(l.poolOf(g.job), now):
 		cause = "the list of endpoints is outdated"
 	case len(candidates) == 0:
@@ -154,7 +157,7 @@
 	}
 	var candidates []*candidateEndpoint
 	for _, e := range l.endpoints {
-		if e.row.Pool != pool || !e.acceptsWork(now) {
+		if e.row.Pool != pool || !l.acceptsWork(e, now) {
 			continue
 		}
 		candidate := &candidateEndpoint{endpoint: e, available: e.available(), persistent: e.tally.persistent}
@@ -262,7 +265,7 @@
 	}
 	order := Start{
 		Endpoint: e.row.ID, Task: task, Run: number, Spec: g.job.submission.Spec, Lease: r.lease,
-		Checkpoint: r.checkpoint, Ticket: g.step.tickets[e.row.ID], incarnation: e.startedAt, clock: e.clock,
+		Checkpoint: r.checkpoint, Ticket: g.step.tickets[e.row.ID], DataCentre: l.dataCentreOf(e), incarnation: e.startedAt, clock: e.clock,
 	}
 	if r.onTrial {
 		l.holdTrial(r, order, now)
