courier: Drop starts in evacuated data centres

A start that waits at the leader for a courier, or at the courier, was sent after the request for an evacuation. Starts name the data centre of their endpoint, and both sides answer those as not sent whose data centre is evacuated, so that the task starts elsewhere. A start of a leader of an earlier version names none; it is sent directly while a request is in force.

--- a/internal/courier/client.go
+++ b/internal/courier/client.go
@@ -48,6 +48,8 @@
 	// EndpointCount returns how many endpoints the leader has.
 	EndpointCount func() int
 	Journal       Journal
+	// Evacuations tells which starts are not sent any more; it may be nil.
+	Evacuations Evacuations
 }
 
 // Client sends a leader's orders and lease renewals to endpoints, by courier if
@@ -92,7 +94,12 @@
 // Start implements Endpoints.
 func (c *Client) Start(ctx context.Context, to fleet.EndpointAddress, token uint64, start fleet.Start) fleet.Reply {
 	pending := &pendingOrder{spec: start.Spec, order: &courierpb.Order{Kind: &courierpb.Order_Start{Start: encodeStart(start)}}}
-	return c.order(ctx, to, token, pending, func() fleet.Reply { return c.config.Direct.Start(ctx, to, token, start) })
+	return c.order(ctx, to, token, pending, func() fleet.Reply {
+		if prohibits(c.config.Evacuations, start.DataCentre) {
+			return fleet.Reply{Outcome: fleet.OrderNotSent}
+		}
+		return c.config.Direct.Start(ctx, to, token, start)
+	})
 }
 
 // Stop implements Endpoints.
@@ -233,6 +240,7 @@
 		return
 	}
 	l := newLink(member, c.config.Dial(member.Address), c.config.Journal)
+	l.evacuations = c.config.Evacuations
 	select {
 	case c.newLinks <- l:
 		c.links[member.Name] = l
--- a/internal/courier/link.go
+++ b/internal/courier/link.go
@@ -59,6 +59,8 @@
 	session uint64
 	journal Journal
 	wake    chan struct{}
+	// evacuations tells which starts are not sent any more; it may be nil.
+	evacuations Evacuations
 
 	mu      sync.Mutex
 	next    uint64
@@ -211,7 +213,9 @@
 	defer l.mu.Unlock()
 	// After a pause of the process, orders may have expired before their senders run.
 	now := time.Now()
-	l.queue = slices.DeleteFunc(l.queue, func(queued *pendingOrder) bool { return !now.Before(queued.expires) })
+	l.queue = slices.DeleteFunc(l.queue, func(queued *pendingOrder) bool {
+		return !now.Before(queued.expires) || l.withdraw(queued)
+	})
 	if l.calls >= maxCalls || len(l.queue) == 0 && (l.calls > 0 || len(l.waiting) == 0) {
 		return nil, false
 	}
@@ -236,6 +240,17 @@
 	return batch, true
 }
 
+// withdraw gives up a queued start whose data centre is evacuated, and reports whether it did;
+// l.mu must be held.
+func (l *link) withdraw(queued *pendingOrder) bool {
+	start := queued.order.GetStart()
+	if start == nil || !prohibits(l.evacuations, start.DataCentre) {
+		return false
+	}
+	queued.done <- result{err: errWithdrawn}
+	return true
+}
+
 // call sends a batch and hands out the replies that return.
 func (l *link) call(ctx context.Context, batch []*pendingOrder) {
 	callCtx, cancel := context.WithTimeout(ctx, pollWait+callMargin)
--- a/internal/courier/server.go
+++ b/internal/courier/server.go
@@ -9,6 +9,7 @@
 	"github.com/twitchtv/twirp"
 
 	"github.com/lovagedyke/lovagedyke/internal/courier/courierpb"
+	"github.com/lovagedyke/lovagedyke/internal/evacuation"
 	"github.com/lovagedyke/lovagedyke/internal/fleet"
 	"github.com/lovagedyke/lovagedyke/internal/loops"
 )
@@ -41,10 +42,22 @@
 	Info(event string, fields ...any)
 }
 
+// Evacuations is this process's copy of the set of evacuated data centres.
+type Evacuations interface {
+	Current() evacuation.Set
+}
+
+// prohibits reports whether a data centre may get no starts; evacuations may be nil.
+func prohibits(evacuations Evacuations, dataCentre string) bool {
+	return evacuations != nil && evacuations.Current().Prohibits(dataCentre)
+}
+
 // ServerConfig configures a Server.
 type ServerConfig struct {
 	Endpoints Endpoints
 	Journal   Journal
+	// Evacuations tells which starts are not carried out any more; it may be nil.
+	Evacuations Evacuations
 }
 
 // Server carries leaders' orders to endpoints. It implements courierpb.Courier.
@@ -170,6 +183,11 @@
 			s.config.Journal.Info("order not carried", "endpoint", next.order.Endpoint, "token", next.token, "error", err.Error())
 			return
 		}
+		if prohibits(s.config.Evacuations, start.DataCentre) {
+			s.config.Journal.Info("start not carried: the data centre is evacuated", "job", start.Task.Job, "endpoint", to.ID,
+				"data-centre", start.DataCentre, "token", next.token)
+			return
+		}
 		outcome = s.config.Endpoints.Start(ctx, to, next.token, start)
 	case *courierpb.Order_Stop:
 		outcome = s.config.Endpoints.Stop(ctx, to, next.token, fleet.Stop{Endpoint: to.ID, Task: decodeTask(kind.Stop.Task), Run: kind.Stop.Run})
--- a/internal/courier/wire.go
+++ b/internal/courier/wire.go
@@ -59,7 +59,7 @@
 func encodeStart(start fleet.Start) *courierpb.Start {
 	return &courierpb.Start{
 		Task: encodeTask(start.Task), Run: start.Run, LeaseMs: start.Lease.Milliseconds(),
-		Checkpoint: start.Checkpoint, Ticket: start.Ticket,
+		Checkpoint: start.Checkpoint, Ticket: start.Ticket, DataCentre: start.DataCentre,
 	}
 }
 
@@ -70,7 +70,7 @@
 	}
 	return fleet.Start{
 		Endpoint: endpoint, Task: decodeTask(start.Task), Run: start.Run, Spec: specs[start.Spec],
-		Lease: milliseconds(start.LeaseMs), Checkpoint: start.Checkpoint, Ticket: start.Ticket,
+		Lease: milliseconds(start.LeaseMs), Checkpoint: start.Checkpoint, Ticket: start.Ticket, DataCentre: start.DataCentre,
 	}, nil
 }
 
