control, process: Pass evacuation requests to the leader

The operators' feed passes each complete set to the holder, which wakes the leader. The leader takes the newest set before each step and before each start that leaves its queue, without a lock that a hello could wait for. A new leader reads the requests, through a peer if it does not reach the store, before its first order. A relayed read has no version of the store: that of its newest row is a lower bound, and a newer set of the holder stays.

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/lovagedyke/lovagedyke/internal/evacuation"
 	"github.com/lovagedyke/lovagedyke/internal/fleet"
 	"github.com/lovagedyke/lovagedyke/internal/job"
 	"github.com/lovagedyke/lovagedyke/internal/policy"
@@ -50,6 +51,19 @@
 	Encode(wave int64, complete bool) []byte
 }
 
+// EvacuationHolder is this process's copy of the set of evacuated data centres.
+type EvacuationHolder interface {
+	Current() evacuation.Set
+	// Update puts a set in force if it is newer.
+	Update(set evacuation.Set, source string) bool
+}
+
+// EvacuationRows decodes the operators' evacuation requests.
+type EvacuationRows interface {
+	Prefix() string
+	Decode(rows []table.Row, version uint64) evacuation.Set
+}
+
 // Journal logs events.
 type Journal interface {
 	Info(event string, fields ...any)
@@ -77,6 +91,10 @@
 	// StoreReachableSince returns since when the store has answered this process, apart from
 	// brief failures, or zero if it always has.
 	StoreReachableSince func() time.Time
+	// Evacuations is the set that the leader follows; nil means that it starts empty.
+	Evacuations EvacuationHolder
+	// EvacuationRows decodes the rows that a new leader reads; nil means that there are none.
+	EvacuationRows EvacuationRows
 }
 
 // Control runs the fleet's leader in a process while that process leads.
@@ -92,6 +110,9 @@
 
 // New returns a Control that does not lead yet.
 func New(config Config) *Control {
+	if config.Evacuations == nil {
+		config.Evacuations = evacuation.New(evacuation.Config{Journal: config.Journal})
+	}
 	return &Control{config: config, waves: map[int64]fleet.WaveRow{}, terms: make(chan *term, 1)}
 }
 
@@ -146,6 +167,17 @@
 	}
 }
 
+// EvacuationsChanged tells that the set of evacuated data centres differs from the one before. It
+// does not wait for the leader's decisions, since sets come with hellos.
+func (c *Control) EvacuationsChanged() {
+	c.mu.Lock()
+	t := c.term
+	c.mu.Unlock()
+	if t != nil {
+		t.requestStep()
+	}
+}
+
 // current returns the running term once it has loaded all jobs, else nil.
 func (c *Control) current() *term {
 	c.mu.Lock()
--- a/internal/control/endpoints.go
+++ b/internal/control/endpoints.go
@@ -166,6 +166,7 @@
 	var to fleet.EndpointAddress
 	isCurrent := false
 	t.locked(func() {
+		t.applyEvacuations(time.Now())
 		if isCurrent = t.leader.ConfirmStart(start, time.Now()); isCurrent {
 			to, isCurrent = t.leader.AddressOf(s.id)
 		}
--- a/internal/control/load.go
+++ b/internal/control/load.go
@@ -9,6 +9,7 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/cockroachdb/errors"
 
+	"github.com/lovagedyke/lovagedyke/internal/evacuation"
 	"github.com/lovagedyke/lovagedyke/internal/fleet"
 	"github.com/lovagedyke/lovagedyke/internal/job"
 	"github.com/lovagedyke/lovagedyke/internal/loops"
@@ -46,6 +47,7 @@
 	if current != nil {
 		t.leader.SetPolicy(current)
 	}
+	t.applyEvacuations(now)
 	for _, wave := range waves {
 		t.leader.UpdateWave(wave, now)
 	}
@@ -79,7 +81,8 @@
 	versions map[string]uint64
 }
 
-// readRows reads jobs, cancels, progress, waves and host changes.
+// readRows reads jobs, cancels, progress, waves and host changes, and brings the set of evacuated
+// data centres up to date.
 func (t *term) readRows() (loadedRows, error) {
 	stored := map[job.ID]*fleet.StoredJob{}
 	jobRows, jobVersion, err := t.loadShards(record.JobTable)
@@ -123,8 +126,37 @@
 	if out.waves, err = t.readWaves(); err != nil {
 		return loadedRows{}, err
 	}
-	out.changes, err = t.readChanges()
-	return out, err
+	if out.changes, err = t.readChanges(); err != nil {
+		return loadedRows{}, err
+	}
+	return out, t.readEvacuations()
+}
+
+// readEvacuations reads the operators' evacuation requests, through a peer if this process does
+// not reach the store, and passes them to the holder.
+func (t *term) readEvacuations() error {
+	if t.config.EvacuationRows == nil {
+		return nil
+	}
+	prefix := t.config.EvacuationRows.Prefix()
+	rows, version, err := t.config.Feed.ScanAt(t.ctx, prefix)
+	if err == nil {
+		t.config.Evacuations.Update(t.config.EvacuationRows.Decode(rows, version), evacuation.SourceStore)
+		return nil
+	}
+	if !errors.Is(err, table.ErrUnavailable) {
+		return err
+	}
+	if rows, err = t.config.Store.Scan(t.ctx, prefix); err != nil {
+		return err
+	}
+	// The version of a relayed read is not known. It is at least that of the newest row, and a
+	// newer set of the holder has all these rows or knows of their removal.
+	for _, row := range rows {
+		version = max(version, row.Version)
+	}
+	t.config.Evacuations.Update(t.config.EvacuationRows.Decode(rows, version), evacuation.SourcePeerStore)
+	return nil
 }
 
 // loadShards reads all shards of the jobs or of the cancels, through peers if this
--- a/internal/control/term.go
+++ b/internal/control/term.go
@@ -68,6 +68,8 @@
 	hostOrders          chan hostOrder
 	adviceRequests      chan fleet.AdviceRequest
 	lookups             chan job.ID
+	// evacuationsAsOf is the version of the set of evacuated data centres that the leader has.
+	evacuationsAsOf uint64
 	// crashes holds the leader's counts that the metrics show already.
 	crashes fleet.CrashCounts
 }
@@ -230,6 +232,7 @@
 	started := time.Now()
 	confirmedAt := t.config.MajorityConfirmedAt()
 	t.locked(func() {
+		t.applyEvacuations(started)
 		t.leader.ConfirmLeadership(confirmedAt)
 		t.queueOrders(t.leader.Step(started, started))
 		t.recordMaxHostResources()
@@ -239,6 +242,17 @@
 	return time.Since(started)
 }
 
+// applyEvacuations passes the newest set of evacuated data centres to the leader; t.mu must be
+// held. It is called before each decision that may start a task.
+func (t *term) applyEvacuations(now time.Time) {
+	set := t.config.Evacuations.Current()
+	if set.AsOf == t.evacuationsAsOf {
+		return
+	}
+	t.evacuationsAsOf = set.AsOf
+	t.leader.SetEvacuations(set.DataCentres, now)
+}
+
 // recordMaxHostResources records the largest hosts for answers to hellos; t.mu must be
 // held.
 func (t *term) recordMaxHostResources() {
--- a/internal/process/feeds.go
+++ b/internal/process/feeds.go
@@ -8,6 +8,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/sourcegraph/conc/pool"
 
+	"github.com/lovagedyke/lovagedyke/internal/evacuation"
 	"github.com/lovagedyke/lovagedyke/internal/loops"
 	"github.com/lovagedyke/lovagedyke/internal/member/memberpb"
 	"github.com/lovagedyke/lovagedyke/internal/policy"
@@ -160,6 +161,8 @@
 
 // applyOperatorRows applies changed operators' rows.
 func (n *nodeProcess) applyOperatorRows(rows platform.OperatorUpdate) {
+	// Before the configuration, which may take long to decode.
+	n.evacuations.Update(rows.Evacuations, evacuation.SourceStore)
 	n.holder.Update(rows.Policy, policy.SourceStore)
 	for _, wave := range rows.Waves {
 		n.control.SetWave(wave)
--- a/internal/process/node.go
+++ b/internal/process/node.go
@@ -16,6 +16,7 @@
 	"github.com/lovagedyke/lovagedyke/internal/control"
 	"github.com/lovagedyke/lovagedyke/internal/courier"
 	"github.com/lovagedyke/lovagedyke/internal/courier/courierpb"
+	"github.com/lovagedyke/lovagedyke/internal/evacuation"
 	"github.com/lovagedyke/lovagedyke/internal/ingress"
 	"github.com/lovagedyke/lovagedyke/internal/journal"
 	"github.com/lovagedyke/lovagedyke/internal/loops"
@@ -82,6 +83,8 @@
 	store    *platform.Store
 	operator platform.OperatorRows
 	holder   *policy.Holder
+	// evacuations holds the evacuated data centres.
+	evacuations *evacuation.Holder
 	// lag is how far this process is behind the newest configuration.
 	lag policy.Lag
 	// download is the configuration that peers are sending, and downloading is held
@@ -129,6 +132,7 @@
 	}
 	n.operator = platform.OperatorRows{Store: n.store, OnDecodeError: logDecodeError}
 	n.holder = policy.NewHolder(policy.HolderConfig{Decode: platform.DecodePolicy, OnChange: n.policyChanged, Journal: n.journal})
+	n.evacuations = evacuation.New(evacuation.Config{Journal: n.journal, OnChange: func(evacuation.Set) { n.control.EvacuationsChanged() }})
 	n.member = member.New(member.Config{
 		Name: settings.Name, Address: settings.Peers, CPUCores: settings.CPUCores, LinkMbps: settings.LinkMbps,
 		Seeds: settings.Seeds, Store: n.store, Journal: n.journal, Dial: config.Dial,
@@ -136,13 +140,14 @@
 		PolicyVersion:    n.holder.Version,
 		OnPolicyVersion:  n.policyAnnounced,
 		MaxHostResources: func() policy.Resources { return n.control.MaxHostResources() },
+		Evacuations:      n.evacuations,
 	})
 	endpoints := platform.NewEndpoints(platform.EndpointsConfig{Client: client, Timeout: endpointTimeout})
-	n.carrier = courier.NewServer(courier.ServerConfig{Endpoints: endpoints, Journal: n.journal})
+	n.carrier = courier.NewServer(courier.ServerConfig{Endpoints: endpoints, Journal: n.journal, Evacuations: n.evacuations})
 	n.couriers = courier.NewClient(courier.ClientConfig{
 		Self:   record.Member{Name: settings.Name, Address: settings.Peers, CPUCores: settings.CPUCores, LinkMbps: settings.LinkMbps},
 		Direct: endpoints, Timeout: endpointTimeout, Dial: n.member.DialCourier, Members: n.courierMembers,
-		EndpointCount: func() int { return n.control.EndpointCount() }, Journal: n.journal,
+		EndpointCount: func() int { return n.control.EndpointCount() }, Journal: n.journal, Evacuations: n.evacuations,
 	})
 	var advice control.Advice
 	if settings.Advice.IsValid() {
@@ -158,6 +163,7 @@
 		Advice: advice, WaveStatus: platform.WaveStatus{}, Bounds: settings.Bounds.FleetBounds(), Journal: n.journal,
 		Lost: n.member.Lost, MajorityConfirmedAt: n.member.MajorityConfirmedAt, ObserveStore: n.observeStore,
 		StoreReachableSince: n.member.StoreReachableSince,
+		Evacuations:         n.evacuations, EvacuationRows: platform.EvacuationRows{OnDecodeError: logDecodeError},
 	})
 	n.ingress = ingress.New(ingress.Config{
 		Policy: n.holder, Store: n.member.Store(), Fleet: member.NewFleetClient(n.member, n.control),
