--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -86,6 +86,7 @@
 	endpoints        map[EndpointID]*endpoint
 	jobs             map[job.ID]*jobState
 	hosts            hosts
+	evacuations      evacuations
 	arrivalHistories map[string]*arrivalHistory
 	durations        map[string]*durations
 	// sizes compares, by queue, the capacity that jobs need.
