runtimes: the fitted line of task durations in a package of its own

The model of a queue's durations is to grow a distribution and a comparison of endpoints, which need nothing of the leader's state.

--- a/internal/fleet/arrivals.go
+++ b/internal/fleet/arrivals.go
@@ -48,7 +48,7 @@
 			continue
 		}
 		perTask := step.Reserved()
-		taskSeconds := float64(step.Count) * l.durationsOf(j.submission.Queue).mean(step.Estimate).Seconds()
+		taskSeconds := float64(step.Count) * l.durationsOf(j.submission.Queue).Mean(step.Estimate).Seconds()
 		work.cpu += float64(perTask.CPU) * taskSeconds
 		work.memory += float64(perTask.Memory) * taskSeconds
 	}
--- a/internal/fleet/completion.go
+++ b/internal/fleet/completion.go
@@ -80,7 +80,7 @@
 	}
 	if opened := j.steps[key]; opened != nil && took > 0 {
 		opened.took = append(opened.took, took)
-		l.durationsOf(j.submission.Queue).observe(step.Estimate, took)
+		l.durationsOf(j.submission.Queue).Observe(step.Estimate, took)
 	}
 	indexes := []int{completion.Task.Index}
 	if step.Gang {
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -5,6 +5,7 @@
 
 	"github.com/lovagedyke/lovagedyke/internal/job"
 	"github.com/lovagedyke/lovagedyke/internal/policy"
+	"github.com/lovagedyke/lovagedyke/internal/runtimes"
 )
 
 const (
@@ -84,7 +85,7 @@
 	jobs             map[job.ID]*jobState
 	hosts            hosts
 	arrivalHistories map[string]*arrivalHistory
-	durations        map[string]*durations
+	durations        map[string]*runtimes.Model
 	// pendingCancels holds cancels of jobs that are not known yet.
 	pendingCancels map[job.ID]time.Time
 	// lookups holds unknown jobs that endpoints have reported.
@@ -131,7 +132,7 @@
 		endpoints: map[EndpointID]*endpoint{}, jobs: map[job.ID]*jobState{}, live: map[job.ID]*jobState{}, inUse: map[string]policy.Resources{},
 		pendingCancels: map[job.ID]time.Time{},
 		lookups:        map[job.ID]lookup{}, lateStarts: map[EndpointID]map[runKey]lateStart{}, heldTasks: map[job.Task]int{}, shareBuckets: map[string]*tokenBucket{},
-		hosts: newHosts(), arrivalHistories: map[string]*arrivalHistory{}, durations: map[string]*durations{}, writeQueue: newWriteQueue(),
+		hosts: newHosts(), arrivalHistories: map[string]*arrivalHistory{}, durations: map[string]*runtimes.Model{}, writeQueue: newWriteQueue(),
 	}
 	return leader
 }
--- /dev/null
+++ b/internal/runtimes/doc.go
@@ -0,0 +1,2 @@
+// Package runtimes predicts how long tasks take. It does no I/O and reads no clock.
+package runtimes
