runtimes: the distribution of ratios of durations to their predictions

The rule for overdue runs knows a median and a fixed factor, so that it cannot tell a run that will end soon from one that has most of its time before it.

--- a/internal/runtimes/model.go
+++ b/internal/runtimes/model.go
@@ -23,19 +23,20 @@
 // Config holds the arguments of New.
 type Config struct{}
 
-// Model predicts how long a queue's tasks take from their callers' estimates. It
-// fits a line to the logarithms of observed durations over those of the estimates, so
-// that estimates count only as far as they have distinguished long tasks from short ones.
-// It is not safe for concurrent use.
+// Model predicts how long a queue's tasks take from their callers' estimates, and how far
+// they deviate from that. It fits a line to the logarithms of observed durations over those
+// of the estimates, so that estimates count only as far as they have distinguished long
+// tasks from short ones. It is not safe for concurrent use.
 type Model struct {
 	// Decayed sums of the weights, of the logarithms of estimates and durations, and of
 	// their products.
 	weight, estimate, took, estimateSquared, estimateTook, tookSquared float64
+	ratios                                                             *ratios
 }
 
 // New returns a model without observations.
 func New(Config) *Model {
-	return &Model{}
+	return &Model{ratios: newRatios()}
 }
 
 // Observe adds a task's estimate and its actual duration.
@@ -53,6 +54,15 @@
 	add(&m.tookSquared, y*y)
 }
 
+// ObserveRatio adds the ratio of the duration of a run that executed its whole task to its
+// prediction. It is called before Observe, so that the prediction does not know the task.
+func (m *Model) ObserveRatio(estimate, took time.Duration) {
+	if took <= 0 {
+		return
+	}
+	m.ratios.observe(math.Log(took.Seconds() / m.Median(estimate).Seconds()))
+}
+
 // fitLine returns the fitted line: the mean estimate, the mean duration and the slope.
 func (m *Model) fitLine() (estimate, took, slope float64) {
 	if m.weight == 0 {
