runtimes, fleet: how much slower an endpoint is than its peers

Nothing tells a run that is slow because of its endpoint from a task that is long by itself. It is forgotten with the incarnation. Runs that have saved a checkpoint or were resumed from one do not count, nor do adopted ones, whose start is not known, and those of gangs, best-effort steps and cold endpoints, which are slowed down by something else. The state dump shows it (slowness).

--- a/internal/fleet/completion.go
+++ b/internal/fleet/completion.go
@@ -56,6 +56,7 @@
 		"endpoint", e.row.ID, "how", string(completion.Kind), "took", took.Round(time.Millisecond).String())
 	switch completion.Kind {
 	case CompletionDone:
+		l.compareRun(r, completion, took)
 		return l.taskDone(e, j, completion, took, now)
 	case CompletionFailed:
 		return l.taskFailed(e, j, completion, now)
--- a/internal/fleet/dump.go
+++ b/internal/fleet/dump.go
@@ -26,6 +26,9 @@
 	Leaving   bool             `json:"leaving"`
 	Runs      int              `json:"runs"`
 	Available policy.Resources `json:"room"`
+	// Slowness is the factor by which the endpoint's tasks take longer than its peers', or 1
+	// while that is not known.
+	Slowness float64 `json:"slowness"`
 }
 
 // JobDump describes an unfinished job in a Dump.
@@ -44,7 +47,7 @@
 	for id, e := range l.endpoints {
 		out.Endpoints = append(out.Endpoints, EndpointDump{
 			ID: id, Pool: e.row.Pool, Listed: e.listed, Reached: e.reached, Draining: e.row.Draining,
-			Leaving: e.leaving, Runs: len(e.runs), Available: e.available(),
+			Leaving: e.leaving, Runs: len(e.runs), Available: e.available(), Slowness: e.slowness.Mean(),
 		})
 	}
 	for id, j := range l.live {
--- a/internal/fleet/durations.go
+++ b/internal/fleet/durations.go
@@ -21,3 +21,20 @@
 func (l *Leader) durationOf(j *jobState, step job.Step) time.Duration {
 	return l.durationsOf(j.submission.Queue).Median(step.Estimate)
 }
+
+// compareRun compares the duration of a run that is done with those of the queue's other
+// tasks, and counts the difference for its endpoint.
+func (l *Leader) compareRun(r *run, completion Completion, took time.Duration) {
+	if r == nil || r.job == nil || completion.Checkpoint != "" || !r.showsSpeed() {
+		return
+	}
+	deviation := l.durationsOf(r.job.submission.Queue).ObserveRatio(r.step().Estimate, took)
+	r.endpoint.slowness.Observe(deviation)
+}
+
+// showsSpeed reports whether the duration of the run shows how fast its endpoint is: the
+// start is known, and nothing else than the endpoint has slowed the run down.
+func (r *run) showsSpeed() bool {
+	step := r.step()
+	return r.inheritedStopsEnd.IsZero() && r.endpoint.row.WarmUp == 0 && !step.Persistent && !step.Gang && !step.BestEffort
+}
--- a/internal/fleet/endpointstate.go
+++ b/internal/fleet/endpointstate.go
@@ -7,6 +7,7 @@
 
 	"github.com/lovagedyke/lovagedyke/internal/job"
 	"github.com/lovagedyke/lovagedyke/internal/policy"
+	"github.com/lovagedyke/lovagedyke/internal/runtimes"
 )
 
 const (
@@ -107,6 +108,8 @@
 	// leaving is true while the host is drained for a move or maintenance.
 	leaving  bool
 	throttle throttleState
+	// slowness compares the durations of this incarnation's runs with those of its peers.
+	slowness runtimes.Slowness
 }
 
 // failureStreak tracks consecutive failures on an endpoint.
--- a/internal/fleet/incarnation.go
+++ b/internal/fleet/incarnation.go
@@ -2,6 +2,8 @@
 
 import (
 	"time"
+
+	"github.com/lovagedyke/lovagedyke/internal/runtimes"
 )
 
 // isKnown reports whether the endpoint's current incarnation has reported under the
@@ -107,4 +109,5 @@
 	e.lastRead, e.ackable, e.acked, e.unpersisted = 0, 0, 0, nil
 	e.failureStreak = failureStreak{}
 	e.endedUnanswered = nil
+	e.slowness = runtimes.Slowness{}
 }
--- a/internal/runtimes/model.go
+++ b/internal/runtimes/model.go
@@ -32,11 +32,12 @@
 	// their products.
 	weight, estimate, took, estimateSquared, estimateTook, tookSquared float64
 	ratios                                                             *ratios
+	peers                                                              peers
 }
 
 // New returns a model without observations.
 func New(Config) *Model {
-	return &Model{ratios: newRatios()}
+	return &Model{ratios: newRatios(), peers: newPeers()}
 }
 
 // Observe adds a task's estimate and its actual duration.
@@ -55,12 +56,12 @@
 }
 
 // ObserveRatio adds the ratio of the duration of a run that executed its whole task to its
-// prediction. It is called before Observe, so that the prediction does not know the task.
-func (m *Model) ObserveRatio(estimate, took time.Duration) {
-	if took <= 0 {
-		return
-	}
-	m.ratios.observe(math.Log(took.Seconds() / m.Median(estimate).Seconds()))
+// prediction, and returns by how much it deviates from others. It is called before Observe,
+// so that the prediction does not know the task.
+func (m *Model) ObserveRatio(estimate, took time.Duration) Deviation {
+	logRatio := math.Log(max(took, time.Millisecond).Seconds() / m.Median(estimate).Seconds())
+	m.ratios.observe(logRatio)
+	return m.peers.observe(logRatio)
 }
 
 // fitLine returns the fitted line: the mean estimate, the mean duration and the slope.
