runtimes, fleet: a run is stopped for its endpoint, not for being long

A run was stopped once it had lasted 2.5 times its siblings' median, or five times its prediction.

runtimes.Decide weighs the expected rest of the run on its endpoint against the expected whole of a new run, which has to repeat what this one has done, and the restart. It stops a run that has exceeded the former limit only with evidence against the endpoint: neither the run's CPU usage or checkpoint nor the end of another task shows progress, or the endpoint's tasks or the reported speed are slower than its peers'. Signs of progress are judged as of the endpoint's newest report. If an endpoint reports work, but ends nothing while three runs are overdue, it counts as standing still after 1.5 times what 99% of the tasks take. A run that lasts ten times as long as 99.9% is stopped without evidence, since it may stand still unseen. A speculative step gets a copy once a new run is expected to end earlier. The log line says the inputs, also when a run is kept.

--- a/internal/fleet/completion.go
+++ b/internal/fleet/completion.go
@@ -43,6 +43,9 @@
 			e.endedUnanswered[key] = true
 		}
 		l.untrackRun(r)
+		if completion.Kind == CompletionDone {
+			e.endedAt, e.overdueSinceEnd = now, 0
+		}
 	}
 	j := l.jobs[completion.Task.Job]
 	if j == nil {
--- a/internal/fleet/durations.go
+++ b/internal/fleet/durations.go
@@ -38,3 +38,17 @@
 	step := r.step()
 	return r.inheritedStopsEnd.IsZero() && r.endpoint.row.WarmUp == 0 && !step.Persistent && !step.Gang && !step.BestEffort
 }
+
+// noteActivity notes what a report says about the run's progress.
+func (r *run) noteActivity(running RunningTask, now time.Time) {
+	used := running.CPU
+	if r.job != nil && r.step().TailTarget > 0 {
+		// The figure is a latency.
+		used = 0
+	}
+	r.activity.Report(now, running.SpeedPercent, used, running.Checkpoint != "" && running.Checkpoint != r.checkpoint)
+	r.endpoint.reportsWork = r.endpoint.reportsWork || used > 0
+	if r.activity.WorkedAt().Equal(now) {
+		r.endpoint.workedAt = now
+	}
+}
--- a/internal/fleet/endpointstate.go
+++ b/internal/fleet/endpointstate.go
@@ -110,6 +110,13 @@
 	throttle throttleState
 	// slowness compares the durations of this incarnation's runs with those of its peers.
 	slowness runtimes.Slowness
+	// workedAt is when the endpoint last reported that a run works, endedAt when it last
+	// reported a task as done.
+	workedAt, endedAt time.Time
+	// overdueSinceEnd counts the runs that were replaced as overdue since endedAt.
+	overdueSinceEnd int
+	// reportsWork is true once the endpoint has reported a run's CPU usage.
+	reportsWork bool
 }
 
 // failureStreak tracks consecutive failures on an endpoint.
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -111,6 +111,7 @@
 	storeReturnedAt time.Time
 	// overdueCheckedAt is when overdue runs were last searched for.
 	overdueCheckedAt time.Time
+	overdue          OverdueCounts
 	// live holds the jobs that have not ended; jobs also keeps those that have, to report
 	// their states.
 	live map[job.ID]*jobState
--- a/internal/fleet/incarnation.go
+++ b/internal/fleet/incarnation.go
@@ -109,5 +109,5 @@
 	e.lastRead, e.ackable, e.acked, e.unpersisted = 0, 0, 0, nil
 	e.failureStreak = failureStreak{}
 	e.endedUnanswered = nil
-	e.slowness = runtimes.Slowness{}
+	e.slowness, e.reportsWork, e.overdueSinceEnd = runtimes.Slowness{}, false, 0
 }
--- a/internal/fleet/overdue_test.go
+++ b/internal/fleet/overdue_test.go
@@ -79,3 +79,65 @@
 		t.Errorf("orders: got %d stops and %d starts, want 1 and 0", len(orders.Stops), len(orders.Starts))
 	}
 }
+
+// Guards against runs that are discarded since their task is long by itself, and against
+// signs of a run that stands still that are overlooked. One of three tasks of a step goes on
+// after the others have ended.
+func TestLongRuns(t *testing.T) {
+	const full, none = 100, 0
+	cases := map[string]struct {
+		percent int
+		cpu     int64
+		// otherCPU is what a run of another job on the endpoint uses, or none if there is none.
+		otherCPU int64
+		age      time.Duration
+		stops    int
+	}{
+		"works":                  {percent: full, cpu: 800, age: 6 * time.Second},
+		"works beside another":   {percent: full, cpu: 800, otherCPU: 500, age: 6 * time.Second},
+		"uses no CPU":            {percent: full, cpu: none, age: 4 * time.Second, stops: 1},
+		"has no speed":           {percent: none, cpu: none, age: 4 * time.Second, stops: 1},
+		"alone uses no CPU":      {percent: full, cpu: none, otherCPU: 500, age: 5 * time.Second, stops: 1},
+		"at a tenth of speed":    {percent: 10, cpu: 80, age: 4 * time.Second, stops: 1},
+		"about to end at a half": {percent: 50, cpu: 400, age: 4 * time.Second},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			s := newSimulation(t, simulationConfig{})
+			s.addEndpoint("a")
+			s.addEndpoint("b")
+			s.submit(submission(1, tasks(3)))
+			starts := s.step().Starts
+			s.acceptStarts()
+			if c.otherCPU > 0 {
+				other := tasks(1)
+				other.Estimate = time.Hour
+				s.submit(submission(2, other))
+				s.step()
+				s.acceptStarts()
+			}
+			for passed := time.Duration(0); passed < c.age; passed += 500 * time.Millisecond {
+				s.advance(500 * time.Millisecond)
+				if passed == 500*time.Millisecond {
+					s.endRun(starts[1], fleet.CompletionDone)
+					s.endRun(starts[2], fleet.CompletionDone)
+				}
+				for i := range s.running["a"] {
+					running := &s.running["a"][i]
+					running.SpeedPercent, running.CPU = c.percent, c.cpu
+					if running.Task.Job != starts[0].Task.Job {
+						running.SpeedPercent, running.CPU = full, c.otherCPU
+					}
+				}
+				s.renewLease("a")
+				s.renewLease("b")
+				s.writeBatches()
+			}
+			s.wantOrders("after "+c.age.String(), 0, c.stops)
+			want := fleet.OverdueCounts{Stopped: c.stops, Kept: 1 - c.stops}
+			if got := s.leader.OverdueCounts(); got != want {
+				t.Errorf("counts of overdue runs: got %+v, want %+v", got, want)
+			}
+		})
+	}
+}
--- a/internal/fleet/renewal.go
+++ b/internal/fleet/renewal.go
@@ -272,6 +272,7 @@
 		r.answeredAt = now
 	}
 	r.reported, r.seenAt, r.verdict = true, sentAt, notInvolved
+	r.noteActivity(running, now)
 	if running.Checkpoint != "" {
 		r.checkpoint = running.Checkpoint
 	}
--- a/internal/fleet/run.go
+++ b/internal/fleet/run.go
@@ -6,6 +6,7 @@
 
 	"github.com/lovagedyke/lovagedyke/internal/job"
 	"github.com/lovagedyke/lovagedyke/internal/policy"
+	"github.com/lovagedyke/lovagedyke/internal/runtimes"
 )
 
 // runKey identifies a run of a task.
@@ -77,6 +78,10 @@
 	// reason is why the run is being stopped, for the journal.
 	reason       string
 	speedPercent int
+	// activity is what reports say about the run's progress.
+	activity runtimes.Activity
+	// isKeptLogged is true once the journal says that the run is overdue and kept.
+	isKeptLogged bool
 	checkpoint   string
 	// percent is the throttle that was ordered.
 	percent     int
--- a/internal/runtimes/ratios.go
+++ b/internal/runtimes/ratios.go
@@ -24,6 +24,14 @@
 // counts in bins of equal width in the logarithm.
 type ratios [ratioBins]float64
 
+// binRatios holds the smallest ratio of each bin, and the largest one of the last.
+var binRatios = func() (edges [ratioBins + 1]float64) {
+	for bin := range edges {
+		edges[bin] = math.Exp(binEdge(bin))
+	}
+	return edges
+}()
+
 // newRatios returns the prior distribution.
 func newRatios() *ratios {
 	var r ratios
@@ -68,15 +76,15 @@
 func (r *ratios) remainingMean(ratio float64) float64 {
 	weight, sum := 0.0, 0.0
 	for bin, count := range r {
-		low, high := math.Exp(binEdge(bin)), math.Exp(binEdge(bin+1))
+		low, high := binRatios[bin], binRatios[bin+1]
 		if high <= ratio {
 			continue
 		}
 		// Within a bin, the logarithm is taken for evenly distributed.
-		low = max(low, ratio)
-		width := math.Log(high / low)
-		if width <= 0 {
-			continue
+		width := ratioBinWidth
+		if low < ratio {
+			low = ratio
+			width = math.Log(high / low)
 		}
 		part := count * width / ratioBinWidth
 		weight += part
