fleet: an endpoint that is slower than its peers gets work last

Of endpoints of equal standing the fullest was chosen, also if its tasks take four times as long. Slowness weighs more than fullness, and less than each of the other reasons.

TestSlowEndpointsRankLast/slow failed (the start was on the slow endpoint) and passes; a slow endpoint still gets a task that fits nowhere else.

--- a/internal/fleet/placement.go
+++ b/internal/fleet/placement.go
@@ -93,11 +93,14 @@
 	scoreAffinity   = 100
 	scorePersistent = 10
 	scoreCold       = -50
+	// scoreSlow is for an endpoint that is slower than its peers. That is a risk, and less than
+	// any other reason.
+	scoreSlow = -2
 )
 
 // score prefers, in this order, endpoints on which the task has not failed or been
 // overdue, that are on the step's preferred rack, that are warmed up, that must stay in the pool for
-// their persistent tasks, and that are fullest.
+// their persistent tasks, that are not slower than their peers, and that are fullest.
 func (g taskGroup) score(task job.Task, candidate *candidateEndpoint) float64 {
 	e := candidate.endpoint
 	score := 0.0
@@ -113,5 +116,8 @@
 	if e.row.WarmUp > 0 {
 		score += scoreCold
 	}
+	if e.slowness.Factor() > 1 {
+		score += scoreSlow
+	}
 	return score + 1 - float64(candidate.available.CPU)/float64(max(1, e.row.Capacity.CPU))
 }
