--- a/internal/control/term.go
+++ b/internal/control/term.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -68,8 +69,9 @@
 	hostOrders          chan hostOrder
 	adviceRequests      chan fleet.AdviceRequest
 	lookups             chan job.ID
-	// crashes holds the leader's counts that the metrics show already.
+	// crashes and overdue hold the leader's counts that the metrics show already.
 	crashes fleet.CrashCounts
+	overdue fleet.OverdueCounts
 }
 
 func newTerm(ctx context.Context, c *Control, claim record.Claim, version uint64) *term {
@@ -234,6 +236,7 @@
 		t.queueOrders(t.leader.Step(started, started))
 		t.recordMaxHostResources()
 		t.countCrashes()
+		t.countOverdue()
 	})
 	metrics.GetOrCreateHistogram("leader_step_seconds").UpdateDuration(started)
 	return time.Since(started)
@@ -257,6 +260,18 @@
 	t.crashes = counts
 }
 
+// countOverdue adds the overdue runs since the last call to the metrics; t.mu must be held.
+func (t *term) countOverdue() {
+	counts := t.leader.OverdueCounts()
+	add := func(decision string, count int) {
+		metrics.GetOrCreateCounter(fmt.Sprintf("runs_overdue_total{decision=%q}", decision)).Add(count)
+	}
+	add("stopped", counts.Stopped-t.overdue.Stopped)
+	add("copied", counts.Copied-t.overdue.Copied)
+	add("kept", counts.Kept-t.overdue.Kept)
+	t.overdue = counts
+}
+
 // queueOrders queues the orders of a step; t.mu must be held.
 func (t *term) queueOrders(orders fleet.Orders) {
 	t.syncSessions()
