control: a test of runs_overdue_total; runtimes: an endpoint's factor is kept

Nothing showed that the metric takes the leader's totals for totals. Placement computed an exponential and a root for each endpoint and task: Slowness computes them once for each task that ends. TestOverdueRunsAreCounted passes; go test -race passes in internal/control and internal/runtimes.

--- a/internal/control/load_test.go
+++ b/internal/control/load_test.go
@@ -2,9 +2,12 @@
 
 import (
 	"context"
+	"slices"
 	"testing"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
+
 	"github.com/lovagedyke/lovagedyke/internal/fleet"
 	"github.com/lovagedyke/lovagedyke/internal/job"
 	"github.com/lovagedyke/lovagedyke/internal/policy"
@@ -128,3 +131,20 @@
 		t.Error("the answer to a hello waits while the leader decides")
 	}
 }
+
+// Guards against overdue runs that the metrics count twice, or lack: the leader's counts are
+// totals of its term.
+func TestOverdueRunsAreCounted(t *testing.T) {
+	count := func(decision string) uint64 {
+		return metrics.GetOrCreateCounter(`runs_overdue_total{decision="` + decision + `"}`).Get()
+	}
+	before := []uint64{count("stopped"), count("copied"), count("kept")}
+	term := &term{}
+	for _, counts := range []fleet.OverdueCounts{{Stopped: 1, Copied: 2, Kept: 3}, {Stopped: 1, Copied: 3, Kept: 5}} {
+		term.countOverdue(counts)
+	}
+	got := []uint64{count("stopped") - before[0], count("copied") - before[1], count("kept") - before[2]}
+	if want := []uint64{1, 3, 5}; !slices.Equal(got, want) {
+		t.Errorf("overdue runs stopped, copied and kept: got %v, want %v", got, want)
+	}
+}
--- a/internal/control/term.go
+++ b/internal/control/term.go
@@ -236,7 +236,7 @@
 		t.queueOrders(t.leader.Step(started, started))
 		t.recordMaxHostResources()
 		t.countCrashes()
-		t.countOverdue()
+		t.countOverdue(t.leader.OverdueCounts())
 	})
 	metrics.GetOrCreateHistogram("leader_step_seconds").UpdateDuration(started)
 	return time.Since(started)
@@ -260,9 +260,9 @@
 	t.crashes = counts
 }
 
-// countOverdue adds the overdue runs since the last call to the metrics; t.mu must be held.
-func (t *term) countOverdue() {
-	counts := t.leader.OverdueCounts()
+// countOverdue adds what the leader has counted since the last call to the metrics; t.mu must
+// be held.
+func (t *term) countOverdue(counts fleet.OverdueCounts) {
 	add := func(decision string, count int) {
 		metrics.GetOrCreateCounter(fmt.Sprintf("runs_overdue_total{decision=%q}", decision)).Add(count)
 	}
--- a/internal/runtimes/slowness.go
+++ b/internal/runtimes/slowness.go
@@ -52,6 +52,9 @@
 	// Decayed sums of the weights, of the deviations, and of their variances by the squares
 	// of the weights.
 	weight, sum, variance float64
+	// factor is what Factor returns, or 0 before the first task: placement asks for it more
+	// often than tasks end.
+	factor float64
 }
 
 // Observe adds a task that the endpoint has executed as a whole.
@@ -60,6 +63,7 @@
 	s.weight = s.weight*slownessDecay + 1
 	s.sum = s.sum*slownessDecay + d.log
 	s.variance = s.variance*slownessDecay*slownessDecay + d.variance
+	s.factor = s.leastFactor()
 }
 
 // Mean returns the factor by which the endpoint's tasks have taken longer than its peers',
@@ -74,6 +78,11 @@
 // Factor returns the factor by which the endpoint is at least slower than its peers, or 1 if
 // that may be chance.
 func (s *Slowness) Factor() float64 {
+	return max(1, s.factor)
+}
+
+// leastFactor computes Factor.
+func (s *Slowness) leastFactor() float64 {
 	if s.tasks < minSlownessTasks {
 		return 1
 	}
