--- a/internal/control/term.go
+++ b/internal/control/term.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -70,9 +71,9 @@
 	lookups             chan job.ID
 	// evacuationsAsOf is the version of the set of evacuated data centres that the leader has.
 	evacuationsAsOf uint64
-	// crashes holds the leader's counts that the metrics show already.
-	crashes fleet.CrashCounts
-	// deferredJobs is the same for the jobs that were deferred.
+	// crashes, overdue and deferredJobs hold the leader's counts that the metrics show already.
+	crashes      fleet.CrashCounts
+	overdue      fleet.OverdueCounts
 	deferredJobs int
 }
 
@@ -240,6 +241,7 @@
 		t.queueOrders(t.leader.Step(started, started))
 		t.recordMaxHostResources()
 		t.countDecisions()
+		t.countOverdue(t.leader.OverdueCounts())
 	})
 	metrics.GetOrCreateHistogram("leader_step_seconds").UpdateDuration(started)
 	return time.Since(started)
@@ -277,6 +279,18 @@
 	t.deferredJobs = deferred
 }
 
+// countOverdue adds what the leader has counted since the last call to the metrics; t.mu must
+// be held.
+func (t *term) countOverdue(counts fleet.OverdueCounts) {
+	add := func(decision string, count int) {
+		metrics.GetOrCreateCounter(fmt.Sprintf("runs_overdue_total{decision=%q}", decision)).Add(count)
+	}
+	add("stopped", counts.Stopped-t.overdue.Stopped)
+	add("copied", counts.Copied-t.overdue.Copied)
+	add("kept", counts.Kept-t.overdue.Kept)
+	t.overdue = counts
+}
+
 // queueOrders queues the orders of a step; t.mu must be held.
 func (t *term) queueOrders(orders fleet.Orders) {
 	t.syncSessions()
--- a/internal/fleet/completion.go
+++ b/internal/fleet/completion.go
@@ -43,6 +43,9 @@
 			e.endedUnanswered[key] = true
 		}
 		l.untrackRun(r)
+		if completion.Kind == CompletionDone {
+			e.endedAt, e.overdueSinceEnd = now, 0
+		}
 	}
 	j := l.jobs[completion.Task.Job]
 	if j == nil {
@@ -56,6 +59,7 @@
 		"endpoint", e.row.ID, "how", string(completion.Kind), "took", took.Round(time.Millisecond).String())
 	switch completion.Kind {
 	case CompletionDone:
+		l.compareRun(r, completion, took)
 		return l.taskDone(e, j, completion, took, now)
 	case CompletionFailed:
 		return l.taskFailed(e, j, completion, now)
@@ -80,7 +84,7 @@
 	}
 	if opened := j.steps[key]; opened != nil && took > 0 {
 		opened.took = append(opened.took, took)
-		l.durationsOf(j.submission.Queue).observe(step.Estimate, took)
+		l.durationsOf(j.submission.Queue).Observe(step.Estimate, took)
 	}
 	indexes := []int{completion.Task.Index}
 	if step.Gang {
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -6,6 +6,7 @@
 	"github.com/lovagedyke/lovagedyke/internal/job"
 	"github.com/lovagedyke/lovagedyke/internal/overload"
 	"github.com/lovagedyke/lovagedyke/internal/policy"
+	"github.com/lovagedyke/lovagedyke/internal/runtimes"
 )
 
 const (
@@ -88,7 +89,7 @@
 	hosts            hosts
 	evacuations      evacuations
 	arrivalHistories map[string]*arrivalHistory
-	durations        map[string]*durations
+	durations        map[string]*runtimes.Model
 	// sizes compares, by queue, the capacity that jobs need.
 	sizes map[string]*overload.Sizes
 	// deferredJobs counts the jobs that were deferred for others.
@@ -118,6 +119,7 @@
 	storeReturnedAt time.Time
 	// overdueCheckedAt is when overdue runs were last searched for.
 	overdueCheckedAt time.Time
+	overdue          OverdueCounts
 	// live holds the jobs that have not ended; jobs also keeps those that have, to report
 	// their states.
 	live map[job.ID]*jobState
@@ -139,7 +141,7 @@
 		endpoints: map[EndpointID]*endpoint{}, jobs: map[job.ID]*jobState{}, live: map[job.ID]*jobState{}, inUse: map[string]policy.Resources{},
 		pendingCancels: map[job.ID]time.Time{},
 		lookups:        map[job.ID]lookup{}, lateStarts: map[EndpointID]map[runKey]lateStart{}, heldTasks: map[job.Task]int{}, shareBuckets: map[string]*tokenBucket{},
-		hosts: newHosts(), arrivalHistories: map[string]*arrivalHistory{}, durations: map[string]*durations{}, sizes: map[string]*overload.Sizes{}, writeQueue: newWriteQueue(),
+		hosts: newHosts(), arrivalHistories: map[string]*arrivalHistory{}, durations: map[string]*runtimes.Model{}, sizes: map[string]*overload.Sizes{}, writeQueue: newWriteQueue(),
 	}
 	return leader
 }
