--- a/internal/fleet/overdue.go
+++ b/internal/fleet/overdue.go
@@ -83,8 +83,8 @@
 	}
 	return runtimes.Run{
 		Age: now.Sub(r.orderedAt), Usual: usual, Limit: limit, IsSpeculative: r.step().Speculative,
-		Slowness: e.slowness.Factor(), Speed: r.activity.Speed(),
-		Idle: idleSince(r.activity.WorkedAt()), EndpointIdle: idleSince(e.workedAt, e.endedAt), SinceEnd: sinceEnd,
+		Slowness: e.slowness.Factor(),
+		Idle:     idleSince(r.activity.WorkedAt()), EndpointIdle: idleSince(e.workedAt, e.endedAt), SinceEnd: sinceEnd,
 		ReportsWork: e.reportsWork, OverdueBeside: beside,
 	}
 }
@@ -157,6 +157,6 @@
 	l.log("run overdue", "job", task.Job, "step", task.Step, "index", task.Index, "run", r.key.run, "endpoint", r.endpoint.row.ID,
 		"decision", string(decision.Action), "copied", decision.Action == runtimes.Copy, "cause", decision.Reason, "age", round(known.Age), "limit", round(known.Limit),
 		"expected-rest", round(decision.Rest), "expected-new-run", round(decision.NewRun), "usual", round(known.Usual),
-		"endpoint-slowness", hundredths(known.Slowness), "speed", hundredths(known.Speed), "idle", round(known.Idle), "endpoint-idle", round(known.EndpointIdle),
+		"endpoint-slowness", hundredths(known.Slowness), "idle", round(known.Idle), "endpoint-idle", round(known.EndpointIdle),
 		"overdue-beside", known.OverdueBeside)
 }
--- a/internal/runtimes/overdue.go
+++ b/internal/runtimes/overdue.go
@@ -28,8 +28,6 @@
 	// runawayFactor times the duration that only a thousandth of the tasks exceeds is when a
 	// run is stopped without evidence against its endpoint: it may stand still unseen.
 	runawayFactor, runawayQuantile = 10, 0.999
-	// leastSpeed bounds how slow a run may be said to be.
-	leastSpeed = 0.01
 )
 
 // Action is what becomes of a run.
@@ -49,8 +47,6 @@
 	IsSpeculative     bool
 	// Slowness is the factor by which the endpoint is slower than its peers, at least 1.
 	Slowness float64
-	// Speed is the mean reported speed of the run as a fraction of full speed.
-	Speed float64
 	// Idle is for how long, until the endpoint's newest report, the run has shown no work.
 	// EndpointIdle is for how long none of the endpoint's runs has, and none has ended, and
 	// SinceEnd for how long none has ended.
@@ -91,7 +87,7 @@
 	if run.IsSpeculative {
 		return m.decideCopy(run)
 	}
-	factor := run.slowness()
+	factor := max(1, run.Slowness)
 	decision := m.expect(run, factor)
 	// What the run has done so far is what a new one would have to do again.
 	decision.NewRun += scale(run.Age, 1/factor)
@@ -116,7 +112,7 @@
 // beyond its limit needs no evidence against its endpoint. An earlier copy does: the task of a run
 // that is merely long is mostly as long elsewhere, and one of the two is discarded.
 func (m *Model) decideCopy(run Run) Decision {
-	factor := run.slowness()
+	factor := max(1, run.Slowness)
 	decision := m.expect(run, factor)
 	decision.NewRun = m.RemainingMean(0, run.Usual) + restartCost
 	reason := m.standstill(run)
@@ -138,15 +134,6 @@
 	return Decision{Action: Keep, Rest: scale(rest, factor), NewRun: rest + restartCost}
 }
 
-// slowness returns the factor by which the run is slower than on a sound endpoint.
-func (r Run) slowness() float64 {
-	factor := max(1, r.Slowness)
-	if reported := 1 / max(leastSpeed, r.Speed); reported >= minSlowness {
-		factor = max(factor, reported)
-	}
-	return factor
-}
-
 // standstill returns how an overdue run shows that it stands still, or "".
 func (m *Model) standstill(r Run) string {
 	switch {
