Configuration: evacuated data centres are rows under the revision

Cause: an operator cannot ask that nothing more starts in a data centre. Such a request must survive its manager and reach every process within the fresh bound, as a withdrawn key does.

Change: revision.State holds the evacuated data centres, one row config/evacuation/<data-centre> each, committed on the head row's version and the manager's place in the roster, pushed and polled like any change. A row with an unreadable value is in force, since its key names the data centre; one that names none is ignored; both are logged and stop nothing else from loading. A repeated request keeps its start. Edits of catalogue and keys now change the state that they are given, since a state built anew would drop evacuations.

Measured: TestEvacuationChanges, TestMalformedEvacuationRows and TestIsEvacuated pass; the types did not exist before. With Apply dropping the evacuations TestEvacuationChanges stays green (it reads the table) and TestChangesReplayToLoadedState fails; with an unreadable value skipped TestMalformedEvacuationRows fails in three cases. go test -race passes in internal/revision; internal/node has no tests of its own.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -100,6 +100,8 @@
 
 	mu    sync.Mutex
 	peers map[roster.Identity]*peerView
+	// loggedEvacuations is the configuration whose evacuations were logged last.
+	loggedEvacuations revision.State
 
 	exchanges sync.WaitGroup
 	// urgentUntil is the end of urgent gossip after a roster change, in
--- a/internal/node/poll.go
+++ b/internal/node/poll.go
@@ -86,6 +86,7 @@
 	}
 	if n.configuration.Update(state) {
 		n.config.Log.Info("configuration in force", "revision", state.Revision, "source", "table")
+		n.LogEvacuations("table")
 	}
 	return nil
 }
--- a/internal/node/service.go
+++ b/internal/node/service.go
@@ -37,6 +37,7 @@
 	change := peer.Change(request)
 	if s.node.configuration.ApplyChange(change) {
 		s.node.config.Log.Info("configuration in force", "revision", change.Revision, "source", "push")
+		s.node.LogEvacuations("push")
 	} else if change.Revision > s.node.configuration.View().State.Revision {
 		s.node.PollNow()
 	}
--- a/internal/node/snapshot.go
+++ b/internal/node/snapshot.go
@@ -25,6 +25,8 @@
 	Teams      int       `json:"teams"`
 	Entries    int       `json:"entries"`
 	Keys       int       `json:"keys"`
+	// Evacuated lists the evacuated data centres.
+	Evacuated []string `json:"evacuated"`
 }
 
 // Snapshot returns the node's current state.
@@ -38,7 +40,7 @@
 		Configuration: ConfigurationSnapshot{
 			Revision: view.State.Revision, Fresh: view.Fresh(time.Now()), FreshUntil: view.FreshUntil,
 			Teams: len(view.State.Catalogue.Teams), Entries: len(view.State.Catalogue.Entries),
-			Keys: len(view.State.Keys.Keys()),
+			Keys: len(view.State.Keys.Keys()), Evacuated: append([]string{}, view.State.EvacuatedDataCentres()...),
 		},
 		Peers:   n.Peers(),
 		Permits: n.ledger.Snapshot(),
--- a/internal/operator/catalogue.go
+++ b/internal/operator/catalogue.go
@@ -41,7 +41,8 @@
 	var changes []catalogue.Change
 	edit := func(current revision.State) (revision.State, error) {
 		changes = catalogue.Diff(current.Catalogue, desired)
-		return revision.State{Catalogue: desired, Keys: withdrawOrphanedKeys(current.Keys, desired)}, nil
+		current.Catalogue, current.Keys = desired, withdrawOrphanedKeys(current.Keys, desired)
+		return current, nil
 	}
 	op := revision.Operation{ID: request.Operation, Digest: digest(catalogue.Format(desired)), Expected: request.Expected}
 	change, err := h.commit(r.Context(), op, edit)
@@ -93,7 +94,8 @@
 		next := current.Catalogue.Clone()
 		delete(next.Entries, name)
 		changes = catalogue.Diff(current.Catalogue, next)
-		return revision.State{Catalogue: next, Keys: current.Keys}, nil
+		current.Catalogue = next
+		return current, nil
 	}
 	change, err := h.commit(r.Context(), op, edit)
 	if err != nil {
--- a/internal/operator/keys.go
+++ b/internal/operator/keys.go
@@ -48,7 +48,8 @@
 		if existing, exists := current.Keys.Get(key.ID); exists {
 			return current, checkSameKey(existing, key)
 		}
-		return revision.State{Catalogue: current.Catalogue, Keys: current.Keys.With(key)}, nil
+		current.Keys = current.Keys.With(key)
+		return current, nil
 	}
 	op := revision.Operation{ID: request.Operation, Digest: digest(slices.Concat([]byte("give key "+key.ID+key.Team), key.Hash))}
 	change, err := h.commit(r.Context(), op, edit)
@@ -85,7 +86,8 @@
 			return current, unknownNameProblem("id", id, nil)
 		}
 		key.Withdrawn = true
-		return revision.State{Catalogue: current.Catalogue, Keys: current.Keys.With(key)}, nil
+		current.Keys = current.Keys.With(key)
+		return current, nil
 	}
 	change, err := h.commit(r.Context(), op, edit)
 	if err != nil {
--- a/internal/revision/state.go
+++ b/internal/revision/state.go
@@ -21,6 +21,8 @@
 	teamPrefix    = Prefix + "team/"
 	entryPrefix   = Prefix + "entry/"
 	keyPrefix     = Prefix + "key/"
+
+	evacuationPrefix = Prefix + "evacuation/"
 )
 
 // State is the configuration at one revision. It is immutable. Revision 0 is
@@ -29,11 +31,16 @@
 	Revision  uint64
 	Catalogue catalogue.Catalogue
 	Keys      keyring.Keyring
+	// Evacuations holds the evacuated data centres by name.
+	Evacuations map[string]Evacuation
+	// Malformed lists the keys of evacuation rows that could not be read when
+	// the state was last loaded or changed.
+	Malformed []string
 }
 
 // Empty returns the state at revision 0.
 func Empty() State {
-	return State{Catalogue: catalogue.New(), Keys: keyring.Of()}
+	return State{Catalogue: catalogue.New(), Keys: keyring.Of(), Evacuations: make(map[string]Evacuation)}
 }
 
 // Rows returns the table's rows that represent the state, without the head.
@@ -54,6 +61,11 @@
 			return nil, err
 		}
 	}
+	for dataCentre, evacuation := range s.Evacuations {
+		if err := encodeRow(rows, evacuationPrefix+dataCentre, evacuation); err != nil {
+			return nil, err
+		}
+	}
 	return rows, nil
 }
 
@@ -104,7 +116,9 @@
 	case change.Base != state.Revision:
 		return state, false
 	default:
-		next = State{Catalogue: state.Catalogue.Clone(), Keys: state.Keys}
+		next = State{
+			Catalogue: state.Catalogue.Clone(), Keys: state.Keys, Evacuations: cloneEvacuations(state.Evacuations),
+		}
 	}
 	if err := next.applyRows(change.Rows); err != nil {
 		return state, false
@@ -129,6 +143,8 @@
 		case strings.TrimPrefix(keyPrefix, Prefix):
 			removed = append(removed, name)
 			err = applyTo(keys, name, row)
+		case strings.TrimPrefix(evacuationPrefix, Prefix):
+			s.applyEvacuation(name, row)
 		default:
 			err = fmt.Errorf("row %q has an unknown kind", row.Key)
 		}
@@ -155,8 +171,8 @@
 	return nil
 }
 
-// diff returns the change from before to after as the next revision. Entries
-// and keys that differ are given that revision.
+// diff returns the change from before to after as the next revision. Entries,
+// keys and evacuations that differ are given that revision.
 func diff(before, after State) (Change, error) {
 	change := Change{Base: before.Revision, Revision: before.Revision}
 	old, err := before.Rows()
@@ -184,11 +200,11 @@
 	return change, nil
 }
 
-// withRevisions sets the revision of each entry and key: the old one if nothing
-// else differs, otherwise the one that follows before's.
+// withRevisions sets the revision of each entry, key and evacuation: the old one
+// if nothing else differs, otherwise the one that follows before's.
 func (s State) withRevisions(before State) State {
 	next := before.Revision + 1
-	out := State{Catalogue: s.Catalogue.Clone(), Keys: s.Keys}
+	out := State{Catalogue: s.Catalogue.Clone(), Keys: s.Keys, Evacuations: s.evacuationsWithRevisions(before)}
 	changed := make(map[string]bool)
 	for _, change := range catalogue.Diff(before.Catalogue, s.Catalogue) {
 		changed[change.Name] = changed[change.Name] || change.Kind != "team"
--- a/internal/revision/transaction_test.go
+++ b/internal/revision/transaction_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"reflect"
 	"testing"
+	"time"
 
 	"github.com/cockroachdb/errors"
 	"pgregory.net/rapid"
@@ -56,7 +57,8 @@
 	c := state.Catalogue.Clone()
 	team := c.Teams["a"]
 	c.Teams["a"] = catalogue.Team{Name: "a", UpperLimit: team.UpperLimit + 1, Share: 1}
-	return revision.State{Catalogue: c, Keys: state.Keys}, nil
+	state.Catalogue = c
+	return state, nil
 }
 
 func TestOperationsApplyOnce(t *testing.T) {
@@ -162,9 +164,10 @@
 }
 
 func drawEdit(t *rapid.T, s revision.State, i int) revision.State {
-	next := revision.State{Catalogue: s.Catalogue.Clone(), Keys: s.Keys}
+	next := s
+	next.Catalogue = s.Catalogue.Clone()
 	name := rapid.SampledFrom([]string{"a", "b"}).Draw(t, "name")
-	switch rapid.IntRange(0, 4).Draw(t, "edit") {
+	switch rapid.IntRange(0, 6).Draw(t, "edit") {
 	case 0:
 		next.Catalogue.Teams[name] = catalogue.Team{Name: name, UpperLimit: i, Share: 1}
 	case 1:
@@ -175,6 +178,10 @@
 		next.Keys = next.Keys.With(keyring.Key{ID: name, Team: name, Hash: []byte{1}, Withdrawn: i%2 == 0})
 	case 4:
 		delete(next.Catalogue.Teams, name)
+	case 5:
+		next = next.WithEvacuation(name, time.Unix(int64(i), 0))
+	case 6:
+		next = next.WithoutEvacuation(name)
 	}
 	return next
 }
