Operators API and command for evacuations; hosts there move to no busy pool

Cause: a manager has no call that evacuates a data centre, and moves its hosts as if they were capacity.

Change: PUT and DELETE /v1/evacuations/<data-centre> commit the request under the revision and answer as other changes of the configuration do; GET /v1/evacuations lists since when, the hosts, the requests and tasks that may still run there, and the processes that have not confirmed it. Package client and `lovagedyke evacuate start|stop|list` call them. An unknown data centre is refused with the known ones; a repeat and a withdrawal of none change nothing; without the table the call is refused as not run; evacuating the last data centre is accepted with a warning. Managers report their tasks on evacuated hosts to each other in the existing confirmations of hosts. A host of the data centre moves only to a pool without entries, and a move that is under way into another pool waits.

--- a/cmd/lovagedyke/cmd_test.go
+++ b/cmd/lovagedyke/cmd_test.go
@@ -13,8 +13,10 @@
 	"path/filepath"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/lovagedyke/lovagedyke/internal/operator"
+	"github.com/lovagedyke/lovagedyke/internal/pool"
 	"github.com/lovagedyke/lovagedyke/internal/revision"
 	"github.com/lovagedyke/lovagedyke/internal/table"
 	"github.com/lovagedyke/lovagedyke/pkg/api"
@@ -52,6 +54,36 @@
 	return nil, nil
 }
 
+// fakeHosts is one host in the data centre west, which runs a request and two
+// tasks.
+type fakeHosts struct {
+	store table.Store
+}
+
+func (fakeHosts) Hosts(context.Context) ([]api.Host, error) {
+	return []api.Host{{Name: "host-1", DataCentre: "west", Pool: "p"}}, nil
+}
+
+func (fakeHosts) DrainHost(context.Context, string, pool.Purpose, string) (api.Host, error) {
+	return api.Host{}, operator.ErrNotFound
+}
+
+func (fakeHosts) ReturnHost(context.Context, string) (api.Host, error) {
+	return api.Host{}, operator.ErrNotFound
+}
+
+func (h fakeHosts) Evacuations(ctx context.Context) ([]api.Evacuation, error) {
+	state, err := revision.Load(ctx, h.store)
+	var evacuations []api.Evacuation
+	for _, dataCentre := range state.EvacuatedDataCentres() {
+		evacuations = append(evacuations, api.Evacuation{
+			DataCentre: dataCentre, Since: time.Unix(0, 0), Missing: []string{"entry-2"},
+			Hosts: []api.EvacuatedHost{{Name: "host-1", Pool: "p", Requests: 1, Tasks: 2}},
+		})
+	}
+	return evacuations, err
+}
+
 // testCLI runs commands against the operators' API of one in-memory manager.
 type testCLI struct {
 	store       *table.Memory
@@ -71,6 +103,7 @@
 	})
 	server := httptest.NewServer(operator.New(operator.Config{
 		Store: c.store, Committer: committer, Fleet: c.fleet, Records: c.fleet,
+		Hosts: fakeHosts{store: c.store}, Evacuations: fakeHosts{store: c.store},
 		Keys: func() [][]byte { return [][]byte{[]byte(testKey)} },
 	}))
 	t.Cleanup(server.Close)
@@ -144,6 +177,66 @@
 	}
 }
 
+// Guards against a command that reports a change that was not made, hides that no
+// data centre is left, or hides a process that the request has not reached.
+func TestEvacuateCommands(t *testing.T) {
+	tests := map[string]struct {
+		before   [][]string
+		faults   table.Faults
+		missing  bool
+		args     []string
+		wantCode int
+		want     string
+	}{
+		"start": {
+			args: []string{"evacuate", "start", "-wait", "1s", "west"}, wantCode: exitOK, want: "in force on all 1 processes",
+		},
+		"all are evacuated": {
+			args: []string{"evacuate", "start", "west"}, wantCode: exitOK, want: "warning: all data centres are evacuated",
+		},
+		"start again": {
+			before: [][]string{{"evacuate", "start", "west"}},
+			args:   []string{"evacuate", "start", "west"}, wantCode: exitOK, want: "nothing to change, revision 1",
+		},
+		"unknown data centre": {
+			args: []string{"evacuate", "start", "wets"}, wantCode: exitFailed, want: `"wets" is unknown: want "west"`,
+		},
+		"not confirmed": {
+			missing: true,
+			args:    []string{"evacuate", "start", "-wait", "50ms", "west"}, wantCode: exitNotInForce, want: "not confirmed by entry-1",
+		},
+		"table is down": {
+			faults: table.Faults{Down: true},
+			args:   []string{"evacuate", "start", "west"}, wantCode: exitUnavailable, want: "table is unavailable",
+		},
+		"stop": {
+			before: [][]string{{"evacuate", "start", "west"}},
+			args:   []string{"evacuate", "stop", "west"}, wantCode: exitOK, want: "accepted as revision 2",
+		},
+		"stop without a start": {
+			args: []string{"evacuate", "stop", "west"}, wantCode: exitOK, want: "nothing to change, revision 0",
+		},
+		"no data centre": {
+			args: []string{"evacuate", "start"}, wantCode: exitUsage, want: "want a data centre",
+		},
+		"list": {
+			before: [][]string{{"evacuate", "start", "west"}},
+			args:   []string{"evacuate", "list"}, wantCode: exitOK, want: "west         1970-01-01T00:00:00Z  1      1         2      entry-2",
+		},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			c := newTestCLI(t)
+			for _, args := range tc.before {
+				c.expect(t, exitOK, "", args...)
+			}
+			c.fleet.unconfirmed = tc.missing
+			c.store.SetFaults(tc.faults)
+			c.expect(t, tc.wantCode, tc.want, tc.args...)
+		})
+	}
+}
+
 func TestExitCodes(t *testing.T) {
 	tests := map[string]struct {
 		faults   table.Faults
--- a/cmd/lovagedyke/main.go
+++ b/cmd/lovagedyke/main.go
@@ -25,6 +25,7 @@
 	cmdKey,
 	cmdHost,
 	cmdWave,
+	cmdEvacuate,
 	cmdRoster,
 	cmdCharge,
 	cmdDump,
--- a/internal/manager/configuration.go
+++ b/internal/manager/configuration.go
@@ -51,6 +51,7 @@
 	for range maxFencedAttempts {
 		change, err = m.committer.Commit(ctx, op, edit)
 		if !errors.Is(err, revision.ErrFenced) {
+			m.node.LogEvacuations("commit")
 			return change, err
 		}
 		if err := m.node.RefreshRoster(ctx); err != nil {
--- a/internal/manager/hosts.go
+++ b/internal/manager/hosts.go
@@ -11,6 +11,7 @@
 	"github.com/lovagedyke/lovagedyke/internal/peer/peerpb"
 	"github.com/lovagedyke/lovagedyke/internal/platform"
 	"github.com/lovagedyke/lovagedyke/internal/pool"
+	"github.com/lovagedyke/lovagedyke/internal/revision"
 	"github.com/lovagedyke/lovagedyke/internal/roster"
 	"github.com/lovagedyke/lovagedyke/internal/table"
 	"github.com/lovagedyke/lovagedyke/pkg/api"
@@ -49,6 +50,7 @@
 // drainLoop collects the entries' confirmations and completes drains.
 func (m *Manager) drainLoop(ctx context.Context) {
 	drains := pool.NewDrainTracker()
+	evacuations := &evacuationObserver{}
 	ticker := time.NewTicker(drainInterval)
 	defer ticker.Stop()
 	for {
@@ -60,15 +62,16 @@
 			continue
 		case <-ticker.C:
 		}
-		if err := m.completeDrains(ctx, drains); err != nil && ctx.Err() == nil {
+		if err := m.completeDrains(ctx, drains, evacuations); err != nil && ctx.Err() == nil {
 			m.config.Log.Debug("could not complete drains", "reason", err.Error())
 		}
 	}
 }
 
 // completeDrains commits the end of each drain that this manager owns and that is
-// complete, and updates the shards' set of leaving workers.
-func (m *Manager) completeDrains(ctx context.Context, drains *pool.DrainTracker) error {
+// complete, and updates the shards' set of leaving workers and the count of tasks
+// on evacuated hosts.
+func (m *Manager) completeDrains(ctx context.Context, drains *pool.DrainTracker, evacuations *evacuationObserver) error {
 	rows, err := m.node.Store().Scan(ctx, pool.KeyPrefix)
 	if err != nil {
 		return errors.Wrap(err, "read the hosts' assignments")
@@ -77,7 +80,10 @@
 	if err != nil {
 		return errors.Wrap(err, "read the host list")
 	}
-	workers := workerHosts(listed)
+	state := m.currentState()
+	evacuations.observe(m, state, listed)
+	m.countEvacuatedTasks(state, listed)
+	workers, dataCentres := workerHosts(listed), dataCentresByHost(listed)
 	var leaving []string
 	for _, row := range rows {
 		current, err := pool.Decode(row)
@@ -87,7 +93,7 @@
 		if current.Phase != pool.Serving {
 			leaving = append(leaving, current.Host)
 		}
-		if current.Phase != pool.Draining {
+		if current.Phase != pool.Draining || !mayComplete(state, current, dataCentres) {
 			continue
 		}
 		if err := m.completeDrain(ctx, drains, row, current, workers[current.Host]); err != nil {
@@ -146,6 +152,26 @@
 	return []table.Condition{fence}, drained
 }
 
+// mayComplete reports whether the drain may end. A move into a pool that needs
+// capacity waits until the host's data centre is no longer evacuated. A host that
+// the platform no longer lists takes no work.
+func mayComplete(state revision.State, current pool.Assignment, dataCentres map[string]string) bool {
+	dataCentre, listed := dataCentres[current.Host]
+	if !listed || current.Purpose != pool.Move {
+		return true
+	}
+	return allowsMove(state, current.Host, dataCentre, current.Target) == nil
+}
+
+// dataCentresByHost returns the data centre of each host.
+func dataCentresByHost(hosts []platform.Host) map[string]string {
+	byHost := make(map[string]string, len(hosts))
+	for _, host := range hosts {
+		byHost[host.Name] = host.DataCentre
+	}
+	return byHost
+}
+
 // workerHosts returns the names of the hosts that run workers.
 func workerHosts(hosts []platform.Host) map[string]bool {
 	workers := make(map[string]bool)
@@ -256,9 +282,18 @@
 
 // DrainHost starts to drain a host, which then gets no new work. It does nothing
 // if the host already has the same drain. It returns operator.ErrNotFound,
-// *pool.PhaseError or the table's errors.
+// *pool.PhaseError, *pool.EvacuatedError or the table's errors.
 func (m *Manager) DrainHost(ctx context.Context, name string, purpose pool.Purpose, target string) (api.Host, error) {
-	return m.updateHost(ctx, name, func(current pool.Assignment) (pool.Assignment, error) {
+	listed, err := m.findHost(ctx, name)
+	if err != nil {
+		return api.Host{}, err
+	}
+	if purpose == pool.Move {
+		if err := allowsMove(m.currentState(), name, listed.DataCentre, target); err != nil {
+			return api.Host{}, err
+		}
+	}
+	return m.updateHost(ctx, listed, func(current pool.Assignment) (pool.Assignment, error) {
 		if current.Phase != pool.Serving && current.Purpose == purpose && (current.Target == target || purpose == pool.Maintenance) {
 			return current, nil
 		}
@@ -269,7 +304,11 @@
 // ReturnHost makes a host serve its pool again. It does nothing if the host
 // already serves.
 func (m *Manager) ReturnHost(ctx context.Context, name string) (api.Host, error) {
-	return m.updateHost(ctx, name, func(current pool.Assignment) (pool.Assignment, error) {
+	listed, err := m.findHost(ctx, name)
+	if err != nil {
+		return api.Host{}, err
+	}
+	return m.updateHost(ctx, listed, func(current pool.Assignment) (pool.Assignment, error) {
 		if current.Phase == pool.Serving {
 			return current, nil
 		}
@@ -277,13 +316,10 @@
 	})
 }
 
-// updateHost commits an update of a host's row, and repeats it after a conflict
-// or a lost answer.
-func (m *Manager) updateHost(ctx context.Context, name string, update func(pool.Assignment) (pool.Assignment, error)) (api.Host, error) {
-	listed, err := m.findHost(ctx, name)
-	if err != nil {
-		return api.Host{}, err
-	}
+// updateHost commits an update of a listed host's row, and repeats it after a
+// conflict or a lost answer.
+func (m *Manager) updateHost(ctx context.Context, listed platform.Host, update func(pool.Assignment) (pool.Assignment, error)) (api.Host, error) {
+	name := listed.Name
 	for range maxRowAttempts {
 		rows, err := m.node.Store().Get(ctx, pool.Key(name))
 		if err != nil {
--- a/internal/manager/manager.go
+++ b/internal/manager/manager.go
@@ -74,7 +74,7 @@
 }
 
 // Manager does the periodic work of a manager process. It implements node.Part
-// and, for the operators' API, operator.Committer, Fleet, Hosts and Waves.
+// and, for the operators' API, operator.Committer, Fleet, Hosts, Waves and Evacuations.
 type Manager struct {
 	config        Config
 	node          *node.Node
@@ -83,6 +83,11 @@
 	confirmations chan drainConfirmation
 	// assignments holds the hosts' rows as last read, keyed by host.
 	assignments atomic.Pointer[map[string]pool.Assignment]
+	// evacuatedTasks counts the tasks of this manager's shards on the hosts of
+	// evacuated data centres, keyed by host. hostLoads holds the other processes'
+	// reports of what runs there.
+	evacuatedTasks atomic.Pointer[map[string]int]
+	hostLoads      *hostLoads
 
 	committer *revision.Committer
 	shards    *shards
@@ -102,6 +107,7 @@
 		reports:       make(chan limit.Report, eventQueueSize),
 		wake:          make(chan struct{}, 1),
 		confirmations: make(chan drainConfirmation, eventQueueSize),
+		hostLoads:     newHostLoads(),
 	}
 	m.committer = m.newCommitter()
 	m.shards = newShards(m)
@@ -127,20 +133,26 @@
 	return done
 }
 
-// FillState implements node.Part.
-func (m *Manager) FillState(*peerpb.State) {}
+// FillState implements node.Part. It adds the tasks on evacuated hosts.
+func (m *Manager) FillState(state *peerpb.State) { state.Hosts = m.evacuationConfirmations() }
 
-// ApplyState implements node.Part. It queues the sender's drain confirmations
-// and permit reports.
+// ApplyState implements node.Part. It records what runs on the hosts that take no
+// new work, and queues an entry's drain confirmations and the permit reports.
 func (m *Manager) ApplyState(from roster.Identity, state *peerpb.State) {
-	m.enqueueConfirmations(from, state.GetHosts())
+	m.hostLoads.record(from, state.GetHosts())
+	if m.isEntry(from) {
+		m.enqueueConfirmations(from, state.GetHosts())
+	}
 	for _, report := range state.GetReports() {
 		m.enqueueReport(peer.Report(report))
 	}
 }
 
 // RosterChanged implements node.Part.
-func (m *Manager) RosterChanged(roster.Roster, uint64) { m.wakeLimitLoop() }
+func (m *Manager) RosterChanged(members roster.Roster, _ uint64) {
+	m.hostLoads.prune(members)
+	m.wakeLimitLoop()
+}
 
 // PermitsChanged implements node.Part.
 func (m *Manager) PermitsChanged() {}
--- a/internal/manager/shards.go
+++ b/internal/manager/shards.go
@@ -307,6 +307,18 @@
 	}
 }
 
+// countTasks returns the number of tasks that may be running on the host's worker,
+// of the shards that this process manages.
+func (s *shards) countTasks(host string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	count := 0
+	for _, current := range s.byPool {
+		count += current.runner.ActiveAttempts(host)
+	}
+	return count
+}
+
 // isDrained reports whether the pool's shard has no tasks on the host's worker.
 // The result holds as long as the returned fence does. It is false if another
 // process manages the shard, which then completes the host's drain itself.
--- a/internal/operator/catalogue.go
+++ b/internal/operator/catalogue.go
@@ -106,14 +106,20 @@
 }
 
 func writeChange(w http.ResponseWriter, change revision.Change, operation string, changes []catalogue.Change) {
-	response := api.ChangeResponse{Accepted: true, Revision: change.Revision, Operation: operation, Changes: []api.Difference{}}
+	response := api.ChangeResponse{Revision: change.Revision, Operation: operation, Changes: []api.Difference{}}
+	if !change.Empty() {
+		response.Changes = apiDifferences(changes)
+	}
+	writeChangeResponse(w, change, response)
+}
+
+// writeChangeResponse writes the response for an accepted change.
+func writeChangeResponse(w http.ResponseWriter, change revision.Change, response api.ChangeResponse) {
 	status := http.StatusAccepted
 	if change.Empty() {
-		response.Unchanged = true
 		status = http.StatusOK
-	} else {
-		response.Changes = apiDifferences(changes)
 	}
+	response.Accepted, response.Unchanged = true, change.Empty()
 	writeJSON(w, status, response)
 }
 
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -1,6 +1,6 @@
 // Package operator implements the operators' HTTP API of a manager: the catalogue,
-// API keys, configuration revisions, charges, the roster, hosts and maintenance
-// waves.
+// API keys, configuration revisions, charges, the roster, hosts, maintenance waves
+// and evacuations of data centres.
 //
 // # Usage
 //
@@ -78,7 +78,8 @@
 	Hosts(ctx context.Context) ([]api.Host, error)
 	// DrainHost and ReturnHost return ErrNotFound for a host that the platform
 	// does not list, and *pool.PhaseError for a change that the host's phase
-	// does not allow.
+	// does not allow. DrainHost returns *pool.EvacuatedError for a move that an
+	// evacuation does not allow.
 	DrainHost(ctx context.Context, name string, purpose pool.Purpose, target string) (api.Host, error)
 	ReturnHost(ctx context.Context, name string) (api.Host, error)
 }
@@ -92,6 +93,13 @@
 	StopWave(ctx context.Context, pool string) (api.Wave, error)
 }
 
+// Evacuations reports on the evacuated data centres.
+type Evacuations interface {
+	// Evacuations returns the evacuated data centres, sorted by name, with what
+	// still runs there.
+	Evacuations(ctx context.Context) ([]api.Evacuation, error)
+}
+
 // Config configures a Handler.
 type Config struct {
 	Store     table.Store
@@ -100,6 +108,8 @@
 	Records   Records
 	Hosts     Hosts
 	Waves     Waves
+	// Evacuations lists the evacuations; Hosts names the known data centres.
+	Evacuations Evacuations
 	// Keys returns the operator keys in force.
 	Keys func() [][]byte
 	// Dump returns the process's state without secrets. It is optional.
@@ -130,6 +140,9 @@
 	h.router.POST("/v1/waves", h.startWave)
 	h.router.POST("/v1/waves/:pool/resume", h.resumeWave)
 	h.router.DELETE("/v1/waves/:pool", h.stopWave)
+	h.router.GET("/v1/evacuations", h.listEvacuations)
+	h.router.PUT("/v1/evacuations/:name", h.startEvacuation)
+	h.router.DELETE("/v1/evacuations/:name", h.stopEvacuation)
 	h.router.GET("/v1/hosts", h.listHosts)
 	h.router.POST("/v1/hosts/:name/drain", h.drainHost)
 	h.router.POST("/v1/hosts/:name/return", h.returnHost)
--- a/internal/operator/operator_test.go
+++ b/internal/operator/operator_test.go
@@ -77,28 +77,17 @@
 type fixture struct {
 	store  *table.Memory
 	fleet  *fleet
+	hosts  *hosts
 	client *client.Client
 	url    string
 }
 
 func newFixture(t *testing.T) *fixture {
 	s := &fixture{store: table.NewMemory(), fleet: &fleet{confirmed: map[string]uint64{"entry-1": 0, "entry-2": 0}}}
+	s.hosts = &hosts{store: s.store, dataCentres: []string{"nadi", "suva", "suva", ""}}
 	config := client.Config{Key: operatorKey, Attempts: 4}
 	for range 2 {
-		committer := revision.NewCommitter(revision.CommitterConfig{
-			Store:   s.store,
-			Replica: revision.NewReplica(revision.ReplicaConfig{}),
-			Ready:   func() bool { return true },
-			Guard:   func() []table.Condition { return nil },
-		})
-		server := httptest.NewServer(operator.New(operator.Config{
-			Store:     s.store,
-			Committer: committer,
-			Fleet:     s.fleet,
-			Records:   records{},
-			Keys:      func() [][]byte { return [][]byte{[]byte("another key"), []byte(operatorKey)} },
-			Dump:      func() any { return map[string]int{"revision": 1} },
-		}))
+		server := httptest.NewServer(s.newHandler())
 		t.Cleanup(server.Close)
 		s.url = server.URL
 		config.Managers = append(config.Managers, netip.MustParseAddrPort(server.Listener.Addr().String()))
@@ -107,6 +96,25 @@
 	return s
 }
 
+// newHandler returns the API of a manager that has just started.
+func (s *fixture) newHandler() *operator.Handler {
+	return operator.New(operator.Config{
+		Store: s.store,
+		Committer: revision.NewCommitter(revision.CommitterConfig{
+			Store:   s.store,
+			Replica: revision.NewReplica(revision.ReplicaConfig{}),
+			Ready:   func() bool { return true },
+			Guard:   func() []table.Condition { return nil },
+		}),
+		Fleet:       s.fleet,
+		Records:     records{},
+		Hosts:       s.hosts,
+		Evacuations: s.hosts,
+		Keys:        func() [][]byte { return [][]byte{[]byte("another key"), []byte(operatorKey)} },
+		Dump:        func() any { return map[string]int{"revision": 1} },
+	})
+}
+
 func sampleCatalogue() api.Catalogue {
 	return api.Catalogue{
 		Teams:   []api.Team{{Name: "acme", UpperLimit: 4}},
--- a/internal/operator/response.go
+++ b/internal/operator/response.go
@@ -48,6 +48,7 @@
 	var stale *revision.StaleRevisionError
 	var reused *revision.ReusedError
 	var phase *pool.PhaseError
+	var evacuated *pool.EvacuatedError
 	p := api.Problem{Status: http.StatusServiceUnavailable, Title: err.Error(), Outcome: api.OutcomeNotRun, RetryAfter: retryAfter}
 	switch {
 	case errors.As(err, &apiProblem):
@@ -70,6 +71,8 @@
 		p.Reason = api.ReasonNotMember
 	case errors.As(err, &phase):
 		p.Status, p.Reason, p.Field, p.RetryAfter = http.StatusConflict, api.ReasonPhase, "phase", 0
+	case errors.As(err, &evacuated):
+		p.Status, p.Reason, p.Field, p.RetryAfter = http.StatusConflict, api.ReasonEvacuated, "target", 0
 	case errors.Is(err, ErrNotFound):
 		p.Status, p.Reason, p.Field, p.RetryAfter = http.StatusNotFound, api.ReasonNotFound, "id", 0
 	default:
--- a/internal/pool/assignment.go
+++ b/internal/pool/assignment.go
@@ -90,6 +90,17 @@
 	return fmt.Sprintf("host %q is %s and does not allow the step %q", e.Host, e.Phase, e.Step)
 }
 
+// EvacuatedError reports a move of a host of an evacuated data centre into a pool
+// that needs capacity.
+type EvacuatedError struct {
+	Host, DataCentre, Target string
+}
+
+// Error implements error.
+func (e *EvacuatedError) Error() string {
+	return fmt.Sprintf("host %q cannot serve pool %q: its data centre %q is being evacuated", e.Host, e.Target, e.DataCentre)
+}
+
 // Assign returns the initial assignment of a host that has no row yet.
 func Assign(host, pool string) Assignment {
 	return Assignment{Host: host, Pool: pool, Epoch: 1, Phase: Serving}
--- a/internal/task/runner/runner.go
+++ b/internal/task/runner/runner.go
@@ -320,6 +320,16 @@
 	return current.fence, current.drained(worker), nil
 }
 
+// ActiveAttempts returns the number of attempts that may be running or may still be
+// started on the worker. It is 0 if this process does not hold the shard.
+func (r *Runner) ActiveAttempts(worker string) int {
+	current, err := r.currentTerm()
+	if err != nil {
+		return 0
+	}
+	return current.activeAttempts(worker)
+}
+
 // Dump is a snapshot of a shard's state in this process.
 type Dump struct {
 	task.Dump
--- a/internal/task/runner/term.go
+++ b/internal/task/runner/term.go
@@ -89,6 +89,13 @@
 	return t.leaving[worker] && t.controller.ActiveAttempts(worker) == 0
 }
 
+// activeAttempts returns the number of attempts on the worker.
+func (t *term) activeAttempts(worker string) int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.controller.ActiveAttempts(worker)
+}
+
 // isLeaving reports whether the worker must not receive new tasks.
 func (t *term) isLeaving(worker string) bool {
 	t.mu.Lock()
--- a/pkg/api/operator.go
+++ b/pkg/api/operator.go
@@ -19,6 +19,7 @@
 	ReasonJoining          = "manager-joining"
 	ReasonNotMember        = "manager-not-member"
 	ReasonPhase            = "wrong-phase"
+	ReasonEvacuated        = "evacuated"
 	ReasonInternal         = "internal-error"
 )
 
@@ -47,7 +48,9 @@
 	// Changes lists the differences that were committed; empty for a repeat.
 	Changes []Difference `json:"changes"`
 	// Unchanged is set when nothing had to change or the operation was a repeat.
-	Unchanged bool   `json:"unchanged,omitempty"`
+	Unchanged bool `json:"unchanged,omitempty"`
+	// Warning describes an effect of an accepted change that may not be intended.
+	Warning   string `json:"warning,omitempty"`
 	Operation string `json:"operation-id,omitempty"`
 }
 
--- a/pkg/client/client.go
+++ b/pkg/client/client.go
@@ -175,6 +175,27 @@
 	return call[api.Host](ctx, c, request{method: http.MethodPost, path: "/v1/hosts/" + url.PathEscape(name) + "/return"})
 }
 
+// Evacuations lists the evacuated data centres with what still runs there.
+func (c *Client) Evacuations(ctx context.Context) ([]api.Evacuation, error) {
+	return call[[]api.Evacuation](ctx, c, request{method: http.MethodGet, path: "/v1/evacuations"})
+}
+
+// StartEvacuation stops new work in a data centre. It changes nothing if the data
+// centre is evacuated already. The operation id may be empty.
+func (c *Client) StartEvacuation(ctx context.Context, dataCentre, operation string) (api.ChangeResponse, error) {
+	return call[api.ChangeResponse](ctx, c, request{method: http.MethodPut, path: evacuationPath(dataCentre), query: operationQuery(operation)})
+}
+
+// StopEvacuation lets work start in a data centre again. It changes nothing if the
+// data centre is not evacuated. The operation id may be empty.
+func (c *Client) StopEvacuation(ctx context.Context, dataCentre, operation string) (api.ChangeResponse, error) {
+	return call[api.ChangeResponse](ctx, c, request{method: http.MethodDelete, path: evacuationPath(dataCentre), query: operationQuery(operation)})
+}
+
+func evacuationPath(dataCentre string) string {
+	return "/v1/evacuations/" + url.PathEscape(dataCentre)
+}
+
 // Roster lists the system's processes.
 func (c *Client) Roster(ctx context.Context) ([]api.Member, error) {
 	return call[[]api.Member](ctx, c, request{method: http.MethodGet, path: "/v1/roster"})
