Managers start no task on the workers of an evacuated data centre

Cause: an evacuation was stored but managers went on placing tasks there.

Change: the placer knows the evacuated data centres and offers their workers to no task; tasks that run there run to their end, unlike those of a leaving worker. While a request is in force a worker whose data centre is not known, as one that has not joined a new manager, counts as evacuated. Placements that were not sent are recalled; a start without an answer is not sent again but asked after, and the task goes elsewhere once the worker does not know it. A task that must not be repeated waits instead, since the stop could cut a late start of the same manager. Starts that wait behind other calls are dropped. A submission that only evacuated workers could run is refused (`evacuated`). Quarantines count against the workers that are not evacuated: with the others counted, tasks that fail by their own fault put all open workers aside for up to half an hour, which TestTasksRunOnce found with evacuations among its faults.

--- a/internal/place/choose.go
+++ b/internal/place/choose.go
@@ -72,7 +72,7 @@
 func (p *Placer) exhausted(d Demand) bool {
 	avoided := false
 	for _, w := range p.workers {
-		if w.leaving || !d.Declared.Fits(w.Size) {
+		if w.leaving || w.evacuated || !d.Declared.Fits(w.Size) {
 			continue
 		}
 		if !slices.Contains(d.Avoid, w.Name) {
--- a/internal/place/dump.go
+++ b/internal/place/dump.go
@@ -12,6 +12,7 @@
 	Used             Size     `json:"used"`
 	Tasks            []string `json:"tasks"`
 	Leaving          bool     `json:"leaving"`
+	Evacuated        bool     `json:"evacuated"`
 	Silent           bool     `json:"silent"`
 	QuarantinedUntil string   `json:"aside-until,omitempty"`
 	Reservation      string   `json:"hold,omitempty"`
@@ -23,7 +24,7 @@
 	for _, name := range p.names {
 		w := p.workers[name]
 		state := WorkerState{
-			Worker: w.Worker, Used: w.used, Leaving: w.leaving, Silent: w.silent, Tasks: []string{},
+			Worker: w.Worker, Used: w.used, Leaving: w.leaving, Evacuated: w.evacuated, Silent: w.silent, Tasks: []string{},
 		}
 		if w.reservation != nil {
 			state.Reservation = w.reservation.task
--- a/internal/place/place.go
+++ b/internal/place/place.go
@@ -150,6 +150,8 @@
 	throttled    map[string]*placedTask
 	// spread counts the tasks of each queue in each rack.
 	spread map[rackQueue]int
+	// evacuated holds the data centres whose workers get no new tasks.
+	evacuated map[string]bool
 }
 
 // rackQueue identifies a queue in a rack.
@@ -170,6 +172,7 @@
 		reservations: make(map[string]*worker),
 		throttled:    make(map[string]*placedTask),
 		spread:       make(map[rackQueue]int),
+		evacuated:    make(map[string]bool),
 	}
 }
 
@@ -182,7 +185,7 @@
 		existing.removing = false
 		return
 	}
-	p.workers[description.Name] = newWorker(description)
+	p.workers[description.Name] = p.newWorker(description)
 	at, _ := slices.BinarySearch(p.names, description.Name)
 	p.names = slices.Insert(p.names, at, description.Name)
 }
@@ -194,6 +197,7 @@
 		p.adjustSpread(task, -1)
 	}
 	w.Worker = description
+	w.evacuated = p.isEvacuated(description.DataCentre)
 	for _, task := range w.tasks {
 		p.adjustSpread(task, 1)
 	}
@@ -260,11 +264,14 @@
 }
 
 // capToLargestWorker limits a need that fits no worker to the size of the largest
-// worker that the declaration fits.
+// worker that the declaration fits. Evacuated workers do not count.
 func (p *Placer) capToLargestWorker(need, declared Size) Size {
 	var largest Size
 	for _, name := range p.names {
 		size := p.workers[name].Size
+		if p.workers[name].evacuated {
+			continue
+		}
 		if need.Fits(size) {
 			return need
 		}
--- a/internal/place/placement.go
+++ b/internal/place/placement.go
@@ -13,7 +13,7 @@
 	if !ok {
 		// An existing placement on a worker that has not joined: only its name
 		// is known.
-		w = newWorker(Worker{Name: name})
+		w = p.newWorker(Worker{Name: name})
 		w.leaving = true
 		p.workers[name] = w
 		at, _ := slices.BinarySearch(p.names, name)
@@ -118,15 +118,20 @@
 	delete(p.failures, task)
 }
 
-// mayQuarantine reports whether one more worker may be quarantined.
+// mayQuarantine reports whether one more worker may be quarantined. Evacuated
+// workers do not count, since they cannot take the quarantined ones' tasks.
 func (p *Placer) mayQuarantine(now time.Time) bool {
-	quarantined := 0
+	quarantined, open := 0, 0
 	for _, w := range p.workers {
+		if w.evacuated {
+			continue
+		}
+		open++
 		if w.health.quarantined(now) {
 			quarantined++
 		}
 	}
-	return float64(quarantined+1) <= maxQuarantinedFraction*float64(len(p.workers))
+	return float64(quarantined+1) <= maxQuarantinedFraction*float64(open)
 }
 
 // removeTask removes a task from its worker.
--- a/internal/place/worker.go
+++ b/internal/place/worker.go
@@ -19,6 +19,7 @@
 	Worker
 	health      *health
 	leaving     bool
+	evacuated   bool
 	silent      bool
 	removing    bool
 	used        Size
@@ -27,8 +28,11 @@
 }
 
 // newWorker returns a worker without tasks.
-func newWorker(description Worker) *worker {
-	return &worker{Worker: description, health: newHealth(), tasks: make(map[string]*placedTask)}
+func (p *Placer) newWorker(description Worker) *worker {
+	return &worker{
+		Worker: description, health: newHealth(), tasks: make(map[string]*placedTask),
+		evacuated: p.isEvacuated(description.DataCentre),
+	}
 }
 
 // free returns the unused part of the worker.
@@ -39,7 +43,7 @@
 // accepts reports whether the worker may get the task now, apart from the task's
 // size.
 func (w *worker) accepts(now time.Time, d Demand) bool {
-	if w.leaving || w.silent || slices.Contains(d.Avoid, w.Name) {
+	if w.leaving || w.evacuated || w.silent || slices.Contains(d.Avoid, w.Name) {
 		return false
 	}
 	if w.reservation.blocks(now, d) {
--- a/internal/task/answer.go
+++ b/internal/task/answer.go
@@ -130,9 +130,9 @@
 		c.handleLost(now, it)
 	case AnswerNoTask:
 		// A placed attempt needs nothing: its start is retried anyway. One that
-		// ran and is no longer known to the worker is stopped, so that a delayed
-		// start request cannot run it again.
-		it.unknownToWorker = record.State == Running
+		// ran and is no longer known to the worker, or whose start is held back, is
+		// stopped, so that a delayed start request cannot run it.
+		it.unknownToWorker = record.State == Running || record.State == Placed && c.isStartLost(now, it)
 	}
 	c.reconcile(now, it)
 }
--- a/internal/task/controller.go
+++ b/internal/task/controller.go
@@ -46,7 +46,10 @@
 	Leave(worker string)
 	Remove(worker string)
 	SetSilent(worker string, silent bool)
+	SetEvacuated(dataCentres []string)
+	IsEvacuated(worker string) bool
 	Fits(declared place.Size) (fits, known bool)
+	FitsOnlyEvacuated(declared place.Size) bool
 	Choose(now time.Time, demand place.Demand) place.Decision
 	Place(now time.Time, demand place.Demand, worker string)
 	ReportUsage(now time.Time, task string, usage place.Size)
--- a/internal/task/controller_test.go
+++ b/internal/task/controller_test.go
@@ -21,7 +21,9 @@
 	m := sim.current()
 	for range rounds {
 		sim.now = sim.now.Add(wait)
-		for _, action := range m.controller.Step(sim.now) {
+		actions := m.controller.Step(sim.now)
+		sim.checkStarts(m, actions)
+		for _, action := range actions {
 			switch action := action.(type) {
 			case task.Reply:
 				replies = append(replies, action)
--- a/internal/task/faults_test.go
+++ b/internal/task/faults_test.go
@@ -61,6 +61,9 @@
 		sim.lapseLeases(w)
 	case event == 27:
 		sim.current().controller.Leave(sim.now, w.name, true)
+	case event == 28:
+		sim.faults["evacuation"]++
+		sim.toggleEvacuation(w.dataCentre)
 	}
 	sim.now = sim.now.Add(time.Duration(sim.choose.intN("wait", 500)) * time.Millisecond)
 }
@@ -116,9 +119,7 @@
 	}
 	sim.faults["worker gone"]++
 	w.alive, w.gone = false, true
-	sim.workers = append(sim.workers, &simWorker{
-		name: fmt.Sprintf("worker-%02d", len(sim.workers)), alive: true, starts: map[string]*simStart{},
-	})
+	sim.workers = append(sim.workers, newSimWorker(fmt.Sprintf("worker-%02d", len(sim.workers)), len(sim.workers)))
 }
 
 // run injects random events, then clears all faults and checks the final records.
@@ -140,7 +141,7 @@
 }
 
 // clearFaults ends all faults and runs the remaining tasks to their end under a new
-// manager.
+// manager. An evacuation stays in force if other workers can run the tasks.
 func (sim *simulation) clearFaults() {
 	sim.down = false
 	sim.store.SetFaults(table.Faults{})
@@ -150,6 +151,9 @@
 	for _, m := range sim.managers {
 		m.paused = false
 	}
+	if !sim.hasOpenWorker() {
+		sim.setEvacuated(nil)
+	}
 	sim.takeOver()
 	for round := range 1500 {
 		sim.now = sim.now.Add(200 * time.Millisecond)
@@ -276,6 +280,7 @@
 	for _, fault := range []string{
 		"message lost", "answer lost", "message late", "answer late", "manager race", "manager pause",
 		"worker crash", "worker pause", "worker gone", "table outage", "cancel", "long wait", "lease lapse",
+		"evacuation",
 	} {
 		if faults[fault] == 0 {
 			t.Errorf("fault %q: got none, want some", fault)
--- a/internal/task/lifecycle.go
+++ b/internal/task/lifecycle.go
@@ -73,6 +73,10 @@
 		c.requeue(now, it, record)
 		return
 	}
+	if order == OrderStart && c.holdsStart(it) {
+		c.wake(it, now.Add(c.cfg.RetryAfter))
+		return
+	}
 	if now.Before(it.nextCallAt) {
 		c.wake(it, it.nextCallAt)
 		return
@@ -80,11 +84,14 @@
 	c.call(now, it, order)
 }
 
-// mayRecall reports whether the attempt can be withdrawn from a leaving worker
-// because no start request was sent for it.
+// mayRecall reports whether the attempt can be withdrawn from a leaving or an
+// evacuated worker because no start request was sent for it.
 func (c *Controller) mayRecall(it *item) bool {
 	worker, ok := c.workers[it.record.Attempt.Worker]
-	return ok && worker.leaving && it.neverStarted(c.cfg.Epoch)
+	if !ok || !it.neverStarted(c.cfg.Epoch) {
+		return false
+	}
+	return worker.leaving || c.cfg.Placer.IsEvacuated(worker.name)
 }
 
 // neverStarted reports whether no manager can have sent a start request for the
--- a/internal/task/record.go
+++ b/internal/task/record.go
@@ -53,6 +53,7 @@
 	ReasonTooManyFailures  = "too-many-failures"
 	ReasonFitsNoWorker     = "fits-no-worker"
 	ReasonNoWorkers        = "no-workers"
+	ReasonEvacuated        = "evacuated"
 	ReasonQueueFull        = "queue-full"
 	ReasonBodyTooLarge     = "body-too-large"
 	ReasonNoSuchTask       = "no-such-task"
--- a/internal/task/runner/calls.go
+++ b/internal/task/runner/calls.go
@@ -16,13 +16,21 @@
 // call sends a call to its worker and passes the answer to the controller.
 func (t *term) call(ctx context.Context, call task.Call) {
 	answer := task.Answer{Kind: task.AnswerNone}
-	if address, known := t.address(call.Worker); known {
+	if address, known := t.address(call.Worker); known && !t.isWithheld(call) {
 		status, err := t.sendOrder(ctx, address, call)
 		answer = newAnswer(status, err)
 	}
 	t.update(func(c *task.Controller, now time.Time) { c.HandleCallResult(now, call, answer) })
 }
 
+// isWithheld reports whether the call is a start on a worker whose data centre was
+// evacuated while the call waited to be sent.
+func (t *term) isWithheld(call task.Call) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return call.Order == task.OrderStart && t.placer.IsEvacuated(call.Worker)
+}
+
 // address returns the worker's address as last listed.
 func (t *term) address(name string) (netip.AddrPort, bool) {
 	t.mu.Lock()
--- a/internal/task/runner/term.go
+++ b/internal/task/runner/term.go
@@ -41,6 +41,7 @@
 	taskConfig.Fence = fence
 	taskConfig.Epoch = epoch
 	placer := place.New(place.Config{})
+	placer.SetEvacuated(cfg.Evacuated) // before Load, which may send starts
 	taskConfig.Placer = placer
 	controller := task.New(taskConfig)
 	for _, queue := range cfg.Queues {
--- a/internal/task/sim_worker_test.go
+++ b/internal/task/sim_worker_test.go
@@ -19,15 +19,25 @@
 // under test.
 type simWorker struct {
 	name        string
+	dataCentre  string
 	incarnation int
 	alive       bool
 	gone        bool
 	silent      bool
 	failsTasks  bool
+	// losesStarts is set while start requests to the worker are lost.
+	losesStarts bool
 	epoch       uint64
 	starts      map[string]*simStart
 }
 
+// newSimWorker returns a worker in one of two data centres, by its index.
+func newSimWorker(name string, index int) *simWorker {
+	return &simWorker{
+		name: name, dataCentre: fmt.Sprintf("dc-%d", index%dataCentres), alive: true, starts: map[string]*simStart{},
+	}
+}
+
 func (w *simWorker) incarnationID() string {
 	return fmt.Sprintf("%s#%d", w.name, w.incarnation)
 }
@@ -46,6 +56,9 @@
 	if w == nil || !w.alive {
 		return task.Answer{Kind: task.AnswerNone}
 	}
+	if w.losesStarts && call.Order == task.OrderStart {
+		return sim.unanswered(call)
+	}
 	if w.silent {
 		// The paused process handles the call when it resumes.
 		sim.delayed = append(sim.delayed, func() { sim.handleCall(w, call) })
--- a/internal/task/simulation_test.go
+++ b/internal/task/simulation_test.go
@@ -46,6 +46,8 @@
 	fence      uint64
 	actions    []task.Action
 	paused     bool
+	// evacuatedAt is when the evacuations changed, until the next step.
+	evacuatedAt time.Time
 }
 
 // simulation runs managers against simulated workers and a table, and records
@@ -63,6 +65,8 @@
 	// noWorkerLoss is set if no worker crashes or is removed, so that no outcome may
 	// stay unknown.
 	noWorkerLoss bool
+	// evacuated are the evacuated data centres.
+	evacuated []string
 	// specs are the submitted tasks. runs counts the starts of each task, succeeded
 	// its successful runs.
 	specs      []task.Spec
@@ -83,7 +87,7 @@
 		refused: map[string]bool{}, requests: map[uint64]string{}, faults: map[string]int{},
 	}
 	for i := range 4 {
-		sim.workers = append(sim.workers, &simWorker{name: fmt.Sprintf("worker-%d", i), alive: true, starts: map[string]*simStart{}})
+		sim.workers = append(sim.workers, newSimWorker(fmt.Sprintf("worker-%d", i), i))
 	}
 	sim.noWorkerLoss = choose.intN("steady", 3) == 0
 	sim.takeOver()
@@ -108,8 +112,10 @@
 	})
 	rows, _ = sim.store.Get(ctx, fenceKey)
 	fence := table.Condition{Key: fenceKey, Version: rows[0].Version}
+	placer := place.New(place.Config{})
+	placer.SetEvacuated(sim.evacuated)
 	m := &manager{epoch: sim.epoch, fence: fence.Version, controller: task.New(task.Config{
-		Shard: "pool-a", Epoch: sim.epoch, Fence: fence, Placer: place.New(place.Config{}),
+		Shard: "pool-a", Epoch: sim.epoch, Fence: fence, Placer: placer,
 		Lease: 30 * time.Second, CommitInterval: 10 * time.Millisecond, RetentionPeriod: 1000 * time.Hour,
 	})}
 	m.controller.SetLimits(map[task.TeamQueue]task.Limit{{Queue: queue, Team: "reef"}: {MaxRunning: teamLimit}})
@@ -131,7 +137,7 @@
 			m.controller.MarkGone(sim.now, w.name)
 		case w.alive && !w.silent:
 			m.controller.Join(sim.now, place.Worker{
-				Name: w.name, Rack: w.name, Size: place.Size{CPUs: 4, Memory: 4 << 30},
+				Name: w.name, DataCentre: w.dataCentre, Rack: w.name, Size: place.Size{CPUs: 4, Memory: 4 << 30},
 			}, w.incarnationID())
 		}
 	}
@@ -142,7 +148,9 @@
 	if m.paused {
 		return
 	}
-	m.actions = append(m.actions, m.controller.Step(sim.now)...)
+	actions := m.controller.Step(sim.now)
+	sim.checkStarts(m, actions)
+	m.actions = append(m.actions, actions...)
 	for range min(len(m.actions), 1+sim.choose.intN("deliveries", 8)) {
 		i := sim.choose.intN("which action", len(m.actions))
 		action := m.actions[i]
@@ -160,6 +168,12 @@
 		rows, err := sim.store.Get(context.Background(), action.Keys...)
 		sim.reportResult(func() { m.controller.HandleReadResult(sim.now, action.Number, rows, err == nil) })
 	case task.Call:
+		if action.Order == task.OrderStart && sim.isEvacuated(action.Worker) {
+			// The data centre was evacuated while the call waited to be sent.
+			sim.faults["start withheld"]++
+			m.controller.HandleCallResult(sim.now, action, task.Answer{Kind: task.AnswerNone})
+			return
+		}
 		answer := sim.call(action)
 		sim.reportResult(func() { m.controller.HandleCallResult(sim.now, action, answer) })
 	case task.Poll:
--- a/internal/task/submit.go
+++ b/internal/task/submit.go
@@ -12,6 +12,9 @@
 	defaultMaxOpen = 10_000
 	minRetryAfter  = time.Second
 	maxRetryAfter  = 10 * time.Minute
+	// evacuationRetryAfter is the delay before a task is submitted again that only
+	// evacuated workers could run. An operator decides when the evacuation ends.
+	evacuationRetryAfter = 10 * time.Second
 )
 
 // Submit submits a task. A Reply with the same request number answers it, with
@@ -62,6 +65,9 @@
 	if !fits {
 		return ReasonFitsNoWorker, 0
 	}
+	if c.cfg.Placer.FitsOnlyEvacuated(spec.Size) {
+		return ReasonEvacuated, evacuationRetryAfter
+	}
 	key := TeamQueue{Queue: spec.Queue, Team: spec.Team}
 	open := c.openTasks[key]
 	if open >= c.limit(key).MaxOpen {
--- a/internal/task/worker.go
+++ b/internal/task/worker.go
@@ -190,7 +190,7 @@
 		interval := c.cfg.Lease / renewalsPerLease
 		for _, itemName := range sortedNames(worker.items) {
 			it := worker.items[itemName]
-			if it.record.State != Running && it.starts == 0 {
+			if it.record.State != Running && it.starts == 0 && !c.holdsStart(it) {
 				continue
 			}
 			ids = append(ids, it.record.StartID())
