Entries send nothing new to the endpoints of an evacuated data centre

Cause: an evacuation was stored but entries went on sending requests there.

Change: endpoints of an evacuated data centre count as leaving, so that running requests end undisturbed and returning ones start with limited load. An entry compares its configuration before each attempt, so none starts there once the process knows the request. A request that only evacuated endpoints could serve, new or queued, is refused at once: 503, not run, reason `evacuated`, Retry-After 10 s. Entries report the attempts that may still run on evacuated hosts with the confirmations of drains; only hosts with attempts are reported, and gossip does not get more frequent for them.

Measured: go test -race passes in internal/entry, five times for the new tests. With the rule taken out each: comparison before attempts and endpoints counted as leaving - TestEvacuation fails; refusal of queued and of new requests - TestEvacuatedServiceHoldsNoRequest (the scheduler held them, since its estimate of the wait follows the lost capacity slowly).

--- a/internal/entry/admission.go
+++ b/internal/entry/admission.go
@@ -48,6 +48,7 @@
 
 // acquireSlot submits the ticket and waits for its result.
 func (e *Entry) acquireSlot(c *call, a *admission) *api.Problem {
+	e.followEvacuations()
 	ticket := share.Ticket{
 		ID: a.ticket, Team: c.team, Class: shareClass(c.entry.Class),
 		Deadline: a.service.latestStart(c.deadline),
@@ -112,6 +113,23 @@
 	return unavailableProblem("no-endpoint", "no endpoint of the service takes work", defaultRetryAfter)
 }
 
+// evacuationRetryAfter is the Retry-After of work that only evacuated endpoints
+// could serve. An operator decides when the evacuation ends.
+const evacuationRetryAfter = 10 * time.Second
+
+// Reason and detail of the refusal of work that only evacuated endpoints could
+// serve.
+const (
+	reasonEvacuated = api.ReasonEvacuated
+	detailEvacuated = "the data centres of all endpoints that could serve it are being evacuated"
+)
+
+// evacuatedProblem returns the refusal of work that only evacuated endpoints could
+// serve.
+func evacuatedProblem() *api.Problem {
+	return unavailableProblem(reasonEvacuated, detailEvacuated, evacuationRetryAfter)
+}
+
 // callerGoneProblem returns the problem for a request whose caller has
 // disconnected. It appears only in logs and metrics.
 func callerGoneProblem() *api.Problem {
--- a/internal/entry/dispatch.go
+++ b/internal/entry/dispatch.go
@@ -61,6 +61,7 @@
 // the admission; if endpoints have refused the call, it also queues the call
 // again and returns no attempt and no problem.
 func (d *dispatch) nextAttempt() (*attempt, *api.Problem) {
+	d.entry.followEvacuations()
 	now := d.entry.now()
 	endpoint, ok := d.service.pick(now, d.attempts == 0, d.tried)
 	if !ok && d.refusals > 0 && d.call.isRepeatable() {
@@ -69,7 +70,7 @@
 	}
 	if !ok {
 		d.admission.end(now)
-		return nil, d.finalProblem("no-endpoint", "no endpoint of the service takes work")
+		return nil, d.noEndpointProblem()
 	}
 	d.attempts++
 	d.tried = append(d.tried, endpoint)
@@ -227,6 +228,17 @@
 	return nil
 }
 
+// noEndpointProblem returns the problem for a call for which no endpoint is left.
+func (d *dispatch) noEndpointProblem() *api.Problem {
+	switch {
+	case !d.service.isEvacuated():
+		return d.finalProblem("no-endpoint", "no endpoint of the service takes work")
+	case d.mayHaveRun:
+		return d.finalProblem(reasonEvacuated, detailEvacuated)
+	}
+	return evacuatedProblem()
+}
+
 // finalProblem returns the problem for a call that will not be attempted again.
 func (d *dispatch) finalProblem(reason, detail string) *api.Problem {
 	if d.mayHaveRun {
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -94,7 +94,9 @@
 	// is drained.
 	outstanding *outstanding
 	hostView    hostView
-	gossipCache gossipDataCache
+	// appliedRevision is the revision whose evacuations the services follow.
+	appliedRevision atomic.Uint64
+	gossipCache     gossipDataCache
 
 	// attemptsCtx is cancelled when attempts in progress must be aborted.
 	attemptsCtx    context.Context
@@ -298,6 +300,7 @@
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
+			e.followEvacuations()
 			e.forEachService(func(_ string, s *service) { s.tick(e.now()) })
 		}
 	}
--- a/internal/entry/fixture_test.go
+++ b/internal/entry/fixture_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"crypto/rand"
 	"encoding/json"
+	"fmt"
 	"io"
 	"net/http"
 	"net/http/httptest"
@@ -138,7 +139,8 @@
 		handler(w, r)
 	}))
 	f.t.Cleanup(server.Close)
-	f.hosts = append(f.hosts, platform.Host{State: platform.Live, Endpoints: []platform.Endpoint{{
+	number := len(f.hosts) + 1
+	f.hosts = append(f.hosts, platform.Host{Name: fmt.Sprintf("host-%d", number), DataCentre: fmt.Sprintf("dc-%d", number), State: platform.Live, Endpoints: []platform.Endpoint{{
 		Service: "orders", Address: netip.MustParseAddrPort(strings.TrimPrefix(server.URL, "http://")),
 		Slots: 8, Connections: 64,
 	}}})
--- a/internal/entry/gossip.go
+++ b/internal/entry/gossip.go
@@ -12,9 +12,9 @@
 )
 
 // FillState implements node.Part. It adds the demand, the load and the number
-// of attempts at draining hosts.
+// of attempts at draining and evacuated hosts.
 func (e *Entry) FillState(state *peerpb.State) {
-	state.Hosts = e.hostConfirmations()
+	state.Hosts = append(e.drainConfirmations(), e.evacuationConfirmations()...)
 	data := e.gossipCache.get(e.now(), e.collectGossip)
 	state.Demands = data.demands
 	state.Loads = data.loads
@@ -66,7 +66,7 @@
 // IsUrgent implements node.Part. It reports whether requests are running or
 // queued, or a host is out of service.
 func (e *Entry) IsUrgent() bool {
-	if len(e.hostConfirmations()) > 0 {
+	if len(e.drainConfirmations()) > 0 {
 		return true
 	}
 	busy := false
--- a/internal/entry/queue.go
+++ b/internal/entry/queue.go
@@ -181,6 +181,9 @@
 		return nil
 	case task.Refused:
 		problem := unavailableProblem(reply.GetReason(), "the task was not taken", retryAfter)
+		if reply.GetReason() == task.ReasonEvacuated {
+			problem.Detail = "the data centres of all workers that could run it are being evacuated"
+		}
 		if reply.GetReason() == task.ReasonOtherSpec || reply.GetReason() == task.ReasonFitsNoWorker {
 			problem.Status = http.StatusUnprocessableEntity
 			problem.Title = http.StatusText(problem.Status)
--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -27,6 +27,9 @@
 	// limit bounds the requests running at once over all entries. 0 sets no
 	// bound.
 	limit int
+	// evacuated is set while the service has no endpoint left because of
+	// evacuations.
+	evacuated bool
 	// meanRunTime is the moving average run time of successful attempts.
 	meanRunTime time.Duration
 	// outstanding is shared by all services of the entry.
@@ -55,10 +58,14 @@
 	}
 }
 
-// submit requests a slot. The channel is nil unless the ticket was queued.
+// submit requests a slot. The channel is nil unless the ticket was queued. A ticket
+// that only evacuated endpoints could serve is refused at once.
 func (s *service) submit(now time.Time, ticket share.Ticket) (share.Outcome, <-chan slotResult) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.evacuated {
+		return share.Outcome{Decision: share.Refused, RetryAfter: evacuationRetryAfter}, nil
+	}
 	outcome := s.scheduler.Submit(now, ticket)
 	if outcome.Decision != share.Queued {
 		return outcome, nil
@@ -85,6 +92,9 @@
 func (s *service) refusalProblem(retryAfter time.Duration) *api.Problem {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.evacuated {
+		return evacuatedProblem()
+	}
 	if s.capacity == 0 {
 		return noEndpointProblem()
 	}
@@ -165,6 +175,29 @@
 	s.picker.SetEndpoints(now, endpoints)
 }
 
+// setEvacuated sets whether only evacuated endpoints are left, and then refuses the
+// queued requests: when an endpoint returns is not known.
+func (s *service) setEvacuated(now time.Time, evacuated bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.evacuated = evacuated
+	if !evacuated {
+		return
+	}
+	for id := range s.waiters {
+		if s.scheduler.Cancel(now, id) {
+			s.notifyWaiter(id, slotResult{})
+		}
+	}
+}
+
+// isEvacuated reports whether only evacuated endpoints are left.
+func (s *service) isEvacuated() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.evacuated
+}
+
 // setPeerState applies the demand and load of another entry.
 func (s *service) setPeerState(now time.Time, demand share.Demand, loads []route.EndpointLoad) {
 	s.mu.Lock()
