Waves do not count evacuated hosts as serving

Cause: a wave counted the hosts of an evacuated data centre as serving, though they take no new work, and took down hosts elsewhere that the pool needs.

Change: wave.Host has Evacuated; such a host carries no load, is not part of the largest domain, and may be taken down at no cost in capacity. Canaries and the stop after failures hold for it as for others.

Measured: with State.serving in place of Host.serving TestEvacuatedHosts takes down hosts that the pool needs and fails; TestWaveSeesEvacuatedHosts fails when the manager does not pass the evacuations. go test -race passes in wave and manager.

--- a/internal/manager/evacuations_test.go
+++ b/internal/manager/evacuations_test.go
@@ -171,6 +171,40 @@
 	}
 }
 
+// Guards against a wave that is not told of evacuated hosts and counts them as
+// serving; the wave itself is tested in package wave.
+func TestWaveSeesEvacuatedHosts(t *testing.T) {
+	tests := map[string]struct {
+		edits []revision.Edit
+		want  map[string]bool
+	}{
+		"no evacuation": {want: map[string]bool{"nadi-1": false, "suva-1": false, "suva-2": false}},
+		"evacuated":     {edits: []revision.Edit{evacuate("suva")}, want: map[string]bool{"nadi-1": false, "suva-1": true, "suva-2": true}},
+		"withdrawn":     {edits: []revision.Edit{evacuate("suva"), release("suva")}, want: map[string]bool{"nadi-1": false, "suva-1": false, "suva-2": false}},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			ctx := context.Background()
+			m := newTestManager(t, table.NewMemory(), "manager-1")
+			for _, edit := range tc.edits {
+				commit(t, m, edit)
+			}
+			w := &waves{manager: m, byPool: make(map[string]*runningWave)}
+			hosts, err := w.poolHosts(ctx, "p")
+			if err != nil {
+				t.Fatal(err)
+			}
+			got := make(map[string]bool)
+			for _, host := range w.observePool(ctx, time.Unix(1, 0), hosts, &waveRow{Pool: "p"}).Hosts {
+				got[host.Name] = host.Evacuated
+			}
+			if !reflect.DeepEqual(got, tc.want) {
+				t.Errorf("evacuated: got %v, want %v", got, tc.want)
+			}
+		})
+	}
+}
+
 // Guards against a list that shows a data centre as empty while work still runs
 // there, or hides a process that the request has not reached, also after the
 // manager that accepted the request has died.
--- a/internal/manager/waves.go
+++ b/internal/manager/waves.go
@@ -221,12 +221,14 @@
 // state for the wave.
 func (w *waves) observePool(ctx context.Context, now time.Time, hosts map[string]poolHost, row *waveRow) wave.View {
 	view := wave.View{Need: row.Need, BudgetLeft: fullAvailabilityBudget}
+	state := w.manager.currentState()
 	for name, host := range hosts {
 		if progress, ok := row.Hosts[name]; ok {
 			row.Hosts[name] = w.advanceHost(ctx, now, host, progress)
 		}
 		view.Hosts = append(view.Hosts, wave.Host{
 			Name: name, Rack: host.Rack, DataCentre: host.DataCentre, State: hostState(host, row.Hosts[name]),
+			Evacuated: state.IsEvacuated(host.DataCentre),
 		})
 	}
 	return view
--- a/internal/wave/host.go
+++ b/internal/wave/host.go
@@ -28,11 +28,16 @@
 	Rack       string `json:"rack"`
 	DataCentre string `json:"data-centre"`
 	State      State  `json:"state"`
+	// Evacuated hosts carry no load, whatever their state.
+	Evacuated bool `json:"evacuated,omitempty"`
 	// Since is the time at which the host entered its state. If it is zero, the
 	// wave uses the time of the first step with the host in this state.
 	Since time.Time `json:"since,omitzero"`
 }
 
+// serving reports whether the host carries load.
+func (h Host) serving() bool { return !h.Evacuated && h.State.serving() }
+
 // Domain is the kind of failure domain whose loss the pool must survive
 // during a wave.
 type Domain string
--- a/internal/wave/wave.go
+++ b/internal/wave/wave.go
@@ -251,10 +251,29 @@
 	}
 }
 
-// chooseHosts returns the hosts that can be taken down at once. It takes each
-// host from the domain with the most serving hosts, which keeps the largest
-// domain as small as possible and so allows the most hosts.
+// chooseHosts returns the hosts that can be taken down at once. Evacuated hosts come
+// first, since they cost no capacity. It takes each other host from the domain with
+// the most serving hosts, which keeps the largest domain as small as possible and so
+// allows the most hosts.
 func (w *Wave) chooseHosts(view View) []string {
+	return append(evacuatedPending(view.Hosts), w.chooseServing(view)...)
+}
+
+// evacuatedPending returns the sorted names of the evacuated hosts that wait for
+// maintenance.
+func evacuatedPending(hosts []Host) []string {
+	var names []string
+	for _, host := range hosts {
+		if host.Evacuated && host.State == StatePending {
+			names = append(names, host.Name)
+		}
+	}
+	slices.Sort(names)
+	return names
+}
+
+// chooseServing returns the serving hosts that can be taken down at once.
+func (w *Wave) chooseServing(view View) []string {
 	byDomain := w.groupByDomain(view.Hosts)
 	serving := 0
 	for _, d := range byDomain {
@@ -308,10 +327,10 @@
 			byName[name] = d
 			domains = append(domains, d)
 		}
-		if host.State.serving() {
+		if host.serving() {
 			d.serving++
 		}
-		if host.State == StatePending {
+		if host.State == StatePending && !host.Evacuated {
 			d.pending = append(d.pending, host.Name)
 		}
 	}
--- a/internal/wave/wave_test.go
+++ b/internal/wave/wave_test.go
@@ -94,6 +94,40 @@
 	}
 }
 
+// Guards against a wave that takes down hosts elsewhere because those of an evacuated
+// data centre, which run nothing new, count as serving, and against one that spares
+// the evacuated hosts although taking them down costs nothing.
+func TestEvacuatedHosts(t *testing.T) {
+	tests := map[string]struct {
+		need      int
+		evacuated int
+		want      []string
+		wantHold  string
+	}{
+		// Of nine that serve in three racks, six are left if a rack is lost.
+		"none evacuated": {need: 6, want: []string{"host-00", "host-04", "host-08"}},
+		// Of eight open hosts in two racks, four are left if one is lost.
+		"others are needed":     {need: 6, evacuated: 4, want: []string{"host-00", "host-01", "host-02", "host-03"}},
+		"others are spare":      {need: 2, evacuated: 4, want: []string{"host-00", "host-01", "host-02", "host-03", "host-04", "host-08", "host-05", "host-09"}},
+		"all evacuated":         {need: 6, evacuated: 12, want: []string{"host-00", "host-01", "host-02", "host-03", "host-04", "host-05", "host-06", "host-07", "host-08", "host-09", "host-10", "host-11"}},
+		"none is spare anyway":  {need: 8, wantHold: wave.ReasonCapacity},
+		"two evacuated of four": {need: 8, evacuated: 2, want: []string{"host-00", "host-01"}},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			hosts := pool(12, wave.StatePending)
+			for i := range tc.evacuated {
+				hosts[i].Evacuated = true
+			}
+			view := wave.View{Hosts: hosts, Need: tc.need, BudgetLeft: 1, OtherPools: wave.Results{Done: 2}}
+			got := wave.New(wave.Config{}).Step(start, view)
+			if !slices.Equal(got.Start, tc.want) || got.Reason != tc.wantHold {
+				t.Errorf("got %v (%s), want %v (%s)", got.Start, got.Reason, tc.want, tc.wantHold)
+			}
+		})
+	}
+}
+
 func TestResume(t *testing.T) {
 	tests := map[string]struct {
 		operator bool
