--- a/internal/manager/shards.go
+++ b/internal/manager/shards.go
@@ -85,7 +85,6 @@
 		}
 		c := s.manager.node.Configuration().View().State.Catalogue
 		s.reconcile(ctx, c)
-		s.setEvacuated(s.manager.currentState().EvacuatedDataCentres())
 		s.allocatePermits(c)
 	}
 }
@@ -116,7 +115,7 @@
 		Shard: pool, Pool: pool, Queues: queues, Holder: m.node.Self().Identity.String(),
 		Store: m.node.Store(), Objects: m.config.Platform, Hosts: assignedHosts{m},
 		Workers: s.workers, Log: m.config.Log, ListLag: m.config.ListLag,
-		Evacuated: m.currentState().EvacuatedDataCentres(),
+		Evacuated: func() []string { return m.currentState().EvacuatedDataCentres() },
 	})
 	ctx, stop := context.WithCancel(ctx)
 	s.runners.Go(func() { _ = r.Run(ctx) }) // returns only the context's error
@@ -309,15 +308,6 @@
 	}
 }
 
-// setEvacuated replaces the data centres whose workers must not receive new tasks.
-func (s *shards) setEvacuated(dataCentres []string) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for _, current := range s.byPool {
-		current.runner.SetEvacuated(dataCentres)
-	}
-}
-
 // countTasks returns the number of tasks that may be running on the host's worker,
 // of the shards that this process manages.
 func (s *shards) countTasks(host string) int {
--- a/internal/task/runner/calls.go
+++ b/internal/task/runner/calls.go
@@ -28,6 +28,7 @@
 func (t *term) isWithheld(call task.Call) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.followEvacuations(time.Now())
 	return call.Order == task.OrderStart && t.placer.IsEvacuated(call.Worker)
 }
 
--- a/internal/task/runner/calls_test.go
+++ b/internal/task/runner/calls_test.go
@@ -49,14 +49,18 @@
 	for name, tc := range tests {
 		t.Run(name, func(t *testing.T) {
 			ctx := context.Background()
+			var evacuated []string
 			workers := countingWorkers{calls: make(map[task.Order]int)}
-			current, err := newTerm(ctx, Config{Store: table.NewMemory(), Log: log.New(io.Discard), Workers: workers}, table.Condition{}, 1)
+			current, err := newTerm(ctx, Config{
+				Store: table.NewMemory(), Log: log.New(io.Discard), Workers: workers,
+				Evacuated: func() []string { return evacuated },
+			}, table.Condition{}, 1)
 			if err != nil {
 				t.Fatal(err)
 			}
 			current.controller.Join(time.Now(), place.Worker{Name: "worker-1", DataCentre: "suva"}, "a")
 			current.setAddress("worker-1", netip.MustParseAddrPort("10.0.0.1:9000"))
-			current.controller.SetEvacuated(time.Now(), tc.evacuated)
+			evacuated = tc.evacuated
 			record := task.Record{Attempt: &task.Attempt{Worker: "worker-1"}}
 			current.call(ctx, task.Call{Order: tc.order, Worker: "worker-1", Record: record})
 			if got := workers.calls[tc.order]; got != tc.want {
--- a/internal/task/runner/evacuation_test.go
+++ b/internal/task/runner/evacuation_test.go
@@ -40,7 +40,8 @@
 	if len(c.stats(c.workers[0]).Runs) == 0 {
 		own = 1
 	}
-	c.runners[0].SetEvacuated(dataCentres[own : own+1])
+	evacuated := dataCentres[own : own+1]
+	c.evacuated.Store(&evacuated)
 	before := len(c.stats(c.workers[own]).Runs)
 	for i := range 4 {
 		c.submit(fmt.Sprint("next-", i), fakeworker.Workload{RunTime: duration.New(10 * time.Millisecond)}, false)
@@ -59,7 +60,7 @@
 	if got, want := c.runners[0].ActiveAttempts(fmt.Sprint("worker-", own)), 0; got != want {
 		t.Errorf("attempts on the evacuated worker: got %d, want %d", got, want)
 	}
-	c.runners[0].SetEvacuated(dataCentres)
+	c.evacuated.Store(&dataCentres)
 	reply, err := c.runners[0].Submit(c.ctx, task.Spec{ID: "refused", Queue: "plans", Team: "reef"})
 	if err != nil || reply.Outcome != task.Refused || reply.Reason != task.ReasonEvacuated {
 		t.Errorf("all evacuated: got %+v, %v, want it refused as %s", reply, err, task.ReasonEvacuated)
--- a/internal/task/runner/runner.go
+++ b/internal/task/runner/runner.go
@@ -20,7 +20,6 @@
 	"context"
 	"maps"
 	"net/netip"
-	"slices"
 	"sync"
 	"time"
 
@@ -94,8 +93,10 @@
 	// Task configures the controller. Shard, Epoch, Fence and Placer are filled in
 	// by the runner.
 	Task task.Config
-	// Evacuated are the evacuated data centres, until SetEvacuated replaces them.
-	Evacuated []string
+	// Evacuated, if set, returns the evacuated data centres, sorted. Their workers
+	// must not receive new tasks; their tasks run to their end there. It is called
+	// before each step, and must not block.
+	Evacuated func() []string
 }
 
 // Runner campaigns for one shard and manages it while holding it. Its methods are
@@ -109,8 +110,6 @@
 	limits map[task.TeamQueue]task.Limit
 	// leaving are the workers that must not receive new tasks.
 	leaving map[string]bool
-	// evacuated are the data centres whose workers must not receive new tasks.
-	evacuated []string
 }
 
 // New returns a runner. It does nothing until Run is called.
@@ -124,7 +123,7 @@
 	if cfg.StepInterval == 0 {
 		cfg.StepInterval = defaultStepInterval
 	}
-	return &Runner{cfg: cfg, evacuated: cfg.Evacuated, election: task.NewElection(task.ElectionConfig{
+	return &Runner{cfg: cfg, election: task.NewElection(task.ElectionConfig{
 		Shard: cfg.Shard, Holder: cfg.Holder, HeartbeatTimeout: cfg.HeartbeatTimeout,
 	})}
 }
@@ -183,11 +182,7 @@
 
 // manage manages the shard for one term, until it is lost or ctx is cancelled.
 func (r *Runner) manage(ctx context.Context, fence table.Condition, epoch uint64) {
-	cfg := r.cfg
-	r.mu.Lock()
-	cfg.Evacuated = r.evacuated
-	r.mu.Unlock()
-	current, err := newTerm(ctx, cfg, fence, epoch)
+	current, err := newTerm(ctx, r.cfg, fence, epoch)
 	if err != nil {
 		r.cfg.Log.Warn("loading the shard's tasks failed", "shard", r.cfg.Shard, "error", err.Error())
 		r.release(ctx, fence)
@@ -196,7 +191,6 @@
 	r.mu.Lock()
 	current.controller.SetLimits(maps.Clone(r.limits))
 	current.leaving = maps.Clone(r.leaving)
-	current.controller.SetEvacuated(time.Now(), r.evacuated)
 	r.term = current
 	r.mu.Unlock()
 	ctx, stop := context.WithCancel(ctx)
@@ -318,22 +312,6 @@
 	}
 }
 
-// SetEvacuated replaces the evacuated data centres. Their workers must not receive
-// new tasks; their tasks run to their end there.
-func (r *Runner) SetEvacuated(dataCentres []string) {
-	r.mu.Lock()
-	if slices.Equal(r.evacuated, dataCentres) {
-		r.mu.Unlock()
-		return
-	}
-	r.evacuated = slices.Clone(dataCentres)
-	current := r.term
-	r.mu.Unlock()
-	if current != nil {
-		current.update(func(c *task.Controller, now time.Time) { c.SetEvacuated(now, dataCentres) })
-	}
-}
-
 // Drained reports whether the worker, which must have been passed to SetLeaving,
 // has no tasks of this shard and will receive none. The result holds as long as
 // the returned fence row is unchanged: a transaction that relies on it must
--- a/internal/task/runner/runner_test.go
+++ b/internal/task/runner/runner_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -44,6 +45,16 @@
 	workers  []*httptest.Server
 	runners  []*runner.Runner
 	stops    []func()
+	// evacuated holds the evacuated data centres.
+	evacuated atomic.Pointer[[]string]
+}
+
+// evacuatedDataCentres implements runner.Config.Evacuated.
+func (c *cluster) evacuatedDataCentres() []string {
+	if evacuated := c.evacuated.Load(); evacuated != nil {
+		return *evacuated
+	}
+	return nil
 }
 
 func newCluster(t testing.TB, workers, runners int) *cluster {
@@ -80,7 +91,8 @@
 	r := runner.New(runner.Config{
 		Shard: pool, Pool: pool, Queues: []string{"plans"}, Holder: name,
 		Store: platformClient, Objects: platformClient, Hosts: platformClient, Workers: workerClient,
-		Log: log.New(io.Discard), HeartbeatTimeout: heartbeatTimeout, ListLag: time.Second, StepInterval: 10 * time.Millisecond,
+		Evacuated: c.evacuatedDataCentres,
+		Log:       log.New(io.Discard), HeartbeatTimeout: heartbeatTimeout, ListLag: time.Second, StepInterval: 10 * time.Millisecond,
 		Task: task.Config{CommitInterval: 20 * time.Millisecond, RetryAfter: 100 * time.Millisecond},
 	})
 	ctx, stop := context.WithCancel(c.ctx)
--- a/internal/task/runner/term.go
+++ b/internal/task/runner/term.go
@@ -29,6 +29,8 @@
 	replies     map[uint64]chan task.Reply
 	addresses   map[string]netip.AddrPort
 	leaving     map[string]bool
+	// evacuated are the evacuated data centres that the controller follows.
+	evacuated []string
 	// pendingCalls are actions that wait because maxConcurrentCalls are active.
 	pendingCalls []task.Action
 	activeCalls  int
@@ -41,7 +43,8 @@
 	taskConfig.Fence = fence
 	taskConfig.Epoch = epoch
 	placer := place.New(place.Config{})
-	placer.SetEvacuated(cfg.Evacuated) // before Load, which may send starts
+	evacuated := cfg.evacuated()
+	placer.SetEvacuated(evacuated) // before Load, which may send starts
 	taskConfig.Placer = placer
 	controller := task.New(taskConfig)
 	for _, queue := range cfg.Queues {
@@ -61,9 +64,27 @@
 		placer:     placer,
 		replies:    make(map[uint64]chan task.Reply),
 		addresses:  make(map[string]netip.AddrPort),
+		evacuated:  evacuated,
 	}, nil
 }
 
+// evacuated returns the evacuated data centres.
+func (c Config) evacuated() []string {
+	if c.Evacuated == nil {
+		return nil
+	}
+	return c.Evacuated()
+}
+
+// followEvacuations passes changed evacuations to the controller. The caller holds
+// the lock.
+func (t *term) followEvacuations(now time.Time) {
+	if evacuated := t.cfg.evacuated(); !slices.Equal(t.evacuated, evacuated) {
+		t.evacuated = evacuated
+		t.controller.SetEvacuated(now, evacuated)
+	}
+}
+
 // update changes the controller under the lock and wakes the loop to execute the
 // resulting actions.
 func (t *term) update(change func(*task.Controller, time.Time)) {
@@ -145,7 +166,9 @@
 func (t *term) step(ctx context.Context, group *sync.WaitGroup) (superseded bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	for _, action := range t.controller.Step(time.Now()) {
+	now := time.Now()
+	t.followEvacuations(now)
+	for _, action := range t.controller.Step(now) {
 		switch action := action.(type) {
 		case task.Reply:
 			t.deliverReply(action)
@@ -218,7 +241,9 @@
 	t.lastRequest++
 	number := t.lastRequest
 	t.replies[number] = reply
-	send(t.controller, time.Now(), number)
+	now := time.Now()
+	t.followEvacuations(now)
+	send(t.controller, now, number)
 	t.mu.Unlock()
 	t.wakeLoop()
 	select {
--- a/test/fleet_test.go
+++ b/test/fleet_test.go
@@ -119,18 +119,29 @@
 }
 
 // addEndpoint starts an endpoint of service "orders" on its own host.
-func (f *testFleet) addEndpoint(name string) {
+func (f *testFleet) addEndpoint(name string) { f.addEndpointIn(defaultDataCentre, name) }
+
+// addEndpointIn starts an endpoint on its own host in the data centre.
+func (f *testFleet) addEndpointIn(dataCentre, name string) {
 	server := endpoint.New(endpoint.Config{Name: name, Service: "orders", RunTime: 2 * time.Millisecond})
 	httpServer := httptest.NewServer(server.Handler())
 	f.t.Cleanup(httpServer.Close)
 	f.endpoints = append(f.endpoints, server)
-	f.registerHost("host-"+name, "p", fmt.Sprintf(`{"service":"orders","address":%q,"slots":8,"connections":64}`,
+	f.registerHostIn(dataCentre, "host-"+name, "p", fmt.Sprintf(`{"service":"orders","address":%q,"slots":8,"connections":64}`,
 		strings.TrimPrefix(httpServer.URL, "http://")))
 }
 
 // registerHost adds a live host to the platform's host list.
 func (f *testFleet) registerHost(name, pool, endpoints string) {
-	f.putPlatform("/hosts/"+name, fmt.Sprintf(`{"data-centre":"dc-1","rack":%q,"pool":%q,"state":"live","endpoints":[%s]}`, name, pool, endpoints))
+	f.registerHostIn(defaultDataCentre, name, pool, endpoints)
+}
+
+// defaultDataCentre is the data centre of hosts unless a test names another.
+const defaultDataCentre = "dc-1"
+
+// registerHostIn adds a live host of the data centre to the platform's host list.
+func (f *testFleet) registerHostIn(dataCentre, name, pool, endpoints string) {
+	f.putPlatform("/hosts/"+name, fmt.Sprintf(`{"data-centre":%q,"rack":%q,"pool":%q,"state":"live","endpoints":[%s]}`, dataCentre, name, pool, endpoints))
 }
 
 // deregisterHost removes a host from the platform's host list.
@@ -593,10 +604,15 @@
 
 // addWorker starts a worker on its own host in pool "tasks".
 func (f *testFleet) addWorker(name string) *worker.Server {
+	return f.addWorkerIn(defaultDataCentre, name)
+}
+
+// addWorkerIn starts a worker on its own host of the data centre.
+func (f *testFleet) addWorkerIn(dataCentre, name string) *worker.Server {
 	server := worker.New(worker.Config{Name: name, Incarnation: "1", UsageLag: 100 * time.Millisecond})
 	httpServer := httptest.NewServer(server.Handler())
 	f.t.Cleanup(httpServer.Close)
-	f.registerHost(name, "tasks", fmt.Sprintf(`{"service":"worker","address":%q,"slots":16,"connections":64}`,
+	f.registerHostIn(dataCentre, name, "tasks", fmt.Sprintf(`{"service":"worker","address":%q,"slots":16,"connections":64}`,
 		strings.TrimPrefix(httpServer.URL, "http://")))
 	return server
 }
