--- a/internal/operator/catalogue.go
+++ b/internal/operator/catalogue.go
@@ -41,7 +41,8 @@
 	var changes []catalogue.Change
 	edit := func(current revision.State) (revision.State, error) {
 		changes = catalogue.Diff(current.Catalogue, desired)
-		return revision.State{Catalogue: desired, Keys: withdrawOrphanedKeys(current.Keys, desired)}, nil
+		current.Catalogue, current.Keys = desired, withdrawOrphanedKeys(current.Keys, desired)
+		return current, nil
 	}
 	op := revision.Operation{ID: request.Operation, Digest: digest(catalogue.Format(desired)), Expected: request.Expected}
 	change, err := h.commit(r.Context(), op, edit)
@@ -93,7 +94,8 @@
 		next := current.Catalogue.Clone()
 		delete(next.Entries, name)
 		changes = catalogue.Diff(current.Catalogue, next)
-		return revision.State{Catalogue: next, Keys: current.Keys}, nil
+		current.Catalogue = next
+		return current, nil
 	}
 	change, err := h.commit(r.Context(), op, edit)
 	if err != nil {
@@ -104,14 +106,20 @@
 }
 
 func writeChange(w http.ResponseWriter, change revision.Change, operation string, changes []catalogue.Change) {
-	response := api.ChangeResponse{Accepted: true, Revision: change.Revision, Operation: operation, Changes: []api.Difference{}}
+	response := api.ChangeResponse{Revision: change.Revision, Operation: operation, Changes: []api.Difference{}}
+	if !change.Empty() {
+		response.Changes = apiDifferences(changes)
+	}
+	writeChangeResponse(w, change, response)
+}
+
+// writeChangeResponse writes the response for an accepted change.
+func writeChangeResponse(w http.ResponseWriter, change revision.Change, response api.ChangeResponse) {
 	status := http.StatusAccepted
 	if change.Empty() {
-		response.Unchanged = true
 		status = http.StatusOK
-	} else {
-		response.Changes = apiDifferences(changes)
 	}
+	response.Accepted, response.Unchanged = true, change.Empty()
 	writeJSON(w, status, response)
 }
 
--- a/internal/task/runner/runner.go
+++ b/internal/task/runner/runner.go
@@ -93,6 +93,10 @@
 	// Task configures the controller. Shard, Epoch, Fence and Placer are filled in
 	// by the runner.
 	Task task.Config
+	// Evacuated, if set, returns the evacuated data centres, sorted. Their workers
+	// must not receive new tasks; their tasks run to their end there. It is called
+	// before each step, and must not block.
+	Evacuated func() []string
 }
 
 // Runner campaigns for one shard and manages it while holding it. Its methods are
@@ -320,6 +324,16 @@
 	return current.fence, current.drained(worker), nil
 }
 
+// ActiveAttempts returns the number of attempts that may be running or may still be
+// started on the worker. It is 0 if this process does not hold the shard.
+func (r *Runner) ActiveAttempts(worker string) int {
+	current, err := r.currentTerm()
+	if err != nil {
+		return 0
+	}
+	return current.activeAttempts(worker)
+}
+
 // Dump is a snapshot of a shard's state in this process.
 type Dump struct {
 	task.Dump
