fleet: Limit cold endpoints of a data centre that returns

After an evacuation, or after an outage of a data centre, all work that waits started at once on cold endpoints. Endpoints that are cold when the evacuation of their data centre is withdrawn, or of which at least three of a data centre become cold within three seconds, get tasks for half of their capacity until they are warm. Endpoints that are cold after a move or maintenance, or that the leader never knew as warm, get work as before.

Further cases of evacuations: a label that only evacuated hosts have orders no hosts, which would come one after the other without end for a service; tickets for evacuated endpoints alone are asked for again; the dump shows what is left and why persistent runs cannot leave. Their number of unavailable tasks is counted once for each step.

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -275,5 +275,5 @@
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.leader.Dump()
+	return t.leader.Dump(time.Now())
 }
--- a/internal/fleet/advice.go
+++ b/internal/fleet/advice.go
@@ -22,7 +22,7 @@
 	if !ok || queue.Advice == nil {
 		return true
 	}
-	if g.step.tickets != nil && now.Before(g.step.ticketsExpireAt) {
+	if g.step.tickets != nil && now.Before(g.step.ticketsExpireAt) && !l.areTicketsEvacuated(g.step.tickets) {
 		return true
 	}
 	if g.step.adviceRequested && now.Sub(g.step.adviceRequestedAt) < adviceRetryDelay {
@@ -46,6 +46,19 @@
 	return false
 }
 
+// areTicketsEvacuated reports whether all endpoints with a ticket are evacuated.
+func (l *Leader) areTicketsEvacuated(tickets map[EndpointID]string) bool {
+	if len(l.evacuations.byDataCentre) == 0 {
+		return false
+	}
+	for id := range tickets {
+		if e := l.endpoints[id]; e == nil || !l.isEvacuated(e) {
+			return false
+		}
+	}
+	return len(tickets) > 0
+}
+
 // HandleAdvice processes the answer to an advice request; ok is false if the request failed.
 func (l *Leader) HandleAdvice(request AdviceRequest, grant AdviceGrant, ok bool, now time.Time) {
 	j := l.jobs[request.Job]
--- a/internal/fleet/demand.go
+++ b/internal/fleet/demand.go
@@ -26,7 +26,7 @@
 	var out demand
 	for _, j := range jobs {
 		for _, step := range j.steps {
-			perTask, active, pending := step.step.Reserved(), j.activeOf(step.key), len(step.pending)
+			perTask, active, pending := step.step.Reserved(), j.activeOf(step.key), l.pendingDemand(step)
 			out.active = out.active.Plus(perTask.Times(int64(active)))
 			if limit := step.step.MaxPerEndpoint; limit > 0 {
 				out.spread = max(out.spread, (active+pending+limit-1)/limit)
@@ -44,6 +44,14 @@
 	return out
 }
 
+// pendingDemand counts a step's pending tasks that more hosts could run.
+func (l *Leader) pendingDemand(step *stepState) int {
+	if l.isLabelHeld(step.step.Requires) {
+		return 0
+	}
+	return len(step.pending)
+}
+
 // expectedDemand returns a pool's demand in the near future: pending tasks, plus the
 // larger of running tasks and arriving work. Hosts for arriving work alone would
 // not reduce the backlog.
@@ -109,7 +117,7 @@
 	for _, j := range jobs {
 		for _, step := range j.steps {
 			perTask := step.step.Reserved()
-			active, pending := int64(j.activeOf(step.key)), int64(len(step.pending))
+			active, pending := int64(j.activeOf(step.key)), int64(l.pendingDemand(step))
 			if active+pending == 0 {
 				continue
 			}
--- a/internal/fleet/dump.go
+++ b/internal/fleet/dump.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"time"
 
 	"github.com/lovagedyke/lovagedyke/internal/job"
 	"github.com/lovagedyke/lovagedyke/internal/policy"
@@ -14,16 +15,21 @@
 	Endpoints []EndpointDump `json:"endpoints"`
 	Jobs      []JobDump      `json:"jobs"`
 	Waves     []WaveProgress `json:"waves,omitempty"`
+	// Evacuations holds the evacuations in force.
+	Evacuations []EvacuationProgress `json:"evacuations,omitempty"`
 }
 
 // EndpointDump describes an endpoint in a Dump.
 type EndpointDump struct {
-	ID        EndpointID       `json:"id"`
-	Pool      string           `json:"pool"`
-	Listed    bool             `json:"listed"`
-	Reached   bool             `json:"reached"`
-	Draining  bool             `json:"draining"`
-	Leaving   bool             `json:"leaving"`
+	ID        EndpointID `json:"id"`
+	Pool      string     `json:"pool"`
+	Listed    bool       `json:"listed"`
+	Reached   bool       `json:"reached"`
+	Draining  bool       `json:"draining"`
+	Leaving   bool       `json:"leaving"`
+	Evacuated bool       `json:"evacuated,omitempty"`
+	// Returning is true while the endpoint takes less work since its data centre returns cold.
+	Returning bool             `json:"returning,omitempty"`
 	Runs      int              `json:"runs"`
 	Available policy.Resources `json:"room"`
 }
@@ -39,12 +45,12 @@
 }
 
 // Dump returns a snapshot of the state, without specs and keys.
-func (l *Leader) Dump() Dump {
-	out := Dump{Token: l.config.Token}
+func (l *Leader) Dump(now time.Time) Dump {
+	out := Dump{Token: l.config.Token, Evacuations: l.Evacuations(now)}
 	for id, e := range l.endpoints {
 		out.Endpoints = append(out.Endpoints, EndpointDump{
 			ID: id, Pool: e.row.Pool, Listed: e.listed, Reached: e.reached, Draining: e.row.Draining,
-			Leaving: e.leaving, Runs: len(e.runs), Available: e.available(),
+			Leaving: e.leaving, Evacuated: l.isEvacuated(e), Returning: e.isReturning, Runs: len(e.runs), Available: e.available(),
 		})
 	}
 	for id, j := range l.live {
--- a/internal/fleet/endpointstate.go
+++ b/internal/fleet/endpointstate.go
@@ -104,6 +104,10 @@
 	// and roomPause how long it got none the last time.
 	fullUntil time.Time
 	roomPause time.Duration
+	// coldSince is when the endpoint became cold otherwise than by a change of its host, or zero,
+	// and isReturning true while it is cold after the return of its data centre.
+	coldSince   time.Time
+	isReturning bool
 	// leaving is true while the host is drained for a move or maintenance.
 	leaving  bool
 	throttle throttleState
@@ -222,8 +226,10 @@
 func (l *Leader) UpdateEndpoint(row EndpointRow, now time.Time) {
 	known, ok := l.endpoints[row.ID]
 	if !ok {
-		l.endpoints[row.ID] = newEndpoint(row, now)
+		listed := newEndpoint(row, now)
+		l.endpoints[row.ID] = listed
 		l.log("endpoint listed", "endpoint", row.ID, "pool", row.Pool, "draining", row.Draining)
+		l.noteWarmUp(listed, nil, now)
 		return
 	}
 	if !row.StartedAt.Equal(known.row.StartedAt) && !row.StartedAt.Equal(known.startedAt) {
@@ -234,7 +240,9 @@
 		l.log("endpoint changed its draining state", "endpoint", row.ID, "pool", row.Pool, "draining", row.Draining, "runs", len(known.runs))
 	}
 	l.setCapacity(known, row.Capacity)
+	former := known.row
 	known.row = row
+	l.noteWarmUp(known, &former, now)
 	if !known.listed {
 		known.listed = true
 		l.log("endpoint back in the platform's list", "endpoint", row.ID, "pool", row.Pool)
--- a/internal/fleet/evacuation.go
+++ b/internal/fleet/evacuation.go
@@ -13,6 +13,8 @@
 // evacuations holds the operators' requests that nothing more is sent to a data centre.
 type evacuations struct {
 	byDataCentre map[string]*evacuationState
+	// heldLabels holds what isLabelHeld has found since hosts were last planned.
+	heldLabels map[string]bool
 	// checkedAt is when their progress was last checked.
 	checkedAt time.Time
 	// isAllLogged is true once it was logged that all data centres are evacuated.
@@ -46,7 +48,12 @@
 	if isSame {
 		return
 	}
-	l.evacuations = evacuations{byDataCentre: current}
+	l.evacuations = evacuations{byDataCentre: current, heldLabels: map[string]bool{}}
+	for dataCentre := range before {
+		if current[dataCentre] == nil {
+			l.limitCold(dataCentre)
+		}
+	}
 	// The missing capacity is ordered in the next step, however large the fleet is.
 	l.hosts.plannedAt = time.Time{}
 }
@@ -115,6 +122,44 @@
 	return isAble
 }
 
+// isLabelHeld reports whether hosts and endpoints with a label are in evacuated data centres alone:
+// more hosts from elsewhere do not help tasks that require it.
+func (l *Leader) isLabelHeld(label string) bool {
+	if label == "" || len(l.evacuations.byDataCentre) == 0 {
+		return false
+	}
+	isHeld, ok := l.evacuations.heldLabels[label]
+	if !ok {
+		isHeld = l.isLabelOnlyEvacuated(label)
+		l.evacuations.heldLabels[label] = isHeld
+	}
+	return isHeld
+}
+
+// isLabelOnlyEvacuated determines isLabelHeld.
+func (l *Leader) isLabelOnlyEvacuated(label string) bool {
+	isThere := false
+	for _, h := range l.hosts.byID {
+		if !h.listed || !slices.Contains(h.row.Labels, label) {
+			continue
+		}
+		if !l.isHostEvacuated(h) {
+			return false
+		}
+		isThere = true
+	}
+	for _, e := range l.endpoints {
+		if !e.listed || e.gone || !e.hasLabel(label) {
+			continue
+		}
+		if !l.isEvacuated(e) {
+			return false
+		}
+		isThere = true
+	}
+	return isThere
+}
+
 // EvacuationProgress is how far the evacuation of a data centre has come.
 type EvacuationProgress struct {
 	DataCentre string `json:"data-centre"`
@@ -138,12 +183,12 @@
 // Evacuations returns the progress of the evacuations in force, sorted by data centre.
 func (l *Leader) Evacuations(now time.Time) []EvacuationProgress {
 	var progress []EvacuationProgress
-	alternatives := l.newAlternatives(now)
+	relocation := l.newRelocation(now)
 	for _, dataCentre := range slices.Sorted(maps.Keys(l.evacuations.byDataCentre)) {
 		pools := l.evacuationLeft(dataCentre)
 		for _, e := range l.endpoints {
 			if left := pools[e.row.Pool]; left != nil && e.tally.persistent > 0 && l.dataCentreOf(e) == dataCentre {
-				l.countHeld(left, e, alternatives, now)
+				countHeld(left, e, relocation)
 			}
 		}
 		entry := EvacuationProgress{DataCentre: dataCentre, Since: l.evacuations.byDataCentre[dataCentre].since}
@@ -157,12 +202,12 @@
 }
 
 // countHeld counts the persistent runs on an endpoint that cannot leave it now.
-func (l *Leader) countHeld(left *PoolEvacuation, e *endpoint, alternatives *alternatives, now time.Time) {
+func countHeld(left *PoolEvacuation, e *endpoint, relocation *relocation) {
 	for _, r := range e.runs {
 		if !r.isPersistent() || r.state == runStopping {
 			continue
 		}
-		if reason := l.heldReason(r, alternatives, now); reason != "" {
+		if reason := relocation.heldReason(r); reason != "" {
 			if left.Held == nil {
 				left.Held = map[string]int{}
 			}
--- a/internal/fleet/evacuation_test.go
+++ b/internal/fleet/evacuation_test.go
@@ -519,6 +519,65 @@
 	}
 }
 
+// Guards against a pool that takes host after host for a service that only the evacuated data centre
+// could run.
+func TestNoHostsForTasksThatOnlyEvacuatedOnesCouldRun(t *testing.T) {
+	tests := map[string]struct {
+		evacuate []string
+		// elsewhere is true if a spare host of the remaining data centre has the label.
+		elsewhere bool
+		wantMoves bool
+	}{
+		"no request":       {},
+		"only there":       {evacuate: []string{evacuated}},
+		"a spare host has": {evacuate: []string{evacuated}, elsewhere: true, wantMoves: true},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			s := newSimulation(t, simulationConfig{})
+			there := newHost(poolName, "labelled")
+			there.Labels = []string{"kind-b"}
+			spares := spareHosts(0, 6)
+			if test.elsewhere {
+				spares[0].Labels = []string{"kind-b"}
+			}
+			list := s.listHostsIn(map[string][]fleet.Host{
+				evacuated: {there}, remaining: slices.Concat(poolHosts(poolName, 0, 4), poolHosts(otherPool, 0, 4), spares),
+			})
+			row := endpointRow("labelled")
+			row.DataCentre, row.Labels = evacuated, []string{"kind-b"}
+			s.leader.UpdateEndpoint(row, s.now)
+			s.evacuate(test.evacuate...)
+			step := persistentTasks(1, 1)
+			step.Requires = "kind-b"
+			s.submit(submission(1, step))
+			moves := s.movesToPool(list, 2*time.Second)
+			if got := moves > 0; got != test.wantMoves {
+				t.Errorf("moves to the pool: got %d, want some: %t", moves, test.wantMoves)
+			}
+		})
+	}
+}
+
+// movesToPool counts the moves to the pool in a time in which the endpoints of the hosts report.
+func (s *simulation) movesToPool(hosts []fleet.Host, d time.Duration) int {
+	const interval = 100 * time.Millisecond
+	moves := 0
+	for passed := time.Duration(0); passed < d; passed += interval {
+		s.advance(interval)
+		for _, move := range s.step().Moves {
+			if move.Pool == poolName {
+				moves++
+			}
+		}
+		s.acceptStarts()
+		for _, h := range hosts {
+			s.renewLease(h.Endpoint)
+		}
+	}
+	return moves
+}
+
 // Guards against surplus hosts that are not drained for another pool, since evacuated ones with
 // less work are taken for them.
 func TestSurplusIsDrainedBesideEvacuatedHosts(t *testing.T) {
@@ -536,7 +595,7 @@
 	s.evacuate(evacuated)
 	s.step()
 	leaving := 0
-	for _, e := range s.leader.Dump().Endpoints {
+	for _, e := range s.leader.Dump(s.now).Endpoints {
 		if e.Leaving && e.Runs > 0 {
 			leaving++
 			if slices.ContainsFunc(poolHosts(poolName, 0, 3), func(h fleet.Host) bool { return h.Endpoint == e.ID }) {
@@ -810,3 +869,115 @@
 		})
 	}
 }
+
+// Guards against a state dump that does not tell how far an evacuation has come.
+func TestEvacuationInDump(t *testing.T) {
+	s := newSimulation(t, simulationConfig{})
+	s.addEndpointIn(evacuated, "a")
+	s.submit(submission(1, tasks(2)))
+	s.step()
+	s.acceptStarts()
+	s.addEndpointIn(remaining, "b")
+	requestedAt := s.now
+	s.evacuate(evacuated)
+	s.advance(time.Second)
+	dump := s.leader.Dump(s.now)
+	if len(dump.Evacuations) != 1 || len(dump.Evacuations[0].Pools) != 1 {
+		t.Fatalf("evacuations: got %+v, want one with one pool", dump.Evacuations)
+	}
+	progress := dump.Evacuations[0]
+	if progress.DataCentre != evacuated || !progress.Since.Equal(requestedAt) {
+		t.Errorf("evacuation: got %s since %s, want %s since %s", progress.DataCentre, progress.Since, evacuated, requestedAt)
+	}
+	if got := progress.Pools[0]; got.Pool != poolName || got.Endpoints != 1 || got.Runs != 2 || got.Persistent != 0 {
+		t.Errorf("what is left: got %+v, want one endpoint with two runs", got)
+	}
+	for _, e := range dump.Endpoints {
+		if want := e.ID == "a"; e.Evacuated != want {
+			t.Errorf("endpoint %s is evacuated: got %t, want %t", e.ID, e.Evacuated, want)
+		}
+	}
+}
+
+// Guards against tasks that wait until tickets for evacuated endpoints expire, although others
+// could run them.
+func TestTicketsOfEvacuatedEndpoints(t *testing.T) {
+	tests := map[string]struct {
+		evacuate []string
+		// tickets are the endpoints with a ticket.
+		tickets      []fleet.EndpointID
+		wantRequests int
+		wantStarts   int
+	}{
+		"no request":          {tickets: []fleet.EndpointID{"a"}, wantStarts: 1},
+		"all are evacuated":   {evacuate: []string{evacuated}, tickets: []fleet.EndpointID{"a"}, wantRequests: 1},
+		"one is evacuated":    {evacuate: []string{evacuated}, tickets: []fleet.EndpointID{"a", "b"}, wantStarts: 1},
+		"another data centre": {evacuate: []string{remaining}, tickets: []fleet.EndpointID{"a"}, wantStarts: 1},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			config := defaultPolicy()
+			config.Queues[0].Advice = &policy.Advice{TicketLifetime: 3 * time.Second}
+			s := newSimulation(t, simulationConfig{policy: config})
+			s.addEndpointIn(evacuated, "a")
+			s.addEndpointIn(remaining, "b")
+			s.submit(submission(1, tasks(1)))
+			grant := fleet.AdviceGrant{Tickets: map[fleet.EndpointID]string{}, TicketLifetime: 3 * time.Second}
+			for _, id := range test.tickets {
+				grant.Tickets[id] = "ticket"
+			}
+			s.leader.HandleAdvice(s.step().AdviceRequests[0], grant, true, s.now)
+			s.evacuate(test.evacuate...)
+			orders := s.step()
+			if len(orders.AdviceRequests) != test.wantRequests || len(orders.Starts) != test.wantStarts {
+				t.Fatalf("orders: got %d advice requests and %d starts, want %d and %d",
+					len(orders.AdviceRequests), len(orders.Starts), test.wantRequests, test.wantStarts)
+			}
+			if test.wantRequests > 0 && !slices.Equal(orders.AdviceRequests[0].Endpoints, []fleet.EndpointID{"b"}) {
+				t.Errorf("endpoints of the request: got %v, want b", orders.AdviceRequests[0].Endpoints)
+			}
+		})
+	}
+}
+
+// Guards against a late start in an evacuated data centre: a start that got no answer before the
+// request is stopped, and its task starts elsewhere once the endpoint cannot carry it out.
+func TestUnansweredStartInEvacuatedDataCentre(t *testing.T) {
+	s := newSimulation(t, simulationConfig{})
+	s.addEndpointIn(evacuated, "a")
+	s.submit(submission(1, tasks(1)))
+	start := s.step().Starts[0]
+	s.leader.HandleStartReply(start, fleet.Reply{Outcome: fleet.OrderUnknown}, s.now)
+	s.addEndpointIn(remaining, "b")
+	s.evacuate(evacuated)
+	s.advance(10 * time.Millisecond)
+	s.renewLease("a")
+	s.acceptStop()
+	s.wantOrders("before the endpoint has confirmed the stop", 0, 0)
+	s.advance(10 * time.Millisecond)
+	s.renewLease("a")
+	if got := startsOn(s.step().Starts)["b"]; got != 1 {
+		t.Errorf("starts elsewhere: got %d, want 1", got)
+	}
+}
+
+// Guards against a repeated request, or one for another data centre, that counts as a new one.
+func TestRepeatedRequestChangesNothing(t *testing.T) {
+	s := newSimulation(t, simulationConfig{})
+	s.addEndpointIn(evacuated, "a")
+	requestedAt := s.now
+	s.evacuate(evacuated)
+	for _, dataCentres := range [][]string{{evacuated}, {remaining, evacuated}, {evacuated}} {
+		s.advance(time.Second)
+		s.evacuate(dataCentres...)
+		progress := s.leader.Evacuations(s.now)
+		if got := progress[indexOf(progress, evacuated)].Since; !got.Equal(requestedAt) {
+			t.Errorf("since: got %s, want %s", got, requestedAt)
+		}
+	}
+	s.evacuate()
+	s.evacuate()
+	if got := s.leader.Evacuations(s.now); len(got) != 0 {
+		t.Errorf("evacuations after the withdrawal: got %v, want none", got)
+	}
+}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -78,9 +78,11 @@
 // Leader is the state of the process that leads the fleet. It is not safe for
 // concurrent use; the caller must lock it.
 type Leader struct {
-	config           Config
-	policy           *policy.Policy
-	endpoints        map[EndpointID]*endpoint
+	config    Config
+	policy    *policy.Policy
+	endpoints map[EndpointID]*endpoint
+	// lastEndpoints holds, by host, the endpoint that was last listed on it.
+	lastEndpoints    map[HostID]EndpointID
 	jobs             map[job.ID]*jobState
 	hosts            hosts
 	evacuations      evacuations
@@ -129,7 +131,7 @@
 func New(config Config) *Leader {
 	leader := &Leader{
 		config: config, confirmedAt: config.Now, policy: policy.New(policy.Config{}),
-		endpoints: map[EndpointID]*endpoint{}, jobs: map[job.ID]*jobState{}, live: map[job.ID]*jobState{}, inUse: map[string]policy.Resources{},
+		endpoints: map[EndpointID]*endpoint{}, lastEndpoints: map[HostID]EndpointID{}, jobs: map[job.ID]*jobState{}, live: map[job.ID]*jobState{}, inUse: map[string]policy.Resources{},
 		pendingCancels: map[job.ID]time.Time{},
 		lookups:        map[job.ID]lookup{}, lateStarts: map[EndpointID]map[runKey]lateStart{}, heldTasks: map[job.Task]int{}, shareBuckets: map[string]*tokenBucket{},
 		hosts: newHosts(), arrivalHistories: map[string]*arrivalHistory{}, durations: map[string]*durations{}, writeQueue: newWriteQueue(),
--- a/internal/fleet/hostchange.go
+++ b/internal/fleet/hostchange.go
@@ -169,7 +169,7 @@
 func (l *Leader) changeMade(h *hostState, now time.Time) {
 	c := h.pendingChange
 	c.acceptedAt, c.isUnconfirmed = now, false
-	h.idleSince = time.Time{}
+	h.idleSince, h.awaitsEndpoint = time.Time{}, true
 	if wave := l.hosts.waves[c.wave]; c.wave != 0 && wave != nil {
 		wave.done[h.row.ID] = true
 		wave.dirty = true
@@ -258,6 +258,7 @@
 		return
 	}
 	h := l.hosts.get(id)
+	h.awaitsEndpoint = true
 	h.notBefore = now.Add(min(wait, l.config.Bounds.HostChangeExclusion+2*maxWallClockSkew))
 }
 
--- a/internal/fleet/hostevidence_test.go
+++ b/internal/fleet/hostevidence_test.go
@@ -276,7 +276,7 @@
 
 // isLeaving reports whether an endpoint is being drained.
 func (s *simulation) isLeaving(id fleet.EndpointID) bool {
-	for _, e := range s.leader.Dump().Endpoints {
+	for _, e := range s.leader.Dump(s.now).Endpoints {
 		if e.ID == id {
 			return e.Leaving
 		}
--- a/internal/fleet/hosts.go
+++ b/internal/fleet/hosts.go
@@ -81,6 +81,8 @@
 	// last until formerUntil.
 	formerWave  int64
 	formerUntil time.Time
+	// awaitsEndpoint is true after a change until the next cold endpoint is listed on it.
+	awaitsEndpoint bool
 	// speaks is true if an endpoint on it answers.
 	speaks bool
 }
@@ -198,6 +200,7 @@
 // planHosts orders maintenance and moves.
 func (l *Leader) planHosts(pools map[string][]*jobState, orders *Orders, now time.Time) {
 	l.applyRows(now)
+	clear(l.evacuations.heldLabels)
 	for _, e := range l.endpoints {
 		e.leaving = l.mayEndByChange(e)
 	}
--- a/internal/fleet/hosts_test.go
+++ b/internal/fleet/hosts_test.go
@@ -414,7 +414,7 @@
 	s := newSimulation(t, simulationConfig{policy: policy.Config{}})
 	s.addEndpoint("a")
 	s.submit(submission(1, tasks(2)))
-	dump := s.leader.Dump()
+	dump := s.leader.Dump(s.now)
 	if len(dump.Endpoints) != 1 || len(dump.Jobs) != 1 || dump.Jobs[0].Pending != 2 || dump.Jobs[0].ID != jobID(1) {
 		t.Errorf("dump: got %+v, want an endpoint and a job with two pending tasks", dump)
 	}
--- a/internal/fleet/relocate.go
+++ b/internal/fleet/relocate.go
@@ -10,7 +10,7 @@
 // data centre is evacuated, as far as their steps' MaxUnavailable allows, so that they start
 // elsewhere.
 func (l *Leader) relocatePersistent(now time.Time) {
-	alternatives := l.newAlternatives(now)
+	relocation := l.newRelocation(now)
 	for _, e := range l.endpoints {
 		isEvacuated := l.mustLeave(e)
 		if e.tally.persistent == 0 || !e.leaving && !e.row.Draining && !isEvacuated {
@@ -21,19 +21,45 @@
 			reason = "data centre is evacuated"
 		}
 		for _, r := range e.runs {
-			if r.isPersistent() && r.state == runLive && l.heldReason(r, alternatives, now) == "" {
+			if r.isPersistent() && r.state == runLive && relocation.heldReason(r) == "" {
 				l.stopRun(r, reason, now)
+				delete(relocation.unavailable, r.stepRef())
 			}
 		}
 	}
 }
 
+// stepRef identifies a step among those of all jobs.
+type stepRef struct {
+	job *jobState
+	key job.StepKey
+}
+
+func (r *run) stepRef() stepRef {
+	return stepRef{job: r.job, key: job.StepKey{Occurrence: r.key.task.Occurrence, Step: r.key.task.Step}}
+}
+
+// relocation looks for other endpoints for persistent runs. It keeps what is the same for all runs
+// of a pool or of a step: an evacuated data centre of a large fleet has many of them.
+type relocation struct {
+	leader *Leader
+	now    time.Time
+	// candidates holds, by pool, the endpoints that accept work, and unavailable, by step, the
+	// number of tasks that do not run at full speed.
+	candidates  map[string][]*candidateEndpoint
+	unavailable map[stepRef]int
+}
+
+func (l *Leader) newRelocation(now time.Time) *relocation {
+	return &relocation{leader: l, now: now, candidates: map[string][]*candidateEndpoint{}, unavailable: map[stepRef]int{}}
+}
+
 // heldReason returns why a persistent run cannot leave its endpoint now, or "".
-func (l *Leader) heldReason(r *run, alternatives *alternatives, now time.Time) string {
+func (m *relocation) heldReason(r *run) string {
 	switch {
-	case !l.canStop(r, now):
+	case !m.canStop(r):
 		return "the step's limit of unavailable tasks is reached"
-	case !alternatives.hasRoomFor(r):
+	case !m.hasAlternative(r):
 		return "no other endpoint can take the task"
 	default:
 		return ""
@@ -41,9 +67,35 @@
 }
 
 // canStop reports whether one more of the step's tasks may be unavailable.
-func (l *Leader) canStop(r *run, now time.Time) bool {
-	key := job.StepKey{Occurrence: r.key.task.Occurrence, Step: r.key.task.Step}
-	return l.unavailableTasks(r.job, key, now) < max(1, r.step().MaxUnavailable)
+func (m *relocation) canStop(r *run) bool {
+	step := r.stepRef()
+	unavailable, ok := m.unavailable[step]
+	if !ok {
+		unavailable = m.leader.unavailableTasks(r.job, step.key, m.now)
+		m.unavailable[step] = unavailable
+	}
+	return unavailable < max(1, r.step().MaxUnavailable)
+}
+
+// hasAlternative reports whether another endpoint of the pool can run the task now.
+func (m *relocation) hasAlternative(r *run) bool {
+	opened := r.job.steps[r.stepRef().key]
+	if opened == nil {
+		return false
+	}
+	pool := r.endpoint.row.Pool
+	candidates, ok := m.candidates[pool]
+	if !ok {
+		candidates = m.leader.candidates(pool, m.now)
+		m.candidates[pool] = candidates
+	}
+	g := taskGroup{job: r.job, step: opened}
+	for _, candidate := range candidates {
+		if candidate.endpoint != r.endpoint && g.allows(candidate) {
+			return true
+		}
+	}
+	return false
 }
 
 // unavailableTasks counts the tasks of a persistent step that do not run at full speed.
@@ -70,36 +122,3 @@
 func (r *run) isAtFullSpeed(now time.Time) bool {
 	return r.endpoint.listed && !r.endpoint.gone && now.Sub(r.endpoint.reportedAt) < maxReportAge && !r.fullSpeedAt.IsZero() && r.speedPercent >= min(100, r.percent)
 }
-
-// alternatives holds, by pool, the endpoints that can take a run that leaves another one. They do
-// not change while one step's runs are looked at, and there are many of both in a large fleet.
-type alternatives struct {
-	leader *Leader
-	now    time.Time
-	byPool map[string][]*candidateEndpoint
-}
-
-func (l *Leader) newAlternatives(now time.Time) *alternatives {
-	return &alternatives{leader: l, now: now, byPool: map[string][]*candidateEndpoint{}}
-}
-
-// hasRoomFor reports whether another endpoint of the pool can run the task now.
-func (a *alternatives) hasRoomFor(r *run) bool {
-	opened := r.job.steps[job.StepKey{Occurrence: r.key.task.Occurrence, Step: r.key.task.Step}]
-	if opened == nil {
-		return false
-	}
-	pool := r.endpoint.row.Pool
-	candidates, ok := a.byPool[pool]
-	if !ok {
-		candidates = a.leader.candidates(pool, a.now)
-		a.byPool[pool] = candidates
-	}
-	g := taskGroup{job: r.job, step: opened}
-	for _, candidate := range candidates {
-		if candidate.endpoint != r.endpoint && g.allows(candidate) {
-			return true
-		}
-	}
-	return false
-}
--- a/internal/fleet/step.go
+++ b/internal/fleet/step.go
@@ -160,7 +160,7 @@
 		if e.row.Pool != pool || !l.acceptsWork(e, now) {
 			continue
 		}
-		candidate := &candidateEndpoint{endpoint: e, available: e.available(), persistent: e.tally.persistent}
+		candidate := &candidateEndpoint{endpoint: e, available: e.availableForStarts(), persistent: e.tally.persistent}
 		if e.tally.trials > 0 {
 			candidate.showTrials()
 		}
--- a/internal/fleet/trial.go
+++ b/internal/fleet/trial.go
@@ -164,7 +164,7 @@
 	t.group.step.pending = slices.DeleteFunc(t.group.step.pending, func(index int) bool { return index == t.task.Index })
 	candidate.isShared = !t.isSolo()
 	candidate.trials++
-	candidate.trialRoom = candidate.endpoint.available()
+	candidate.trialRoom = candidate.endpoint.availableForStarts()
 	candidate.take()
 }
 
@@ -207,7 +207,7 @@
 	for _, r := range c.endpoint.runs {
 		c.isShared = c.isShared && !(r.onTrial && r.isSolo)
 	}
-	c.trialRoom = c.endpoint.available()
+	c.trialRoom = c.endpoint.availableForStarts()
 	c.take()
 }
 
