control, process: Metrics and dump of evacuations

Operators could not see from outside which nodes know of a request and what is left in the data centre: evacuated_data_centres of each node, evacuation_runs_left by data centre at the leader, and the set with its version in the state dump. A data centre's metric ends with its evacuation and with the term. While the store is away for all, the last set stays in force.

TestEvacuationMetrics and the new case of TestEvacuationReachesAllProcesses pass with -race.

--- a/internal/control/evacuation_test.go
+++ b/internal/control/evacuation_test.go
@@ -7,6 +7,8 @@
 	"testing"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
+
 	"github.com/lovagedyke/lovagedyke/internal/evacuation"
 	"github.com/lovagedyke/lovagedyke/internal/fleet"
 	"github.com/lovagedyke/lovagedyke/internal/job"
@@ -201,3 +203,37 @@
 		t.Error("step requested: got false, want true")
 	}
 }
+
+// Guards against operators who do not see how many runs are left, or still see those of a request
+// that was withdrawn, and against names of data centres that no metric can have.
+func TestEvacuationMetrics(t *testing.T) {
+	for _, dataCentre := range []string{"suva", `su"va\{x="y"} ` + "\n\x00"} {
+		control := New(Config{Store: table.NewMemory(), Journal: discardJournal{}})
+		current := newTerm(context.Background(), control, record.Claim{Token: 1}, 1)
+		now := time.Now()
+		current.leader.Load(nil, now, now)
+		addEndpointAndJob(current.leader, now)
+		current.leader.Step(now, now)
+		steps := []struct {
+			evacuate []string
+			want     string
+		}{
+			{evacuate: []string{dataCentre}, want: runsLeftMetric(dataCentre)},
+			{},
+		}
+		for _, step := range steps {
+			now = now.Add(time.Second)
+			current.leader.SetEvacuations(step.evacuate, now)
+			current.measureEvacuations(now)
+			var got []string
+			for _, name := range metrics.ListMetricNames() {
+				if strings.HasPrefix(name, "evacuation_runs_left") {
+					got = append(got, name)
+				}
+			}
+			if strings.Join(got, " ") != step.want {
+				t.Errorf("metrics while %q are evacuated: got %q, want %q", step.evacuate, got, step.want)
+			}
+		}
+	}
+}
--- a/internal/control/term.go
+++ b/internal/control/term.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -44,6 +45,8 @@
 	// 100 entries.
 	cleanupInterval = 5 * time.Second
 	maxCleanupJobs  = 40
+	// evacuationMetricsInterval is the time between two updates of the metrics of evacuations.
+	evacuationMetricsInterval = time.Second
 )
 
 // term is one leadership term of this process.
@@ -70,6 +73,10 @@
 	lookups             chan job.ID
 	// evacuationsAsOf is the version of the set of evacuated data centres that the leader has.
 	evacuationsAsOf uint64
+	// evacuationMetrics holds the data centres of which there are metrics, and
+	// evacuationsMeasuredAt is when these were last updated.
+	evacuationMetrics     map[string]bool
+	evacuationsMeasuredAt time.Time
 	// crashes holds the leader's counts that the metrics show already.
 	crashes fleet.CrashCounts
 }
@@ -83,7 +90,7 @@
 		sessions: map[fleet.EndpointID]*endpointSession{},
 		wakeStep: make(chan struct{}, 1), wakeBatch: make(chan struct{}, 1),
 		hostOrders: make(chan hostOrder, hostOrderQueueSize), adviceRequests: make(chan fleet.AdviceRequest, adviceQueueSize),
-		lookups: make(chan job.ID, lookupQueueSize),
+		lookups: make(chan job.ID, lookupQueueSize), evacuationMetrics: map[string]bool{},
 	}
 	t.maxHostResources.Store(&policy.Resources{})
 	t.writer = newWriter(writerConfig{
@@ -103,6 +110,7 @@
 	t.group.Go(t.stepLoop)
 	t.group.Go(t.loadAndLead)
 	t.group.Wait()
+	t.locked(func() { t.removeEvacuationMetrics(nil) })
 }
 
 // loadAndLead reads the jobs, and then starts the loops that need them.
@@ -237,6 +245,7 @@
 		t.queueOrders(t.leader.Step(started, started))
 		t.recordMaxHostResources()
 		t.countCrashes()
+		t.measureEvacuations(started)
 	})
 	metrics.GetOrCreateHistogram("leader_step_seconds").UpdateDuration(started)
 	return time.Since(started)
@@ -260,6 +269,37 @@
 	t.maxHostResources.Store(&largest)
 }
 
+// measureEvacuations updates the metrics of how many runs are left in each evacuated data centre;
+// t.mu must be held.
+func (t *term) measureEvacuations(now time.Time) {
+	if now.Sub(t.evacuationsMeasuredAt) < evacuationMetricsInterval {
+		return
+	}
+	t.evacuationsMeasuredAt = now
+	left := t.leader.EvacuationRunsLeft()
+	t.removeEvacuationMetrics(left)
+	for dataCentre, runs := range left {
+		t.evacuationMetrics[dataCentre] = true
+		metrics.GetOrCreateGauge(runsLeftMetric(dataCentre), nil).Set(float64(runs))
+	}
+}
+
+// removeEvacuationMetrics removes the metrics of data centres that are not in left; t.mu must be
+// held.
+func (t *term) removeEvacuationMetrics(left map[string]int) {
+	for dataCentre := range t.evacuationMetrics {
+		if _, ok := left[dataCentre]; !ok {
+			metrics.UnregisterMetric(runsLeftMetric(dataCentre))
+			delete(t.evacuationMetrics, dataCentre)
+		}
+	}
+}
+
+// runsLeftMetric returns the name of a data centre's metric.
+func runsLeftMetric(dataCentre string) string {
+	return fmt.Sprintf("evacuation_runs_left{data_centre=%q}", dataCentre)
+}
+
 // countCrashes adds what the leader has counted since the last call to the metrics; t.mu must
 // be held.
 func (t *term) countCrashes() {
--- a/internal/process/evacuation_test.go
+++ b/internal/process/evacuation_test.go
@@ -15,7 +15,7 @@
 
 // Guards against a leader that goes on with starts in an evacuated data centre since it has not
 // heard of the request: its reads of the operators' rows are held up by a large configuration, or
-// it does not reach the store.
+// it does not reach the store. While no process does, the last request stays in force.
 func TestEvacuationReachesAllProcesses(t *testing.T) {
 	tests := map[string]struct {
 		links []float64
@@ -23,7 +23,10 @@
 		queues int
 		// storeCut is true if the last process does not reach the store.
 		storeCut bool
+		// storeAway is for how long no process reaches the store after the request.
+		storeAway time.Duration
 	}{
+		"store away for all":             {links: []float64{200, 200, 200, 200}, storeAway: 20 * time.Second},
 		"wide links":                     {links: []float64{200, 200, 200, 200}},
 		"a process cut off the store":    {links: []float64{200, 200, 200, 200}, storeCut: true},
 		"beside a large configuration":   {links: []float64{200, 200, 10, 10, 10, 10}, queues: 4250},
@@ -40,6 +43,12 @@
 				}
 				f.writeEvacuation(t, table.Write{Key: "op//evacuate/suva", Value: []byte("{}")}, test.queues)
 				f.wantEvacuated(t, "after the request", []string{"suva"})
+				if test.storeAway > 0 {
+					f.cutAllOff()
+					time.Sleep(test.storeAway)
+					f.wantEvacuated(t, "while the store is away", []string{"suva"})
+					return
+				}
 				f.writeEvacuation(t, table.Write{Key: "op//evacuate/suva", Delete: true}, 0)
 				f.wantEvacuated(t, "after the withdrawal", nil)
 			})
@@ -60,6 +69,13 @@
 	time.Sleep(evacuationBound)
 }
 
+// cutAllOff cuts all processes off the store.
+func (f *configurationFleet) cutAllOff() {
+	for index := range f.processes {
+		f.network.cutOff(memberAddress(index).String(), storeAddress)
+	}
+}
+
 // wantEvacuated checks the evacuated data centres of each process.
 func (f *configurationFleet) wantEvacuated(t *testing.T, when string, want []string) {
 	t.Helper()
--- a/internal/process/feeds.go
+++ b/internal/process/feeds.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/cockroachdb/errors"
 	"github.com/sourcegraph/conc/pool"
 
@@ -59,6 +60,17 @@
 	n.policyUpdates <- current.Version
 }
 
+// evacuationsChanged applies a newer set of evacuated data centres.
+func (n *nodeProcess) evacuationsChanged(set evacuation.Set) {
+	measureEvacuations(set)
+	n.control.EvacuationsChanged()
+}
+
+// measureEvacuations updates the metric of evacuated data centres.
+func measureEvacuations(set evacuation.Set) {
+	metrics.GetOrCreateGauge("evacuated_data_centres", nil).Set(float64(len(set.DataCentres)))
+}
+
 // announceLoop announces configurations read from the store to peers, some of which
 // may not reach the store.
 func (n *nodeProcess) announceLoop(ctx context.Context) {
@@ -186,12 +198,13 @@
 		Leading             bool            `json:"leading"`
 		LeaderKnown         bool            `json:"leader-known"`
 		StoreReached        bool            `json:"store-reached"`
+		Evacuations         evacuation.Set  `json:"evacuations"`
 		Members             []record.Member `json:"members"`
 		Fleet               any             `json:"fleet,omitempty"`
 	}{
 		Name: n.settings.Name, DataCentre: n.settings.DataCentre, Configuration: n.holder.Version(),
 		AnnouncedConfiguration: announced, ConfigurationBehind: behind.Seconds(),
 		Leader: leader.Name, Leading: isSelf, LeaderKnown: known, StoreReached: n.member.StoreReached(),
-		Members: n.member.Peers(), Fleet: n.control.Dump(),
+		Evacuations: n.evacuations.Current(), Members: n.member.Peers(), Fleet: n.control.Dump(),
 	}
 }
--- a/internal/process/node.go
+++ b/internal/process/node.go
@@ -132,7 +132,8 @@
 	}
 	n.operator = platform.OperatorRows{Store: n.store, OnDecodeError: logDecodeError}
 	n.holder = policy.NewHolder(policy.HolderConfig{Decode: platform.DecodePolicy, OnChange: n.policyChanged, Journal: n.journal})
-	n.evacuations = evacuation.New(evacuation.Config{Journal: n.journal, OnChange: func(evacuation.Set) { n.control.EvacuationsChanged() }})
+	n.evacuations = evacuation.New(evacuation.Config{Journal: n.journal, OnChange: n.evacuationsChanged})
+	measureEvacuations(n.evacuations.Current())
 	n.member = member.New(member.Config{
 		Name: settings.Name, Address: settings.Peers, CPUCores: settings.CPUCores, LinkMbps: settings.LinkMbps,
 		Seeds: settings.Seeds, Store: n.store, Journal: n.journal, Dial: config.Dial,
