explain: Show the evacuations that held a job up

Requests for evacuations name no job, so that the timeline of a job that waited for one did not show it. It now has the requests and withdrawals that the same process logged in the job's time, and those in force at its begin.

--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -41,6 +41,12 @@
 	fieldEndpoint = "endpoint"
 )
 
+// Names of the lines about evacuations.
+const (
+	eventEvacuation = "evacuation requested"
+	eventWithdrawal = "evacuation withdrawn"
+)
+
 // idFields are the fields that hold a job's ID.
 var idFields = []string{"request-id", "job"}
 
@@ -99,11 +105,25 @@
 	// any endpoint that name no job.
 	endpoints     map[string]bool
 	endpointLines map[string][]Line
+	// evacuated holds the processes whose lines say that an evacuation held the job up, and
+	// evacuationLines what each process logged about requests for evacuations.
+	evacuated       map[string]bool
+	evacuationLines map[string][]evacuationLine
+}
+
+// evacuationLine is a line about a request for the evacuation of a data centre, or its withdrawal.
+type evacuationLine struct {
+	Line
+	dataCentre  string
+	isRequested bool
 }
 
 // NewCollector returns a Collector without lines.
 func NewCollector(config CollectorConfig) *Collector {
-	return &Collector{config: config, endpoints: map[string]bool{}, endpointLines: map[string][]Line{}}
+	return &Collector{
+		config: config, endpoints: map[string]bool{}, endpointLines: map[string][]Line{},
+		evacuated: map[string]bool{}, evacuationLines: map[string][]evacuationLine{},
+	}
 }
 
 // Add reads a log to its end.
@@ -129,8 +149,17 @@
 		if endpoint != "" {
 			c.endpoints[endpoint] = true
 		}
+		if isHeldUpByEvacuation(fields) {
+			c.evacuated[line.Process] = true
+		}
 		return
 	}
+	if line.Event == eventEvacuation || line.Event == eventWithdrawal {
+		dataCentre, _ := fields["data-centre"].(string)
+		c.evacuationLines[line.Process] = append(c.evacuationLines[line.Process], evacuationLine{
+			Line: line, dataCentre: dataCentre, isRequested: line.Event == eventEvacuation,
+		})
+	}
 	if c.config.WithEndpoints && endpoint != "" && !namesJob(fields) {
 		c.endpointLines[endpoint] = append(c.endpointLines[endpoint], line)
 	}
@@ -155,6 +184,9 @@
 			}
 		}
 	}
+	for process := range c.evacuated {
+		lines = append(lines, relevantEvacuations(c.evacuationLines[process], first, last)...)
+	}
 	sortByTime(lines)
 	for i := 1; i < len(lines); i++ {
 		if gap := lines[i].At.Sub(lines[i-1].At); gap >= minGap {
@@ -164,6 +196,37 @@
 	return Timeline{Lines: lines}, nil
 }
 
+// isHeldUpByEvacuation reports whether a line about the job says that an evacuation held it up: its
+// tasks waited, or were moved, or a start was withdrawn.
+func isHeldUpByEvacuation(fields map[string]any) bool {
+	cause, _ := fields["cause"].(string)
+	why, _ := fields["why"].(string)
+	isWithdrawn, _ := fields["evacuated"].(bool)
+	return isWithdrawn || strings.Contains(cause, "evacuated") || strings.Contains(why, "evacuated")
+}
+
+// relevantEvacuations returns the lines of one process that were logged in the job's time, and the
+// requests that were in force at its begin.
+func relevantEvacuations(evacuations []evacuationLine, first, last time.Time) []Line {
+	slices.SortStableFunc(evacuations, func(a, b evacuationLine) int { return a.At.Compare(b.At) })
+	var lines []Line
+	before := map[string]evacuationLine{}
+	for _, line := range evacuations {
+		switch {
+		case line.At.Before(first):
+			before[line.dataCentre] = line
+		case !line.At.After(last):
+			lines = append(lines, line.Line)
+		}
+	}
+	for _, line := range before {
+		if line.isRequested {
+			lines = append(lines, line.Line)
+		}
+	}
+	return lines
+}
+
 func sortByTime(lines []Line) {
 	slices.SortStableFunc(lines, func(a, b Line) int { return a.At.Compare(b.At) })
 }
