--- a/internal/fleet/slowness_test.go
+++ b/internal/fleet/slowness_test.go
@@ -52,7 +52,7 @@
 
 // slownessOf returns how slow an endpoint is shown.
 func (s *simulation) slownessOf(id fleet.EndpointID) float64 {
-	for _, e := range s.leader.Dump().Endpoints {
+	for _, e := range s.leader.Dump(s.now).Endpoints {
 		if e.ID == id {
 			return e.Slowness
 		}
