--- a/internal/fleet/arrivals.go
+++ b/internal/fleet/arrivals.go
@@ -23,6 +23,8 @@
 	at time.Time
 	// cpu is in thousandths of a core times seconds, memory in MiB times seconds.
 	cpu, memory float64
+	// beyondShare is true if the job exceeded its client account's share.
+	beyondShare bool
 }
 
 // arrivalHistory holds the recent arrivals in a pool.
@@ -42,7 +44,7 @@
 
 // recordArrival adds a new job's estimated work to its pool's arrival history.
 func (l *Leader) recordArrival(j *jobState, now time.Time) {
-	work := arrival{at: now}
+	work := arrival{at: now, beyondShare: j.beyondShare}
 	for _, step := range j.submission.Steps {
 		if step.Persistent {
 			continue
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -122,6 +122,7 @@
 	// hasFormerStarts is true if jobs have starts that former leaders recorded, and that
 	// are not settled.
 	hasFormerStarts bool
+	outlook         outlookState
 }
 
 // New returns a leader without jobs, endpoints or hosts.
--- a/internal/fleet/share.go
+++ b/internal/fleet/share.go
@@ -15,6 +15,16 @@
 	refilledAt time.Time
 }
 
+// burstOf returns how many jobs an account with a weight can accumulate.
+func burstOf(weight float64) float64 {
+	return max(1, weight*shareBurst.Seconds())
+}
+
+// tokensAt returns the tokens at a time, if none is taken until then.
+func (b *tokenBucket) tokensAt(weight float64, now time.Time) float64 {
+	return min(burstOf(weight), b.tokens+weight*now.Sub(b.refilledAt).Seconds())
+}
+
 // withinShare takes one job from a client account's share, which is its weight in
 // jobs per second, and reports whether the share sufficed. Accounts without a weight
 // and callers without an account are unlimited.
@@ -23,13 +33,12 @@
 	if account == "" || weight <= 0 {
 		return true
 	}
-	burst := max(1, weight*shareBurst.Seconds())
 	bucket := l.shareBuckets[account]
 	if bucket == nil {
-		bucket = &tokenBucket{tokens: burst, refilledAt: now}
+		bucket = &tokenBucket{tokens: burstOf(weight), refilledAt: now}
 		l.shareBuckets[account] = bucket
 	}
-	bucket.tokens = min(burst, bucket.tokens+weight*now.Sub(bucket.refilledAt).Seconds())
+	bucket.tokens = bucket.tokensAt(weight, now)
 	bucket.refilledAt = now
 	if bucket.tokens < 1 {
 		return false
