job, control: rows of refusals

Change: job.Refusal with its row, Submission.Returned, row format 3 of processes that know such rows; the leader ignores them in its feed, its load and its look-ups, and deletes them once the status retention is over, each on the condition of its version. The outlook travels in hellos and in replies to Accept, and member.FleetClient keeps the newest.

--- a/internal/control/batch.go
+++ b/internal/control/batch.go
@@ -102,7 +102,7 @@
 	}
 }
 
-// cleanupLoop deletes the rows of jobs whose retention has expired.
+// cleanupLoop deletes the rows of jobs and refusals whose retention has expired.
 func (t *term) cleanupLoop(ctx context.Context) {
 	for loops.Sleep(ctx, cleanupInterval) {
 		var ids []job.ID
@@ -110,6 +110,7 @@
 		if len(ids) > 0 && t.deleteRows(ctx, ids) {
 			t.locked(func() { t.leader.ForgetJobs(ids) })
 		}
+		t.deleteRefusals(ctx, time.Now().Add(-t.config.Bounds.StatusRetention))
 	}
 }
 
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -209,6 +209,15 @@
 	return *t.maxHostResources.Load()
 }
 
+// Outlook implements member.Fleet.
+func (c *Control) Outlook() []byte {
+	t := c.current()
+	if t == nil {
+		return nil
+	}
+	return *t.outlook.Load()
+}
+
 // EndpointCount returns how many endpoints the leader has, also while it still reads
 // the jobs, or 0 while this process does not lead.
 func (c *Control) EndpointCount() int {
--- a/internal/control/load.go
+++ b/internal/control/load.go
@@ -87,6 +87,10 @@
 		return loadedRows{}, err
 	}
 	for _, row := range jobRows {
+		if job.IsRefusal(row.Value) {
+			t.refusals.note(job.ID(record.LastSegment(row.Key)), row.Version, time.Now())
+			continue
+		}
 		submission, err := job.DecodeSubmission(row.Value)
 		if err != nil {
 			t.config.Journal.Info("job row cannot be decoded", "key", row.Key, "version", row.Version, "error", err.Error())
@@ -256,13 +260,13 @@
 	}
 }
 
-// readJob reads one job's rows. It returns nil if the job does not exist.
+// readJob reads one job's rows. It returns nil if the job does not exist, or was refused.
 func (t *term) readJob(ctx context.Context, id job.ID) (*fleet.StoredJob, error) {
 	rows, err := t.config.Store.Get(ctx, record.JobKey(id), record.CancelKey(id), record.ProgressKey(id))
 	if err != nil {
 		return nil, err
 	}
-	if rows[0].Version == table.Absent {
+	if rows[0].Version == table.Absent || job.IsRefusal(rows[0].Value) {
 		return nil, nil
 	}
 	submission, err := job.DecodeSubmission(rows[0].Value)
--- a/internal/control/term.go
+++ b/internal/control/term.go
@@ -58,7 +58,9 @@
 	// maxHostResources and loaded are in the answer to a hello, which must not wait for
 	// the decisions of a busy leader: others would take over.
 	maxHostResources atomic.Pointer[policy.Resources]
-	loaded           atomic.Bool
+	// outlook is the encoded outlook for new jobs, which is in these answers as well.
+	outlook atomic.Pointer[[]byte]
+	loaded  atomic.Bool
 
 	mu       sync.Mutex
 	leader   *fleet.Leader
@@ -68,6 +70,7 @@
 	hostOrders          chan hostOrder
 	adviceRequests      chan fleet.AdviceRequest
 	lookups             chan job.ID
+	refusals            refusals
 	// crashes holds the leader's counts that the metrics show already.
 	crashes fleet.CrashCounts
 }
@@ -84,6 +87,7 @@
 		lookups: make(chan job.ID, lookupQueueSize),
 	}
 	t.maxHostResources.Store(&policy.Resources{})
+	t.outlook.Store(new([]byte))
 	t.writer = newWriter(writerConfig{
 		Store: c.config.Store, Journal: c.config.Journal, Token: claim.Token, ClaimVersion: version,
 		Confirmed: func(sentAt time.Time) { t.locked(func() { t.leader.ConfirmLeadership(sentAt) }) },
@@ -191,6 +195,10 @@
 	if change.Removed || t.knows(job.ID(record.LastSegment(change.Row.Key))) {
 		return
 	}
+	if job.IsRefusal(change.Row.Value) {
+		t.refusals.note(job.ID(record.LastSegment(change.Row.Key)), change.Row.Version, time.Now())
+		return
+	}
 	submission, err := job.DecodeSubmission(change.Row.Value)
 	if err != nil {
 		t.config.Journal.Info("job row cannot be decoded", "key", change.Row.Key, "version", change.Row.Version, "error", err.Error())
@@ -233,6 +241,7 @@
 		t.leader.ConfirmLeadership(confirmedAt)
 		t.queueOrders(t.leader.Step(started, started))
 		t.recordMaxHostResources()
+		t.recordOutlook(started)
 		t.countCrashes()
 	})
 	metrics.GetOrCreateHistogram("leader_step_seconds").UpdateDuration(started)
@@ -246,6 +255,12 @@
 	t.maxHostResources.Store(&largest)
 }
 
+// recordOutlook records the outlook for answers to hellos; t.mu must be held.
+func (t *term) recordOutlook(now time.Time) {
+	encoded := t.leader.Outlook(now).Encode()
+	t.outlook.Store(&encoded)
+}
+
 // countCrashes adds what the leader has counted since the last call to the metrics; t.mu must
 // be held.
 func (t *term) countCrashes() {
--- a/internal/job/job.go
+++ b/internal/job/job.go
@@ -123,6 +123,8 @@
 	Start    time.Time     `json:"start,omitzero"`
 	Interval time.Duration `json:"interval,omitempty"`
 	Accepted time.Time     `json:"accepted"`
+	// Returned is set if the job was refused before it was accepted.
+	Returned bool `json:"returned,omitempty"`
 }
 
 // Occurrences returns how many times the steps run.
--- a/internal/job/row.go
+++ b/internal/job/row.go
@@ -59,8 +59,11 @@
 	// A new leader reads the rows of thousands of jobs, and a leader sends their specs
 	// again and again.
 	RowDeflated RowFormat = 2
+	// RowRefusal says that a process knows rows of refusals. An earlier version takes one for
+	// the job's row, and answers a repeated request with 200. Rows of jobs are RowDeflated.
+	RowRefusal RowFormat = 3
 	// NewestRowFormat is the newest form that this version reads.
-	NewestRowFormat = RowDeflated
+	NewestRowFormat = RowRefusal
 )
 
 // deflatedMark is the first byte of RowDeflated rows.
--- a/internal/member/fleetclient.go
+++ b/internal/member/fleetclient.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/lovagedyke/lovagedyke/internal/admission"
 	"github.com/lovagedyke/lovagedyke/internal/job"
 	"github.com/lovagedyke/lovagedyke/internal/member/memberpb"
 )
@@ -56,9 +57,25 @@
 	if peer == nil {
 		return
 	}
-	if _, err := peer.Accept(ctx, &memberpb.AcceptRequest{Submissions: submissions}); err != nil {
+	token := f.node.leaderToken()
+	reply, err := peer.Accept(ctx, &memberpb.AcceptRequest{Submissions: submissions})
+	if err != nil {
 		f.node.config.Journal.Info("leader not notified of accepted jobs", "jobs", len(submissions), "error", err.Error())
+		return
+	}
+	if reply.Leading {
+		// The token is that of the leader that was asked, or of an earlier one.
+		f.node.outlooks.Receive(token, reply.Outlook, time.Now())
+	}
+}
+
+// Outlook returns the newest outlook for new jobs and how long ago it was received, or
+// false if none has been.
+func (f *FleetClient) Outlook(now time.Time) (outlook admission.Outlook, age time.Duration, ok bool) {
+	if _, isSelf := f.leader(); isSelf && f.local.Leading() {
+		f.node.outlooks.Receive(f.node.leaderToken(), f.local.Outlook(), now)
 	}
+	return f.node.outlooks.Current(now)
 }
 
 // NotifyCancelled notifies the leader of a stored cancel.
--- a/internal/member/member_test.go
+++ b/internal/member/member_test.go
@@ -33,6 +33,7 @@
 func (noFleet) Cancel(job.ID) bool             { return false }
 func (noFleet) State(job.ID) (job.State, bool) { return "", false }
 func (noFleet) Waiting() map[string]int        { return nil }
+func (noFleet) Outlook() []byte                { return nil }
 
 type noPolicy struct{}
 
--- a/internal/member/node.go
+++ b/internal/member/node.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"github.com/lovagedyke/lovagedyke/internal/admission"
 	"github.com/lovagedyke/lovagedyke/internal/courier/courierpb"
 	"github.com/lovagedyke/lovagedyke/internal/job"
 	"github.com/lovagedyke/lovagedyke/internal/member/memberpb"
@@ -82,6 +83,9 @@
 	// MaxHostResources returns, per resource, the largest amount that a single
 	// host has, or zeros while this process does not lead.
 	MaxHostResources func() policy.Resources
+	// Outlook returns the leader's encoded outlook for new jobs, or nil while this process
+	// does not lead; it must return at once. It may be nil.
+	Outlook func() []byte
 }
 
 // Node is this process as a member of the group.
@@ -126,6 +130,8 @@
 	// maxHostResources is what the leader last reported of the largest hosts.
 	maxHostResources policy.Resources
 	wake             chan struct{}
+	// outlooks holds the newest outlook of a leader.
+	outlooks *admission.Holder
 }
 
 // New returns a node that knows no other members yet.
@@ -133,6 +139,7 @@
 	return &Node{
 		config: config, dialer: newDialer(config.Dial), members: map[string]record.Member{},
 		peersWithStore: map[string]time.Time{}, confirmedAt: map[string]time.Time{}, wake: make(chan struct{}, 1),
+		outlooks: admission.NewHolder(admission.HolderConfig{Journal: config.Journal}),
 	}
 }
 
--- a/internal/member/service.go
+++ b/internal/member/service.go
@@ -22,6 +22,9 @@
 	Cancel(id job.ID) bool
 	State(id job.ID) (state job.State, known bool)
 	Waiting() map[string]int
+	// Outlook returns the encoded outlook for new jobs, without waiting for decisions, or
+	// nil if there is none.
+	Outlook() []byte
 }
 
 // PolicyHolder is this process's copy of the operators' configuration.
@@ -70,7 +73,8 @@
 
 // Accept implements memberpb.Member.
 func (s *Service) Accept(_ context.Context, request *memberpb.AcceptRequest) (*memberpb.LeaderReply, error) {
-	return &memberpb.LeaderReply{Leading: s.config.Fleet.Accept(request.Submissions)}, nil
+	leading := s.config.Fleet.Accept(request.Submissions)
+	return &memberpb.LeaderReply{Leading: leading, Outlook: s.config.Fleet.Outlook()}, nil
 }
 
 // Cancel implements memberpb.Member.
--- a/internal/member/view.go
+++ b/internal/member/view.go
@@ -41,7 +41,7 @@
 // view returns this process's view of the group, as sent to another member that has
 // the list of members of version known.
 func (n *Node) view(known uint64) *memberpb.View {
-	largest := n.config.MaxHostResources()
+	largest, outlook := n.config.MaxHostResources(), n.ownOutlook()
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	sinceHeard := time.Since(n.leaderHeardAt)
@@ -59,6 +59,7 @@
 	}
 	if n.leading {
 		view.LargestCpu, view.LargestMemory, view.LargestGpu = largest.CPU, largest.Memory, largest.GPU
+		view.Outlook = outlook
 		view.MembersVersion = membersVersion(n.members)
 		if view.MembersVersion == known {
 			return view
@@ -92,6 +93,9 @@
 	if !ok {
 		return
 	}
+	if view.Leading && from.Name != n.config.Name {
+		n.outlooks.Receive(view.Token, view.Outlook, time.Now())
+	}
 	if from.Name != n.config.Name && n.config.OnPolicyVersion != nil {
 		n.config.OnPolicyVersion(view.PolicyVersion, from)
 	}
--- a/internal/process/node.go
+++ b/internal/process/node.go
@@ -136,6 +136,7 @@
 		PolicyVersion:    n.holder.Version,
 		OnPolicyVersion:  n.policyAnnounced,
 		MaxHostResources: func() policy.Resources { return n.control.MaxHostResources() },
+		Outlook:          func() []byte { return n.control.Outlook() },
 	})
 	endpoints := platform.NewEndpoints(platform.EndpointsConfig{Client: client, Timeout: endpointTimeout})
 	n.carrier = courier.NewServer(courier.ServerConfig{Endpoints: endpoints, Journal: n.journal})
