ingress: refuse jobs that cannot be served, after the refusal is stored

Cause: nothing is refused under overload, and a refusal would be untrue while an earlier attempt under the same ID is on its way to the store. Change: submit asks admission by the newest outlook. A refusal's row is written on the condition that no row exists; an existing job is answered with 200, an unknown outcome with 504, a store that is away with the 503 of before. A job that returns replaces the refusal on the condition of its version, marked returned, and is not refused for load again. A refusal counts as preceding a request only if its version is not above one that this process knew when the request came (its commits and the feed of the operators' rows tell it): an attempt that was received before the refusal must not replace it. Attempts under one ID no longer share a transaction. A state query or a cancel of a refused job is answered as for an unknown one.

--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -118,8 +118,8 @@
 	return r.Returned || r.Persistent || r.Occurrences > 0 || !hasObjective
 }
 
-// objective returns the job's objective.
-func (r Request) objective() time.Duration {
+// Objective returns the job's objective.
+func (r Request) Objective() time.Duration {
 	return time.Duration(float64(r.Chain)*max(1, r.Stretch)) + r.Target
 }
 
@@ -136,7 +136,7 @@
 		return Decision{Admit: true, ExpectedStart: p.startInTime(request.Priority, isBeyondShare, age, 1)}
 	}
 	start := p.startLate(request.Priority, isBeyondShare)
-	if start+request.Chain <= LateFactor*request.objective() {
+	if start+request.Chain <= LateFactor*request.Objective() {
 		return Decision{Admit: true, ExpectedStart: start}
 	}
 	wait := max(p.ShortFor, p.startInTime(request.Priority, isBeyondShare, age, 1)-request.slack(1))
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -8,7 +8,9 @@
 //	handler.Run(ctx) // writes accepted jobs until ctx ends
 //
 // A job is accepted when its row is stored. A request is refused with 429 or 503
-// only if nothing that this process has sent can still store the row.
+// only if nothing that this process has sent can still store the row. A refusal for
+// load is stored in place of the job's row first, so that no attempt can store the job
+// that another process has received before.
 package ingress
 
 import (
@@ -23,6 +25,7 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
+	"github.com/lovagedyke/lovagedyke/internal/admission"
 	"github.com/lovagedyke/lovagedyke/internal/job"
 	"github.com/lovagedyke/lovagedyke/internal/policy"
 	"github.com/lovagedyke/lovagedyke/internal/table"
@@ -61,6 +64,9 @@
 	Waiting(ctx context.Context, queue string) (count int, answered bool)
 	// Unschedulable returns why no endpoint can ever run a step, or "".
 	Unschedulable(step job.Step) string
+	// Outlook returns the leader's newest outlook for new jobs and how long ago it was
+	// received, or false if none has been.
+	Outlook(now time.Time) (outlook admission.Outlook, age time.Duration, ok bool)
 }
 
 // Codec decodes callers' bodies and headers and encodes response bodies.
@@ -90,12 +96,15 @@
 	RowBytes int
 	// RowFormat returns the form of rows to write; nil means job.RowJSON.
 	RowFormat func() job.RowFormat
+	// AdmitAll is set to refuse no job for load.
+	AdmitAll bool
 }
 
 // Ingress is the HTTP handler of callers' requests.
 type Ingress struct {
-	config Config
-	writer *writer
+	config    Config
+	writer    *writer
+	admission admissionState
 }
 
 // New returns a handler. It accepts jobs only while Run is running.
@@ -123,6 +132,8 @@
 	account string
 	id      job.ID
 	started time.Time
+	// asOf is a version that the store had reached when the request was received.
+	asOf uint64
 	// deadline is when the response has to be ready.
 	deadline time.Time
 }
@@ -167,7 +178,7 @@
 	if !ok {
 		return nil, i.refuse(http.StatusNotFound, "no such queue", 0)
 	}
-	c := &call{request: r, policy: current, queue: queue, started: started}
+	c := &call{request: r, policy: current, queue: queue, started: started, asOf: i.writer.version.Load()}
 	if !queue.Open {
 		account, known := current.AccountByKey(i.config.Codec.Key(r.Header))
 		if !known {
@@ -235,7 +246,7 @@
 			return i.refuse(http.StatusBadRequest, "step "+strconv.Itoa(number)+": "+problem, 0)
 		}
 	}
-	return i.submitReply(i.writer.accept(ctx, submission))
+	return i.admit(ctx, c, submission)
 }
 
 // applyQueue sets the fields that the queue and the caller's key determine.
@@ -256,6 +267,9 @@
 	switch outcome {
 	case outcomeStored, outcomeExists:
 		return reply{status: http.StatusOK, body: []byte("{}")}
+	case outcomeRefusalStored:
+		countRefusal(reasonConcurrent)
+		return i.refuse(http.StatusServiceUnavailable, "another attempt under this ID was refused; the job was not accepted", concurrentRetryAfter)
 	case outcomeRefused:
 		return i.refuse(http.StatusServiceUnavailable, "the store is away; the job was not accepted", retryAfter)
 	case outcomeTooLarge:
--- a/internal/ingress/ingress_test.go
+++ b/internal/ingress/ingress_test.go
@@ -10,6 +10,7 @@
 	"testing"
 	"time"
 
+	"github.com/lovagedyke/lovagedyke/internal/admission"
 	"github.com/lovagedyke/lovagedyke/internal/ingress"
 	"github.com/lovagedyke/lovagedyke/internal/job"
 	"github.com/lovagedyke/lovagedyke/internal/policy"
@@ -28,6 +29,10 @@
 	accepted int
 	states   map[job.ID]job.State
 	isDown   bool
+
+	outlook    admission.Outlook
+	outlookAge time.Duration
+	hasOutlook bool
 }
 
 func (f *fakeFleet) NotifyAccepted(_ context.Context, submissions [][]byte) {
@@ -51,6 +56,12 @@
 
 func (f *fakeFleet) Waiting(context.Context, string) (int, bool) { return 7, !f.isDown }
 
+func (f *fakeFleet) Outlook(time.Time) (admission.Outlook, time.Duration, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.outlook, f.outlookAge, f.hasOutlook
+}
+
 func (f *fakeFleet) Unschedulable(step job.Step) string {
 	if step.Resources.CPU > 16000 {
 		return "a task is larger than any endpoint"
--- a/internal/ingress/stored.go
+++ b/internal/ingress/stored.go
@@ -8,13 +8,13 @@
 	"github.com/lovagedyke/lovagedyke/internal/table"
 )
 
-// storedState reads a job's state from its rows.
+// storedState reads a job's state from its rows. A refused job is not known.
 func (i *Ingress) storedState(ctx context.Context, id job.ID) (state job.State, known bool, err error) {
 	rows, err := i.config.Store.Get(ctx, record.JobKey(id), record.CancelKey(id), record.ProgressKey(id))
 	if err != nil {
 		return "", false, err
 	}
-	if rows[0].Version == table.Absent {
+	if rows[0].Version == table.Absent || job.IsRefusal(rows[0].Value) {
 		return "", false, nil
 	}
 	state = job.Queued
--- a/internal/ingress/writer.go
+++ b/internal/ingress/writer.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -45,8 +46,21 @@
 	outcomeRefused
 	// outcomeTooLarge: the job exceeds the store's row size.
 	outcomeTooLarge
+	// outcomeRefusalStored: a refusal is stored that no attempt replaces which this process
+	// has received so far.
+	outcomeRefusalStored
+	// outcomeReturned: the job was refused before this request was received, and the
+	// refusal is left as it is.
+	outcomeReturned
 )
 
+// result is the outcome of a write.
+type result struct {
+	outcome outcome
+	// refusal is the version of the refusal's row after outcomeReturned.
+	refusal uint64
+}
+
 // writerConfig configures a writer.
 type writerConfig struct {
 	Store          table.Store
@@ -57,20 +71,31 @@
 	RowFormat func() job.RowFormat
 }
 
-// write is a pending write of one job.
+// write is a pending write of one job, or of its refusal.
 type write struct {
 	ctx   context.Context
 	id    job.ID
 	value []byte
-	done  chan outcome
+	done  chan result
 	// maybeStored is true once an attempt's answer was lost.
 	maybeStored bool
+	// submission is nil for a refusal.
+	submission *job.Submission
+	// replaces is the version of the refusal's row that the write replaces, or table.Absent.
+	replaces uint64
+	// asOf is a version of the store that was known when the request was received. A
+	// refusal up to this version was stored before: the job has returned.
+	asOf uint64
+	// renews is set for a refusal that replaces an earlier one.
+	renews bool
 }
 
 // writer stores jobs in batches, one transaction per batch.
 type writer struct {
 	config writerConfig
 	shards [record.JobShards]chan *write
+	// version is the newest version of the store that this process has seen.
+	version atomic.Uint64
 }
 
 func newWriter(config writerConfig) *writer {
@@ -90,24 +115,71 @@
 	group.Wait()
 }
 
+// observeVersion records a version that the store has reached.
+func (w *writer) observeVersion(version uint64) {
+	for {
+		known := w.version.Load()
+		if version <= known || w.version.CompareAndSwap(known, version) {
+			return
+		}
+	}
+}
+
 // accept stores a job. If ctx ends first, it returns outcomeUnknown.
-func (w *writer) accept(ctx context.Context, submission *job.Submission) outcome {
-	value := job.EncodeSubmission(submission, w.config.RowFormat())
-	if w.config.RowBytes > 0 && len(value) > w.config.RowBytes {
+func (w *writer) accept(ctx context.Context, submission *job.Submission, asOf uint64) outcome {
+	value, ok := w.encode(submission)
+	if !ok {
+		return outcomeTooLarge
+	}
+	return w.submit(&write{ctx: ctx, id: submission.ID, value: value, submission: submission, asOf: asOf}).outcome
+}
+
+// acceptReturned stores a job in place of its refusal, whose row has a version.
+func (w *writer) acceptReturned(ctx context.Context, submission *job.Submission, refusal uint64) outcome {
+	entry := &write{ctx: ctx, id: submission.ID, submission: submission, asOf: refusal}
+	if !w.replace(entry, refusal) {
 		return outcomeTooLarge
 	}
-	entry := &write{ctx: ctx, id: submission.ID, value: value, done: make(chan outcome, 1)}
+	return w.submit(entry).outcome
+}
+
+// refuseJob stores a job's refusal. With renew it replaces an earlier one, so that an
+// attempt to replace that one fails; else it leaves that as it is.
+func (w *writer) refuseJob(ctx context.Context, id job.ID, asOf uint64, renew bool) result {
+	value := job.EncodeRefusal(job.Refusal{RefusedAt: time.Now()})
+	return w.submit(&write{ctx: ctx, id: id, value: value, asOf: asOf, renews: renew})
+}
+
+// encode returns a job's row, or false if the store takes none of its size.
+func (w *writer) encode(submission *job.Submission) ([]byte, bool) {
+	value := job.EncodeSubmission(submission, w.config.RowFormat())
+	return value, w.config.RowBytes <= 0 || len(value) <= w.config.RowBytes
+}
+
+// replace makes a job's entry replace a refusal. It returns false if the job's row is too
+// large.
+func (w *writer) replace(entry *write, refusal uint64) bool {
+	returned := *entry.submission
+	returned.Returned = true
+	value, ok := w.encode(&returned)
+	entry.submission, entry.value, entry.replaces = &returned, value, refusal
+	return ok
+}
+
+// submit queues an entry and waits for its result, or for its context's end.
+func (w *writer) submit(entry *write) result {
+	entry.done = make(chan result, 1)
 	select {
-	case w.shards[record.ShardOf(submission.ID)] <- entry:
+	case w.shards[record.ShardOf(entry.id)] <- entry:
 	default:
-		w.config.Journal.Info("job refused: write queue full", "request-id", submission.ID)
-		return outcomeRefused
+		w.config.Journal.Info("job refused: write queue full", "request-id", entry.id)
+		return result{outcome: outcomeRefused}
 	}
 	select {
 	case got := <-entry.done:
 		return got
-	case <-ctx.Done():
-		return outcomeUnknown
+	case <-entry.ctx.Done():
+		return result{outcome: outcomeUnknown}
 	}
 }
 
@@ -147,19 +219,20 @@
 		if len(entries) == 0 {
 			return
 		}
-		err := w.commit(ctx, entries)
+		batch, rest := splitByJob(entries)
+		err := w.commit(ctx, batch)
 		var conflict *table.ConflictError
 		switch {
 		case err == nil:
-			w.finishStored(ctx, entries)
-			return
+			w.finishStored(ctx, batch)
+			entries = rest
 		case errors.As(err, &conflict):
-			entries = w.resolveConflict(ctx, entries, conflict)
+			entries = append(w.resolveConflict(ctx, batch, conflict), rest...)
 		case errors.Is(err, table.ErrUnknown):
 			// The rows may be stored: retrying the same transaction finds out,
 			// since its condition fails for rows that exist.
 			metrics.GetOrCreateCounter("accept_answers_lost_total").Inc()
-			for _, entry := range entries {
+			for _, entry := range batch {
 				entry.maybeStored = true
 			}
 			w.sleep(ctx)
@@ -170,12 +243,27 @@
 			}
 			w.sleep(ctx)
 		default:
-			w.config.Journal.Info("store refused the jobs' rows", "jobs", len(entries), "error", err.Error())
-			entries = w.refuse(entries)
+			w.config.Journal.Info("store refused the jobs' rows", "jobs", len(batch), "error", err.Error())
+			entries = append(w.refuse(batch), rest...)
 		}
 	}
 }
 
+// splitByJob returns the first entry of each job, and the others, which wait for the
+// outcome of the first: one of them may accept the job and another refuse it.
+func splitByJob(entries []*write) (batch, rest []*write) {
+	seen := make(map[job.ID]bool, len(entries))
+	for _, entry := range entries {
+		if seen[entry.id] {
+			rest = append(rest, entry)
+			continue
+		}
+		seen[entry.id] = true
+		batch = append(batch, entry)
+	}
+	return batch, rest
+}
+
 func (w *writer) sleep(ctx context.Context) {
 	timer := time.NewTimer(retryDelay)
 	defer timer.Stop()
@@ -197,50 +285,109 @@
 	return kept
 }
 
-// commit writes all entries, on the condition that none of them exists.
+// commit writes all entries, on the condition that none of them exists, or is still the
+// refusal that the entry replaces.
 func (w *writer) commit(ctx context.Context, entries []*write) error {
 	var txn table.Txn
 	for _, entry := range entries {
 		key := record.JobKey(entry.id)
-		txn.Conditions = append(txn.Conditions, table.Condition{Key: key, Version: table.Absent})
+		txn.Conditions = append(txn.Conditions, table.Condition{Key: key, Version: entry.replaces})
 		txn.Writes = append(txn.Writes, table.Write{Key: key, Value: entry.value})
 	}
-	return w.config.Store.Commit(ctx, txn)
+	versioner, ok := w.config.Store.(table.Versioner)
+	if !ok {
+		return w.config.Store.Commit(ctx, txn)
+	}
+	version, err := versioner.CommitVersion(ctx, txn)
+	if err == nil {
+		w.observeVersion(version)
+	}
+	return err
 }
 
 // finishStored answers the callers and notifies the leader.
 func (w *writer) finishStored(ctx context.Context, entries []*write) {
 	values := make([][]byte, 0, len(entries))
 	for _, entry := range entries {
+		if entry.submission == nil {
+			entry.done <- result{outcome: outcomeRefusalStored}
+			continue
+		}
 		values = append(values, entry.value)
-		entry.done <- outcomeStored
+		entry.done <- result{outcome: outcomeStored}
+	}
+	if len(values) == 0 {
+		return
 	}
 	notifyCtx, cancel := context.WithTimeout(ctx, notifyTimeout)
 	defer cancel()
 	w.config.NotifyAccepted(notifyCtx, values)
 }
 
-// resolveConflict completes the entry whose row exists already, and returns the
-// other entries.
+// resolveConflict resolves the entry whose row exists already, and returns the entries
+// to write.
 func (w *writer) resolveConflict(ctx context.Context, entries []*write, conflict *table.ConflictError) []*write {
 	var rest []*write
 	for _, entry := range entries {
-		if record.JobKey(entry.id) != conflict.Key {
+		if record.JobKey(entry.id) != conflict.Key || !w.resolve(ctx, entry) {
 			rest = append(rest, entry)
-			continue
-		}
-		entry.done <- outcomeExists
-		if entry.maybeStored {
-			// The row is probably this writer's own, from an attempt whose answer was
-			// lost, so the leader has not been notified yet.
-			notifyCtx, cancel := context.WithTimeout(ctx, notifyTimeout)
-			w.config.NotifyAccepted(notifyCtx, [][]byte{entry.value})
-			cancel()
 		}
 	}
 	return rest
 }
 
+// resolve reads the row that exists already, which is the job's or its refusal's. It
+// returns false if the entry has to be written again.
+func (w *writer) resolve(ctx context.Context, entry *write) bool {
+	rows, err := w.config.Store.Get(ctx, record.JobKey(entry.id))
+	if err != nil {
+		w.sleep(ctx)
+		return false
+	}
+	row := rows[0]
+	switch {
+	case row.Version == table.Absent:
+		entry.replaces = table.Absent
+		return false
+	case job.IsRefusal(row.Value):
+		return w.resolveRefusal(entry, row)
+	}
+	entry.done <- result{outcome: outcomeExists}
+	if entry.maybeStored && entry.submission != nil {
+		// The row is probably this writer's own, from an attempt whose answer was
+		// lost, so the leader has not been notified yet.
+		notifyCtx, cancel := context.WithTimeout(ctx, notifyTimeout)
+		w.config.NotifyAccepted(notifyCtx, [][]byte{entry.value})
+		cancel()
+	}
+	return true
+}
+
+// resolveRefusal resolves an entry whose job has a refusal's row. It returns false if the
+// entry has to be written again.
+func (w *writer) resolveRefusal(entry *write, row table.Row) bool {
+	hasReturned := row.Version <= entry.asOf
+	switch {
+	case !hasReturned:
+		// It is this refusal, from an attempt whose answer was lost, or one that was stored
+		// while this request was on its way: the caller has been told that the job will
+		// not run, which this request must not make untrue.
+		entry.done <- result{outcome: outcomeRefusalStored}
+	case entry.submission != nil:
+		if !w.replace(entry, row.Version) {
+			entry.done <- result{outcome: outcomeTooLarge}
+			return true
+		}
+		return false
+	case entry.renews:
+		entry.replaces = row.Version
+		return false
+	default:
+		entry.done <- result{outcome: outcomeReturned, refusal: row.Version}
+	}
+	return true
+}
+
 // refuse refuses the entries that are certainly not stored, and returns the
 // others.
 func (w *writer) refuse(entries []*write) []*write {
@@ -250,7 +397,7 @@
 			rest = append(rest, entry)
 			continue
 		}
-		entry.done <- outcomeRefused
+		entry.done <- result{outcome: outcomeRefused}
 	}
 	return rest
 }
--- a/internal/process/feeds.go
+++ b/internal/process/feeds.go
@@ -149,6 +149,7 @@
 			return
 		}
 		n.observeStore(err)
+		n.ingress.ObserveVersion(version)
 		n.applyOperatorRows(rows)
 		known = err == nil || known && !errors.Is(err, table.ErrHistoryLost)
 		if err != nil {
--- a/internal/process/node.go
+++ b/internal/process/node.go
@@ -66,6 +66,8 @@
 	Settings platform.Settings
 	// SettingsPath is the path of the settings file.
 	SettingsPath string
+	// AdmitAll is set to refuse no job for load.
+	AdmitAll bool
 	// Metrics is the address that serves metrics and the state dump; an invalid
 	// address disables them.
 	Metrics netip.AddrPort
@@ -162,7 +164,7 @@
 	})
 	n.ingress = ingress.New(ingress.Config{
 		Policy: n.holder, Store: n.member.Store(), Fleet: member.NewFleetClient(n.member, n.control),
-		Codec: platform.Codec{}, Journal: n.journal, RowBytes: settings.RowBytes, RowFormat: n.member.RowFormat,
+		Codec: platform.Codec{}, Journal: n.journal, RowBytes: settings.RowBytes, RowFormat: n.member.RowFormat, AdmitAll: config.AdmitAll,
 	})
 	return n
 }
