--- a/cmd/lovagedyke/cmd_node.go
+++ b/cmd/lovagedyke/cmd_node.go
@@ -19,6 +19,7 @@
 	Desc: "run a node: accept callers' jobs and manage the fleet; settings file: $" + platform.SettingsVariable,
 	Setup: func(flags *flag.FlagSet, env *Env) Action {
 		level := flags.String("log-level", "info", "log level: debug, info, warn or error")
+		admission := flags.String("admission", admissionOn, "on refuses jobs that would end too late to be of use, off refuses none for load")
 		port := flags.Uint("metrics-port", 0, "port on this host's address that serves metrics and the state dump; 0 disables it")
 		return func(ctx context.Context, env *Env, args []string) error {
 			if len(args) > 0 {
@@ -27,12 +28,28 @@
 			if *port > math.MaxUint16 {
 				return usagef("-metrics-port is %d, want at most %d", *port, math.MaxUint16)
 			}
-			return node(ctx, env, *level, uint16(*port))
+			if *admission != admissionOn && *admission != admissionOff {
+				return usagef("-admission is %q, want %s or %s", *admission, admissionOn, admissionOff)
+			}
+			return node(ctx, env, nodeFlags{level: *level, metricsPort: uint16(*port), admitAll: *admission == admissionOff})
 		}
 	},
 }
 
-func node(ctx context.Context, env *Env, level string, metricsPort uint16) error {
+// Values of -admission.
+const (
+	admissionOn  = "on"
+	admissionOff = "off"
+)
+
+// nodeFlags holds the flags of a node.
+type nodeFlags struct {
+	level       string
+	metricsPort uint16
+	admitAll    bool
+}
+
+func node(ctx context.Context, env *Env, flags nodeFlags) error {
 	path := env.Getenv(platform.SettingsVariable)
 	if path == "" {
 		return usageError{errors.Newf("environment variable %s is not set, want the path of a settings file", platform.SettingsVariable)}
@@ -41,11 +58,11 @@
 	if err != nil {
 		return err
 	}
-	config := process.NodeConfig{Settings: settings, SettingsPath: path}
-	if metricsPort != 0 {
-		config.Metrics = netip.AddrPortFrom(settings.Peers.Addr(), metricsPort)
+	config := process.NodeConfig{Settings: settings, SettingsPath: path, AdmitAll: flags.admitAll}
+	if flags.metricsPort != 0 {
+		config.Metrics = netip.AddrPortFrom(settings.Peers.Addr(), flags.metricsPort)
 	}
-	config.Journal = journal.New(journal.Config{Writer: env.Stdout, Level: level, Fields: []any{"process", settings.Name}})
+	config.Journal = journal.New(journal.Config{Writer: env.Stdout, Level: flags.level, Fields: []any{"process", settings.Name}})
 	// The log writer stops last, so that shutdown messages are written.
 	logCtx, endLog := context.WithCancel(context.WithoutCancel(ctx))
 	group := loops.New(logCtx)
--- a/cmd/lovagedyke/cmd_test.go
+++ b/cmd/lovagedyke/cmd_test.go
@@ -163,6 +163,8 @@
 		"dump of no process": {args: []string{"dump", "127.0.0.1:1"}, wantCode: exitUnavailable, want: "refused"},
 		"table is down":      {faults: table.Faults{Down: true}, args: []string{"key", "list"}, wantCode: exitUnavailable, want: "table is unavailable"},
 		"port out of range":  {args: []string{"node", "-metrics-port", "65536"}, wantCode: exitUsage, want: "want at most 65535"},
+		"admission neither":  {args: []string{"node", "-admission", "maybe"}, wantCode: exitUsage, want: `-admission is "maybe", want on or off`},
+		"admission off":      {args: []string{"node", "-admission", "off"}, wantCode: exitUsage, want: "LOVAGEDYKE_CONFIG is not set"},
 		"surplus argument":   {args: []string{"node", "metrics-port=1"}, wantCode: exitUsage, want: "want none"},
 		"version":            {args: []string{"version"}, wantCode: exitOK, want: "lovagedyke"},
 	}
--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -52,3 +52,19 @@
 		})
 	}
 }
+
+// Guards against a refusal that cannot be explained from the request's ID alone.
+func TestRefusalForLoadIsShown(t *testing.T) {
+	const refusal = `{"time":"2026-12-01T06:00:00.900Z","level":"info","msg":"request refused for load","process":"front-1",` +
+		`"request-id":"5c0e7a21d94b36f8","pool":"orders","cores":100,"ahead":[0,480],"expected-start":"9.1s","retry-after":"4s"}` + "\n"
+	timeline, err := explain.Read(id, strings.NewReader(refusal+logText))
+	if err != nil {
+		t.Fatal(err)
+	}
+	got := timeline.Lines[0].String()
+	for _, want := range []string{"front-1", "request refused for load", "ahead=[0 480]", "cores=100", "expected-start=9.1s", "pool=orders", "retry-after=4s"} {
+		if !strings.Contains(got, want) {
+			t.Errorf("first line: got %q, want %q in it", got, want)
+		}
+	}
+}
--- a/internal/process/node.go
+++ b/internal/process/node.go
@@ -110,7 +110,7 @@
 	debug.SetMemoryLimit(int64(float64(config.Settings.MemoryMiB) * heapLimitShare * (1 << 20)))
 	n := newNodeProcess(config)
 	n.journal.Info("start", "data-centre", n.settings.DataCentre, "callers", n.settings.Callers.String(),
-		"peers", n.settings.Peers.String(), "first-start", n.settings.Bootstrap)
+		"peers", n.settings.Peers.String(), "first-start", n.settings.Bootstrap, "admission", !config.AdmitAll)
 	if n.settings.OrdersByHeartbeat {
 		n.journal.Info("orders are sent by calls", "setting", "heartbeat", "why", "the platform's API defines no format for orders in heartbeat replies")
 	}
