admission, fleet: the measured wait confirms an overload

The factor 1.5 for wrong estimates exceeds the overload, since work that becomes late leaves the queue. Change: the leader counts what starts in a pool in the last 2 s, and tells how long the work that can be in time takes to start at this rate, which depends on no estimate. The lesser of it and of the full estimate counts if it is more than the reduced estimate. Log lines have both. The property with wrong estimates passes with measured waits (30,000 draws). With the measured wait, its bound by the estimate, or the window taken out, a test fails each.

--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -132,14 +132,16 @@
 // decide decides on a job of a pool that is short.
 func (p PoolOutlook) decide(request Request, isBeyondShare bool, age time.Duration) Decision {
 	// The bounds that favour the job decide whether it can be in time.
-	if p.startInTime(request.Priority, isBeyondShare, age, estimateError) <= request.slack(estimateError)+rounding {
-		return Decision{Admit: true, ExpectedStart: p.startInTime(request.Priority, isBeyondShare, age, 1)}
+	expected := p.startInTime(request.Priority, isBeyondShare, age, 1)
+	earliest := max(p.startInTime(request.Priority, isBeyondShare, age, estimateError), min(expected, p.measuredWait(request.Priority, isBeyondShare)))
+	if earliest <= request.slack(estimateError)+rounding {
+		return Decision{Admit: true, ExpectedStart: expected}
 	}
 	start := p.startLate(request.Priority, isBeyondShare)
 	if start+request.Chain <= LateFactor*request.Objective() {
 		return Decision{Admit: true, ExpectedStart: start}
 	}
-	wait := max(p.ShortFor, p.startInTime(request.Priority, isBeyondShare, age, 1)-request.slack(1))
+	wait := max(p.ShortFor, expected-request.slack(1))
 	return Decision{Reason: ReasonLoad, RetryAfter: request.spread(wait), ExpectedStart: start}
 }
 
@@ -157,6 +159,15 @@
 	return waitFor(ahead, cores)
 }
 
+// measuredWait returns how long the work that precedes a new job takes to start at the
+// measured rate, which depends on no estimate, or 0 if that is not known.
+func (p PoolOutlook) measuredWait(priority int, isBeyondShare bool) time.Duration {
+	if isBeyondShare {
+		return at(p.BeyondWaitByPriority, priority)
+	}
+	return at(p.WaitByPriority, priority)
+}
+
 // startLate returns when a job starts that cannot be in time: after the shortage, which
 // is expected to last for as long again as it has lasted, and after the work that is
 // late already.
@@ -183,7 +194,7 @@
 }
 
 // at returns the amount at a priority.
-func at(byPriority []float64, priority int) float64 {
+func at[T float64 | time.Duration](byPriority []T, priority int) T {
 	if len(byPriority) == 0 {
 		return 0
 	}
--- a/internal/admission/admission_test.go
+++ b/internal/admission/admission_test.go
@@ -34,6 +34,15 @@
 	}
 }
 
+// doubled is the same pool with twice the traffic that it can do, of which work that can
+// be in time takes a wait to start at the measured rate.
+func doubled(wait time.Duration) admission.PoolOutlook {
+	return admission.PoolOutlook{
+		Cores: 100, ShortFor: 9 * time.Second, Inflow: 200, AheadByPriority: []float64{0, 250}, LateByPriority: []float64{0, 500},
+		WaitByPriority: []time.Duration{0, wait},
+	}
+}
+
 func TestDecide(t *testing.T) {
 	// overrun is a pool in which one account sends five times its usual traffic.
 	overrun := admission.PoolOutlook{
@@ -54,20 +63,24 @@
 		// want is the reason of the refusal, or "".
 		want admission.Reason
 	}{
-		"three times the usual traffic, after 6 of 12 s":    {request: request(), outlook: outlookOf(tripled(6 * time.Second)), want: admission.ReasonLoad},
-		"three times the usual traffic, after 2 s":          {request: request(), outlook: outlookOf(tripled(2 * time.Second))},
-		"three times the usual traffic in another pool":     {request: with(func(r *admission.Request) { r.Pool = "bookings" }), outlook: outlookOf(tripled(6 * time.Second))},
-		"three times the traffic of lower priority":         {request: with(func(r *admission.Request) { r.Priority = 0 }), outlook: outlookOf(tripled(6 * time.Second))},
-		"three times the traffic of higher priority":        {request: with(func(r *admission.Request) { r.Priority = 2 }), outlook: outlookOf(tripled(6 * time.Second)), want: admission.ReasonLoad},
-		"one account at five times its usual":               {request: request(), outlook: overrunOutlook, want: admission.ReasonLoad},
-		"beside one account at five times its usual":        {request: with(func(r *admission.Request) { r.Account = "calm" }), outlook: overrunOutlook},
-		"backlog that clears within the objective":          {request: request(), outlook: outlookOf(admission.PoolOutlook{Cores: 100, ShortFor: 20 * time.Second, AheadByPriority: []float64{0, 150}})},
-		"late backlog behind work in time":                  {request: request(), outlook: outlookOf(admission.PoolOutlook{Cores: 100, ShortFor: 20 * time.Second, AheadByPriority: []float64{0, 150}, LateByPriority: []float64{0, 5000}})},
-		"short burst of 20 s of work":                       {request: request(), outlook: outlookOf(admission.PoolOutlook{Cores: 100, ShortFor: 400 * time.Millisecond, Inflow: 5000, AheadByPriority: []float64{0, 2000}})},
-		"news of three times the traffic that is 3.1 s old": {request: request(), outlook: outlookOf(tripled(6 * time.Second)), age: 3100 * time.Millisecond},
-		"news of three times the traffic that is 2.9 s old": {request: request(), outlook: outlookOf(tripled(6 * time.Second)), age: 2900 * time.Millisecond, want: admission.ReasonLoad},
-		"older news of a backlog, without arriving work":    {request: request(), outlook: outlookOf(admission.PoolOutlook{Cores: 100, ShortFor: 9 * time.Second, AheadByPriority: []float64{0, 500}}), age: 2500 * time.Millisecond},
-		"fresh news of a backlog, without arriving work":    {request: request(), outlook: outlookOf(admission.PoolOutlook{Cores: 100, ShortFor: 9 * time.Second, AheadByPriority: []float64{0, 500}}), want: admission.ReasonLoad},
+		"three times the usual traffic, after 6 of 12 s":         {request: request(), outlook: outlookOf(tripled(6 * time.Second)), want: admission.ReasonLoad},
+		"three times the usual traffic, after 2 s":               {request: request(), outlook: outlookOf(tripled(2 * time.Second))},
+		"three times the usual traffic in another pool":          {request: with(func(r *admission.Request) { r.Pool = "bookings" }), outlook: outlookOf(tripled(6 * time.Second))},
+		"three times the traffic of lower priority":              {request: with(func(r *admission.Request) { r.Priority = 0 }), outlook: outlookOf(tripled(6 * time.Second))},
+		"three times the traffic of higher priority":             {request: with(func(r *admission.Request) { r.Priority = 2 }), outlook: outlookOf(tripled(6 * time.Second)), want: admission.ReasonLoad},
+		"one account at five times its usual":                    {request: request(), outlook: overrunOutlook, want: admission.ReasonLoad},
+		"beside one account at five times its usual":             {request: with(func(r *admission.Request) { r.Account = "calm" }), outlook: overrunOutlook},
+		"backlog that clears within the objective":               {request: request(), outlook: outlookOf(admission.PoolOutlook{Cores: 100, ShortFor: 20 * time.Second, AheadByPriority: []float64{0, 150}})},
+		"double the traffic, by estimates alone":                 {request: request(), outlook: outlookOf(doubled(0))},
+		"double the traffic, confirmed by measured starts":       {request: request(), outlook: outlookOf(doubled(2500 * time.Millisecond)), want: admission.ReasonLoad},
+		"double the traffic, contradicted by measured ones":      {request: request(), outlook: outlookOf(doubled(1500 * time.Millisecond))},
+		"few starts of long tasks, and little work by estimates": {request: request(), outlook: outlookOf(admission.PoolOutlook{Cores: 100, ShortFor: 20 * time.Second, AheadByPriority: []float64{0, 150}, WaitByPriority: []time.Duration{0, time.Minute}})},
+		"late backlog behind work in time":                       {request: request(), outlook: outlookOf(admission.PoolOutlook{Cores: 100, ShortFor: 20 * time.Second, AheadByPriority: []float64{0, 150}, LateByPriority: []float64{0, 5000}})},
+		"short burst of 20 s of work":                            {request: request(), outlook: outlookOf(admission.PoolOutlook{Cores: 100, ShortFor: 400 * time.Millisecond, Inflow: 5000, AheadByPriority: []float64{0, 2000}})},
+		"news of three times the traffic that is 3.1 s old":      {request: request(), outlook: outlookOf(tripled(6 * time.Second)), age: 3100 * time.Millisecond},
+		"news of three times the traffic that is 2.9 s old":      {request: request(), outlook: outlookOf(tripled(6 * time.Second)), age: 2900 * time.Millisecond, want: admission.ReasonLoad},
+		"older news of a backlog, without arriving work":         {request: request(), outlook: outlookOf(admission.PoolOutlook{Cores: 100, ShortFor: 9 * time.Second, AheadByPriority: []float64{0, 500}}), age: 2500 * time.Millisecond},
+		"fresh news of a backlog, without arriving work":         {request: request(), outlook: outlookOf(admission.PoolOutlook{Cores: 100, ShortFor: 9 * time.Second, AheadByPriority: []float64{0, 500}}), want: admission.ReasonLoad},
 		"no outlook":                                            {request: request()},
 		"pool without hosts":                                    {request: request(), outlook: outlookOf(admission.PoolOutlook{ShortFor: time.Minute, AheadByPriority: []float64{9, 9}})},
 		"persistent job":                                        {request: with(func(r *admission.Request) { r.Persistent = true }), outlook: outlookOf(tripled(6 * time.Second))},
@@ -143,6 +156,10 @@
 			ahead = precedes - late - beyond
 		}
 		age := time.Duration(rapid.OneOf(rapid.Just(0), rapid.IntRange(0, 4000)).Draw(t, "age")) * time.Millisecond
+		var measured []time.Duration
+		if rapid.Bool().Draw(t, "measured") {
+			measured = []time.Duration{0, time.Duration(slack * float64(time.Second))}
+		}
 		// Decisions are monotonic in each estimate: it suffices to try the ends.
 		for ends := range 1 << 5 {
 			wrong := func(estimate int) float64 { return []float64{1 / 1.5, 1.5}[ends>>estimate&1] }
@@ -151,6 +168,7 @@
 			r.Chain = time.Duration(chain * wrong(0) * float64(time.Second))
 			outlook := outlookOf(admission.PoolOutlook{
 				Cores: cores, ShortFor: 100 * time.Second, Inflow: inflow * wrong(1), AheadByPriority: []float64{0, ahead * wrong(2)},
+				WaitByPriority: measured, BeyondWaitByPriority: measured,
 				LateByPriority: []float64{0, late * wrong(3)}, BeyondByPriority: []float64{0, beyond * wrong(4)},
 			})
 			if isBeyondShare {
@@ -185,12 +203,12 @@
 	want := admission.Outlook{
 		Pools: map[string]admission.PoolOutlook{poolName: {
 			Cores: 16, AheadByPriority: []float64{1, 2.5}, LateByPriority: []float64{0, 3}, BeyondByPriority: []float64{0, 4},
-			Inflow: 20, ShortFor: 1500 * time.Millisecond,
+			WaitByPriority: []time.Duration{0, 5}, BeyondWaitByPriority: []time.Duration{0, 6}, Inflow: 20, ShortFor: 1500 * time.Millisecond,
 		}},
 		UnavailableLabels: []string{"a"}, NoDataCentre: true, AccountsBeyondShare: []string{"tackle"},
 	}
 	const encoded = `{"pools":{"orders":{"cores":16,"ahead-by-priority":[1,2.5],"late-by-priority":[0,3],"beyond-by-priority":[0,4],` +
-		`"inflow":20,"short-for":1500000000}},"unavailable-labels":["a"],"no-data-centre":true,"accounts-beyond-share":["tackle"]}`
+		`"wait-by-priority":[0,5],"beyond-wait-by-priority":[0,6],"inflow":20,"short-for":1500000000}},"unavailable-labels":["a"],"no-data-centre":true,"accounts-beyond-share":["tackle"]}`
 	if got := string(want.Encode()); got != encoded {
 		t.Errorf("encoded: got %s, want %s", got, encoded)
 	}
--- a/internal/admission/outlook.go
+++ b/internal/admission/outlook.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"math"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -33,12 +34,44 @@
 	// BeyondByPriority is the work in core-seconds beyond shares at each priority that is
 	// in time or late.
 	BeyondByPriority []float64 `json:"beyond-by-priority,omitempty"`
+	// WaitByPriority and BeyondWaitByPriority are how long the waiting work that can be in
+	// time takes to start at the rate of the last seconds, within shares and beyond them.
+	// They are empty, or 0 for a priority, if that is not known.
+	WaitByPriority       []time.Duration `json:"wait-by-priority,omitempty"`
+	BeyondWaitByPriority []time.Duration `json:"beyond-wait-by-priority,omitempty"`
 	// Inflow is how many cores the arriving work within shares needs.
 	Inflow float64 `json:"inflow,omitempty"`
 	// ShortFor is for how long the pool has been short.
 	ShortFor time.Duration `json:"short-for"`
 }
 
+// Fields returns the outlook's names and values for a log line.
+func (p PoolOutlook) Fields() []any {
+	return []any{
+		"ahead", rounded(p.AheadByPriority), "late", rounded(p.LateByPriority), "beyond-share", rounded(p.BeyondByPriority),
+		"wait", texts(p.WaitByPriority), "beyond-share-wait", texts(p.BeyondWaitByPriority),
+		"cores", p.Cores, "inflow", math.Round(p.Inflow), "short-for", p.ShortFor.Round(time.Millisecond).String(),
+	}
+}
+
+// rounded rounds amounts of work.
+func rounded(amounts []float64) []float64 {
+	out := make([]float64, 0, len(amounts))
+	for _, amount := range amounts {
+		out = append(out, math.Round(amount))
+	}
+	return out
+}
+
+// texts returns the texts of durations.
+func texts(durations []time.Duration) []string {
+	out := make([]string, 0, len(durations))
+	for _, d := range durations {
+		out = append(out, d.Round(time.Millisecond).String())
+	}
+	return out
+}
+
 // isEmpty reports whether the outlook says nothing.
 func (o Outlook) isEmpty() bool {
 	return len(o.Pools) == 0 && len(o.UnavailableLabels) == 0 && !o.NoDataCentre && len(o.AccountsBeyondShare) == 0
--- a/internal/fleet/outlook.go
+++ b/internal/fleet/outlook.go
@@ -30,6 +30,7 @@
 	shortages  map[string]*shortage
 	// hostSize is the mean size of a host, or zero.
 	hostSize policy.Resources
+	starts   map[string]*startRate
 }
 
 // shortage is the time in which a pool has been short.
@@ -81,7 +82,11 @@
 			pools = map[string]admission.PoolOutlook{}
 		}
 		short := l.noteShortage(pool, now)
-		pools[pool] = work.outlook(cores, l.inflowWithinShares(pool, now), now.Sub(short.since))
+		outlook := work.outlook(cores, l.inflowWithinShares(pool, now), now.Sub(short.since))
+		if rate := l.outlook.starts[pool]; rate != nil && outlook.ShortFor >= startRateWindow {
+			work.addWaits(&outlook, rate, now.Sub(l.config.Now))
+		}
+		pools[pool] = outlook
 		l.logShortPool(short, pool, pools[pool], now)
 	}
 	return pools
@@ -107,8 +112,7 @@
 		return
 	}
 	short.loggedAt = now
-	l.log("pool is short", "pool", pool, "cores", outlook.Cores, "ahead", outlook.AheadByPriority, "late", outlook.LateByPriority,
-		"beyond-share", outlook.BeyondByPriority, "inflow", outlook.Inflow, "short-for", outlook.ShortFor.String())
+	l.log("pool is short", append([]any{"pool", pool}, outlook.Fields()...)...)
 }
 
 // waitingStep is the waiting work of a step that can be in time.
@@ -123,6 +127,9 @@
 	inTime []waitingStep
 	// all includes what is too late.
 	all, onTime, late, beyond [maxOutlookPriorities]float64
+	// coresOnTime and coresBeyond are what the tasks need together that can be in time, within
+	// shares and beyond them.
+	coresOnTime, coresBeyond [maxOutlookPriorities]float64
 	// priorities is one more than the lowest priority of the work.
 	priorities int
 }
@@ -150,12 +157,12 @@
 			coreSeconds += l.laterWork(j, step.key.Occurrence)
 			hasLaterWork = false
 		}
-		work.add(rank, coreSeconds)
+		work.add(rank, cores, coreSeconds)
 	}
 }
 
 // add adds work of a rank.
-func (w *waitingWork) add(r rank, coreSeconds float64) {
+func (w *waitingWork) add(r rank, cores, coreSeconds float64) {
 	priority := min(max(0, r.priority), maxOutlookPriorities-1)
 	w.priorities = max(w.priorities, priority+1)
 	w.all[priority] += coreSeconds
@@ -163,10 +170,14 @@
 	case r.lateness == tooLate:
 	case r.beyondShare:
 		w.beyond[priority] += coreSeconds
+		if r.lateness == onTime {
+			w.coresBeyond[priority] += cores
+		}
 	case r.lateness == late:
 		w.late[priority] += coreSeconds
 	default:
 		w.onTime[priority] += coreSeconds
+		w.coresOnTime[priority] += cores
 	}
 }
 
--- a/internal/fleet/step.go
+++ b/internal/fleet/step.go
@@ -256,6 +256,7 @@
 	l.trackRun(r)
 	g.job.recordRun(r.key)
 	g.job.started = true
+	l.noteStart(g.job, g.step.step, now)
 	target.available = target.available.Minus(r.reserved)
 	if r.isPersistent() {
 		target.persistent++
--- a/internal/ingress/admission.go
+++ b/internal/ingress/admission.go
@@ -137,10 +137,10 @@
 			"labels", request.Labels, "outlook-age", age.Round(time.Millisecond).String(), "retry-after", decision.RetryAfter.String())
 		return
 	}
-	pool := outlook.Pools[request.Pool]
-	i.config.Journal.Info("request refused for load", "request-id", c.id, "queue", c.queue.Name, "pool", request.Pool, "account", request.Account,
-		"priority", request.Priority, "outlook-age", age.Round(time.Millisecond).String(), "ahead", pool.AheadByPriority, "late", pool.LateByPriority,
-		"beyond-share", pool.BeyondByPriority, "cores", pool.Cores, "short-for", pool.ShortFor.Round(time.Millisecond).String(),
-		"expected-start", decision.ExpectedStart.Round(time.Millisecond).String(), "objective", request.Objective().String(),
-		"retry-after", decision.RetryAfter.String())
+	fields := []any{
+		"request-id", c.id, "queue", c.queue.Name, "pool", request.Pool, "account", request.Account, "priority", request.Priority,
+		"outlook-age", age.Round(time.Millisecond).String(), "expected-start", decision.ExpectedStart.Round(time.Millisecond).String(),
+		"objective", request.Objective().String(), "retry-after", decision.RetryAfter.String(),
+	}
+	i.config.Journal.Info("request refused for load", append(fields, outlook.Pools[request.Pool].Fields()...)...)
 }
