admission: late work beyond shares apart, Retry-After by measured starts

Cause: in a test with real processes, jobs beyond their account's share were refused with Retry-After 28 s after 2.3 s of shortage: the wait by estimates on the few cores that the inflow left counted, where starts showed 4 s. Work beyond shares that can be in time counted as late. Change: BeyondLateByPriority; Retry-After takes the measured wait where it is known and less. The new tests fail without each of the two changes; go test -race ./internal/admission passes.

--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -133,7 +133,8 @@
 func (p PoolOutlook) decide(request Request, isBeyondShare bool, age time.Duration) Decision {
 	// The bounds that favour the job decide whether it can be in time.
 	expected := p.startInTime(request.Priority, isBeyondShare, age, 1)
-	earliest := max(p.startInTime(request.Priority, isBeyondShare, age, estimateError), min(expected, p.measuredWait(request.Priority, isBeyondShare)))
+	measured := p.measuredWait(request.Priority, isBeyondShare)
+	earliest := max(p.startInTime(request.Priority, isBeyondShare, age, estimateError), min(expected, measured))
 	if earliest <= request.slack(estimateError)+rounding {
 		return Decision{Admit: true, ExpectedStart: expected}
 	}
@@ -141,6 +142,9 @@
 	if start+request.Chain <= LateFactor*request.Objective() {
 		return Decision{Admit: true, ExpectedStart: start}
 	}
+	if measured > 0 {
+		expected = min(expected, measured)
+	}
 	wait := max(p.ShortFor, expected-request.slack(1))
 	return Decision{Reason: ReasonLoad, RetryAfter: request.spread(wait), ExpectedStart: start}
 }
@@ -174,7 +178,7 @@
 func (p PoolOutlook) startLate(priority int, isBeyondShare bool) time.Duration {
 	late := at(p.LateByPriority, priority)
 	if isBeyondShare {
-		late += at(p.BeyondByPriority, priority)
+		late += at(p.BeyondLateByPriority, priority)
 	}
 	return p.ShortFor + waitFor(late, p.Cores)
 }
--- a/internal/admission/admission_test.go
+++ b/internal/admission/admission_test.go
@@ -44,10 +44,13 @@
 }
 
 func TestDecide(t *testing.T) {
-	// overrun is a pool in which one account sends five times its usual traffic.
+	// overrun is a pool of 100 cores, of which others use 60 and one account within its share
+	// 20. For 6 s, it has sent five times that: 80 cores' work beyond its share for the 20
+	// that are left, of which all that has waited for 1.6 s is late.
 	overrun := admission.PoolOutlook{
 		Cores: 100, ShortFor: 6 * time.Second, Inflow: 80,
-		AheadByPriority: []float64{0, 20}, BeyondByPriority: []float64{0, 300},
+		AheadByPriority: []float64{0, 20}, BeyondByPriority: []float64{0, 128}, BeyondLateByPriority: []float64{0, 264},
+		BeyondWaitByPriority: []time.Duration{0, 6400 * time.Millisecond},
 	}
 	overrunOutlook := outlookOf(overrun)
 	overrunOutlook.AccountsBeyondShare = []string{"tackle"}
@@ -104,6 +107,20 @@
 	}
 }
 
+// Guards against a caller who is told to return after the time that estimates give, if
+// starts show that the work takes less.
+func TestRetryAfterOfMeasuredWait(t *testing.T) {
+	pool := tripled(3500 * time.Millisecond)
+	pool.ShortFor, pool.LateByPriority = 5*time.Second, []float64{0, 500}
+	pool.AheadByPriority = []float64{0, 3000}
+	long := admission.Decide(request(), outlookOf(pool), 0)
+	pool.WaitByPriority = []time.Duration{0, 4 * time.Second}
+	short := admission.Decide(request(), outlookOf(pool), 0)
+	if long.RetryAfter != 30*time.Second || short.RetryAfter < 5*time.Second || short.RetryAfter > 8*time.Second {
+		t.Errorf("Retry-After: got %s by estimates and %s by measured starts, want 30s and 5s to 8s", long.RetryAfter, short.RetryAfter)
+	}
+}
+
 // Guards against callers who return all at once, too early for the load, or never.
 func TestRetryAfter(t *testing.T) {
 	tests := map[string]struct {
@@ -169,7 +186,7 @@
 			outlook := outlookOf(admission.PoolOutlook{
 				Cores: cores, ShortFor: 100 * time.Second, Inflow: inflow * wrong(1), AheadByPriority: []float64{0, ahead * wrong(2)},
 				WaitByPriority: measured, BeyondWaitByPriority: measured,
-				LateByPriority: []float64{0, late * wrong(3)}, BeyondByPriority: []float64{0, beyond * wrong(4)},
+				LateByPriority: []float64{0, late * wrong(3)}, BeyondByPriority: []float64{0, beyond * wrong(4)}, BeyondLateByPriority: []float64{0, 1000 * cores},
 			})
 			if isBeyondShare {
 				outlook.AccountsBeyondShare = []string{r.Account}
@@ -202,12 +219,12 @@
 func TestOutlookEncoding(t *testing.T) {
 	want := admission.Outlook{
 		Pools: map[string]admission.PoolOutlook{poolName: {
-			Cores: 16, AheadByPriority: []float64{1, 2.5}, LateByPriority: []float64{0, 3}, BeyondByPriority: []float64{0, 4},
+			Cores: 16, AheadByPriority: []float64{1, 2.5}, LateByPriority: []float64{0, 3}, BeyondByPriority: []float64{0, 4}, BeyondLateByPriority: []float64{0, 7},
 			WaitByPriority: []time.Duration{0, 5}, BeyondWaitByPriority: []time.Duration{0, 6}, Inflow: 20, ShortFor: 1500 * time.Millisecond,
 		}},
 		UnavailableLabels: []string{"a"}, NoDataCentre: true, AccountsBeyondShare: []string{"tackle"},
 	}
-	const encoded = `{"pools":{"orders":{"cores":16,"ahead-by-priority":[1,2.5],"late-by-priority":[0,3],"beyond-by-priority":[0,4],` +
+	const encoded = `{"pools":{"orders":{"cores":16,"ahead-by-priority":[1,2.5],"late-by-priority":[0,3],"beyond-by-priority":[0,4],"beyond-late-by-priority":[0,7],` +
 		`"wait-by-priority":[0,5],"beyond-wait-by-priority":[0,6],"inflow":20,"short-for":1500000000}},"unavailable-labels":["a"],"no-data-centre":true,"accounts-beyond-share":["tackle"]}`
 	if got := string(want.Encode()); got != encoded {
 		t.Errorf("encoded: got %s, want %s", got, encoded)
--- a/internal/admission/outlook.go
+++ b/internal/admission/outlook.go
@@ -31,9 +31,10 @@
 	AheadByPriority []float64 `json:"ahead-by-priority,omitempty"`
 	// LateByPriority is the late work in core-seconds within shares at each priority.
 	LateByPriority []float64 `json:"late-by-priority,omitempty"`
-	// BeyondByPriority is the work in core-seconds beyond shares at each priority that is
-	// in time or late.
-	BeyondByPriority []float64 `json:"beyond-by-priority,omitempty"`
+	// BeyondByPriority and BeyondLateByPriority are the work in core-seconds beyond shares at
+	// each priority that can be in time, and that is late.
+	BeyondByPriority     []float64 `json:"beyond-by-priority,omitempty"`
+	BeyondLateByPriority []float64 `json:"beyond-late-by-priority,omitempty"`
 	// WaitByPriority and BeyondWaitByPriority are how long the waiting work that can be in
 	// time takes to start at the rate of the last seconds, within shares and beyond them.
 	// They are empty, or 0 for a priority, if that is not known.
@@ -49,6 +50,7 @@
 func (p PoolOutlook) Fields() []any {
 	return []any{
 		"ahead", rounded(p.AheadByPriority), "late", rounded(p.LateByPriority), "beyond-share", rounded(p.BeyondByPriority),
+		"beyond-share-late", rounded(p.BeyondLateByPriority),
 		"wait", texts(p.WaitByPriority), "beyond-share-wait", texts(p.BeyondWaitByPriority),
 		"cores", p.Cores, "inflow", math.Round(p.Inflow), "short-for", p.ShortFor.Round(time.Millisecond).String(),
 	}
--- a/internal/fleet/outlook.go
+++ b/internal/fleet/outlook.go
@@ -126,7 +126,7 @@
 type waitingWork struct {
 	inTime []waitingStep
 	// all includes what is too late.
-	all, onTime, late, beyond [maxOutlookPriorities]float64
+	all, onTime, late, beyond, beyondLate [maxOutlookPriorities]float64
 	// coresOnTime and coresBeyond are what the tasks need together that can be in time, within
 	// shares and beyond them.
 	coresOnTime, coresBeyond [maxOutlookPriorities]float64
@@ -168,11 +168,11 @@
 	w.all[priority] += coreSeconds
 	switch {
 	case r.lateness == tooLate:
+	case r.beyondShare && r.lateness == late:
+		w.beyondLate[priority] += coreSeconds
 	case r.beyondShare:
 		w.beyond[priority] += coreSeconds
-		if r.lateness == onTime {
-			w.coresBeyond[priority] += cores
-		}
+		w.coresBeyond[priority] += cores
 	case r.lateness == late:
 		w.late[priority] += coreSeconds
 	default:
@@ -241,6 +241,7 @@
 		out.AheadByPriority = append(out.AheadByPriority, higher+w.onTime[priority])
 		out.LateByPriority = append(out.LateByPriority, w.late[priority])
 		out.BeyondByPriority = append(out.BeyondByPriority, w.beyond[priority])
+		out.BeyondLateByPriority = append(out.BeyondLateByPriority, w.beyondLate[priority])
 		higher += w.all[priority]
 	}
 	return out
--- a/internal/fleet/outlook_test.go
+++ b/internal/fleet/outlook_test.go
@@ -72,13 +72,13 @@
 		"no work":                               {},
 		"full, and nothing waits":               {loads: []load{{jobs: 2}}},
 		"backlog that clears within its slack":  {loads: []load{{jobs: 3}}},
-		"ten times what can be in time":         {loads: []load{{jobs: 40}}, want: &admission.PoolOutlook{Cores: 16, AheadByPriority: []float64{304, 304}, LateByPriority: []float64{0, 0}, BeyondByPriority: []float64{0, 0}}},
+		"ten times what can be in time":         {loads: []load{{jobs: 40}}, want: &admission.PoolOutlook{Cores: 16, AheadByPriority: []float64{304, 304}, LateByPriority: []float64{0, 0}, BeyondByPriority: []float64{0, 0}, BeyondLateByPriority: []float64{0, 0}}},
 		"the same once all of it is late":       {loads: []load{{jobs: 40}}, after: 2 * time.Second},
-		"work of lower priority":                {loads: []load{{jobs: 2}, {jobs: 40, queue: otherQueueName}}, want: &admission.PoolOutlook{Cores: 16, AheadByPriority: []float64{0, 320, 320}, LateByPriority: []float64{0, 0, 0}, BeyondByPriority: []float64{0, 0, 0}}},
-		"an account far beyond its share":       {loads: []load{{jobs: 3, account: "calm"}, {jobs: 40, account: "hot"}}, want: &admission.PoolOutlook{Cores: 16, AheadByPriority: []float64{32, 328}, LateByPriority: []float64{0, 0}, BeyondByPriority: []float64{296, 0}}, wantAccounts: []string{"calm", "hot"}},
+		"work of lower priority":                {loads: []load{{jobs: 2}, {jobs: 40, queue: otherQueueName}}, want: &admission.PoolOutlook{Cores: 16, AheadByPriority: []float64{0, 320, 320}, LateByPriority: []float64{0, 0, 0}, BeyondByPriority: []float64{0, 0, 0}, BeyondLateByPriority: []float64{0, 0, 0}}},
+		"an account far beyond its share":       {loads: []load{{jobs: 3, account: "calm"}, {jobs: 40, account: "hot"}}, want: &admission.PoolOutlook{Cores: 16, AheadByPriority: []float64{32, 328}, LateByPriority: []float64{0, 0}, BeyondByPriority: []float64{296, 0}, BeyondLateByPriority: []float64{0, 0}}, wantAccounts: []string{"calm", "hot"}},
 		"work that waits for its account's cap": {loads: []load{{jobs: 40, account: "capped"}}},
 		"persistent tasks without room":         {loads: []load{{jobs: 40, step: persistentTasks(8, 1)}}},
-		"tasks of which memory allows one":      {loads: []load{{jobs: 10, step: large}}, want: &admission.PoolOutlook{Cores: 16, AheadByPriority: []float64{304, 304}, LateByPriority: []float64{0, 0}, BeyondByPriority: []float64{0, 0}}},
+		"tasks of which memory allows one":      {loads: []load{{jobs: 10, step: large}}, want: &admission.PoolOutlook{Cores: 16, AheadByPriority: []float64{304, 304}, LateByPriority: []float64{0, 0}, BeyondByPriority: []float64{0, 0}, BeyondLateByPriority: []float64{0, 0}}},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -225,3 +225,27 @@
 		t.Errorf("outlook: got %+v, want none", got)
 	}
 }
+
+// Late work precedes new work neither within shares nor beyond them, and is told apart.
+func TestOutlookOfLateWork(t *testing.T) {
+	s := newOverload(t, load{jobs: 40, account: "hot"})
+	s.advance(2 * time.Second)
+	s.renewLease("a")
+	for n := range 40 {
+		j := submission(1000+n, tasks(8))
+		j.Accepted = s.now
+		s.submit(j)
+	}
+	s.step()
+	s.acceptStarts()
+	// Of the three late jobs within the account's share, two run.
+	want := admission.PoolOutlook{
+		Cores: 16, AheadByPriority: []float64{320, 624}, LateByPriority: []float64{8, 0},
+		BeyondByPriority: []float64{0, 0}, BeyondLateByPriority: []float64{296, 0},
+	}
+	got := s.leader.Outlook(s.now).Pools[poolName]
+	got.Inflow, got.ShortFor = 0, 0
+	if !reflect.DeepEqual(got, want) {
+		t.Errorf("outlook: got %+v, want %+v", got, want)
+	}
+}
