fleet: an account at its share is not beyond it

Cause: an account that sends as much as its weight has used up its tokens most of the time, and its next job was judged as beyond its share although it would be within.

--- a/internal/fleet/arrivals.go
+++ b/internal/fleet/arrivals.go
@@ -23,7 +23,8 @@
 	at time.Time
 	// cpu is in thousandths of a core times seconds, memory in MiB times seconds.
 	cpu, memory float64
-	// beyondShare is true if the job exceeded its client account's share.
+	// account is the client account, and beyondShare is true if the job exceeded its share.
+	account     string
 	beyondShare bool
 }
 
@@ -44,7 +45,7 @@
 
 // recordArrival adds a new job's estimated work to its pool's arrival history.
 func (l *Leader) recordArrival(j *jobState, now time.Time) {
-	work := arrival{at: now, beyondShare: j.beyondShare}
+	work := arrival{at: now, account: j.submission.Account, beyondShare: j.beyondShare}
 	for _, step := range j.submission.Steps {
 		if step.Persistent {
 			continue
--- a/internal/fleet/bench_test.go
+++ b/internal/fleet/bench_test.go
@@ -68,3 +68,25 @@
 		s.step()
 	}
 }
+
+// BenchmarkOutlook measures the outlook with full hosts and four waiting jobs for each, which
+// the leader computes at most five times a second.
+func BenchmarkOutlook(b *testing.B) {
+	const hostCount = 3000
+	s := newSimulation(&testing.T{}, simulationConfig{unchecked: true})
+	var hosts []fleet.Host
+	for n := range hostCount {
+		hosts = append(hosts, newHost([]string{poolName, otherPool}[n%2], fleet.EndpointID(fmt.Sprintf("i-%04d", n))))
+	}
+	s.listHosts(hosts...)
+	for n := range 4 * hostCount {
+		s.submit(submission(n+1, tasks(8)))
+	}
+	s.step()
+	s.acceptStarts()
+	b.ReportAllocs()
+	for b.Loop() {
+		s.advance(200 * time.Millisecond)
+		s.leader.Outlook(s.now)
+	}
+}
--- a/internal/fleet/outlook.go
+++ b/internal/fleet/outlook.go
@@ -299,12 +299,27 @@
 	return l.coresOf(policy.Resources{CPU: int64(cpu), Memory: int64(memory)}) / arrivalWindow.Seconds()
 }
 
-// accountsBeyondShare returns the client accounts whose next job is beyond their share,
-// sorted.
+// accountsBeyondShare returns the client accounts whose next job is most likely beyond their
+// share, sorted: their share is used up, and so it was for most of their recent jobs. An
+// account that sends as much as its share has used it up at times.
 func (l *Leader) accountsBeyondShare(now time.Time) []string {
+	// Jobs beyond shares less those within.
+	excess := map[string]int{}
+	for _, history := range l.arrivalHistories {
+		for _, arrived := range history.arrivals {
+			switch {
+			case now.Sub(arrived.at) > arrivalWindow:
+			case arrived.beyondShare:
+				excess[arrived.account]++
+			default:
+				excess[arrived.account]--
+			}
+		}
+	}
 	var accounts []string
 	for account, bucket := range l.shareBuckets {
-		if weight := l.policy.Accounts[account].Weight; weight > 0 && bucket.tokensAt(weight, now) < 1 {
+		weight := l.policy.Accounts[account].Weight
+		if weight > 0 && excess[account] > 0 && bucket.tokensAt(weight, now) < 1 {
 			accounts = append(accounts, account)
 		}
 	}
