--- a/cmd/lovagedyke/cmd_node.go
+++ b/cmd/lovagedyke/cmd_node.go
@@ -19,6 +19,7 @@
 	Desc: "run a node: accept callers' jobs and manage the fleet; settings file: $" + platform.SettingsVariable,
 	Setup: func(flags *flag.FlagSet, env *Env) Action {
 		level := flags.String("log-level", "info", "log level: debug, info, warn or error")
+		admission := flags.String("admission", admissionOn, "on refuses jobs that would end too late to be of use, off refuses none for load")
 		port := flags.Uint("metrics-port", 0, "port on this host's address that serves metrics and the state dump; 0 disables it")
 		order := flags.String("overload-order", orderByCost, "what starts first while a pool is short of capacity: cost or deadline")
 		return func(ctx context.Context, env *Env, args []string) error {
@@ -31,7 +32,10 @@
 			if *order != orderByCost && *order != orderByDeadline {
 				return usagef("-overload-order is %q, want %s or %s", *order, orderByCost, orderByDeadline)
 			}
-			return node(ctx, env, nodeFlags{level: *level, metricsPort: uint16(*port), deadlineOrder: *order == orderByDeadline})
+			if *admission != admissionOn && *admission != admissionOff {
+				return usagef("-admission is %q, want %s or %s", *admission, admissionOn, admissionOff)
+			}
+			return node(ctx, env, nodeFlags{level: *level, metricsPort: uint16(*port), deadlineOrder: *order == orderByDeadline, admitAll: *admission == admissionOff})
 		}
 	},
 }
@@ -42,11 +46,17 @@
 	orderByDeadline = "deadline"
 )
 
-// nodeFlags holds the flags of the node command.
+// Values of -admission.
+const (
+	admissionOn  = "on"
+	admissionOff = "off"
+)
+
+// nodeFlags holds the flags of a node.
 type nodeFlags struct {
-	level         string
-	metricsPort   uint16
-	deadlineOrder bool
+	level                   string
+	metricsPort             uint16
+	deadlineOrder, admitAll bool
 }
 
 func node(ctx context.Context, env *Env, flags nodeFlags) error {
@@ -58,7 +68,9 @@
 	if err != nil {
 		return err
 	}
-	config := process.NodeConfig{Settings: settings, SettingsPath: path, DeadlineOrder: flags.deadlineOrder}
+	config := process.NodeConfig{
+		Settings: settings, SettingsPath: path, DeadlineOrder: flags.deadlineOrder, AdmitAll: flags.admitAll,
+	}
 	if flags.metricsPort != 0 {
 		config.Metrics = netip.AddrPortFrom(settings.Peers.Addr(), flags.metricsPort)
 	}
--- a/internal/control/term.go
+++ b/internal/control/term.go
@@ -61,7 +61,9 @@
 	// maxHostResources and loaded are in the answer to a hello, which must not wait for
 	// the decisions of a busy leader: others would take over.
 	maxHostResources atomic.Pointer[policy.Resources]
-	loaded           atomic.Bool
+	// outlook is the encoded outlook for new jobs, which is in these answers as well.
+	outlook atomic.Pointer[[]byte]
+	loaded  atomic.Bool
 
 	mu       sync.Mutex
 	leader   *fleet.Leader
@@ -81,6 +83,7 @@
 	// evacuationsMeasuredAt is when these were last updated.
 	evacuationMetrics     map[string]bool
 	evacuationsMeasuredAt time.Time
+	refusals              refusals
 }
 
 func newTerm(ctx context.Context, c *Control, claim record.Claim, version uint64) *term {
@@ -96,6 +99,7 @@
 		lookups: make(chan job.ID, lookupQueueSize), evacuationMetrics: map[string]bool{},
 	}
 	t.maxHostResources.Store(&policy.Resources{})
+	t.outlook.Store(new([]byte))
 	t.writer = newWriter(writerConfig{
 		Store: c.config.Store, Journal: c.config.Journal, Token: claim.Token, ClaimVersion: version,
 		Confirmed: func(sentAt time.Time) { t.locked(func() { t.leader.ConfirmLeadership(sentAt) }) },
@@ -204,6 +208,10 @@
 	if change.Removed || t.knows(job.ID(record.LastSegment(change.Row.Key))) {
 		return
 	}
+	if job.IsRefusal(change.Row.Value) {
+		t.refusals.note(job.ID(record.LastSegment(change.Row.Key)), change.Row.Version, time.Now())
+		return
+	}
 	submission, err := job.DecodeSubmission(change.Row.Value)
 	if err != nil {
 		t.config.Journal.Info("job row cannot be decoded", "key", change.Row.Key, "version", change.Row.Version, "error", err.Error())
@@ -250,6 +258,7 @@
 		t.countDecisions()
 		t.countOverdue(t.leader.OverdueCounts())
 		t.measureEvacuations(started)
+		t.recordOutlook(started)
 	})
 	metrics.GetOrCreateHistogram("leader_step_seconds").UpdateDuration(started)
 	return time.Since(started)
@@ -304,6 +313,12 @@
 	return fmt.Sprintf("evacuation_runs_left{data_centre=%q}", dataCentre)
 }
 
+// recordOutlook records the outlook for answers to hellos; t.mu must be held.
+func (t *term) recordOutlook(now time.Time) {
+	encoded := t.leader.Outlook(now).Encode()
+	t.outlook.Store(&encoded)
+}
+
 // countDecisions adds what the leader has counted since the last call to the metrics; t.mu must
 // be held.
 func (t *term) countDecisions() {
--- a/internal/fleet/move.go
+++ b/internal/fleet/move.go
@@ -126,7 +126,7 @@
 func (l *Leader) poolUse(pool string, now time.Time) (usable int, busy float64) {
 	var reserved, capacity int64
 	for _, e := range l.endpoints {
-		if e.row.Pool == pool && e.acceptsWork(now) {
+		if e.row.Pool == pool && l.acceptsWork(e, now) {
 			usable++
 			reserved += e.tally.reserved.CPU
 			capacity += e.row.Capacity.CPU
--- a/internal/fleet/step.go
+++ b/internal/fleet/step.go
@@ -264,6 +264,7 @@
 	}
 	g.job.started = true
 	l.countSize(g)
+	l.noteStart(g.job, g.step.step, now)
 	target.available = target.available.Minus(r.reserved)
 	if r.isPersistent() {
 		target.persistent++
--- a/internal/process/node.go
+++ b/internal/process/node.go
@@ -67,6 +67,8 @@
 	Settings platform.Settings
 	// SettingsPath is the path of the settings file.
 	SettingsPath string
+	// AdmitAll is set to refuse no job for load.
+	AdmitAll bool
 	// Metrics is the address that serves metrics and the state dump; an invalid
 	// address disables them.
 	Metrics netip.AddrPort
@@ -113,7 +115,7 @@
 	debug.SetMemoryLimit(int64(float64(config.Settings.MemoryMiB) * heapLimitShare * (1 << 20)))
 	n := newNodeProcess(config)
 	n.journal.Info("start", "data-centre", n.settings.DataCentre, "callers", n.settings.Callers.String(),
-		"peers", n.settings.Peers.String(), "first-start", n.settings.Bootstrap)
+		"peers", n.settings.Peers.String(), "first-start", n.settings.Bootstrap, "admission", !config.AdmitAll)
 	if n.settings.OrdersByHeartbeat {
 		n.journal.Info("orders are sent by calls", "setting", "heartbeat", "why", "the platform's API defines no format for orders in heartbeat replies")
 	}
@@ -144,6 +146,7 @@
 		OnPolicyVersion:  n.policyAnnounced,
 		MaxHostResources: func() policy.Resources { return n.control.MaxHostResources() },
 		Evacuations:      n.evacuations,
+		Outlook:          func() []byte { return n.control.Outlook() },
 	})
 	endpoints := platform.NewEndpoints(platform.EndpointsConfig{Client: client, Timeout: endpointTimeout})
 	n.carrier = courier.NewServer(courier.ServerConfig{Endpoints: endpoints, Journal: n.journal, Evacuations: n.evacuations})
@@ -171,7 +174,7 @@
 	})
 	n.ingress = ingress.New(ingress.Config{
 		Policy: n.holder, Store: n.member.Store(), Fleet: member.NewFleetClient(n.member, n.control),
-		Codec: platform.Codec{}, Journal: n.journal, RowBytes: settings.RowBytes, RowFormat: n.member.RowFormat,
+		Codec: platform.Codec{}, Journal: n.journal, RowBytes: settings.RowBytes, RowFormat: n.member.RowFormat, AdmitAll: config.AdmitAll,
 	})
 	return n
 }
