ingress: a process without the feed refuses a returning job at most once more

Cause: a process that does not reach the store's feed learns no version, and takes each return of a refused job for an attempt of before the refusal. Change: the version of a row that was read counts for the requests after it. Result: TestReturnToProcessWithoutFeed got 503 at the second return, and gets 200 now; go test -race ./internal/ingress passes.

--- a/internal/ingress/admission_test.go
+++ b/internal/ingress/admission_test.go
@@ -222,6 +222,16 @@
 	want(t, "return", calm.submit(), 200, store, "returned job")
 }
 
+// Guards against a job that is refused again and again by a process that does not reach
+// the store's feed: it takes the first return for an attempt of before the refusal.
+func TestReturnToProcessWithoutFeed(t *testing.T) {
+	store, overload := table.NewMemory(), overloaded()
+	want(t, "submission", startProcess(t, store, processConfig{outlook: &overload}).submit(), 503, store, "refusal")
+	isolated := startProcess(t, store, processConfig{})
+	want(t, "first return", isolated.submit(), 503, store, "refusal")
+	want(t, "second return", isolated.submit(), 200, store, "returned job")
+}
+
 // A job that no endpoint may run is refused as often as it returns.
 func TestUnavailableJobIsRefusedAgain(t *testing.T) {
 	store := table.NewMemory()
--- a/internal/ingress/writer.go
+++ b/internal/ingress/writer.go
@@ -345,6 +345,8 @@
 		return false
 	}
 	row := rows[0]
+	// Requests that are received from now on come after this version.
+	w.observeVersion(row.Version)
 	switch {
 	case row.Version == table.Absent:
 		entry.replaces = table.Absent
