--- a/cmd/lovagedyke-standin/cmd_fleet.go
+++ b/cmd/lovagedyke-standin/cmd_fleet.go
@@ -38,6 +38,9 @@
 	nodes, hosts int
 	jobs         int
 	firstPort    uint
+	dataCentres  int
+	// evacuated is the data centre to evacuate, or "".
+	evacuated string
 }
 
 func fleetCommand(_ *log.Logger) *ffcli.Command {
@@ -48,6 +51,8 @@
 	flags.IntVar(&options.hosts, "hosts", 6, "number of hosts with an endpoint each")
 	flags.IntVar(&options.jobs, "jobs", 100, "number of jobs to hand in")
 	flags.UintVar(&options.firstPort, "first-port", 18800, "first of the nodes' ports")
+	flags.IntVar(&options.dataCentres, "data-centres", 1, "number of data centres (dc-1 and so on, or the nodes' own) among which the hosts are spread")
+	flags.StringVar(&options.evacuated, "evacuate", "", "data centre to evacuate; requested after a quarter of the jobs, withdrawn after three quarters")
 	return &ffcli.Command{
 		Name:      "fleet",
 		ShortHelp: "the platform of 'lovagedyke node', with callers; ends with a check",
@@ -59,7 +64,7 @@
 // runFleet runs the stand-in platform, submits jobs, crashes an endpoint halfway
 // and checks the results that endpoints and callers observed.
 func runFleet(ctx context.Context, options fleetOptions) error {
-	platform, err := standin.New(standin.Config{Hosts: options.hosts, TaskTime: taskDuration})
+	platform, err := standin.New(standin.Config{Hosts: options.hosts, TaskTime: taskDuration, DataCentres: options.dataCentreNames()})
 	if err != nil {
 		return errors.Wrap(err, "start the stand-in platform")
 	}
@@ -70,9 +75,7 @@
 	}
 	platform.WritePolicy(1)
 	for n := range options.jobs {
-		if n == options.jobs/2 {
-			platform.CrashHost(1)
-		}
+		actAsOperator(platform, options, n)
 		if err := submitJob(ctx, platform, nodes, n); err != nil {
 			return err
 		}
@@ -87,6 +90,32 @@
 	return checkFleet(platform, options.jobs, complete)
 }
 
+// actAsOperator crashes an endpoint halfway, and requests or withdraws the evacuation when it is
+// due before a job.
+func actAsOperator(platform *standin.Platform, options fleetOptions, job int) {
+	if job == options.jobs/2 {
+		platform.CrashHost(1)
+	}
+	if options.evacuated == "" {
+		return
+	}
+	switch job {
+	case options.jobs / 4:
+		platform.RequestEvacuation(options.evacuated)
+	case options.jobs * 3 / 4:
+		platform.WithdrawEvacuation(options.evacuated)
+	}
+}
+
+// dataCentreNames returns the names of the data centres, or none for the platform's own one.
+func (o fleetOptions) dataCentreNames() []string {
+	var names []string
+	for n := 1; n <= o.dataCentres && o.dataCentres > 1; n++ {
+		names = append(names, fmt.Sprint("dc-", n))
+	}
+	return names
+}
+
 // writeSettings writes a settings file per node and returns the addresses on
 // which the nodes serve callers.
 func writeSettings(platform *standin.Platform, options fleetOptions) ([]netip.AddrPort, error) {
@@ -153,8 +182,9 @@
 	fmt.Printf("%-32s %6d of %d\n", "tasks done", done, want)
 	fmt.Printf("%-32s %6d\n", "runs", report.Runs)
 	fmt.Printf("%-32s %6d\n", "tasks started twice", len(report.DuplicateStarts))
-	if complete != jobs || done != want || len(report.DuplicateStarts) != 0 {
-		return errors.New("check failed: want every job and task complete and no task started twice")
+	fmt.Printf("%-32s %6d\n", "tasks started in evacuation", len(report.LateInEvacuation))
+	if complete != jobs || done != want || len(report.DuplicateStarts)+len(report.LateInEvacuation) != 0 {
+		return errors.New("check failed: want every job and task complete, no task started twice, and none in an evacuated data centre")
 	}
 	return nil
 }
