Soak: kind "evacuations"

Cause: no test showed evacuations beside leaders that are killed, paused or cut off, a store that is away, late orders, cold returns and a wave.

Change: -soak-kinds evacuations. Each of three data centres is evacuated in a series of its own; some evacuations are withdrawn before the bound of 5 s, the others last 2 to 6 s longer. Faults of whoever leads follow half of the requests. The kinds form a list of their own, so that plans of kept seeds stay (TestPlanKeepsItsMeaning). Links to endpoints that hold orders back are left out: an endpoint gets these late without a sign.

--- a/internal/soak/checks.go
+++ b/internal/soak/checks.go
@@ -56,6 +56,10 @@
 	for _, start := range report.OverCapacity {
 		s.addViolation("started beyond the capacity: %s", start)
 	}
+	for _, start := range report.LateInEvacuation {
+		s.addViolation("started in an evacuated data centre: %s", start)
+	}
+	s.report.ExcusedInEvacuation = report.ExcusedInEvacuation
 	s.report.Deadly, s.report.Accepted, s.report.Refused, s.report.Runs = len(s.deadly), len(s.accepted), len(s.refused), report.Runs
 }
 
--- a/internal/soak/doc.go
+++ b/internal/soak/doc.go
@@ -20,7 +20,10 @@
 //   - tasks crash each endpoint that starts them, and endpoints' capacities change;
 //   - the host list lags, each row by a time of its own, goes back, or is unavailable;
 //   - endpoints exit, or are lost without a sign, and others with new IDs replace them on
-//     their hosts, also while the hosts' rows lag, and are soon out of reach.
+//     their hosts, also while the hosts' rows lag, and are soon out of reach;
+//   - the operator requests and withdraws evacuations of data centres in series, while whoever
+//     leads is killed, paused or cut off from the store, data centres return cold, and a wave
+//     takes hosts down.
 //
 // Each fault is written to faults.log in Config.Dir as it is injected. A plan can be
 // limited to some kinds of faults, so that seeds keep their meaning when kinds are added. A
@@ -33,5 +36,7 @@
 // After the last fault, each accepted job has to complete, and no refused job may have
 // run. A job with a task that crashes endpoints has to fail instead, before the task has been
 // started three times after its third crash. No start may exceed a capacity that has been shown
-// for some time.
+// for some time, and none may begin in a data centre 5 s after the request to evacuate it, except
+// where an endpoint carries an order out late, or the process that ordered it has or just had no
+// path to the store, or was paused.
 package soak
--- a/internal/soak/inject.go
+++ b/internal/soak/inject.go
@@ -22,6 +22,9 @@
 	setLink := func(link *proxy, state linkState) {
 		temporarily(func() { link.setState(state) }, func() { link.setState(linkHealthy) })
 	}
+	fault = s.targetLeader(fault)
+	restore := s.impair(fault)
+	defer restore()
 	node := s.processes[fault.Target%len(s.processes)]
 	store, endpoint := s.storeProxies[fault.Target%len(s.storeProxies)], s.endpointProxy(fault.Target)
 	host := fault.Target%s.config.Endpoints + 1
@@ -93,6 +96,8 @@
 		temporarily(func() { s.platform.SetCapacity(host, int(fault.Duration.Milliseconds())%maxShrunkCPU) }, func() { s.platform.SetCapacity(host, fullCPU) })
 	case HostListLags, HostListGoesBack, HostListUnavailable, EndpointReplaced, EndpointReplacedUnlisted, EndpointLost:
 		s.injectListFault(ctx, fault, host)
+	case Evacuate, DataCentreReturnsCold, MaintenanceWave:
+		s.injectEvacuationFault(ctx, fault)
 	case EndpointDelayedAnswers:
 		temporarily(func() { s.platform.SetAnswerDelay(host, answerDelay) }, func() { s.platform.SetAnswerDelay(host, 0) })
 	}
@@ -119,6 +124,7 @@
 	s.platform.SetStoreDown(false)
 	s.platform.SetLoseAnswers(false)
 	s.platform.SetHostListDown(false)
+	s.withdrawEvacuations()
 	s.mu.Lock()
 	links := slices.Concat(s.storeProxies, s.endpointProxies)
 	s.mu.Unlock()
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -64,6 +64,16 @@
 	EndpointReplaced         Kind = "endpoint-replaced"
 	EndpointReplacedUnlisted Kind = "endpoint-replaced-unlisted"
 	EndpointLost             Kind = "endpoint-lost"
+	// Evacuate requests the evacuation of the data centre Target, and withdraws it after Duration.
+	// DataCentreReturnsCold restarts the endpoints of one, which are cold then. MaintenanceWave
+	// writes a wave over some hosts.
+	Evacuate              Kind = "evacuate"
+	DataCentreReturnsCold Kind = "data-centre-returns-cold"
+	MaintenanceWave       Kind = "maintenance-wave"
+	// LeaderKill, LeaderPause and LeaderCutOff are Kill, Pause and StoreSilent of whoever leads.
+	LeaderKill   Kind = "leader-kill"
+	LeaderPause  Kind = "leader-pause"
+	LeaderCutOff Kind = "leader-cut-off"
 )
 
 // KindsWithoutRestarts returns the kinds of faults in which each endpoint has one
@@ -198,6 +208,9 @@
 			fault.At += seriesInterval
 		}
 	}
+	if slices.Contains(kinds, Evacuate) {
+		plan = append(plan, planEvacuations(seed, duration)...)
+	}
 	slices.SortStableFunc(plan, func(a, b Fault) int { return cmp.Compare(a.At, b.At) })
 	return plan
 }
@@ -238,7 +251,7 @@
 		return true
 	}
 	switch f.Kind {
-	case EndpointRestart, EndpointRestartEarlier, EndpointRestartElsewhere, EndpointRestartUnlisted, EndpointRestartSlow:
+	case EndpointRestart, EndpointRestartEarlier, EndpointRestartElsewhere, EndpointRestartUnlisted, EndpointRestartSlow, DataCentreReturnsCold:
 		return true
 	default:
 		return false
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -91,6 +91,9 @@
 	Accepted, Refused, OutcomeUnknown, Runs int
 	// Deadly is the number of jobs with a task that crashes its endpoints.
 	Deadly int
+	// ExcusedInEvacuation is the number of starts in a data centre that was to be evacuated, later
+	// than the bound, for which an endpoint or a fault of the process accounts.
+	ExcusedInEvacuation int
 	// Violations describes the guarantees that were broken.
 	Violations []string
 }
@@ -114,8 +117,10 @@
 	// deadly holds the deadly jobs; some of the next jobs are until deadlyUntil.
 	deadly      map[string]bool
 	deadlyUntil time.Time
-	report      Report
-	refused     []string
+	// lastWave is the number of the newest wave.
+	lastWave int
+	report   Report
+	refused  []string
 }
 
 // Run injects the faults of a seed and checks the guarantees. It returns an error only
@@ -140,6 +145,9 @@
 	if slices.Contains(config.Kinds, HostListLags) && config.Seed%2 == 1 {
 		standinConfig.TaskTime = longTaskTime
 	}
+	if s.hasEvacuations() {
+		standinConfig.DataCentres, standinConfig.EvacuationBound = dataCentres, evacuationBound
+	}
 	platform, err := standin.New(standinConfig)
 	if err != nil {
 		return Report{}, errors.Wrap(err, "start the simulated platform")
@@ -181,6 +189,9 @@
 	}
 }
 
+// nodeName returns the name of a node, counted from 0.
+func nodeName(n int) string { return fmt.Sprintf("node-%d", n+1) }
+
 // startNodes starts the nodes, each with its own proxy for the store.
 func (s *soak) startNodes() error {
 	loopback := netip.MustParseAddr("127.0.0.1")
@@ -199,7 +210,7 @@
 			}
 			_ = listener.Close()
 		}
-		name := fmt.Sprintf("node-%d", n+1)
+		name := nodeName(n)
 		settings := filepath.Join(s.config.Dir, name+".json")
 		text := s.platform.SettingsWithStore(name, ports[0], ports[1], ports[2], link.address())
 		if err := os.WriteFile(settings, text, 0o600); err != nil {
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/netip"
 	"reflect"
+	"slices"
 	"syscall"
 	"testing"
 	"time"
@@ -53,6 +54,46 @@
 	}
 }
 
+// Guards against a soak in which no evacuation outlasts its bound, none is withdrawn before, or
+// the leader is left alone meanwhile.
+func TestPlanOfEvacuations(t *testing.T) {
+	duration := 12 * time.Second
+	kinds := map[Kind]int{}
+	judged, short := 0, 0
+	for seed := range uint64(50) {
+		plan := Plan(seed, duration, 3, 6, KindsAroundEvacuations())
+		isJudged := false
+		for _, fault := range plan {
+			kinds[fault.Kind]++
+			if fault.Kind != Evacuate {
+				continue
+			}
+			if fault.Duration <= evacuationBound {
+				short++
+			} else if fault.At+evacuationBound < duration {
+				isJudged = true
+			}
+			if end, limit := fault.At+fault.Duration, duration+maxJudgedTime; end > limit {
+				t.Errorf("seed %d: evacuation of %d ends at %s, want at most %s", seed, fault.Target, end, limit)
+			}
+		}
+		if isJudged {
+			judged++
+		}
+	}
+	if judged < 45 || short < 50 {
+		t.Errorf("50 seeds: got %d with evacuations that outlast the bound and %d evacuations withdrawn before, want at least 45 and 50", judged, short)
+	}
+	for _, kind := range KindsAroundEvacuations() {
+		if kinds[kind] == 0 {
+			t.Errorf("kind %v in 50 seeds: got none, want some", kind)
+		}
+	}
+	if got := Plan(7, duration, 3, 6, KindsAroundLists()); slices.ContainsFunc(got, func(f Fault) bool { return f.Kind == Evacuate }) {
+		t.Errorf("plan of other kinds: got evacuations in %v, want none", got)
+	}
+}
+
 // Guards against regression cases that no longer test what they were kept for: a plan of the
 // kinds that were there when its seed failed stays the same when kinds are added.
 func TestPlanKeepsItsMeaning(t *testing.T) {
--- a/test/soak_test.go
+++ b/test/soak_test.go
@@ -21,7 +21,7 @@
 	soakEndpoints = flag.Int("soak-endpoints", 6, "number of endpoints")
 	soakPort      = flag.Uint("soak-port", 14700, "first of the nodes' ports, below those of other tests")
 	soakParallel  = flag.Int("soak-parallel", 1, "number of seeds at a time")
-	soakKinds     = flag.String("soak-kinds", "all", "kinds of faults: without-restarts, with-restarts, with-lags, with-budgets, lists or all")
+	soakKinds     = flag.String("soak-kinds", "all", "kinds of faults: without-restarts, with-restarts, with-lags, with-budgets, lists, evacuations or all")
 	soakCold      = flag.Bool("soak-cold", false, "begin with a cold start")
 	soakDir       = flag.String("soak-dir", os.TempDir(), "folder for the logs of seeds that failed")
 )
@@ -80,7 +80,7 @@
 	return map[string][]soak.Kind{
 		"without-restarts": soak.KindsWithoutRestarts(), "with-restarts": soak.KindsWithRestarts(),
 		"with-lags": append(soak.KindsWithRestarts(), soak.LagKinds()...), "with-budgets": soak.KindsWithBudgets(),
-		"lists": soak.KindsAroundLists(), "all": soak.AllKinds(),
+		"lists": soak.KindsAroundLists(), "evacuations": soak.KindsAroundEvacuations(), "all": soak.AllKinds(),
 	}
 }
 
@@ -130,7 +130,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	t.Logf("%d faults, %d deadly jobs, %d jobs accepted, %d refused, %d with unknown outcome, %d runs", report.Faults, report.Deadly, report.Accepted, report.Refused, report.OutcomeUnknown, report.Runs)
+	t.Logf("%d faults, %d deadly jobs, %d jobs accepted, %d refused, %d with unknown outcome, %d runs, %d excused in evacuations", report.Faults, report.Deadly, report.Accepted, report.Refused, report.OutcomeUnknown, report.Runs, report.ExcusedInEvacuation)
 	for _, violation := range report.Violations {
 		t.Error(violation)
 	}
