--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -172,6 +172,17 @@
 				{Kind: EndpointOneWay, At: 3023917145, Duration: 1523439961, Target: 1},
 			},
 		},
+		"around evacuations, seed 611": {
+			seed: 611, duration: 10 * time.Second, kinds: KindsAroundEvacuations(), wantCount: 21,
+			wantFirst: []Fault{
+				{Kind: Evacuate, At: 496515879, Duration: 7285752346, Target: 1},
+				{Kind: Evacuate, At: 1009368689, Duration: 996789453},
+				{Kind: Evacuate, At: 1132960035, Duration: 574110133, Target: 1},
+				{Kind: LeaderKill, At: 1297414601, Duration: 967035490},
+				{Kind: Evacuate, At: 1503218807, Duration: 9724941228, Target: 2},
+				{Kind: Evacuate, At: 2597048236, Duration: 7978593989},
+			},
+		},
 		"around lists, seed 527": {
 			seed: 527, duration: 4 * time.Second, kinds: KindsAroundLists(), wantCount: 2,
 			wantFirst: []Fault{
--- a/test/soak_test.go
+++ b/test/soak_test.go
@@ -64,6 +64,10 @@
 		// The same with some of the endpoints cut off, so that two lists without them, and their
 		// silence, passed for their end.
 		"host list lags behind endpoints that are cut off": {seed: 517, duration: 4 * time.Second, kinds: soak.KindsAroundLists(), coldStart: true},
+		// The operator requested the evacuation of a data centre: leaders went on starting tasks
+		// there, and, without the comparison of versions, did so after a hello of a process that
+		// had not read the request.
+		"evacuations while leaders change": {seed: 611, duration: 10 * time.Second, kinds: soak.KindsAroundEvacuations()},
 	}
 	for name, tc := range tests {
 		t.Run(name, func(t *testing.T) {
