--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/netip"
 	"reflect"
+	"slices"
 	"syscall"
 	"testing"
 	"time"
@@ -53,6 +54,46 @@
 	}
 }
 
+// Guards against a soak in which no evacuation outlasts its bound, none is withdrawn before, or
+// the leader is left alone meanwhile.
+func TestPlanOfEvacuations(t *testing.T) {
+	duration := 12 * time.Second
+	kinds := map[Kind]int{}
+	judged, short := 0, 0
+	for seed := range uint64(50) {
+		plan := Plan(seed, duration, 3, 6, KindsAroundEvacuations())
+		isJudged := false
+		for _, fault := range plan {
+			kinds[fault.Kind]++
+			if fault.Kind != Evacuate {
+				continue
+			}
+			if fault.Duration <= evacuationBound {
+				short++
+			} else if fault.At+evacuationBound < duration {
+				isJudged = true
+			}
+			if end, limit := fault.At+fault.Duration, duration+maxJudgedTime; end > limit {
+				t.Errorf("seed %d: evacuation of %d ends at %s, want at most %s", seed, fault.Target, end, limit)
+			}
+		}
+		if isJudged {
+			judged++
+		}
+	}
+	if judged < 45 || short < 50 {
+		t.Errorf("50 seeds: got %d with evacuations that outlast the bound and %d evacuations withdrawn before, want at least 45 and 50", judged, short)
+	}
+	for _, kind := range KindsAroundEvacuations() {
+		if kinds[kind] == 0 {
+			t.Errorf("kind %v in 50 seeds: got none, want some", kind)
+		}
+	}
+	if got := Plan(7, duration, 3, 6, KindsAroundLists()); slices.ContainsFunc(got, func(f Fault) bool { return f.Kind == Evacuate }) {
+		t.Errorf("plan of other kinds: got evacuations in %v, want none", got)
+	}
+}
+
 // Guards against regression cases that no longer test what they were kept for: a plan of the
 // kinds that were there when its seed failed stays the same when kinds are added.
 func TestPlanKeepsItsMeaning(t *testing.T) {
@@ -131,6 +172,17 @@
 				{Kind: EndpointOneWay, At: 3023917145, Duration: 1523439961, Target: 1},
 			},
 		},
+		"around evacuations, seed 611": {
+			seed: 611, duration: 10 * time.Second, kinds: KindsAroundEvacuations(), wantCount: 21,
+			wantFirst: []Fault{
+				{Kind: Evacuate, At: 496515879, Duration: 7285752346, Target: 1},
+				{Kind: Evacuate, At: 1009368689, Duration: 996789453},
+				{Kind: Evacuate, At: 1132960035, Duration: 574110133, Target: 1},
+				{Kind: LeaderKill, At: 1297414601, Duration: 967035490},
+				{Kind: Evacuate, At: 1503218807, Duration: 9724941228, Target: 2},
+				{Kind: Evacuate, At: 2597048236, Duration: 7978593989},
+			},
+		},
 		"around lists, seed 527": {
 			seed: 527, duration: 4 * time.Second, kinds: KindsAroundLists(), wantCount: 2,
 			wantFirst: []Fault{
