fleet: decide every 100 ms what a short pool defers

Cause: each step of the leader looked at all runs of each pool, and each new job at all hosts. A step's time is what tasks wait in a large fleet.

Change: the decision holds for 100 ms, how long a run is expected to take is kept with it, and the mean host is computed once a step.

--- a/internal/fleet/cost.go
+++ b/internal/fleet/cost.go
@@ -25,7 +25,10 @@
 	if j.submission.Persistent() {
 		return
 	}
-	size := l.hostSize()
+	size := l.meanHost
+	if size.CPU == 0 {
+		size = l.hostSize()
+	}
 	for _, step := range j.submission.Steps {
 		j.hostSeconds += l.hostSecondsOf(j, step, step.Count, size)
 	}
@@ -54,16 +57,37 @@
 	l.sizesOf(g.job.submission.Queue).Count(g.job.size, g.rank.lateness == onTime)
 }
 
+// deferralInterval is the time between two decisions on what a pool defers. At peak load a leader
+// takes many steps a second, and the decision looks at all runs of the pool.
+const deferralInterval = 100 * time.Millisecond
+
 // deferCheapest defers steps that wait in a pool that is short of capacity, so that others of their
 // level whose delay would cost callers more can be in time. The groups must be in the order of their
 // ranks, and are so again afterwards.
 func (l *Leader) deferCheapest(pool string, groups []taskGroup, candidates []*candidateEndpoint, now time.Time) {
-	size := l.hostSize()
-	if l.config.DeadlineOrder || size.CPU == 0 {
+	if l.config.DeadlineOrder || l.meanHost.CPU == 0 {
 		return
 	}
+	isDue := now.Sub(l.deferralsAt[pool]) >= deferralInterval
+	if isDue {
+		l.deferralsAt[pool] = now
+		l.decideDeferrals(pool, groups, candidates, now)
+	}
+	isAnyDeferred := false
+	for i := range groups {
+		g := &groups[i]
+		g.rank.isDeferred = g.step.isDeferred && !g.job.started && g.rank.lateness == onTime
+		isAnyDeferred = isAnyDeferred || g.rank.isDeferred
+	}
+	if isAnyDeferred || isDue {
+		slices.SortFunc(groups, func(a, b taskGroup) int { return a.rank.compare(b.rank) })
+	}
+}
+
+// decideDeferrals decides which of a pool's waiting steps are deferred.
+func (l *Leader) decideDeferrals(pool string, groups []taskGroup, candidates []*candidateEndpoint, now time.Time) {
+	size := l.meanHost
 	backlog := l.backlogOf(pool, candidates, size, now)
-	isChanged := false
 	for start := 0; start < len(groups); {
 		end := start + 1
 		for end < len(groups) && groups[end].rank.isLevelOf(groups[start].rank) {
@@ -73,9 +97,7 @@
 		switch {
 		case level[0].step.step.Persistent:
 		case level[0].rank.lateness == onTime:
-			var count int
-			backlog, count = l.deferInLevel(level, backlog, size, now)
-			isChanged = isChanged || count > 0
+			backlog = l.deferInLevel(level, backlog, size, now)
 		default:
 			// Late work starts by its deadlines: once the shortage is over, most of it can still be
 			// in time to be of value.
@@ -85,14 +107,10 @@
 		}
 		start = end
 	}
-	if isChanged {
-		slices.SortFunc(groups, func(a, b taskGroup) int { return a.rank.compare(b.rank) })
-	}
 }
 
-// deferInLevel defers steps of one level. It returns the backlog with those that are not deferred,
-// and how many are.
-func (l *Leader) deferInLevel(level []taskGroup, backlog overload.Backlog, size policy.Resources, now time.Time) (overload.Backlog, int) {
+// deferInLevel decides which steps of one level are deferred. It returns the backlog with the others.
+func (l *Leader) deferInLevel(level []taskGroup, backlog overload.Backlog, size policy.Resources, now time.Time) overload.Backlog {
 	slices.SortFunc(level, func(a, b taskGroup) int { return a.rank.latestStart.Compare(b.rank.latestStart) })
 	works := make([]overload.Work, len(level))
 	for i, g := range level {
@@ -103,14 +121,12 @@
 		}
 	}
 	deferred, kept := overload.Defer(works, backlog, now)
-	count := 0
-	for i := range level {
-		if level[i].rank.isDeferred = deferred[i]; deferred[i] {
-			count++
-			l.noteDeferred(level[i], works[i], kept, now)
+	for i, g := range level {
+		if g.step.isDeferred = deferred[i]; deferred[i] {
+			l.noteDeferred(g, works[i], kept, now)
 		}
 	}
-	return kept, count
+	return kept
 }
 
 // noteDeferred logs and counts a job that is deferred for the first time.
@@ -163,7 +179,10 @@
 				backlog.Hosts -= hostShare(r.reserved, size)
 				continue
 			}
-			left := l.durationOf(r.job, r.step()) - now.Sub(r.orderedAt)
+			if r.expected == 0 {
+				r.expected = l.durationOf(r.job, r.step())
+			}
+			left := r.expected - now.Sub(r.orderedAt)
 			backlog.HostSeconds += hostShare(r.reserved, size) * max(0, left).Seconds()
 		}
 	}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -94,8 +94,12 @@
 	durations        map[string]*runtimes.Model
 	// sizes compares, by queue, the capacity that jobs need.
 	sizes map[string]*overload.Sizes
-	// deferredJobs counts the jobs that were deferred for others.
+	// deferredJobs counts the jobs that were deferred for others, and deferralsAt holds, by pool,
+	// when it was last decided which steps are.
 	deferredJobs int
+	deferralsAt  map[string]time.Time
+	// meanHost is the mean size of a host as of the last step, or zero.
+	meanHost policy.Resources
 	// pendingCancels holds cancels of jobs that are not known yet.
 	pendingCancels map[job.ID]time.Time
 	// lookups holds unknown jobs that endpoints have reported.
@@ -144,7 +148,7 @@
 		endpoints: map[EndpointID]*endpoint{}, lastEndpoints: map[HostID]EndpointID{}, jobs: map[job.ID]*jobState{}, live: map[job.ID]*jobState{}, inUse: map[string]policy.Resources{},
 		pendingCancels: map[job.ID]time.Time{},
 		lookups:        map[job.ID]lookup{}, lateStarts: map[EndpointID]map[runKey]lateStart{}, heldTasks: map[job.Task]int{}, shareBuckets: map[string]*tokenBucket{},
-		hosts: newHosts(), arrivalHistories: map[string]*arrivalHistory{}, durations: map[string]*runtimes.Model{}, sizes: map[string]*overload.Sizes{}, writeQueue: newWriteQueue(),
+		hosts: newHosts(), arrivalHistories: map[string]*arrivalHistory{}, durations: map[string]*runtimes.Model{}, sizes: map[string]*overload.Sizes{}, deferralsAt: map[string]time.Time{}, writeQueue: newWriteQueue(),
 	}
 	return leader
 }
--- a/internal/fleet/jobstate.go
+++ b/internal/fleet/jobstate.go
@@ -71,6 +71,8 @@
 	adviceRequestedAt time.Time
 	// waitLoggedAt is when the reason for the wait was last logged.
 	waitLoggedAt time.Time
+	// isDeferred is true while the step waits for others, as last decided.
+	isDeferred bool
 }
 
 func newJobState(submission *job.Submission) *jobState {
--- a/internal/fleet/run.go
+++ b/internal/fleet/run.go
@@ -52,6 +52,8 @@
 
 // run is a run that is or may be on an endpoint.
 type run struct {
+	// expected is how long the run was expected to take when that was first asked for, or 0.
+	expected time.Duration
 	key      runKey
 	endpoint *endpoint
 	job      *jobState
--- a/internal/fleet/step.go
+++ b/internal/fleet/step.go
@@ -19,6 +19,7 @@
 		return orders
 	}
 	orders.Lookups = l.dueLookups(now)
+	l.meanHost = l.hostSize()
 	pools := map[string][]*jobState{}
 	for _, j := range l.live {
 		if j.due < j.submission.Occurrences() {
