--- a/internal/member/takeover_test.go
+++ b/internal/member/takeover_test.go
@@ -42,7 +42,7 @@
 	return n
 }
 
-// Guards against a fleet without a leader for seconds: the candidate asked the other members one
+// Pattern: data-centre-without-power. Guards against a fleet without a leader for seconds: the candidate asked the other members one
 // after the other, so that each one in a data centre without power delayed it by a time-out.
 func TestCandidateAsksMembersAtTheSameTime(t *testing.T) {
 	deaf := slowPeer{view: &memberpb.View{Token: 7, LeaderHeardMs: time.Hour.Milliseconds()}, delay: 10 * time.Millisecond}
