--- a/internal/fleet/cost.go
+++ b/internal/fleet/cost.go
@@ -117,7 +117,7 @@
 		works[i] = overload.Work{
 			Deadline: g.rank.latestStart, HostSeconds: l.hostSecondsOf(g.job, g.step.step, len(g.step.pending), size),
 			Remaining: l.remainingHostSeconds(g, size), Value: g.job.value,
-			Protected: g.job.started || l.sizesOf(g.job.submission.Queue).IsFavoured(g.job.size),
+			Protected: g.job.started || g.job.submission.Returned || l.sizesOf(g.job.submission.Queue).IsFavoured(g.job.size),
 		}
 	}
 	deferred, kept := overload.Defer(works, backlog, now)
--- a/internal/fleet/cost_test.go
+++ b/internal/fleet/cost_test.go
@@ -18,6 +18,7 @@
 		queue        string
 		isByDeadline bool
 		hasStarted   bool
+		isReturned   bool
 		// want is how many of the 64 tasks that start are the wide job's.
 		want int
 	}{
@@ -26,6 +27,7 @@
 		"enough capacity":              {wide: 24, small: 3, want: 24},
 		"the wide job is more urgent":  {wide: 96, small: 5, queue: urgentQueue, want: 64},
 		"the wide job has started":     {wide: 96, small: 5, hasStarted: true, want: 64},
+		"the wide job was refused":     {wide: 96, small: 5, isReturned: true, want: 64},
 		"capacity that no other needs": {wide: 96, small: 2, want: 32},
 	}
 	for name, c := range tests {
@@ -39,6 +41,7 @@
 			if c.queue != "" {
 				wide.Queue = c.queue
 			}
+			wide.Returned = c.isReturned
 			s.submit(wide)
 			before := 0
 			if c.hasStarted {
