overload: bound the wait of a backlog before it is converted

A pool whose hosts persistent tasks fill has a rounding error of a host left (backlogOf subtracts their shares). The wait of the backlog then exceeded the longest duration and became negative, so that nothing was deferred.

The wait is compared with its bound as a number. TestBacklogWait failed before in the case of rounding errors: got -2562047h47m, want 1h.

--- a/internal/overload/overload.go
+++ b/internal/overload/overload.go
@@ -71,15 +71,16 @@
 	return deferred, backlog
 }
 
-// maxWait is the wait without any host.
+// maxWait bounds the waits that are computed, and is the wait without any host.
 const maxWait = time.Hour
 
 // wait returns how long the backlog takes.
 func (b Backlog) wait() time.Duration {
-	if b.Hosts <= 0 {
+	// A longer wait may exceed the longest duration.
+	if b.Hosts <= 0 || b.HostSeconds >= b.Hosts*maxWait.Seconds() {
 		return maxWait
 	}
-	return min(maxWait, time.Duration(b.HostSeconds/b.Hosts*float64(time.Second)))
+	return time.Duration(b.HostSeconds / b.Hosts * float64(time.Second))
 }
 
 // leastDense is a heap of indexes of works, the least dense first.
