runtimes: bound the mean duration as the median is bounded

Mean multiplies the median by a factor that grows with the variance. For tasks that take either a millisecond or an hour, the product exceeded the longest duration and became negative; the outlook then counted negative work, and the pool did not seem short.

The mean is at most maxDuration, like the median. TestMeanIsBounded failed before in the cases beyond all and of any kind: got -2562047h47m.

--- a/internal/runtimes/model.go
+++ b/internal/runtimes/model.go
@@ -100,5 +100,5 @@
 	variance := m.estimateSquared/m.weight - meanEstimate*meanEstimate
 	covariance := m.estimateTook/m.weight - meanEstimate*meanTook
 	residual := m.tookSquared/m.weight - meanTook*meanTook - 2*slope*covariance + slope*slope*variance
-	return time.Duration(float64(m.Median(estimate)) * math.Exp(max(0, residual)/2))
+	return min(maxDuration, scale(m.Median(estimate), math.Exp(max(0, residual)/2)))
 }
--- a/internal/runtimes/model_test.go
+++ b/internal/runtimes/model_test.go
@@ -43,3 +43,28 @@
 		})
 	}
 }
+
+// Guards against negative durations, by which a pool that is short of capacity seems to have no
+// work: tasks that take either a millisecond or an hour have a mean beyond the longest duration.
+func TestMeanIsBounded(t *testing.T) {
+	tests := map[string]struct {
+		short, long time.Duration
+	}{
+		"a little":    {short: time.Second, long: 2 * time.Second},
+		"much":        {short: 10 * time.Millisecond, long: time.Minute},
+		"beyond all":  {short: time.Millisecond, long: time.Hour},
+		"of any kind": {short: 1, long: 1000 * time.Hour},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			model := New(Config{})
+			for range 1000 {
+				model.Observe(time.Second, test.short)
+				model.Observe(time.Second, test.long)
+			}
+			if got, low := model.Mean(time.Second), model.Median(time.Second); got < low || got > maxDuration {
+				t.Errorf("mean duration: got %v, want %v to %v", got, low, maxDuration)
+			}
+		})
+	}
+}
