fleet: record the sizes of inherited jobs

Leader.add did not call recordSize, so that the jobs that a new leader had read were of no value, and in a pool that is short they were deferred before all others that could be in time. Jobs that arrived before the list of hosts had been read were measured against a host of one millicore and one unit of memory, and distorted the mean size of their queue for 200 jobs.

The size is recorded once, at submission or, if the hosts were not known then or the job is inherited, when the job is first compared with others. TestInheritedJobsAreNotDeferredFirst failed before in its inherited cases: 0 starts of the small jobs, want 64.

--- a/internal/fleet/cost.go
+++ b/internal/fleet/cost.go
@@ -20,12 +20,13 @@
 	return sizes
 }
 
-// recordSize records the size of a new job.
-func (l *Leader) recordSize(j *jobState) {
-	if j.submission.Persistent() {
+// recordSize records the size of a job, once. The hosts by which it is measured are not known yet
+// when a new leader loads the jobs: the size is then recorded when the job is compared with others.
+func (l *Leader) recordSize(j *jobState, size policy.Resources) {
+	if j.isSized || size.CPU == 0 || j.submission.Persistent() {
 		return
 	}
-	size := l.hostSize()
+	j.isSized = true
 	for _, step := range j.submission.Steps {
 		j.hostSeconds += l.hostSecondsOf(j, step, step.Count, size)
 	}
@@ -96,6 +97,7 @@
 	slices.SortFunc(level, func(a, b taskGroup) int { return a.rank.latestStart.Compare(b.rank.latestStart) })
 	works := make([]overload.Work, len(level))
 	for i, g := range level {
+		l.recordSize(g.job, size)
 		works[i] = overload.Work{
 			Deadline: g.rank.latestStart, HostSeconds: l.hostSecondsOf(g.job, g.step.step, len(g.step.pending), size),
 			Remaining: l.remainingHostSeconds(g, size), Value: g.job.value,
--- a/internal/fleet/cost_test.go
+++ b/internal/fleet/cost_test.go
@@ -75,3 +75,61 @@
 	}
 	return len(starts)
 }
+
+// Guards against inherited jobs that a new leader defers before all others, as of no value: it
+// loads them before it knows the hosts, by which it measures their sizes.
+func TestInheritedJobsAreNotDeferredFirst(t *testing.T) {
+	const small, wide = 4, 2
+	tests := map[string]struct {
+		// isInherited is true if the small jobs were accepted under a former leader.
+		isInherited bool
+		// isEarly is true if the hosts are listed after all jobs have been accepted.
+		isEarly bool
+	}{
+		"new jobs":                      {},
+		"new jobs, before the hosts":    {isEarly: true},
+		"inherited":                     {isInherited: true},
+		"all of them, before the hosts": {isInherited: true, isEarly: true},
+	}
+	for name, c := range tests {
+		t.Run(name, func(t *testing.T) {
+			s := newSimulation(t, simulationConfig{unloaded: true})
+			var jobs []fleet.StoredJob
+			for n := range small {
+				accepted := submission(n+1, tasks(16))
+				accepted.Accepted = s.now.Add(time.Duration(n+1) * 10 * time.Millisecond)
+				jobs = append(jobs, fleet.StoredJob{Submission: accepted})
+			}
+			if c.isInherited {
+				s.leader.Load(jobs, s.now, s.now)
+			} else {
+				s.leader.Load(nil, s.now, s.now)
+			}
+			if !c.isEarly {
+				s.listHosts(baseHosts()...)
+			}
+			if !c.isInherited {
+				for _, j := range jobs {
+					s.submit(j.Submission)
+				}
+			}
+			for n := range wide {
+				competing := submission(small+n+1, tasks(32))
+				competing.Accepted = jobs[0].Submission.Accepted.Add(-5 * time.Millisecond)
+				s.submit(competing)
+			}
+			if c.isEarly {
+				s.listHosts(baseHosts()...)
+			}
+			got, want := 0, small*16
+			for _, start := range s.step().Starts {
+				if start.Task.Job <= jobID(small) {
+					got++
+				}
+			}
+			if got != want {
+				t.Errorf("starts of the small jobs: got %d, want %d", got, want)
+			}
+		})
+	}
+}
--- a/internal/fleet/jobstate.go
+++ b/internal/fleet/jobstate.go
@@ -26,6 +26,8 @@
 	// within its queue, and value what it is worth to callers.
 	hostSeconds, value float64
 	size               overload.Class
+	// isSized is true once hostSeconds, value and size are recorded.
+	isSized bool
 	// isCounted is true once it is counted whether the job started in time, and isDeferred once
 	// the job has been deferred for others.
 	isCounted, isDeferred bool
@@ -201,7 +203,7 @@
 	delete(l.lookups, submission.ID)
 	j.beyondShare = !l.withinShare(submission.Account, now)
 	l.recordArrival(j, now)
-	l.recordSize(j)
+	l.recordSize(j, l.hostSize())
 	if _, ok := l.pendingCancels[submission.ID]; ok {
 		delete(l.pendingCancels, submission.ID)
 		l.cancel(j, now)
