fleet: count the same room once for persistent tasks that leave

An evacuated, leaving or draining endpoint's persistent runs were each checked against the free capacity of the other endpoints, without what earlier ones of the same step, or those that were still being stopped, would take there. With room for one task of 3 jobs, all 3 were stopped, and two services stayed down, since the evacuated endpoint takes no starts.

Each run that is stopped reserves the first place that it fits, also in later steps while it is being stopped. TestPersistentTasksOfManyJobsLeaveAsThereIsRoom failed before in 4 of 7 cases: got 3 stopped tasks, want 1 or 2.

--- a/internal/fleet/relocate.go
+++ b/internal/fleet/relocate.go
@@ -24,6 +24,7 @@
 			if r.isPersistent() && r.state == runLive && relocation.heldReason(r) == "" {
 				l.stopRun(r, reason, now)
 				delete(relocation.unavailable, r.stepRef())
+				relocation.reserve(r)
 			}
 		}
 	}
@@ -50,7 +51,8 @@
 	unavailable map[stepRef]int
 }
 
-// relocationTargets holds a pool's endpoints that accept work, and sizes that fit on none.
+// relocationTargets holds a pool's endpoints that accept work, less what is reserved for persistent
+// tasks that are being stopped elsewhere, and sizes that fit on none.
 type relocationTargets struct {
 	candidates  []*candidateEndpoint
 	unplaceable unplaceableSizes
@@ -66,10 +68,34 @@
 	if targets == nil {
 		targets = &relocationTargets{candidates: m.leader.candidates(pool, m.now)}
 		m.targets[pool] = targets
+		m.reserveForStopping(pool)
 	}
 	return targets
 }
 
+// reserveForStopping reserves capacity for the persistent runs of a pool that are being stopped:
+// they start elsewhere once they have ended.
+func (m *relocation) reserveForStopping(pool string) {
+	for _, e := range m.leader.endpoints {
+		if e.row.Pool != pool || e.tally.stopping == 0 || e.tally.persistent == 0 {
+			continue
+		}
+		for _, r := range e.runs {
+			if r.isPersistent() && r.state == runStopping {
+				m.reserve(r)
+			}
+		}
+	}
+}
+
+// reserve reserves capacity for a persistent run that is being stopped on the endpoint that has
+// the first place for it, so that no other run is stopped for the same capacity.
+func (m *relocation) reserve(r *run) {
+	if target := m.alternative(r); target != nil {
+		target.available = target.available.Minus(r.reserved)
+	}
+}
+
 // heldReason returns why a persistent run cannot leave its endpoint now, or "".
 func (m *relocation) heldReason(r *run) string {
 	switch {
@@ -95,24 +121,29 @@
 
 // hasAlternative reports whether another endpoint of the pool can run the task now.
 func (m *relocation) hasAlternative(r *run) bool {
+	return m.alternative(r) != nil
+}
+
+// alternative returns another endpoint of the pool that can run the task now, or nil.
+func (m *relocation) alternative(r *run) *candidateEndpoint {
 	opened := r.job.steps[r.stepRef().key]
 	if opened == nil {
-		return false
+		return nil
 	}
 	targets, size := m.targetsOf(r.endpoint.row.Pool), opened.step.Reserved()
 	if targets.unplaceable.contains(size) {
-		return false
+		return nil
 	}
 	g := taskGroup{job: r.job, step: opened}
 	for _, candidate := range targets.candidates {
 		if candidate.endpoint != r.endpoint && g.allows(candidate) {
-			return true
+			return candidate
 		}
 	}
 	if fitsNowhere(size, targets.candidates) {
 		targets.unplaceable.add(size)
 	}
-	return false
+	return nil
 }
 
 // unavailableTasks counts the tasks of a persistent step that do not run at full speed.
