control: keep the note of a refusal that was renewed while it was deleted

A refusal for evacuation is renewed while it holds. If the feed showed the new row between the choice of the old one for deletion and the conflict of that deletion, the note of the new row was removed, and the row stayed until the next leader.

A note is removed only if it is of the version that was to be deleted. TestRenewedRefusalIsDeletedLater failed before: got the row of version 2, want none.

--- a/internal/control/refusals.go
+++ b/internal/control/refusals.go
@@ -41,11 +41,12 @@
 	}
 }
 
-// forget removes refusals that the store no longer has.
-func (r *refusals) forget(ids ...job.ID) {
+// forget removes a refusal that the store no longer has with this version. A newer one of the job
+// stays: it may have been noted in the meantime.
+func (r *refusals) forget(id job.ID, version uint64) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	for _, id := range ids {
+	if r.rows[id].version == version {
 		delete(r.rows, id)
 	}
 }
@@ -106,8 +107,8 @@
 		t.config.Journal.Info("rows of refusals not deleted", "rows", len(ids), "error", err.Error())
 		return false
 	}
-	t.refusals.forget(ids...)
 	for _, id := range ids {
+		t.refusals.forget(id, versions[id])
 		delete(versions, id)
 	}
 	return true
--- a/internal/control/refusals_test.go
+++ b/internal/control/refusals_test.go
@@ -175,3 +175,23 @@
 		}
 	}
 }
+
+// Guards against a refusal's row that stays for ever: it was renewed while the leader tried to
+// delete the former one, after the feed had shown the new one.
+func TestRenewedRefusalIsDeletedLater(t *testing.T) {
+	r := newRefusalTerm(t, time.Minute)
+	r.applyJobRow(table.Change{Row: r.write(t, refusedID, refusalValue())})
+	expired := r.refusals.expired(time.Now().Add(time.Second), maxCleanupRefusals)
+	r.applyJobRow(table.Change{Row: r.write(t, refusedID, refusalValue())})
+	for _, versions := range expired {
+		r.deleteSomeRefusals(context.Background(), versions)
+	}
+	r.deleteRefusals(context.Background(), time.Now().Add(time.Second))
+	rows, err := r.store.Get(context.Background(), record.JobKey(refusedID))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got := rows[0].Version; got != table.Absent {
+		t.Errorf("version of the renewed refusal's row: got %d, want none", got)
+	}
+}
