--- a/internal/fleet/cost_test.go
+++ b/internal/fleet/cost_test.go
@@ -94,33 +94,7 @@
 	for name, c := range tests {
 		t.Run(name, func(t *testing.T) {
 			s := newSimulation(t, simulationConfig{unloaded: true})
-			var jobs []fleet.StoredJob
-			for n := range small {
-				accepted := submission(n+1, tasks(16))
-				accepted.Accepted = s.now.Add(time.Duration(n+1) * 10 * time.Millisecond)
-				jobs = append(jobs, fleet.StoredJob{Submission: accepted})
-			}
-			if c.isInherited {
-				s.leader.Load(jobs, s.now, s.now)
-			} else {
-				s.leader.Load(nil, s.now, s.now)
-			}
-			if !c.isEarly {
-				s.listHosts(baseHosts()...)
-			}
-			if !c.isInherited {
-				for _, j := range jobs {
-					s.submit(j.Submission)
-				}
-			}
-			for n := range wide {
-				competing := submission(small+n+1, tasks(32))
-				competing.Accepted = jobs[0].Submission.Accepted.Add(-5 * time.Millisecond)
-				s.submit(competing)
-			}
-			if c.isEarly {
-				s.listHosts(baseHosts()...)
-			}
+			s.acceptBesideWide(c.isInherited, c.isEarly, small, wide)
 			got, want := 0, small*16
 			for _, start := range s.step().Starts {
 				if start.Task.Job <= jobID(small) {
@@ -133,3 +107,32 @@
 		})
 	}
 }
+
+// acceptBesideWide accepts small jobs of 16 tasks, under a former leader or this one, and wide ones
+// of 32 tasks that are more urgent. The hosts are listed last, or else after the inherited jobs.
+func (s *simulation) acceptBesideWide(isInherited, isEarly bool, small, wide int) {
+	var jobs, inherited []fleet.StoredJob
+	first := s.now
+	for n := range small + wide {
+		accepted := submission(n+1, tasks(16))
+		accepted.Accepted = first.Add(time.Duration(n+1) * 10 * time.Millisecond)
+		if n >= small {
+			accepted = submission(n+1, tasks(32))
+			accepted.Accepted = first.Add(5 * time.Millisecond)
+		}
+		jobs = append(jobs, fleet.StoredJob{Submission: accepted})
+	}
+	if isInherited {
+		jobs, inherited = jobs[small:], jobs[:small]
+	}
+	s.leader.Load(inherited, s.now, s.now)
+	if !isEarly {
+		s.listHosts(baseHosts()...)
+	}
+	for _, stored := range jobs {
+		s.submit(stored.Submission)
+	}
+	if isEarly {
+		s.listHosts(baseHosts()...)
+	}
+}
