fleet: report no label and no data centre as unavailable before the hosts are read

During an evacuation, a new leader counted endpoints whose rows name no data centre as evacuated, and knew no spare hosts, until it had read the list of hosts. Its outlook then said that no data centre accepts work, so that jobs were refused which an endpoint elsewhere could run.

Nothing is reported until the hosts have been read. TestOutlookDuringEvacuation lists them now (an empty list), with the same results. TestOutlookDuringEvacuationBeforeHostsAreRead failed before in its three cases: got [a r1-1] and true, want none and false.

--- a/internal/fleet/outlook.go
+++ b/internal/fleet/outlook.go
@@ -55,9 +55,10 @@
 }
 
 // unavailableLabels returns the labels that only evacuated endpoints carry, and whether all data
-// centres are evacuated.
+// centres are evacuated. Neither is known before the hosts have been read: they tell the data centres
+// of endpoints whose rows name none, and spare ones can be moved into a pool.
 func (l *Leader) unavailableLabels() (labels []string, noDataCentre bool) {
-	if len(l.evacuations.byDataCentre) == 0 {
+	if len(l.evacuations.byDataCentre) == 0 || !l.hosts.isLoaded {
 		return nil, false
 	}
 	evacuated, open := map[string]bool{}, map[string]bool{}
--- a/internal/fleet/unavailablelabels_test.go
+++ b/internal/fleet/unavailablelabels_test.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 	"testing"
+	"time"
 
 	"github.com/lovagedyke/lovagedyke/internal/fleet"
 )
@@ -30,6 +31,7 @@
 				s.leader.UpdateEndpoint(row, s.now)
 				s.renewLease(id)
 			}
+			s.leader.UpdateHosts(nil, s.now, s.now)
 			s.leader.SetEvacuations(c.evacuated, s.now)
 			got := s.leader.Outlook(s.now)
 			if !slices.Equal(got.UnavailableLabels, c.want) || got.NoDataCentre != c.noDataCentre {
@@ -39,3 +41,40 @@
 		})
 	}
 }
+
+// Guards against refusals by a new leader that does not know all hosts yet: they tell the data
+// centres of endpoints whose rows name none, and the spare ones can be moved into a pool.
+func TestOutlookDuringEvacuationBeforeHostsAreRead(t *testing.T) {
+	tests := map[string]struct {
+		// rowDataCentre is that of the endpoint by its row, and spare the data centre of a spare host.
+		rowDataCentre, hostDataCentre, spare string
+		// want and noDataCentre are the outlook once the hosts have been read.
+		want         []string
+		noDataCentre bool
+	}{
+		"by its host, open":      {hostDataCentre: remaining, spare: evacuated},
+		"by its host, evacuated": {hostDataCentre: evacuated, spare: evacuated, want: []string{"a", "r1-1"}, noDataCentre: true},
+		"spare host elsewhere":   {rowDataCentre: evacuated, hostDataCentre: evacuated, spare: remaining},
+	}
+	for name, c := range tests {
+		t.Run(name, func(t *testing.T) {
+			s := newSimulation(t, simulationConfig{token: 2, unloaded: true})
+			s.leader.SetEvacuations([]string{evacuated}, s.now)
+			s.addEndpointIn(c.rowDataCentre, "one")
+			expect := func(when string, want []string, noDataCentre bool) {
+				t.Helper()
+				s.advance(time.Second)
+				got := s.leader.Outlook(s.now)
+				if !slices.Equal(got.UnavailableLabels, want) || got.NoDataCentre != noDataCentre {
+					t.Errorf("labels that are not available, no data centre, %s: got %v and %t, want %v and %t",
+						when, got.UnavailableLabels, got.NoDataCentre, want, noDataCentre)
+				}
+			}
+			expect("before the hosts are read", nil, false)
+			host, spare := newHost(poolName, "one"), spareHost(1)
+			host.DataCentre, spare.DataCentre, spare.Labels = c.hostDataCentre, c.spare, []string{"a", "r1-1"}
+			s.leader.UpdateHosts([]fleet.Host{host, spare}, s.now, s.now)
+			expect("after that", c.want, c.noDataCentre)
+		})
+	}
+}
