ingress: pause before a refused transaction is written again

A transaction that the store refuses for good is written again for the entries whose earlier answer was lost, since they may be stored. There was no pause: the writer called the store, and logged a line, as often as it could until the callers' time was over.

It waits for retryDelay, as after other errors. TestRefusedTransaction failed before in the case of a lost answer: 58,764 commits in 0.6 s, want at most 6.

--- a/internal/ingress/writer.go
+++ b/internal/ingress/writer.go
@@ -244,7 +244,11 @@
 			w.sleep(ctx)
 		default:
 			w.config.Journal.Info("store refused the jobs' rows", "jobs", len(batch), "error", err.Error())
-			entries = append(w.refuse(batch), rest...)
+			kept := w.refuse(batch)
+			if len(kept) > 0 {
+				w.sleep(ctx)
+			}
+			entries = append(kept, rest...)
 		}
 	}
 }
--- a/internal/ingress/writer_test.go
+++ b/internal/ingress/writer_test.go
@@ -6,6 +6,8 @@
 	"testing"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/lovagedyke/lovagedyke/internal/job"
 	"github.com/lovagedyke/lovagedyke/internal/record"
 	"github.com/lovagedyke/lovagedyke/internal/table"
@@ -83,3 +85,53 @@
 		})
 	}
 }
+
+// refusingStore loses the answer to the first transaction, and refuses all others.
+type refusingStore struct {
+	table.Store
+	commits int
+	answer  error
+}
+
+func (s *refusingStore) Commit(context.Context, table.Txn) error {
+	s.commits++
+	if s.commits == 1 {
+		return s.answer
+	}
+	return errors.New("refused")
+}
+
+// Guards against a writer that calls the store without a pause: it refuses the transaction of an
+// attempt that may have been stored.
+func TestRefusedTransaction(t *testing.T) {
+	const lasts = 5 * retryDelay
+	tests := map[string]struct {
+		first error
+		// most is the most commits, and want the outcome, or outcomeUnknown without one.
+		most int
+		want outcome
+	}{
+		"at once":              {first: errors.New("refused"), most: 1, want: outcomeRefused},
+		"after a lost answer":  {first: table.ErrUnknown, most: 6, want: outcomeUnknown},
+		"after an unavailable": {first: table.ErrUnavailable, most: 2, want: outcomeRefused},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			store := &refusingStore{answer: test.first}
+			w := newWriter(writerConfig{Store: store, Journal: discardJournal{}})
+			ctx, cancel := context.WithTimeout(context.Background(), lasts)
+			defer cancel()
+			entry := &write{ctx: ctx, id: "5c0e7a21d94b36f8", value: []byte("{}"), done: make(chan result, 1)}
+			w.writeAll(ctx, []*write{entry})
+			got := outcomeUnknown
+			select {
+			case ended := <-entry.done:
+				got = ended.outcome
+			default:
+			}
+			if got != test.want || store.commits > test.most {
+				t.Errorf("outcome and commits: got %v and %d, want %v and at most %d", got, store.commits, test.want, test.most)
+			}
+		})
+	}
+}
