--- a/internal/fleet/cost_test.go
+++ b/internal/fleet/cost_test.go
@@ -78,3 +78,64 @@
 	}
 	return len(starts)
 }
+
+// Guards against inherited jobs that a new leader defers before all others, as of no value: it
+// loads them before it knows the hosts, by which it measures their sizes.
+func TestInheritedJobsAreNotDeferredFirst(t *testing.T) {
+	const small, wide = 4, 2
+	tests := map[string]struct {
+		// isInherited is true if the small jobs were accepted under a former leader.
+		isInherited bool
+		// isEarly is true if the hosts are listed after all jobs have been accepted.
+		isEarly bool
+	}{
+		"new jobs":                      {},
+		"new jobs, before the hosts":    {isEarly: true},
+		"inherited":                     {isInherited: true},
+		"all of them, before the hosts": {isInherited: true, isEarly: true},
+	}
+	for name, c := range tests {
+		t.Run(name, func(t *testing.T) {
+			s := newSimulation(t, simulationConfig{unloaded: true})
+			s.acceptBesideWide(c.isInherited, c.isEarly, small, wide)
+			got, want := 0, small*16
+			for _, start := range s.step().Starts {
+				if start.Task.Job <= jobID(small) {
+					got++
+				}
+			}
+			if got != want {
+				t.Errorf("starts of the small jobs: got %d, want %d", got, want)
+			}
+		})
+	}
+}
+
+// acceptBesideWide accepts small jobs of 16 tasks, under a former leader or this one, and wide ones
+// of 32 tasks that are more urgent. The hosts are listed last, or else after the inherited jobs.
+func (s *simulation) acceptBesideWide(isInherited, isEarly bool, small, wide int) {
+	var jobs, inherited []fleet.StoredJob
+	first := s.now
+	for n := range small + wide {
+		accepted := submission(n+1, tasks(16))
+		accepted.Accepted = first.Add(time.Duration(n+1) * 10 * time.Millisecond)
+		if n >= small {
+			accepted = submission(n+1, tasks(32))
+			accepted.Accepted = first.Add(5 * time.Millisecond)
+		}
+		jobs = append(jobs, fleet.StoredJob{Submission: accepted})
+	}
+	if isInherited {
+		jobs, inherited = jobs[small:], jobs[:small]
+	}
+	s.leader.Load(inherited, s.now, s.now)
+	if !isEarly {
+		s.listHosts(baseHosts()...)
+	}
+	for _, stored := range jobs {
+		s.submit(stored.Submission)
+	}
+	if isEarly {
+		s.listHosts(baseHosts()...)
+	}
+}
