check: platform configurations, differences and JSON

Cause: an operator's configuration could not be checked before it was submitted: check knew no -platform-configuration (exit code 2, flag not defined).

Change: -platform-configuration, -in-force and -json. Faults go to stderr and differences to stdout, each fault with the program's prefix. The file is only read. Unknown keys are errors, because the rest of such a file cannot be judged.

--- a/cmd/lovagedyke/cmd_test.go
+++ b/cmd/lovagedyke/cmd_test.go
@@ -11,6 +11,7 @@
 	"net/http/httptest"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -289,6 +290,61 @@
 	}
 }
 
+// soundPolicy is a platform configuration without faults.
+const soundPolicy = `{"version":7,"routes":[
+	{"name":"orders","host":"a.example","prefix":"/orders/","service":"p","kind":"unsafe","max_attempts":3,"stretch":2,"target_completion_ms":1000,"timeout_ms":3000},
+	{"name":"open","host":"a.example","prefix":"/","service":"p","anonymous":true,"max_attempts":1,"stretch":2,"advice":{"decide_ms":5,"each_ms":1,"valid_ms":900}}],
+	"services":[{"name":"p","rejects_overload":true},{"name":"off","spare":true}],
+	"tenants":[{"name":"acme","api_keys":["k1"],"weight":0,"cap":{"cpu":0,"mem_mb":0,"gpu":0}}],"limits":{"max_body_bytes":262144}}`
+
+// TestCheckPlatformConfiguration guards against exit codes and findings other than the man page's.
+func TestCheckPlatformConfiguration(t *testing.T) {
+	replaced := func(pairs ...string) string { return strings.NewReplacer(pairs...).Replace(soundPolicy) }
+	const next, inForce = "next.json", "in-force.json"
+	check := []string{"check", "-platform-configuration", next}
+	compare := append(check, "-in-force", inForce)
+	tests := map[string]struct {
+		next     string
+		args     []string
+		wantCode int
+		want     string
+	}{
+		"sound":             {soundPolicy, check, exitOK, "no mistakes found"},
+		"warning":           {replaced(`,{"name":"off","spare":true}`, ""), check, exitWarnings, "next.json: services: warning: no pool is the spare pool"},
+		"error":             {replaced(`"max_attempts":3`, `"max_attempts":0`), check, exitFailed, "next.json: routes[0].max_attempts: error: "},
+		"error and warning": {replaced(`,{"name":"off","spare":true}`, "", `"weight":0`, `"weight":-1`), check, exitFailed, "weight-below-zero"},
+		"unknown key":       {replaced(`"weight"`, `"wieght"`), check, exitFailed, "next.json: tenants[0].wieght: error: the key is unknown"},
+		"empty":             {" \n", check, exitFailed, "next.json: error: the file is empty (empty)"},
+		"empty object":      {"{}", check, exitFailed, "no queues, pools or accounts (empty)"},
+		"not JSON":          {"version = 7", check, exitFailed, "(unreadable)"},
+		"missing file":      {soundPolicy, []string{"check", "-platform-configuration", "none.json"}, exitFailed, "(unreadable)"},
+		"missing in force":  {soundPolicy, append(check, "-in-force", "none.json"), exitFailed, "none.json: error: "},
+		"same version":      {soundPolicy, compare, exitFailed, "next.json: version: error: version 7 is not above version 7"},
+		"no difference":     {replaced(`"version":7`, `"version":8`), compare, exitOK, "no mistakes found"},
+		"difference":        {replaced(`"version":7`, `"version":8`, `"cpu":0`, `"cpu":9`), compare, exitOK, "next.json: tenants[0].cap.cpu: change: "},
+		"withdrawn key":     {replaced(`"version":7`, `"version":8`, `"k1"`, `"k2"`), compare, exitOK, "in-force.json: tenants[0].api_keys[0]: change: a key of account \"acme\" is withdrawn: calls with it get 401"},
+		"JSON":              {soundPolicy, append(check, "-json"), exitOK, "[]\n"},
+		"JSON warning":      {replaced(`,{"name":"off","spare":true}`, ""), append(check, "-json"), exitWarnings, `"code": "spare-pool-missing"`},
+		"JSON error":        {"", append(check, "-json"), exitFailed, `"severity": "error"`},
+		"JSON of settings":  {soundPolicy, []string{"check", "-json", "-settings", "none.ini"}, exitFailed, `"file": "none.ini"`},
+		"in force alone":    {soundPolicy, []string{"check", "-in-force", inForce}, exitUsage, "-in-force needs -platform-configuration"},
+		"nothing":           {soundPolicy, []string{"check", "-json"}, exitUsage, "nothing to check"},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			c := newTestCLI(t)
+			t.Chdir(c.dir)
+			c.writeFile(t, next, tc.next)
+			c.writeFile(t, inForce, soundPolicy)
+			stdout := c.expect(t, tc.wantCode, tc.want, tc.args...)
+			var findings []map[string]any
+			if tc.wantCode != exitUsage && slices.Contains(tc.args, "-json") && json.Unmarshal([]byte(stdout), &findings) != nil {
+				t.Errorf("got %q, want one JSON array", stdout)
+			}
+		})
+	}
+}
+
 func TestExamplesAreValid(t *testing.T) {
 	c := newTestCLI(t)
 	t.Chdir(filepath.Join("..", "..", "examples"))
--- a/cmd/lovagedyke/exit.go
+++ b/cmd/lovagedyke/exit.go
@@ -45,10 +45,24 @@
 	return usageError{fmt.Errorf(format, args...)}
 }
 
+// reportedError sets the exit code of a command that has printed its errors itself.
+type reportedError struct {
+	code int
+}
+
+// Error implements error.
+func (e reportedError) Error() string {
+	return fmt.Sprintf("exit code %d", e.code)
+}
+
 // report prints the error, if any, and returns the exit code.
 func report(env *Env, err error) int {
-	if err == nil || errors.Is(err, flag.ErrHelp) {
+	var reported reportedError
+	switch {
+	case err == nil || errors.Is(err, flag.ErrHelp):
 		return exitOK
+	case errors.As(err, &reported):
+		return reported.code
 	}
 	env.printError(err.Error())
 	return exitCode(err)
