policycheck: correct the usage example

Cause: the package comment passed arguments that Check does not have.

Change: the example builds a Document.

--- a/internal/policycheck/finding.go
+++ b/internal/policycheck/finding.go
@@ -4,7 +4,8 @@
 //
 // # Usage
 //
-//	findings := policycheck.Check(next, policycheck.Source{File: "next.json", KeyPath: platform.PolicyKeyPath})
+//	next := policycheck.Document{Config: config, Source: policycheck.Source{File: "next.json", KeyPath: platform.PolicyKeyPath}}
+//	findings := policycheck.Check(next)
 //	findings = append(findings, policycheck.Differences(inForce, next)...)
 package policycheck
 
