--- a/internal/httpclient/client_test.go
+++ b/internal/httpclient/client_test.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"net/http/httptest"
 	"testing"
+	"time"
 
 	"github.com/cockroachdb/errors"
 
@@ -26,7 +27,8 @@
 				_, _ = w.Write(make([]byte, c.size))
 			}))
 			defer server.Close()
-			client := New(Config{})
+			// The default timeout is too short for a body of this size on a busy machine.
+			client := New(Config{Timeout: time.Minute})
 			defer client.Close()
 			response, err := client.Do(context.Background(), http.MethodGet, server.URL, nil)
 			if !errors.Is(err, c.wantErr) {
