control: log and measure what a leader spends its time on

On the large deployment callers were served late, and neither logs nor metrics told whether decisions, orders, reports, host changes or messages used the leader's processor, or how long its orders waited.

No decision changes.

--- a/internal/control/batch.go
+++ b/internal/control/batch.go
@@ -30,7 +30,7 @@
 			renewedAt = time.Now()
 		}
 		hasMore := false
-		t.locked(func() { hasMore = t.leader.HasFullBatch() })
+		t.locked(partBatches, func() { hasMore = t.leader.HasFullBatch() })
 		if hasMore {
 			// At the peak of a large fleet a pause would hold up the acknowledgements, and
 			// with them the reports, of all endpoints.
@@ -49,7 +49,7 @@
 	var batch fleet.Batch
 	var waves []fleet.WaveProgress
 	hasBatch := false
-	t.locked(func() {
+	t.locked(partBatches, func() {
 		batch, hasBatch = t.leader.NextBatch()
 		waves = t.leader.WaveProgress()
 	})
@@ -73,7 +73,7 @@
 	}
 	t.writeWaveStatus(ctx, waves)
 	if hasBatch {
-		t.locked(func() { t.wakeSessions(t.leader.MarkBatchWritten(batch, time.Now())) })
+		t.locked(partBatches, func() { t.wakeSessions(t.leader.MarkBatchWritten(batch, time.Now())) })
 		t.requestStep()
 	}
 	return true
@@ -106,9 +106,9 @@
 func (t *term) cleanupLoop(ctx context.Context) {
 	for loops.Sleep(ctx, cleanupInterval) {
 		var ids []job.ID
-		t.locked(func() { ids = t.leader.ExpiredJobs(time.Now(), maxCleanupJobs) })
+		t.locked(partBatches, func() { ids = t.leader.ExpiredJobs(time.Now(), maxCleanupJobs) })
 		if len(ids) > 0 && t.deleteRows(ctx, ids) {
-			t.locked(func() { t.leader.ForgetJobs(ids) })
+			t.locked(partBatches, func() { t.leader.ForgetJobs(ids) })
 		}
 		t.deleteRefusals(ctx, time.Now().Add(-t.config.Bounds.StatusRetention))
 	}
--- a/internal/control/endpoints.go
+++ b/internal/control/endpoints.go
@@ -24,11 +24,13 @@
 	completionBatchDelay = 15 * time.Millisecond
 )
 
-// order is an order to an endpoint; exactly one field is set.
+// order is an order to an endpoint: exactly one of start, stop and throttle is set.
 type order struct {
 	start    *fleet.Start
 	stop     *fleet.Stop
 	throttle *fleet.Throttle
+	// decidedAt is when a start was decided.
+	decidedAt time.Time
 }
 
 // endpointSession sends orders and lease renewals to one endpoint during a term.
@@ -135,13 +137,13 @@
 	switch {
 	case next.start != nil:
 		kind = "start"
-		reply, isLeader = s.sendStart(ctx, *next.start)
+		reply, isLeader = s.sendStart(ctx, *next.start, next.decidedAt)
 	case next.stop != nil:
 		kind = "stop"
 		if to, ok := s.address(); ok {
 			reply = t.config.Endpoints.Stop(ctx, to, t.claim.Token, *next.stop)
 		}
-		t.locked(func() {
+		t.locked(partOrders, func() {
 			isLeader = t.leader.HandleStopReply(*next.stop, reply, time.Now())
 		})
 	default:
@@ -159,16 +161,17 @@
 	}
 }
 
-// sendStart sends a start, unless the leader has withdrawn it since it was queued, and
+// sendStart sends a start, unless the leader has withdrawn it since it was decided, and
 // reports its outcome. It returns false if the endpoint knows a newer leader.
-func (s *endpointSession) sendStart(ctx context.Context, start fleet.Start) (fleet.Reply, bool) {
+func (s *endpointSession) sendStart(ctx context.Context, start fleet.Start, decidedAt time.Time) (fleet.Reply, bool) {
 	t := s.term
 	var to fleet.EndpointAddress
 	isCurrent := false
-	t.locked(func() {
+	t.locked(partOrders, func() {
 		t.applyEvacuations(time.Now())
 		if isCurrent = t.leader.ConfirmStart(start, time.Now()); isCurrent {
 			to, isCurrent = t.leader.AddressOf(s.id)
+			t.work.startSent(time.Since(decidedAt))
 		}
 	})
 	if !isCurrent {
@@ -176,7 +179,7 @@
 	}
 	reply := t.config.Endpoints.Start(ctx, to, t.claim.Token, start)
 	isLeader := true
-	t.locked(func() {
+	t.locked(partOrders, func() {
 		isLeader = t.leader.HandleStartReply(start, reply, time.Now())
 	})
 	return reply, isLeader
@@ -187,7 +190,7 @@
 	for ctx.Err() == nil {
 		var renewal fleet.LeaseRenewal
 		isDue := false
-		s.term.locked(func() {
+		s.term.locked(partReports, func() {
 			renewal, isDue = s.term.leader.NextRenewal(s.id, time.Now())
 		})
 		if !isDue {
@@ -227,7 +230,7 @@
 	reply.SentAt = sentAt
 	now := time.Now()
 	metrics.GetOrCreateCounter(`orders_total{kind="look",outcome="` + string(reply.Outcome) + `"}`).Inc()
-	t.locked(func() {
+	t.locked(partReports, func() {
 		if t.sessions[s.id] != s {
 			// The leader has dropped the endpoint meanwhile. If it is listed again, only the
 			// reports of its new session arrive in order.
--- a/internal/control/endpoints_test.go
+++ b/internal/control/endpoints_test.go
@@ -74,7 +74,7 @@
 			}
 			c.event(leader, queuedAt)
 			session := &endpointSession{term: current, id: "i-1", wake: make(chan struct{}, 1)}
-			session.sendStart(context.Background(), orders.Starts[0])
+			session.sendStart(context.Background(), orders.Starts[0], time.Now())
 			if got := len(endpoints.started); got != c.want {
 				t.Errorf("starts sent: got %d, want %d", got, c.want)
 			}
--- a/internal/control/evacuation_test.go
+++ b/internal/control/evacuation_test.go
@@ -169,7 +169,7 @@
 				holder.Update(set, "test")
 			}
 			session := &endpointSession{term: current, id: "i-1", wake: make(chan struct{}, 1)}
-			reply, isLeader := session.sendStart(context.Background(), orders.Starts[0])
+			reply, isLeader := session.sendStart(context.Background(), orders.Starts[0], time.Now())
 			if got := len(endpoints.started); got != test.want || !isLeader {
 				t.Errorf("starts sent: got %d, want %d", got, test.want)
 			}
--- a/internal/control/feeds.go
+++ b/internal/control/feeds.go
@@ -48,7 +48,7 @@
 		t.config.ObserveStore(err)
 		known = err == nil || known && !errors.Is(err, table.ErrHistoryLost)
 		pause := endpointFeedInterval
-		t.locked(func() {
+		t.locked(partLists, func() {
 			if t.leader.HostChangeDue(time.Now()) {
 				pause = busyEndpointFeedInterval
 			}
@@ -71,7 +71,7 @@
 		return 0, err
 	}
 	now := time.Now()
-	t.locked(func() {
+	t.locked(partLists, func() {
 		listed := map[fleet.EndpointID]bool{}
 		for _, endpoint := range endpoints {
 			listed[endpoint.ID] = true
@@ -97,7 +97,7 @@
 		return after, err
 	}
 	now := time.Now()
-	t.locked(func() {
+	t.locked(partLists, func() {
 		for _, endpoint := range listed {
 			t.leader.UpdateEndpoint(endpoint, now)
 		}
--- a/internal/control/hosts.go
+++ b/internal/control/hosts.go
@@ -40,10 +40,11 @@
 	listIntervalPerHost  = 100 * time.Microsecond
 )
 
-// hostOrder is a change of a host; exactly one field is set.
+// hostOrder is a change of a host: exactly one of move and maintenance is set.
 type hostOrder struct {
 	move        *fleet.Move
 	maintenance *fleet.MaintenanceOrder
+	decidedAt   time.Time
 }
 
 // host returns the host that is changed.
@@ -130,7 +131,7 @@
 		txn.Writes = append(txn.Writes, table.Write{Key: record.HostChangeKey(string(next.host())), Value: record.Encode(row)})
 	}
 	if !t.writer.commit(ctx, txn, false) {
-		t.locked(func() {
+		t.locked(partHostChanges, func() {
 			for _, next := range changes {
 				t.reportHostChange(next, fleet.ChangeRefused)
 			}
@@ -148,8 +149,10 @@
 // store for long.
 func (t *term) executeHostOrder(ctx context.Context, next hostOrder, now time.Time) {
 	isCurrent := false
-	t.locked(func() {
-		isCurrent = t.leader.ConfirmHostChange(next.host(), now)
+	t.locked(partHostChanges, func() {
+		if isCurrent = t.leader.ConfirmHostChange(next.host(), now); isCurrent {
+			t.work.hostChangeSent(time.Since(next.decidedAt))
+		}
 	})
 	if !isCurrent {
 		t.requestStep()
@@ -164,7 +167,7 @@
 		outcome = t.config.Hosts.StartMaintenance(ctx, t.claim.Token, next.maintenance.Host, next.maintenance.Wave)
 	}
 	metrics.GetOrCreateCounter(`host_changes_total{kind="` + kind + `",outcome="` + string(outcome) + `"}`).Inc()
-	t.locked(func() {
+	t.locked(partHostChanges, func() {
 		t.reportHostChange(next, outcome)
 	})
 	if outcome == fleet.ChangeFenced {
@@ -180,7 +183,7 @@
 		list, err := t.config.Hosts.List(ctx)
 		now := time.Now()
 		isBusy := false
-		t.locked(func() {
+		t.locked(partLists, func() {
 			if err == nil {
 				t.wakeSessions(t.leader.UpdateHosts(list, sentAt, now))
 			}
@@ -196,7 +199,7 @@
 			if !loops.Sleep(ctx, interval) {
 				return
 			}
-			t.locked(func() {
+			t.locked(partLists, func() {
 				isBusy = isBusy || t.leader.NeedsHostList(time.Now())
 			})
 			if isBusy {
@@ -216,7 +219,7 @@
 			requestCtx, cancel := context.WithTimeout(ctx, adviceTimeout)
 			grant, err := t.config.Advice.Request(requestCtx, request)
 			cancel()
-			t.locked(func() {
+			t.locked(partOther, func() {
 				t.leader.HandleAdvice(request, grant, err == nil, time.Now())
 			})
 			t.requestStep()
--- a/internal/control/load.go
+++ b/internal/control/load.go
@@ -286,7 +286,7 @@
 				continue
 			}
 			now := time.Now()
-			t.locked(func() { t.leader.HandleLookup(id, stored, now, now) })
+			t.locked(partJobs, func() { t.leader.HandleLookup(id, stored, now, now) })
 			t.requestStep()
 		}
 	}
--- a/internal/control/term.go
+++ b/internal/control/term.go
@@ -84,6 +84,7 @@
 	evacuationMetrics     map[string]bool
 	evacuationsMeasuredAt time.Time
 	refusals              refusals
+	work                  work
 }
 
 func newTerm(ctx context.Context, c *Control, claim record.Claim, version uint64) *term {
@@ -96,13 +97,13 @@
 		sessions: map[fleet.EndpointID]*endpointSession{},
 		wakeStep: make(chan struct{}, 1), wakeBatch: make(chan struct{}, 1),
 		hostOrders: make(chan hostOrder, hostOrderQueueSize), adviceRequests: make(chan fleet.AdviceRequest, adviceQueueSize),
-		lookups: make(chan job.ID, lookupQueueSize), evacuationMetrics: map[string]bool{},
+		lookups: make(chan job.ID, lookupQueueSize), evacuationMetrics: map[string]bool{}, work: newWork(time.Now()),
 	}
 	t.maxHostResources.Store(&policy.Resources{})
 	t.outlook.Store(new([]byte))
 	t.writer = newWriter(writerConfig{
 		Store: c.config.Store, Journal: c.config.Journal, Token: claim.Token, ClaimVersion: version,
-		Confirmed: func(sentAt time.Time) { t.locked(func() { t.leader.ConfirmLeadership(sentAt) }) },
+		Confirmed: func(sentAt time.Time) { t.locked(partOther, func() { t.leader.ConfirmLeadership(sentAt) }) },
 		Lost:      func() { c.config.Lost(claim.Token, "another process has changed the leadership claim") },
 	})
 	return t
@@ -117,7 +118,7 @@
 	t.group.Go(t.stepLoop)
 	t.group.Go(t.loadAndLead)
 	t.group.Wait()
-	t.locked(func() { t.removeEvacuationMetrics(nil) })
+	t.locked(partOther, func() { t.removeEvacuationMetrics(nil) })
 }
 
 // loadAndLead reads the jobs, and then starts the loops that need them.
@@ -145,12 +146,15 @@
 	}
 }
 
-// locked runs f under the leader's lock and releases it also when f panics over
-// a broken invariant: otherwise the process could not shut down.
-func (t *term) locked(f func()) {
+// locked runs f, which is work of part p, under the leader's lock. It releases the lock also when
+// f panics over a broken invariant: otherwise the process could not shut down.
+func (t *term) locked(p part, f func()) {
+	asked := time.Now()
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	started := time.Now()
 	f()
+	t.work.add(p, started.Sub(asked), time.Since(started))
 }
 
 // requestStep wakes stepLoop and batchLoop.
@@ -172,26 +176,26 @@
 
 // setPolicy applies a new configuration.
 func (t *term) setPolicy(current *policy.Policy) {
-	t.locked(func() { t.leader.SetPolicy(current) })
+	t.locked(partOther, func() { t.leader.SetPolicy(current) })
 	t.requestStep()
 }
 
 // setWave adds or updates a maintenance wave.
 func (t *term) setWave(wave fleet.WaveRow) {
-	t.locked(func() { t.leader.UpdateWave(wave, time.Now()) })
+	t.locked(partOther, func() { t.leader.UpdateWave(wave, time.Now()) })
 	t.requestStep()
 }
 
 // accept adds a job that is stored.
 func (t *term) accept(submission *job.Submission) {
 	now := time.Now()
-	t.locked(func() { t.leader.AddJob(submission, now, now) })
+	t.locked(partJobs, func() { t.leader.AddJob(submission, now, now) })
 	t.requestStep()
 }
 
 // cancel applies a cancel that is stored.
 func (t *term) cancel(id job.ID) {
-	t.locked(func() { t.leader.CancelJob(id, time.Now()) })
+	t.locked(partJobs, func() { t.leader.CancelJob(id, time.Now()) })
 	t.requestStep()
 }
 
@@ -250,15 +254,16 @@
 func (t *term) step() time.Duration {
 	started := time.Now()
 	confirmedAt := t.config.MajorityConfirmedAt()
-	t.locked(func() {
+	t.locked(partDecisions, func() {
 		t.applyEvacuations(started)
 		t.leader.ConfirmLeadership(confirmedAt)
-		t.queueOrders(t.leader.Step(started, started))
+		t.queueOrders(t.leader.Step(started, started), started)
 		t.recordMaxHostResources()
 		t.countDecisions()
 		t.countOverdue(t.leader.OverdueCounts())
 		t.measureEvacuations(started)
 		t.recordOutlook(started)
+		t.work.log(t.config.Journal, started)
 	})
 	metrics.GetOrCreateHistogram("leader_step_seconds").UpdateDuration(started)
 	return time.Since(started)
@@ -345,12 +350,12 @@
 	t.overdue = counts
 }
 
-// queueOrders queues the orders of a step; t.mu must be held.
-func (t *term) queueOrders(orders fleet.Orders) {
+// queueOrders queues the orders of a step that began at decidedAt; t.mu must be held.
+func (t *term) queueOrders(orders fleet.Orders, decidedAt time.Time) {
 	t.syncSessions()
 	byEndpoint := t.sessions
 	for _, start := range orders.Starts {
-		t.queueOrder(byEndpoint[start.Endpoint], order{start: &start})
+		t.queueOrder(byEndpoint[start.Endpoint], order{start: &start, decidedAt: decidedAt})
 	}
 	for _, stop := range orders.Stops {
 		t.queueOrder(byEndpoint[stop.Endpoint], order{stop: &stop})
@@ -369,9 +374,9 @@
 		t.queueAdviceRequest(request)
 	}
 	for _, move := range orders.Moves {
-		t.queueHostOrder(hostOrder{move: &move})
+		t.queueHostOrder(hostOrder{move: &move, decidedAt: decidedAt})
 	}
 	for _, maintenance := range orders.Maintenance {
-		t.queueHostOrder(hostOrder{maintenance: &maintenance})
+		t.queueHostOrder(hostOrder{maintenance: &maintenance, decidedAt: decidedAt})
 	}
 }
--- /dev/null
+++ b/internal/control/work_test.go
@@ -0,0 +1,50 @@
+package control
+
+import (
+	"testing"
+	"time"
+)
+
+// workJournal keeps the fields of the last line of each event.
+type workJournal map[string]map[string]any
+
+// Info implements Journal.
+func (j workJournal) Info(event string, fields ...any) {
+	line := map[string]any{}
+	for i := 0; i+1 < len(fields); i += 2 {
+		line[fields[i].(string)] = fields[i+1]
+	}
+	j[event] = line
+}
+
+// Guards against a leader of which nothing says what it spends its time on, and how long its orders
+// wait.
+func TestWorkIsLoggedByPart(t *testing.T) {
+	start := time.Now()
+	w := newWork(start)
+	w.add(partDecisions, 0, 40*time.Millisecond)
+	w.add(partDecisions, 0, 50*time.Millisecond)
+	w.add(partReports, 30*time.Millisecond, time.Millisecond)
+	w.startSent(20 * time.Millisecond)
+	w.startSent(10 * time.Millisecond)
+	w.hostChangeSent(2 * time.Second)
+	journal := workJournal{}
+	w.log(journal, start.Add(workLogInterval/2))
+	if len(journal) != 0 {
+		t.Errorf("lines before the interval is over: got %v, want none", journal)
+	}
+	w.log(journal, start.Add(workLogInterval))
+	tests := map[string]any{
+		"interval": "1s", "steps": 2, "time-decisions": "90ms", "reports": 1, "starts": 2, "start-wait": "20ms",
+		"host-changes-sent": 1, "host-change-wait": "2s", "lock-wait": "30ms", "time-orders": "0s", "time-reports": "1ms",
+	}
+	for field, want := range tests {
+		if got := journal["leader work"][field]; got != want {
+			t.Errorf("%s: got %v, want %v", field, got, want)
+		}
+	}
+	w.log(journal, start.Add(2*workLogInterval))
+	if got, want := journal["leader work"]["time-decisions"], "0s"; got != want {
+		t.Errorf("decisions in the second interval: got %v, want %v", got, want)
+	}
+}
