fleet: count the operations of decisions

The time of decisions depends on the machine, their operations do not: ranks, comparisons of endpoints for tasks, and visits of hosts, endpoints, jobs and tasks. The line about the leader's work shows them.

The pause between two steps moves from control to fleet, as it is: a test can play the loop in virtual time. No decision changes.

--- a/internal/control/term.go
+++ b/internal/control/term.go
@@ -21,12 +21,6 @@
 	// maxStepInterval is the longest time between two scheduling steps, for
 	// decisions that depend on time alone.
 	maxStepInterval = 100 * time.Millisecond
-	// minStepPause batches events that arrive together into one step.
-	minStepPause = 8 * time.Millisecond
-	// stepPauseFactor times a step's duration is the pause after it, up to
-	// maxStepPause: at peak load steps would else take half of the CPU.
-	stepPauseFactor = 4
-	maxStepPause    = 50 * time.Millisecond
 	// minBatchPause is the shortest time between two batches: each call to the
 	// store is charged.
 	minBatchPause = 30 * time.Millisecond
@@ -244,7 +238,7 @@
 		}
 		timer.Stop()
 		took := t.step()
-		if !loops.Sleep(ctx, min(maxStepPause, max(minStepPause, stepPauseFactor*took))) {
+		if !loops.Sleep(ctx, fleet.StepPause(took)) {
 			return
 		}
 	}
@@ -263,7 +257,7 @@
 		t.countOverdue(t.leader.OverdueCounts())
 		t.measureEvacuations(started)
 		t.recordOutlook(started)
-		t.work.log(t.config.Journal, started)
+		t.work.log(t.config.Journal, t.leader.Effort(), started)
 	})
 	metrics.GetOrCreateHistogram("leader_step_seconds").UpdateDuration(started)
 	return time.Since(started)
--- a/internal/control/work.go
+++ b/internal/control/work.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
+
+	"github.com/lovagedyke/lovagedyke/internal/fleet"
 )
 
 // workLogInterval is the time between two logs of a leader's work.
@@ -45,9 +47,11 @@
 	startWait *metrics.Histogram
 	hostWait  *metrics.Histogram
 	lockWait  *metrics.Histogram
-	// loggedAt is when the work was last logged, and cpuThen the processor time of the process then.
-	loggedAt time.Time
-	cpuThen  time.Duration
+	// loggedAt is when the work was last logged, and cpuThen and effortThen the processor time of the
+	// process and the operations of decisions then.
+	loggedAt   time.Time
+	cpuThen    time.Duration
+	effortThen fleet.Effort
 	// Since then: the longest waits for the lock, of starts and of host changes between a decision
 	// and their sending, and how many of each were sent.
 	maxLockWait, maxStartWait, maxHostWait time.Duration
@@ -99,23 +103,24 @@
 }
 
 // log logs the work since the last call, once per workLogInterval.
-func (w *work) log(journal Journal, now time.Time) {
+func (w *work) log(journal Journal, effort fleet.Effort, now time.Time) {
 	interval := now.Sub(w.loggedAt)
 	if interval < workLogInterval {
 		return
 	}
-	cpu := processorTime()
+	cpu, operations := processorTime(), effort.Minus(w.effortThen)
 	fields := []any{
 		"interval", milliseconds(interval), "processor", milliseconds(cpu - w.cpuThen), "steps", w.parts[partDecisions].count,
 		"starts", w.starts, "reports", w.parts[partReports].count, "host-changes-sent", w.hostChanges,
 		"start-wait", milliseconds(w.maxStartWait), "host-change-wait", milliseconds(w.maxHostWait), "lock-wait", milliseconds(w.maxLockWait),
+		"ranked", operations.Ranked, "compared", operations.Compared, "visited", operations.Visited,
 	}
 	for p := range partCount {
 		fields = append(fields, "time-"+partNames[p], milliseconds(w.parts[p].took))
 		w.parts[p].count, w.parts[p].took = 0, 0
 	}
 	journal.Info("leader work", fields...)
-	w.loggedAt, w.cpuThen = now, cpu
+	w.loggedAt, w.cpuThen, w.effortThen = now, cpu, effort
 	w.maxLockWait, w.maxStartWait, w.maxHostWait, w.starts, w.hostChanges = 0, 0, 0, 0, 0
 }
 
--- a/internal/fleet/cost.go
+++ b/internal/fleet/cost.go
@@ -169,6 +169,7 @@
 	var backlog overload.Backlog
 	for _, candidate := range candidates {
 		e := candidate.endpoint
+		l.visit(len(e.runs))
 		backlog.Hosts += hostShare(e.row.Capacity, size)
 		for _, r := range e.runs {
 			if r.job == nil {
@@ -185,6 +186,7 @@
 			backlog.HostSeconds += hostShare(r.reserved, size) * max(0, left).Seconds()
 		}
 	}
+	l.visit(len(l.hosts.byID))
 	for _, h := range l.hosts.byID {
 		if h.isOnItsWayTo(pool) {
 			backlog.Hosts += hostShare(h.row.Capacity, size)
--- a/internal/fleet/demand.go
+++ b/internal/fleet/demand.go
@@ -24,9 +24,10 @@
 // demandOf sums the demand of a pool's jobs.
 func (l *Leader) demandOf(jobs []*jobState, now time.Time) demand {
 	var out demand
+	l.visit(len(jobs))
 	for _, j := range jobs {
 		for _, step := range j.steps {
-			perTask, active, pending := step.step.Reserved(), j.activeOf(step.key), l.pendingDemand(step)
+			perTask, active, pending := step.step.Reserved(), l.activeOf(j, step.key), l.pendingDemand(step)
 			out.active = out.active.Plus(perTask.Times(int64(active)))
 			if limit := step.step.MaxPerEndpoint; limit > 0 {
 				out.spread = max(out.spread, (active+pending+limit-1)/limit)
@@ -68,6 +69,7 @@
 // that arrives beyond the pool's capacity while more hosts are on their way.
 func (l *Leader) expectedBacklog(pool string, inflow policy.Resources) policy.Resources {
 	var capacity policy.Resources
+	l.visit(len(l.endpoints))
 	for _, e := range l.endpoints {
 		if e.row.Pool == pool && e.listed && e.reached && !e.gone && !e.leaving && !l.isEvacuated(e) {
 			capacity = capacity.Plus(e.row.Capacity)
@@ -80,7 +82,8 @@
 }
 
 // activeOf counts the active tasks of a step.
-func (j *jobState) activeOf(key job.StepKey) int {
+func (l *Leader) activeOf(j *jobState, key job.StepKey) int {
+	l.visit(len(j.active))
 	count := 0
 	for task := range j.active {
 		if task.Step == key.Step && task.Occurrence == key.Occurrence {
@@ -91,7 +94,8 @@
 }
 
 // activeSince counts the active tasks of a step that were started at a time or before.
-func (j *jobState) activeSince(key job.StepKey, at time.Time) int64 {
+func (l *Leader) activeSince(j *jobState, key job.StepKey, at time.Time) int64 {
+	l.visit(len(j.active))
 	count := int64(0)
 	for task, runs := range j.active {
 		if task.Step == key.Step && task.Occurrence == key.Occurrence && len(runs) > 0 && !runs[0].orderedAt.After(at) {
@@ -114,10 +118,11 @@
 func (l *Leader) demandByTier(jobs []*jobState, inflow policy.Resources, now time.Time) [tierCount]policy.Resources {
 	var sums [tierCount]policy.Resources
 	var runningOnTime policy.Resources
+	l.visit(len(jobs))
 	for _, j := range jobs {
 		for _, step := range j.steps {
 			perTask := step.step.Reserved()
-			active, pending := int64(j.activeOf(step.key)), int64(l.pendingDemand(step))
+			active, pending := int64(l.activeOf(j, step.key)), int64(l.pendingDemand(step))
 			if active+pending == 0 {
 				continue
 			}
@@ -126,7 +131,7 @@
 				continue
 			}
 			rank := l.rankOf(j, step, now)
-			startedInTime := j.activeSince(step.key, rank.latestStart)
+			startedInTime := l.activeSince(j, step.key, rank.latestStart)
 			runningOnTime = runningOnTime.Plus(perTask.Times(startedInTime))
 			t := tierOf(rank.lateness)
 			sums[t] = sums[t].Plus(perTask.Times(active - startedInTime + pending))
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -139,6 +139,7 @@
 	// are not settled.
 	hasFormerStarts bool
 	outlook         outlookState
+	effort          Effort
 }
 
 // New returns a leader without jobs, endpoints or hosts.
@@ -185,6 +186,7 @@
 	if !l.loaded {
 		return false
 	}
+	l.visit(2 * len(l.endpoints))
 	for _, e := range l.endpoints {
 		if e.blocked {
 			// The endpoint reports a job that is still being looked up.
@@ -223,6 +225,7 @@
 	if !l.hosts.isLoaded || !l.areEntriesBack() {
 		return false
 	}
+	l.visit(len(l.hosts.byID))
 	for _, h := range l.hosts.byID {
 		if !h.listed || h.row.State != HostUp || h.row.Endpoint == "" {
 			continue
--- a/internal/fleet/hostchange.go
+++ b/internal/fleet/hostchange.go
@@ -101,6 +101,7 @@
 
 // HostChangeDue reports whether a change is due to end, or its outcome is unknown.
 func (l *Leader) HostChangeDue(now time.Time) bool {
+	l.visit(len(l.hosts.byID))
 	for _, h := range l.hosts.byID {
 		c := h.pendingChange
 		if c == nil || !h.listed {
@@ -225,6 +226,7 @@
 // repeatChanges orders the changes again that got no answer. Only the platform's answer tells
 // whether they were made, and repeating one that was does nothing.
 func (l *Leader) repeatChanges(orders *Orders, now time.Time) {
+	l.visit(len(l.hosts.byID))
 	for id, h := range l.hosts.byID {
 		c := h.pendingChange
 		if c == nil || !c.isUnconfirmed || now.Before(c.retryAt) || h.isOccupied {
@@ -278,6 +280,7 @@
 // answered.
 func (l *Leader) unansweredChanges() int {
 	count := 0
+	l.visit(len(l.hosts.byID))
 	for _, h := range l.hosts.byID {
 		if h.pendingChange != nil && h.pendingChange.isOnItsWay() {
 			count++
--- a/internal/fleet/hostrow.go
+++ b/internal/fleet/hostrow.go
@@ -11,6 +11,7 @@
 // speakers returns, by host, the endpoint that speaks from it. It goes before the host's row in
 // the host list, which lags.
 func (l *Leader) speakers() map[HostID]*endpoint {
+	l.visit(len(l.endpoints))
 	speakers := make(map[HostID]*endpoint, len(l.endpoints))
 	for _, e := range l.endpoints {
 		id := HostID(e.row.Host)
@@ -36,6 +37,7 @@
 // applyRows updates the rows of the hosts, and ends the changes of those that are back.
 func (l *Leader) applyRows(now time.Time) {
 	speakers := l.speakers()
+	l.visit(len(l.hosts.byID))
 	for id, h := range l.hosts.byID {
 		speaker := speakers[id]
 		h.speaks = speaker != nil
--- a/internal/fleet/hosts.go
+++ b/internal/fleet/hosts.go
@@ -165,6 +165,7 @@
 // to end, an endpoint that is unresponsive or missing from the list may have crashed, or runs
 // were answered after the evidence that their endpoint has ended.
 func (l *Leader) NeedsHostList(now time.Time) bool {
+	l.visit(len(l.endpoints))
 	for _, e := range l.endpoints {
 		if e.gone && e.hasLiveRun() || e.isMissing() && len(e.runs) > 0 {
 			return true
@@ -179,6 +180,7 @@
 
 // isOccupied reports whether an endpoint occupies a host.
 func (l *Leader) isOccupied(id HostID, now time.Time) bool {
+	l.visit(len(l.endpoints))
 	for _, e := range l.endpoints {
 		if e.hostID() == id && (e.occupiesHost() || l.mayHoldInheritedRuns(e, now)) {
 			return true
@@ -201,6 +203,7 @@
 func (l *Leader) planHosts(pools map[string][]*jobState, orders *Orders, now time.Time) {
 	l.applyRows(now)
 	clear(l.evacuations.heldLabels)
+	l.visit(len(l.endpoints))
 	for _, e := range l.endpoints {
 		e.leaving = l.mayEndByChange(e)
 	}
@@ -224,6 +227,7 @@
 
 // recordIdle updates since when each host's endpoint has been empty, or unknown.
 func (l *Leader) recordIdle(now time.Time) {
+	l.visit(len(l.hosts.byID) + len(l.endpoints))
 	for _, h := range l.hosts.byID {
 		e := l.endpointOf(h)
 		isKnown := e != nil && e.isKnown() && !e.unresponsive
--- a/internal/fleet/move.go
+++ b/internal/fleet/move.go
@@ -92,6 +92,7 @@
 // again at once.
 func (l *Leader) evacuatedSurplus(needs []*poolNeed, now time.Time) []*hostState {
 	var surplus []*hostState
+	l.visit(len(l.hosts.byID))
 	for _, h := range l.hosts.byID {
 		if !l.isHostEvacuated(h) || !h.canChange(now) || h.isOccupied || h.idleSince.IsZero() || now.Sub(h.idleSince) < idleGrace {
 			continue
@@ -125,6 +126,7 @@
 // poolUse returns how many endpoints of a pool accept work, and the share of their CPU that is reserved.
 func (l *Leader) poolUse(pool string, now time.Time) (usable int, busy float64) {
 	var reserved, capacity int64
+	l.visit(len(l.endpoints))
 	for _, e := range l.endpoints {
 		if e.row.Pool == pool && l.acceptsWork(e, now) {
 			usable++
@@ -183,6 +185,7 @@
 func (l *Leader) countHosts(needs []*poolNeed, now time.Time) {
 	for _, need := range needs {
 		areArriving := false
+		l.visit(len(l.hosts.byID))
 		for _, h := range l.hosts.byID {
 			if h.listed && l.countsToward(h, need.pool, now) {
 				need.have++
@@ -207,6 +210,7 @@
 // that are evacuated. The recent maximum bridges moments in which needs drop.
 func (l *Leader) freeHosts(needs []*poolNeed, now time.Time) int {
 	free, needed := 0, 0
+	l.visit(len(l.hosts.byID))
 	for _, h := range l.hosts.byID {
 		if h.listed && h.row.State != HostDown && h.row.State != HostMaintenance && !l.isHostEvacuated(h) {
 			free++
@@ -221,6 +225,7 @@
 // usableHosts counts the hosts that are neither down nor evacuated.
 func (l *Leader) usableHosts() int {
 	count := 0
+	l.visit(len(l.hosts.byID))
 	for _, h := range l.hosts.byID {
 		if h.listed && h.row.State != HostDown && !l.isHostEvacuated(h) {
 			count++
@@ -276,6 +281,7 @@
 func (l *Leader) meanSize(counts func(*hostState) bool) policy.Resources {
 	var sum policy.Resources
 	count := int64(0)
+	l.visit(len(l.hosts.byID))
 	for _, h := range l.hosts.byID {
 		if counts(h) {
 			sum = sum.Plus(h.row.Capacity)
@@ -297,6 +303,7 @@
 			continue
 		}
 		var surplus []*endpoint
+		l.visit(len(l.hosts.byID))
 		for _, h := range l.hosts.byID {
 			e := l.endpointOf(h)
 			if h.row.Pool != need.pool || h.pendingChange != nil || e == nil || e.tally.persistent > 0 || l.isHostEvacuated(h) {
@@ -319,6 +326,7 @@
 // then empty hosts of pools with a surplus. Evacuated hosts are not among them.
 func (l *Leader) donors(needs []*poolNeed, spare string, now time.Time) []*hostState {
 	var donors []*hostState
+	l.visit(len(l.hosts.byID))
 	for _, h := range l.hosts.byID {
 		if !h.canChange(now) || h.isOccupied || l.isHostEvacuated(h) {
 			continue
@@ -383,11 +391,13 @@
 		largest.Memory = max(largest.Memory, capacity.Memory)
 		largest.GPU = max(largest.GPU, capacity.GPU)
 	}
+	l.visit(len(l.hosts.byID))
 	for _, h := range l.hosts.byID {
 		if !l.isHostEvacuated(h) {
 			add(h.row.Capacity)
 		}
 	}
+	l.visit(len(l.endpoints))
 	for _, e := range l.endpoints {
 		if !l.isEvacuated(e) {
 			add(e.row.Capacity)
--- a/internal/fleet/outlook.go
+++ b/internal/fleet/outlook.go
@@ -100,6 +100,7 @@
 func (l *Leader) poolOutlooks(now time.Time) map[string]admission.PoolOutlook {
 	waiting := map[string]*waitingWork{}
 	l.outlook.hostSize = l.hostSize()
+	l.visit(len(l.live))
 	for _, j := range l.live {
 		l.addWaiting(waiting, j, now)
 	}
@@ -285,6 +286,7 @@
 // poolCapacities returns the cores of each pool, including hosts on their way to it.
 func (l *Leader) poolCapacities(now time.Time) map[string]float64 {
 	capacities := map[string]float64{}
+	l.visit(len(l.hosts.byID))
 	for _, h := range l.hosts.byID {
 		pool := h.row.Pool
 		if h.pendingChange != nil && h.pendingChange.pool != "" {
@@ -313,6 +315,7 @@
 // freeCores returns the free cores of each pool's endpoints that accept work.
 func (l *Leader) freeCores(now time.Time) map[string]float64 {
 	free := map[string]float64{}
+	l.visit(len(l.endpoints))
 	for _, e := range l.endpoints {
 		if l.acceptsWork(e, now) {
 			free[e.row.Pool] += max(0, float64(e.available().CPU)/milliCores)
--- a/internal/fleet/overdue.go
+++ b/internal/fleet/overdue.go
@@ -35,6 +35,7 @@
 		return
 	}
 	l.overdueCheckedAt = now
+	l.visit(len(l.live))
 	for _, j := range l.live {
 		for _, step := range j.steps {
 			if !step.step.Persistent && !step.step.Gang {
@@ -47,6 +48,7 @@
 // checkOverdue checks the runs of one step.
 func (l *Leader) checkOverdue(j *jobState, step *stepState, orders *Orders, now time.Time) {
 	usual, limit := l.expectationOf(j, step)
+	l.visit(step.step.Count)
 	for index := range step.step.Count {
 		task := j.taskAt(step.key, index)
 		runs := j.active[task]
--- a/internal/fleet/placement.go
+++ b/internal/fleet/placement.go
@@ -10,6 +10,7 @@
 
 // choose returns the candidate with the highest score for a task, or nil.
 func (l *Leader) choose(g taskGroup, task job.Task, candidates []*candidateEndpoint) *candidateEndpoint {
+	l.effort.Compared += len(candidates)
 	var best *candidateEndpoint
 	bestScore := 0.0
 	for _, candidate := range candidates {
--- a/internal/fleet/rank.go
+++ b/internal/fleet/rank.go
@@ -79,6 +79,7 @@
 
 // rankOf returns a step's current rank.
 func (l *Leader) rankOf(j *jobState, step *stepState, now time.Time) rank {
+	l.effort.Ranked++
 	out := rank{priority: j.submission.Priority, persistent: step.step.Persistent, beyondShare: j.beyondShare, id: j.submission.ID}
 	queue, ok := l.policy.Queues[j.submission.Queue]
 	if ok {
--- a/internal/fleet/step.go
+++ b/internal/fleet/step.go
@@ -21,6 +21,7 @@
 	orders.Lookups = l.dueLookups(now)
 	l.meanHost = l.hostSize()
 	pools := map[string][]*jobState{}
+	l.visit(len(l.live) + len(l.endpoints))
 	for _, j := range l.live {
 		if j.due < j.submission.Occurrences() {
 			l.open(j, now, wall)
@@ -97,6 +98,7 @@
 	l.deferCheapest(pool, groups, candidates, now)
 	l.startTrials(groups, candidates, orders, now)
 	open := withRoom(candidates, groups)
+	l.visit(len(candidates) + len(groups))
 	var unplaceable unplaceableSizes
 	for _, g := range groups {
 		l.startGroup(g, candidates, open, &unplaceable, orders, now)
@@ -157,6 +159,7 @@
 	if !l.knowsCapacity(pool, now) {
 		return nil
 	}
+	l.visit(len(l.endpoints))
 	var candidates []*candidateEndpoint
 	for _, e := range l.endpoints {
 		if e.row.Pool != pool || !l.acceptsWork(e, now) {
--- a/internal/fleet/writequeue.go
+++ b/internal/fleet/writequeue.go
@@ -107,6 +107,7 @@
 		}
 	}
 	var ackable []EndpointID
+	l.visit(len(l.endpoints))
 	for id, e := range l.endpoints {
 		if e.advanceAcks(l.writeQueue.written) {
 			ackable = append(ackable, id)
