fleet: iterate over lists of endpoints and hosts

Callers of a large fleet were served late, since decisions took most of the leader's processor. They go over all endpoints and hosts some thirty times, and an iteration over a map takes several times as long as one over a list. Lists in the order of IDs are kept beside the maps, copied when they change, so that an iteration may end an endpoint.

--- a/internal/fleet/cost.go
+++ b/internal/fleet/cost.go
@@ -187,7 +187,7 @@
 		}
 	}
 	l.visit(len(l.hosts.byID))
-	for _, h := range l.hosts.byID {
+	for _, h := range l.hosts.list {
 		if h.isOnItsWayTo(pool) {
 			backlog.Hosts += hostShare(h.row.Capacity, size)
 		}
--- a/internal/fleet/demand.go
+++ b/internal/fleet/demand.go
@@ -70,7 +70,7 @@
 func (l *Leader) expectedBacklog(pool string, inflow policy.Resources) policy.Resources {
 	var capacity policy.Resources
 	l.visit(len(l.endpoints))
-	for _, e := range l.endpoints {
+	for _, e := range l.endpointList {
 		if e.row.Pool == pool && e.listed && e.reached && !e.gone && !e.leaving && !l.isEvacuated(e) {
 			capacity = capacity.Plus(e.row.Capacity)
 		}
--- a/internal/fleet/endpointstate.go
+++ b/internal/fleet/endpointstate.go
@@ -237,7 +237,7 @@
 	known, ok := l.endpoints[row.ID]
 	if !ok {
 		listed := newEndpoint(row, now)
-		l.endpoints[row.ID] = listed
+		l.addEndpoint(listed)
 		l.log("endpoint listed", "endpoint", row.ID, "pool", row.Pool, "draining", row.Draining)
 		l.noteWarmUp(listed, nil, now)
 		return
@@ -281,14 +281,14 @@
 	if mayHaveRuns && !e.gone {
 		return
 	}
-	delete(l.endpoints, e.row.ID)
+	l.deleteEndpoint(e.row.ID)
 }
 
 // EndpointIDs returns the IDs of all known endpoints.
 func (l *Leader) EndpointIDs() []EndpointID {
 	ids := make([]EndpointID, 0, len(l.endpoints))
-	for id := range l.endpoints {
-		ids = append(ids, id)
+	for _, e := range l.endpointList {
+		ids = append(ids, e.row.ID)
 	}
 	return ids
 }
--- a/internal/fleet/evacuation.go
+++ b/internal/fleet/evacuation.go
@@ -130,7 +130,7 @@
 // canOnlyRunEvacuated reports whether some endpoints could run a task, all of them evacuated.
 func (l *Leader) canOnlyRunEvacuated(kind taskKind) bool {
 	isAble := false
-	for _, e := range l.endpoints {
+	for _, e := range l.endpointList {
 		if e.row.Pool != kind.pool || !e.listed || e.gone || !e.hasLabel(kind.label) || !kind.size.FitsIn(e.row.Capacity) {
 			continue
 		}
@@ -159,7 +159,7 @@
 // isLabelOnlyEvacuated determines isLabelHeld.
 func (l *Leader) isLabelOnlyEvacuated(label string) bool {
 	isThere := false
-	for _, h := range l.hosts.byID {
+	for _, h := range l.hosts.list {
 		if !h.listed || !slices.Contains(h.row.Labels, label) {
 			continue
 		}
@@ -168,7 +168,7 @@
 		}
 		isThere = true
 	}
-	for _, e := range l.endpoints {
+	for _, e := range l.endpointList {
 		if !e.listed || e.gone || !e.hasLabel(label) {
 			continue
 		}
@@ -206,7 +206,7 @@
 	relocation := l.newRelocation(now)
 	for _, dataCentre := range slices.Sorted(maps.Keys(l.evacuations.byDataCentre)) {
 		pools := l.evacuationLeft(dataCentre)
-		for _, e := range l.endpoints {
+		for _, e := range l.endpointList {
 			if left := pools[e.row.Pool]; left != nil && e.tally.persistent > 0 && l.dataCentreOf(e) == dataCentre {
 				countHeld(left, e, relocation)
 			}
@@ -245,7 +245,7 @@
 	if len(runs) == 0 {
 		return runs
 	}
-	for _, e := range l.endpoints {
+	for _, e := range l.endpointList {
 		if dataCentre := l.dataCentreOf(e); l.evacuations.byDataCentre[dataCentre] != nil {
 			runs[dataCentre] += len(e.runs)
 		}
@@ -256,7 +256,7 @@
 // evacuationLeft counts what is left in a data centre, by pool.
 func (l *Leader) evacuationLeft(dataCentre string) map[string]*PoolEvacuation {
 	pools := map[string]*PoolEvacuation{}
-	for _, e := range l.endpoints {
+	for _, e := range l.endpointList {
 		if !e.listed && len(e.runs) == 0 || l.dataCentreOf(e) != dataCentre {
 			continue
 		}
@@ -307,12 +307,12 @@
 // dataCentres returns the data centres in which hosts or endpoints are listed.
 func (l *Leader) dataCentres() map[string]bool {
 	known := map[string]bool{}
-	for _, h := range l.hosts.byID {
+	for _, h := range l.hosts.list {
 		if h.listed && h.row.DataCentre != "" {
 			known[h.row.DataCentre] = true
 		}
 	}
-	for _, e := range l.endpoints {
+	for _, e := range l.endpointList {
 		if e.listed && e.row.DataCentre != "" {
 			known[e.row.DataCentre] = true
 		}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -85,6 +85,10 @@
 	config    Config
 	policy    *policy.Policy
 	endpoints map[EndpointID]*endpoint
+	// endpointList holds them in the order of their IDs: iterations over a map take several times
+	// as long. endpointChanges counts its changes.
+	endpointList    []*endpoint
+	endpointChanges int
 	// lastEndpoints holds, by host, the endpoint that was last listed on it.
 	lastEndpoints    map[HostID]EndpointID
 	jobs             map[job.ID]*jobState
@@ -187,14 +191,14 @@
 		return false
 	}
 	l.visit(2 * len(l.endpoints))
-	for _, e := range l.endpoints {
+	for _, e := range l.endpointList {
 		if e.blocked {
 			// The endpoint reports a job that is still being looked up.
 			return false
 		}
 	}
 	areLeasesOver := now.After(l.inheritedLeasesEnd())
-	for _, e := range l.endpoints {
+	for _, e := range l.endpointList {
 		if !e.reached && !e.gone && !l.inheritedLeaseOver(e, now) {
 			return false
 		}
@@ -226,7 +230,7 @@
 		return false
 	}
 	l.visit(len(l.hosts.byID))
-	for _, h := range l.hosts.byID {
+	for _, h := range l.hosts.list {
 		if !h.listed || h.row.State != HostUp || h.row.Endpoint == "" {
 			continue
 		}
--- a/internal/fleet/hostchange.go
+++ b/internal/fleet/hostchange.go
@@ -102,7 +102,7 @@
 // HostChangeDue reports whether a change is due to end, or its outcome is unknown.
 func (l *Leader) HostChangeDue(now time.Time) bool {
 	l.visit(len(l.hosts.byID))
-	for _, h := range l.hosts.byID {
+	for _, h := range l.hosts.list {
 		c := h.pendingChange
 		if c == nil || !h.listed {
 			continue
@@ -227,8 +227,8 @@
 // whether they were made, and repeating one that was does nothing.
 func (l *Leader) repeatChanges(orders *Orders, now time.Time) {
 	l.visit(len(l.hosts.byID))
-	for id, h := range l.hosts.byID {
-		c := h.pendingChange
+	for _, h := range l.hosts.list {
+		id, c := h.id, h.pendingChange
 		if c == nil || !c.isUnconfirmed || now.Before(c.retryAt) || h.isOccupied {
 			continue
 		}
@@ -281,7 +281,7 @@
 func (l *Leader) unansweredChanges() int {
 	count := 0
 	l.visit(len(l.hosts.byID))
-	for _, h := range l.hosts.byID {
+	for _, h := range l.hosts.list {
 		if h.pendingChange != nil && h.pendingChange.isOnItsWay() {
 			count++
 		}
--- a/internal/fleet/hostevidence.go
+++ b/internal/fleet/hostevidence.go
@@ -11,7 +11,7 @@
 		return []*endpoint{e}
 	}
 	var named []*endpoint
-	for _, e := range l.endpoints {
+	for _, e := range l.endpointList {
 		if e.hostID() == h.row.ID && !e.gone {
 			named = append(named, e)
 		}
@@ -35,7 +35,7 @@
 	}
 	var ends []endpointEnd
 	crashes := 0
-	for _, e := range l.endpoints {
+	for _, e := range l.endpointList {
 		row, isNamed := onHost[e.row.ID]
 		if !isNamed {
 			if end, ok := l.handleUnnamed(e, rows[e.hostID()], sentAt, now); ok {
--- a/internal/fleet/hostrow.go
+++ b/internal/fleet/hostrow.go
@@ -13,7 +13,7 @@
 func (l *Leader) speakers() map[HostID]*endpoint {
 	l.visit(len(l.endpoints))
 	speakers := make(map[HostID]*endpoint, len(l.endpoints))
-	for _, e := range l.endpoints {
+	for _, e := range l.endpointList {
 		id := HostID(e.row.Host)
 		if id == "" || !e.speaks() {
 			continue
@@ -38,8 +38,8 @@
 func (l *Leader) applyRows(now time.Time) {
 	speakers := l.speakers()
 	l.visit(len(l.hosts.byID))
-	for id, h := range l.hosts.byID {
-		speaker := speakers[id]
+	for _, h := range l.hosts.list {
+		speaker := speakers[h.id]
 		h.speaks = speaker != nil
 		if h.speaks && speaker.askedAt.Sub(l.config.Now) >= formerLeaderGrace {
 			h.formerUntil = time.Time{}
--- a/internal/fleet/hosts.go
+++ b/internal/fleet/hosts.go
@@ -1,13 +1,16 @@
 package fleet
 
 import (
+	"cmp"
 	"slices"
 	"time"
 )
 
 // hosts is the leader's state of the hosts and maintenance waves.
 type hosts struct {
-	byID             map[HostID]*hostState
+	byID map[HostID]*hostState
+	// list holds them in the order of their IDs.
+	list             []*hostState
 	waves            map[int64]*waveState
 	shortageLoggedAt time.Time
 	// plannedAt is when moves and maintenance were last planned.
@@ -30,8 +33,11 @@
 func (h *hosts) get(id HostID) *hostState {
 	host := h.byID[id]
 	if host == nil {
-		host = &hostState{}
+		host = &hostState{id: id}
 		h.byID[id] = host
+		at, _ := slices.BinarySearchFunc(h.list, id, func(host *hostState, id HostID) int { return cmp.Compare(host.id, id) })
+		// A copy: the former list may be in iteration.
+		h.list = slices.Insert(slices.Clone(h.list), at, host)
 	}
 	return host
 }
@@ -55,6 +61,7 @@
 
 // hostState is a host and its pending change.
 type hostState struct {
+	id            HostID
 	row           Host
 	pendingChange *pendingChange
 	// shown is the newest row in the list, and shownSince when the list was requested that
@@ -131,8 +138,8 @@
 		l.updateHost(h, row, speakers[row.ID], sentAt, now)
 	}
 	l.hosts.isLoaded = true
-	for id, h := range l.hosts.byID {
-		if !listed[id] {
+	for _, h := range l.hosts.list {
+		if !listed[h.id] {
 			h.listed, h.isMissing = h.listed && !h.isMissing, true
 			updateSince(&h.missingSince, true, sentAt)
 			h.missingUntil = sentAt
@@ -166,7 +173,7 @@
 // were answered after the evidence that their endpoint has ended.
 func (l *Leader) NeedsHostList(now time.Time) bool {
 	l.visit(len(l.endpoints))
-	for _, e := range l.endpoints {
+	for _, e := range l.endpointList {
 		if e.gone && e.hasLiveRun() || e.isMissing() && len(e.runs) > 0 {
 			return true
 		}
@@ -181,7 +188,7 @@
 // isOccupied reports whether an endpoint occupies a host.
 func (l *Leader) isOccupied(id HostID, now time.Time) bool {
 	l.visit(len(l.endpoints))
-	for _, e := range l.endpoints {
+	for _, e := range l.endpointList {
 		if e.hostID() == id && (e.occupiesHost() || l.mayHoldInheritedRuns(e, now)) {
 			return true
 		}
@@ -204,7 +211,7 @@
 	l.applyRows(now)
 	clear(l.evacuations.heldLabels)
 	l.visit(len(l.endpoints))
-	for _, e := range l.endpoints {
+	for _, e := range l.endpointList {
 		e.leaving = l.mayEndByChange(e)
 	}
 	l.recordIdle(now)
@@ -220,7 +227,7 @@
 	if len(orders.Moves)+len(orders.Maintenance) == 0 {
 		return
 	}
-	for _, e := range l.endpoints {
+	for _, e := range l.endpointList {
 		e.leaving = e.leaving || l.mayEndByChange(e)
 	}
 }
@@ -228,14 +235,14 @@
 // recordIdle updates since when each host's endpoint has been empty, or unknown.
 func (l *Leader) recordIdle(now time.Time) {
 	l.visit(len(l.hosts.byID) + len(l.endpoints))
-	for _, h := range l.hosts.byID {
+	for _, h := range l.hosts.list {
 		e := l.endpointOf(h)
 		isKnown := e != nil && e.isKnown() && !e.unresponsive
 		updateSince(&h.idleSince, isKnown && e.isEmpty(), now)
 		updateSince(&h.unknownSince, !isKnown, now)
 		h.isOccupied = false
 	}
-	for _, e := range l.endpoints {
+	for _, e := range l.endpointList {
 		if h := l.hosts.byID[e.hostID()]; h != nil && (e.occupiesHost() || l.mayHoldInheritedRuns(e, now)) {
 			h.isOccupied = true
 		}
--- a/internal/fleet/move.go
+++ b/internal/fleet/move.go
@@ -93,7 +93,7 @@
 func (l *Leader) evacuatedSurplus(needs []*poolNeed, now time.Time) []*hostState {
 	var surplus []*hostState
 	l.visit(len(l.hosts.byID))
-	for _, h := range l.hosts.byID {
+	for _, h := range l.hosts.list {
 		if !l.isHostEvacuated(h) || !h.canChange(now) || h.isOccupied || h.idleSince.IsZero() || now.Sub(h.idleSince) < idleGrace {
 			continue
 		}
@@ -127,7 +127,7 @@
 func (l *Leader) poolUse(pool string, now time.Time) (usable int, busy float64) {
 	var reserved, capacity int64
 	l.visit(len(l.endpoints))
-	for _, e := range l.endpoints {
+	for _, e := range l.endpointList {
 		if e.row.Pool == pool && l.acceptsWork(e, now) {
 			usable++
 			reserved += e.tally.reserved.CPU
@@ -186,7 +186,7 @@
 	for _, need := range needs {
 		areArriving := false
 		l.visit(len(l.hosts.byID))
-		for _, h := range l.hosts.byID {
+		for _, h := range l.hosts.list {
 			if h.listed && l.countsToward(h, need.pool, now) {
 				need.have++
 				areArriving = areArriving || h.pendingChange != nil || h.row.State != HostUp || !h.unknownSince.IsZero()
@@ -211,7 +211,7 @@
 func (l *Leader) freeHosts(needs []*poolNeed, now time.Time) int {
 	free, needed := 0, 0
 	l.visit(len(l.hosts.byID))
-	for _, h := range l.hosts.byID {
+	for _, h := range l.hosts.list {
 		if h.listed && h.row.State != HostDown && h.row.State != HostMaintenance && !l.isHostEvacuated(h) {
 			free++
 		}
@@ -226,7 +226,7 @@
 func (l *Leader) usableHosts() int {
 	count := 0
 	l.visit(len(l.hosts.byID))
-	for _, h := range l.hosts.byID {
+	for _, h := range l.hosts.list {
 		if h.listed && h.row.State != HostDown && !l.isHostEvacuated(h) {
 			count++
 		}
@@ -282,7 +282,7 @@
 	var sum policy.Resources
 	count := int64(0)
 	l.visit(len(l.hosts.byID))
-	for _, h := range l.hosts.byID {
+	for _, h := range l.hosts.list {
 		if counts(h) {
 			sum = sum.Plus(h.row.Capacity)
 			count++
@@ -304,7 +304,7 @@
 		}
 		var surplus []*endpoint
 		l.visit(len(l.hosts.byID))
-		for _, h := range l.hosts.byID {
+		for _, h := range l.hosts.list {
 			e := l.endpointOf(h)
 			if h.row.Pool != need.pool || h.pendingChange != nil || e == nil || e.tally.persistent > 0 || l.isHostEvacuated(h) {
 				continue
@@ -327,7 +327,7 @@
 func (l *Leader) donors(needs []*poolNeed, spare string, now time.Time) []*hostState {
 	var donors []*hostState
 	l.visit(len(l.hosts.byID))
-	for _, h := range l.hosts.byID {
+	for _, h := range l.hosts.list {
 		if !h.canChange(now) || h.isOccupied || l.isHostEvacuated(h) {
 			continue
 		}
@@ -392,13 +392,13 @@
 		largest.GPU = max(largest.GPU, capacity.GPU)
 	}
 	l.visit(len(l.hosts.byID))
-	for _, h := range l.hosts.byID {
+	for _, h := range l.hosts.list {
 		if !l.isHostEvacuated(h) {
 			add(h.row.Capacity)
 		}
 	}
 	l.visit(len(l.endpoints))
-	for _, e := range l.endpoints {
+	for _, e := range l.endpointList {
 		if !l.isEvacuated(e) {
 			add(e.row.Capacity)
 		}
--- a/internal/fleet/outlook.go
+++ b/internal/fleet/outlook.go
@@ -63,7 +63,7 @@
 	}
 	evacuated, open := map[string]bool{}, map[string]bool{}
 	noDataCentre = true
-	for _, e := range l.endpoints {
+	for _, e := range l.endpointList {
 		if !e.listed || e.gone {
 			continue
 		}
@@ -77,7 +77,7 @@
 			carried[label] = true
 		}
 	}
-	for _, h := range l.hosts.byID {
+	for _, h := range l.hosts.list {
 		// A host in the spare pool has no endpoint, and can be moved into a pool.
 		if h.listed && h.row.State != HostDown && !l.isHostEvacuated(h) {
 			noDataCentre = false
@@ -287,7 +287,7 @@
 func (l *Leader) poolCapacities(now time.Time) map[string]float64 {
 	capacities := map[string]float64{}
 	l.visit(len(l.hosts.byID))
-	for _, h := range l.hosts.byID {
+	for _, h := range l.hosts.list {
 		pool := h.row.Pool
 		if h.pendingChange != nil && h.pendingChange.pool != "" {
 			pool = h.pendingChange.pool
@@ -304,7 +304,7 @@
 	if l.hosts.isLoaded {
 		return capacities
 	}
-	for _, e := range l.endpoints {
+	for _, e := range l.endpointList {
 		if e.listed && e.reached && !e.gone && !e.leaving {
 			capacities[e.row.Pool] += float64(e.row.Capacity.CPU) / milliCores
 		}
@@ -316,7 +316,7 @@
 func (l *Leader) freeCores(now time.Time) map[string]float64 {
 	free := map[string]float64{}
 	l.visit(len(l.endpoints))
-	for _, e := range l.endpoints {
+	for _, e := range l.endpointList {
 		if l.acceptsWork(e, now) {
 			free[e.row.Pool] += max(0, float64(e.available().CPU)/milliCores)
 		}
--- a/internal/fleet/presumedend.go
+++ b/internal/fleet/presumedend.go
@@ -57,7 +57,7 @@
 	if successor.row.Host == "" {
 		return
 	}
-	for _, e := range l.endpoints {
+	for _, e := range l.endpointList {
 		if e == successor || e.row.Host != successor.row.Host || !e.reportedAt.Before(sentAt) {
 			continue
 		}
--- a/internal/fleet/relocate.go
+++ b/internal/fleet/relocate.go
@@ -11,7 +11,7 @@
 // elsewhere.
 func (l *Leader) relocatePersistent(now time.Time) {
 	relocation := l.newRelocation(now)
-	for _, e := range l.endpoints {
+	for _, e := range l.endpointList {
 		isEvacuated := l.mustLeave(e)
 		if e.tally.persistent == 0 || !e.leaving && !e.row.Draining && !isEvacuated {
 			continue
--- a/internal/fleet/step.go
+++ b/internal/fleet/step.go
@@ -46,7 +46,7 @@
 	l.relocatePersistent(now)
 	l.logEvacuations(now)
 	l.expireLateStarts(now)
-	for _, e := range l.endpoints {
+	for _, e := range l.endpointList {
 		if e.tally.stopping > 0 {
 			l.orderStops(e, &orders, now)
 		}
@@ -161,7 +161,7 @@
 	}
 	l.visit(len(l.endpoints))
 	var candidates []*candidateEndpoint
-	for _, e := range l.endpoints {
+	for _, e := range l.endpointList {
 		if e.row.Pool != pool || !l.acceptsWork(e, now) {
 			continue
 		}
--- a/internal/fleet/warmup.go
+++ b/internal/fleet/warmup.go
@@ -72,7 +72,7 @@
 		return
 	}
 	var returning []*endpoint
-	for _, e := range l.endpoints {
+	for _, e := range l.endpointList {
 		if !e.coldSince.IsZero() && now.Sub(e.coldSince) < returnWindow && l.dataCentreOf(e) == dataCentre {
 			returning = append(returning, e)
 		}
@@ -90,7 +90,7 @@
 
 // limitCold limits the endpoints of a data centre that are cold when its evacuation is withdrawn.
 func (l *Leader) limitCold(dataCentre string) {
-	for _, e := range l.endpoints {
+	for _, e := range l.endpointList {
 		if e.row.WarmUp > 0 && l.dataCentreOf(e) == dataCentre {
 			e.isReturning = true
 		}
--- a/internal/fleet/writequeue.go
+++ b/internal/fleet/writequeue.go
@@ -108,9 +108,9 @@
 	}
 	var ackable []EndpointID
 	l.visit(len(l.endpoints))
-	for id, e := range l.endpoints {
+	for _, e := range l.endpointList {
 		if e.advanceAcks(l.writeQueue.written) {
-			ackable = append(ackable, id)
+			ackable = append(ackable, e.row.ID)
 		}
 	}
 	return ackable
