fleet: a host change is confirmed without a map of all endpoints

Hosts waited for seconds to be moved in an overloaded leader.

Now it looks for the endpoint of the one host.

--- a/internal/fleet/hostchange.go
+++ b/internal/fleet/hostchange.go
@@ -128,7 +128,7 @@
 		return false
 	}
 	c := h.pendingChange
-	speaker := l.speakers()[id]
+	speaker := l.speakerOn(id)
 	if speaker != nil && speaker.presumed != nil {
 		speaker = nil
 	}
--- a/internal/fleet/hostrow.go
+++ b/internal/fleet/hostrow.go
@@ -14,17 +14,30 @@
 	l.visit(len(l.endpoints))
 	speakers := make(map[HostID]*endpoint, len(l.endpoints))
 	for _, e := range l.endpointList {
-		id := HostID(e.row.Host)
-		if id == "" || !e.speaks() {
-			continue
-		}
-		if other := speakers[id]; other == nil || e.listedAt.After(other.listedAt) || e.listedAt.Equal(other.listedAt) && e.row.ID > other.row.ID {
+		if id := HostID(e.row.Host); id != "" && e.speaks() && e.isNewerThan(speakers[id]) {
 			speakers[id] = e
 		}
 	}
 	return speakers
 }
 
+// speakerOn returns the endpoint that speaks from a host, or nil.
+func (l *Leader) speakerOn(id HostID) *endpoint {
+	var speaker *endpoint
+	l.visit(len(l.endpoints))
+	for _, e := range l.endpointList {
+		if HostID(e.row.Host) == id && e.speaks() && e.isNewerThan(speaker) {
+			speaker = e
+		}
+	}
+	return speaker
+}
+
+// isNewerThan reports whether the endpoint has been listed later than another one, which may be nil.
+func (e *endpoint) isNewerThan(other *endpoint) bool {
+	return other == nil || e.listedAt.After(other.listedAt) || e.listedAt.Equal(other.listedAt) && e.row.ID > other.row.ID
+}
+
 // correctedBy returns a host's row as the endpoint that speaks from the host, or nil, shows it.
 func (h Host) correctedBy(speaker *endpoint) Host {
 	if speaker == nil || h.Endpoint == speaker.row.ID && h.State == HostUp {
