fleet: count a step's active tasks when runs begin and end

The planning of hosts, which takes the largest part of a step of a large fleet, went over all runs of a job for each of its steps, and the search for overdue runs over all tasks of waiting jobs. The counts are kept now; the simulation's check of the tallies compares them with the runs.

--- a/internal/fleet/accounting.go
+++ b/internal/fleet/accounting.go
@@ -11,6 +11,9 @@
 // trackRun adds a run to its task's active runs and to its client account's usage.
 func (l *Leader) trackRun(r *run) {
 	task := r.key.task
+	if len(r.job.active[task]) == 0 {
+		r.job.activeTasks[task.StepKey()]++
+	}
 	r.job.active[task] = append(r.job.active[task], r)
 	account := r.job.submission.Account
 	l.inUse[account] = l.inUse[account].Plus(r.capUsage())
@@ -25,6 +28,7 @@
 	task := r.key.task
 	remaining := slices.DeleteFunc(r.job.active[task], func(other *run) bool { return other == r })
 	if len(remaining) == 0 {
+		r.job.activeTasks[task.StepKey()]--
 		delete(r.job.active, task)
 	} else {
 		r.job.active[task] = remaining
@@ -48,7 +52,7 @@
 	if j == nil || j.over() || len(j.active[task]) > 0 || l.heldTasks[task] > 0 || j.progress.IsDone(task) {
 		return
 	}
-	step := j.steps[job.StepKey{Occurrence: task.Occurrence, Step: task.Step}]
+	step := j.steps[task.StepKey()]
 	if step == nil || slices.Contains(step.pending, task.Index) {
 		return
 	}
--- a/internal/fleet/completion.go
+++ b/internal/fleet/completion.go
@@ -75,7 +75,7 @@
 // taskDone records a successful run; for a gang, it completes all members.
 func (l *Leader) taskDone(e *endpoint, j *jobState, completion Completion, took time.Duration, now time.Time) uint64 {
 	e.failureStreak = failureStreak{}
-	key := job.StepKey{Occurrence: completion.Task.Occurrence, Step: completion.Task.Step}
+	key := completion.Task.StepKey()
 	step := j.submission.Steps[key.Step]
 	if step.Persistent {
 		// A persistent task has to run again, however its run ended.
--- a/internal/fleet/demand.go
+++ b/internal/fleet/demand.go
@@ -27,7 +27,7 @@
 	l.visit(len(jobs))
 	for _, j := range jobs {
 		for _, step := range j.steps {
-			perTask, active, pending := step.step.Reserved(), l.activeOf(j, step.key), l.pendingDemand(step)
+			perTask, active, pending := step.step.Reserved(), j.activeTasks[step.key], l.pendingDemand(step)
 			out.active = out.active.Plus(perTask.Times(int64(active)))
 			if limit := step.step.MaxPerEndpoint; limit > 0 {
 				out.spread = max(out.spread, (active+pending+limit-1)/limit)
@@ -81,20 +81,11 @@
 	return policy.Resources{CPU: scale(excess.CPU), Memory: scale(excess.Memory)}
 }
 
-// activeOf counts the active tasks of a step.
-func (l *Leader) activeOf(j *jobState, key job.StepKey) int {
-	l.visit(len(j.active))
-	count := 0
-	for task := range j.active {
-		if task.Step == key.Step && task.Occurrence == key.Occurrence {
-			count++
-		}
-	}
-	return count
-}
-
 // activeSince counts the active tasks of a step that were started at a time or before.
-func (l *Leader) activeSince(j *jobState, key job.StepKey, at time.Time) int64 {
+func (l *Leader) activeSince(j *jobState, key job.StepKey, at, now time.Time) int64 {
+	if j.activeTasks[key] == 0 || !at.Before(now) {
+		return int64(j.activeTasks[key])
+	}
 	l.visit(len(j.active))
 	count := int64(0)
 	for task, runs := range j.active {
@@ -122,7 +113,7 @@
 	for _, j := range jobs {
 		for _, step := range j.steps {
 			perTask := step.step.Reserved()
-			active, pending := int64(l.activeOf(j, step.key)), int64(l.pendingDemand(step))
+			active, pending := int64(j.activeTasks[step.key]), int64(l.pendingDemand(step))
 			if active+pending == 0 {
 				continue
 			}
@@ -131,7 +122,7 @@
 				continue
 			}
 			rank := l.rankOf(j, step, now)
-			startedInTime := l.activeSince(j, step.key, rank.latestStart)
+			startedInTime := l.activeSince(j, step.key, rank.latestStart, now)
 			runningOnTime = runningOnTime.Plus(perTask.Times(startedInTime))
 			t := tierOf(rank.lateness)
 			sums[t] = sums[t].Plus(perTask.Times(active - startedInTime + pending))
--- a/internal/fleet/jobstate.go
+++ b/internal/fleet/jobstate.go
@@ -41,6 +41,8 @@
 	steps map[job.StepKey]*stepState
 	// active lists, by task, the runs that are or may be on an endpoint.
 	active map[job.Task][]*run
+	// activeTasks counts the tasks in active, by step.
+	activeTasks map[job.StepKey]int
 	// lastRun is the highest known run number of each task.
 	lastRun    map[job.Task]int64
 	checkpoint map[job.Task]string
@@ -80,7 +82,7 @@
 func newJobState(submission *job.Submission) *jobState {
 	return &jobState{
 		submission: submission, progress: job.NewProgress(), persistedState: job.Queued,
-		steps: map[job.StepKey]*stepState{}, active: map[job.Task][]*run{}, lastRun: map[job.Task]int64{},
+		steps: map[job.StepKey]*stepState{}, active: map[job.Task][]*run{}, activeTasks: map[job.StepKey]int{}, lastRun: map[job.Task]int64{},
 		checkpoint: map[job.Task]string{}, avoid: map[job.Task][]EndpointID{}, overdueCount: map[job.Task]int{},
 	}
 }
@@ -106,7 +108,7 @@
 
 // dropPending removes a task from the pending ones.
 func (j *jobState) dropPending(task job.Task) {
-	if step := j.steps[job.StepKey{Occurrence: task.Occurrence, Step: task.Step}]; step != nil {
+	if step := j.steps[task.StepKey()]; step != nil {
 		step.pending = slices.DeleteFunc(step.pending, func(index int) bool { return index == task.Index })
 	}
 }
--- a/internal/fleet/overdue.go
+++ b/internal/fleet/overdue.go
@@ -5,7 +5,6 @@
 	"slices"
 	"time"
 
-	"github.com/lovagedyke/lovagedyke/internal/job"
 	"github.com/lovagedyke/lovagedyke/internal/runtimes"
 )
 
@@ -38,7 +37,7 @@
 	l.visit(len(l.live))
 	for _, j := range l.live {
 		for _, step := range j.steps {
-			if !step.step.Persistent && !step.step.Gang {
+			if !step.step.Persistent && !step.step.Gang && j.activeTasks[step.key] > 0 {
 				l.checkOverdue(j, step, orders, now)
 			}
 		}
@@ -98,7 +97,7 @@
 		if other == r || other.job == nil || other.state != runLive {
 			continue
 		}
-		step := other.job.steps[job.StepKey{Occurrence: other.key.task.Occurrence, Step: other.key.task.Step}]
+		step := other.job.steps[other.key.task.StepKey()]
 		if step == nil || step.step.Persistent || step.step.Gang {
 			continue
 		}
--- a/internal/fleet/relocate.go
+++ b/internal/fleet/relocate.go
@@ -37,7 +37,7 @@
 }
 
 func (r *run) stepRef() stepRef {
-	return stepRef{job: r.job, key: job.StepKey{Occurrence: r.key.task.Occurrence, Step: r.key.task.Step}}
+	return stepRef{job: r.job, key: r.key.task.StepKey()}
 }
 
 // relocation looks for other endpoints for persistent runs. It keeps what is the same for all runs
--- a/internal/fleet/reply.go
+++ b/internal/fleet/reply.go
@@ -2,8 +2,6 @@
 
 import (
 	"time"
-
-	"github.com/lovagedyke/lovagedyke/internal/job"
 )
 
 // ConfirmStart reports whether a start that has waited may be sent now: for the same
@@ -117,7 +115,7 @@
 	case OrderUnhealthy, OrderNotSent:
 		e.pausedUntil = now.Add(unhealthyPause)
 	case OrderInvalidTicket:
-		if step := r.job.steps[job.StepKey{Occurrence: r.key.task.Occurrence, Step: r.key.task.Step}]; step != nil {
+		if step := r.job.steps[r.key.task.StepKey()]; step != nil {
 			step.tickets, step.adviceRequested = nil, false
 		}
 	case OrderMalformed:
--- a/internal/fleet/tally_test.go
+++ b/internal/fleet/tally_test.go
@@ -1,8 +1,12 @@
 package fleet
 
-import "fmt"
+import (
+	"fmt"
 
-// CheckTallies returns an error if an endpoint's counts differ from its runs. The
+	"github.com/lovagedyke/lovagedyke/internal/job"
+)
+
+// CheckTallies returns an error if an endpoint's counts differ from its runs, or a job's from its tasks. The
 // simulation calls it after each step.
 func (l *Leader) CheckTallies() error {
 	for id, e := range l.endpoints {
@@ -14,5 +18,20 @@
 			return fmt.Errorf("runs of endpoint %s: counted %+v, want %+v", id, e.tally, want)
 		}
 	}
+	for id, j := range l.jobs {
+		want := map[job.StepKey]int{}
+		for task := range j.active {
+			want[task.StepKey()]++
+		}
+		for key, got := range j.activeTasks {
+			if got != want[key] {
+				return fmt.Errorf("active tasks of step %v of job %s: counted %d, want %d", key, id, got, want[key])
+			}
+			delete(want, key)
+		}
+		if len(want) > 0 {
+			return fmt.Errorf("active tasks of job %s: counted none of %v", id, want)
+		}
+	}
 	return nil
 }
--- a/internal/job/job.go
+++ b/internal/job/job.go
@@ -54,6 +54,11 @@
 	Index      int
 }
 
+// StepKey returns the step to which the task belongs.
+func (t Task) StepKey() StepKey {
+	return StepKey{Occurrence: t.Occurrence, Step: t.Step}
+}
+
 // StepKey identifies one step of one occurrence.
 type StepKey struct {
 	Occurrence int
