fleet: find the endpoints of a host by an index

A host change went over all endpoints twice before it was sent, each endpoint that was reached once, and each written batch once: on a leader that is short of processor time hosts moved at a tenth of the usual rate. They look only at the endpoints of the host, and at those with completions that wait to be written.

--- a/internal/fleet/completion.go
+++ b/internal/fleet/completion.go
@@ -20,6 +20,7 @@
 	}
 	e.lastRead = completion.Number
 	batch := l.applyCompletion(e, completion, now)
+	l.unpersisted[e.row.ID] = e
 	e.unpersisted = append(e.unpersisted, unpersistedCompletion{number: completion.Number, batch: batch})
 	return true
 }
--- a/internal/fleet/endpointstate.go
+++ b/internal/fleet/endpointstate.go
@@ -251,7 +251,7 @@
 	}
 	l.setCapacity(known, row.Capacity)
 	former := known.row
-	known.row = row
+	l.setRow(known, row)
 	l.noteWarmUp(known, &former, now)
 	if !known.listed {
 		known.listed = true
@@ -281,7 +281,7 @@
 	if mayHaveRuns && !e.gone {
 		return
 	}
-	l.deleteEndpoint(e.row.ID)
+	l.deleteEndpoint(e)
 }
 
 // EndpointIDs returns the IDs of all known endpoints.
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -89,6 +89,8 @@
 	// as long. endpointChanges counts its changes.
 	endpointList    []*endpoint
 	endpointChanges int
+	// endpointsByHost holds them by the host that their rows name, or "".
+	endpointsByHost map[HostID][]*endpoint
 	// lastEndpoints holds, by host, the endpoint that was last listed on it.
 	lastEndpoints    map[HostID]EndpointID
 	jobs             map[job.ID]*jobState
@@ -136,7 +138,9 @@
 	// loaded is true once all rows from before the takeover are known.
 	loaded     bool
 	writeQueue writeQueue
-	crashes    CrashCounts
+	// unpersisted holds the endpoints with completions that have not been written yet.
+	unpersisted map[EndpointID]*endpoint
+	crashes     CrashCounts
 	// heldTrials are trials whose record is not stored yet.
 	heldTrials []heldTrial
 	// hasFormerStarts is true if jobs have starts that former leaders recorded, and that
@@ -150,7 +154,7 @@
 func New(config Config) *Leader {
 	leader := &Leader{
 		config: config, confirmedAt: config.Now, policy: policy.New(policy.Config{}),
-		endpoints: map[EndpointID]*endpoint{}, lastEndpoints: map[HostID]EndpointID{}, jobs: map[job.ID]*jobState{}, live: map[job.ID]*jobState{}, inUse: map[string]policy.Resources{},
+		endpoints: map[EndpointID]*endpoint{}, endpointsByHost: map[HostID][]*endpoint{}, unpersisted: map[EndpointID]*endpoint{}, lastEndpoints: map[HostID]EndpointID{}, jobs: map[job.ID]*jobState{}, live: map[job.ID]*jobState{}, inUse: map[string]policy.Resources{},
 		pendingCancels: map[job.ID]time.Time{},
 		lookups:        map[job.ID]lookup{}, lateStarts: map[EndpointID]map[runKey]lateStart{}, heldTasks: map[job.Task]int{}, shareBuckets: map[string]*tokenBucket{},
 		hosts: newHosts(), arrivalHistories: map[string]*arrivalHistory{}, durations: map[string]*runtimes.Model{}, sizes: map[string]*overload.Sizes{}, deferralsAt: map[string]time.Time{}, writeQueue: newWriteQueue(),
--- a/internal/fleet/hostevidence.go
+++ b/internal/fleet/hostevidence.go
@@ -11,8 +11,8 @@
 		return []*endpoint{e}
 	}
 	var named []*endpoint
-	for _, e := range l.endpointList {
-		if e.hostID() == h.row.ID && !e.gone {
+	for e := range l.endpointsOf(h.row.ID) {
+		if !e.gone {
 			named = append(named, e)
 		}
 	}
--- a/internal/fleet/hostrow.go
+++ b/internal/fleet/hostrow.go
@@ -24,9 +24,8 @@
 // speakerOn returns the endpoint that speaks from a host, or nil.
 func (l *Leader) speakerOn(id HostID) *endpoint {
 	var speaker *endpoint
-	l.visit(len(l.endpoints))
-	for _, e := range l.endpointList {
-		if HostID(e.row.Host) == id && e.speaks() && e.isNewerThan(speaker) {
+	for e := range l.endpointsOf(id) {
+		if e.row.Host != "" && e.speaks() && e.isNewerThan(speaker) {
 			speaker = e
 		}
 	}
--- a/internal/fleet/hosts.go
+++ b/internal/fleet/hosts.go
@@ -187,9 +187,8 @@
 
 // isOccupied reports whether an endpoint occupies a host.
 func (l *Leader) isOccupied(id HostID, now time.Time) bool {
-	l.visit(len(l.endpoints))
-	for _, e := range l.endpointList {
-		if e.hostID() == id && (e.occupiesHost() || l.mayHoldInheritedRuns(e, now)) {
+	for e := range l.endpointsOf(id) {
+		if e.occupiesHost() || l.mayHoldInheritedRuns(e, now) {
 			return true
 		}
 	}
--- a/internal/fleet/pause.go
+++ b/internal/fleet/pause.go
@@ -5,13 +5,16 @@
 const (
 	// minStepPause batches events that arrive together into one step.
 	minStepPause = 8 * time.Millisecond
-	// stepPauseFactor times a step's duration is the pause after it, up to
-	// maxStepPause: at peak load steps would else take half of the CPU.
+	// stepPauseFactor times a step's duration is the pause after it, up to longStepPause.
 	stepPauseFactor = 4
-	maxStepPause    = 50 * time.Millisecond
+	longStepPause   = 50 * time.Millisecond
+	// maxStepShare is the largest share of the time that steps take, however long one takes: what
+	// they decide is of no use until it is sent.
+	maxStepShare = 0.4
 )
 
 // StepPause returns how long to wait after a step that took a time, before the next one.
 func StepPause(took time.Duration) time.Duration {
-	return min(maxStepPause, max(minStepPause, stepPauseFactor*took))
+	pause := min(longStepPause, max(minStepPause, stepPauseFactor*took))
+	return max(pause, time.Duration(float64(took)*(1/maxStepShare-1)))
 }
--- a/internal/fleet/presumedend.go
+++ b/internal/fleet/presumedend.go
@@ -57,8 +57,8 @@
 	if successor.row.Host == "" {
 		return
 	}
-	for _, e := range l.endpointList {
-		if e == successor || e.row.Host != successor.row.Host || !e.reportedAt.Before(sentAt) {
+	for e := range l.endpointsOf(HostID(successor.row.Host)) {
+		if e == successor || e.row.Host == "" || !e.reportedAt.Before(sentAt) {
 			continue
 		}
 		l.presumeEnded(presumedEnd{since: now, end: endpointEnd{
--- a/internal/fleet/writequeue.go
+++ b/internal/fleet/writequeue.go
@@ -107,10 +107,13 @@
 		}
 	}
 	var ackable []EndpointID
-	l.visit(len(l.endpoints))
-	for _, e := range l.endpointList {
+	l.visit(len(l.unpersisted))
+	for id, e := range l.unpersisted {
 		if e.advanceAcks(l.writeQueue.written) {
-			ackable = append(ackable, e.row.ID)
+			ackable = append(ackable, id)
+		}
+		if len(e.unpersisted) == 0 {
+			delete(l.unpersisted, id)
 		}
 	}
 	return ackable
