fleet: fewer visits in the planning of hosts, and fewer comparisons for alike tasks

The pools' hosts are counted in one pass over the hosts instead of one for each pool, the mean size of a host is computed once a step, and the tasks of a step go to the endpoint of the one before while it has room: it has become fuller, so that no other is preferred.

--- a/internal/fleet/demand.go
+++ b/internal/fleet/demand.go
@@ -68,6 +68,9 @@
 // expectedBacklog returns the capacity that clears, within backlogClearTime, the work
 // that arrives beyond the pool's capacity while more hosts are on their way.
 func (l *Leader) expectedBacklog(pool string, inflow policy.Resources) policy.Resources {
+	if inflow == (policy.Resources{}) {
+		return policy.Resources{}
+	}
 	var capacity policy.Resources
 	l.visit(len(l.endpoints))
 	for _, e := range l.endpointList {
--- a/internal/fleet/move.go
+++ b/internal/fleet/move.go
@@ -47,7 +47,7 @@
 // spare pool, where they cost nothing. It orders at most budget moves.
 func (l *Leader) planMoves(needs []*poolNeed, budget int, orders *Orders, now time.Time) {
 	spare, ok := l.policy.SparePool()
-	if !ok || l.hostSize() == (policy.Resources{}) {
+	if !ok || l.meanHost == (policy.Resources{}) {
 		return
 	}
 	l.countHosts(needs, now)
@@ -159,7 +159,7 @@
 // poolNeeds returns the needs of all pools that run tasks.
 func (l *Leader) poolNeeds(pools map[string][]*jobState, now time.Time) []*poolNeed {
 	var needs []*poolNeed
-	size, sum := l.hostSize(), 0
+	size, sum := l.meanHost, 0
 	for name, pool := range l.policy.Pools {
 		if pool.Spare {
 			continue
@@ -183,16 +183,19 @@
 // countHosts counts the hosts of each pool, and sorts the pools by deficit, the
 // largest first.
 func (l *Leader) countHosts(needs []*poolNeed, now time.Time) {
-	for _, need := range needs {
-		areArriving := false
-		l.visit(len(l.hosts.byID))
-		for _, h := range l.hosts.list {
-			if h.listed && l.countsToward(h, need.pool, now) {
-				need.have++
-				areArriving = areArriving || h.pendingChange != nil || h.row.State != HostUp || !h.unknownSince.IsZero()
+	l.visit(len(l.hosts.list))
+	areArriving := map[*poolNeed]bool{}
+	for _, h := range l.hosts.list {
+		need := needOf(needs, h.destination())
+		if need != nil && h.listed && l.countsToward(h, need.pool, now) {
+			need.have++
+			if h.pendingChange != nil || h.row.State != HostUp || !h.unknownSince.IsZero() {
+				areArriving[need] = true
 			}
 		}
-		if need.isServiceDown && !areArriving {
+	}
+	for _, need := range needs {
+		if need.isServiceDown && !areArriving[need] {
 			// The tasks' sizes add up to less than the hosts that they need.
 			need.need = max(need.need, need.have+1)
 		}
@@ -249,6 +252,14 @@
 	}
 }
 
+// destination returns the pool in which the host is, or to which it is being moved.
+func (h *hostState) destination() string {
+	if h.pendingChange != nil && h.pendingChange.pool != "" {
+		return h.pendingChange.pool
+	}
+	return h.row.Pool
+}
+
 // countsToward reports whether a host is in a pool, or on its way to it, and may get work there.
 func (l *Leader) countsToward(h *hostState, pool string, now time.Time) bool {
 	if l.isHostEvacuated(h) {
@@ -298,21 +309,22 @@
 // work, so that they can be moved once their completions are written. When hosts are
 // short, pending tasks would otherwise refill such a host as soon as it is empty.
 func (l *Leader) drainSurplus(needs []*poolNeed) {
-	for _, need := range needs {
-		if need.deficit() >= 0 {
+	byNeed := map[*poolNeed][]*endpoint{}
+	l.visit(len(l.hosts.list))
+	for _, h := range l.hosts.list {
+		need := needOf(needs, h.row.Pool)
+		if need == nil || need.deficit() >= 0 || h.pendingChange != nil {
 			continue
 		}
-		var surplus []*endpoint
-		l.visit(len(l.hosts.byID))
-		for _, h := range l.hosts.list {
-			e := l.endpointOf(h)
-			if h.row.Pool != need.pool || h.pendingChange != nil || e == nil || e.tally.persistent > 0 || l.isHostEvacuated(h) {
-				continue
-			}
-			if len(e.runs) > 0 || need.isReduced {
-				surplus = append(surplus, e)
-			}
+		e := l.endpointOf(h)
+		if e == nil || e.tally.persistent > 0 || l.isHostEvacuated(h) {
+			continue
 		}
+		if len(e.runs) > 0 || need.isReduced {
+			byNeed[need] = append(byNeed[need], e)
+		}
+	}
+	for need, surplus := range byNeed {
 		slices.SortFunc(surplus, func(a, b *endpoint) int {
 			return cmp.Or(cmp.Compare(len(a.runs), len(b.runs)), cmp.Compare(a.row.ID, b.row.ID))
 		})
--- a/internal/fleet/outlook.go
+++ b/internal/fleet/outlook.go
@@ -99,7 +99,7 @@
 // know all runs yet starts no inherited task, and knows neither its capacity nor its load.
 func (l *Leader) poolOutlooks(now time.Time) map[string]admission.PoolOutlook {
 	waiting := map[string]*waitingWork{}
-	l.outlook.hostSize = l.hostSize()
+	l.outlook.hostSize = l.meanHost
 	l.visit(len(l.live))
 	for _, j := range l.live {
 		l.addWaiting(waiting, j, now)
@@ -288,10 +288,7 @@
 	capacities := map[string]float64{}
 	l.visit(len(l.hosts.byID))
 	for _, h := range l.hosts.list {
-		pool := h.row.Pool
-		if h.pendingChange != nil && h.pendingChange.pool != "" {
-			pool = h.pendingChange.pool
-		}
+		pool := h.destination()
 		if !h.listed || !l.countsToward(h, pool, now) {
 			continue
 		}
--- a/internal/fleet/step.go
+++ b/internal/fleet/step.go
@@ -201,6 +201,7 @@
 		return
 	}
 	var remaining []int
+	var target *candidateEndpoint
 	for i, index := range g.step.pending {
 		if g.job.isSuspect(g.job.taskAt(g.step.key, index)) {
 			remaining = append(remaining, index)
@@ -211,7 +212,10 @@
 			break
 		}
 		task := g.job.taskAt(g.step.key, index)
-		target := l.choose(g, task, open)
+		// The endpoint of the task before has become fuller, and so is preferred for alike tasks.
+		if target == nil || len(g.job.avoid) > 0 || !g.allows(target) {
+			target = l.choose(g, task, open)
+		}
 		if target == nil {
 			// The same limits apply to the other tasks of the step.
 			remaining = append(remaining, g.step.pending[i:]...)
