fleet: keep the forecast of a job's duration for a moment

The rank of each waiting step made a forecast from the model of durations, with four logarithms and exponentials a step, in each step of the leader, in the planning of hosts and in the outlook.

--- a/internal/control/work.go
+++ b/internal/control/work.go
@@ -113,7 +113,7 @@
 		"interval", milliseconds(interval), "processor", milliseconds(cpu - w.cpuThen), "steps", w.parts[partDecisions].count,
 		"starts", w.starts, "reports", w.parts[partReports].count, "host-changes-sent", w.hostChanges,
 		"start-wait", milliseconds(w.maxStartWait), "host-change-wait", milliseconds(w.maxHostWait), "lock-wait", milliseconds(w.maxLockWait),
-		"ranked", operations.Ranked, "compared", operations.Compared, "visited", operations.Visited,
+		"forecasts", operations.Forecasts, "compared", operations.Compared, "visited", operations.Visited,
 	}
 	for p := range partCount {
 		fields = append(fields, "time-"+partNames[p], milliseconds(w.parts[p].took))
--- a/internal/fleet/completion.go
+++ b/internal/fleet/completion.go
@@ -85,6 +85,7 @@
 	}
 	if opened := j.steps[key]; opened != nil && took > 0 {
 		opened.took = append(opened.took, took)
+		j.forecast.madeAt = time.Time{}
 		l.durationsOf(j.submission.Queue).Observe(step.Estimate, took)
 	}
 	indexes := []int{completion.Task.Index}
--- a/internal/fleet/cost.go
+++ b/internal/fleet/cost.go
@@ -78,6 +78,7 @@
 		isAnyDeferred = isAnyDeferred || g.rank.isDeferred
 	}
 	if isAnyDeferred || isDue {
+		l.visitSorted(len(groups))
 		slices.SortFunc(groups, func(a, b taskGroup) int { return a.rank.compare(b.rank) })
 	}
 }
--- a/internal/fleet/jobstate.go
+++ b/internal/fleet/jobstate.go
@@ -55,6 +55,8 @@
 	// endedAt is when the final state was written.
 	endedAt time.Time
 	dirty   bool
+	// forecast is what was last expected of its duration.
+	forecast forecast
 }
 
 // stepState is a step with pending or active tasks.
@@ -263,7 +265,7 @@
 	}
 	j.progress.State = job.Complete
 	l.log("job complete", "job", j.submission.ID, "queue", j.submission.Queue, "took", now.Sub(j.submission.Accepted).Round(time.Millisecond).String(),
-		"objective", l.objectiveOf(j).Round(time.Millisecond).String(), "started-after", j.startedAfter.Round(time.Millisecond).String(),
+		"objective", l.forecastOf(j, now).objective.Round(time.Millisecond).String(), "started-after", j.startedAfter.Round(time.Millisecond).String(),
 		"hope-at-start", int(j.startLateness), "deferred", j.isDeferred, "host-seconds", round(j.hostSeconds))
 	l.endJob(j, "job is complete", now)
 }
--- a/internal/fleet/rank.go
+++ b/internal/fleet/rank.go
@@ -79,18 +79,17 @@
 
 // rankOf returns a step's current rank.
 func (l *Leader) rankOf(j *jobState, step *stepState, now time.Time) rank {
-	l.effort.Ranked++
 	out := rank{priority: j.submission.Priority, persistent: step.step.Persistent, beyondShare: j.beyondShare, id: j.submission.ID}
 	queue, ok := l.policy.Queues[j.submission.Queue]
 	if ok {
 		out.priority = queue.Priority
 	}
-	objective := l.objectiveOf(j)
+	expected := l.forecastOf(j, now)
+	objective, remaining := expected.objective, expected.remaining[step.key.Step]
 	dueAt := j.submission.Accepted
 	if due := j.submission.Due(step.key.Occurrence); !due.IsZero() {
 		dueAt = due
 	}
-	remaining := l.remainingTime(j, step)
 	out.latestStart = dueAt.Add(objective - remaining)
 	margin := time.Duration(0)
 	if !j.started {
@@ -107,39 +106,3 @@
 	}
 	return out
 }
-
-// objectiveOf estimates the objective of a job's duration.
-func (l *Leader) objectiveOf(j *jobState) time.Duration {
-	stretch, target := j.submission.Stretch, j.submission.Target
-	if queue, ok := l.policy.Queues[j.submission.Queue]; ok {
-		stretch, target = queue.Stretch, queue.Target
-	}
-	return time.Duration(float64(l.criticalPath(j))*max(1, stretch)) + target
-}
-
-// criticalPath estimates the duration of a job's longest chain of steps.
-func (l *Leader) criticalPath(j *jobState) time.Duration {
-	var longest time.Duration
-	endTimes := make([]time.Duration, len(j.submission.Steps))
-	for i, step := range j.submission.Steps {
-		for _, predecessor := range step.After {
-			endTimes[i] = max(endTimes[i], endTimes[predecessor])
-		}
-		endTimes[i] += l.durationOf(j, step)
-		longest = max(longest, endTimes[i])
-	}
-	return longest
-}
-
-// remainingTime estimates how long a job takes from the start of a step.
-func (l *Leader) remainingTime(j *jobState, from *stepState) time.Duration {
-	steps := j.submission.Steps
-	remaining := make([]time.Duration, len(steps))
-	for i := len(steps) - 1; i >= 0; i-- {
-		remaining[i] += l.durationOf(j, steps[i])
-		for _, predecessor := range steps[i].After {
-			remaining[predecessor] = max(remaining[predecessor], remaining[i])
-		}
-	}
-	return remaining[from.key.Step]
-}
--- a/internal/fleet/slowleader_test.go
+++ b/internal/fleet/slowleader_test.go
@@ -11,20 +11,20 @@
 type processor struct {
 	// share is the part of a core that the leader has.
 	share float64
-	// rank, compare and visit are the times of the operations of decisions; a rank includes the
-	// ordering of steps. The others are those of messages.
-	rank, compare, visit      time.Duration
+	// forecast, compare and visit are the times of the operations of decisions, the others those of
+	// messages.
+	forecast, compare, visit  time.Duration
 	start, report, hostChange time.Duration
 }
 
 // decisions returns the time that decisions take.
 func (p processor) decisions(effort fleet.Effort) time.Duration {
-	return time.Duration(effort.Ranked)*p.rank + time.Duration(effort.Compared)*p.compare + time.Duration(effort.Visited)*p.visit
+	return time.Duration(effort.Forecasts)*p.forecast + time.Duration(effort.Compared)*p.compare + time.Duration(effort.Visited)*p.visit
 }
 
 // halfProcessor is half of what the largest hosts of the users' large deployment have.
 var halfProcessor = processor{
-	share: 0.4, rank: 5 * time.Microsecond, compare: 90 * time.Nanosecond, visit: 90 * time.Nanosecond,
+	share: 0.4, forecast: 2 * time.Microsecond, compare: 90 * time.Nanosecond, visit: 90 * time.Nanosecond,
 	start: 25 * time.Microsecond, report: 45 * time.Microsecond, hostChange: 130 * time.Microsecond,
 }
 
--- a/internal/fleet/step.go
+++ b/internal/fleet/step.go
@@ -93,6 +93,7 @@
 	if len(groups) == 0 {
 		return
 	}
+	l.visitSorted(len(groups))
 	slices.SortFunc(groups, func(a, b taskGroup) int { return a.rank.compare(b.rank) })
 	candidates := l.candidates(pool, now)
 	l.deferCheapest(pool, groups, candidates, now)
