courier: limit a leader's messages by its processor

Callers of the large deployment were served late by a leader whose processor was used up. With half the processor it has twice the couriers, since each takes half the endpoints, and sent each of them a message 8 ms after the last one, with an order or two: some thousand messages a second, each dearer than the orders in it. It also computed the courier of an endpoint anew for each order and each renewal, with a hash and a logarithm for each courier.

Messages to a courier keep an interval now that grows with the number of couriers and shrinks with the leader's processor (120 ms at most), and couriers of endpoints are remembered until the choice changes.

--- a/internal/courier/choice.go
+++ b/internal/courier/choice.go
@@ -5,6 +5,7 @@
 	"hash/fnv"
 	"math"
 	"slices"
+	"time"
 
 	"github.com/lovagedyke/lovagedyke/internal/fleet"
 	"github.com/lovagedyke/lovagedyke/internal/record"
@@ -19,8 +20,22 @@
 	// callers' jobs as well.
 	carriedPerCore = 150.0
 	carriedPerMbps = 15.0
+	// messagesPerCore is how many messages a second a leader sends to all couriers, per CPU core.
+	messagesPerCore = 800.0
+	// maxMessageInterval bounds the time between two messages to one courier: orders wait for it.
+	maxMessageInterval = 120 * time.Millisecond
 )
 
+// messageInterval returns the shortest time between two messages of a leader to each of its couriers.
+// A message costs the leader more than the orders in it.
+func messageInterval(couriers int, leader record.Member) time.Duration {
+	if leader.CPUCores <= 0 {
+		return 0
+	}
+	interval := time.Duration(float64(couriers) / (messagesPerCore * leader.CPUCores) * float64(time.Second))
+	return min(maxMessageInterval, interval)
+}
+
 // directLimit returns how many endpoints a leader calls without couriers.
 func directLimit(leader record.Member) float64 {
 	return limitOf(leader, directPerCore, directPerMbps)
--- a/internal/courier/client.go
+++ b/internal/courier/client.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
@@ -25,6 +26,9 @@
 	directTime = 3 * time.Second
 	// maxLinks is the number of couriers of which a link is kept.
 	maxLinks = 512
+	// maxCourierIndexes is the number of endpoints of which the courier is remembered: those that have
+	// left the fleet are among them.
+	maxCourierIndexes = 1 << 16
 )
 
 // Member is a process that may carry orders.
@@ -64,6 +68,8 @@
 	links    map[string]*link
 	couriers []record.Member
 	chosenAt time.Time
+	// courierIndexes holds the couriers of endpoints, as indexes of couriers.
+	courierIndexes map[fleet.EndpointID]int
 	// direct holds the endpoints that are called directly for a time.
 	direct map[fleet.EndpointID]time.Time
 }
@@ -71,7 +77,7 @@
 // NewClient returns a client that calls directly until Run runs.
 func NewClient(config ClientConfig) *Client {
 	return &Client{
-		config: config, newLinks: make(chan *link, maxLinks), links: map[string]*link{}, direct: map[fleet.EndpointID]time.Time{},
+		config: config, newLinks: make(chan *link, maxLinks), links: map[string]*link{}, courierIndexes: map[fleet.EndpointID]int{}, direct: map[fleet.EndpointID]time.Time{},
 	}
 }
 
@@ -189,7 +195,7 @@
 		}
 		delete(c.direct, endpoint)
 	}
-	i := courierOf(endpoint, c.couriers)
+	i := c.courierIndex(endpoint)
 	if i < 0 {
 		return nil
 	}
@@ -201,6 +207,24 @@
 	return l
 }
 
+// courierIndex returns the index of the courier that carries an endpoint's orders, or -1 if there is
+// none; c.mu must be held.
+func (c *Client) courierIndex(endpoint fleet.EndpointID) int {
+	i, ok := c.courierIndexes[endpoint]
+	if !ok {
+		i = courierOf(endpoint, c.couriers)
+		c.courierIndexes[endpoint] = i
+	}
+	return i
+}
+
+// interval returns the shortest time between two messages to a courier.
+func (c *Client) interval() time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return messageInterval(len(c.couriers), c.config.Self)
+}
+
 // chooseIfDue chooses the couriers again if the last choice is old.
 func (c *Client) chooseIfDue(now time.Time) {
 	c.choosing.Lock()
@@ -223,13 +247,16 @@
 			usable = append(usable, member.Member)
 		}
 	}
-	before := len(c.couriers)
+	before := c.couriers
 	c.couriers = chooseCouriers(endpoints, c.config.Self, usable)
+	if !slices.Equal(c.couriers, before) || len(c.courierIndexes) > maxCourierIndexes {
+		clear(c.courierIndexes)
+	}
 	for _, member := range c.couriers {
 		c.openLink(member)
 	}
-	if len(c.couriers) != before {
-		c.config.Journal.Info("couriers chosen", "couriers", len(c.couriers), "before", before, "endpoints", endpoints, "members", len(members), "usable", len(usable))
+	if len(c.couriers) != len(before) {
+		c.config.Journal.Info("couriers chosen", "couriers", len(c.couriers), "before", len(before), "endpoints", endpoints, "members", len(members), "usable", len(usable))
 	}
 }
 
@@ -240,7 +267,7 @@
 		return
 	}
 	l := newLink(member, c.config.Dial(member.Address), c.config.Journal)
-	l.evacuations = c.config.Evacuations
+	l.evacuations, l.interval = c.config.Evacuations, c.interval
 	select {
 	case c.newLinks <- l:
 		c.links[member.Name] = l
--- a/internal/courier/link.go
+++ b/internal/courier/link.go
@@ -61,6 +61,8 @@
 	wake    chan struct{}
 	// evacuations tells which starts are not sent any more; it may be nil.
 	evacuations Evacuations
+	// interval returns the shortest time between two messages to the courier; nil means none.
+	interval func() time.Duration
 
 	mu      sync.Mutex
 	next    uint64
@@ -188,16 +190,18 @@
 func (l *link) run(ctx context.Context) {
 	group := loops.New(ctx)
 	group.Go(func(ctx context.Context) {
+		var sentAt time.Time
 		for {
 			select {
 			case <-ctx.Done():
 				return
 			case <-l.wake:
 			}
-			if !loops.Sleep(ctx, sendDelay) {
+			if !loops.Sleep(ctx, l.delayAfter(time.Since(sentAt))) {
 				return
 			}
 			if batch, ok := l.take(); ok {
+				sentAt = time.Now()
 				group.Go(func(ctx context.Context) { l.call(ctx, batch) })
 			}
 		}
@@ -205,6 +209,14 @@
 	group.Wait()
 }
 
+// delayAfter returns how long the next message waits for more orders, by the time since the last one.
+func (l *link) delayAfter(elapsed time.Duration) time.Duration {
+	if l.interval == nil {
+		return sendDelay
+	}
+	return max(sendDelay, l.interval()-elapsed)
+}
+
 // take returns the orders of the next call. It returns false if no call is due:
 // without orders, one is due while replies are awaited and no other call waits
 // for them.
@@ -255,6 +267,7 @@
 func (l *link) call(ctx context.Context, batch []*pendingOrder) {
 	callCtx, cancel := context.WithTimeout(ctx, pollWait+callMargin)
 	defer cancel()
+	metrics.GetOrCreateCounter(`courier_messages_total`).Inc()
 	reply, err := l.peer.Deliver(callCtx, l.request(batch))
 	l.mu.Lock()
 	defer l.mu.Unlock()
