fleet: hosts of a large fleet are planned in every second step at most

The interval between two plans is shorter than that between two steps once these take long, so that each step of a busy leader planned hosts, for half of its time.

--- a/internal/fleet/hosts.go
+++ b/internal/fleet/hosts.go
@@ -15,6 +15,8 @@
 	shortageLoggedAt time.Time
 	// plannedAt is when moves and maintenance were last planned.
 	plannedAt time.Time
+	// unplannedSteps counts the steps since then.
+	unplannedSteps int
 	// changes limits the rate of moves and maintenance orders.
 	changes changeBudget
 	// isLoaded is true once the platform's list has been read.
@@ -48,14 +50,19 @@
 	// and tasks wait meanwhile.
 	planTimePerHost = 20 * time.Microsecond
 	smallFleet      = 400
+	// planStride is the number of steps of which one plans hosts in such a fleet: when steps take long,
+	// they follow each other at more than that interval.
+	planStride = 2
 )
 
 // planIsDue reports whether to plan moves and maintenance now, and notes that it is done.
 func (h *hosts) planIsDue(now time.Time) bool {
-	if now.Sub(h.plannedAt) < time.Duration(len(h.byID)-smallFleet)*planTimePerHost {
+	h.unplannedSteps++
+	excess := len(h.byID) - smallFleet
+	if excess > 0 && (h.unplannedSteps < planStride || now.Sub(h.plannedAt) < time.Duration(excess)*planTimePerHost) {
 		return false
 	}
-	h.plannedAt = now
+	h.plannedAt, h.unplannedSteps = now, 0
 	return true
 }
 
