--- a/internal/control/endpoints.go
+++ b/internal/control/endpoints.go
@@ -47,6 +47,11 @@
 // syncSessions starts sessions for new endpoints and ends those of endpoints
 // that the leader has dropped; t.mu must be held.
 func (t *term) syncSessions() {
+	changes := t.leader.EndpointChanges()
+	if changes == t.endpointChanges {
+		return
+	}
+	t.endpointChanges = changes
 	known := map[fleet.EndpointID]bool{}
 	for _, id := range t.leader.EndpointIDs() {
 		known[id] = true
--- a/internal/control/term.go
+++ b/internal/control/term.go
@@ -39,6 +39,8 @@
 	// 100 entries.
 	cleanupInterval = 5 * time.Second
 	maxCleanupJobs  = 40
+	// largestHostsInterval is the time between two records of the largest hosts.
+	largestHostsInterval = 250 * time.Millisecond
 	// evacuationMetricsInterval is the time between two updates of the metrics of evacuations.
 	evacuationMetricsInterval = time.Second
 )
@@ -62,6 +64,10 @@
 	mu       sync.Mutex
 	leader   *fleet.Leader
 	sessions map[fleet.EndpointID]*endpointSession
+	// endpointChanges is the leader's count for which the sessions are up to date, and
+	// largestHostsAt when the largest hosts were last recorded.
+	endpointChanges int
+	largestHostsAt  time.Time
 	// wakeStep wakes stepLoop, wakeBatch wakes batchLoop.
 	wakeStep, wakeBatch chan struct{}
 	hostOrders          chan hostOrder
@@ -252,7 +258,10 @@
 		t.applyEvacuations(started)
 		t.leader.ConfirmLeadership(confirmedAt)
 		t.queueOrders(t.leader.Step(started, started), started)
-		t.recordMaxHostResources()
+		if started.Sub(t.largestHostsAt) >= largestHostsInterval {
+			t.largestHostsAt = started
+			t.recordMaxHostResources()
+		}
 		t.countDecisions()
 		t.countOverdue(t.leader.OverdueCounts())
 		t.measureEvacuations(started)
