control: orders to an endpoint are sent by goroutines that end, eight at a time by courier

An order that goes by courier is answered with the courier's next message. With three orders at a time to one endpoint, seven starts took three messages each way: a start waited for up to 1 s between its decision and its sending (large deployment, half the processor). Eight are sent together now where couriers carry them, and three where the leader calls endpoints itself, as before. Their goroutines end when nothing is queued: three waited for each endpoint.

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -74,6 +74,9 @@
 	Store        table.Store
 	Feed         Feed
 	Endpoints    Endpoints
+	// OrdersPerEndpoint returns how many orders to one endpoint may be sent at the same time; nil
+	// means a few.
+	OrdersPerEndpoint func() int
 	EndpointList EndpointList
 	Hosts        Hosts
 	// Advice may be nil.
@@ -99,6 +102,14 @@
 	EvacuationRows EvacuationRows
 }
 
+// ordersPerEndpoint returns how many orders to one endpoint may be sent at the same time.
+func (c *Config) ordersPerEndpoint() int {
+	if c.OrdersPerEndpoint == nil {
+		return sendersPerEndpoint
+	}
+	return c.OrdersPerEndpoint()
+}
+
 // Control runs the fleet's leader in a process while that process leads.
 type Control struct {
 	config Config
--- a/internal/control/endpoints.go
+++ b/internal/control/endpoints.go
@@ -11,7 +11,8 @@
 )
 
 const (
-	// sendersPerEndpoint is the number of concurrent orders to one endpoint.
+	// sendersPerEndpoint is the number of concurrent orders to one endpoint, unless Config says
+	// another.
 	sendersPerEndpoint = 3
 	// orderQueueSize is the number of orders that may wait for one endpoint.
 	orderQueueSize = 256
@@ -38,7 +39,9 @@
 	term   *term
 	id     fleet.EndpointID
 	orders chan order
-	wake   chan struct{}
+	// senders is the number of goroutines that send orders; t.mu guards it.
+	senders int
+	wake    chan struct{}
 	// ctx ends when the leader drops the endpoint.
 	ctx    context.Context
 	cancel context.CancelFunc
@@ -73,9 +76,6 @@
 	session := &endpointSession{term: t, id: id, ctx: ctx, orders: make(chan order, orderQueueSize), wake: make(chan struct{}, 1), cancel: cancel}
 	t.sessions[id] = session
 	t.group.Go(func(groupCtx context.Context) { session.run(groupCtx, session.renewLoop) })
-	for range sendersPerEndpoint {
-		t.group.Go(func(groupCtx context.Context) { session.run(groupCtx, session.orderLoop) })
-	}
 }
 
 // run runs a loop until the leader drops the endpoint, the term ends, or another
@@ -95,6 +95,10 @@
 		select {
 		case session.orders <- next:
 			signal(session.wake)
+			if session.senders < t.config.ordersPerEndpoint() {
+				session.senders++
+				t.group.Go(func(groupCtx context.Context) { session.run(groupCtx, session.sendOrders) })
+			}
 			return
 		default:
 		}
@@ -121,16 +125,30 @@
 	return s.term.leader.AddressOf(s.id)
 }
 
-// orderLoop sends orders one after the other.
-func (s *endpointSession) orderLoop(ctx context.Context) {
+// sendOrders sends the queued orders one after the other, until none is left.
+func (s *endpointSession) sendOrders(ctx context.Context) {
 	for {
-		select {
-		case <-ctx.Done():
+		next, ok := s.nextOrder(ctx)
+		if !ok {
 			return
+		}
+		s.execute(ctx, next)
+	}
+}
+
+// nextOrder returns the next queued order. Without one, or once ctx has ended, its sender ends.
+func (s *endpointSession) nextOrder(ctx context.Context) (order, bool) {
+	s.term.mu.Lock()
+	defer s.term.mu.Unlock()
+	if ctx.Err() == nil {
+		select {
 		case next := <-s.orders:
-			s.execute(ctx, next)
+			return next, true
+		default:
 		}
 	}
+	s.senders--
+	return order{}, false
 }
 
 // execute sends an order and reports its outcome to the leader.
--- a/internal/courier/client.go
+++ b/internal/courier/client.go
@@ -24,6 +24,9 @@
 	// directTime is how long an endpoint is called directly after its courier could
 	// not reach it.
 	directTime = 3 * time.Second
+	// directOrders and carriedOrders are the numbers of orders to one endpoint that may be sent at the
+	// same time, directly and by courier.
+	directOrders, carriedOrders = 3, 8
 	// maxLinks is the number of couriers of which a link is kept.
 	maxLinks = 512
 	// maxCourierIndexes is the number of endpoints of which the courier is remembered: those that have
@@ -218,6 +221,17 @@
 	return i
 }
 
+// OrdersPerEndpoint returns how many orders to one endpoint may be sent at the same time. Those that
+// go by courier wait for the courier's next message, and are carried together.
+func (c *Client) OrdersPerEndpoint() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if len(c.couriers) == 0 {
+		return directOrders
+	}
+	return carriedOrders
+}
+
 // interval returns the shortest time between two messages to a courier.
 func (c *Client) interval() time.Duration {
 	c.mu.Lock()
