--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -71,14 +71,14 @@
 
 // Config configures a Control.
 type Config struct {
-	Store        table.Store
-	Feed         Feed
-	Endpoints    Endpoints
+	Store     table.Store
+	Feed      Feed
+	Endpoints Endpoints
 	// OrdersPerEndpoint returns how many orders to one endpoint may be sent at the same time; nil
 	// means a few.
 	OrdersPerEndpoint func() int
-	EndpointList EndpointList
-	Hosts        Hosts
+	EndpointList      EndpointList
+	Hosts             Hosts
 	// Advice may be nil.
 	Advice     Advice
 	WaveStatus WaveStatus
--- a/internal/journal/journal.go
+++ b/internal/journal/journal.go
@@ -33,6 +33,10 @@
 	maxLinesPerEvent = 400
 	// lineBufferSize is the capacity of the queue between loggers and Run, in lines.
 	lineBufferSize = 4096
+	// writeDelay delays a write after its first line, for more to join: a busy process logs some
+	// thousand lines a second. maxWriteBytes is the size from which no more lines join.
+	writeDelay    = 10 * time.Millisecond
+	maxWriteBytes = 64 << 10
 	// drainTimeout bounds the writing of queued lines after the context ends.
 	drainTimeout = 300 * time.Millisecond
 )
@@ -51,6 +55,8 @@
 	config  Config
 	lines   chan []byte
 	dropped *metrics.Counter
+	// batch is the buffer of Run's writes.
+	batch []byte
 
 	mu         sync.Mutex
 	buffer     bytes.Buffer
@@ -74,6 +80,11 @@
 	for {
 		select {
 		case line := <-j.lines:
+			if !sleep(ctx, writeDelay) {
+				j.write(line)
+				j.drain()
+				return
+			}
 			j.write(line)
 		case <-ctx.Done():
 			j.drain()
@@ -82,10 +93,35 @@
 	}
 }
 
-// write writes a line; a write error only counts the line as dropped.
-func (j *Journal) write(line []byte) {
-	if _, err := j.config.Writer.Write(line); err != nil {
-		j.dropped.Inc()
+// sleep waits for d, and reports whether ctx has not ended meanwhile.
+func sleep(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
+
+// write writes a line and those that are queued, up to maxWriteBytes, at once; a write error only
+// counts the lines as dropped.
+func (j *Journal) write(first []byte) {
+	lines := 1
+	j.batch = append(j.batch[:0], first...)
+	for len(j.batch) < maxWriteBytes {
+		select {
+		case line := <-j.lines:
+			j.batch = append(j.batch, line...)
+			lines++
+			continue
+		default:
+		}
+		break
+	}
+	if _, err := j.config.Writer.Write(j.batch); err != nil {
+		j.dropped.Add(lines)
 	}
 }
 
--- a/internal/journal/journal_test.go
+++ b/internal/journal/journal_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"fmt"
 	"strings"
 	"testing"
 	"time"
@@ -80,9 +81,46 @@
 	<-ended
 }
 
+// countingWriter counts the writes.
+type countingWriter struct {
+	bytes.Buffer
+	writes int
+}
+
+func (c *countingWriter) Write(p []byte) (int, error) {
+	c.writes++
+	return c.Buffer.Write(p)
+}
+
+// Guards against a system call for each line: a leader of a large fleet logs some thousand a second.
+func TestQueuedLinesAreWrittenTogether(t *testing.T) {
+	const lines = 300
+	var out countingWriter
+	j := journal.New(journal.Config{Writer: &out})
+	for n := range lines {
+		j.Info("run start", "index", n)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	j.Run(ctx)
+	if got := strings.Count(out.String(), "\n"); got != lines {
+		t.Errorf("lines: got %d, want %d", got, lines)
+	}
+	if got, want := out.writes, 2; got > want {
+		t.Errorf("writes of %d lines: got %d, want at most %d", lines, got, want)
+	}
+}
+
 func BenchmarkInfo(b *testing.B) {
+	var events []string
+	for n := range 20_000 {
+		events = append(events, fmt.Sprint("event ", n))
+	}
 	j := journal.New(journal.Config{Writer: &bytes.Buffer{}})
+	n := 0
 	for b.Loop() {
-		j.Info("run start", "job", "5c0e7a21d94b36f8", "step", 1, "index", 7, "run", int64(2), "host", "i-7f3a91c2")
+		// Another event each time, so that the rate limit drops none.
+		n++
+		j.Info(events[n%len(events)], "job", "5c0e7a21d94b36f8", "step", 1, "index", 7, "run", int64(2), "host", "i-7f3a91c2")
 	}
 }
--- a/internal/process/node.go
+++ b/internal/process/node.go
@@ -161,7 +161,7 @@
 	}
 	n.control = control.New(control.Config{
 		Store: n.member.Store(), Feed: n.store,
-		Endpoints:    n.couriers, OrdersPerEndpoint: n.couriers.OrdersPerEndpoint,
+		Endpoints: n.couriers, OrdersPerEndpoint: n.couriers.OrdersPerEndpoint,
 		EndpointList: platform.EndpointList{Store: n.store, OnDecodeError: logDecodeError},
 		Hosts: platform.NewHosts(platform.HostsConfig{
 			Client: client, Address: settings.Hosts, Holder: settings.Name, Timeout: hostTimeout,
