fleet: endpoints that have become full are not compared any more

Within a pass over the waiting steps, the endpoints with room were determined once, before the first start; each later task was compared with all of them, and the endpoints on which a task had failed were looked up for each comparison.

--- a/internal/fleet/gang.go
+++ b/internal/fleet/gang.go
@@ -79,7 +79,7 @@
 			if isFull || !g.allows(candidate) {
 				continue
 			}
-			score := g.score(g.job.taskAt(g.step.key, index), candidate)
+			score := g.score(g.job.avoid[g.job.taskAt(g.step.key, index)], candidate)
 			if target == nil || score > bestScore {
 				target, bestScore = candidate, score
 			}
--- a/internal/fleet/placement.go
+++ b/internal/fleet/placement.go
@@ -13,11 +13,12 @@
 	l.effort.Compared += len(candidates)
 	var best *candidateEndpoint
 	bestScore := 0.0
+	size, avoided := g.step.step.Reserved(), g.job.avoid[task]
 	for _, candidate := range candidates {
-		if !g.allows(candidate) {
+		if !size.FitsIn(candidate.available) || !g.allowsWithRoom(candidate) {
 			continue
 		}
-		score := g.score(task, candidate)
+		score := g.score(avoided, candidate)
 		if best == nil || score > bestScore {
 			best, bestScore = candidate, score
 		}
@@ -99,13 +100,13 @@
 	scoreSlow = -2
 )
 
-// score prefers, in this order, endpoints on which the task has not failed or been
-// overdue, that are on the step's preferred rack, that are warmed up, that must stay in the pool for
+// score prefers, in this order, endpoints other than the avoided ones, on which the task has failed or
+// been overdue, that are on the step's preferred rack, that are warmed up, that must stay in the pool for
 // their persistent tasks, that are not slower than their peers, and that are fullest.
-func (g taskGroup) score(task job.Task, candidate *candidateEndpoint) float64 {
+func (g taskGroup) score(avoided []EndpointID, candidate *candidateEndpoint) float64 {
 	e := candidate.endpoint
 	score := 0.0
-	if !slices.Contains(g.job.avoid[task], e.row.ID) {
+	if !slices.Contains(avoided, e.row.ID) {
 		score += scoreNotAvoided
 	}
 	if g.step.step.Affinity != "" && e.hasLabel(g.step.step.Affinity) {
--- a/internal/fleet/step.go
+++ b/internal/fleet/step.go
@@ -98,11 +98,10 @@
 	candidates := l.candidates(pool, now)
 	l.deferCheapest(pool, groups, candidates, now)
 	l.startTrials(groups, candidates, orders, now)
-	open := withRoom(candidates, groups)
+	p := newPass(candidates, groups)
 	l.visit(len(candidates) + len(groups))
-	var unplaceable unplaceableSizes
 	for _, g := range groups {
-		l.startGroup(g, candidates, open, &unplaceable, orders, now)
+		l.startGroup(g, p, orders, now)
 		l.logWait(g, candidates, now)
 	}
 }
@@ -191,13 +190,13 @@
 }
 
 // startGroup starts as many of a step's pending tasks as fit on the open candidates.
-func (l *Leader) startGroup(g taskGroup, candidates, open []*candidateEndpoint, unplaceable *unplaceableSizes, orders *Orders, now time.Time) {
-	if !l.hasAdvice(g, candidates, orders, now) || unplaceable.contains(g.step.step.Reserved()) {
+func (l *Leader) startGroup(g taskGroup, p *pass, orders *Orders, now time.Time) {
+	if !l.hasAdvice(g, p.candidates, orders, now) || p.isHopeless(g) {
 		return
 	}
 	if g.step.step.Gang {
 		if len(g.step.pending) > 0 && !g.job.isSuspect(g.job.taskAt(g.step.key, g.step.pending[0])) {
-			l.startGang(g, open, orders, now)
+			l.startGang(g, p.open, orders, now)
 		}
 		return
 	}
@@ -215,20 +214,21 @@
 		task := g.job.taskAt(g.step.key, index)
 		// The endpoint of the task before has become fuller, and so is preferred for alike tasks.
 		if target == nil || len(g.job.avoid) > 0 || !g.allows(target) {
-			target = l.choose(g, task, open)
+			target = l.choose(g, task, p.open)
 		}
 		if target == nil {
 			// The same limits apply to the other tasks of the step.
 			remaining = append(remaining, g.step.pending[i:]...)
 			if g.step.step.Persistent {
-				holdHosts(g, len(remaining), candidates)
+				holdHosts(g, len(remaining), p.candidates)
 			}
-			if fitsNowhere(g.step.step.Reserved(), open) {
-				unplaceable.add(g.step.step.Reserved())
+			if fitsNowhere(g.step.step.Reserved(), p.open) {
+				p.unplaceable.add(g.step.step.Reserved())
 			}
 			break
 		}
 		l.start(g, task, target, l.nextRun(g.job, task), orders, now)
+		p.used(target)
 	}
 	g.step.pending = remaining
 }
--- a/internal/fleet/unplaceable.go
+++ b/internal/fleet/unplaceable.go
@@ -1,6 +1,10 @@
 package fleet
 
-import "github.com/lovagedyke/lovagedyke/internal/policy"
+import (
+	"slices"
+
+	"github.com/lovagedyke/lovagedyke/internal/policy"
+)
 
 // unplaceableSizes collects, during one scheduling pass, the sizes that fit on no
 // endpoint of a pool. Free capacity only shrinks during the pass, so that a task that
@@ -30,9 +34,41 @@
 	u.rejected = append(kept, size)
 }
 
-// withRoom returns the candidates that may have room for a task of some group. At the peak
-// most have none, and need not be tried for each task.
-func withRoom(candidates []*candidateEndpoint, groups []taskGroup) []*candidateEndpoint {
+// pass is one pass over the waiting steps of a pool, in the order of their ranks.
+type pass struct {
+	candidates []*candidateEndpoint
+	// open are the candidates that have room for the smallest task that waits. At the peak most have
+	// none, and need not be tried for each one.
+	open        []*candidateEndpoint
+	smallest    policy.Resources
+	unplaceable unplaceableSizes
+}
+
+func newPass(candidates []*candidateEndpoint, groups []taskGroup) *pass {
+	p := &pass{candidates: candidates, smallest: smallestSize(groups)}
+	for _, candidate := range candidates {
+		if p.smallest.FitsIn(candidate.available) {
+			p.open = append(p.open, candidate)
+		}
+	}
+	return p
+}
+
+// isHopeless reports whether no task of a step can start. Persistent ones are tried also when no
+// candidate has room: hosts are held for them.
+func (p *pass) isHopeless(g taskGroup) bool {
+	return len(p.open) == 0 && !g.step.step.Persistent || p.unplaceable.contains(g.step.step.Reserved())
+}
+
+// used closes a candidate that has no room any more.
+func (p *pass) used(candidate *candidateEndpoint) {
+	if !p.smallest.FitsIn(candidate.available) {
+		p.open = slices.DeleteFunc(p.open, func(other *candidateEndpoint) bool { return other == candidate })
+	}
+}
+
+// smallestSize returns the least that a task of some group needs of each resource.
+func smallestSize(groups []taskGroup) policy.Resources {
 	smallest := groups[0].step.step.Reserved()
 	for _, g := range groups {
 		size := g.step.step.Reserved()
@@ -40,13 +76,7 @@
 			CPU: min(smallest.CPU, size.CPU), Memory: min(smallest.Memory, size.Memory), GPU: min(smallest.GPU, size.GPU),
 		}
 	}
-	var open []*candidateEndpoint
-	for _, candidate := range candidates {
-		if smallest.FitsIn(candidate.available) {
-			open = append(open, candidate)
-		}
-	}
-	return open
+	return smallest
 }
 
 // fitsNowhere reports whether no candidate has enough free capacity for a size.
--- a/internal/fleet/unplaceable_test.go
+++ b/internal/fleet/unplaceable_test.go
@@ -59,7 +59,7 @@
 			for _, size := range c.sizes {
 				groups = append(groups, taskGroup{step: &stepState{step: job.Step{Resources: size}}})
 			}
-			if got := len(withRoom(candidates, groups)); got != c.want {
+			if got := len(newPass(candidates, groups).open); got != c.want {
 				t.Errorf("endpoints with room: got %d, want %d", got, c.want)
 			}
 		})
