fleet: decide no more starts than can be sent soon

What callers saw: too little was served on the large deployment. A leader that was short of processor time served everything late, also what had just arrived, and refused nothing.

Cause: nothing limited what the leader decided by what it could carry out. Each step decided as many starts as there was room for, also while thousands of earlier ones waited to be sent; they were sent in the order of decisions, seconds later, when what had been in time was late, and the reports, writes and host changes behind them waited as well. Hosts moved at a tenth of the usual rate, the backlog grew, and with it the cost of each step.

Change: starts that wait to be sent are limited to 250 ms at the rate at which they are sent (500 at least, so that smaller fleets are never limited). Each pool has its part; while the leader is behind, what can be in time goes first in all pools, and steps pause for longer. The pause after a step is at least 1.5 times the step.

--- a/internal/control/term.go
+++ b/internal/control/term.go
@@ -243,15 +243,16 @@
 		case <-timer.C:
 		}
 		timer.Stop()
-		took := t.step()
-		if !loops.Sleep(ctx, fleet.StepPause(took)) {
+		took, isBehind := t.step()
+		if !loops.Sleep(ctx, fleet.StepPause(took, isBehind)) {
 			return
 		}
 	}
 }
 
-// step runs one scheduling step and returns its duration.
-func (t *term) step() time.Duration {
+// step runs one scheduling step. It returns its duration, and whether the leader is behind with
+// sending starts.
+func (t *term) step() (took time.Duration, isBehind bool) {
 	started := time.Now()
 	confirmedAt := t.config.MajorityConfirmedAt()
 	t.locked(partDecisions, func() {
@@ -266,10 +267,11 @@
 		t.countOverdue(t.leader.OverdueCounts())
 		t.measureEvacuations(started)
 		t.recordOutlook(started)
-		t.work.log(t.config.Journal, t.leader.Effort(), started)
+		isBehind = t.leader.IsBehind()
+		t.work.log(t.config.Journal, t.leader.Effort(), t.leader.UnsentStarts(), started)
 	})
 	metrics.GetOrCreateHistogram("leader_step_seconds").UpdateDuration(started)
-	return time.Since(started)
+	return time.Since(started), isBehind
 }
 
 // applyEvacuations passes the newest set of evacuated data centres to the leader; t.mu must be
--- a/internal/control/work.go
+++ b/internal/control/work.go
@@ -103,7 +103,7 @@
 }
 
 // log logs the work since the last call, once per workLogInterval.
-func (w *work) log(journal Journal, effort fleet.Effort, now time.Time) {
+func (w *work) log(journal Journal, effort fleet.Effort, unsent int, now time.Time) {
 	interval := now.Sub(w.loggedAt)
 	if interval < workLogInterval {
 		return
@@ -111,7 +111,7 @@
 	cpu, operations := processorTime(), effort.Minus(w.effortThen)
 	fields := []any{
 		"interval", milliseconds(interval), "processor", milliseconds(cpu - w.cpuThen), "steps", w.parts[partDecisions].count,
-		"starts", w.starts, "reports", w.parts[partReports].count, "host-changes-sent", w.hostChanges,
+		"starts", w.starts, "unsent-starts", unsent, "reports", w.parts[partReports].count, "host-changes-sent", w.hostChanges,
 		"start-wait", milliseconds(w.maxStartWait), "host-change-wait", milliseconds(w.maxHostWait), "lock-wait", milliseconds(w.maxLockWait),
 		"forecasts", operations.Forecasts, "compared", operations.Compared, "visited", operations.Visited,
 	}
--- a/internal/control/work_test.go
+++ b/internal/control/work_test.go
@@ -31,13 +31,13 @@
 	w.startSent(10 * time.Millisecond)
 	w.hostChangeSent(2 * time.Second)
 	journal := workJournal{}
-	w.log(journal, fleet.Effort{Forecasts: 5}, start.Add(workLogInterval/2))
+	w.log(journal, fleet.Effort{Forecasts: 5}, 4, start.Add(workLogInterval/2))
 	if len(journal) != 0 {
 		t.Errorf("lines before the interval is over: got %v, want none", journal)
 	}
-	w.log(journal, fleet.Effort{Forecasts: 7, Visited: 3}, start.Add(workLogInterval))
+	w.log(journal, fleet.Effort{Forecasts: 7, Visited: 3}, 4, start.Add(workLogInterval))
 	tests := map[string]any{
-		"interval": "1s", "steps": 2, "time-decisions": "90ms", "reports": 1, "starts": 2, "start-wait": "20ms",
+		"interval": "1s", "steps": 2, "time-decisions": "90ms", "reports": 1, "starts": 2, "unsent-starts": 4, "start-wait": "20ms",
 		"host-changes-sent": 1, "host-change-wait": "2s", "lock-wait": "30ms", "time-orders": "0s", "forecasts": 7, "visited": 3, "time-reports": "1ms",
 	}
 	for field, want := range tests {
@@ -45,7 +45,7 @@
 			t.Errorf("%s: got %v, want %v", field, got, want)
 		}
 	}
-	w.log(journal, fleet.Effort{Forecasts: 8, Visited: 3}, start.Add(2*workLogInterval))
+	w.log(journal, fleet.Effort{Forecasts: 8, Visited: 3}, 4, start.Add(2*workLogInterval))
 	if got, want := journal["leader work"]["time-decisions"], "0s"; got != want {
 		t.Errorf("decisions in the second interval: got %v, want %v", got, want)
 	}
--- a/internal/fleet/accounting.go
+++ b/internal/fleet/accounting.go
@@ -21,6 +21,7 @@
 
 // untrackRun reverses trackRun and removes the run from its endpoint.
 func (l *Leader) untrackRun(r *run) {
+	l.startSent(r)
 	if !r.endpoint.removeRun(r) || r.job == nil {
 		return
 	}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -148,6 +148,7 @@
 	hasFormerStarts bool
 	outlook         outlookState
 	effort          Effort
+	starts          startBudget
 }
 
 // New returns a leader without jobs, endpoints or hosts.
--- a/internal/fleet/unplaceable.go
+++ b/internal/fleet/pass.go
@@ -36,16 +36,19 @@
 
 // pass is one pass over the waiting steps of a pool, in the order of their ranks.
 type pass struct {
+	groups     []taskGroup
 	candidates []*candidateEndpoint
 	// open are the candidates that have room for the smallest task that waits. At the peak most have
 	// none, and need not be tried for each one.
 	open        []*candidateEndpoint
 	smallest    policy.Resources
 	unplaceable unplaceableSizes
+	// isCut is true if steps wait only since no more starts may be decided.
+	isCut bool
 }
 
 func newPass(candidates []*candidateEndpoint, groups []taskGroup) *pass {
-	p := &pass{candidates: candidates, smallest: smallestSize(groups)}
+	p := &pass{groups: groups, candidates: candidates, smallest: smallestSize(groups)}
 	for _, candidate := range candidates {
 		if p.smallest.FitsIn(candidate.available) {
 			p.open = append(p.open, candidate)
--- a/internal/fleet/reply.go
+++ b/internal/fleet/reply.go
@@ -24,6 +24,7 @@
 	isEvacuated := l.isEvacuated(e)
 	if r.state == runStarting && isSameIncarnation && hasRoom && !isEvacuated && l.confirmed(now) {
 		r.sentAt = now
+		l.startSent(r)
 		return true
 	}
 	l.log("start withdrawn", "job", start.Task.Job, "step", start.Task.Step, "index", start.Task.Index, "run", start.Run,
@@ -62,6 +63,7 @@
 		return reply.Outcome != OrderFenced
 	}
 	r.awaitsAnswer = false
+	l.startSent(r)
 	l.logReply("start answered", r, reply)
 	switch reply.Outcome {
 	case OrderAccepted:
--- a/internal/fleet/slowleader_test.go
+++ b/internal/fleet/slowleader_test.go
@@ -98,7 +98,7 @@
 func (s *slowLeader) play(d time.Duration) {
 	for s.now.Sub(s.started) < d {
 		took := s.decide()
-		s.communicate(s.now.Add(fleet.StepPause(took)))
+		s.communicate(s.now.Add(fleet.StepPause(took, s.leader.IsBehind())))
 	}
 }
 
@@ -127,7 +127,9 @@
 	w.play(end)
 	for pool := range 3 {
 		// The least that the users accept of each kind of request.
-		if got, want := w.inTime(pool, objective, end-objective), 0.42; got < want {
+		got, want := w.inTime(pool, objective, end-objective), 0.42
+		t.Logf("share of the jobs of pool %d in time: %.2f", pool, got)
+		if got < want {
 			t.Errorf("share of the jobs of pool %d in time: got %.2f, want at least %.2f", pool, got, want)
 		}
 	}
--- /dev/null
+++ b/internal/fleet/startbudget_test.go
@@ -0,0 +1,133 @@
+package fleet_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/lovagedyke/lovagedyke/internal/fleet"
+	"github.com/lovagedyke/lovagedyke/internal/policy"
+)
+
+// Pattern: leader-behind-with-starts. Guards against a leader that decides more starts than it can
+// send: they wait in a queue, and what was in time when it was decided is late when it starts.
+func TestStartsWaitWhileLeaderIsBehind(t *testing.T) {
+	const hosts, capacity = 120, 120 * 16
+	tests := map[string]struct {
+		// sentPerStep is how many starts are sent between two steps of 100 ms.
+		sentPerStep int
+		// want is the most starts that wait to be sent after a step.
+		want int
+	}{
+		"all are sent":      {sentPerStep: capacity, want: capacity},
+		"a tenth is sent":   {sentPerStep: 192, want: 520},
+		"none is sent":      {sentPerStep: 0, want: 700},
+		"few thousands are": {sentPerStep: 400, want: 1020},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			s := newSimulation(t, simulationConfig{})
+			for n := range hosts {
+				s.addEndpoint(fleet.EndpointID(fmt.Sprintf("i-%03d", n)))
+			}
+			for n := range 2 * hosts {
+				s.submit(submission(n+1, tasks(16)))
+			}
+			var queue []fleet.Start
+			most := 0
+			for range 10 {
+				queue = append(queue, s.step().Starts...)
+				most = max(most, s.leader.UnsentStarts())
+				for range min(test.sentPerStep, len(queue)) {
+					s.leader.ConfirmStart(queue[0], s.now)
+					queue = queue[1:]
+				}
+				s.advance(100 * time.Millisecond)
+			}
+			if most > test.want {
+				t.Errorf("starts that wait to be sent: got %d, want at most %d", most, test.want)
+			}
+			if test.sentPerStep == 0 && most < 500 {
+				t.Errorf("starts that were decided: got %d, want at least 500", most)
+			}
+		})
+	}
+}
+
+// Pattern: leader-behind-with-starts. Guards against late work of one pool that is started before
+// work of another that can still be in time, while the leader sends starts late.
+func TestWorkInTimeGoesFirstWhileLeaderIsBehind(t *testing.T) {
+	tests := map[string]struct {
+		isBehind bool
+		// want is the least share of the starts that is in time.
+		want float64
+	}{
+		"behind":     {isBehind: true, want: 1},
+		"not behind": {want: 0.4},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			config := defaultPolicy()
+			config.Queues = append(config.Queues, policy.Queue{Name: otherPool, Pool: otherPool, MaxAttempts: 2, Stretch: 1.6, Target: time.Second})
+			s := newSimulation(t, simulationConfig{policy: config})
+			var rows []fleet.Host
+			for n := range 160 {
+				rows = append(rows, newHost([]string{poolName, otherPool}[n%2], fleet.EndpointID(fmt.Sprintf("i-%03d", n))))
+			}
+			s.listHosts(rows...)
+			late := func(n int) {
+				j := submission(n, tasks(16))
+				j.Queue, j.Pool, j.Accepted = otherPool, otherPool, s.now.Add(-4*time.Second)
+				s.submit(j)
+			}
+			if test.isBehind {
+				for n := range 30 {
+					late(n + 1)
+				}
+				s.step()
+			}
+			if got := s.leader.IsBehind(); got != test.isBehind {
+				t.Fatalf("leader is behind: got %t, want %t", got, test.isBehind)
+			}
+			for n := range 30 {
+				late(n + 101)
+				j := submission(n+201, tasks(16))
+				j.Accepted = s.now
+				s.submit(j)
+			}
+			s.advance(100 * time.Millisecond)
+			inTime, starts := 0, s.step().Starts
+			for _, start := range starts {
+				if start.Task.Job >= jobID(201) {
+					inTime++
+				}
+			}
+			if len(starts) == 0 || float64(inTime) < test.want*float64(len(starts)) {
+				t.Errorf("starts in time: got %d of %d, want a share of %.1f", inTime, len(starts), test.want)
+			}
+		})
+	}
+}
+
+// Guards against a leader whose steps take all of its time, and against pauses of a small fleet
+// without need.
+func TestStepPause(t *testing.T) {
+	tests := map[string]struct {
+		took     time.Duration
+		isBehind bool
+		want     time.Duration
+	}{
+		"short step":          {took: time.Millisecond, want: 8 * time.Millisecond},
+		"step of a peak":      {took: 5 * time.Millisecond, want: 20 * time.Millisecond},
+		"step of large fleet": {took: 30 * time.Millisecond, want: 50 * time.Millisecond},
+		"long step":           {took: 200 * time.Millisecond, want: 300 * time.Millisecond},
+		"leader is behind":    {took: 5 * time.Millisecond, isBehind: true, want: 120 * time.Millisecond},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			if got := fleet.StepPause(test.took, test.isBehind); got != test.want {
+				t.Errorf("pause: got %v, want %v", got, test.want)
+			}
+		})
+	}
+}
--- a/internal/fleet/step.go
+++ b/internal/fleet/step.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -34,9 +35,7 @@
 		if allRunsKnown {
 			l.settleFormerStarts(now)
 		}
-		for pool, jobs := range pools {
-			l.schedule(pool, jobs, allRunsKnown, &orders, now)
-		}
+		l.startPending(pools, allRunsKnown, &orders, now)
 		l.findOverdue(&orders, now)
 		if l.hosts.planIsDue(now) {
 			l.planHosts(pools, &orders, now)
@@ -76,9 +75,60 @@
 	rank rank
 }
 
-// schedule starts a pool's pending tasks in the order of their ranks, while there is
-// free capacity. Inherited jobs wait until all runs are known.
-func (l *Leader) schedule(pool string, jobs []*jobState, allRunsKnown bool, orders *Orders, now time.Time) {
+// startPending starts pending tasks of all pools. While the leader is behind with sending starts,
+// what can still be in time goes first in all pools: what is late would make it late as well.
+func (l *Leader) startPending(pools map[string][]*jobState, allRunsKnown bool, orders *Orders, now time.Time) {
+	l.starts.refill(now)
+	var passes []*pass
+	for _, pool := range slices.Sorted(maps.Keys(pools)) {
+		if p := l.preparePass(pool, pools[pool], allRunsKnown, orders, now); p != nil {
+			passes = append(passes, p)
+		}
+	}
+	if l.starts.isBehind {
+		for _, p := range passes {
+			l.startGroups(p, taskGroup.canBeInTime, orders, now)
+		}
+	}
+	// Each pool has its part of the starts, and then what the others leave.
+	for left := len(passes); left > 0; left-- {
+		others := l.starts.reserve(left - 1)
+		l.startGroups(passes[left-1], taskGroup.isAny, orders, now)
+		l.starts.left += others
+	}
+	for _, p := range passes {
+		if p.isCut && l.starts.left > 0 {
+			l.startGroups(p, taskGroup.isAny, orders, now)
+		}
+		for _, g := range p.groups {
+			l.logWait(g, p.candidates, now)
+		}
+	}
+}
+
+// isAny includes every group.
+func (g taskGroup) isAny() bool {
+	return true
+}
+
+// canBeInTime reports whether the step's job can meet its objective, or has none.
+func (g taskGroup) canBeInTime() bool {
+	return g.rank.persistent || g.rank.lateness == onTime
+}
+
+// startGroups starts the pending tasks of those groups that are included, in the order of their
+// ranks, while there is free capacity.
+func (l *Leader) startGroups(p *pass, includes func(taskGroup) bool, orders *Orders, now time.Time) {
+	for _, g := range p.groups {
+		if len(g.step.pending) > 0 && includes(g) {
+			l.startGroup(g, p, orders, now)
+		}
+	}
+}
+
+// preparePass returns a pass over a pool's waiting steps in the order of their ranks, or nil if there
+// are none, and starts those on trial. Inherited jobs wait until all runs are known.
+func (l *Leader) preparePass(pool string, jobs []*jobState, allRunsKnown bool, orders *Orders, now time.Time) *pass {
 	var groups []taskGroup
 	for _, j := range jobs {
 		if j.inherited && !allRunsKnown {
@@ -91,19 +141,15 @@
 		}
 	}
 	if len(groups) == 0 {
-		return
+		return nil
 	}
 	l.visitSorted(len(groups))
 	slices.SortFunc(groups, func(a, b taskGroup) int { return a.rank.compare(b.rank) })
 	candidates := l.candidates(pool, now)
 	l.deferCheapest(pool, groups, candidates, now)
 	l.startTrials(groups, candidates, orders, now)
-	p := newPass(candidates, groups)
 	l.visit(len(candidates) + len(groups))
-	for _, g := range groups {
-		l.startGroup(g, p, orders, now)
-		l.logWait(g, candidates, now)
-	}
+	return newPass(candidates, groups)
 }
 
 const (
@@ -129,6 +175,8 @@
 		cause = "the list of endpoints is outdated"
 	case len(candidates) == 0:
 		cause = "no endpoint of the pool accepts work"
+	case l.isBehindFor(g):
+		cause = "the leader is behind with sending starts"
 	case g.step.tickets == nil && g.step.adviceRequested:
 		cause = "waiting for the advice service"
 	}
@@ -194,6 +242,10 @@
 	if !l.hasAdvice(g, p.candidates, orders, now) || p.isHopeless(g) {
 		return
 	}
+	if l.isBehindFor(g) {
+		p.isCut = true
+		return
+	}
 	if g.step.step.Gang {
 		if len(g.step.pending) > 0 && !g.job.isSuspect(g.job.taskAt(g.step.key, g.step.pending[0])) {
 			l.startGang(g, p.open, orders, now)
@@ -211,6 +263,11 @@
 			remaining = append(remaining, g.step.pending[i:]...)
 			break
 		}
+		if l.isBehindFor(g) {
+			p.isCut = true
+			remaining = append(remaining, g.step.pending[i:]...)
+			break
+		}
 		task := g.job.taskAt(g.step.key, index)
 		// The endpoint of the task before has become fuller, and so is preferred for alike tasks.
 		if target == nil || len(g.job.avoid) > 0 || !g.allows(target) {
@@ -233,6 +290,11 @@
 	g.step.pending = remaining
 }
 
+// isBehindFor reports whether a group waits since more starts are decided than can be sent soon.
+func (l *Leader) isBehindFor(g taskGroup) bool {
+	return l.starts.left <= 0 && !g.step.step.Persistent
+}
+
 // taskAt returns the identifier of a step's task.
 func (j *jobState) taskAt(key job.StepKey, index int) job.Task {
 	return job.Task{Job: j.submission.ID, Occurrence: key.Occurrence, Step: key.Step, Index: index}
@@ -274,6 +336,7 @@
 	g.job.started = true
 	l.countSize(g)
 	l.noteStart(g.job, g.step.step, now)
+	l.startDecided(r)
 	target.available = target.available.Minus(r.reserved)
 	if r.isPersistent() {
 		target.persistent++
