--- a/internal/journal/journal.go
+++ b/internal/journal/journal.go
@@ -8,7 +8,8 @@
 //
 // Each event (message) has a limit of lines per second. Lines beyond it are
 // omitted and counted; the first lines of the next second report the counts.
-// A line that finds the buffer full is dropped and counted in a metric.
+// A line that finds the buffer full is dropped and counted in a metric. Lines are written a few
+// milliseconds later, many at once.
 package journal
 
 import (
@@ -24,6 +25,7 @@
 	"github.com/charmbracelet/log"
 
 	"github.com/lovagedyke/lovagedyke/internal/logging"
+	"github.com/lovagedyke/lovagedyke/internal/loops"
 	"github.com/lovagedyke/lovagedyke/internal/settings"
 )
 
@@ -80,7 +82,7 @@
 	for {
 		select {
 		case line := <-j.lines:
-			if !sleep(ctx, writeDelay) {
+			if !loops.Sleep(ctx, writeDelay) {
 				j.write(line)
 				j.drain()
 				return
@@ -93,18 +95,6 @@
 	}
 }
 
-// sleep waits for d, and reports whether ctx has not ended meanwhile.
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
-
 // write writes a line and those that are queued, up to maxWriteBytes, at once; a write error only
 // counts the lines as dropped.
 func (j *Journal) write(first []byte) {
