--- a/internal/fleet/pass.go
+++ b/internal/fleet/pass.go
@@ -57,6 +57,17 @@
 	return p
 }
 
+// inTime returns the groups whose jobs can meet their objective, or have none.
+func (p *pass) inTime() []taskGroup {
+	var groups []taskGroup
+	for _, g := range p.groups {
+		if g.rank.persistent || g.rank.lateness == onTime {
+			groups = append(groups, g)
+		}
+	}
+	return groups
+}
+
 // isHopeless reports whether no task of a step can start. Persistent ones are tried also when no
 // candidate has room: hosts are held for them.
 func (p *pass) isHopeless(g taskGroup) bool {
--- a/internal/fleet/startbudget.go
+++ b/internal/fleet/startbudget.go
@@ -24,8 +24,8 @@
 	sent       int
 	measuredAt time.Time
 	rate       float64
-	// left is how many may yet be decided in this step. isBehind is true if half of those that may
-	// wait already did at its begin.
+	// left is how many may yet be decided in this step. isBehind is true if too many waited at its
+	// begin.
 	left     int
 	isBehind bool
 }
@@ -36,10 +36,16 @@
 		b.measure(float64(b.sent) / elapsed.Seconds())
 		b.sent, b.measuredAt = 0, now
 	}
-	b.isBehind = b.unsent > b.limit()/2
+	b.isBehind = b.areTooManyUnsent()
 	b.left = max(minStartsPerStep, b.limit()-b.unsent)
 }
 
+// areTooManyUnsent reports whether half of the starts that may wait do, and more than a leader that is
+// not behind ever has.
+func (b *startBudget) areTooManyUnsent() bool {
+	return b.unsent >= max(minUnsentStarts, b.limit()/2)
+}
+
 // limit returns how many starts may wait to be sent.
 func (b *startBudget) limit() int {
 	return max(minUnsentStarts, int(b.rate*maxStartQueue.Seconds()))
@@ -79,7 +85,7 @@
 
 // IsBehind reports whether the leader is behind with sending the starts that it has decided.
 func (l *Leader) IsBehind() bool {
-	return l.starts.unsent > l.starts.limit()/2
+	return l.starts.areTooManyUnsent()
 }
 
 // UnsentStarts returns how many starts have been decided and not sent.
--- a/internal/fleet/step.go
+++ b/internal/fleet/step.go
@@ -87,18 +87,18 @@
 	}
 	if l.starts.isBehind {
 		for _, p := range passes {
-			l.startGroups(p, taskGroup.canBeInTime, orders, now)
+			l.startGroups(p.inTime(), p, orders, now)
 		}
 	}
 	// Each pool has its part of the starts, and then what the others leave.
-	for left := len(passes); left > 0; left-- {
-		others := l.starts.reserve(left - 1)
-		l.startGroups(passes[left-1], taskGroup.isAny, orders, now)
-		l.starts.left += others
+	for i, p := range passes {
+		reserved := l.starts.reserve(len(passes) - i - 1)
+		l.startGroups(p.groups, p, orders, now)
+		l.starts.left += reserved
 	}
 	for _, p := range passes {
 		if p.isCut && l.starts.left > 0 {
-			l.startGroups(p, taskGroup.isAny, orders, now)
+			l.startGroups(p.groups, p, orders, now)
 		}
 		for _, g := range p.groups {
 			l.logWait(g, p.candidates, now)
@@ -106,21 +106,11 @@
 	}
 }
 
-// isAny includes every group.
-func (g taskGroup) isAny() bool {
-	return true
-}
-
-// canBeInTime reports whether the step's job can meet its objective, or has none.
-func (g taskGroup) canBeInTime() bool {
-	return g.rank.persistent || g.rank.lateness == onTime
-}
-
-// startGroups starts the pending tasks of those groups that are included, in the order of their
-// ranks, while there is free capacity.
-func (l *Leader) startGroups(p *pass, includes func(taskGroup) bool, orders *Orders, now time.Time) {
-	for _, g := range p.groups {
-		if len(g.step.pending) > 0 && includes(g) {
+// startGroups starts the pending tasks of groups of a pass, in the order of their ranks, while there is
+// free capacity.
+func (l *Leader) startGroups(groups []taskGroup, p *pass, orders *Orders, now time.Time) {
+	for _, g := range groups {
+		if len(g.step.pending) > 0 {
 			l.startGroup(g, p, orders, now)
 		}
 	}
