review: case 2, a late start repeats a task on the runner's next life

Cause: a start without an answer is resolved by a stop that one life of a runner accepts. The runner starts again under its id, and carries the old start out before the leader's next stop reaches it.

--- a/review/cases/main.go
+++ b/review/cases/main.go
@@ -14,7 +14,6 @@
 	"errors"
 	"fmt"
 	"os"
-	"path/filepath"
 	"time"
 
 	"github.com/lovagedyke/lovagedyke/review/harness"
@@ -52,7 +51,7 @@
 		fmt.Fprintln(os.Stderr, "usage: cases NAME FOLDER")
 		os.Exit(2)
 	}
-	os.Exit(run(os.Args[1], filepath.Base(os.Args[2])))
+	os.Exit(run(os.Args[1], os.Args[2]))
 }
 
 func run(name, folder string) int {
@@ -61,7 +60,7 @@
 		fmt.Fprintf(os.Stderr, "cases: there is no case %q\n", name)
 		return 2
 	}
-	chosen.config.Case = folder
+	chosen.config.Folder = folder
 	p, err := harness.New(chosen.config)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, "cases:", err)
--- a/review/harness/platform.go
+++ b/review/harness/platform.go
@@ -6,7 +6,7 @@
 //
 // # Usage
 //
-//	run, err := harness.New(harness.Config{Case: "1", Nodes: 3, Machines: 6})
+//	run, err := harness.New(harness.Config{Folder: "review/1", Nodes: 3, Machines: 6})
 //	defer run.Close()
 //	run.StartNodes()
 //	run.Submit(job)
@@ -49,18 +49,22 @@
 
 // Config configures a Platform.
 type Config struct {
-	// Case is the folder of the case under review/.
-	Case string
+	// Folder is where record.txt goes.
+	Folder string
 	// Nodes and Machines are how many there are.
 	Nodes, Machines int
 	// CapCPU is the tenant's cap in thousandths of a core, or 0 for none.
 	CapCPU int
+	// KeepIDs lets a runner start again under the id that it had.
+	KeepIDs bool
 }
 
 // Start is a start that a runner has carried out.
 type Start struct {
-	At      time.Time
-	Runner  string
+	At     time.Time
+	Runner string
+	// Life is when the runner's life began.
+	Life    time.Time
 	Task    string
 	Run     int64
 	CPU     int
@@ -87,19 +91,21 @@
 	// mu guards the runners, the jobs and the starts.
 	mu     sync.Mutex
 	closed bool
-	jobs   map[string]Job
-	starts []*Start
-	byRun  map[string]*Start
-	gangs  map[string]*gang
+	// lateShare is the share of orders that get no answer and are carried out late.
+	lateShare float64
+	jobs      map[string]Job
+	starts    []*Start
+	byRun     map[string]*Start
+	gangs     map[string]*gang
 }
 
-// New starts the platform without nodes. The record goes to review/<case>/record.txt.
+// New starts the platform without nodes.
 func New(config Config) (*Platform, error) {
 	dir, err := os.MkdirTemp("", "review-")
 	if err != nil {
 		return nil, err
 	}
-	record, err := os.Create(filepath.Join("review", config.Case, "record.txt"))
+	record, err := os.Create(filepath.Join(config.Folder, "record.txt"))
 	if err != nil {
 		return nil, err
 	}
@@ -231,15 +237,15 @@
 
 // noteStart records a start. The caller holds p.mu.
 func (p *Platform) noteStart(r *runner, key runKey, task Task, now time.Time) {
-	s := &Start{At: now, Runner: r.id, Task: key.task, Run: key.run, CPU: task.CPU}
+	s := &Start{At: now, Runner: r.id, Life: r.born, Task: key.task, Run: key.run, CPU: task.CPU}
 	p.starts = append(p.starts, s)
-	p.byRun[r.id+"/"+key.task+"/"+strconv.FormatInt(key.run, 10)] = s
+	p.byRun[r.nameOf(key)] = s
 	p.Note("%s starts %s run %d", r.id, key.task, key.run)
 }
 
 // noteEnd records an end. The caller holds p.mu.
 func (p *Platform) noteEnd(r *runner, key runKey, how string, at time.Time) {
-	if s := p.byRun[r.id+"/"+key.task+"/"+strconv.FormatInt(key.run, 10)]; s != nil {
+	if s := p.byRun[r.nameOf(key)]; s != nil {
 		s.EndedAt, s.How = at, how
 	}
 	p.Note("%s ends %s run %d: %s, %s ago", r.id, key.task, key.run, how, time.Since(at).Round(time.Millisecond))
@@ -247,7 +253,7 @@
 
 // noteAcknowledged records that an end was taken note of. The caller holds p.mu.
 func (p *Platform) noteAcknowledged(r *runner, key runKey) {
-	if s := p.byRun[r.id+"/"+key.task+"/"+strconv.FormatInt(key.run, 10)]; s != nil {
+	if s := p.byRun[r.nameOf(key)]; s != nil {
 		s.Acked = true
 	}
 }
@@ -291,6 +297,15 @@
 	return p.Nodes[at]
 }
 
+// LateOrders leaves a share of the orders to runners without an answer from now on; they are carried
+// out 2 to 12 s later, by the runner that has the id then.
+func (p *Platform) LateOrders(share float64) {
+	p.mu.Lock()
+	p.lateShare = share
+	p.mu.Unlock()
+	p.Note("a share of %.3f of the orders is carried out late", share)
+}
+
 // Elapsed returns how long the run has taken so far.
 func (p *Platform) Elapsed() time.Duration { return time.Since(p.started) }
 
--- a/review/harness/runner.go
+++ b/review/harness/runner.go
@@ -5,6 +5,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"slices"
@@ -144,7 +145,7 @@
 	m.address = listener.Addr().String()
 	m.lives++
 	r := &runner{
-		machine: m, id: fmt.Sprintf("i-%s-%d", m.id, m.lives), born: time.Now(), done: make(chan struct{}),
+		machine: m, id: m.nextID(), born: time.Now(), done: make(chan struct{}),
 		running: map[runKey]*run{}, highest: map[string]int64{},
 	}
 	mux := http.NewServeMux()
@@ -161,6 +162,14 @@
 	return nil
 }
 
+// nextID returns the id of the machine's next runner.
+func (m *Machine) nextID() string {
+	if m.platform.config.KeepIDs {
+		return "i-" + m.id
+	}
+	return fmt.Sprintf("i-%s-%d", m.id, m.lives)
+}
+
 // Crash ends the machine's runner with all that it runs, and begins the next life after a time.
 func (m *Machine) Crash(down time.Duration) {
 	m.mu.Lock()
@@ -317,6 +326,11 @@
 		}
 		now := time.Now()
 		r.settle(now)
+		if p.lateShare > 0 && rand.Float64() < p.lateShare {
+			p.mu.Unlock()
+			r.delay(request, in)
+			panic(http.ErrAbortHandler)
+		}
 		status, reason := execute(in, now)
 		p.mu.Unlock()
 		body := map[string]any{"clock_ms": r.clock(now).Milliseconds(), "born": r.born.UnixMilli()}
@@ -327,6 +341,53 @@
 	}
 }
 
+// Bounds of the time after which an order without an answer is carried out.
+const minLate, maxLate = 2 * time.Second, 12 * time.Second
+
+// delay leaves an order without an answer, and has it carried out later by the runner that has this
+// runner's id then. It waits until the caller has given up.
+func (r *runner) delay(request *http.Request, in order) {
+	late := minLate + rand.N(maxLate-minLate)
+	path := request.URL.Path
+	r.machine.platform.Note("%s leaves %s of %s run %d unanswered; carried out in %s", r.id, path, in.Task, in.Run, late.Round(time.Millisecond))
+	time.AfterFunc(late, func() { r.machine.executeLate(path, r.id, in) })
+	select {
+	case <-request.Context().Done():
+	case <-r.done:
+	}
+}
+
+// executeLate carries out an order that got no answer, if a runner with the id is there.
+func (m *Machine) executeLate(path, id string, in order) {
+	m.mu.Lock()
+	r := m.runner
+	m.mu.Unlock()
+	if r == nil || r.id != id {
+		return
+	}
+	p := m.platform
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if r.hasEnded || p.closed {
+		return
+	}
+	now := time.Now()
+	r.settle(now)
+	status, reason := 0, ""
+	switch path {
+	case "/lovagedyke/run-start":
+		status, reason = r.start(in, now)
+	case "/lovagedyke/run-stop":
+		status, reason = r.stop(in, now)
+	}
+	p.Note("%s, %s old, carries out %s of %s run %d late: %d %s", r.id, now.Sub(r.born).Round(time.Millisecond), path, in.Task, in.Run, status, reason)
+}
+
+// nameOf names a run of this life of the runner.
+func (r *runner) nameOf(key runKey) string {
+	return fmt.Sprintf("%s/%d/%s/%d", r.id, r.born.UnixNano(), key.task, key.run)
+}
+
 // extend extends the lease.
 func (r *runner) extend(deadlineMS int64, now time.Time) {
 	deadline := time.Duration(deadlineMS) * time.Millisecond
