review: case 1 with one kill of the leader

A successor records the starts of the jobs that it takes over in their rows, so that one kill makes the row of a job too large whose progress fits without it.

--- a/review/cases/scheduled.go
+++ b/review/cases/scheduled.go
@@ -6,16 +6,18 @@
 	"fmt"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/lovagedyke/lovagedyke/review/harness"
 )
 
 const (
-	// The scheduled job runs a small chain of steps again and again: scheduledTimes times in the case,
-	// and calmTimes times without the disruption.
-	scheduledSteps, scheduledTimes, calmTimes = 10, 140, 20
-	scheduledInterval                         = 250 * time.Millisecond
+	// The scheduled job runs scheduledTimes times; its progress fits into a row of the store.
+	scheduledSteps, scheduledTasks, scheduledTimes = 10, 3, 114
+	scheduledInterval, scheduledDuration           = 300 * time.Millisecond, 800 * time.Millisecond
+	// killAfter is when the leader is killed, and restartAfter how long after that it starts again.
+	killAfter, restartAfter = 20 * time.Second, 3500 * time.Millisecond
 	// Beside it, an ordinary job arrives each jobInterval, for trafficTime.
 	jobInterval = 100 * time.Millisecond
 	trafficTime = 85 * time.Second
@@ -32,27 +34,22 @@
 
 func init() { scenarios["scheduled-job"] = scheduledJob }
 
-// scheduledJob hands in a job that runs many times, beside ordinary ones.
+// scheduledJob hands in a job that runs many times, beside ordinary ones, and kills the leader.
 var scheduledJob = scenario{
 	config: harness.Config{Nodes: 3, Machines: 3},
 	run: func(p *harness.Platform, isTrouble bool) (verdict, error) {
-		times := calmTimes
-		if isTrouble {
-			times = scheduledTimes
-		}
 		scheduled := harness.Job{
-			ID: "5c4ed00000000001", Times: times, Interval: scheduledInterval, StartAt: time.Now().Add(time.Second),
+			ID: "5c4ed00000000001", Times: scheduledTimes, Interval: scheduledInterval, StartAt: time.Now().Add(time.Second),
 		}
-		for n := range scheduledSteps {
-			step := harness.Step{Count: 1, CPU: 100, Memory: 100, Duration: 20 * time.Millisecond}
-			if n > 0 {
-				step.After = []int{n - 1}
-			}
-			scheduled.Steps = append(scheduled.Steps, step)
+		for range scheduledSteps {
+			scheduled.Steps = append(scheduled.Steps, harness.Step{Count: scheduledTasks, CPU: 100, Memory: 100, Duration: scheduledDuration})
 		}
 		if !p.Submit(scheduled) {
 			return verdict{}, errSetup
 		}
+		if isTrouble {
+			go killLeader(p)
+		}
 		traffic := &accepted{at: map[string]time.Time{}}
 		begun := time.Now()
 		for n := 0; time.Since(begun) < trafficTime; n++ {
@@ -65,10 +62,25 @@
 					id, idle.Round(time.Millisecond), state, count, largest, harness.RowBytes), nil
 			}
 		}
-		return held("each of %d accepted jobs was served", len(traffic.at)), nil
+		return held("each of %d accepted jobs was served, and the scheduled one is %q", len(traffic.at), p.State(p.Nodes[0], scheduled.ID)), nil
 	},
 }
 
+// killLeader kills the leader once, and starts it again.
+func killLeader(p *harness.Platform) {
+	time.Sleep(killAfter)
+	leader := p.Leader()
+	if leader == nil {
+		p.Note("no node leads")
+		return
+	}
+	leader.Signal(syscall.SIGKILL)
+	time.Sleep(restartAfter)
+	if err := leader.Start(); err != nil {
+		p.Note("node %s not started again: %s", leader.Name(), err)
+	}
+}
+
 // accepted holds the ordinary jobs that were accepted, and when.
 type accepted struct {
 	mu sync.Mutex
