review: cases 3 and 4 within the shares of the site file

Cause: one runner of ten that fails all is more than the site file's 0.085, and one of five that crashes more than its 0.14.

Done: case 3 has twelve runners.

--- a/review/cases/failedgang.go
+++ b/review/cases/failedgang.go
@@ -20,7 +20,7 @@
 
 // failedGang hands in a gang while the runner that gets it fails all that it starts.
 var failedGang = scenario{
-	config: harness.Config{Nodes: 3, Machines: 10},
+	config: harness.Config{Nodes: 3, Machines: 12},
 	run: func(p *harness.Platform, isTrouble bool) (verdict, error) {
 		// The leader prefers the runner that is in use.
 		first := harness.Job{ID: "6a96000000000001", Steps: []harness.Step{{Count: 2, CPU: 1000, Memory: 500, Duration: 45 * time.Second}}}
@@ -53,6 +53,6 @@
 				runs[s.Run] = true
 			}
 		}
-		return broken("the job of the gang is still %q after %s of calm: nothing of it runs, it was tried %d times, of 3 attempts, and 9 of 10 runners are idle", state, gangCalm, len(runs)), nil
+		return broken("the job of the gang is still %q after %s of calm: nothing of it runs, it was tried %d times, of 3 attempts, and 11 of 12 runners are idle", state, gangCalm, len(runs)), nil
 	},
 }
--- a/review/cases/lasting.go
+++ b/review/cases/lasting.go
@@ -9,20 +9,18 @@
 )
 
 const (
-	// One runner of five crashes each crashInterval, and is back after crashTime, so that one is down
-	// at a time. The site file's crashes last up to 4.5 s, and take one runner of a pool of this size.
-	crashMachines = 5
-	crashes       = 75
-	crashInterval = 1200 * time.Millisecond
-	crashTime     = 1200 * time.Millisecond
-	// crashStride is prime to the number of machines: each crashes in its turn.
-	crashStride = 3
+	// All runners of one rack crash each crashInterval, another rack each time, and are back after
+	// crashTime. The site file has nine runners in racks of four, and racks that are down for longer.
+	crashMachines = 9
+	crashes       = 50
+	crashInterval = 1800 * time.Millisecond
+	crashTime     = 1500 * time.Millisecond
 )
 
 func init() { scenarios["lasting-job"] = lastingJob }
 
-// lastingJob hands in a job whose tasks last, of the size of the site file's, and lets runners crash
-// in turn. Nothing but a cancel ends such a job.
+// lastingJob hands in a job whose tasks last, of the size of the site file's, and lets racks of
+// runners crash in turn. Nothing but a cancel ends such a job.
 var lastingJob = scenario{
 	config: harness.Config{Nodes: 3, Machines: crashMachines},
 	run: func(p *harness.Platform, isTrouble bool) (verdict, error) {
@@ -35,7 +33,7 @@
 		time.Sleep(2 * time.Second)
 		for n := range crashes {
 			if isTrouble {
-				p.Machines[n*crashStride%len(p.Machines)].Crash(crashTime)
+				p.CrashRack(n, crashTime)
 			}
 			time.Sleep(crashInterval)
 			if state := p.State(p.Nodes[n%len(p.Nodes)], job.ID); state == "failed" || state == "cancelled" {
--- a/review/harness/platform.go
+++ b/review/harness/platform.go
@@ -127,7 +127,7 @@
 	go func() { _ = p.server.Serve(listener) }()
 	p.store.put("op", "config", p.configuration())
 	for n := range config.Machines {
-		m := &Machine{platform: p, id: fmt.Sprintf("m-%d", n+1), rack: fmt.Sprintf("r1-%d", n/4+1), service: service}
+		m := &Machine{platform: p, id: fmt.Sprintf("m-%d", n+1), rack: rackName(n / rackSize), service: service}
 		if err := m.begin(); err != nil {
 			return nil, err
 		}
@@ -306,6 +306,21 @@
 	p.Note("a share of %.3f of the orders is carried out late", share)
 }
 
+// rackSize is how many machines are in a rack.
+const rackSize = 4
+
+func rackName(n int) string { return fmt.Sprintf("r1-%d", n+1) }
+
+// CrashRack crashes the runners of a rack, counted through all racks again and again, for a time.
+func (p *Platform) CrashRack(n int, down time.Duration) {
+	racks := (len(p.Machines) + rackSize - 1) / rackSize
+	for _, m := range p.Machines {
+		if m.rack == rackName(n%racks) {
+			m.Crash(down)
+		}
+	}
+}
+
 // Elapsed returns how long the run has taken so far.
 func (p *Platform) Elapsed() time.Duration { return time.Since(p.started) }
 
