--- a/review/cases/failedgang.go
+++ b/review/cases/failedgang.go
@@ -3,6 +3,7 @@
 package main
 
 import (
+	"strings"
 	"time"
 
 	"github.com/lovagedyke/lovagedyke/review/harness"
@@ -47,12 +48,21 @@
 				return held("the job of the gang is %s", state), nil
 			}
 		}
-		runs := map[int64]bool{}
+		runs, active, last := map[int64]bool{}, 0, time.Time{}
 		for _, s := range p.Starts() {
-			if s.Task[:len(gang.ID)] == gang.ID {
-				runs[s.Run] = true
+			if !strings.HasPrefix(s.Task, gang.ID) {
+				continue
 			}
+			runs[s.Run] = true
+			last = later(last, s.EndedAt)
+			if s.EndedAt.IsZero() {
+				active++
+			}
+		}
+		if active > 0 || time.Since(last) < calmBefore+maxIdle {
+			return held("the job of the gang is %q, and has been running within the last %s", state, calmBefore+maxIdle), nil
 		}
-		return broken("the job of the gang is still %q after %s of calm: nothing of it runs, it was tried %d times, of 3 attempts, and 11 of 12 runners are idle", state, gangCalm, len(runs)), nil
+		return broken("the job of the gang is still %q after %s of calm: it has had nothing running for %s, it was tried %d times, of 3 attempts, and 11 of 12 runners are idle",
+			state, gangCalm, time.Since(last).Round(time.Second), len(runs)), nil
 	},
 }
--- a/review/cases/lasting.go
+++ b/review/cases/lasting.go
@@ -37,6 +37,11 @@
 			}
 			time.Sleep(crashInterval)
 			if state := p.State(p.Nodes[n%len(p.Nodes)], job.ID); state == "failed" || state == "cancelled" {
+				for _, s := range p.Starts() {
+					if s.How == "failed" {
+						return held("the job is %q, but a run has ended 'failed'", state), nil
+					}
+				}
 				return broken("job %s is shown as %q after %d crashes: its tasks last, no end 'failed' was listed, and nobody has cancelled it", job.ID, state, n+1), nil
 			}
 		}
--- a/review/cases/main.go
+++ b/review/cases/main.go
@@ -14,6 +14,8 @@
 	"errors"
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
 	"time"
 
 	"github.com/lovagedyke/lovagedyke/review/harness"
@@ -69,9 +71,14 @@
 	defer p.Close()
 	outcome := make(chan int, 1)
 	go func() { outcome <- play(p, chosen) }()
+	stopped := make(chan os.Signal, 1)
+	signal.Notify(stopped, syscall.SIGINT, syscall.SIGTERM)
 	select {
 	case code := <-outcome:
 		return code
+	case <-stopped:
+		p.Note("could not run: it was stopped")
+		return 2
 	case <-time.After(maxRun):
 		p.Note("could not run: it took too long")
 		return 2
--- a/review/harness/runner.go
+++ b/review/harness/runner.go
@@ -24,8 +24,6 @@
 	reportPoll = 5 * time.Millisecond
 	// startup is how long a task that lasts takes to be at work.
 	startup = 500 * time.Millisecond
-	// failDelay is after which time a task fails on a runner that fails all.
-	failDelay = 30 * time.Millisecond
 )
 
 // Machine is a machine with at most one runner at a time.
@@ -57,6 +55,8 @@
 	cut      bool
 	cutUntil chan struct{}
 	hasEnded bool
+	// lapsedAt is when the lease last lapsed, or zero.
+	lapsedAt time.Time
 	// failsUntil is until when all that starts fails.
 	failsUntil time.Time
 }
@@ -390,10 +390,18 @@
 
 // extend extends the lease.
 func (r *runner) extend(deadlineMS int64, now time.Time) {
+	r.noteLapse(now)
 	deadline := time.Duration(deadlineMS) * time.Millisecond
 	r.lease = max(r.lease, min(deadline, r.clock(now)+HoldMax))
 }
 
+// noteLapse notes that the lease has lapsed, if it has.
+func (r *runner) noteLapse(now time.Time) {
+	if r.clock(now) > r.lease {
+		r.lapsedAt = r.born.Add(r.lease)
+	}
+}
+
 func (r *runner) isFenced(token uint64) bool {
 	if token < r.token {
 		return true
@@ -482,7 +490,7 @@
 			}
 		}
 		if running.fails {
-			earlier(running.startedAt.Add(failDelay), "failed")
+			earlier(running.startedAt, "failed")
 		}
 		earlier(running.endsAt, "done")
 		if running.gang != nil {
@@ -532,7 +540,7 @@
 			if in.DeadlineMS > 0 {
 				r.extend(in.DeadlineMS, now)
 			}
-			r.acknowledge(in.AckedUpTo)
+			r.acknowledge(in.AckedUpTo, now)
 		}
 		isFirst = false
 		if len(r.ends) == 0 && now.Before(deadline) && request.Context().Err() == nil && !r.cut && !r.hasEnded {
@@ -554,10 +562,14 @@
 	}
 }
 
-// acknowledge forgets ends.
-func (r *runner) acknowledge(upTo int64) {
+// acknowledge forgets ends. One between which and now the lease has lapsed does not count as taken note
+// of.
+func (r *runner) acknowledge(upTo int64, now time.Time) {
+	r.noteLapse(now)
 	for len(r.ends) > 0 && r.ends[0].number <= upTo {
-		r.machine.platform.noteAcknowledged(r, r.ends[0].key)
+		if !r.lapsedAt.After(r.ends[0].at) {
+			r.machine.platform.noteAcknowledged(r, r.ends[0].key)
+		}
 		r.ends = r.ends[1:]
 	}
 }
