--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -64,9 +64,10 @@
 	Decode(rows []table.Row, version uint64) evacuation.Set
 }
 
-// Journal logs events.
+// Journal logs events, at level error those that an operator has to mend.
 type Journal interface {
 	Info(event string, fields ...any)
+	Error(event string, fields ...any)
 }
 
 // Config configures a Control.
@@ -100,6 +101,10 @@
 	Evacuations EvacuationHolder
 	// EvacuationRows decodes the rows that a new leader reads; nil means that there are none.
 	EvacuationRows EvacuationRows
+	// RowBytes is the store's maximum row size, or 0 if it is not known.
+	RowBytes int
+	// RowFormat returns the newest form of rows that all processes read; nil means job.RowJSON.
+	RowFormat func() job.RowFormat
 }
 
 // ordersPerEndpoint returns how many orders to one endpoint may be sent at the same time.
@@ -126,6 +131,9 @@
 	if config.Evacuations == nil {
 		config.Evacuations = evacuation.New(evacuation.Config{Journal: config.Journal})
 	}
+	if config.RowFormat == nil {
+		config.RowFormat = func() job.RowFormat { return job.RowJSON }
+	}
 	return &Control{config: config, waves: map[int64]fleet.WaveRow{}, terms: make(chan *term, 1)}
 }
 
--- a/internal/control/hosts.go
+++ b/internal/control/hosts.go
@@ -130,7 +130,7 @@
 		row := record.HostChange{At: time.Now().Round(0), Wave: next.wave()}
 		txn.Writes = append(txn.Writes, table.Write{Key: record.HostChangeKey(string(next.host())), Value: record.Encode(row)})
 	}
-	if !t.writer.commit(ctx, txn, false) {
+	if t.writer.commit(ctx, txn, false) != committed {
 		t.locked(partHostChanges, func() {
 			for _, next := range changes {
 				t.reportHostChange(next, fleet.ChangeRefused)
--- a/internal/control/load.go
+++ b/internal/control/load.go
@@ -241,8 +241,8 @@
 	if entry == nil {
 		return
 	}
-	progress := job.NewProgress()
-	if err := progress.UnmarshalJSON(row.Value); err != nil {
+	progress, err := job.DecodeProgress(entry.Submission, row.Value)
+	if err != nil {
 		t.config.Journal.Info("progress row cannot be decoded", "key", row.Key, "version", row.Version, "error", err.Error())
 		return
 	}
@@ -257,7 +257,7 @@
 	}
 	waves := map[int64]record.Wave{}
 	for _, row := range rows {
-		wave, err := record.Decode[record.Wave](row.Value)
+		wave, err := record.DecodeWave(row.Value)
 		number, ok := waveNumber(row.Key)
 		if err != nil || !ok {
 			t.config.Journal.Info("wave row cannot be decoded", "key", row.Key, "version", row.Version)
--- a/internal/control/load_test.go
+++ b/internal/control/load_test.go
@@ -88,6 +88,8 @@
 
 func (j countingJournal) Info(event string, _ ...any) { j[event]++ }
 
+func (j countingJournal) Error(event string, _ ...any) { j[event]++ }
+
 // Pattern: turns-beyond-the-pool. Nearly all rows of the feed are of jobs that the leader
 // was notified of: decoding them again takes a part of its processor at the peak.
 func TestRowsOfKnownJobsAreNotDecoded(t *testing.T) {
--- a/internal/control/term.go
+++ b/internal/control/term.go
@@ -92,7 +92,7 @@
 		control: c, config: c.config, ctx: ctx, claim: claim,
 		leader: fleet.New(fleet.Config{
 			Token: claim.Token, Now: time.Now(), Bounds: c.config.Bounds, Journal: c.config.Journal,
-			DeadlineOrder: c.config.DeadlineOrder,
+			DeadlineOrder: c.config.DeadlineOrder, RowBytes: c.config.RowBytes,
 		}),
 		sessions: map[fleet.EndpointID]*endpointSession{},
 		wakeStep: make(chan struct{}, 1), wakeBatch: make(chan struct{}, 1),
--- a/internal/control/work_test.go
+++ b/internal/control/work_test.go
@@ -19,6 +19,9 @@
 	j[event] = line
 }
 
+// Error implements Journal.
+func (j workJournal) Error(event string, fields ...any) { j.Info(event, fields...) }
+
 // Guards against a leader of which nothing says what it spends its time on, and how long its orders
 // wait.
 func TestWorkIsLoggedByPart(t *testing.T) {
--- a/internal/control/writer.go
+++ b/internal/control/writer.go
@@ -44,34 +44,52 @@
 	return &writer{config: config}
 }
 
-// commit writes a transaction and reports whether it is committed. With retry it
-// tries until then or until the term is over.
-func (w *writer) commit(ctx context.Context, txn table.Txn, retry bool) bool {
+// commitOutcome is the outcome of a transaction, or of an attempt to commit it.
+type commitOutcome int
+
+const (
+	// notCommitted transactions may be tried again after a pause.
+	notCommitted commitOutcome = iota
+	// notCommittedYet transactions may be tried again at once.
+	notCommittedYet
+	// committed transactions are in the store.
+	committed
+	// refused transactions are not taken by the store, however often they are tried.
+	refused
+)
+
+// commit writes a transaction. With retry it tries until the transaction is committed or
+// refused, or until the term is over.
+func (w *writer) commit(ctx context.Context, txn table.Txn, retry bool) commitOutcome {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.number++
 	for ctx.Err() == nil {
-		done, isPauseDue := w.attempt(ctx, txn)
-		if done {
-			return true
-		}
-		if !isPauseDue {
+		outcome := w.attempt(ctx, txn)
+		switch outcome {
+		case notCommittedYet:
 			continue
+		case committed, refused:
+			return outcome
+		default:
 		}
 		metrics.GetOrCreateCounter("leader_commit_failures_total").Inc()
 		if !retry || !loops.Sleep(ctx, commitRetryDelay) {
-			return false
+			return notCommitted
 		}
 	}
-	return false
+	return notCommitted
 }
 
-// attempt makes one call. isPauseDue is false if the next attempt may follow at once.
-func (w *writer) attempt(ctx context.Context, txn table.Txn) (done, isPauseDue bool) {
+// attempt makes one call.
+func (w *writer) attempt(ctx context.Context, txn table.Txn) commitOutcome {
 	if !w.isVersionKnown {
 		done, err := w.resolveOutcome(ctx)
-		if err != nil || done {
-			return done, true
+		switch {
+		case done:
+			return committed
+		case err != nil:
+			return notCommitted
 		}
 	}
 	sentAt := time.Now()
@@ -80,16 +98,23 @@
 	case err == nil:
 		w.version = version
 		w.config.Confirmed(sentAt)
-		return true, false
-	case table.IsConflict(err), errors.Is(err, table.ErrUnknown):
+		return committed
+	case table.IsConflict(err):
 		// This transaction may be committed, or an earlier one was executed late.
 		w.isVersionKnown = false
-		return false, !table.IsConflict(err)
+		return notCommittedYet
+	case errors.Is(err, table.ErrUnknown):
+		w.isVersionKnown = false
+		return notCommitted
+	case errors.Is(err, table.ErrRefused):
+		metrics.GetOrCreateCounter("leader_commits_refused_total").Inc()
+		w.config.Journal.Info("store refused the leader's transaction", "rows", len(txn.Writes), "error", err.Error())
+		return refused
 	case errors.Is(err, table.ErrUnavailable):
-		return false, true
+		return notCommitted
 	default:
-		w.config.Journal.Info("store refused the leader's rows", "rows", len(txn.Writes), "error", err.Error())
-		return false, true
+		w.config.Journal.Info("leader's transaction failed", "rows", len(txn.Writes), "error", err.Error())
+		return notCommitted
 	}
 }
 
--- a/internal/control/writer_test.go
+++ b/internal/control/writer_test.go
@@ -38,6 +38,8 @@
 
 func (discardJournal) Info(string, ...any) {}
 
+func (discardJournal) Error(string, ...any) {}
+
 func newTestWriter(t *testing.T, store table.Store, lost func()) *writer {
 	t.Helper()
 	ctx := context.Background()
@@ -74,7 +76,7 @@
 	store := &delayedStore{Memory: table.NewMemory()}
 	w := newTestWriter(t, store, func() { t.Error("leadership: got lost, want kept") })
 	store.loseNextAnswer = true
-	if !w.commit(ctx, progressTxn("old"), true) || !w.commit(ctx, progressTxn("new"), true) {
+	if w.commit(ctx, progressTxn("old"), true) != committed || w.commit(ctx, progressTxn("new"), true) != committed {
 		t.Fatal("commits: got refused, want done")
 	}
 	store.applyPending(ctx)
@@ -88,7 +90,7 @@
 	store := &delayedStore{Memory: table.NewMemory()}
 	w := newTestWriter(t, store, func() { t.Error("leadership: got lost, want kept") })
 	store.loseNextAnswer, store.applyNow = true, true
-	if !w.commit(ctx, progressTxn("old"), true) || !w.commit(ctx, progressTxn("new"), true) {
+	if w.commit(ctx, progressTxn("old"), true) != committed || w.commit(ctx, progressTxn("new"), true) != committed {
 		t.Fatal("commits: got refused, want done")
 	}
 	if got := progressValue(t, store); got != "new" {
@@ -102,15 +104,15 @@
 	ctx := context.Background()
 	store := &delayedStore{Memory: table.NewMemory()}
 	w := newTestWriter(t, store, func() { t.Error("leadership: got lost, want kept") })
-	if !w.commit(ctx, progressTxn("first"), true) {
+	if w.commit(ctx, progressTxn("first"), true) != committed {
 		t.Fatal("first commit: got refused, want done")
 	}
 	store.loseNextAnswer = true
-	if w.commit(ctx, progressTxn("abandoned"), false) {
+	if w.commit(ctx, progressTxn("abandoned"), false) == committed {
 		t.Fatal("commit without an answer: got done, want unknown")
 	}
 	store.applyPending(ctx)
-	if !w.commit(ctx, progressTxn("new"), true) {
+	if w.commit(ctx, progressTxn("new"), true) != committed {
 		t.Fatal("next commit: got refused, want done")
 	}
 	if got := progressValue(t, store); got != "new" {
@@ -125,7 +127,7 @@
 	if err := store.Commit(ctx, table.Txn{Writes: []table.Write{{Key: record.ClaimKey, Value: []byte("{}")}}}); err != nil {
 		t.Fatal(err)
 	}
-	if w.commit(ctx, progressTxn("x"), true) {
+	if w.commit(ctx, progressTxn("x"), true) == committed {
 		t.Error("commit under a claim that has changed: got done, want refused")
 	}
 	if ctx.Err() == nil {
--- a/internal/fleet/accounting.go
+++ b/internal/fleet/accounting.go
@@ -26,6 +26,7 @@
 		return
 	}
 	l.forgetStart(r)
+	r.job.rowUse.ended++
 	task := r.key.task
 	remaining := slices.DeleteFunc(r.job.active[task], func(other *run) bool { return other == r })
 	if len(remaining) == 0 {
--- a/internal/fleet/completion.go
+++ b/internal/fleet/completion.go
@@ -19,14 +19,14 @@
 		return false
 	}
 	e.lastRead = completion.Number
-	batch := l.applyCompletion(e, completion, now)
+	change := l.applyCompletion(e, completion, now)
 	l.unpersisted[e.row.ID] = e
-	e.unpersisted = append(e.unpersisted, unpersistedCompletion{number: completion.Number, batch: batch})
+	e.unpersisted = append(e.unpersisted, unpersistedCompletion{number: completion.Number, change: change, job: l.jobs[completion.Task.Job]})
 	return true
 }
 
-// applyCompletion applies a completion. It returns the number of the batch that has to be
-// written before the completion may be acknowledged, or 0.
+// applyCompletion applies a completion. It returns the change that has to be stored before the
+// completion may be acknowledged, or 0.
 func (l *Leader) applyCompletion(e *endpoint, completion Completion, now time.Time) uint64 {
 	key := runKey{completion.Task, completion.Run}
 	r := e.runs[key]
@@ -112,20 +112,21 @@
 		}
 	}
 	if !changed {
-		return l.writeQueue.pendingBatch(j)
+		return l.pendingChange(j)
 	}
 	if j.progress.State == job.Queued {
 		j.progress.State = job.Running
 	}
-	batch := l.markDirty(j)
+	change := l.markDirty(j)
 	if j.progress.StepDone(j.submission, key) {
-		delete(j.steps, key)
+		j.progress.CloseStep(j.submission, key)
 		for number := range j.submission.Steps {
 			l.openStep(j, job.StepKey{Occurrence: key.Occurrence, Step: number}, now)
 		}
+		j.closeStep(key)
 	}
 	l.completeIfDone(j, now)
-	return batch
+	return change
 }
 
 // taskFailed records a failed run.
@@ -149,15 +150,15 @@
 	}
 	failures, changed := j.progress.MarkFailed(counted, completion.Run)
 	if !changed {
-		return l.writeQueue.pendingBatch(j)
+		return l.pendingChange(j)
 	}
-	batch := l.markDirty(j)
+	change := l.markDirty(j)
 	if failures >= l.maxAttemptsOf(j) && !j.over() {
 		l.fail(j, completion.Task, failures, now)
-		return batch
+		return change
 	}
 	l.requeue(j, completion.Task, now)
-	return batch
+	return change
 }
 
 // suspect counts a failed or overdue run against an endpoint. After consecutive
--- a/internal/fleet/crashrecord.go
+++ b/internal/fleet/crashrecord.go
@@ -42,7 +42,7 @@
 	// counted are the crashes for which it was suspected. The job's progress has them and the
 	// doubts.
 	counted job.Crashes
-	// withdrawn is the batch that has to be written before the next trial, since the last one
+	// withdrawn is the change that has to be stored before the next trial, since the last one
 	// was held for too long, or 0.
 	withdrawn uint64
 	// isInherited is true if a former leader suspected the task.
--- a/internal/fleet/demand.go
+++ b/internal/fleet/demand.go
@@ -89,8 +89,17 @@
 	if j.activeTasks[key] == 0 || !at.Before(now) {
 		return int64(j.activeTasks[key])
 	}
-	l.visit(len(j.active))
 	count := int64(0)
+	if tasks := j.submission.Steps[key.Step].Count; tasks < len(j.active) {
+		l.visit(tasks)
+		for index := range tasks {
+			if runs := j.active[j.taskAt(key, index)]; len(runs) > 0 && !runs[0].orderedAt.After(at) {
+				count++
+			}
+		}
+		return count
+	}
+	l.visit(len(j.active))
 	for task, runs := range j.active {
 		if task.Step == key.Step && task.Occurrence == key.Occurrence && len(runs) > 0 && !runs[0].orderedAt.After(at) {
 			count++
--- a/internal/fleet/endpointstate.go
+++ b/internal/fleet/endpointstate.go
@@ -129,10 +129,13 @@
 	pause time.Duration
 }
 
-// unpersistedCompletion is a completion in a batch that has not been written yet.
+// unpersistedCompletion is a completion that is not stored yet.
 type unpersistedCompletion struct {
 	number int64
-	batch  uint64
+	// change is the change of the job's progress that records it, or 0 if there is nothing to record.
+	change uint64
+	// job is nil if the job does not exist.
+	job *jobState
 }
 
 // newEndpoint returns the state of a newly listed endpoint.
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -57,6 +57,8 @@
 	Journal Journal
 	// DeadlineOrder starts work by its deadlines also while a pool is short of capacity.
 	DeadlineOrder bool
+	// RowBytes is the store's maximum row size; 0 means DefaultRowBytes.
+	RowBytes int
 }
 
 // Bounds holds the platform's time limits that decisions depend on.
@@ -138,6 +140,8 @@
 	// loaded is true once all rows from before the takeover are known.
 	loaded     bool
 	writeQueue writeQueue
+	// rowFormat is the newest form of rows that all processes read.
+	rowFormat job.RowFormat
 	// unpersisted holds the endpoints with completions that have not been written yet.
 	unpersisted map[EndpointID]*endpoint
 	crashes     CrashCounts
@@ -153,12 +157,16 @@
 
 // New returns a leader without jobs, endpoints or hosts.
 func New(config Config) *Leader {
+	if config.RowBytes <= 0 {
+		config.RowBytes = DefaultRowBytes
+	}
 	leader := &Leader{
 		config: config, confirmedAt: config.Now, policy: policy.New(policy.Config{}),
 		endpoints: map[EndpointID]*endpoint{}, endpointsByHost: map[HostID][]*endpoint{}, unpersisted: map[EndpointID]*endpoint{}, lastEndpoints: map[HostID]EndpointID{}, jobs: map[job.ID]*jobState{}, live: map[job.ID]*jobState{}, inUse: map[string]policy.Resources{},
 		pendingCancels: map[job.ID]time.Time{},
 		lookups:        map[job.ID]lookup{}, lateStarts: map[EndpointID]map[runKey]lateStart{}, heldTasks: map[job.Task]int{}, shareBuckets: map[string]*tokenBucket{},
 		hosts: newHosts(), arrivalHistories: map[string]*arrivalHistory{}, durations: map[string]*runtimes.Model{}, sizes: map[string]*overload.Sizes{}, deferralsAt: map[string]time.Time{}, writeQueue: newWriteQueue(),
+		rowFormat: job.NewestRowFormat,
 	}
 	return leader
 }
--- a/internal/fleet/hostchangelag_test.go
+++ b/internal/fleet/hostchangelag_test.go
@@ -121,7 +121,7 @@
 			s.listHosts(hosts...)
 			answer := s.changeHost("m-x", true)
 			answer(fleet.ChangeUnknown)
-			s.leader.WaveProgress()
+			s.leader.WaveProgress(10)
 			var repeated []fleet.MaintenanceOrder
 			for range 20 {
 				s.advance(300 * time.Millisecond)
@@ -129,7 +129,7 @@
 				if repeated = s.step().Maintenance; len(repeated) > 0 {
 					break
 				}
-				for _, progress := range s.leader.WaveProgress() {
+				for _, progress := range s.leader.WaveProgress(10) {
 					t.Fatalf("progress without an answer: got %+v, want none", progress)
 				}
 			}
@@ -137,7 +137,7 @@
 				t.Fatalf("maintenance orders after one without an answer: got %v, want it again", repeated)
 			}
 			s.leader.HandleMaintenanceReply(repeated[0], fleet.ChangeAccepted, s.now)
-			if got := s.leader.WaveProgress(); len(got) != 1 || len(got[0].Done) != 1 {
+			if got := s.leader.WaveProgress(10); len(got) != 1 || len(got[0].Done) != 1 {
 				t.Errorf("progress after the answer: got %+v, want one host done", got)
 			}
 		})
@@ -260,7 +260,7 @@
 	s.t.Helper()
 	for range lists {
 		s.step()
-		for _, progress := range s.leader.WaveProgress() {
+		for _, progress := range s.leader.WaveProgress(10) {
 			if progress.Complete {
 				return true
 			}
--- a/internal/fleet/hostevidence_test.go
+++ b/internal/fleet/hostevidence_test.go
@@ -403,7 +403,7 @@
 		s.advance(3 * time.Second)
 		s.listed(without(hosts, 1)...)
 		s.step()
-		for _, wave := range s.leader.WaveProgress() {
+		for _, wave := range s.leader.WaveProgress(10) {
 			if wave.Complete {
 				t.Errorf("wave with a host that is due: got complete, want running")
 			}
--- a/internal/fleet/hosts_test.go
+++ b/internal/fleet/hosts_test.go
@@ -181,7 +181,7 @@
 		row.Hosts = append(row.Hosts, h.ID)
 	}
 	s.leader.UpdateWave(row, s.now)
-	progress := s.leader.WaveProgress()
+	progress := s.leader.WaveProgress(10)
 	if len(progress) != 1 || progress[0].Complete {
 		t.Fatalf("progress: got %v, want that of a running wave", progress)
 	}
@@ -208,7 +208,7 @@
 		t.Fatalf("hosts done: got %d, want %d", done, len(hosts))
 	}
 	s.step()
-	progress = s.leader.WaveProgress()
+	progress = s.leader.WaveProgress(10)
 	if len(progress) != 1 || !progress[0].Complete || len(progress[0].Done) != len(hosts) {
 		t.Errorf("progress: got %v, want that of the complete wave", progress)
 	}
--- a/internal/fleet/jobstate.go
+++ b/internal/fleet/jobstate.go
@@ -35,8 +35,7 @@
 	// lateness of that start.
 	startedAfter  time.Duration
 	startLateness lateness
-	// due is the number of occurrences that have become due.
-	due int
+	occurrences   openOccurrences
 	// steps holds the steps that are ready and not completed.
 	steps map[job.StepKey]*stepState
 	// active lists, by task, the runs that are or may be on an endpoint.
@@ -54,7 +53,10 @@
 	crashRecords map[job.Task]*crashRecord
 	// endedAt is when the final state was written.
 	endedAt time.Time
-	dirty   bool
+	// dirty is true while the job's row is queued to be written.
+	dirty      bool
+	rowUse     rowUse
+	rowRefusal rowRefusal
 	// forecast is what was last expected of its duration.
 	forecast forecast
 }
@@ -85,7 +87,8 @@
 	return &jobState{
 		submission: submission, progress: job.NewProgress(), persistedState: job.Queued,
 		steps: map[job.StepKey]*stepState{}, active: map[job.Task][]*run{}, activeTasks: map[job.StepKey]int{}, lastRun: map[job.Task]int64{},
-		checkpoint: map[job.Task]string{}, avoid: map[job.Task][]EndpointID{}, overdueCount: map[job.Task]int{},
+		occurrences: openOccurrences{states: map[int]*occurrenceState{}},
+		checkpoint:  map[job.Task]string{}, avoid: map[job.Task][]EndpointID{}, overdueCount: map[job.Task]int{},
 	}
 }
 
@@ -103,8 +106,11 @@
 	return step, task.Index < step.Count
 }
 
-// recordRun updates the highest known run number of a task.
+// recordRun updates the highest known run number of a task that may start again.
 func (j *jobState) recordRun(key runKey) {
+	if j.progress.IsDone(key.task) {
+		return
+	}
 	j.lastRun[key.task] = max(j.lastRun[key.task], key.run)
 }
 
@@ -115,40 +121,6 @@
 	}
 }
 
-// open makes occurrences due, and steps whose predecessors have completed ready.
-func (l *Leader) open(j *jobState, now, wall time.Time) {
-	for !j.over() && j.due < j.submission.Occurrences() {
-		due := j.submission.Due(j.due)
-		if !due.IsZero() && wall.Before(due) {
-			break
-		}
-		j.due++
-	}
-	for occurrence := range j.due {
-		if j.progress.OccurrenceDone(j.submission, occurrence) {
-			continue
-		}
-		for number := range j.submission.Steps {
-			l.openStep(j, job.StepKey{Occurrence: occurrence, Step: number}, now)
-		}
-	}
-}
-
-// openStep makes one step ready if its predecessors have completed.
-func (l *Leader) openStep(j *jobState, key job.StepKey, now time.Time) {
-	if j.steps[key] != nil || j.over() || j.progress.StepDone(j.submission, key) || !j.progress.StepReady(j.submission, key) {
-		return
-	}
-	opened := &stepState{key: key, step: j.submission.Steps[key.Step], openedAt: now}
-	for index := range opened.step.Count {
-		task := job.Task{Job: j.submission.ID, Occurrence: key.Occurrence, Step: key.Step, Index: index}
-		if !j.progress.IsDone(task) && len(j.active[task]) == 0 {
-			opened.pending = append(opened.pending, index)
-		}
-	}
-	j.steps[key] = opened
-}
-
 // StoredJob is a job as read from the store.
 type StoredJob struct {
 	Submission *job.Submission
@@ -173,7 +145,7 @@
 	if stored.Progress != nil {
 		j.progress = stored.Progress
 		j.persistedState = stored.Progress.State
-		j.started = len(stored.Progress.Steps) > 0
+		j.started = !stored.Progress.IsEmpty()
 	}
 	j.loadCrashRecords(now)
 	l.hasFormerStarts = l.hasFormerStarts || j.progress.StartCount() > 0
--- a/internal/fleet/pass.go
+++ b/internal/fleet/pass.go
@@ -74,6 +74,16 @@
 	return len(p.open) == 0 && !g.step.step.Persistent || p.unplaceable.contains(g.step.step.Reserved())
 }
 
+// noteUnplaced notes that a number of a group's tasks fit on no open candidate.
+func (p *pass) noteUnplaced(g taskGroup, count int) {
+	if g.step.step.Persistent {
+		holdHosts(g, count, p.candidates)
+	}
+	if size := g.step.step.Reserved(); fitsNowhere(size, p.open) {
+		p.unplaceable.add(size)
+	}
+}
+
 // used closes a candidate that has no room any more.
 func (p *pass) used(candidate *candidateEndpoint) {
 	if !p.smallest.FitsIn(candidate.available) {
--- a/internal/fleet/renewal.go
+++ b/internal/fleet/renewal.go
@@ -207,7 +207,7 @@
 			break
 		}
 	}
-	e.advanceAcks(l.writeQueue.written)
+	l.advanceAcks(e)
 	present := make(map[runKey]bool, len(report.Running))
 	for _, running := range report.Running {
 		key := runKey{running.Task, running.Run}
@@ -246,12 +246,22 @@
 	}
 }
 
-// advanceAcks makes completions ackable whose batches have been written. It reports
-// whether there were any.
-func (e *endpoint) advanceAcks(written uint64) bool {
+// maxHeldCompletions is the number of completions that wait on an endpoint for a job whose row the
+// store does not take: it reports no more than maxReportedCompletions, of all jobs, at a time.
+const maxHeldCompletions = maxReportedCompletions / 2
+
+// advanceAcks makes completions ackable that are stored. It reports whether there were any.
+func (l *Leader) advanceAcks(e *endpoint) bool {
 	before := len(e.unpersisted)
-	for len(e.unpersisted) > 0 && e.unpersisted[0].batch <= written {
-		e.ackable = e.unpersisted[0].number
+	for len(e.unpersisted) > 0 {
+		first := e.unpersisted[0]
+		if !l.isStored(first.job, first.change) {
+			if !first.job.isRowRefused() || len(e.unpersisted) <= maxHeldCompletions {
+				break
+			}
+			l.log("completion acknowledged before it is stored", "job", first.job.submission.ID, "endpoint", e.row.ID, "number", first.number)
+		}
+		e.ackable = first.number
 		e.unpersisted = e.unpersisted[1:]
 	}
 	return len(e.unpersisted) < before
@@ -318,6 +328,7 @@
 	duplicate := len(j.active[key.task]) > 0
 	l.trackRun(r)
 	j.started = true
+	j.occurrences.begun(key.task.Occurrence)
 	j.recordRun(key)
 	l.log("run adopted", "job", key.task.Job, "step", key.task.Step, "index", key.task.Index, "run", key.run, "endpoint", e.row.ID)
 	switch {
--- a/internal/fleet/startrecord.go
+++ b/internal/fleet/startrecord.go
@@ -15,6 +15,8 @@
 	// job's row holds.
 	maxRecordedTrials = 128
 	maxRecordedStarts = 64
+	// maxRecordedNameBytes bounds the names of endpoints and hosts in these.
+	maxRecordedNameBytes = 8 << 10
 )
 
 // heldTrial is a trial that is sent once its record is stored: a crash under it is known then
@@ -23,7 +25,8 @@
 	job *jobState
 	// starts are those of one task, or of all members of a gang.
 	starts []Start
-	batch  uint64
+	// change is the change of the job's progress that records them.
+	change uint64
 	since  time.Time
 }
 
@@ -32,12 +35,12 @@
 func (l *Leader) holdTrial(r *run, start Start, now time.Time) {
 	r.isHeld, r.awaitsAnswer = true, false
 	l.recordStart(r)
-	batch := l.writeQueue.pendingBatch(r.job)
+	change := l.pendingChange(r.job)
 	if last := len(l.heldTrials) - 1; last >= 0 && l.heldTrials[last].includes(r) {
 		l.heldTrials[last].starts = append(l.heldTrials[last].starts, start)
 		return
 	}
-	l.heldTrials = append(l.heldTrials, heldTrial{job: r.job, starts: []Start{start}, batch: batch, since: now})
+	l.heldTrials = append(l.heldTrials, heldTrial{job: r.job, starts: []Start{start}, change: change, since: now})
 }
 
 // includes reports whether a run belongs to the gang on trial.
@@ -52,7 +55,7 @@
 	if r.onTrial {
 		limit += maxRecordedTrials
 	}
-	if r.job.progress.StartCount() >= limit {
+	if r.job.progress.StartCount() >= limit || r.job.progress.StartNameBytes() >= maxRecordedNameBytes {
 		return
 	}
 	e := r.endpoint
@@ -76,7 +79,7 @@
 		switch {
 		case l.isAnyEvacuated(t):
 			l.withdrawTrial(t, now)
-		case t.batch <= l.writeQueue.written:
+		case l.isStored(t.job, t.change):
 			l.sendTrial(t, orders, now)
 		case now.Sub(t.since) >= maxHold:
 			l.withdrawTrial(t, now)
@@ -123,7 +126,7 @@
 			continue
 		}
 		l.log("trial withdrawn", "job", start.Task.Job, "occurrence", start.Task.Occurrence, "step", start.Task.Step, "index", start.Task.Index,
-			"run", start.Run, "endpoint", start.Endpoint, "stored", t.batch <= l.writeQueue.written, "held", age(t.since, now))
+			"run", start.Run, "endpoint", start.Endpoint, "stored", l.isStored(t.job, t.change), "held", age(t.since, now))
 		l.untrackRun(e.runs[runKey{start.Task, start.Run}])
 		l.requeue(t.job, start.Task, now)
 	}
@@ -179,7 +182,7 @@
 			if !l.isFormerRun(started.Run) || slices.ContainsFunc(j.active[task], func(r *run) bool { return r.key.run == started.Run }) {
 				continue
 			}
-			delete(step.Started, index)
+			j.progress.ForgetStart(task, started.Run)
 			l.markDirty(j)
 			if j.lastRun[task] < started.Run && !j.progress.IsDone(task) && l.mayHaveCrashed(started) {
 				lost = append(lost, formerStart{job: j, task: task, started: started})
--- a/internal/fleet/step.go
+++ b/internal/fleet/step.go
@@ -20,11 +20,12 @@
 		return orders
 	}
 	orders.Lookups = l.dueLookups(now)
+	l.retryRefusedRows(now)
 	l.meanHost = l.hostSize()
 	pools := map[string][]*jobState{}
 	l.visit(len(l.live) + len(l.endpoints))
 	for _, j := range l.live {
-		if j.due < j.submission.Occurrences() {
+		if j.occurrences.next < j.submission.Occurrences() {
 			l.open(j, now, wall)
 		}
 		pool := l.poolOf(j)
@@ -121,7 +122,7 @@
 func (l *Leader) preparePass(pool string, jobs []*jobState, allRunsKnown bool, orders *Orders, now time.Time) *pass {
 	var groups []taskGroup
 	for _, j := range jobs {
-		if j.inherited && !allRunsKnown {
+		if j.inherited && !allRunsKnown || j.isRowRefused() {
 			continue
 		}
 		for _, step := range j.steps {
@@ -167,6 +168,8 @@
 		cause = "no endpoint of the pool accepts work"
 	case l.isBehindFor(g):
 		cause = "the leader is behind with sending starts"
+	case !l.rowHasRoom(g, g.job.taskAt(g.step.key, g.step.pending[0])):
+		cause = "the job's row has no room for more runs"
 	case g.step.tickets == nil && g.step.adviceRequested:
 		cause = "waiting for the advice service"
 	}
@@ -245,20 +248,15 @@
 	var remaining []int
 	var target *candidateEndpoint
 	for i, index := range g.step.pending {
-		if g.job.isSuspect(g.job.taskAt(g.step.key, index)) {
+		task := g.job.taskAt(g.step.key, index)
+		if g.job.isSuspect(task) || !l.rowHasRoom(g, task) {
 			remaining = append(remaining, index)
 			continue
 		}
-		if !l.underCap(g.job.submission.Account, g.step.step.Resources, 1) {
-			remaining = append(remaining, g.step.pending[i:]...)
-			break
-		}
-		if l.isBehindFor(g) {
-			p.isCut = true
+		if !l.mayStartMore(g, p) {
 			remaining = append(remaining, g.step.pending[i:]...)
 			break
 		}
-		task := g.job.taskAt(g.step.key, index)
 		// The endpoint of the task before has become fuller, and so is preferred for alike tasks.
 		if target == nil || len(g.job.avoid) > 0 || !g.allows(target) {
 			target = l.choose(g, task, p.open)
@@ -266,12 +264,7 @@
 		if target == nil {
 			// The same limits apply to the other tasks of the step.
 			remaining = append(remaining, g.step.pending[i:]...)
-			if g.step.step.Persistent {
-				holdHosts(g, len(remaining), p.candidates)
-			}
-			if fitsNowhere(g.step.step.Reserved(), p.open) {
-				p.unplaceable.add(g.step.step.Reserved())
-			}
+			p.noteUnplaced(g, len(remaining))
 			break
 		}
 		l.start(g, task, target, l.nextRun(g.job, task), orders, now)
@@ -280,6 +273,18 @@
 	g.step.pending = remaining
 }
 
+// mayStartMore reports whether the client account and the leader may start another task of a group.
+func (l *Leader) mayStartMore(g taskGroup, p *pass) bool {
+	if !l.underCap(g.job.submission.Account, g.step.step.Resources, 1) {
+		return false
+	}
+	if l.isBehindFor(g) {
+		p.isCut = true
+		return false
+	}
+	return true
+}
+
 // isBehindFor reports whether a group waits since more starts are decided than can be sent soon.
 func (l *Leader) isBehindFor(g taskGroup) bool {
 	return l.starts.left <= 0 && !g.step.step.Persistent
@@ -324,6 +329,7 @@
 		g.job.startedAfter, g.job.startLateness = now.Sub(g.job.submission.Accepted), g.rank.lateness
 	}
 	g.job.started = true
+	g.job.occurrences.begun(task.Occurrence)
 	l.countSize(g)
 	l.noteStart(g.job, g.step.step, now)
 	l.startDecided(r)
--- a/internal/fleet/trial.go
+++ b/internal/fleet/trial.go
@@ -82,7 +82,7 @@
 			task := g.job.taskAt(g.step.key, index)
 			record := g.job.crashRecordOf(task)
 			isFirst := !g.step.step.Gang || index == slices.Min(g.step.pending)
-			if record.isSuspect() && isFirst && record.withdrawn <= l.writeQueue.written {
+			if record.isSuspect() && isFirst && l.isStored(g.job, record.withdrawn) {
 				waiting = append(waiting, trial{group: g, task: task, record: record})
 			}
 		}
--- a/internal/fleet/wave.go
+++ b/internal/fleet/wave.go
@@ -58,12 +58,12 @@
 	}
 }
 
-// WaveProgress returns the progress of waves to be written.
-func (l *Leader) WaveProgress() []WaveProgress {
+// WaveProgress returns the progress of at most limit waves to be written.
+func (l *Leader) WaveProgress(limit int) []WaveProgress {
 	var updates []WaveProgress
 	for _, number := range l.waveNumbers() {
 		wave := l.hosts.waves[number]
-		if !wave.dirty {
+		if !wave.dirty || len(updates) == limit {
 			continue
 		}
 		wave.dirty = false
--- a/internal/fleet/writequeue.go
+++ b/internal/fleet/writequeue.go
@@ -1,115 +1,262 @@
 package fleet
 
 import (
-	"encoding/json"
 	"time"
 
 	"github.com/lovagedyke/lovagedyke/internal/job"
 )
 
-// maxBatchRows is the maximum number of rows in one batch: the store's transactions
-// have at most 100 entries, one of which is the condition on the leader's claim.
-const maxBatchRows = 90
+const (
+	// maxBatchRows is the maximum number of rows in one batch: the store's transactions
+	// have at most 100 entries, one of which is the condition on the leader's claim.
+	maxBatchRows = 90
+	// maxBatchBytes bounds the rows of one batch: a transaction has at most 1 MB, in which
+	// values are base64, and holds rows of waves as well.
+	maxBatchBytes = 400 << 10
+	// DefaultRowBytes is the maximum size of a row if the platform names none.
+	DefaultRowBytes = 64 << 10
+	// refusedRowRetry is the time between two attempts to write a row that the store does not
+	// take.
+	refusedRowRetry = 5 * time.Second
+)
 
 // Batch is a set of rows to be written in one transaction.
 type Batch struct {
-	// Number increases; completions of batches up to the newest written one may be acknowledged.
+	// Number is the newest change in the batch. Changes up to the newest one that is stored
+	// may be acknowledged.
 	Number uint64
 	// Rows holds the encoded progress of changed jobs.
-	Rows   map[job.ID][]byte
-	states map[job.ID]job.State
+	Rows map[job.ID][]byte
+	// changes lists the jobs in the order of their changes.
+	changes []batchedChange
+}
+
+// batchedChange is a job's change in a batch.
+type batchedChange struct {
+	id     job.ID
+	number uint64
+	state  job.State
+}
+
+// add adds a job's row.
+func (b *Batch) add(change batchedChange, row []byte) {
+	b.Number = change.number
+	b.Rows[change.id] = row
+	b.changes = append(b.changes, change)
+}
+
+// Split returns the two halves of a batch, which have to be written in this order.
+func (b Batch) Split() (first, second Batch) {
+	first, second = newBatch(), newBatch()
+	half := len(b.changes) / 2
+	for i, change := range b.changes {
+		if i < half {
+			first.add(change, b.Rows[change.id])
+		} else {
+			second.add(change, b.Rows[change.id])
+		}
+	}
+	return first, second
+}
+
+func newBatch() Batch {
+	return Batch{Rows: map[job.ID][]byte{}}
+}
+
+// OversizedRow is a job's row that is larger than the store takes.
+type OversizedRow struct {
+	Job  job.ID
+	Size int
 }
 
 // writeQueue holds the jobs whose progress has to be written.
 type writeQueue struct {
-	// open is the number of the batch that collects changes, written that of the newest
-	// batch in the store.
-	open, written uint64
-	dirty         []*jobState
-	// batchByJob is the batch that holds the latest change of each job.
-	batchByJob map[job.ID]uint64
+	// newest is the number of the newest change, written that of the newest one that has been
+	// written. Changes of jobs whose rows are refused are passed over.
+	newest, written uint64
+	// dirty holds the jobs with changes, in the order of these. isCut is true if the last batch
+	// left some out for their size.
+	dirty []*jobState
+	isCut bool
+	// changeByJob holds the latest change of each job that is not stored yet.
+	changeByJob map[job.ID]uint64
+	// refused holds the jobs whose rows the store does not take.
+	refused map[job.ID]*jobState
+	// oversized lists those that NextBatch has left out since they were last taken.
+	oversized []OversizedRow
 }
 
 func newWriteQueue() writeQueue {
-	return writeQueue{open: 1, batchByJob: map[job.ID]uint64{}}
+	return writeQueue{changeByJob: map[job.ID]uint64{}, refused: map[job.ID]*jobState{}}
+}
+
+// rowRefusal says that the store does not take a job's row.
+type rowRefusal struct {
+	// from is the job's first change that is not stored, or 0 if the row is not refused.
+	from uint64
+	// retryAt is when the row is tried again, or zero until the next step.
+	retryAt time.Time
+}
+
+// isRowRefused reports whether the store does not take the job's row. Until it does, the job's
+// tasks do not start: their ends could not be acknowledged.
+func (j *jobState) isRowRefused() bool {
+	return j.rowRefusal.from != 0
 }
 
-// pendingBatch returns the unwritten batch that holds the job's latest change, or 0.
-func (q *writeQueue) pendingBatch(j *jobState) uint64 {
-	batch := q.batchByJob[j.submission.ID]
-	if batch <= q.written {
+// isStored reports whether the store holds a change of a job.
+func (l *Leader) isStored(j *jobState, change uint64) bool {
+	if change == 0 {
+		return true
+	}
+	return change <= l.writeQueue.written && (!j.isRowRefused() || change < j.rowRefusal.from)
+}
+
+// pendingChange returns the job's latest change if it is not stored yet, or 0.
+func (l *Leader) pendingChange(j *jobState) uint64 {
+	change := l.writeQueue.changeByJob[j.submission.ID]
+	if l.isStored(j, change) {
 		return 0
 	}
-	return batch
+	return change
 }
 
-// markDirty adds a job to the open batch and returns that batch's number.
+// markDirty queues a job's progress to be written and returns the number of the change.
 func (l *Leader) markDirty(j *jobState) uint64 {
+	q := &l.writeQueue
 	if j.dirty {
-		return l.writeQueue.batchByJob[j.submission.ID]
+		return q.changeByJob[j.submission.ID]
 	}
+	q.newest++
+	q.changeByJob[j.submission.ID] = q.newest
+	// Once a job has ended, its row is small.
+	if !j.isRowRefused() || j.over() {
+		l.queueRow(j)
+	}
+	return q.newest
+}
+
+// queueRow queues a job's row for the next batch.
+func (l *Leader) queueRow(j *jobState) {
 	j.dirty = true
-	// Once the open batch is full, jobs go into a later one.
-	batch := l.writeQueue.open + uint64(len(l.writeQueue.dirty)/maxBatchRows)
 	l.writeQueue.dirty = append(l.writeQueue.dirty, j)
-	l.writeQueue.batchByJob[j.submission.ID] = batch
-	return batch
+}
+
+// SetRowFormat sets the form of the rows of the next batches: the newest one that all processes
+// read.
+func (l *Leader) SetRowFormat(format job.RowFormat) {
+	l.rowFormat = format
 }
 
 // NextBatch returns the changes to write, or false if there are none. The caller must
-// write one batch at a time, and retry it until it is written.
+// write one batch at a time, and retry it until it is written or refused. Rows that are too
+// large are left out.
 func (l *Leader) NextBatch() (Batch, bool) {
-	count := min(maxBatchRows, len(l.writeQueue.dirty))
-	if count == 0 {
-		return Batch{}, false
-	}
-	batch := Batch{Number: l.writeQueue.open, Rows: map[job.ID][]byte{}, states: map[job.ID]job.State{}}
-	for _, j := range l.writeQueue.dirty[:count] {
+	q := &l.writeQueue
+	batch := newBatch()
+	q.isCut = false
+	bytes, taken := 0, 0
+	for _, j := range q.dirty {
+		if len(batch.changes) == maxBatchRows {
+			break
+		}
+		row, size := job.EncodeProgress(j.progress, l.rowFormat, l.config.RowBytes)
+		if size > l.config.RowBytes {
+			q.oversized = append(q.oversized, OversizedRow{Job: j.submission.ID, Size: size})
+			j.dirty = false
+			l.refuseRow(j, q.changeByJob[j.submission.ID])
+			taken++
+			continue
+		}
+		if bytes+size > maxBatchBytes && len(batch.changes) > 0 {
+			q.isCut = true
+			break
+		}
+		bytes += size
+		taken++
 		j.dirty = false
-		batch.Rows[j.submission.ID] = encodeProgress(j.progress)
-		batch.states[j.submission.ID] = j.progress.State
+		j.rowUse.noteWritten(size)
+		batch.add(batchedChange{id: j.submission.ID, number: q.changeByJob[j.submission.ID], state: j.progress.State}, row)
 	}
-	l.writeQueue.dirty = l.writeQueue.dirty[count:]
-	l.writeQueue.open++
-	return batch, true
+	q.dirty = q.dirty[taken:]
+	return batch, len(batch.changes) > 0
+}
+
+// TakeOversizedRows returns the rows that were left out of batches since the last call.
+func (l *Leader) TakeOversizedRows() []OversizedRow {
+	oversized := l.writeQueue.oversized
+	l.writeQueue.oversized = nil
+	return oversized
 }
 
 // HasFullBatch reports whether the next batch is full.
 func (l *Leader) HasFullBatch() bool {
-	return len(l.writeQueue.dirty) >= maxBatchRows
+	return len(l.writeQueue.dirty) >= maxBatchRows || l.writeQueue.isCut
+}
+
+// RefuseBatch records that the store does not take a batch's rows: they are left out until they
+// are tried again.
+func (l *Leader) RefuseBatch(batch Batch) {
+	for _, change := range batch.changes {
+		if j := l.jobs[change.id]; j != nil {
+			l.refuseRow(j, change.number)
+		}
+	}
 }
 
-// encodeProgress returns a job's encoded progress row.
-func encodeProgress(progress *job.Progress) []byte {
-	encoded, err := json.Marshal(progress)
-	if err != nil {
-		// Cannot happen: Progress holds only numbers, strings and byte slices.
-		panic(err)
+// refuseRow records that the store does not take a job's row as of a change.
+func (l *Leader) refuseRow(j *jobState, change uint64) {
+	if !j.isRowRefused() {
+		j.rowRefusal.from = change
 	}
-	return encoded
+	j.rowRefusal.retryAt = time.Time{}
+	l.writeQueue.refused[j.submission.ID] = j
+}
+
+// retryRefusedRows queues the refused rows again that are due.
+func (l *Leader) retryRefusedRows(now time.Time) {
+	for _, j := range l.writeQueue.refused {
+		switch {
+		case j.dirty:
+		case j.rowRefusal.retryAt.IsZero():
+			j.rowRefusal.retryAt = now.Add(refusedRowRetry)
+		case !now.Before(j.rowRefusal.retryAt):
+			l.writeQueue.newest++
+			l.writeQueue.changeByJob[j.submission.ID] = l.writeQueue.newest
+			l.queueRow(j)
+		}
+	}
+}
+
+// RefusedRows returns how many jobs have rows that the store does not take.
+func (l *Leader) RefusedRows() int {
+	return len(l.writeQueue.refused)
 }
 
 // MarkBatchWritten records that the store holds a batch. It returns the endpoints whose
 // completions can be acknowledged now.
 func (l *Leader) MarkBatchWritten(batch Batch, now time.Time) []EndpointID {
-	l.writeQueue.written = max(l.writeQueue.written, batch.Number)
-	for id, state := range batch.states {
-		j := l.jobs[id]
+	q := &l.writeQueue
+	q.written = max(q.written, batch.Number)
+	for _, change := range batch.changes {
+		j := l.jobs[change.id]
 		if j == nil {
 			continue
 		}
-		j.persistedState = state
-		if state.Final() && j.endedAt.IsZero() {
+		j.persistedState = change.state
+		if change.state.Final() && j.endedAt.IsZero() {
 			j.endedAt = now
 		}
-		if l.writeQueue.batchByJob[id] <= l.writeQueue.written {
-			delete(l.writeQueue.batchByJob, id)
+		j.rowRefusal = rowRefusal{}
+		delete(q.refused, change.id)
+		if q.changeByJob[change.id] <= change.number {
+			delete(q.changeByJob, change.id)
 		}
 	}
 	var ackable []EndpointID
 	l.visit(len(l.unpersisted))
 	for id, e := range l.unpersisted {
-		if e.advanceAcks(l.writeQueue.written) {
+		if l.advanceAcks(e) {
 			ackable = append(ackable, id)
 		}
 		if len(e.unpersisted) == 0 {
--- a/internal/ingress/stored.go
+++ b/internal/ingress/stored.go
@@ -19,12 +19,10 @@
 	}
 	state = job.Queued
 	if rows[2].Version != table.Absent {
-		progress := job.NewProgress()
-		if err := progress.UnmarshalJSON(rows[2].Value); err != nil {
+		if state, err = job.DecodeState(rows[2].Value); err != nil {
 			i.config.Journal.Info("progress row cannot be decoded", "request-id", id, "version", rows[2].Version, "error", err.Error())
 			return "", false, err
 		}
-		state = progress.State
 	}
 	if rows[1].Version != table.Absent && !state.Final() {
 		state = job.Cancelled
--- a/internal/ingress/writer.go
+++ b/internal/ingress/writer.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"sync/atomic"
 	"time"
 
@@ -152,8 +153,11 @@
 
 // encode returns a job's row, or false if the store takes none of its size.
 func (w *writer) encode(submission *job.Submission) ([]byte, bool) {
-	value := job.EncodeSubmission(submission, w.config.RowFormat())
-	return value, w.config.RowBytes <= 0 || len(value) <= w.config.RowBytes
+	limit := w.config.RowBytes
+	if limit <= 0 {
+		limit = math.MaxInt
+	}
+	return job.EncodeSubmissionWithin(submission, w.config.RowFormat(), limit)
 }
 
 // replace makes a job's entry replace a refusal. It returns false if the job's row is too
@@ -242,6 +246,12 @@
 				entries = w.refuse(entries)
 			}
 			w.sleep(ctx)
+		case errors.Is(err, table.ErrRefused) && len(batch) > 1:
+			// Written apart, one job's row holds up no other.
+			half := len(batch) / 2
+			w.writeAll(ctx, batch[:half])
+			w.writeAll(ctx, batch[half:])
+			entries = rest
 		default:
 			w.config.Journal.Info("store refused the jobs' rows", "jobs", len(batch), "error", err.Error())
 			kept := w.refuse(batch)
--- a/internal/ingress/writer_test.go
+++ b/internal/ingress/writer_test.go
@@ -2,6 +2,9 @@
 
 import (
 	"context"
+	"fmt"
+	"math/rand/v2"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -135,3 +138,85 @@
 		})
 	}
 }
+
+// pickyStore refuses transactions that write one key.
+type pickyStore struct {
+	*table.Memory
+	refused string
+}
+
+func (s *pickyStore) Commit(ctx context.Context, txn table.Txn) error {
+	for _, write := range txn.Writes {
+		if write.Key == s.refused {
+			return errors.Mark(errors.New("the key is not valid"), table.ErrRefused)
+		}
+	}
+	return s.Memory.Commit(ctx, txn)
+}
+
+// Guards against a job that is refused since the store refuses another one's row in the same
+// transaction.
+func TestRefusedRowRefusesNoOtherJob(t *testing.T) {
+	ids := []job.ID{"0000000000000001"}
+	for n := 2; len(ids) < 5; n++ {
+		if id := job.ID(fmt.Sprintf("%016x", n)); record.ShardOf(id) == record.ShardOf(ids[0]) {
+			ids = append(ids, id)
+		}
+	}
+	store := &pickyStore{Memory: table.NewMemory(), refused: record.JobKey(ids[2])}
+	w := newWriter(writerConfig{
+		Store: store, Journal: discardJournal{}, RowFormat: func() job.RowFormat { return job.NewestRowFormat },
+		NotifyAccepted: func(context.Context, [][]byte) {},
+	})
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	outcomes := make([]outcome, len(ids))
+	var attempts []func()
+	for n, id := range ids {
+		attempts = append(attempts, func() {
+			outcomes[n] = w.accept(ctx, &job.Submission{ID: id, Steps: []job.Step{{Count: 1}}}, 0)
+		})
+	}
+	runInOneBatch(ctx, w, w.shards[record.ShardOf(ids[0])], attempts)
+	for n, got := range outcomes {
+		want := outcomeStored
+		if n == 2 {
+			want = outcomeRefused
+		}
+		if got != want {
+			t.Errorf("outcome of job %d: got %d, want %d", n, got, want)
+		}
+	}
+}
+
+// Guards against a job that is accepted, since it is small once compressed, and that no process
+// decodes.
+func TestJobsThatCannotBeStored(t *testing.T) {
+	step := func(image string) []job.Step { return []job.Step{{Count: 1, Image: image}} }
+	random := rand.New(rand.NewPCG(1, 0))
+	noise := make([]byte, 200<<10)
+	for i := range noise {
+		noise[i] = 'a' + byte(random.IntN(26))
+	}
+	tests := map[string]struct {
+		steps []job.Step
+		want  bool
+	}{
+		"small":                              {step("image"), true},
+		"large, small once compressed":       {step(strings.Repeat("image", 40<<10)), true},
+		"large, not decoded once compressed": {step(strings.Repeat("image", 400<<10)), false},
+		"larger than a row":                  {step(string(noise)), false},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			w := newWriter(writerConfig{RowBytes: 65536, RowFormat: func() job.RowFormat { return job.NewestRowFormat }})
+			row, got := w.encode(&job.Submission{ID: "5c0e7a21d94b36f8", Steps: test.steps})
+			if got != test.want {
+				t.Errorf("stored: got %t, want %t", got, test.want)
+			}
+			if _, err := job.DecodeSubmission(row); got && err != nil {
+				t.Errorf("row that is stored: got %v, want it decoded", err)
+			}
+		})
+	}
+}
--- a/internal/job/job.go
+++ b/internal/job/job.go
@@ -13,6 +13,7 @@
 
 import (
 	"fmt"
+	"math"
 	"time"
 
 	"github.com/lovagedyke/lovagedyke/internal/policy"
@@ -142,6 +143,9 @@
 	if s.Times == 0 {
 		return time.Time{}
 	}
+	if s.Interval > 0 && occurrence > int(math.MaxInt64/s.Interval) {
+		return s.Start.Add(math.MaxInt64)
+	}
 	return s.Start.Add(time.Duration(occurrence) * s.Interval)
 }
 
--- a/internal/job/row.go
+++ b/internal/job/row.go
@@ -9,45 +9,6 @@
 	"github.com/lovagedyke/lovagedyke/internal/deflate"
 )
 
-// progressRow is the JSON form of Progress.
-type progressRow struct {
-	State State     `json:"state"`
-	Steps []stepRow `json:"steps,omitempty"`
-}
-
-// stepRow is the JSON form of one step's progress.
-type stepRow struct {
-	Occurrence int `json:"occurrence"`
-	Step       int `json:"step"`
-	StepProgress
-}
-
-// MarshalJSON implements json.Marshaler.
-func (p *Progress) MarshalJSON() ([]byte, error) {
-	row := progressRow{State: p.State}
-	for key, step := range p.Steps {
-		row.Steps = append(row.Steps, stepRow{Occurrence: key.Occurrence, Step: key.Step, StepProgress: *step})
-	}
-	return json.Marshal(row)
-}
-
-// UnmarshalJSON implements json.Unmarshaler.
-func (p *Progress) UnmarshalJSON(data []byte) error {
-	var row progressRow
-	if err := json.Unmarshal(data, &row); err != nil {
-		return errors.Wrap(err, "decode progress")
-	}
-	p.State = row.State
-	p.Steps = map[StepKey]*StepProgress{}
-	for _, step := range row.Steps {
-		if step.Occurrence < 0 || step.Step < 0 {
-			return errors.Newf("cannot decode progress: invalid step %d of occurrence %d", step.Step, step.Occurrence)
-		}
-		p.Steps[StepKey{step.Occurrence, step.Step}] = &step.StepProgress
-	}
-	return nil
-}
-
 // RowFormat numbers the forms of a job's row.
 type RowFormat int
 
@@ -62,8 +23,11 @@
 	// RowRefusal says that a process knows rows of refusals. An earlier version takes one for
 	// the job's row, and answers a repeated request with 200. Rows of jobs are RowDeflated.
 	RowRefusal RowFormat = 3
+	// RowCompactProgress says that a process knows compact rows of progress. Rows of jobs
+	// are RowDeflated.
+	RowCompactProgress RowFormat = 4
 	// NewestRowFormat is the newest form that this version reads.
-	NewestRowFormat = RowRefusal
+	NewestRowFormat = RowCompactProgress
 )
 
 // deflatedMark is the first byte of RowDeflated rows.
@@ -81,19 +45,31 @@
 
 // EncodeSubmission returns a job's row.
 func EncodeSubmission(submission *Submission, format RowFormat) []byte {
+	row, _ := encodeSubmission(submission, format)
+	return row
+}
+
+// EncodeSubmissionWithin is like EncodeSubmission. It returns false if the row has more than
+// maxBytes, or is one that no process decodes.
+func EncodeSubmissionWithin(submission *Submission, format RowFormat, maxBytes int) ([]byte, bool) {
+	row, plainBytes := encodeSubmission(submission, format)
+	return row, len(row) <= maxBytes && plainBytes <= maxSubmissionBytes
+}
+
+// encodeSubmission returns a job's row, and its size before compression.
+func encodeSubmission(submission *Submission, format RowFormat) (row []byte, plainBytes int) {
 	encoded, err := json.Marshal(submission)
 	if err != nil {
 		// Cannot happen: a submission holds only plain fields.
 		panic(err)
 	}
 	if format < RowDeflated {
-		return encoded
+		return encoded, len(encoded)
 	}
-	return rowCodec.Append([]byte{deflatedMark}, encoded)
+	return rowCodec.Append([]byte{deflatedMark}, encoded), len(encoded)
 }
 
-// maxSubmissionBytes bounds what a row may decompress to: the platform's rows have at
-// most 64 KiB, and a submission that is accepted fits into one without compression.
+// maxSubmissionBytes bounds what a row may decompress to.
 const maxSubmissionBytes = 1 << 20
 
 // inflate returns a row's JSON.
--- a/internal/journal/journal.go
+++ b/internal/journal/journal.go
@@ -138,6 +138,11 @@
 	j.logLine(log.WarnLevel, event, fields)
 }
 
+// Error logs an event at level error, for conditions that an operator has to mend.
+func (j *Journal) Error(event string, fields ...any) {
+	j.logLine(log.ErrorLevel, event, fields)
+}
+
 func (j *Journal) logLine(level log.Level, event string, fields []any) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
--- a/internal/member/interval_test.go
+++ b/internal/member/interval_test.go
@@ -41,12 +41,13 @@
 		members []record.Member
 		want    int
 	}{
-		"no other is known yet":    {want: 1},
-		"all read the newest":      {members: []record.Member{{Name: "a", RowFormat: 3}, {Name: "b", RowFormat: 3}}, want: 3},
-		"all read compressed rows": {members: []record.Member{{Name: "a", RowFormat: 2}, {Name: "b", RowFormat: 2}}, want: 2},
-		"one knows no refusals":    {members: []record.Member{{Name: "a", RowFormat: 3}, {Name: "b", RowFormat: 2}}, want: 2},
-		"one is older":             {members: []record.Member{{Name: "a", RowFormat: 3}, {Name: "b"}}, want: 1},
-		"one is newer":             {members: []record.Member{{Name: "a", RowFormat: 7}}, want: 3},
+		"no other is known yet":     {want: 1},
+		"all read the newest":       {members: []record.Member{{Name: "a", RowFormat: 4}, {Name: "b", RowFormat: 4}}, want: 4},
+		"one reads no compact rows": {members: []record.Member{{Name: "a", RowFormat: 4}, {Name: "b", RowFormat: 3}}, want: 3},
+		"all read compressed rows":  {members: []record.Member{{Name: "a", RowFormat: 2}, {Name: "b", RowFormat: 2}}, want: 2},
+		"one knows no refusals":     {members: []record.Member{{Name: "a", RowFormat: 3}, {Name: "b", RowFormat: 2}}, want: 2},
+		"one is older":              {members: []record.Member{{Name: "a", RowFormat: 4}, {Name: "b"}}, want: 1},
+		"one is newer":              {members: []record.Member{{Name: "a", RowFormat: 7}}, want: 4},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
--- a/internal/member/store.go
+++ b/internal/member/store.go
@@ -144,6 +144,8 @@
 			}
 		}
 		return conflict
+	case memberpb.Outcome_OUTCOME_REFUSED:
+		return errors.Mark(errors.New("the store has refused the commit through a peer"), table.ErrRefused)
 	default:
 		return errors.Mark(errors.New("the peer's commit has an unknown outcome"), table.ErrUnknown)
 	}
@@ -160,6 +162,8 @@
 		}
 	case errors.Is(err, table.ErrUnknown):
 		return &memberpb.CommitReply{Outcome: memberpb.Outcome_OUTCOME_UNKNOWN}
+	case errors.Is(err, table.ErrRefused):
+		return &memberpb.CommitReply{Outcome: memberpb.Outcome_OUTCOME_REFUSED}
 	default:
 		return &memberpb.CommitReply{Outcome: memberpb.Outcome_OUTCOME_UNAVAILABLE}
 	}
--- a/internal/process/node.go
+++ b/internal/process/node.go
@@ -171,6 +171,7 @@
 		Lost:          n.member.Lost, MajorityConfirmedAt: n.member.MajorityConfirmedAt, ObserveStore: n.observeStore,
 		StoreReachableSince: n.member.StoreReachableSince,
 		Evacuations:         n.evacuations, EvacuationRows: platform.EvacuationRows{OnDecodeError: logDecodeError},
+		RowBytes: settings.RowBytes, RowFormat: n.member.RowFormat,
 	})
 	n.ingress = ingress.New(ingress.Config{
 		Policy: n.holder, Store: n.member.Store(), Fleet: member.NewFleetClient(n.member, n.control),
--- a/internal/record/record.go
+++ b/internal/record/record.go
@@ -15,6 +15,7 @@
 package record
 
 import (
+	"compress/flate"
 	"encoding/json"
 	"hash/fnv"
 	"net/netip"
@@ -24,6 +25,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/lovagedyke/lovagedyke/internal/deflate"
 	"github.com/lovagedyke/lovagedyke/internal/job"
 )
 
@@ -163,6 +165,38 @@
 	Complete bool     `json:"complete,omitempty"`
 }
 
+// maxPlainWaveBytes is the size up to which waves are written as plain JSON.
+const maxPlainWaveBytes = 16 << 10
+
+// maxWaveBytes bounds what a wave's row may decompress to.
+const maxWaveBytes = 8 << 20
+
+// waveMark is the first byte of compressed rows of waves, which no JSON starts with.
+const waveMark = 0x02
+
+var waveCodec = deflate.New(deflate.Config{Level: flate.DefaultCompression})
+
+// EncodeWave encodes a wave's row. Those of large waves are compressed if all processes read that.
+func EncodeWave(wave Wave, format job.RowFormat) []byte {
+	plain := Encode(wave)
+	if format < job.RowCompactProgress || len(plain) <= maxPlainWaveBytes {
+		return plain
+	}
+	return waveCodec.Append([]byte{waveMark}, plain)
+}
+
+// DecodeWave decodes a wave's row, in any form.
+func DecodeWave(value []byte) (Wave, error) {
+	if len(value) > 0 && value[0] == waveMark {
+		plain, err := waveCodec.Inflate(value[1:], maxWaveBytes)
+		if err != nil {
+			return Wave{}, errors.Wrap(err, "wave row")
+		}
+		value = plain
+	}
+	return Decode[Wave](value)
+}
+
 // Decode decodes a row's value.
 func Decode[T any](value []byte) (T, error) {
 	var out T
--- a/internal/soak/checks.go
+++ b/internal/soak/checks.go
@@ -59,6 +59,9 @@
 	for _, start := range report.LateInEvacuation {
 		s.addViolation("started in an evacuated data centre: %s", start)
 	}
+	for _, problem := range report.RefusedTransactions {
+		s.addViolation("the store has refused a transaction: %s", problem)
+	}
 	s.report.ExcusedInEvacuation = report.ExcusedInEvacuation
 	s.report.Deadly, s.report.Accepted, s.report.Refused, s.report.Runs = len(s.deadly), len(s.accepted), len(s.refused), report.Runs
 }
--- a/internal/table/table.go
+++ b/internal/table/table.go
@@ -38,6 +38,10 @@
 // ErrUnknown means that the answer was lost: the writes may have taken effect.
 var ErrUnknown = errors.New("table answer was lost")
 
+// ErrRefused means that the store does not take the transaction, however often it is tried: a
+// row or the transaction is too large, or a key is not valid. Nothing was written.
+var ErrRefused = errors.New("table does not take the transaction")
+
 // Row is a row as read. A row that does not exist has version Absent and no value.
 type Row struct {
 	Key     string `json:"key"`
@@ -67,8 +71,8 @@
 
 // Store is the table service. Get returns one row for each key, in the order of the
 // keys; Scan returns the rows whose keys start with prefix, in key order. Both read
-// a consistent snapshot. Errors: ErrUnavailable, ErrUnknown (Commit only),
-// *ConflictError (Commit only).
+// a consistent snapshot. Errors: ErrUnavailable, ErrUnknown (Commit only), ErrRefused (Commit
+// only), *ConflictError (Commit only).
 type Store interface {
 	Get(ctx context.Context, keys ...string) ([]Row, error)
 	Scan(ctx context.Context, prefix string) ([]Row, error)
