fleet: runs on endpoints that a new leader has not reached count against caps

Cause: a leader counted what an account has in use by the runs that it knows. After a takeover it waited for all runs only with the jobs that it had taken over, and for those that came within 2.5 s. Other jobs of the account started beside runs on an endpoint that was out of reach and still held its lease.

Change: until no endpoint can have an unknown run, what the unreached ones may run counts as in use. It is bounded by their capacity and by the tasks that a former leader may have started; best-effort tasks, copies, cancelled jobs and jobs that the new leader learns of late count as well. Only accounts that this may bring to their cap wait. A row of an ended job holds the time of its end, so that jobs which ended long before do not count. A job accepted before the former leader's time was over counts as inherited also if it arrives later. Ruled out: a wait for all leases with every start, which accounts without a cap do not need.

TestLimitsHoldAcrossTakeovers checks capacity and MaxPerEndpoint as well.

--- a/internal/control/feeds.go
+++ b/internal/control/feeds.go
@@ -9,6 +9,7 @@
 
 	"github.com/lovagedyke/lovagedyke/internal/fleet"
 	"github.com/lovagedyke/lovagedyke/internal/loops"
+	"github.com/lovagedyke/lovagedyke/internal/record"
 	"github.com/lovagedyke/lovagedyke/internal/table"
 )
 
@@ -26,6 +27,10 @@
 	rowFeedInterval = 700 * time.Millisecond
 	// feedTimeout is the long-poll timeout: how long the store may wait for a change.
 	feedTimeout = 2 * time.Second
+	// firstFeedTimeout replaces it for firstFeedTime after a takeover: what a former leader may
+	// have started is known once a call has come back that was made later.
+	firstFeedTimeout = 300 * time.Millisecond
+	firstFeedTime    = 3 * time.Second
 	// feedRetryDelay is the pause after a failed call of a feed.
 	feedRetryDelay = 200 * time.Millisecond
 )
@@ -115,11 +120,17 @@
 // if the version is 0, and calls apply for each change.
 func (t *term) rowFeed(ctx context.Context, tableName string, version uint64, apply func(table.Change)) {
 	known := version != 0
+	startedAt := time.Now()
 	for ctx.Err() == nil {
 		var changes []table.Change
 		var err error
+		sentAt := time.Now()
 		if known {
-			changes, version, err = t.config.Feed.Follow(ctx, tableName, version, feedTimeout)
+			timeout := feedTimeout
+			if sentAt.Sub(startedAt) < firstFeedTime {
+				timeout = firstFeedTimeout
+			}
+			changes, version, err = t.config.Feed.Follow(ctx, tableName, version, timeout)
 		} else {
 			changes, version, err = t.scanAll(ctx, tableName)
 		}
@@ -129,8 +140,11 @@
 		}
 		known = err == nil || known && !errors.Is(err, table.ErrHistoryLost)
 		pause := rowFeedInterval
-		if err != nil {
+		switch {
+		case err != nil:
 			pause = feedRetryDelay
+		case tableName == record.JobTable:
+			t.locked(partJobs, func() { t.leader.ConfirmJobs(sentAt) })
 		}
 		if !loops.Sleep(ctx, pause) {
 			return
--- a/internal/fleet/accounting.go
+++ b/internal/fleet/accounting.go
@@ -31,6 +31,9 @@
 	remaining := slices.DeleteFunc(r.job.active[task], func(other *run) bool { return other == r })
 	if len(remaining) == 0 {
 		r.job.activeTasks[task.StepKey()]--
+		if r.job.activeTasks[task.StepKey()] == 0 {
+			delete(r.job.activeTasks, task.StepKey())
+		}
 		delete(r.job.active, task)
 	} else {
 		r.job.active[task] = remaining
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -123,7 +123,11 @@
 	// shareBuckets holds each client account's token bucket of submissions within its share.
 	shareBuckets map[string]*tokenBucket
 	// inUse is what each client account uses across all pools.
-	inUse map[string]policy.Resources
+	inUse      map[string]policy.Resources
+	unknownUse unknownUse
+	// jobsAsOf is when the jobs were last known to be current, steppedAt and steppedWall the times
+	// of the last step.
+	jobsAsOf, steppedAt, steppedWall time.Time
 	// confirmedAt is when the store, or a majority of the other processes, last
 	// confirmed that no other process leads.
 	confirmedAt time.Time
--- a/internal/fleet/jobstate.go
+++ b/internal/fleet/jobstate.go
@@ -17,6 +17,9 @@
 	cancelled      bool
 	// inherited jobs were accepted before the leader took over.
 	inherited bool
+	// inheritedEnd is when an inherited job had ended, by the former leader's wall clock, or zero
+	// if it had not, or if that is not known.
+	inheritedEnd time.Time
 	// beyondShare jobs exceeded their client account's share at submission: they rank
 	// behind all others of their priority.
 	beyondShare bool
@@ -154,8 +157,9 @@
 		l.live[stored.Submission.ID] = j
 	}
 	if j.progress.State.Final() {
-		j.endedAt = now
+		j.endedAt, j.inheritedEnd = now, j.progress.Ended
 	}
+	l.unknownUse.tasks = nil
 	if stored.Cancelled && !j.progress.State.Final() {
 		l.cancel(j, now)
 	}
@@ -174,8 +178,14 @@
 		return
 	}
 	j := newJobState(submission)
-	// The former leader may not know yet that it is superseded, and may start it as well.
-	j.inherited = now.Sub(l.config.Now) < formerLeaderGrace && l.config.Token > 1 && !l.allRunsKnown(now)
+	// The former leader may not know yet that it is superseded, and may start it as well. The job
+	// may have been accepted then and be late.
+	formerUntil := l.config.Now.Add(formerLeaderGrace)
+	mayBeStarted := now.Before(formerUntil) || submission.Accepted.Before(formerUntil.Round(0))
+	j.inherited = mayBeStarted && l.config.Token > 1 && !l.allRunsKnown(now)
+	if j.inherited {
+		l.unknownUse.tasks = nil
+	}
 	l.jobs[submission.ID] = j
 	l.live[submission.ID] = j
 	delete(l.lookups, submission.ID)
@@ -221,6 +231,7 @@
 // endJob stops the remaining runs of a job whose state is final.
 func (l *Leader) endJob(j *jobState, reason string, now time.Time) {
 	delete(l.live, j.submission.ID)
+	j.progress.Ended = now.Round(0)
 	j.steps = map[job.StepKey]*stepState{}
 	l.markDirty(j)
 	for _, runs := range j.active {
--- a/internal/fleet/step.go
+++ b/internal/fleet/step.go
@@ -19,6 +19,7 @@
 	if !l.loaded {
 		return orders
 	}
+	l.steppedAt, l.steppedWall = now, wall
 	orders.Lookups = l.dueLookups(now)
 	l.retryRefusedRows(now)
 	l.meanHost = l.hostSize()
@@ -33,6 +34,7 @@
 	}
 	if l.confirmed(now) {
 		allRunsKnown := l.allRunsKnown(now)
+		l.refreshUnknownUse(allRunsKnown, now)
 		if allRunsKnown {
 			l.settleFormerStarts(now)
 		}
@@ -160,6 +162,9 @@
 	switch {
 	case !l.underCap(g.job.submission.Account, g.step.step.Resources, 1):
 		cause = "the client account is at its cap"
+		if l.unknownUseOf(g.job.submission.Account) != (policy.Resources{}) {
+			cause = "endpoints that are not reached may use up the client account's cap"
+		}
 	case l.isEvacuationWait(g):
 		cause = "the endpoints that could run it are being evacuated"
 	case !l.knowsCapacity(l.poolOf(g.job), now):
@@ -175,7 +180,8 @@
 	}
 	l.log("tasks wait", "job", g.job.submission.ID, "step", g.step.key.Step, "tasks", len(g.step.pending), "cause", cause,
 		"pool", l.poolOf(g.job), "endpoints", len(candidates), "account", g.job.submission.Account,
-		"account-cpu", l.inUse[g.job.submission.Account].CPU, "hope", int(g.rank.lateness),
+		"account-cpu", l.inUse[g.job.submission.Account].CPU,
+		"account-cpu-unknown", l.unknownUseOf(g.job.submission.Account).CPU, "hope", int(g.rank.lateness),
 		"waited", now.Sub(g.step.openedAt).Round(time.Millisecond).String())
 }
 
@@ -301,10 +307,14 @@
 	return max(base, j.lastRun[task]) + 1
 }
 
-// underCap reports whether count more tasks stay within a client account's cap.
+// underCap reports whether count more tasks stay within a client account's cap, whatever endpoints
+// that have not been reached may run.
 func (l *Leader) underCap(account string, perTask policy.Resources, count int64) bool {
 	limit := l.policy.Accounts[account].Cap
-	usage := l.inUse[account]
+	if limit == (policy.Resources{}) {
+		return true
+	}
+	usage := l.inUse[account].Plus(l.unknownUseOf(account))
 	usage.CPU += perTask.CPU * count
 	usage.Memory += perTask.Memory * count
 	usage.GPU += perTask.GPU * count
--- a/internal/fleet/storeworld_test.go
+++ b/internal/fleet/storeworld_test.go
@@ -25,30 +25,42 @@
 	entryOverheadBytes = 150
 	storeWriteDelay    = 30 * time.Millisecond
 	storeWorldTick     = 10 * time.Millisecond
+	// formerLeaderTime is how long a former leader acts on.
+	formerLeaderTime = 1400 * time.Millisecond
 )
 
 // storeWorld is a fleet in virtual time whose store refuses what the platform's page refuses.
 type storeWorld struct {
-	t         *testing.T
-	config    storeWorldConfig
-	leader    *fleet.Leader
-	token     uint64
-	now       time.Time
-	started   time.Time
-	endpoints map[fleet.EndpointID]*storeWorldEndpoint
-	jobs      map[job.ID]*fleet.StoredJob
-	writtenAt time.Time
+	t      *testing.T
+	config storeWorldConfig
+	leader *fleet.Leader
+	token  uint64
+	// former is the former leader until it learns that it is superseded, or nil.
+	former      *fleet.Leader
+	formerUntil time.Time
+	now         time.Time
+	started     time.Time
+	endpoints   map[fleet.EndpointID]*storeWorldEndpoint
+	jobs        map[job.ID]*fleet.StoredJob
+	writtenAt   time.Time
 	// starts and done count the starts and the successful ends of each task.
 	starts, done map[job.Task]int
 	// largestRow and largestTxn are the sizes of what was written, refusals what was refused.
 	largestRow, largestTxn int
 	refusals               []string
+	// violations are starts beyond a limit. mostInUse is the most that each account had running.
+	violations []string
+	mostInUse  map[string]int64
+	// unheard are the jobs that the leader learns of by the feed alone.
+	unheard map[job.ID]bool
 }
 
 type storeWorldConfig struct {
 	endpoints int
 	capacity  policy.Resources
 	duration  time.Duration
+	// durationOf returns how long a task works; nil means duration.
+	durationOf func(task job.Task) time.Duration
 	// failures returns how many runs of a task fail before one succeeds.
 	failures    func(task job.Task) int
 	maxAttempts int
@@ -61,6 +73,7 @@
 	count   int64
 	// isCut is true while the leader does not reach the endpoint.
 	isCut bool
+	token uint64
 	// leaseUntil is on the world's clock.
 	leaseUntil time.Time
 }
@@ -68,6 +81,8 @@
 type storeWorldRun struct {
 	run    int64
 	endsAt time.Time
+	// stopped is true once the run is to end as stopped.
+	stopped bool
 }
 
 func newStoreWorld(t *testing.T, config storeWorldConfig) *storeWorld {
@@ -88,6 +103,7 @@
 	}
 	w := &storeWorld{
 		t: t, config: config, now: now, started: now, endpoints: map[fleet.EndpointID]*storeWorldEndpoint{},
+		mostInUse: map[string]int64{}, unheard: map[job.ID]bool{},
 		jobs: map[job.ID]*fleet.StoredJob{}, starts: map[job.Task]int{}, done: map[job.Task]int{},
 	}
 	for n := range config.endpoints {
@@ -105,13 +121,16 @@
 // replaceLeader lets a new leader take over with what the store holds.
 func (w *storeWorld) replaceLeader() {
 	w.token++
+	w.former, w.formerUntil = w.leader, w.now.Add(formerLeaderTime)
 	w.leader = fleet.New(fleet.Config{Token: w.token, Now: w.now, Bounds: fleet.Bounds{
 		MaxLease: 10 * time.Second, StatusRetention: 120 * time.Second, Stop: 200 * time.Millisecond, HostChangeExclusion: 3 * time.Second,
 	}})
 	w.leader.SetPolicy(policy.New(w.config.policy))
 	var stored []fleet.StoredJob
-	for _, entry := range w.jobs {
-		stored = append(stored, *entry)
+	for id, entry := range w.jobs {
+		if !w.unheard[id] {
+			stored = append(stored, *entry)
+		}
 	}
 	w.leader.Load(stored, w.now, w.now)
 	var hosts []fleet.Host
@@ -128,7 +147,7 @@
 
 // submit stores a job and hands it to the leader.
 func (w *storeWorld) submit(submission *job.Submission) {
-	submission.Accepted = w.now
+	submission.Accepted = w.now.Round(0)
 	w.jobs[submission.ID] = &fleet.StoredJob{Submission: submission}
 	w.leader.AddJob(submission, w.now, w.now)
 }
@@ -149,14 +168,57 @@
 func (w *storeWorld) tick() {
 	w.now = w.now.Add(storeWorldTick)
 	w.leader.ConfirmLeadership(w.now)
+	w.leader.ConfirmJobs(w.now)
 	for _, id := range w.ids() {
 		w.endpoints[id].endRuns(w, w.now)
-		w.renew(id)
+		w.renew(id, w.leader, w.token)
 	}
 	w.write()
-	for _, start := range w.leader.Step(w.now, w.now).Starts {
-		w.accept(start)
+	w.carryOut(w.leader, w.token)
+	if w.former != nil && w.now.Before(w.formerUntil) {
+		w.carryOut(w.former, w.token-1)
+		for _, id := range w.ids() {
+			w.renew(id, w.former, w.token-1)
+		}
+	}
+}
+
+// carryOut lets a leader decide, and the endpoints carry out its orders.
+func (w *storeWorld) carryOut(leader *fleet.Leader, token uint64) {
+	orders := leader.Step(w.now, w.now)
+	for _, start := range orders.Starts {
+		w.accept(start, leader, token)
+	}
+	for _, stop := range orders.Stops {
+		w.stop(stop, leader, token)
+	}
+	for _, id := range orders.Lookups {
+		stored := w.jobs[id]
+		leader.HandleLookup(id, stored, w.now, w.now)
+	}
+}
+
+// isReachable reports whether an endpoint takes orders with a token, which it remembers.
+func (e *storeWorldEndpoint) isReachable(token uint64) bool {
+	if e.isCut || token < e.token {
+		return false
 	}
+	e.token = token
+	return true
+}
+
+// stop lets an endpoint stop a run.
+func (w *storeWorld) stop(stop fleet.Stop, leader *fleet.Leader, token uint64) {
+	e := w.endpoints[stop.Endpoint]
+	if !e.isReachable(token) {
+		leader.HandleStopReply(stop, fleet.Reply{Outcome: fleet.OrderUnknown, SentAt: w.now}, w.now)
+		return
+	}
+	if current, ok := e.running[stop.Task]; ok && current.run == stop.Run {
+		current.stopped = true
+		e.running[stop.Task] = current
+	}
+	leader.HandleStopReply(stop, fleet.Reply{Outcome: fleet.OrderAccepted, SentAt: w.now}, w.now)
 }
 
 // endRuns ends the runs that are due or whose lease has expired.
@@ -166,6 +228,8 @@
 		switch {
 		case now.After(e.leaseUntil):
 			kind = fleet.CompletionLeaseExpired
+		case current.stopped:
+			kind = fleet.CompletionStopped
 		case now.Before(current.endsAt) || w.jobs[task.Job].Submission.Steps[task.Step].Persistent:
 			continue
 		case w.starts[task] <= w.config.failures(task):
@@ -180,14 +244,14 @@
 }
 
 // renew delivers an endpoint's report if a lease renewal is due.
-func (w *storeWorld) renew(id fleet.EndpointID) {
+func (w *storeWorld) renew(id fleet.EndpointID, leader *fleet.Leader, token uint64) {
 	e := w.endpoints[id]
-	renewal, isDue := w.leader.NextRenewal(id, w.now)
+	renewal, isDue := leader.NextRenewal(id, w.now)
 	if !isDue {
 		return
 	}
-	if e.isCut {
-		w.leader.RenewalFailed(id, fleet.Reply{Outcome: fleet.OrderUnknown, SentAt: w.now}, w.now)
+	if !e.isReachable(token) {
+		leader.RenewalFailed(id, fleet.Reply{Outcome: fleet.OrderUnknown, SentAt: w.now}, w.now)
 		return
 	}
 	for len(e.ended) > 0 && e.ended[0].Number <= renewal.AckedUpTo {
@@ -200,7 +264,7 @@
 	for task, current := range e.running {
 		report.Running = append(report.Running, fleet.RunningTask{Task: task, Run: current.run, SpeedPercent: 100})
 	}
-	w.leader.HandleReport(id, renewal, w.now, report, w.now)
+	leader.HandleReport(id, renewal, w.now, report, w.now)
 }
 
 // extend extends an endpoint's lease.
@@ -211,16 +275,74 @@
 }
 
 // accept lets an endpoint carry out a start.
-func (w *storeWorld) accept(start fleet.Start) {
+func (w *storeWorld) accept(start fleet.Start, leader *fleet.Leader, token uint64) {
 	e := w.endpoints[start.Endpoint]
-	if e.isCut {
-		w.leader.HandleStartReply(start, fleet.Reply{Outcome: fleet.OrderNotSent, SentAt: w.now}, w.now)
+	if !e.isReachable(token) {
+		leader.HandleStartReply(start, fleet.Reply{Outcome: fleet.OrderNotSent, SentAt: w.now}, w.now)
 		return
 	}
 	w.starts[start.Task]++
 	e.extend(w, start.Lease)
-	e.running[start.Task] = storeWorldRun{run: start.Run, endsAt: w.now.Add(w.config.duration)}
-	w.leader.HandleStartReply(start, fleet.Reply{Outcome: fleet.OrderAccepted, SentAt: w.now}, w.now)
+	duration := w.config.duration
+	if w.config.durationOf != nil {
+		duration = w.config.durationOf(start.Task)
+	}
+	e.running[start.Task] = storeWorldRun{run: start.Run, endsAt: w.now.Add(duration)}
+	w.checkLimits(start)
+	leader.HandleStartReply(start, fleet.Reply{Outcome: fleet.OrderAccepted, SentAt: w.now}, w.now)
+}
+
+// checkLimits checks what all endpoints run, reached or not, after a start: accounts within their
+// caps, endpoints within their capacity, and each task run once.
+func (w *storeWorld) checkLimits(start fleet.Start) {
+	account := w.jobs[start.Task.Job].Submission.Account
+	var inUse int64
+	for id, e := range w.endpoints {
+		var reserved policy.Resources
+		beside := 0
+		for task := range e.running {
+			submission := w.jobs[task.Job].Submission
+			step := submission.Steps[task.Step]
+			reserved = reserved.Plus(step.Reserved())
+			if submission.Account == account {
+				inUse += step.Resources.CPU
+			}
+			if task.StepKey() == start.Task.StepKey() && task.Job == start.Task.Job {
+				beside++
+			}
+			if task == start.Task && id != start.Endpoint {
+				w.violate("task %v runs on %s and is started on %s", task, id, start.Endpoint)
+			}
+		}
+		step := w.jobs[start.Task.Job].Submission.Steps[start.Task.Step]
+		if id != start.Endpoint {
+			continue
+		}
+		if !reserved.FitsIn(w.config.capacity) {
+			w.violate("start of %v on %s brings it to %v", start.Task, id, reserved)
+		}
+		if step.MaxPerEndpoint > 0 && beside > step.MaxPerEndpoint {
+			w.violate("start of %v on %s is beside %d others of its step", start.Task, id, beside-1)
+		}
+	}
+	w.mostInUse[account] = max(w.mostInUse[account], inUse)
+	if limit := w.capOf(account); limit > 0 && inUse > limit {
+		w.violate("start of %v on %s brings account %s to %d, its cap is %d", start.Task, start.Endpoint, account, inUse, limit)
+	}
+}
+
+// capOf returns a client account's cap of CPU, or 0.
+func (w *storeWorld) capOf(account string) int64 {
+	for _, known := range w.config.policy.Accounts {
+		if known.Name == account {
+			return known.Cap.CPU
+		}
+	}
+	return 0
+}
+
+func (w *storeWorld) violate(format string, args ...any) {
+	w.violations = append(w.violations, w.now.Sub(w.started).String()+": "+fmt.Sprintf(format, args...))
 }
 
 // write writes the batches that are due, one after the other, as the leader's process does: one that
--- a/internal/job/job.go
+++ b/internal/job/job.go
@@ -14,6 +14,7 @@
 import (
 	"fmt"
 	"math"
+	"sort"
 	"time"
 
 	"github.com/lovagedyke/lovagedyke/internal/policy"
@@ -149,6 +150,14 @@
 	return s.Start.Add(time.Duration(occurrence) * s.Interval)
 }
 
+// DueCount returns how many occurrences are due at a time.
+func (s *Submission) DueCount(at time.Time) int {
+	return sort.Search(s.Occurrences(), func(occurrence int) bool {
+		due := s.Due(occurrence)
+		return !due.IsZero() && at.Before(due)
+	})
+}
+
 // Persistent reports whether the job has persistent tasks.
 func (s *Submission) Persistent() bool {
 	for _, step := range s.Steps {
--- a/internal/job/progress.go
+++ b/internal/job/progress.go
@@ -84,6 +84,8 @@
 // that are open, not with those that have ended.
 type Progress struct {
 	State State `json:"state"`
+	// Ended is when the state became final, by the leader's wall clock, or zero.
+	Ended time.Time `json:"-"`
 	// Steps holds the steps that have progress and are not closed; rows encode it as a list.
 	Steps map[StepKey]*StepProgress `json:"-"`
 	// closed holds the closed steps, by number.
@@ -326,6 +328,21 @@
 	return true
 }
 
+// DoneTasks returns, by step, how many tasks have completed in all occurrences.
+func (p *Progress) DoneTasks(s *Submission) []int {
+	counts := make([]int, len(s.Steps))
+	for number := range counts {
+		closed := p.closed[number]
+		counts[number] = closed.tasks * closed.occurrences.count()
+	}
+	for key, step := range p.Steps {
+		if key.Step < len(counts) {
+			counts[key.Step] += step.DoneCount
+		}
+	}
+	return counts
+}
+
 // IsEmpty reports whether nothing is recorded.
 func (p *Progress) IsEmpty() bool {
 	return len(p.Steps) == 0 && len(p.closed) == 0
--- a/internal/job/progressrow.go
+++ b/internal/job/progressrow.go
@@ -5,6 +5,7 @@
 	"compress/flate"
 	"encoding/json"
 	"slices"
+	"time"
 
 	"github.com/cockroachdb/errors"
 
@@ -13,7 +14,8 @@
 
 // progressRow is the JSON form of Progress.
 type progressRow struct {
-	State State `json:"state"`
+	State State     `json:"state"`
+	Ended time.Time `json:"ended,omitzero"`
 	// Closed lists the closed steps in compact rows. Others have an entry of Steps for each
 	// occurrence of them.
 	Closed []closedRow `json:"closed,omitempty"`
@@ -53,10 +55,10 @@
 
 // EncodeProgress returns a job's progress row and its size in bytes. If that is above maxBytes,
 // the row may be nil. Only rows of jobs with much progress are compact: earlier versions read
-// the others. Of a job that has ended, a row holds the state alone.
+// the others. Of a job that has ended, a row holds only the state and the time of the end.
 func EncodeProgress(p *Progress, format RowFormat, maxBytes int) (row []byte, size int) {
 	if p.State.Final() {
-		row = marshalRow(progressRow{State: p.State})
+		row = marshalRow(progressRow{State: p.State, Ended: p.Ended})
 		return row, len(row)
 	}
 	stepCount := p.plainStepCount()
@@ -173,7 +175,7 @@
 
 // setRow sets the progress to that of a row.
 func (p *Progress) setRow(row progressRow) error {
-	p.State = row.State
+	p.State, p.Ended = row.State, row.Ended
 	p.Steps, p.closed = map[StepKey]*StepProgress{}, map[int]closedStep{}
 	p.startCount, p.startNameBytes, p.crashCount = 0, 0, 0
 	for _, closed := range row.Closed {
