--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -4,13 +4,44 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"strconv"
 	"time"
 
 	"github.com/lovagedyke/lovagedyke/internal/loops"
+	"github.com/lovagedyke/lovagedyke/platform/standin"
 )
 
 func jobID(n int) string { return fmt.Sprintf("%016x", n+1) }
 
+// jobOf returns the job with a number. With HasMixedJobs some run several times, one of them many
+// times, and some are of an account with a cap.
+func (s *soak) jobOf(n int) standin.Job {
+	job := standin.Job{Steps: stepsPerJob, Tasks: tasksPerStep}
+	if !s.config.HasMixedJobs {
+		return job
+	}
+	switch {
+	case n%cappedInterval == 0:
+		job.IsCapped, job.TaskTime = true, cappedTaskTime
+	case n == manyTimesJob:
+		job.Times, job.Interval = manyTimes, manyTimesInterval
+	case n%scheduledInterval == scheduledInterval-1:
+		job.Times, job.Interval = scheduledTimes, jobInterval
+	}
+	return job
+}
+
+// taskCount returns the number of an accepted job's tasks.
+func (s *soak) taskCount(id string) int {
+	n, err := strconv.ParseInt(id, 16, 64)
+	if err != nil {
+		// Cannot happen: jobID formats the number.
+		panic(err)
+	}
+	job := s.jobOf(int(n) - 1)
+	return job.Steps * job.Tasks * max(1, job.Times)
+}
+
 // submitJobs submits jobs until the end.
 func (s *soak) submitJobs(ctx context.Context, end time.Time) {
 	attempts := loops.New(ctx)
@@ -56,7 +87,7 @@
 	outcomeUnknown := false
 	for attempt := range attempts {
 		callCtx, cancel := context.WithTimeout(ctx, callTimeout)
-		status := s.platform.Submit(callCtx, s.callerAddresses[(n+attempt)%len(s.callerAddresses)], jobID(n), stepsPerJob, tasksPerStep)
+		status := s.platform.SubmitJob(callCtx, s.callerAddresses[(n+attempt)%len(s.callerAddresses)], jobID(n), s.jobOf(n))
 		cancel()
 		switch status {
 		case 200:
--- a/internal/soak/checks.go
+++ b/internal/soak/checks.go
@@ -37,7 +37,7 @@
 			}
 			continue
 		}
-		if got, want := s.platform.DoneTasks(id), stepsPerJob*tasksPerStep; got != want {
+		if got, want := s.platform.DoneTasks(id), s.taskCount(id); got != want {
 			s.addViolation("accepted job %s: got %d tasks done, want %d", id, got, want)
 		}
 	}
@@ -56,6 +56,9 @@
 	for _, start := range report.OverCapacity {
 		s.addViolation("started beyond the capacity: %s", start)
 	}
+	for _, start := range report.OverCap {
+		s.addViolation("started beyond the cap: %s", start)
+	}
 	for _, start := range report.LateInEvacuation {
 		s.addViolation("started in an evacuated data centre: %s", start)
 	}
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -121,6 +121,12 @@
 	return append(ListKinds(), EndpointDelayed, EndpointReset, EndpointOneWay, EndpointSilent, EndpointHang, EndpointRestart, Kill, Pause)
 }
 
+// KindsAroundTakeovers returns the kinds of faults that replace leaders, with those that keep
+// endpoints out of reach meanwhile.
+func KindsAroundTakeovers() []Kind {
+	return []Kind{Kill, Pause, Stop, LeaderKill, LeaderCutOff, StoreUnavailable, EndpointOneWay, EndpointSilent, EndpointReset, EndpointDelayed}
+}
+
 // KindsWithBudgets returns the kinds of faults without those of host lists.
 func KindsWithBudgets() []Kind {
 	return slices.Concat(KindsWithRestarts(), LagKinds(), BudgetKinds())
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -24,6 +24,14 @@
 	// tasksPerStep tasks.
 	taskTime, longTaskTime    = 150 * time.Millisecond, 600 * time.Millisecond
 	stepsPerJob, tasksPerStep = 2, 3
+	// One of cappedInterval jobs is of an account with a cap, and its tasks run for
+	// cappedTaskTime; one of scheduledInterval runs scheduledTimes times. The job with the number manyTimesJob runs manyTimes times: with an entry
+	// for each, its progress would not fit into a row.
+	cappedInterval, scheduledInterval = 24, 10
+	cappedTaskTime                    = 2 * time.Second
+	scheduledTimes                    = 4
+	manyTimesJob, manyTimes           = 3, 700
+	manyTimesInterval                 = 10 * time.Millisecond
 	// jobInterval is the time between two jobs, callTimeout the timeout of a call.
 	jobInterval = 80 * time.Millisecond
 	callTimeout = 3 * time.Second
@@ -69,6 +77,8 @@
 	// ColdStart begins with all at once: endpoints that have just replaced others on their
 	// hosts, a host list that lags, faults and a backlog of jobs.
 	ColdStart bool
+	// HasMixedJobs adds jobs that run several times, and jobs of an account with a cap.
+	HasMixedJobs bool
 	// Dir is the directory for the nodes' settings and logs, and for a log of the faults.
 	Dir string
 	// NewProcess returns a node with the given settings file and log file.
--- a/test/soak_test.go
+++ b/test/soak_test.go
@@ -21,8 +21,9 @@
 	soakEndpoints = flag.Int("soak-endpoints", 6, "number of endpoints")
 	soakPort      = flag.Uint("soak-port", 14700, "first of the nodes' ports, below those of other tests")
 	soakParallel  = flag.Int("soak-parallel", 1, "number of seeds at a time")
-	soakKinds     = flag.String("soak-kinds", "all", "kinds of faults: without-restarts, with-restarts, with-lags, with-budgets, lists, evacuations or all")
+	soakKinds     = flag.String("soak-kinds", "all", "kinds of faults: without-restarts, with-restarts, with-lags, with-budgets, lists, evacuations, takeovers or all")
 	soakCold      = flag.Bool("soak-cold", false, "begin with a cold start")
+	soakMix       = flag.Bool("soak-mix", true, "add jobs that run several times, and jobs of an account with a cap")
 	soakDir       = flag.String("soak-dir", os.TempDir(), "folder for the logs of seeds that failed")
 )
 
@@ -33,6 +34,7 @@
 		duration  time.Duration
 		kinds     []soak.Kind
 		coldStart bool
+		hasMix    bool
 	}{
 		// An endpoint crashed after it had reported completions and before they were
 		// acknowledged: the check counted that work as not done.
@@ -67,11 +69,14 @@
 		// The operator requested the evacuation of a data centre: leaders went on starting tasks
 		// there. A trial without the comparison of versions in evacuation.Holder fails here, too.
 		"evacuations while leaders change": {seed: 611, duration: 10 * time.Second, kinds: soak.KindsAroundEvacuations()},
+		// A job's row, or a transaction, outgrew what the store takes, and the leader wrote nothing
+		// more; a new leader exceeded a cap beside runs on endpoints that it had not reached.
+		"many occurrences and a cap while leaders change": {seed: 701, duration: 12 * time.Second, kinds: soak.KindsAroundTakeovers(), hasMix: true},
 	}
 	for name, tc := range tests {
 		t.Run(name, func(t *testing.T) {
 			runSeed(t, soak.Config{
-				Seed: tc.seed, Duration: tc.duration, Nodes: 3, Endpoints: 6, Kinds: tc.kinds, ColdStart: tc.coldStart,
+				Seed: tc.seed, Duration: tc.duration, Nodes: 3, Endpoints: 6, Kinds: tc.kinds, ColdStart: tc.coldStart, HasMixedJobs: tc.hasMix,
 				Dir: t.TempDir(), FirstPort: uint16(*soakPort),
 			})
 		})
@@ -83,7 +88,7 @@
 	return map[string][]soak.Kind{
 		"without-restarts": soak.KindsWithoutRestarts(), "with-restarts": soak.KindsWithRestarts(),
 		"with-lags": append(soak.KindsWithRestarts(), soak.LagKinds()...), "with-budgets": soak.KindsWithBudgets(),
-		"lists": soak.KindsAroundLists(), "evacuations": soak.KindsAroundEvacuations(), "all": soak.AllKinds(),
+		"lists": soak.KindsAroundLists(), "evacuations": soak.KindsAroundEvacuations(), "takeovers": soak.KindsAroundTakeovers(), "all": soak.AllKinds(),
 	}
 }
 
@@ -109,7 +114,7 @@
 				t.Fatal(err)
 			}
 			runSeed(t, soak.Config{
-				Seed: seed, Duration: *soakDuration, Nodes: *soakNodes, Endpoints: *soakEndpoints, Kinds: kinds, ColdStart: *soakCold,
+				Seed: seed, Duration: *soakDuration, Nodes: *soakNodes, Endpoints: *soakEndpoints, Kinds: kinds, ColdStart: *soakCold, HasMixedJobs: *soakMix,
 				Dir: dir, FirstPort: port,
 			})
 			if t.Failed() {
