fleet: persistent tasks take no room in their job's row

A job with thousands of persistent tasks at work held back its other tasks for the room that failed runs would need in its row, although the ends of persistent tasks are not recorded.

--- a/internal/control/hosts.go
+++ b/internal/control/hosts.go
@@ -130,7 +130,12 @@
 		row := record.HostChange{At: time.Now().Round(0), Wave: next.wave()}
 		txn.Writes = append(txn.Writes, table.Write{Key: record.HostChangeKey(string(next.host())), Value: record.Encode(row)})
 	}
-	if t.writer.commit(ctx, txn, false) != committed {
+	switch t.writer.commit(ctx, txn, false) {
+	case committed:
+	case refused:
+		t.executeApart(ctx, changes, txn)
+		return
+	default:
 		t.locked(partHostChanges, func() {
 			for _, next := range changes {
 				t.reportHostChange(next, fleet.ChangeRefused)
@@ -145,6 +150,18 @@
 	callers.Wait()
 }
 
+// executeApart executes changes whose rows the store has refused, in smaller transactions, so that
+// one host holds up no other.
+func (t *term) executeApart(ctx context.Context, changes []hostOrder, txn table.Txn) {
+	if half := len(changes) / 2; half > 0 {
+		t.executeHostOrders(ctx, changes[:half])
+		t.executeHostOrders(ctx, changes[half:])
+		return
+	}
+	t.reportRefusedRow(txn.Writes[0].Key, len(txn.Writes[0].Value), "the store does not take the row")
+	t.locked(partHostChanges, func() { t.reportHostChange(changes[0], fleet.ChangeRefused) })
+}
+
 // executeHostOrder makes a change, unless the leader withdraws it: it may have waited for the
 // store for long.
 func (t *term) executeHostOrder(ctx context.Context, next hostOrder, now time.Time) {
--- a/internal/fleet/accounting.go
+++ b/internal/fleet/accounting.go
@@ -15,6 +15,9 @@
 		r.job.activeTasks[task.StepKey()]++
 	}
 	r.job.active[task] = append(r.job.active[task], r)
+	if !r.step().Persistent {
+		r.job.rowUse.active++
+	}
 	account := r.job.submission.Account
 	l.inUse[account] = l.inUse[account].Plus(r.capUsage())
 }
@@ -26,7 +29,9 @@
 		return
 	}
 	l.forgetStart(r)
-	r.job.rowUse.ended++
+	if !r.step().Persistent {
+		r.job.rowUse.active--
+	}
 	task := r.key.task
 	remaining := slices.DeleteFunc(r.job.active[task], func(other *run) bool { return other == r })
 	if len(remaining) == 0 {
--- a/internal/fleet/completion.go
+++ b/internal/fleet/completion.go
@@ -152,6 +152,7 @@
 	if !changed {
 		return l.pendingChange(j)
 	}
+	j.rowUse.failed++
 	change := l.markDirty(j)
 	if failures >= l.maxAttemptsOf(j) && !j.over() {
 		l.fail(j, completion.Task, failures, now)
--- a/internal/fleet/doc.go
+++ b/internal/fleet/doc.go
@@ -25,4 +25,7 @@
 // incarnation may carry out a start that had no answer, late as well. Third, after a change
 // of leader, a task of an inherited job starts only when each endpoint has been reached
 // under the new token, or can no longer hold a lease from an earlier leader.
+//
+// Limits over all endpoints hold across changes of leaders as well: until all runs are known,
+// what the others may run counts against the caps of client accounts.
 package fleet
--- a/internal/fleet/rowsize_test.go
+++ b/internal/fleet/rowsize_test.go
@@ -114,6 +114,22 @@
 	}
 }
 
+// Guards against tasks that wait for room in the row which persistent tasks of their job do not need.
+func TestPersistentTasksNeedNoRoomInTheRow(t *testing.T) {
+	w := newStoreWorld(t, storeWorldConfig{endpoints: 2, capacity: policy.Resources{CPU: 1_000_000, Memory: 1_000_000}, duration: 100 * time.Millisecond})
+	w.pass(time.Second)
+	persistent := smallTasks(4500)
+	persistent.Persistent = true
+	w.submit(submission(1, persistent))
+	w.run(time.Minute, func() bool { return len(w.starts) == 4500 })
+	w.submit(submission(2, persistent, smallTasks(300)))
+	w.run(time.Minute, func() bool { return len(w.done) == 300 })
+	if got := len(w.done); got != 300 {
+		t.Errorf("tasks done beside 4,500 persistent ones of their job: got %d, want 300", got)
+	}
+	w.checkRows()
+}
+
 // Guards against a job that outgrows its row in a fleet of mixed versions, where rows are of the form
 // that the former version reads: it waits until all processes read the compact form.
 func TestRowsOfMixedVersionsStayWithinTheStore(t *testing.T) {
--- a/internal/fleet/rowuse.go
+++ b/internal/fleet/rowuse.go
@@ -21,16 +21,18 @@
 
 // rowUse estimates the size of a job's progress row if all its runs failed now.
 type rowUse struct {
-	// written is the size of the row that was encoded last, and ended counts the runs that have
-	// ended since.
-	written, ended int
+	// written is the size of the row that was encoded last, and failed counts the failed runs that
+	// were recorded since.
+	written, failed int
+	// active counts the runs that may fail: the ends of persistent tasks are not recorded.
+	active int
 	// openSteps is what the open steps may add.
 	openSteps int
 }
 
 // noteWritten records the size of a row.
 func (u *rowUse) noteWritten(size int) {
-	u.written, u.ended = size, 0
+	u.written, u.failed = size, 0
 }
 
 // stepBytes returns what a step may add to a job's row. Persistent tasks do not complete.
@@ -52,7 +54,7 @@
 
 // rowSize returns the size that a job's row may grow to without further starts.
 func (l *Leader) rowSize(j *jobState) int {
-	records := runRecordBytes*(j.rowUse.ended+len(j.active)) + j.rowUse.openSteps
+	records := runRecordBytes*(j.rowUse.failed+j.rowUse.active) + j.rowUse.openSteps
 	if l.rowFormat < job.RowCompactProgress {
 		records *= plainRecordFactor
 	}
@@ -63,7 +65,7 @@
 // the job never outgrows its row. One run at a time may always go on.
 func (l *Leader) rowHasRoom(g taskGroup, task job.Task) bool {
 	j := g.job
-	if g.step.step.Persistent || len(j.active) == 0 {
+	if g.step.step.Persistent || j.rowUse.active == 0 {
 		return true
 	}
 	share := freshRowShare
