fleet: what a former leader may have started ends with its time

The bound of what may run unknown counted occurrences that became due after the former leader could start any, so that an account with a long schedule waited for more than it had to.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -125,9 +125,8 @@
 	// inUse is what each client account uses across all pools.
 	inUse      map[string]policy.Resources
 	unknownUse unknownUse
-	// jobsAsOf is when the jobs were last known to be current, steppedAt and steppedWall the times
-	// of the last step.
-	jobsAsOf, steppedAt, steppedWall time.Time
+	// jobsAsOf is when the jobs were last known to be current, steppedAt the time of the last step.
+	jobsAsOf, steppedAt time.Time
 	// confirmedAt is when the store, or a majority of the other processes, last
 	// confirmed that no other process leads.
 	confirmedAt time.Time
--- a/internal/fleet/step.go
+++ b/internal/fleet/step.go
@@ -19,7 +19,7 @@
 	if !l.loaded {
 		return orders
 	}
-	l.steppedAt, l.steppedWall = now, wall
+	l.steppedAt = now
 	orders.Lookups = l.dueLookups(now)
 	l.retryRefusedRows(now)
 	l.meanHost = l.hostSize()
--- a/internal/fleet/unknownuse.go
+++ b/internal/fleet/unknownuse.go
@@ -148,9 +148,10 @@
 	return ended.Add(longest).After(l.config.Now.Round(0))
 }
 
-// unknownTaskCounts bounds, by step, how many tasks of all occurrences run unknown.
+// unknownTaskCounts bounds, by step, how many tasks run unknown of the occurrences that were due while
+// a former leader could start them.
 func (l *Leader) unknownTaskCounts(j *jobState) []int {
-	due := j.submission.DueCount(l.steppedWall.Add(maxWallClockSkew))
+	due := j.submission.DueCount(l.config.Now.Round(0).Add(formerLeaderGrace + maxWallClockSkew))
 	counts, done := make([]int, len(j.submission.Steps)), j.progress.DoneTasks(j.submission)
 	for number, step := range j.submission.Steps {
 		counts[number] = due * step.Count
