soak: takeovers beside a cut of the endpoint that runs most for the capped account

Tasks of the account with a cap run for 5 s, and the kind "takeover-beside-cut" cuts off the endpoint with most of them and stops the leader.

--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -22,7 +22,7 @@
 	}
 	switch {
 	case n%cappedInterval == 0:
-		job.IsCapped, job.TaskTime = true, cappedTaskTime
+		job.Steps, job.IsCapped, job.TaskTime = 1, true, cappedTaskTime
 	case n == manyTimesJob:
 		job.Times, job.Interval = manyTimes, manyTimesInterval
 	case n%scheduledInterval == scheduledInterval-1:
--- a/internal/soak/inject.go
+++ b/internal/soak/inject.go
@@ -98,11 +98,23 @@
 		s.injectListFault(ctx, fault, host)
 	case Evacuate, DataCentreReturnsCold, MaintenanceWave:
 		s.injectEvacuationFault(ctx, fault)
+	case TakeoverBesideCut:
+		s.takeOverBesideCut(ctx)
 	case EndpointDelayedAnswers:
 		temporarily(func() { s.platform.SetAnswerDelay(host, answerDelay) }, func() { s.platform.SetAnswerDelay(host, 0) })
 	}
 }
 
+// takeOverBesideCut cuts off the endpoint that runs most for the account with a cap, for longer than
+// its lease lasts, and stops the leader.
+func (s *soak) takeOverBesideCut(ctx context.Context) {
+	link := s.endpointProxy(s.platform.BusiestHost() - 1)
+	link.setState(linkSilent)
+	s.processes[s.targetLeader(Fault{Kind: LeaderKill}).Target].Signal(syscall.SIGTERM)
+	loops.Sleep(ctx, takeoverCutTime)
+	link.setState(linkHealthy)
+}
+
 // endpointProxy returns the proxy of the address at which an endpoint was first listed.
 func (s *soak) endpointProxy(target int) *proxy {
 	s.mu.Lock()
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -74,6 +74,9 @@
 	LeaderKill   Kind = "leader-kill"
 	LeaderPause  Kind = "leader-pause"
 	LeaderCutOff Kind = "leader-cut-off"
+	// TakeoverBesideCut cuts off the endpoint that runs most for the account with a cap, and stops
+	// the leader.
+	TakeoverBesideCut Kind = "takeover-beside-cut"
 )
 
 // KindsWithoutRestarts returns the kinds of faults in which each endpoint has one
@@ -124,7 +127,10 @@
 // KindsAroundTakeovers returns the kinds of faults that replace leaders, with those that keep
 // endpoints out of reach meanwhile.
 func KindsAroundTakeovers() []Kind {
-	return []Kind{Kill, Pause, Stop, LeaderKill, LeaderCutOff, StoreUnavailable, EndpointOneWay, EndpointSilent, EndpointReset, EndpointDelayed}
+	return []Kind{
+		Kill, Pause, Stop, LeaderKill, LeaderCutOff, StoreUnavailable, EndpointOneWay, EndpointSilent, EndpointReset, EndpointDelayed,
+		TakeoverBesideCut, TakeoverBesideCut, TakeoverBesideCut,
+	}
 }
 
 // KindsWithBudgets returns the kinds of faults without those of host lists.
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -25,10 +25,10 @@
 	taskTime, longTaskTime    = 150 * time.Millisecond, 600 * time.Millisecond
 	stepsPerJob, tasksPerStep = 2, 3
 	// One of cappedInterval jobs is of an account with a cap, and its tasks run for
-	// cappedTaskTime; one of scheduledInterval runs scheduledTimes times. The job with the number manyTimesJob runs manyTimes times: with an entry
+	// cappedTaskTime, longer than a new leader waits before it starts new work; one of scheduledInterval runs scheduledTimes times. The job with the number manyTimesJob runs manyTimes times: with an entry
 	// for each, its progress would not fit into a row.
 	cappedInterval, scheduledInterval = 24, 10
-	cappedTaskTime                    = 2 * time.Second
+	cappedTaskTime                    = 5 * time.Second
 	scheduledTimes                    = 4
 	manyTimesJob, manyTimes           = 3, 700
 	manyTimesInterval                 = 10 * time.Millisecond
@@ -42,6 +42,8 @@
 	maxPropagationDelay = 3 * time.Second
 	// recoveryTimeout limits the time from the last fault until all jobs have ended.
 	recoveryTimeout = 90 * time.Second
+	// takeoverCutTime is how long an endpoint is cut off beside a takeover.
+	takeoverCutTime = 5500 * time.Millisecond
 	// clockSetBack is how far a host's wall clock is set back before a restart.
 	clockSetBack = time.Hour
 	// orderDelay is how late late orders and renewals are carried out, answerDelay how long
