fleet: the test of new jobs hands in a job that is new

TestNewJobsDoNotWaitForUnreachedEndpoints submitted, three seconds after a takeover, a job whose row says that it was accepted at the takeover. The job is accepted when it is handed in now, as its name says, and the same bound holds; TestLateJobsWaitForUnreachedEndpoints has the other case, which started at once before.

--- a/internal/fleet/leader_test.go
+++ b/internal/fleet/leader_test.go
@@ -629,12 +629,35 @@
 	s.advance(3 * time.Second)
 	s.addEndpoint("a")
 	s.leader.UpdateEndpoint(endpointRow("b"), s.now)
-	s.submit(submission(1, tasks(1)))
+	fresh := submission(1, tasks(1))
+	fresh.Accepted = s.now.Round(0)
+	s.submit(fresh)
 	if got := len(s.step().Starts); got != 1 {
 		t.Errorf("starts: got %d, want 1", got)
 	}
 }
 
+// The former leader may have started a job that was accepted in its time and of which the new one
+// learns later.
+func TestLateJobsWaitForUnreachedEndpoints(t *testing.T) {
+	s := newSimulation(t, simulationConfig{token: 2})
+	accepted := s.now.Round(0)
+	s.advance(3 * time.Second)
+	s.addEndpoint("a")
+	s.leader.UpdateEndpoint(endpointRow("b"), s.now)
+	late := submission(1, tasks(1))
+	late.Accepted = accepted
+	s.submit(late)
+	if got := len(s.step().Starts); got != 0 {
+		t.Errorf("starts: got %d, want 0", got)
+	}
+	s.addEndpoint("b")
+	s.listHostsOf("a", "b")
+	if got := len(s.step().Starts); got != 1 {
+		t.Errorf("starts once all are reached: got %d, want 1", got)
+	}
+}
+
 func TestRunsOfFormerLeaderAreAdopted(t *testing.T) {
 	s := newSimulation(t, simulationConfig{token: 2, jobs: []fleet.StoredJob{{Submission: submission(1, tasks(2))}}})
 	s.running["a"] = []fleet.RunningTask{{Task: job.Task{Job: jobID(1), Index: 0}, Run: 1, SpeedPercent: 100}}
