control: a new leader knows its predecessor's jobs sooner

Until the feed of jobs has caught up with the former leader's last moment, all accounts with a cap wait while an endpoint is not reached. The feed is read without the usual pause for the first three seconds of a term: the wait ends 0.6 s after that moment, in place of some 1.3 s (by the intervals; not measured).

--- a/internal/control/feeds.go
+++ b/internal/control/feeds.go
@@ -27,8 +27,8 @@
 	rowFeedInterval = 700 * time.Millisecond
 	// feedTimeout is the long-poll timeout: how long the store may wait for a change.
 	feedTimeout = 2 * time.Second
-	// firstFeedTimeout replaces it for firstFeedTime after a takeover: what a former leader may
-	// have started is known once a call has come back that was made later.
+	// firstFeedTimeout replaces it, and the pause, for firstFeedTime after a takeover: what a
+	// former leader may have started is known once a call has come back that was made later.
 	firstFeedTimeout = 300 * time.Millisecond
 	firstFeedTime    = 3 * time.Second
 	// feedRetryDelay is the pause after a failed call of a feed.
@@ -125,11 +125,11 @@
 		var changes []table.Change
 		var err error
 		sentAt := time.Now()
+		timeout, pause := feedTimeout, rowFeedInterval
+		if sentAt.Sub(startedAt) < firstFeedTime {
+			timeout, pause = firstFeedTimeout, firstFeedTimeout
+		}
 		if known {
-			timeout := feedTimeout
-			if sentAt.Sub(startedAt) < firstFeedTime {
-				timeout = firstFeedTimeout
-			}
 			changes, version, err = t.config.Feed.Follow(ctx, tableName, version, timeout)
 		} else {
 			changes, version, err = t.scanAll(ctx, tableName)
@@ -139,7 +139,6 @@
 			apply(change)
 		}
 		known = err == nil || known && !errors.Is(err, table.ErrHistoryLost)
-		pause := rowFeedInterval
 		switch {
 		case err != nil:
 			pause = feedRetryDelay
