--- a/review/cases-2/explore.go
+++ b/review/cases-2/explore.go
@@ -62,7 +62,10 @@
 			RR := rand.New(rand.NewPCG(uint64(o.seed), 2))
 			for time.Now().Before(end.Add(-6 * time.Second)) {
 				time.Sleep(time.Duration(1500+RR.IntN(3500)) * time.Millisecond)
-				what := RR.IntN(10)
+				what := RR.IntN(13)
+				if strings.Contains(kind, "cloud") {
+					what = []int{0, 7, 10, 10, 11, 12, 2}[RR.IntN(7)]
+				}
 				if strings.Contains(kind, "nosame") && (what == 4 || what == 5) {
 					what = []int{0, 6}[RR.IntN(2)]
 				}
@@ -107,6 +110,10 @@
 					p.Trouble(0, 0)
 				case 9:
 					p.Trouble(.055, 0)
+				case 10, 11, 12:
+					p.CloudTrouble([]float64{.3, 0, 0}[what-10], []time.Duration{0, 700 * time.Millisecond, 0}[what-10], what == 12)
+					time.Sleep(time.Duration(1000+RR.IntN(4000)) * time.Millisecond)
+					p.CloudTrouble(0, 0, false)
 				case 3:
 					p.Configure(func(c *harness.Config) {})
 				}
@@ -127,8 +134,7 @@
 				for _, r := range p.Runners[:18] {
 					machines = append(machines, r.Machine)
 				}
-				p.Note("wave %d", w+1)
-				p.Store.Put("op", fmt.Sprintf("wave/%d", w+1), map[string]any{"wave": w + 1, "machines": machines, "duration_s": 12, "cap": 4})
+				p.PutWave(w+1, machines, 12, 4)
 			})
 		}
 	}
--- a/review/cases-2/latestart.go
+++ b/review/cases-2/formerleader.go
@@ -5,27 +5,30 @@
 import (
 	"context"
 	"fmt"
+	"syscall"
 	"time"
 
 	harness "github.com/lovagedyke/lovagedyke/review/harness-2"
 )
 
-func init() { cases["late-start"] = lateStart }
+func init() { cases["former-leader"] = formerLeader }
 
 const (
 	// lateBy is how long after its arrival the start is carried out.
-	lateBy = 5 * time.Second
+	lateBy = 9 * time.Second
+	// leaderDownFor is how long the leader's process is down.
+	leaderDownFor = 3500 * time.Millisecond
 	// cutAfter is when the runner is cut off, counted from the arrival of the start, and cutFor for how long.
-	cutAfter = 2 * time.Second
+	cutAfter = 6 * time.Second
 	cutFor   = 5500 * time.Millisecond
 	// rebornAfter is when the runner crashes behind the cut, counted from its begin, and downFor how long it is down.
 	rebornAfter = 500 * time.Millisecond
 	downFor     = time.Second
 )
 
-// lateStart lets a runner leave a start unanswered, and carry it out after it was cut off and has crashed
-// and started again under its ID behind the cut.
-func lateStart(o options) int {
+// formerLeader lets a runner leave a start unanswered and kills the leader that sent it. Under the next leader, the
+// runner is cut off, crashes, starts again under its ID behind the cut, and then carries the start out.
+func formerLeader(o options) int {
 	s, err := newScene(o, harness.Config{
 		Guarded: true,
 		Pools:   []harness.Pool{{Name: "baitworks", Runners: 9}, {Name: "backroom", Runners: 8, Spare: true}},
@@ -39,8 +42,15 @@
 		return couldNotRun
 	}
 	defer s.close()
+	leader := s.Leader(s.nodes)
+	if leader == nil {
+		fmt.Println("no leader")
+		return couldNotRun
+	}
 	if o.trouble {
 		s.LateOnce(lateBy, func(runner *harness.Runner) {
+			s.Note("kill %s", leader.Name)
+			leader.Signal(syscall.SIGKILL)
 			time.Sleep(cutAfter)
 			runner.Cut(cutFor)
 			time.Sleep(rebornAfter)
@@ -48,20 +58,31 @@
 		})
 	}
 	job := &harness.Job{ID: harness.JobID("c6", 1), Spec: "grade the bait", Route: "r-grade", Steps: []harness.Step{{
-		Count: 1, CPU: 1900, Memory: 5500, EstimateMS: 3300, Takes: 9 * time.Second,
+		Count: 1, CPU: 1900, Memory: 5500, EstimateMS: 3300, Takes: 12 * time.Second,
 	}}}
-	// Takes the rest of the runner that has the first task, which then starts elsewhere.
+	// Takes the rest of the runner that the first start is sent to, so that the next leader chooses another.
 	other := &harness.Job{ID: harness.JobID("c6", 2), Spec: "grade more bait", Route: "r-grade", Steps: []harness.Step{{
-		Count: 1, CPU: 13500, Memory: 5500, EstimateMS: 3300, Takes: 9 * time.Second,
+		Count: 1, CPU: 14000, Memory: 5500, EstimateMS: 3300, Takes: 4 * time.Second,
 	}}}
+	first := 0
+	for s.nodes[first] == leader {
+		first++
+	}
 	for _, next := range []*harness.Job{job, other} {
-		if status := s.Submit(context.Background(), s.nodes, 0, next); status != 200 {
+		if status := s.Submit(context.Background(), s.nodes, first, next); status != 200 {
 			fmt.Println("not accepted:", status)
 			return couldNotRun
 		}
-		time.Sleep(100 * time.Millisecond)
 	}
-	time.Sleep(25 * time.Second)
+	if o.trouble {
+		time.Sleep(leaderDownFor)
+		leader.Kill()
+		if err := leader.Start(); err != nil {
+			fmt.Println(err)
+			return couldNotRun
+		}
+	}
+	time.Sleep(30 * time.Second)
 	s.stateOf(job)
 	return s.report("TWICE")
 }
--- a/review/cases-2/racks.go
+++ b/review/cases-2/racks.go
@@ -37,7 +37,7 @@
 	}
 	defer s.close()
 	submit := func(number int) bool {
-		job := &harness.Job{ID: harness.JobID("c8", number), Spec: "restock", Route: "r-restock", Steps: []harness.Step{{
+		job := &harness.Job{ID: harness.JobID("c7", number), Spec: "restock", Route: "r-restock", Steps: []harness.Step{{
 			Count: 5, CPU: 780, Memory: 3200, EstimateMS: 700, Persistent: true, MayMiss: 1, TargetMS: 100,
 		}}}
 		return s.Submit(context.Background(), s.nodes, 0, job) == 200
@@ -52,13 +52,13 @@
 		}
 	}
 	time.Sleep(soonAfter)
-	s.crashRack(o, "c8")
+	s.crashRack(o, "c7")
 	time.Sleep(300 * time.Millisecond)
-	for s.Find("c8") == nil {
+	for s.Find("c7") == nil {
 		time.Sleep(20 * time.Millisecond)
 	}
 	time.Sleep(againAfter)
-	s.crashRack(o, "c8")
+	s.crashRack(o, "c7")
 	time.Sleep(25 * time.Second)
 	return s.report("LOST")
 }
--- a/review/harness-2/ledger.go
+++ b/review/harness-2/ledger.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"os"
 	"sort"
+	"strings"
 	"sync"
 	"time"
 )
@@ -312,6 +313,9 @@
 	state := l.task(r.name)
 	delete(state.running, r)
 	state.lastEndedAt = now
+	if how != "stopped" && now.Sub(r.begunAt) >= startupTime {
+		state.isEndedByOrder = false
+	}
 	switch how {
 	case "done":
 		if state.doneAt.IsZero() {
@@ -373,6 +377,7 @@
 			l.disrupted(now)
 		}
 	}
+	l.watchWaves(now)
 	for _, job := range l.jobs {
 		if job.acceptedAt.IsZero() || !job.cancelSentAt.IsZero() {
 			continue
@@ -388,6 +393,18 @@
 	}
 }
 
+// watchWaves checks the waves that are said to be complete.
+func (l *ledger) watchWaves(now time.Time) {
+	for number, w := range l.platform.waves {
+		value := string(l.platform.Store.Value("status", "", fmt.Sprintf("wave/%d", number)))
+		if !strings.Contains(value, "complete") || len(w.begun) == len(w.machines) || w.cap < 0 {
+			continue
+		}
+		w.cap = -1
+		l.violate(now, "MIXED", "wave %d is said to be complete, and the upkeep of %d of %d machines has begun", number, len(w.begun), len(w.machines))
+	}
+}
+
 // watchTask checks whether a task that lasts waits for too long.
 func (l *ledger) watchTask(now time.Time, job *Job, step Step, name string) {
 	state := l.task(name)
--- a/review/harness-2/platform.go
+++ b/review/harness-2/platform.go
@@ -107,6 +107,12 @@
 	// lateShare is the share of orders that are carried out late, lostShare that of answers that are lost.
 	lateShare, lostShare float64
 	tickets              map[string]ticket
+	waves                map[int]*wave
+	// cloudLost is the share of changes of machines whose answers are lost, cloudDelay delays answers, and while
+	// isCloudDown is true there are none.
+	cloudLost   float64
+	cloudDelay  time.Duration
+	isCloudDown bool
 	// orders holds the last change of each machine.
 	orders map[string]machineOrder
 }
@@ -123,12 +129,61 @@
 	at     time.Time
 }
 
+// wave is a wave of upkeep.
+type wave struct {
+	machines map[string]bool
+	cap      int
+	// begun holds the machines whose upkeep has begun, and down until when they are down for it.
+	begun map[string]bool
+	down  map[string]time.Time
+}
+
+// PutWave asks for a wave of upkeep.
+func (p *Platform) PutWave(number int, machines []string, seconds float64, limit int) {
+	p.mu.Lock()
+	w := &wave{machines: map[string]bool{}, cap: limit, begun: map[string]bool{}, down: map[string]time.Time{}}
+	for _, machine := range machines {
+		w.machines[machine] = true
+	}
+	p.waves[number] = w
+	p.ledger.note(time.Now(), "wave %d over %d machines, %d at once", number, len(machines), limit)
+	p.mu.Unlock()
+	p.Store.Put("op", fmt.Sprintf("wave/%d", number), map[string]any{"wave": number, "machines": machines, "duration_s": seconds, "cap": limit})
+}
+
+// CloudTrouble loses a share of the answers to changes of machines, delays answers, or gives none.
+func (p *Platform) CloudTrouble(lost float64, delay time.Duration, isDown bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.cloudLost, p.cloudDelay, p.isCloudDown = lost, delay, isDown
+	p.ledger.note(time.Now(), "cloud: lost %g, delay %s, down %t", lost, delay, isDown)
+}
+
+// beginUpkeep notes an upkeep and checks its wave's limit. It returns the reason for a refusal, or "".
+func (p *Platform) beginUpkeep(now time.Time, machine string, number int) string {
+	w := p.waves[number]
+	if w == nil || !w.machines[machine] {
+		return "wave"
+	}
+	down := 0
+	for other, until := range w.down {
+		if other != machine && now.Before(until) {
+			down++
+		}
+	}
+	if down >= w.cap {
+		p.ledger.violate(now, "LIMIT", "the upkeep of %s begins while %d of wave %d are down, and %d may be", machine, down, number, w.cap)
+	}
+	w.begun[machine], w.down[machine] = true, now.Add(upkeepTime)
+	return ""
+}
+
 // New starts the platform.
 func New(config Config) (*Platform, error) {
 	if config.Capacity == (Amount{}) {
 		config.Capacity = Amount{CPU: 16000, Memory: 65536}
 	}
-	p := &Platform{config: config, Store: newStore(), stopped: make(chan struct{}), gangs: map[string][]*run{}, tickets: map[string]ticket{}, orders: map[string]machineOrder{}}
+	p := &Platform{config: config, Store: newStore(), stopped: make(chan struct{}), gangs: map[string][]*run{}, tickets: map[string]ticket{}, waves: map[int]*wave{}, orders: map[string]machineOrder{}}
 	var err error
 	if p.ledger, err = newLedger(p, config.Record); err != nil {
 		return nil, err
@@ -278,6 +333,11 @@
 
 func (p *Platform) listMachines(w http.ResponseWriter, _ *http.Request) {
 	p.mu.Lock()
+	if p.isCloudDown {
+		p.mu.Unlock()
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
 	var machines []map[string]any
 	for _, r := range p.Runners {
 		id := r.id
@@ -305,8 +365,17 @@
 	var token uint64
 	_, _ = fmt.Sscan(request.Header.Get("Lovagedyke-Fencing-Token"), &token)
 	p.mu.Lock()
+	if p.isCloudDown {
+		p.mu.Unlock()
+		panic(http.ErrAbortHandler)
+	}
 	status, reason := p.change(in.Machine, in.Pool, in.Wave, request.Header.Get("Lovagedyke-Lease-Holder"), token)
+	isLost, delay := rand.Float64() < p.cloudLost, p.cloudDelay
 	p.mu.Unlock()
+	if isLost {
+		panic(http.ErrAbortHandler)
+	}
+	time.Sleep(delay)
 	if reason != "" {
 		WriteJSON(w, status, map[string]string{"reason": reason})
 		return
@@ -314,7 +383,7 @@
 	WriteJSON(w, status, map[string]string{})
 }
 
-func (p *Platform) change(machine, pool string, wave int, holder string, token uint64) (int, string) {
+func (p *Platform) change(machine, pool string, number int, holder string, token uint64) (int, string) {
 	for _, r := range p.Runners {
 		if r.Machine != machine {
 			continue
@@ -322,7 +391,10 @@
 		now := time.Now()
 		p.ledger.machineOrder(now, p.orders[machine], machineOrder{holder, token, now}, machine)
 		p.orders[machine] = machineOrder{holder, token, now}
+		w := p.waves[number]
 		switch {
+		case pool == "" && w != nil && w.begun[machine]:
+			return http.StatusOK, ""
 		case r.machine != "up" || r.state != "ready":
 			return http.StatusConflict, "busy"
 		case pool != "" && r.service == pool:
@@ -330,9 +402,15 @@
 		}
 		took, state := moveTime, "moving"
 		if pool == "" {
+			if reason := p.beginUpkeep(now, machine, number); reason != "" {
+				return http.StatusConflict, reason
+			}
 			took, state = upkeepTime, "upkeep"
 		}
-		p.ledger.note(now, "machine %s %s to %q wave %d by %s token %d, ends %d runs", machine, state, pool, wave, holder, token, len(r.running))
+		p.ledger.note(now, "machine %s %s to %q wave %d by %s token %d, ends %d runs", machine, state, pool, number, holder, token, len(r.running))
+		for _, run := range r.sorted() {
+			p.ledger.stopped(now, run)
+		}
 		former := r.id
 		r.end(now, "moved")
 		r.machine = state
