review: mend the stand-ins, and give case 7 more tasks

Cause: a machine that crashed while it was being moved began two lives, the second of which dropped the runs of the first unseen. Done: such a machine does not crash. Case 7 has 30 tasks that last instead of 20.

--- a/review/cases-2/racks.go
+++ b/review/cases-2/racks.go
@@ -38,11 +38,11 @@
 	defer s.close()
 	submit := func(number int) bool {
 		job := &harness.Job{ID: harness.JobID("c7", number), Spec: "restock", Route: "r-restock", Steps: []harness.Step{{
-			Count: 5, CPU: 780, Memory: 3200, EstimateMS: 700, Persistent: true, MayMiss: 1, TargetMS: 100,
+			Count: 5, CPU: 500, Memory: 2100, EstimateMS: 700, Persistent: true, MayMiss: 1, TargetMS: 100,
 		}}}
 		return s.Submit(context.Background(), s.nodes, 0, job) == 200
 	}
-	for number := 1; number <= 4; number++ {
+	for number := 1; number <= 6; number++ {
 		if !submit(number) {
 			fmt.Println("not accepted")
 			return couldNotRun
--- a/review/harness-2/runner.go
+++ b/review/harness-2/runner.go
@@ -476,7 +476,7 @@
 	return http.StatusOK, out
 }
 
-// Crash ends the runner's life without a word. The next one begins after down, unless that is 0.
+// Crash ends the runner's life without a word. The next one begins after down.
 func (r *Runner) Crash(down time.Duration) { r.crash(down, false) }
 
 // CrashKeepingID is like Crash, and the next life has the same ID.
@@ -485,6 +485,11 @@
 func (r *Runner) crash(down time.Duration, keepsID bool) {
 	p := r.platform
 	p.mu.Lock()
+	if !r.isUp {
+		// Its machine is down, or on its way to another pool.
+		p.mu.Unlock()
+		return
+	}
 	now := time.Now()
 	p.ledger.note(now, "crash of %s on %s, which runs %d", r.id, r.Machine, len(r.running))
 	former := r.id
@@ -498,20 +503,16 @@
 			p.Store.Remove("servers", former)
 		}
 	})
-	if down > 0 {
-		time.AfterFunc(down, func() {
-			p.mu.Lock()
-			defer p.mu.Unlock()
-			if !r.isUp && r.machine == "down" {
-				r.begin(time.Now())
-				if keepsID {
-					r.id = former
-				}
-				p.ledger.note(time.Now(), "%s is up as %s", r.Machine, r.id)
-				r.heartbeatLocked()
-			}
-		})
-	}
+	time.AfterFunc(down, func() {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		r.begin(time.Now())
+		if keepsID {
+			r.id = former
+		}
+		p.ledger.note(time.Now(), "%s is up as %s", r.Machine, r.id)
+		r.heartbeatLocked()
+	})
 }
 
 // heartbeatLocked writes the runner's row. The platform's lock is held.
