--- a/review/harness-2/ledger.go
+++ b/review/harness-2/ledger.go
@@ -326,7 +326,6 @@
 	case "alone":
 		job := l.jobs[r.task.Job]
 		if job != nil && job.cancelSentAt.IsZero() {
-			l.note(now, "ALONE %s run %d", r.name, r.number)
 			l.counts["alone before a cancel"]++
 		}
 	}
--- a/review/harness-2/nodes.go
+++ b/review/harness-2/nodes.go
@@ -196,6 +196,11 @@
 
 // call sends a client's request for a job.
 func (p *Platform) call(ctx context.Context, method string, n *Node, job *Job, body []byte) (int, []byte) {
+	return p.callPath(ctx, method, n, job, job.ID, body)
+}
+
+// callPath sends a client's request for what a path under the prefix of a job's queue names.
+func (p *Platform) callPath(ctx context.Context, method string, n *Node, job *Job, path string, body []byte) (int, []byte) {
 	p.mu.Lock()
 	route, _ := p.ledger.routeOf(job.ID)
 	key := ""
@@ -205,7 +210,7 @@
 	p.mu.Unlock()
 	ctx, cancel := context.WithTimeout(ctx, 3*time.Second)
 	defer cancel()
-	request, err := http.NewRequestWithContext(ctx, method, "http://"+n.Front+route.Prefix+job.ID, bytes.NewReader(body))
+	request, err := http.NewRequestWithContext(ctx, method, "http://"+n.Front+route.Prefix+path, bytes.NewReader(body))
 	if err != nil {
 		return 0, nil
 	}
@@ -308,6 +313,38 @@
 	return status, answer.State
 }
 
+// Waiting asks for the number of jobs of a job's queue that wait. It returns false without an answer.
+func (p *Platform) Waiting(ctx context.Context, n *Node, job *Job) (int, bool) {
+	queue := *job
+	status, body := p.callPath(ctx, http.MethodGet, n, &queue, "", nil)
+	var answer struct {
+		Waiting int `json:"waiting"`
+	}
+	if err := json.Unmarshal(body, &answer); err != nil || status != http.StatusOK {
+		return 0, false
+	}
+	return answer.Waiting, true
+}
+
+// Unbegun returns how many jobs were accepted longer than age ago and have no start yet.
+func (p *Platform) Unbegun(jobs []*Job, age time.Duration) int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	unbegun := 0
+	for _, job := range jobs {
+		runs := 0
+		for name, state := range p.ledger.tasks {
+			if ParseTask(name).Job == job.ID {
+				runs += state.runs
+			}
+		}
+		if runs == 0 && !job.acceptedAt.IsZero() && time.Since(job.acceptedAt) > age {
+			unbegun++
+		}
+	}
+	return unbegun
+}
+
 // JobID returns the ID of the job with a number.
 func JobID(prefix string, number int) string {
 	id := fmt.Sprintf("%s%0*x", prefix, 16-len(prefix), number)
--- a/review/harness-2/platform.go
+++ b/review/harness-2/platform.go
@@ -466,6 +466,13 @@
 	return ok && held.runner == r.id && held.step == fmt.Sprintf("%s.%d.%d", task.Job, task.Occurrence, task.Step) && now.Before(held.until)
 }
 
+// EndedAlone returns how many runs have ended alone before their jobs were cancelled.
+func (p *Platform) EndedAlone() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.ledger.counts["alone before a cancel"]
+}
+
 // Find returns the runner on which most tasks run whose names begin with prefix, or nil.
 func (p *Platform) Find(prefix string) *Runner {
 	p.mu.Lock()
--- a/review/harness-2/runner.go
+++ b/review/harness-2/runner.go
@@ -103,6 +103,8 @@
 	seq      int
 	missed   int
 	cutUntil time.Time
+	// sick is true while it refuses all starts.
+	sick bool
 }
 
 // ID returns the ID of the current life.
@@ -290,6 +292,39 @@
 	}
 }
 
+// SickIdle makes the runner that runs nothing refuse all starts for a while; its reports and its entry stay
+// sound. It returns false unless there is exactly one such runner.
+func (p *Platform) SickIdle(d time.Duration) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var idle []*Runner
+	for _, r := range p.Runners {
+		if r.isUp && len(r.running) == 0 && !p.isSpare(r.service) {
+			idle = append(idle, r)
+		}
+	}
+	if len(idle) != 1 {
+		return false
+	}
+	idle[0].sick = true
+	p.ledger.note(time.Now(), "%s refuses starts for %s", idle[0].id, d)
+	time.AfterFunc(d, func() {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		idle[0].sick = false
+	})
+	return true
+}
+
+func (p *Platform) isSpare(service string) bool {
+	for _, pool := range p.config.Pools {
+		if pool.Name == service {
+			return pool.Spare
+		}
+	}
+	return false
+}
+
 // Cut cuts the runner off from all nodes for a while; it runs on.
 func (r *Runner) Cut(d time.Duration) {
 	r.platform.mu.Lock()
@@ -383,6 +418,10 @@
 	if r.isFenced(in) {
 		return r.refuse(now, "fence")
 	}
+	if r.sick {
+		r.platform.ledger.note(now, "start %s run %d is refused by %s", in.Task, in.Run, r.id)
+		return http.StatusServiceUnavailable, r.answer(now)
+	}
 	if time.Duration(in.DeadlineMS)*time.Millisecond <= r.clock(now) && r.clock(now) >= r.lease {
 		return r.refuse(now, "late")
 	}
