--- a/review/cases-2/explore.go
+++ b/review/cases-2/explore.go
@@ -17,6 +17,9 @@
 
 func init() { cases["explore"] = explore }
 
+// explore plays jobs of all kinds under disruptions, both drawn by the seed in SEED, and reports each rule that breaks.
+// It is no case. KIND narrows what is drawn: "unguarded" runners take whatever they are told to; "leader", "crash", "cfg" and
+// "cloud" draw disruptions of that kind alone; "nosame" leaves restarts under an ID out, "nowave" waves; "gangs" draws gangs.
 func explore(o options) int {
 	R := rand.New(rand.NewPCG(uint64(o.seed), 1))
 	kind := os.Getenv("KIND")
@@ -54,7 +57,6 @@
 	var wg sync.WaitGroup
 	var jobs []*harness.Job
 	end := time.Now().Add(40 * time.Second)
-	// disruptions
 	if o.trouble {
 		wg.Add(1)
 		go func() {
