--- a/review/harness-2/runner.go
+++ b/review/harness-2/runner.go
@@ -69,6 +69,9 @@
 	return fmt.Sprintf("%s-%d-%d-%d", r.task.Job, r.task.Occurrence, r.task.Step, whole.Milliseconds())
 }
 
+// maxEnds is how many ends an answer lists at most.
+const maxEnds = 500
+
 type ended struct {
 	number int64
 	run    *run
@@ -258,13 +261,7 @@
 			<-request.Context().Done()
 			return
 		}
-		if wait := r.cutFor(); wait > 0 {
-			select {
-			case <-request.Context().Done():
-			case <-time.After(wait):
-			}
-			panic(http.ErrAbortHandler)
-		}
+		r.waitOutCut(request)
 		if delay, isLost := r.platform.drawTrouble(request.URL.Path); delay > 0 {
 			time.AfterFunc(delay, func() { r.execute(id, in, carryOut) })
 			<-request.Context().Done()
@@ -275,6 +272,8 @@
 		}
 		until := time.Now().Add(time.Duration(in.WaitMS) * time.Millisecond)
 		for {
+			// A hold that waits when a cut begins goes silent as well.
+			r.waitOutCut(request)
 			status, out, isUp := r.execute(id, in, carryOut)
 			if !isUp {
 				panic(http.ErrAbortHandler)
@@ -333,6 +332,17 @@
 	r.platform.ledger.note(time.Now(), "%s is cut off for %s", r.id, d)
 }
 
+// waitOutCut lets a request that meets a cut hear nothing until the cut is over, and hang up then.
+func (r *Runner) waitOutCut(request *http.Request) {
+	if wait := r.cutFor(); wait > 0 {
+		select {
+		case <-request.Context().Done():
+		case <-time.After(wait):
+		}
+		panic(http.ErrAbortHandler)
+	}
+}
+
 func (r *Runner) cutFor() time.Duration {
 	r.platform.mu.Lock()
 	defer r.platform.mu.Unlock()
@@ -509,7 +519,7 @@
 		}
 		out.Running = append(out.Running, []any{run.name, run.number, run.savedText(now), percent, figure})
 	}
-	for _, end := range r.ends {
+	for _, end := range r.ends[:min(len(r.ends), maxEnds)] {
 		out.Ended = append(out.Ended, []any{end.number, end.run.name, end.run.number, end.how, end.saved})
 	}
 	return http.StatusOK, out
