--- a/review/cases-2/racks.go
+++ b/review/cases-2/racks.go
@@ -25,9 +25,9 @@
 func racks(o options) int {
 	s, err := newScene(o, harness.Config{
 		Guarded: true,
-		Pools:   []harness.Pool{{Name: "shopfront", Runners: 12}, {Name: "backroom", Runners: 8, Spare: true}},
+		Pools:   []harness.Pool{{Name: "skipperdesk", Runners: 12}, {Name: "backroom", Runners: 8, Spare: true}},
 		Routes: []harness.Route{{
-			Name: "r-restock", Host: "shop.example", Prefix: "/restock/", Kind: "unsafe", TimeoutMS: 3000, TargetMS: 2500, Service: "shopfront", MaxAttempts: 3, Stretch: 2.2,
+			Name: "r-charter", Host: "shop.example", Prefix: "/charter/", Kind: "unsafe", TimeoutMS: 3000, TargetMS: 2500, Service: "skipperdesk", MaxAttempts: 3, Stretch: 2.2,
 		}},
 		Tenants: []harness.Tenant{{Name: "shop", Keys: []string{"key-of-the-shop"}, Weight: 50}},
 	}, 6)
@@ -37,7 +37,7 @@
 	}
 	defer s.close()
 	submit := func(number int) bool {
-		job := &harness.Job{ID: harness.JobID("c7", number), Spec: "restock", Route: "r-restock", Steps: []harness.Step{{
+		job := &harness.Job{ID: harness.JobID("c7", number), Spec: "charter", Route: "r-charter", Steps: []harness.Step{{
 			Count: 5, CPU: 500, Memory: 2100, EstimateMS: 700, Persistent: true, MayMiss: 1, TargetMS: 100,
 		}}}
 		return s.Submit(context.Background(), s.nodes, 0, job) == 200
