fleet: a job has begun once an endpoint confirms a start

Cause: jobState.started was set as a start was decided, and nothing took it back. A new leader set it by a row that only records a decided start. The same flag answered who is deferred, protected, has slack, and how long the first start took. Ruled out: old counts (kept for 2 s at most), jobs that the leader does not know (it logs their refusals). Change: hasBegun is what an endpoint has confirmed by its answer, a report or an end; counts, states and started-after go by it. What goes by the decision has methods of its own and is as before. Open occurrences, the rate of starts of the outlook and the sizes that started in time counted refused starts, too.

--- a/internal/fleet/accounting.go
+++ b/internal/fleet/accounting.go
@@ -13,6 +13,7 @@
 	task := r.key.task
 	if len(r.job.active[task]) == 0 {
 		r.job.activeTasks[task.StepKey()]++
+		r.job.occurrences.taskActive(task.Occurrence)
 	}
 	r.job.active[task] = append(r.job.active[task], r)
 	if !r.step().Persistent {
@@ -36,6 +37,7 @@
 	remaining := slices.DeleteFunc(r.job.active[task], func(other *run) bool { return other == r })
 	if len(remaining) == 0 {
 		r.job.activeTasks[task.StepKey()]--
+		r.job.occurrences.taskInactive(task.Occurrence)
 		if r.job.activeTasks[task.StepKey()] == 0 {
 			delete(r.job.activeTasks, task.StepKey())
 		}
--- a/internal/fleet/completion.go
+++ b/internal/fleet/completion.go
@@ -55,6 +55,10 @@
 	if _, ok := j.stepOf(completion.Task); !ok {
 		return 0
 	}
+	if r != nil {
+		l.runBegan(r, now)
+	}
+	l.taskBegan(j, completion.Task, now)
 	j.recordRun(key)
 	l.log("run ended", "job", completion.Task.Job, "step", completion.Task.Step, "index", completion.Task.Index, "run", completion.Run,
 		"endpoint", e.row.ID, "how", string(completion.Kind), "took", took.Round(time.Millisecond).String())
--- a/internal/fleet/cost.go
+++ b/internal/fleet/cost.go
@@ -46,13 +46,13 @@
 	return max(float64(amount.CPU)/float64(max(1, size.CPU)), float64(amount.Memory)/float64(max(1, size.Memory)))
 }
 
-// countSize counts whether a job started in time, once.
-func (l *Leader) countSize(g taskGroup) {
-	if g.job.isCounted || g.job.inherited || g.step.step.Persistent {
+// countSize counts whether a job started in time, once, by the lateness of one of its steps.
+func (l *Leader) countSize(j *jobState, step job.Step, lateness lateness) {
+	if j.isCounted || j.inherited || step.Persistent {
 		return
 	}
-	g.job.isCounted = true
-	l.sizesOf(g.job.submission.Queue).Count(g.job.size, g.rank.lateness == onTime)
+	j.isCounted = true
+	l.sizesOf(j.submission.Queue).Count(j.size, lateness == onTime)
 }
 
 // deferralInterval is the time between two decisions on what a pool defers. At peak load a leader
@@ -74,7 +74,7 @@
 	isAnyDeferred := false
 	for i := range groups {
 		g := &groups[i]
-		g.rank.isDeferred = g.step.isDeferred && !g.job.started && g.rank.lateness == onTime
+		g.rank.isDeferred = g.step.isDeferred && g.job.mayBeDeferred() && g.rank.lateness == onTime
 		isAnyDeferred = isAnyDeferred || g.rank.isDeferred
 	}
 	if isAnyDeferred || isDue {
@@ -101,7 +101,7 @@
 			// Late work starts by its deadlines: once the shortage is over, most of it can still be
 			// in time to be of value.
 			for _, g := range level {
-				l.countSize(g)
+				l.countSize(g.job, g.step.step, g.rank.lateness)
 			}
 		}
 		start = end
@@ -117,7 +117,7 @@
 		works[i] = overload.Work{
 			Deadline: g.rank.latestStart, HostSeconds: l.hostSecondsOf(g.job, g.step.step, len(g.step.pending), size),
 			Remaining: l.remainingHostSeconds(g, size), Value: g.job.value,
-			Protected: g.job.started || g.job.submission.Returned || l.sizesOf(g.job.submission.Queue).IsFavoured(g.job.size),
+			Protected: l.isProtected(g.job),
 		}
 	}
 	deferred, kept := overload.Defer(works, backlog, now)
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -156,6 +156,8 @@
 	outlook         outlookState
 	effort          Effort
 	starts          startBudget
+	// begunJobs holds the jobs that have begun lately, in the order of that.
+	begunJobs []begunJob
 }
 
 // New returns a leader without jobs, endpoints or hosts.
--- a/internal/fleet/jobstate.go
+++ b/internal/fleet/jobstate.go
@@ -23,8 +23,11 @@
 	// beyondShare jobs exceeded their client account's share at submission: they rank
 	// behind all others of their priority.
 	beyondShare bool
-	// started is true once a task has been started.
-	started bool
+	// hasBegun is true once an endpoint has confirmed the start of a task, by its answer, a report
+	// or an end.
+	hasBegun bool
+	// isScheduled is true once the start of a task has been decided, whatever became of it.
+	isScheduled bool
 	// hostSeconds is the capacity that the job needed in all at its submission, size its class
 	// within its queue, and value what it is worth to callers.
 	hostSeconds, value float64
@@ -34,8 +37,8 @@
 	// isCounted is true once it is counted whether the job started in time, and isDeferred once
 	// the job has been deferred for others.
 	isCounted, isDeferred bool
-	// startedAfter is the time from submission to the first start, and startLateness the
-	// lateness of that start.
+	// startedAfter is the time from submission to the first start that an endpoint confirmed, and
+	// startLateness the lateness when that was decided.
 	startedAfter  time.Duration
 	startLateness lateness
 	occurrences   openOccurrences
@@ -148,7 +151,8 @@
 	if stored.Progress != nil {
 		j.progress = stored.Progress
 		j.persistedState = stored.Progress.State
-		j.started = !stored.Progress.IsEmpty()
+		j.hasBegun = stored.Progress.HasBegun()
+		j.isScheduled = j.hasBegun || !stored.Progress.IsEmpty()
 	}
 	j.loadCrashRecords(now)
 	l.hasFormerStarts = l.hasFormerStarts || j.progress.StartCount() > 0
@@ -267,17 +271,17 @@
 	if !ok {
 		return "", false
 	}
-	if !j.persistedState.Final() && j.started {
+	if !j.persistedState.Final() && j.hasBegun {
 		return job.Running, true
 	}
 	return j.persistedState, true
 }
 
-// Waiting counts, by queue, the jobs of which no task has started.
+// Waiting counts, by queue, the jobs of which no endpoint has confirmed the start of a task.
 func (l *Leader) Waiting() map[string]int {
 	waiting := map[string]int{}
 	for _, j := range l.live {
-		if !j.started {
+		if !j.hasBegun {
 			waiting[j.submission.Queue]++
 		}
 	}
--- a/internal/fleet/occurrence.go
+++ b/internal/fleet/occurrence.go
@@ -6,38 +6,46 @@
 	"github.com/lovagedyke/lovagedyke/internal/job"
 )
 
-// maxUnbegunOccurrences is the number of a job's occurrences that are looked at in each step
+// maxIdleOccurrences is the number of a job's occurrences that are looked at in each step
 // although nothing of them has started yet: the ones after them need the same capacity.
-const maxUnbegunOccurrences = 256
+const maxIdleOccurrences = 256
 
 // occurrenceState is an occurrence with open steps.
 type occurrenceState struct {
 	// steps counts the open steps, finite those whose tasks are not persistent.
 	steps, finite int
-	// hasBegun is true once a task has been started.
+	// activeTasks counts the tasks with runs that are or may be on an endpoint.
+	activeTasks int
+	// hasBegun is true once an endpoint has confirmed the start of a task.
 	hasBegun bool
 }
 
+// isIdle reports whether all that is open of the occurrence waits for its first start.
+func (s *occurrenceState) isIdle() bool {
+	return s.activeTasks == 0 && !s.hasBegun
+}
+
 // openOccurrences holds the occurrences of a job with open steps.
 type openOccurrences struct {
 	states map[int]*occurrenceState
-	// unbegun counts those of which nothing has started, finite those with steps that can be
-	// completed.
-	unbegun, finite int
+	// idle counts those of which nothing has begun or is about to, finite those with steps that can
+	// be completed.
+	idle, finite int
 	// next is the first occurrence that has not been opened.
 	next int
 }
 
-// stepOpened adds an open step.
-func (o *openOccurrences) stepOpened(key job.StepKey, step job.Step, hasBegun bool) {
-	state := o.states[key.Occurrence]
-	if state == nil {
-		state = &occurrenceState{hasBegun: hasBegun}
-		o.states[key.Occurrence] = state
-		if !hasBegun {
-			o.unbegun++
-		}
+// add adds an occurrence without open steps.
+func (o *openOccurrences) add(occurrence int, state *occurrenceState) {
+	o.states[occurrence] = state
+	if state.isIdle() {
+		o.idle++
 	}
+}
+
+// stepOpened adds an open step of an occurrence that has been added.
+func (o *openOccurrences) stepOpened(key job.StepKey, step job.Step) {
+	state := o.states[key.Occurrence]
 	state.steps++
 	if !step.Persistent {
 		state.finite++
@@ -60,17 +68,45 @@
 	if state.steps > 0 {
 		return
 	}
-	if !state.hasBegun {
-		o.unbegun--
+	if state.isIdle() {
+		o.idle--
 	}
 	delete(o.states, key.Occurrence)
 }
 
-// begun records that a task of an occurrence has started.
+// begun records that an endpoint has confirmed the start of a task of an occurrence.
 func (o *openOccurrences) begun(occurrence int) {
-	if state := o.states[occurrence]; state != nil && !state.hasBegun {
-		state.hasBegun = true
-		o.unbegun--
+	state := o.states[occurrence]
+	if state == nil || state.hasBegun {
+		return
+	}
+	if state.isIdle() {
+		o.idle--
+	}
+	state.hasBegun = true
+}
+
+// taskActive records that a task of an occurrence has its first active run.
+func (o *openOccurrences) taskActive(occurrence int) {
+	state := o.states[occurrence]
+	if state == nil {
+		return
+	}
+	if state.isIdle() {
+		o.idle--
+	}
+	state.activeTasks++
+}
+
+// taskInactive records that a task of an occurrence has no active run any more.
+func (o *openOccurrences) taskInactive(occurrence int) {
+	state := o.states[occurrence]
+	if state == nil {
+		return
+	}
+	state.activeTasks--
+	if state.isIdle() {
+		o.idle++
 	}
 }
 
@@ -86,7 +122,7 @@
 		if due := j.submission.Due(o.next); !due.IsZero() && wall.Before(due) {
 			return
 		}
-		if o.unbegun >= maxUnbegunOccurrences || o.finite > 0 && !l.rowHasRoomForOccurrence(j) {
+		if o.idle >= maxIdleOccurrences || o.finite > 0 && !l.rowHasRoomForOccurrence(j) {
 			return
 		}
 		o.next++
@@ -110,19 +146,23 @@
 		}
 	}
 	j.steps[key] = opened
-	j.occurrences.stepOpened(key, opened.step, j.hasBegun(key.Occurrence))
+	if j.occurrences.states[key.Occurrence] == nil {
+		j.occurrences.add(key.Occurrence, j.occurrenceStateOf(key.Occurrence))
+	}
+	j.occurrences.stepOpened(key, opened.step)
 	j.rowUse.openSteps += stepBytes(opened.step)
 }
 
-// hasBegun reports whether something of an occurrence runs, or has ended.
-func (j *jobState) hasBegun(occurrence int) bool {
+// occurrenceStateOf returns the state of an occurrence without open steps, by its active tasks and by
+// what has ended.
+func (j *jobState) occurrenceStateOf(occurrence int) *occurrenceState {
+	state := &occurrenceState{}
 	for number := range j.submission.Steps {
 		key := job.StepKey{Occurrence: occurrence, Step: number}
-		if j.activeTasks[key] > 0 || j.progress.Steps[key] != nil || j.progress.StepDone(j.submission, key) {
-			return true
-		}
+		state.activeTasks += j.activeTasks[key]
+		state.hasBegun = state.hasBegun || j.progress.StepHasEnds(key)
 	}
-	return false
+	return state
 }
 
 // closeStep closes a step whose tasks have completed, and forgets what was known of these.
--- a/internal/fleet/rank.go
+++ b/internal/fleet/rank.go
@@ -92,8 +92,7 @@
 	}
 	out.latestStart = dueAt.Add(objective - remaining)
 	margin := time.Duration(0)
-	if !j.started {
-		// Started jobs continue; others must have slack.
+	if j.needsStartMargin() {
 		margin = startMargin + time.Duration(remainingMarginFraction*float64(remaining))
 	}
 	switch {
--- a/internal/fleet/renewal.go
+++ b/internal/fleet/renewal.go
@@ -277,6 +277,7 @@
 	if r == nil {
 		return
 	}
+	l.runBegan(r, now)
 	if r.state == runStarting || r.state == runUnconfirmed {
 		r.state = runLive
 		r.answeredAt = now
@@ -327,8 +328,7 @@
 	e.addRun(r)
 	duplicate := len(j.active[key.task]) > 0
 	l.trackRun(r)
-	j.started = true
-	j.occurrences.begun(key.task.Occurrence)
+	j.isScheduled = true
 	j.recordRun(key)
 	l.log("run adopted", "job", key.task.Job, "step", key.task.Step, "index", key.task.Index, "run", key.run, "endpoint", e.row.ID)
 	switch {
--- a/internal/fleet/reply.go
+++ b/internal/fleet/reply.go
@@ -38,6 +38,10 @@
 // HandleStartReply processes an endpoint's reply to a start. It returns false if the
 // endpoint knows a newer leader.
 func (l *Leader) HandleStartReply(start Start, reply Reply, now time.Time) bool {
+	if reply.Outcome == OrderAccepted {
+		// Also if its run is not tracked any more.
+		l.taskBegan(l.jobs[start.Task.Job], start.Task, now)
+	}
 	e := l.endpoints[start.Endpoint]
 	if e == nil {
 		return reply.Outcome != OrderFenced
@@ -102,6 +106,7 @@
 	}
 	r.answeredAt = now
 	r.endpoint.roomPause = 0
+	l.runBegan(r, now)
 }
 
 // startRejected removes a run that the endpoint did not start.
--- a/internal/fleet/run.go
+++ b/internal/fleet/run.go
@@ -95,6 +95,8 @@
 	onTrial bool
 	// isSolo is true if not even others on trial may start beside it.
 	isSolo bool
+	// hasBegun is true once the endpoint has confirmed the start.
+	hasBegun bool
 	// isUnsent is true until the start is sent.
 	isUnsent bool
 	// isHeld is true until the record of the run's start is stored, and the start is sent.
--- a/internal/fleet/startrate.go
+++ b/internal/fleet/startrate.go
@@ -24,7 +24,7 @@
 	all, beyond [startRateSlots + 1]float64
 }
 
-// noteStart counts the start of a task.
+// noteStart counts a start of a task that an endpoint has confirmed.
 func (l *Leader) noteStart(j *jobState, step job.Step, now time.Time) {
 	if step.Persistent {
 		return
--- a/internal/fleet/step.go
+++ b/internal/fleet/step.go
@@ -21,6 +21,7 @@
 	}
 	l.steppedAt = now
 	orders.Lookups = l.dueLookups(now)
+	l.recordBegins(now)
 	l.retryRefusedRows(now)
 	l.meanHost = l.hostSize()
 	pools := map[string][]*jobState{}
@@ -335,13 +336,7 @@
 	e.addRun(r)
 	l.trackRun(r)
 	g.job.recordRun(r.key)
-	if !g.job.started {
-		g.job.startedAfter, g.job.startLateness = now.Sub(g.job.submission.Accepted), g.rank.lateness
-	}
-	g.job.started = true
-	g.job.occurrences.begun(task.Occurrence)
-	l.countSize(g)
-	l.noteStart(g.job, g.step.step, now)
+	g.job.noteScheduled(g.rank.lateness)
 	l.startDecided(r)
 	target.available = target.available.Minus(r.reserved)
 	if r.isPersistent() {
--- a/internal/job/progress.go
+++ b/internal/job/progress.go
@@ -343,6 +343,29 @@
 	return counts
 }
 
+// HasBegun reports whether a task is known to have started. The record of a start is not enough: the
+// start may not have been carried out.
+func (p *Progress) HasBegun() bool {
+	if p.State != Queued || len(p.closed) > 0 {
+		return true
+	}
+	for key := range p.Steps {
+		if p.StepHasEnds(key) {
+			return true
+		}
+	}
+	return false
+}
+
+// StepHasEnds reports whether a task of a step has completed, or a run of one has failed.
+func (p *Progress) StepHasEnds(key StepKey) bool {
+	if p.isClosed(key) {
+		return true
+	}
+	step := p.Steps[key]
+	return step != nil && (step.DoneCount > 0 || len(step.FailedRuns) > 0)
+}
+
 // IsEmpty reports whether nothing is recorded.
 func (p *Progress) IsEmpty() bool {
 	return len(p.Steps) == 0 && len(p.closed) == 0
