fleet, control: a gang starts as a whole or not at all

Cause: a queue of 256 orders for each endpoint dropped what it did not take, and nothing tied the members of a gang together between its placement and the start of the last one; the leader chose the same endpoint again. Ruled out: refusals by the endpoint (none). Slow sending is not the cause here, and has the same effect where answers take long. Change: an attempt to start a gang knows its members; the loss of one before all have begun withdraws or stops the others at once and bounds the gang on that endpoint for a time. A gang waits while it could not be sent in half of gang_ms. The queue of an endpoint drops nothing, stops and paces go first, and starts of gangs get more senders. An order that a courier does not take does not pause the endpoint.

--- a/internal/control/endpoints.go
+++ b/internal/control/endpoints.go
@@ -14,8 +14,10 @@
 	// sendersPerEndpoint is the number of concurrent orders to one endpoint, unless Config says
 	// another.
 	sendersPerEndpoint = 3
-	// orderQueueSize is the number of orders that may wait for one endpoint.
-	orderQueueSize = 256
+	// startsPerExtraSender is the number of queued starts of gangs for which an endpoint gets one more
+	// sender, and maxExtraSenders the number of those for all endpoints together.
+	startsPerExtraSender = 4
+	maxExtraSenders      = 256
 	// renewRetryDelay is the time between a failed lease renewal and the next.
 	renewRetryDelay = 150 * time.Millisecond
 	// maxRenewWait is the longest time between two checks whether a renewal is due.
@@ -25,23 +27,15 @@
 	completionBatchDelay = 15 * time.Millisecond
 )
 
-// order is an order to an endpoint: exactly one of start, stop and throttle is set.
-type order struct {
-	start    *fleet.Start
-	stop     *fleet.Stop
-	throttle *fleet.Throttle
-	// decidedAt is when a start was decided.
-	decidedAt time.Time
-}
-
 // endpointSession sends orders and lease renewals to one endpoint during a term.
 type endpointSession struct {
-	term   *term
-	id     fleet.EndpointID
-	orders chan order
-	// senders is the number of goroutines that send orders; t.mu guards it.
-	senders int
-	wake    chan struct{}
+	term *term
+	id   fleet.EndpointID
+	// orders are those that wait, senders is the number of goroutines that send them, and extraSenders
+	// how many of these were added for gangs; t.mu guards all three.
+	orders                orderQueue
+	senders, extraSenders int
+	wake                  chan struct{}
 	// ctx ends when the leader drops the endpoint.
 	ctx    context.Context
 	cancel context.CancelFunc
@@ -73,7 +67,7 @@
 // startSession starts the loops for one endpoint.
 func (t *term) startSession(id fleet.EndpointID) {
 	ctx, cancel := context.WithCancel(t.ctx)
-	session := &endpointSession{term: t, id: id, ctx: ctx, orders: make(chan order, orderQueueSize), wake: make(chan struct{}, 1), cancel: cancel}
+	session := &endpointSession{term: t, id: id, ctx: ctx, wake: make(chan struct{}, 1), cancel: cancel}
 	t.sessions[id] = session
 	t.group.Go(func(groupCtx context.Context) { session.run(groupCtx, session.renewLoop) })
 }
@@ -88,24 +82,42 @@
 	loop(ctx)
 }
 
-// queueOrder queues an order; t.mu must be held. A start that finds the queue
-// full is reported to the leader as unsent.
+// queueOrder queues an order; t.mu must be held. A start without a session is reported to the leader as
+// not taken: the endpoint has left the fleet.
 func (t *term) queueOrder(session *endpointSession, next order) {
-	if session != nil {
-		select {
-		case session.orders <- next:
-			signal(session.wake)
-			if session.senders < t.config.ordersPerEndpoint() {
-				session.senders++
-				t.group.Go(func(groupCtx context.Context) { session.run(groupCtx, session.sendOrders) })
-			}
-			return
-		default:
+	if session == nil {
+		if next.start != nil {
+			t.leader.HandleStartReply(*next.start, fleet.Reply{Outcome: fleet.OrderNotTaken}, time.Now())
 		}
+		return
+	}
+	session.orders.push(next)
+	signal(session.wake)
+	if session.senders < session.maxSenders() {
+		t.addSender(session)
 	}
-	if next.start != nil {
-		t.leader.HandleStartReply(*next.start, fleet.Reply{Outcome: fleet.OrderNotSent}, time.Now())
+}
+
+// addSender starts a goroutine that sends the orders of a session; t.mu must be held.
+func (t *term) addSender(session *endpointSession) {
+	session.senders++
+	if session.senders > t.config.ordersPerEndpoint() {
+		session.extraSenders++
+		t.extraSenders++
+	}
+	t.group.Go(func(groupCtx context.Context) { session.run(groupCtx, session.sendOrders) })
+}
+
+// maxSenders returns how many orders may be sent to the endpoint at the same time; t.mu must be held.
+// Starts of gangs get more: the members that are there wait for the others.
+func (s *endpointSession) maxSenders() int {
+	usual := s.term.config.ordersPerEndpoint()
+	if s.orders.gangStarts == 0 {
+		return usual
 	}
+	extra := (s.orders.gangStarts + startsPerExtraSender - 1) / startsPerExtraSender
+	left := max(0, maxExtraSenders-s.term.extraSenders) + s.extraSenders
+	return max(usual, min(usual+extra, usual+left, fleet.GangStartsPerEndpoint))
 }
 
 // wakeSessions lets endpoints' sessions check what is due; t.mu must be held. Waking
@@ -136,17 +148,21 @@
 	}
 }
 
-// nextOrder returns the next queued order. Without one, or once ctx has ended, its sender ends.
+// nextOrder returns the next queued order. Without one, with too many senders, or once ctx has ended, its
+// sender ends.
 func (s *endpointSession) nextOrder(ctx context.Context) (order, bool) {
 	s.term.mu.Lock()
 	defer s.term.mu.Unlock()
-	if ctx.Err() == nil {
-		select {
-		case next := <-s.orders:
+	isSurplus := s.extraSenders > 0 && s.senders > s.maxSenders()
+	if ctx.Err() == nil && !isSurplus {
+		if next, ok := s.orders.pop(); ok {
 			return next, true
-		default:
 		}
 	}
+	if s.extraSenders > 0 {
+		s.extraSenders--
+		s.term.extraSenders--
+	}
 	s.senders--
 	return order{}, false
 }
--- a/internal/control/term.go
+++ b/internal/control/term.go
@@ -64,6 +64,8 @@
 	mu       sync.Mutex
 	leader   *fleet.Leader
 	sessions map[fleet.EndpointID]*endpointSession
+	// extraSenders is the number of senders that were added for gangs.
+	extraSenders int
 	// endpointChanges is the leader's count for which the sessions are up to date, and
 	// largestHostsAt when the largest hosts were last recorded.
 	endpointChanges int
--- a/internal/courier/client.go
+++ b/internal/courier/client.go
@@ -139,9 +139,18 @@
 		return direct()
 	}
 	if err != nil {
-		return unsent(err)
+		return notTaken(unsent(err))
 	}
-	return decodeReply(reply)
+	return notTaken(decodeReply(reply))
+}
+
+// notTaken returns the reply to an order that a courier did not send. That does not say that the endpoint
+// cannot be reached: the next order to it goes directly, and shows that.
+func notTaken(reply fleet.Reply) fleet.Reply {
+	if reply.Outcome == fleet.OrderNotSent {
+		reply.Outcome = fleet.OrderNotTaken
+	}
+	return reply
 }
 
 // RenewLease implements Endpoints. A renewal may be repeated, so one that a failed
--- a/internal/fleet/accounting.go
+++ b/internal/fleet/accounting.go
@@ -29,6 +29,7 @@
 	if !r.endpoint.removeRun(r) || r.job == nil {
 		return
 	}
+	r.leaveGang()
 	l.forgetStart(r)
 	if !r.step().Persistent {
 		r.job.rowUse.active--
@@ -104,6 +105,7 @@
 		return
 	}
 	r.state = runStopping
+	r.leaveGang()
 	if r.endpoint.runs[r.key] == r {
 		r.endpoint.tally.stopping++
 	}
--- a/internal/fleet/begin.go
+++ b/internal/fleet/begin.go
@@ -36,6 +36,9 @@
 		return
 	}
 	r.hasBegun = true
+	if r.gang != nil {
+		r.gang.memberBegan(now)
+	}
 	isFirst := !r.job.hasBegun
 	l.taskBegan(r.job, r.key.task, now)
 	if r.sentAt.IsZero() {
--- a/internal/fleet/endpoint.go
+++ b/internal/fleet/endpoint.go
@@ -117,6 +117,9 @@
 	OrderOtherIncarnation OrderOutcome = "other-life"
 	// OrderNotSent orders cannot have reached the endpoint.
 	OrderNotSent OrderOutcome = "unsent"
+	// OrderNotTaken orders were not sent, for a reason other than the endpoint: the process that carries
+	// orders for the leader takes no more, or held them up.
+	OrderNotTaken OrderOutcome = "not-taken"
 	// OrderUnknown orders got no answer: they may have been executed, or may still be
 	// executed seconds later.
 	OrderUnknown OrderOutcome = "unknown"
@@ -131,7 +134,7 @@
 func (o OrderOutcome) IsKnown() bool {
 	switch o {
 	case OrderAccepted, OrderFenced, OrderStaleRun, OrderLeaseExpired, OrderNoCapacity, OrderInvalidTicket,
-		OrderMalformed, OrderUnhealthy, OrderOtherIncarnation, OrderNotSent, OrderUnknown, OrderHungUp, OrderRefused:
+		OrderMalformed, OrderUnhealthy, OrderOtherIncarnation, OrderNotSent, OrderNotTaken, OrderUnknown, OrderHungUp, OrderRefused:
 		return true
 	default:
 		return false
--- a/internal/fleet/endpointstate.go
+++ b/internal/fleet/endpointstate.go
@@ -76,6 +76,10 @@
 	endedUnanswered map[runKey]bool
 	runs            map[runKey]*run
 	tally           runTally
+	// unsentStarts counts the starts that are decided and not sent, and startTime is how long starts
+	// take to be answered.
+	unsentStarts int
+	startTime    recentTime
 	// lastRead is the number of the newest completion that was read, ackable the newest
 	// that may be acknowledged, and acked the newest that has been.
 	lastRead, ackable, acked int64
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -73,6 +73,9 @@
 	Move, Maintenance time.Duration
 	// HostChangeExclusion is the time within which two leaders must not change the same host.
 	HostChangeExclusion time.Duration
+	// GangAssembly is how long a member of a gang waits on its endpoint for the others before it ends
+	// alone, or 0 if the platform does not say.
+	GangAssembly time.Duration
 	// CapacityNotice is for how long after an endpoint has announced a smaller capacity starts
 	// may still exceed it, or 0 if the platform does not say.
 	CapacityNotice time.Duration
@@ -158,6 +161,10 @@
 	starts          startBudget
 	// begunJobs holds the jobs that have begun lately, in the order of that.
 	begunJobs []begunJob
+	// assembling holds the attempts to start gangs of which not all members have begun, and
+	// startTime is how long starts take to be answered.
+	assembling []*gangAttempt
+	startTime  recentTime
 }
 
 // New returns a leader without jobs, endpoints or hosts.
--- a/internal/fleet/gang.go
+++ b/internal/fleet/gang.go
@@ -14,7 +14,12 @@
 	if !l.underCap(g.job.submission.Account, g.step.step.Resources, int64(g.step.step.Count)) {
 		return
 	}
-	placed := l.placeGang(g, candidates)
+	if limit := l.gangTime(); limit > 0 && l.starts.timeFor(g.step.step.Count) > limit {
+		// The members on one endpoint would wait too long for those on another.
+		return
+	}
+	l.dropGangLimits(g.step, now)
+	placed := l.placeGang(g, candidates, now)
 	if placed == nil {
 		return
 	}
@@ -28,6 +33,7 @@
 			checkpoint = saved
 		}
 	}
+	g.attempt = &gangAttempt{}
 	for i, index := range g.step.pending {
 		task := g.job.taskAt(g.step.key, index)
 		if checkpoint != "" {
@@ -38,13 +44,14 @@
 		l.start(g, task, placed[i], number, orders, now)
 	}
 	g.step.pending = nil
+	l.assembling = append(l.assembling, g.attempt)
 }
 
 // placeGang returns an endpoint for each pending member and reduces the endpoints'
 // available capacity, or returns nil.
-func (l *Leader) placeGang(g taskGroup, candidates []*candidateEndpoint) []*candidateEndpoint {
+func (l *Leader) placeGang(g taskGroup, candidates []*candidateEndpoint, now time.Time) []*candidateEndpoint {
 	if !g.step.step.SameRack {
-		return l.placeOn(g, candidates)
+		return l.placeOn(g, candidates, now)
 	}
 	byRack := map[string][]*candidateEndpoint{}
 	for _, candidate := range candidates {
@@ -55,7 +62,7 @@
 		if best != nil && rack != g.step.step.Affinity {
 			continue
 		}
-		if placed := l.placeOn(g, endpoints); placed != nil {
+		if placed := l.placeOn(g, endpoints, now); placed != nil {
 			unplace(g, best)
 			best = placed
 		}
@@ -63,26 +70,22 @@
 	if best != nil {
 		return best
 	}
-	return l.placeOn(g, candidates)
+	return l.placeOn(g, candidates, now)
 }
 
 // placeOn places all members on the given endpoints, or returns nil and leaves the
 // available capacity unchanged.
-func (l *Leader) placeOn(g taskGroup, candidates []*candidateEndpoint) []*candidateEndpoint {
+func (l *Leader) placeOn(g taskGroup, candidates []*candidateEndpoint, now time.Time) []*candidateEndpoint {
 	var placed []*candidateEndpoint
 	perEndpoint := map[*candidateEndpoint]int{}
+	isFull := func(candidate *candidateEndpoint) bool {
+		return perEndpoint[candidate] >= l.maxGangMembers(g.step, candidate.endpoint, now) || !g.allows(candidate)
+	}
+	var target *candidateEndpoint
 	for _, index := range g.step.pending {
-		var target *candidateEndpoint
-		bestScore := 0.0
-		for _, candidate := range candidates {
-			isFull := g.step.step.MaxPerEndpoint > 0 && perEndpoint[candidate] >= g.step.step.MaxPerEndpoint
-			if isFull || !g.allows(candidate) {
-				continue
-			}
-			score := g.score(g.job.avoid[g.job.taskAt(g.step.key, index)], candidate)
-			if target == nil || score > bestScore {
-				target, bestScore = candidate, score
-			}
+		// The endpoint of the member before has become fuller, and so is preferred for the next one.
+		if target == nil || len(g.job.avoid) > 0 || isFull(target) {
+			target = g.bestFor(index, candidates, isFull)
 		}
 		if target == nil {
 			unplace(g, placed)
@@ -95,6 +98,23 @@
 	return placed
 }
 
+// bestFor returns the endpoint with the highest score for a member of a gang among those that are not
+// full, or nil.
+func (g taskGroup) bestFor(index int, candidates []*candidateEndpoint, isFull func(*candidateEndpoint) bool) *candidateEndpoint {
+	var target *candidateEndpoint
+	bestScore := 0.0
+	avoided := g.job.avoid[g.job.taskAt(g.step.key, index)]
+	for _, candidate := range candidates {
+		if isFull(candidate) {
+			continue
+		}
+		if score := g.score(avoided, candidate); target == nil || score > bestScore {
+			target, bestScore = candidate, score
+		}
+	}
+	return target
+}
+
 // unplace releases the capacity that placed members took.
 func unplace(g taskGroup, placed []*candidateEndpoint) {
 	for _, target := range placed {
--- a/internal/fleet/jobstate.go
+++ b/internal/fleet/jobstate.go
@@ -87,6 +87,10 @@
 	waitLoggedAt time.Time
 	// isDeferred is true while the step waits for others, as last decided.
 	isDeferred bool
+	// gangLimits bounds the members of the step's gang on endpoints on which it could not be started,
+	// and gangPause is how long the last such bound holds.
+	gangLimits map[EndpointID]gangLimit
+	gangPause  time.Duration
 }
 
 func newJobState(submission *job.Submission) *jobState {
--- a/internal/fleet/order.go
+++ b/internal/fleet/order.go
@@ -20,6 +20,9 @@
 	Ticket string
 	// DataCentre is the endpoint's data centre, or "" if it is not known.
 	DataCentre string
+	// IsGangMember is true if the others of a gang wait for the run: up to GangStartsPerEndpoint such
+	// starts are sent to an endpoint at the same time.
+	IsGangMember bool
 	// incarnation and clock are the start time and the clock's last reading of the endpoint's
 	// incarnation that was known when the start was ordered.
 	incarnation time.Time
--- a/internal/fleet/reply.go
+++ b/internal/fleet/reply.go
@@ -71,6 +71,7 @@
 	l.logReply("start answered", r, reply)
 	switch reply.Outcome {
 	case OrderAccepted:
+		l.noteStartTime(r, now)
 		l.startAccepted(r, now)
 		if e.gone {
 			// Another incarnation may have answered.
@@ -125,6 +126,8 @@
 		if step := r.job.steps[r.key.task.StepKey()]; step != nil {
 			step.tickets, step.adviceRequested = nil, false
 		}
+	case OrderNotTaken:
+		// Says nothing about the endpoint.
 	case OrderMalformed:
 		notBefore = now.Add(time.Second)
 	case OrderOtherIncarnation:
--- a/internal/fleet/run.go
+++ b/internal/fleet/run.go
@@ -97,6 +97,8 @@
 	isSolo bool
 	// hasBegun is true once the endpoint has confirmed the start.
 	hasBegun bool
+	// gang is the attempt to start a gang to which the run belongs, or nil.
+	gang *gangAttempt
 	// isUnsent is true until the start is sent.
 	isUnsent bool
 	// isHeld is true until the record of the run's start is stored, and the start is sent.
--- a/internal/fleet/startbudget.go
+++ b/internal/fleet/startbudget.go
@@ -70,6 +70,7 @@
 // startDecided counts a start.
 func (l *Leader) startDecided(r *run) {
 	r.isUnsent = true
+	r.endpoint.unsentStarts++
 	l.starts.unsent++
 	l.starts.left--
 }
@@ -78,11 +79,21 @@
 func (l *Leader) startSent(r *run) {
 	if r.isUnsent {
 		r.isUnsent = false
+		r.endpoint.unsentStarts--
 		l.starts.unsent--
 		l.starts.sent++
 	}
 }
 
+// timeFor returns how long it takes to send more starts after those that wait, or 0 if that is not known:
+// the rate is the leader's own only while starts wait.
+func (b *startBudget) timeFor(count int) time.Duration {
+	if !b.isBehind || b.rate <= 0 {
+		return 0
+	}
+	return time.Duration(float64(b.unsent+count) / b.rate * float64(time.Second))
+}
+
 // IsBehind reports whether the leader is behind with sending the starts that it has decided.
 func (l *Leader) IsBehind() bool {
 	return l.starts.areTooManyUnsent()
--- a/internal/fleet/step.go
+++ b/internal/fleet/step.go
@@ -22,6 +22,7 @@
 	l.steppedAt = now
 	orders.Lookups = l.dueLookups(now)
 	l.recordBegins(now)
+	l.abandonGangs(now)
 	l.retryRefusedRows(now)
 	l.meanHost = l.hostSize()
 	pools := map[string][]*jobState{}
@@ -77,6 +78,8 @@
 	job  *jobState
 	step *stepState
 	rank rank
+	// attempt is the start of the step's gang that is being decided, or nil.
+	attempt *gangAttempt
 }
 
 // startPending starts pending tasks of all pools. While the leader is behind with sending starts,
@@ -174,6 +177,10 @@
 		cause = "no endpoint of the pool accepts work"
 	case l.isBehindFor(g):
 		cause = "the leader is behind with sending starts"
+	case g.step.step.Gang && len(g.step.pending) < g.step.step.Count:
+		cause = "members of the gang's last run have not ended"
+	case len(g.step.gangLimits) > 0:
+		cause = "the gang could not be started on some endpoints, and does not fit on the others"
 	case !l.rowHasRoom(g, g.job.taskAt(g.step.key, g.step.pending[0])):
 		cause = "the job's row has no room for more runs"
 	case g.step.tickets == nil && g.step.adviceRequested:
@@ -328,7 +335,10 @@
 	e := target.endpoint
 	r := &run{
 		key: runKey{task, number}, endpoint: e, job: g.job, state: runStarting, orderedAt: now, sentAt: now,
-		percent: 100, reserved: g.step.step.Reserved(), checkpoint: g.job.checkpoint[task],
+		percent: 100, reserved: g.step.step.Reserved(), checkpoint: g.job.checkpoint[task], gang: g.attempt,
+	}
+	if g.attempt != nil {
+		g.attempt.members = append(g.attempt.members, r)
 	}
 	r.awaitsAnswer, r.onTrial = true, g.job.isSuspect(task)
 	r.isSolo = r.onTrial && (g.step.step.Gang || trial{record: g.job.crashRecordOf(task)}.isSolo())
@@ -345,6 +355,7 @@
 	order := Start{
 		Endpoint: e.row.ID, Task: task, Run: number, Spec: g.job.submission.Spec, Lease: r.lease,
 		Checkpoint: r.checkpoint, Ticket: g.step.tickets[e.row.ID], DataCentre: l.dataCentreOf(e), incarnation: e.startedAt, clock: e.clock,
+		IsGangMember: g.attempt != nil,
 	}
 	if r.onTrial {
 		l.holdTrial(r, order, now)
