member, fleet: refuse gangs that no state of their pool could hold

Callers saw: a gang larger than all hosts together was accepted, and waited for ever; only tasks larger than any host were refused. Change: the leader tells the sizes of all hosts in its answers to hellos, and each node refuses a gang with more members than would run at once if all hosts were in its pool and had no other work. Hosts that are away count, so that the refusal stays true.

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -262,6 +262,15 @@
 	return *t.maxHostResources.Load()
 }
 
+// HostSizes returns the sizes of all hosts, or nil while they are not known or this process does not lead.
+func (c *Control) HostSizes() []fleet.HostSize {
+	t := c.current()
+	if t == nil {
+		return nil
+	}
+	return *t.hostSizes.Load()
+}
+
 // Outlook implements member.Fleet.
 func (c *Control) Outlook() []byte {
 	t := c.current()
--- a/internal/control/load.go
+++ b/internal/control/load.go
@@ -64,7 +64,7 @@
 	for _, id := range rows.earlyCancels {
 		t.leader.CancelJob(id, now)
 	}
-	t.recordMaxHostResources()
+	t.recordHostSizes()
 	t.loaded.Store(true)
 }
 
--- a/internal/control/load_test.go
+++ b/internal/control/load_test.go
@@ -121,7 +121,7 @@
 	control.term.leader.UpdateEndpoint(fleet.EndpointRow{ID: "i-1", Capacity: want}, time.Now())
 	control.term.mu.Lock()
 	defer control.term.mu.Unlock()
-	control.term.recordMaxHostResources()
+	control.term.recordHostSizes()
 	answered := make(chan policy.Resources, 1)
 	go func() { answered <- control.MaxHostResources() }()
 	select {
--- a/internal/control/term.go
+++ b/internal/control/term.go
@@ -54,9 +54,10 @@
 	writer  *writer
 	group   *loops.Group
 
-	// maxHostResources and loaded are in the answer to a hello, which must not wait for
+	// maxHostResources, hostSizes and loaded are in the answer to a hello, which must not wait for
 	// the decisions of a busy leader: others would take over.
 	maxHostResources atomic.Pointer[policy.Resources]
+	hostSizes        atomic.Pointer[[]fleet.HostSize]
 	// outlook is the encoded outlook for new jobs, which is in these answers as well.
 	outlook atomic.Pointer[[]byte]
 	loaded  atomic.Bool
@@ -102,6 +103,7 @@
 		lookups: make(chan job.ID, lookupQueueSize), evacuationMetrics: map[string]bool{}, work: newWork(time.Now()),
 	}
 	t.maxHostResources.Store(&policy.Resources{})
+	t.hostSizes.Store(new([]fleet.HostSize))
 	t.outlook.Store(new([]byte))
 	t.writer = newWriter(writerConfig{
 		Store: c.config.Store, Journal: c.config.Journal, Token: claim.Token, ClaimVersion: version,
@@ -263,7 +265,7 @@
 		t.queueOrders(t.leader.Step(started, started), started)
 		if started.Sub(t.largestHostsAt) >= largestHostsInterval {
 			t.largestHostsAt = started
-			t.recordMaxHostResources()
+			t.recordHostSizes()
 		}
 		t.countDecisions()
 		t.countOverdue(t.leader.OverdueCounts())
@@ -287,11 +289,12 @@
 	t.leader.SetEvacuations(set.DataCentres, now)
 }
 
-// recordMaxHostResources records the largest hosts for answers to hellos; t.mu must be
+// recordHostSizes records the largest hosts, and the sizes of all, for answers to hellos; t.mu must be
 // held.
-func (t *term) recordMaxHostResources() {
-	largest := t.leader.MaxHostResources()
+func (t *term) recordHostSizes() {
+	largest, sizes := t.leader.MaxHostResources(), t.leader.HostSizes()
 	t.maxHostResources.Store(&largest)
+	t.hostSizes.Store(&sizes)
 }
 
 // measureEvacuations updates the metrics of how many runs are left in each evacuated data centre;
--- a/internal/member/fleetclient.go
+++ b/internal/member/fleetclient.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"fmt"
 	"sync"
 	"time"
 
 	"github.com/lovagedyke/lovagedyke/internal/admission"
+	"github.com/lovagedyke/lovagedyke/internal/fleet"
 	"github.com/lovagedyke/lovagedyke/internal/job"
 	"github.com/lovagedyke/lovagedyke/internal/member/memberpb"
 )
@@ -142,13 +144,19 @@
 // Unschedulable returns why no host can ever run a step's task, or "".
 func (f *FleetClient) Unschedulable(step job.Step) string {
 	f.node.mu.Lock()
-	maxHostResources := f.node.maxHostResources
+	maxHostResources, sizes := f.node.maxHostResources, f.node.hostSizes
 	f.node.mu.Unlock()
+	if own := f.node.ownHostSizes(); len(own) > 0 {
+		sizes = own
+	}
 	if own := f.node.config.MaxHostResources(); own.CPU > 0 {
 		maxHostResources = own
 	}
 	if maxHostResources.CPU > 0 && !step.Reserved().FitsIn(maxHostResources) {
 		return "a task is larger than any endpoint"
 	}
+	if most := fleet.MaxTasksAtOnce(step, sizes); step.Gang && len(sizes) > 0 && step.Count > most {
+		return fmt.Sprintf("a gang of %d tasks is larger than all endpoints together, which have room for %d", step.Count, most)
+	}
 	return ""
 }
--- a/internal/member/node.go
+++ b/internal/member/node.go
@@ -10,6 +10,7 @@
 	"github.com/lovagedyke/lovagedyke/internal/admission"
 	"github.com/lovagedyke/lovagedyke/internal/courier/courierpb"
 	"github.com/lovagedyke/lovagedyke/internal/evacuation"
+	"github.com/lovagedyke/lovagedyke/internal/fleet"
 	"github.com/lovagedyke/lovagedyke/internal/job"
 	"github.com/lovagedyke/lovagedyke/internal/member/memberpb"
 	"github.com/lovagedyke/lovagedyke/internal/policy"
@@ -91,6 +92,9 @@
 	// MaxHostResources returns, per resource, the largest amount that a single
 	// host has, or zeros while this process does not lead.
 	MaxHostResources func() policy.Resources
+	// HostSizes returns the sizes of all hosts, or nil while they are not known or this process does
+	// not lead. It may be nil.
+	HostSizes func() []fleet.HostSize
 	// Evacuations is exchanged with the other processes; it may be nil.
 	Evacuations EvacuationHolder
 	// Outlook returns the leader's encoded outlook for new jobs, or nil while this process
@@ -139,7 +143,9 @@
 	peersWithStore map[string]time.Time
 	// maxHostResources is what the leader last reported of the largest hosts.
 	maxHostResources policy.Resources
-	wake             chan struct{}
+	// hostSizes is what the leader last reported of all hosts.
+	hostSizes []fleet.HostSize
+	wake      chan struct{}
 	// outlooks holds the newest outlook of a leader.
 	outlooks *admission.Holder
 }
--- a/internal/member/view.go
+++ b/internal/member/view.go
@@ -44,7 +44,7 @@
 // view returns this process's view of the group, as sent to another member that has
 // the list of members of version known.
 func (n *Node) view(known uint64) *memberpb.View {
-	largest, outlook := n.config.MaxHostResources(), n.ownOutlook()
+	largest, sizes, outlook := n.config.MaxHostResources(), n.ownHostSizes(), n.ownOutlook()
 	var evacuations evacuation.Set
 	if n.config.Evacuations != nil {
 		evacuations = n.config.Evacuations.Current()
@@ -66,6 +66,7 @@
 	}
 	if n.leading {
 		view.LargestCpu, view.LargestMemory, view.LargestGpu = largest.CPU, largest.Memory, largest.GPU
+		view.HostSizes = encodeHostSizes(sizes)
 		view.Outlook = outlook
 		view.MembersVersion = membersVersion(n.members)
 		if view.MembersVersion == known {
@@ -117,6 +118,9 @@
 	if view.Leading && view.LargestCpu > 0 {
 		n.maxHostResources = policy.Resources{CPU: view.LargestCpu, Memory: view.LargestMemory, GPU: view.LargestGpu}
 	}
+	if view.Leading && len(view.HostSizes) > 0 {
+		n.hostSizes = decodeHostSizes(view.HostSizes)
+	}
 	if n.leading && view.Token <= n.claim.Token && at.After(n.confirmedAt[from.Name]) {
 		n.confirmedAt[from.Name] = at
 	}
--- a/internal/process/node.go
+++ b/internal/process/node.go
@@ -17,6 +17,7 @@
 	"github.com/lovagedyke/lovagedyke/internal/courier"
 	"github.com/lovagedyke/lovagedyke/internal/courier/courierpb"
 	"github.com/lovagedyke/lovagedyke/internal/evacuation"
+	"github.com/lovagedyke/lovagedyke/internal/fleet"
 	"github.com/lovagedyke/lovagedyke/internal/ingress"
 	"github.com/lovagedyke/lovagedyke/internal/journal"
 	"github.com/lovagedyke/lovagedyke/internal/loops"
@@ -145,6 +146,7 @@
 		PolicyVersion:    n.holder.Version,
 		OnPolicyVersion:  n.policyAnnounced,
 		MaxHostResources: func() policy.Resources { return n.control.MaxHostResources() },
+		HostSizes:        func() []fleet.HostSize { return n.control.HostSizes() },
 		Evacuations:      n.evacuations,
 		Outlook:          func() []byte { return n.control.Outlook() },
 	})
