soak: gangs, refused starts, and counts of waiting jobs

Cause: the two faults that cases of a minute show each time went through hundreds of plays of the soak: no gang and no refused start was in it, and it did not ask for the number of waiting jobs. The soak has gangs of 4 and of 600 tasks, the kinds endpoint-refuses and all-refuse (-soak-kinds starts), and compares the counts of waiting jobs with what has begun.

--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"strconv"
 	"time"
 
@@ -17,6 +18,13 @@
 // times, and some are of an account with a cap.
 func (s *soak) jobOf(n int) standin.Job {
 	job := standin.Job{Steps: stepsPerJob, Tasks: tasksPerStep}
+	switch {
+	case !s.config.HasGangs:
+	case slices.Contains(wideGangs, n):
+		return standin.Job{Steps: 1, Tasks: wideGangSize, IsGang: true, TaskCPU: wideGangTaskCPU}
+	case n%gangInterval == gangInterval-1:
+		return standin.Job{Steps: 1, Tasks: gangSize, IsGang: true}
+	}
 	if !s.config.HasMixedJobs {
 		return job
 	}
--- a/internal/soak/doc.go
+++ b/internal/soak/doc.go
@@ -17,6 +17,7 @@
 //   - endpoints hang and go on or restart, carry orders or lease renewals out late without an
 //     answer, or answer late, also across a restart;
 //   - the lists lag behind a restart, an endpoint's clock is slow, or runs take long to stop;
+//   - endpoints refuse starts, one or all of them, while leaders change;
 //   - tasks crash each endpoint that starts them, and endpoints' capacities change;
 //   - the host list lags, each row by a time of its own, goes back, or is unavailable;
 //   - endpoints exit, or are lost without a sign, and others with new IDs replace them on
@@ -30,6 +31,10 @@
 // cold start has all at once from the first moment: endpoints that have just replaced others,
 // a host list that lags behind them, faults, and a backlog of jobs.
 //
+// With Config.HasGangs some jobs are gangs, a few of them with hundreds of members. None may start in
+// part once the faults are over. A node that gives the number of waiting jobs has to count at least half of
+// those that were accepted over 5 s before and have not begun, and none once all have ended.
+//
 // Callers keep their connections open. At no time may a task run twice concurrently,
 // or again after its end; the latter is allowed if the end was not acknowledged before the
 // endpoint crashed or its lease expired, until the job is shown as complete. Nor may a node report an accepted job as unknown.
--- a/internal/soak/inject.go
+++ b/internal/soak/inject.go
@@ -100,6 +100,10 @@
 		s.injectEvacuationFault(ctx, fault)
 	case TakeoverBesideCut:
 		s.takeOverBesideCut(ctx)
+	case EndpointRefuses:
+		s.refuseStarts(ctx, fault.Duration, host)
+	case AllRefuse:
+		s.refuseStarts(ctx, refusalTime, s.hosts()...)
 	case EndpointDelayedAnswers:
 		temporarily(func() { s.platform.SetAnswerDelay(host, answerDelay) }, func() { s.platform.SetAnswerDelay(host, 0) })
 	}
@@ -115,6 +119,26 @@
 	link.setState(linkHealthy)
 }
 
+// refuseStarts lets the endpoints of hosts refuse starts for a time.
+func (s *soak) refuseStarts(ctx context.Context, duration time.Duration, hosts ...int) {
+	for _, host := range hosts {
+		s.platform.SetRefusesStarts(host, true)
+	}
+	loops.Sleep(ctx, duration)
+	for _, host := range hosts {
+		s.platform.SetRefusesStarts(host, false)
+	}
+}
+
+// hosts returns the numbers of all hosts.
+func (s *soak) hosts() []int {
+	hosts := make([]int, s.config.Endpoints)
+	for n := range hosts {
+		hosts[n] = n + 1
+	}
+	return hosts
+}
+
 // endpointProxy returns the proxy of the address at which an endpoint was first listed.
 func (s *soak) endpointProxy(target int) *proxy {
 	s.mu.Lock()
@@ -146,6 +170,7 @@
 	for n := range s.config.Endpoints {
 		s.platform.SetHostListLag(n+1, 0, 0)
 		s.platform.SetHung(n+1, false)
+		s.platform.SetRefusesStarts(n+1, false)
 		s.platform.SetOrderDelay(n+1, 0)
 		s.platform.SetRenewalDelay(n+1, 0)
 		s.platform.SetStopTime(n+1, 0)
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -77,6 +77,9 @@
 	// TakeoverBesideCut cuts off the endpoint that runs most for the account with a cap, and stops
 	// the leader.
 	TakeoverBesideCut Kind = "takeover-beside-cut"
+	// EndpointRefuses lets an endpoint refuse all starts, AllRefuse all of them for refusalTime.
+	EndpointRefuses Kind = "endpoint-refuses"
+	AllRefuse       Kind = "all-refuse"
 )
 
 // KindsWithoutRestarts returns the kinds of faults in which each endpoint has one
@@ -133,6 +136,15 @@
 	}
 }
 
+// KindsAroundStarts returns the kinds of faults that keep starts from being carried out, with those that
+// replace leaders meanwhile.
+func KindsAroundStarts() []Kind {
+	return []Kind{
+		EndpointRefuses, EndpointRefuses, AllRefuse, EndpointOneWay, EndpointSilent, EndpointReset, EndpointDelayed, EndpointRestart,
+		Kill, Pause, Stop, LeaderKill,
+	}
+}
+
 // KindsWithBudgets returns the kinds of faults without those of host lists.
 func KindsWithBudgets() []Kind {
 	return slices.Concat(KindsWithRestarts(), LagKinds(), BudgetKinds())
@@ -250,7 +262,7 @@
 		return true
 	}
 	switch f.Kind {
-	case EndpointDelayed, EndpointReset, EndpointOneWay, EndpointSilent, EndpointCrash, EndpointShrinks:
+	case EndpointDelayed, EndpointReset, EndpointOneWay, EndpointSilent, EndpointCrash, EndpointShrinks, EndpointRefuses:
 		return true
 	default:
 		return slices.Contains(RestartKinds(), f.Kind) || slices.Contains(LagKinds(), f.Kind)
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -32,6 +32,12 @@
 	scheduledTimes                    = 4
 	manyTimesJob, manyTimes           = 3, 700
 	manyTimesInterval                 = 10 * time.Millisecond
+	// One of gangInterval jobs is a gang of gangSize tasks, and the jobs with the numbers of wideGangs are
+	// gangs of wideGangSize tasks that fit on one endpoint.
+	gangInterval, gangSize        = 12, 4
+	wideGangSize, wideGangTaskCPU = 600, 20
+	// refusalTime is how long all endpoints refuse starts: longer than counts of waiting jobs may lag.
+	refusalTime = 7 * time.Second
 	// jobInterval is the time between two jobs, callTimeout the timeout of a call.
 	jobInterval = 80 * time.Millisecond
 	callTimeout = 3 * time.Second
@@ -81,6 +87,8 @@
 	ColdStart bool
 	// HasMixedJobs adds jobs that run several times, and jobs of an account with a cap.
 	HasMixedJobs bool
+	// HasGangs adds jobs that are gangs, some of them with more members than an endpoint is sent at a time.
+	HasGangs bool
 	// Dir is the directory for the nodes' settings and logs, and for a log of the faults.
 	Dir string
 	// NewProcess returns a node with the given settings file and log file.
@@ -248,6 +256,10 @@
 	end := time.Now().Add(s.config.Duration)
 	calls.Go(func(ctx context.Context) { s.submitJobs(ctx, end) })
 	calls.Go(func(ctx context.Context) { s.pollStates(ctx, end) })
+	counting, stopCounting := context.WithCancel(ctx)
+	defer stopCounting()
+	counts := loops.New(counting)
+	counts.Go(s.pollWaiting)
 	start := time.Now()
 	faults := loops.New(ctx)
 	for _, fault := range plan {
@@ -258,7 +270,12 @@
 	}
 	faults.Wait()
 	s.clearFaults()
+	clearedAt := time.Now()
 	calls.Wait()
 	s.awaitJobs(ctx)
+	stopCounting()
+	counts.Wait()
+	s.awaitNoneWaiting(ctx)
+	s.checkGangs(clearedAt)
 	s.checkRuns()
 }
--- a/test/soak_test.go
+++ b/test/soak_test.go
@@ -21,9 +21,10 @@
 	soakEndpoints = flag.Int("soak-endpoints", 6, "number of endpoints")
 	soakPort      = flag.Uint("soak-port", 14700, "first of the nodes' ports, below those of other tests")
 	soakParallel  = flag.Int("soak-parallel", 1, "number of seeds at a time")
-	soakKinds     = flag.String("soak-kinds", "all", "kinds of faults: without-restarts, with-restarts, with-lags, with-budgets, lists, evacuations, takeovers or all")
+	soakKinds     = flag.String("soak-kinds", "all", "kinds of faults: without-restarts, with-restarts, with-lags, with-budgets, lists, evacuations, takeovers, starts or all")
 	soakCold      = flag.Bool("soak-cold", false, "begin with a cold start")
 	soakMix       = flag.Bool("soak-mix", true, "add jobs that run several times, and jobs of an account with a cap")
+	soakGangs     = flag.Bool("soak-gangs", true, "add jobs that are gangs, some of them wide")
 	soakDir       = flag.String("soak-dir", os.TempDir(), "folder for the logs of seeds that failed")
 )
 
@@ -35,6 +36,7 @@
 		kinds     []soak.Kind
 		coldStart bool
 		hasMix    bool
+		hasGangs  bool
 	}{
 		// An endpoint crashed after it had reported completions and before they were
 		// acknowledged: the check counted that work as not done.
@@ -72,11 +74,14 @@
 		// A job's row, or a transaction, outgrew what the store takes, and the leader wrote nothing
 		// more; a new leader exceeded a cap beside runs on endpoints that it had not reached.
 		"many occurrences and a cap while leaders change": {seed: 701, duration: 12 * time.Second, kinds: soak.KindsAroundTakeovers(), hasMix: true},
+		// Endpoints refused starts: jobs that had not begun were not counted as waiting. Gangs with more
+		// members than the queue of an endpoint took were never complete.
+		"wide gangs while starts are refused": {seed: 811, duration: 12 * time.Second, kinds: soak.KindsAroundStarts(), hasGangs: true},
 	}
 	for name, tc := range tests {
 		t.Run(name, func(t *testing.T) {
 			runSeed(t, soak.Config{
-				Seed: tc.seed, Duration: tc.duration, Nodes: 3, Endpoints: 6, Kinds: tc.kinds, ColdStart: tc.coldStart, HasMixedJobs: tc.hasMix,
+				Seed: tc.seed, Duration: tc.duration, Nodes: 3, Endpoints: 6, Kinds: tc.kinds, ColdStart: tc.coldStart, HasMixedJobs: tc.hasMix, HasGangs: tc.hasGangs,
 				Dir: t.TempDir(), FirstPort: uint16(*soakPort),
 			})
 		})
@@ -88,7 +93,7 @@
 	return map[string][]soak.Kind{
 		"without-restarts": soak.KindsWithoutRestarts(), "with-restarts": soak.KindsWithRestarts(),
 		"with-lags": append(soak.KindsWithRestarts(), soak.LagKinds()...), "with-budgets": soak.KindsWithBudgets(),
-		"lists": soak.KindsAroundLists(), "evacuations": soak.KindsAroundEvacuations(), "takeovers": soak.KindsAroundTakeovers(), "all": soak.AllKinds(),
+		"lists": soak.KindsAroundLists(), "evacuations": soak.KindsAroundEvacuations(), "takeovers": soak.KindsAroundTakeovers(), "starts": soak.KindsAroundStarts(), "all": soak.AllKinds(),
 	}
 }
 
@@ -114,7 +119,7 @@
 				t.Fatal(err)
 			}
 			runSeed(t, soak.Config{
-				Seed: seed, Duration: *soakDuration, Nodes: *soakNodes, Endpoints: *soakEndpoints, Kinds: kinds, ColdStart: *soakCold, HasMixedJobs: *soakMix,
+				Seed: seed, Duration: *soakDuration, Nodes: *soakNodes, Endpoints: *soakEndpoints, Kinds: kinds, ColdStart: *soakCold, HasMixedJobs: *soakMix, HasGangs: *soakGangs,
 				Dir: dir, FirstPort: port,
 			})
 			if t.Failed() {
