fleet: a trial that was not sent does not bound its gang on the endpoint

Cause: a gang on trial whose record was not stored in time was withdrawn as a whole, and counted as lost on the endpoint of its first member, which then took no member for 1 s or more. Change: a held member sets no bound. Found by reading; the tests of gangs pass.

--- a/internal/fleet/gangattempt.go
+++ b/internal/fleet/gangattempt.go
@@ -127,7 +127,8 @@
 // fail there again. If that one had begun, it was given up for those that had not.
 func (l *Leader) limitGang(a *gangAttempt, now time.Time) {
 	step := a.lost.job.steps[a.lost.key.task.StepKey()]
-	if step == nil {
+	if step == nil || a.lost.isHeld {
+		// Nothing was sent: the record of the start was not stored in time.
 		return
 	}
 	step.gangPause = min(maxGangPause, max(minGangPause, 2*step.gangPause))
