fleet: say that a gang waits since it could not be sent in time

Cause: the log line 'tasks wait' named a lack of room for such a gang. Change: a cause of its own; sendableMembers has the estimate that decides. Result: the tests of gangs pass; decisions are as before.

--- a/internal/fleet/gangattempt.go
+++ b/internal/fleet/gangattempt.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 )
 
@@ -162,6 +163,25 @@
 	return l.config.Bounds.GangAssembly / gangTimeDivisor
 }
 
+// isGangSlowed reports whether a step's gang cannot start on some endpoints since its starts could not be
+// sent there in time.
+func (l *Leader) isGangSlowed(step *stepState, candidates []*candidateEndpoint, now time.Time) bool {
+	if limit := l.gangTime(); limit > 0 && l.starts.timeFor(step.step.Count) > limit {
+		return true
+	}
+	return slices.ContainsFunc(candidates, func(c *candidateEndpoint) bool { return l.sendableMembers(c.endpoint, now) < step.step.Count })
+}
+
+// sendableMembers returns how many starts of a gang can be sent to an endpoint in time, after those that
+// wait for it.
+func (l *Leader) sendableMembers(e *endpoint, now time.Time) int {
+	took := max(e.startTime.at(now), l.startTime.at(now))
+	if l.gangTime() <= 0 || took <= 0 {
+		return math.MaxInt
+	}
+	return int(GangStartsPerEndpoint*l.gangTime()/took) - e.unsentStarts
+}
+
 // maxGangMembers returns how many members of a step's gang may be started on an endpoint at once.
 func (l *Leader) maxGangMembers(step *stepState, e *endpoint, now time.Time) int {
 	most := math.MaxInt
@@ -171,8 +191,5 @@
 	if limit, ok := step.gangLimits[e.row.ID]; ok {
 		most = min(most, limit.members)
 	}
-	if took := max(e.startTime.at(now), l.startTime.at(now)); l.gangTime() > 0 && took > 0 {
-		most = min(most, int(GangStartsPerEndpoint*l.gangTime()/took)-e.unsentStarts)
-	}
-	return most
+	return min(most, l.sendableMembers(e, now))
 }
--- a/internal/fleet/step.go
+++ b/internal/fleet/step.go
@@ -181,6 +181,8 @@
 		cause = "members of the gang's last run have not ended"
 	case len(g.step.gangLimits) > 0:
 		cause = "the gang could not be started on some endpoints, and does not fit on the others"
+	case g.step.step.Gang && l.isGangSlowed(g.step, candidates, now):
+		cause = "the gang's starts could not be sent in time"
 	case !l.rowHasRoom(g, g.job.taskAt(g.step.key, g.step.pending[0])):
 		cause = "the job's row has no room for more runs"
 	case g.step.tickets == nil && g.step.adviceRequested:
