fleet: a gang with two failures in one attempt starts again

Cause: the second failure, which counts with the first, returned from taskFailed before its task was put back; a gang starts with all its members alone. Change: the task is put back.

--- a/internal/fleet/completion.go
+++ b/internal/fleet/completion.go
@@ -154,6 +154,8 @@
 	}
 	failures, changed := j.progress.MarkFailed(counted, completion.Run)
 	if !changed {
+		// Another member of the gang has failed before in the same attempt, or the end is reported again.
+		l.requeue(j, completion.Task, now)
 		return l.pendingChange(j)
 	}
 	j.rowUse.failed++
--- a/internal/fleet/gang_test.go
+++ b/internal/fleet/gang_test.go
@@ -157,6 +157,34 @@
 	}
 }
 
+// Guards against a gang that is never started again: two of its runs failed in one attempt, and the end of the
+// second one, which counts with the first, did not put its task back.
+func TestGangStartsAgainAfterTwoFailures(t *testing.T) {
+	for name, failed := range map[string]int{"one fails": 1, "two fail": 2, "all fail": 4} {
+		t.Run(name, func(t *testing.T) {
+			const members = 4
+			s := newSimulation(t, simulationConfig{})
+			s.addEndpoint("a")
+			s.submit(submission(1, gangOf(members)))
+			starts := s.step().Starts
+			s.acceptStarts()
+			for n, start := range starts {
+				kind := fleet.CompletionGangBroken
+				if n < failed {
+					kind = fleet.CompletionFailed
+				}
+				s.endRun(start, kind)
+			}
+			s.renewLease("a")
+			s.writeBatches()
+			s.advance(time.Second)
+			if got := len(s.step().Starts); got != members {
+				t.Errorf("starts after the failure: got %d, want %d", got, members)
+			}
+		})
+	}
+}
+
 // sender simulates the queue of orders to one endpoint: some are on their way at the same time, and each
 // takes a while to be answered.
 type sender struct {
