fleet: a new leader stops the members of a gang that is not whole

Cause: a former leader that was gone before it had sent all starts of a gang left members that waited until gang_ms was over; an attempt knows only the runs of its own leader. Change: once all runs are known, the members of a gang of which others are missing are stopped at once. The dump shows the state that callers see, also before a row has it. A test that a courier which does not send an order does not pause the endpoint. Result: TestGangOfFormerLeader (its case 'in part' got no stop before).

--- a/internal/courier/courier_test.go
+++ b/internal/courier/courier_test.go
@@ -325,3 +325,17 @@
 		t.Errorf("orders sent by the leader: got %d, want %d", got, want)
 	}
 }
+
+// Guards against an endpoint that gets no work for 700 ms since a courier did not take an order: that says
+// nothing about the endpoint, which the leader tries itself next.
+func TestCourierThatDoesNotSend(t *testing.T) {
+	s := newSystem(t)
+	s.carried.outcome = fleet.OrderNotSent
+	if got := s.client.Start(context.Background(), target, token, start); got.Outcome != fleet.OrderNotTaken {
+		t.Errorf("start by a courier that does not send it: got %s, want %s", got.Outcome, fleet.OrderNotTaken)
+	}
+	s.direct.outcome = fleet.OrderNotSent
+	if got := s.client.Start(context.Background(), target, token, start); got.Outcome != fleet.OrderNotSent {
+		t.Errorf("start of an endpoint that cannot be reached: got %s, want %s", got.Outcome, fleet.OrderNotSent)
+	}
+}
--- a/internal/fleet/dump.go
+++ b/internal/fleet/dump.go
@@ -39,12 +39,13 @@
 
 // JobDump describes an unfinished job in a Dump.
 type JobDump struct {
-	ID             job.ID    `json:"id"`
-	Queue          string    `json:"queue"`
-	Account        string    `json:"account,omitempty"`
-	PersistedState job.State `json:"shown"`
-	Pending        int       `json:"pending"`
-	Active         int       `json:"active"`
+	ID      job.ID `json:"id"`
+	Queue   string `json:"queue"`
+	Account string `json:"account,omitempty"`
+	// Shown is the state that callers are shown.
+	Shown   job.State `json:"shown"`
+	Pending int       `json:"pending"`
+	Active  int       `json:"active"`
 }
 
 // Dump returns a snapshot of the state, without specs and keys.
@@ -58,7 +59,8 @@
 		})
 	}
 	for id, j := range l.live {
-		entry := JobDump{ID: id, Queue: j.submission.Queue, Account: j.submission.Account, PersistedState: j.persistedState, Active: len(j.active)}
+		shown, _ := l.StateOf(id)
+		entry := JobDump{ID: id, Queue: j.submission.Queue, Account: j.submission.Account, Shown: shown, Active: len(j.active)}
 		for _, step := range j.steps {
 			entry.Pending += len(step.pending)
 		}
--- a/internal/fleet/gang.go
+++ b/internal/fleet/gang.go
@@ -9,6 +9,7 @@
 func (l *Leader) startGang(g taskGroup, candidates []*candidateEndpoint, orders *Orders, now time.Time) {
 	if len(g.step.pending) < g.step.step.Count {
 		// Some members of an earlier run are still active.
+		l.stopFormerGang(g, now)
 		return
 	}
 	if !l.underCap(g.job.submission.Account, g.step.step.Resources, int64(g.step.step.Count)) {
--- a/internal/fleet/gang_test.go
+++ b/internal/fleet/gang_test.go
@@ -185,6 +185,36 @@
 	}
 }
 
+// Guards against members of a gang that wait for others in vain: the former leader was gone before it had sent
+// all starts. A gang that is there as a whole goes on.
+func TestGangOfFormerLeader(t *testing.T) {
+	const members = 4
+	for name, c := range map[string]struct{ running, wantStops int }{
+		"in part": {running: 3, wantStops: 3},
+		"whole":   {running: members},
+		"none":    {},
+	} {
+		t.Run(name, func(t *testing.T) {
+			stored := submission(1, gangOf(members))
+			s := newSimulation(t, simulationConfig{token: 2, jobs: []fleet.StoredJob{{Submission: stored}}})
+			for index := range c.running {
+				s.running["a"] = append(s.running["a"], fleet.RunningTask{Task: job.Task{Job: stored.ID, Index: index}, Run: 1, SpeedPercent: 100})
+			}
+			s.listHosts(newHost(poolName, "a"))
+			s.renewLease("a")
+			s.step()
+			if got := len(s.step().Stops) + len(s.orders.Starts); c.running == members && got != 0 {
+				t.Errorf("orders for a gang that is whole: got %d, want none", got)
+			}
+			s.advance(time.Second)
+			s.renewLease("a")
+			if got := len(s.step().Stops); got != c.wantStops {
+				t.Errorf("stops: got %d, want %d", got, c.wantStops)
+			}
+		})
+	}
+}
+
 // sender simulates the queue of orders to one endpoint: some are on their way at the same time, and each
 // takes a while to be answered.
 type sender struct {
--- a/internal/fleet/gangattempt.go
+++ b/internal/fleet/gangattempt.go
@@ -124,6 +124,18 @@
 		"lost", key.task.Index, "lost-begun", a.lost.hasBegun, "endpoint", a.lost.endpoint.row.ID, "withdrawn", withdrawn, "stopped", stopped)
 }
 
+// stopFormerGang stops the members of a gang that a former leader has started in part: the others are not
+// there, now that all runs are known.
+func (l *Leader) stopFormerGang(g taskGroup, now time.Time) {
+	for index := range g.step.step.Count {
+		for _, r := range g.job.active[g.job.taskAt(g.step.key, index)] {
+			if r.gang == nil && r.state == runLive {
+				l.stopRun(r, "other members of the former leader's gang are missing", now)
+			}
+		}
+	}
+}
+
 // limitGang bounds the members of a gang on the endpoint of the one that was lost: the same attempt would
 // fail there again. If that one had begun, it was given up for those that had not.
 func (l *Leader) limitGang(a *gangAttempt, now time.Time) {
