control: each queued start of a gang may have a sender

Cause: the leader reckons with 32 starts of a gang on their way to an endpoint, and gangs of fewer members than 128 had fewer senders. Change: as many more senders as starts of gangs wait, up to the same bounds. Result: the tests of the package pass with the race detector.

--- a/internal/control/endpoints.go
+++ b/internal/control/endpoints.go
@@ -14,10 +14,9 @@
 	// sendersPerEndpoint is the number of concurrent orders to one endpoint, unless Config says
 	// another.
 	sendersPerEndpoint = 3
-	// startsPerExtraSender is the number of queued starts of gangs for which an endpoint gets one more
-	// sender, and maxExtraSenders the number of those for all endpoints together.
-	startsPerExtraSender = 4
-	maxExtraSenders      = 256
+	// maxExtraSenders is the number of senders that are added for starts of gangs, for all endpoints
+	// together.
+	maxExtraSenders = 256
 	// renewRetryDelay is the time between a failed lease renewal and the next.
 	renewRetryDelay = 150 * time.Millisecond
 	// maxRenewWait is the longest time between two checks whether a renewal is due.
@@ -112,12 +111,8 @@
 // Starts of gangs get more: the members that are there wait for the others.
 func (s *endpointSession) maxSenders() int {
 	usual := s.term.config.ordersPerEndpoint()
-	if s.orders.gangStarts == 0 {
-		return usual
-	}
-	extra := (s.orders.gangStarts + startsPerExtraSender - 1) / startsPerExtraSender
 	left := max(0, maxExtraSenders-s.term.extraSenders) + s.extraSenders
-	return max(usual, min(usual+extra, usual+left, fleet.GangStartsPerEndpoint))
+	return max(usual, min(usual+s.orders.gangStarts, usual+left, fleet.GangStartsPerEndpoint))
 }
 
 // wakeSessions lets endpoints' sessions check what is due; t.mu must be held. Waking
