fleet: a test of gangs whose first attempt is too slow

Cause: no case of TestGangOfAnyWidthIsComplete needed the deadline of an attempt, or the estimate of how many starts can be sent in time. Done: the test's world stops runs, and tells attempts apart; a new case.

--- a/internal/fleet/gang_test.go
+++ b/internal/fleet/gang_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -235,11 +236,28 @@
 	senders map[fleet.EndpointID]*sender
 	// answerTime is how long an endpoint takes to answer a start.
 	answerTime time.Duration
-	// arrivals holds when each run has begun, by job.
-	arrivals map[job.ID][]time.Time
+	// arrivals holds when the members of each attempt have begun, and alone counts those that ended alone.
+	arrivals map[gangRun][]time.Time
 	alone    int
 }
 
+// gangRun is an attempt to start the gang of a job.
+type gangRun struct {
+	job job.ID
+	run int64
+}
+
+// begun returns how many members the last attempt to start a job's gang has.
+func (w *gangWorld) begun(id job.ID) int {
+	last := gangRun{job: id}
+	for attempt := range w.arrivals {
+		if attempt.job == id && attempt.run > last.run {
+			last = attempt
+		}
+	}
+	return len(w.arrivals[last])
+}
+
 const gangAssembly = 3 * time.Second
 
 func newGangWorld(t *testing.T, endpoints int, answerTime time.Duration) *gangWorld {
@@ -250,7 +268,7 @@
 	}})
 	s.leader.SetPolicy(policy.New(defaultPolicy()))
 	s.leader.Load(nil, s.now, s.now)
-	w := &gangWorld{simulation: s, senders: map[fleet.EndpointID]*sender{}, answerTime: answerTime, arrivals: map[job.ID][]time.Time{}}
+	w := &gangWorld{simulation: s, senders: map[fleet.EndpointID]*sender{}, answerTime: answerTime, arrivals: map[gangRun][]time.Time{}}
 	for n := range endpoints {
 		id := fleet.EndpointID(fmt.Sprintf("i-%02d", n))
 		s.addEndpoint(id)
@@ -266,6 +284,9 @@
 		for _, start := range w.step().Starts {
 			w.senders[start.Endpoint].queue = append(w.senders[start.Endpoint].queue, start)
 		}
+		for _, stop := range w.orders.Stops {
+			w.stop(stop)
+		}
 		for id, s := range w.senders {
 			w.send(s)
 			if w.now.Sub(s.reportedAt) >= reportInterval {
@@ -277,6 +298,14 @@
 	}
 }
 
+// stop ends a run, or prevents it if its start is on its way.
+func (w *gangWorld) stop(stop fleet.Stop) {
+	s := w.senders[stop.Endpoint]
+	s.inFlight = slices.DeleteFunc(s.inFlight, func(sent sentStart) bool { return sent.start.Task == stop.Task && sent.start.Run == stop.Run })
+	w.leader.HandleStopReply(stop, fleet.Reply{Outcome: fleet.OrderAccepted}, w.now)
+	w.endRun(fleet.Start{Endpoint: stop.Endpoint, Task: stop.Task, Run: stop.Run}, fleet.CompletionStopped)
+}
+
 // send answers the starts that are due, and sends as many others as may be on their way.
 func (w *gangWorld) send(s *sender) {
 	kept := s.inFlight[:0]
@@ -302,8 +331,9 @@
 
 // arrive notes that a run has begun: it ends alone if those that came before have waited for too long.
 func (w *gangWorld) arrive(start fleet.Start) {
-	arrived := append(w.arrivals[start.Task.Job], w.now)
-	w.arrivals[start.Task.Job] = arrived
+	attempt := gangRun{start.Task.Job, start.Run}
+	arrived := append(w.arrivals[attempt], w.now)
+	w.arrivals[attempt] = arrived
 	if w.now.Sub(arrived[0]) > gangAssembly {
 		w.alone++
 	}
@@ -318,10 +348,12 @@
 		// singles is the number of tasks that are to be started before.
 		singles int
 	}{
-		"one endpoint":                   {members: 300, endpoints: 1, answerTime: 5 * time.Millisecond},
-		"three endpoints":                {members: 900, endpoints: 3, answerTime: 5 * time.Millisecond},
-		"fifty endpoints":                {members: 15_000, endpoints: 50, answerTime: 5 * time.Millisecond},
-		"answers take long":              {members: 300, endpoints: 4, answerTime: 200 * time.Millisecond},
+		"one endpoint":      {members: 300, endpoints: 1, answerTime: 5 * time.Millisecond},
+		"three endpoints":   {members: 900, endpoints: 3, answerTime: 5 * time.Millisecond},
+		"fifty endpoints":   {members: 15_000, endpoints: 50, answerTime: 5 * time.Millisecond},
+		"answers take long": {members: 300, endpoints: 4, answerTime: 200 * time.Millisecond},
+		// The first attempt shows how long answers take, and is given up before a member has waited too long.
+		"first attempt is too slow":      {members: 900, endpoints: 10, answerTime: 400 * time.Millisecond},
 		"behind other work":              {members: 200, endpoints: 3, singles: 600, answerTime: 20 * time.Millisecond},
 		"behind work, answers take long": {members: 200, endpoints: 6, singles: 600, answerTime: 200 * time.Millisecond},
 	}
@@ -335,7 +367,7 @@
 			}
 			w.submit(submission(1, gangOf(c.members)))
 			w.run(20 * time.Second)
-			if got := len(w.arrivals[jobID(1)]); got != c.members || w.alone > 0 {
+			if got := w.begun(jobID(1)); got != c.members || w.alone > 0 {
 				t.Errorf("members of the gang that have begun: got %d, %d of them too late, want %d and none", got, w.alone, c.members)
 			}
 		})
@@ -356,12 +388,12 @@
 		w.submit(submission(2+n, step))
 		w.run(time.Second)
 	}
-	if got := len(w.arrivals[jobID(1)]); got != 0 {
+	if got := w.begun(jobID(1)); got != 0 {
 		t.Errorf("members that have begun while answers take two seconds: got %d, want none", got)
 	}
 	w.answerTime = 5 * time.Millisecond
 	w.run(20 * time.Second)
-	if got := len(w.arrivals[jobID(1)]); got != members || w.alone > 0 {
+	if got := w.begun(jobID(1)); got != members || w.alone > 0 {
 		t.Errorf("members that have begun once answers are fast: got %d, %d of them too late, want %d and none", got, w.alone, members)
 	}
 }
