--- a/internal/fleet/occurrence.go
+++ b/internal/fleet/occurrence.go
@@ -76,35 +76,29 @@
 
 // begun records that an endpoint has confirmed the start of a task of an occurrence.
 func (o *openOccurrences) begun(occurrence int) {
-	state := o.states[occurrence]
-	if state == nil || state.hasBegun {
-		return
-	}
-	if state.isIdle() {
-		o.idle--
-	}
-	state.hasBegun = true
+	o.change(occurrence, func(state *occurrenceState) { state.hasBegun = true })
 }
 
 // taskActive records that a task of an occurrence has its first active run.
 func (o *openOccurrences) taskActive(occurrence int) {
-	state := o.states[occurrence]
-	if state == nil {
-		return
-	}
-	if state.isIdle() {
-		o.idle--
-	}
-	state.activeTasks++
+	o.change(occurrence, func(state *occurrenceState) { state.activeTasks++ })
 }
 
 // taskInactive records that a task of an occurrence has no active run any more.
 func (o *openOccurrences) taskInactive(occurrence int) {
+	o.change(occurrence, func(state *occurrenceState) { state.activeTasks-- })
+}
+
+// change changes the state of an occurrence, if it is open, and counts it anew.
+func (o *openOccurrences) change(occurrence int, apply func(state *occurrenceState)) {
 	state := o.states[occurrence]
 	if state == nil {
 		return
 	}
-	state.activeTasks--
+	if state.isIdle() {
+		o.idle--
+	}
+	apply(state)
 	if state.isIdle() {
 		o.idle++
 	}
