--- a/internal/fleet/endpointstate.go
+++ b/internal/fleet/endpointstate.go
@@ -52,6 +52,8 @@
 	missingSince time.Time
 	// reached is true once this incarnation has answered under the leader's token.
 	reached bool
+	// isAwaited is true while the journal says that inherited tasks wait for the endpoint.
+	isAwaited bool
 	// startedAt identifies the incarnation of the last report, or that of the list before
 	// the first report.
 	startedAt time.Time
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -128,6 +128,8 @@
 	// inUse is what each client account uses across all pools.
 	inUse      map[string]policy.Resources
 	unknownUse unknownUse
+	// areUnknownRunsLogged is true once it is logged that inherited tasks wait for no endpoint any more.
+	areUnknownRunsLogged bool
 	// jobsAsOf is when the jobs were last known to be current, steppedAt the time of the last step.
 	jobsAsOf, steppedAt time.Time
 	// confirmedAt is when the store, or a majority of the other processes, last
@@ -209,28 +211,6 @@
 	return max(1, j.submission.MaxAttempts)
 }
 
-// allRunsKnown reports whether no endpoint can have an unknown run of an earlier
-// leader: each endpoint has been reached, or its lease has expired.
-func (l *Leader) allRunsKnown(now time.Time) bool {
-	if !l.loaded {
-		return false
-	}
-	l.visit(2 * len(l.endpoints))
-	for _, e := range l.endpointList {
-		if e.blocked {
-			// The endpoint reports a job that is still being looked up.
-			return false
-		}
-	}
-	areLeasesOver := now.After(l.inheritedLeasesEnd())
-	for _, e := range l.endpointList {
-		if !e.reached && !e.gone && !l.inheritedLeaseOver(e, now) {
-			return false
-		}
-	}
-	return areLeasesOver || len(l.endpoints) > 0 && l.allHostsReached()
-}
-
 // inheritedLeaseOver reports whether the runs that an earlier leader started on an
 // endpoint have lost their lease, which this leader may have renewed before it had
 // read the jobs.
--- a/internal/fleet/step.go
+++ b/internal/fleet/step.go
@@ -35,12 +35,13 @@
 		pools[pool] = append(pools[pool], j)
 	}
 	if l.confirmed(now) {
-		allRunsKnown := l.allRunsKnown(now)
-		l.refreshUnknownUse(allRunsKnown, now)
-		if allRunsKnown {
+		unknown := l.findUnknownRuns(now)
+		l.logUnknownRuns(now)
+		l.refreshUnknownUse(unknown, now)
+		if !unknown.arePossible() {
 			l.settleFormerStarts(now)
 		}
-		l.startPending(pools, allRunsKnown, &orders, now)
+		l.startPending(pools, unknown, &orders, now)
 		l.findOverdue(&orders, now)
 		if l.hosts.planIsDue(now) {
 			l.planHosts(pools, &orders, now)
@@ -84,11 +85,11 @@
 
 // startPending starts pending tasks of all pools. While the leader is behind with sending starts,
 // what can still be in time goes first in all pools: what is late would make it late as well.
-func (l *Leader) startPending(pools map[string][]*jobState, allRunsKnown bool, orders *Orders, now time.Time) {
+func (l *Leader) startPending(pools map[string][]*jobState, unknown unknownRuns, orders *Orders, now time.Time) {
 	l.starts.refill(now)
 	var passes []*pass
 	for _, pool := range slices.Sorted(maps.Keys(pools)) {
-		if p := l.preparePass(pool, pools[pool], allRunsKnown, orders, now); p != nil {
+		if p := l.preparePass(pool, pools[pool], unknown, orders, now); p != nil {
 			passes = append(passes, p)
 		}
 	}
@@ -124,11 +125,11 @@
 }
 
 // preparePass returns a pass over a pool's waiting steps in the order of their ranks, or nil if there
-// are none, and starts those on trial. Inherited jobs wait until all runs are known.
-func (l *Leader) preparePass(pool string, jobs []*jobState, allRunsKnown bool, orders *Orders, now time.Time) *pass {
+// are none, and starts those on trial. Inherited jobs wait while their tasks may run unknown.
+func (l *Leader) preparePass(pool string, jobs []*jobState, unknown unknownRuns, orders *Orders, now time.Time) *pass {
 	var groups []taskGroup
 	for _, j := range jobs {
-		if j.inherited && !allRunsKnown || j.isRowRefused() {
+		if unknown.mayInclude(j) || j.isRowRefused() {
 			continue
 		}
 		for _, step := range j.steps {
--- a/internal/fleet/unknownuse.go
+++ b/internal/fleet/unknownuse.go
@@ -43,9 +43,9 @@
 }
 
 // refreshUnknownUse brings up to date which endpoints may have unknown runs.
-func (l *Leader) refreshUnknownUse(allRunsKnown bool, now time.Time) {
+func (l *Leader) refreshUnknownUse(unknown unknownRuns, now time.Time) {
 	u := &l.unknownUse
-	u.isPossible = !allRunsKnown && l.config.Token > 1
+	u.isPossible = unknown.arePossible() && l.config.Token > 1
 	if !u.isPossible {
 		u.tasks = nil
 		return
