--- a/internal/fleet/storeworld_test.go
+++ b/internal/fleet/storeworld_test.go
@@ -27,6 +27,8 @@
 	storeWorldTick     = 10 * time.Millisecond
 	// formerLeaderTime is how long a former leader acts on.
 	formerLeaderTime = 1400 * time.Millisecond
+	// storeWorldMaxLease is the longest lease that an endpoint grants.
+	storeWorldMaxLease = 10 * time.Second
 )
 
 // storeWorld is a fleet in virtual time whose store refuses what the platform's page refuses.
@@ -53,6 +55,16 @@
 	mostInUse  map[string]int64
 	// unheard are the jobs that the leader learns of by the feed alone.
 	unheard map[job.ID]bool
+	// acked are the tasks whose successful end was acknowledged, restarted the ends after which, before
+	// they were acknowledged, their task was started again.
+	acked     map[job.Task]bool
+	restarted map[worldEnd]bool
+	// isLate draws whether an order is left unanswered, and for how long; nil means that none is.
+	isLate func() (time.Duration, bool)
+	// late are the orders that are left unanswered until they are carried out.
+	late []lateOrder
+	// journal is passed to the leaders.
+	journal fleet.Journal
 }
 
 type storeWorldConfig struct {
@@ -69,13 +81,30 @@
 
 type storeWorldEndpoint struct {
 	running map[job.Task]storeWorldRun
-	ended   []fleet.Completion
-	count   int64
+	// ran holds the highest run of each task that was stopped or has ended.
+	ran   map[job.Task]int64
+	ended []fleet.Completion
+	// endedAt is when each of them ended, and lapsedAt when the endpoint last held no lease.
+	endedAt  map[int64]time.Time
+	lapsedAt time.Time
+	count    int64
 	// isCut is true while the leader does not reach the endpoint.
 	isCut bool
 	token uint64
 	// leaseUntil is on the world's clock.
 	leaseUntil time.Time
+	// born is when its life began, and startedAt what it says of that.
+	born, startedAt time.Time
+	// darkUntil is until when it is down, waiting what is sent to it meanwhile, and isRenewed true while
+	// a renewal is.
+	darkUntil time.Time
+	waiting   []func()
+	isRenewed bool
+	// listAt is when its entry shows its life, or zero once it does, and listedAs the life that it shows.
+	listAt, listedAs time.Time
+	// isSilent is true while its entry is not renewed, since silentSince, isExpired once that has expired.
+	isSilent, isExpired bool
+	silentSince         time.Time
 }
 
 type storeWorldRun struct {
@@ -103,11 +132,11 @@
 	}
 	w := &storeWorld{
 		t: t, config: config, now: now, started: now, endpoints: map[fleet.EndpointID]*storeWorldEndpoint{},
-		mostInUse: map[string]int64{}, unheard: map[job.ID]bool{},
+		mostInUse: map[string]int64{}, unheard: map[job.ID]bool{}, acked: map[job.Task]bool{}, restarted: map[worldEnd]bool{},
 		jobs: map[job.ID]*fleet.StoredJob{}, starts: map[job.Task]int{}, done: map[job.Task]int{},
 	}
 	for n := range config.endpoints {
-		w.endpoints[fleet.EndpointID(fmt.Sprintf("i-%02d", n))] = &storeWorldEndpoint{running: map[job.Task]storeWorldRun{}}
+		w.endpoints[fleet.EndpointID(fmt.Sprintf("i-%02d", n))] = &storeWorldEndpoint{running: map[job.Task]storeWorldRun{}, ran: map[job.Task]int64{}, endedAt: map[int64]time.Time{}, born: now.Add(-time.Hour), startedAt: longAgo, listedAs: longAgo}
 	}
 	w.replaceLeader()
 	return w
@@ -122,8 +151,8 @@
 func (w *storeWorld) replaceLeader() {
 	w.token++
 	w.former, w.formerUntil = w.leader, w.now.Add(formerLeaderTime)
-	w.leader = fleet.New(fleet.Config{Token: w.token, Now: w.now, Bounds: fleet.Bounds{
-		MaxLease: 10 * time.Second, StatusRetention: 120 * time.Second, Stop: 200 * time.Millisecond, HostChangeExclusion: 3 * time.Second,
+	w.leader = fleet.New(fleet.Config{Token: w.token, Now: w.now, Journal: w.journal, Bounds: fleet.Bounds{
+		MaxLease: storeWorldMaxLease, StatusRetention: 120 * time.Second, Stop: 200 * time.Millisecond, HostChangeExclusion: 3 * time.Second,
 	}})
 	w.leader.SetPolicy(policy.New(w.config.policy))
 	var stored []fleet.StoredJob
@@ -135,9 +164,9 @@
 	w.leader.Load(stored, w.now, w.now)
 	var hosts []fleet.Host
 	for _, id := range w.ids() {
-		row := endpointRow(id)
-		row.Capacity = w.config.capacity
-		w.leader.UpdateEndpoint(row, w.now)
+		if !w.endpoints[id].isExpired {
+			w.leader.UpdateEndpoint(w.rowOf(id), w.now)
+		}
 		host := newHost(poolName, id)
 		host.Capacity = w.config.capacity
 		hosts = append(hosts, host)
@@ -149,7 +178,9 @@
 func (w *storeWorld) submit(submission *job.Submission) {
 	submission.Accepted = w.now.Round(0)
 	w.jobs[submission.ID] = &fleet.StoredJob{Submission: submission}
-	w.leader.AddJob(submission, w.now, w.now)
+	if w.leader != nil {
+		w.leader.AddJob(submission, w.now, w.now)
+	}
 }
 
 // run lets time pass until a condition holds, for at most limit.
@@ -167,8 +198,17 @@
 // tick lets one tick pass.
 func (w *storeWorld) tick() {
 	w.now = w.now.Add(storeWorldTick)
+	w.restartDue()
+	w.carryOutLate()
+	if w.leader == nil {
+		for _, id := range w.ids() {
+			w.endpoints[id].endRuns(w, w.now)
+		}
+		return
+	}
 	w.leader.ConfirmLeadership(w.now)
 	w.leader.ConfirmJobs(w.now)
+	w.leader.ConfirmEndpoints(w.now)
 	for _, id := range w.ids() {
 		w.endpoints[id].endRuns(w, w.now)
 		w.renew(id, w.leader, w.token)
@@ -200,7 +240,12 @@
 
 // isReachable reports whether an endpoint takes orders with a token, which it remembers.
 func (e *storeWorldEndpoint) isReachable(token uint64) bool {
-	if e.isCut || token < e.token {
+	return !e.isCut && e.accepts(token)
+}
+
+// accepts reports whether an endpoint carries out orders with a token, which it remembers.
+func (e *storeWorldEndpoint) accepts(token uint64) bool {
+	if token < e.token {
 		return false
 	}
 	e.token = token
@@ -210,10 +255,14 @@
 // stop lets an endpoint stop a run.
 func (w *storeWorld) stop(stop fleet.Stop, leader *fleet.Leader, token uint64) {
 	e := w.endpoints[stop.Endpoint]
+	if e.holds(func() { w.stop(stop, leader, token) }) {
+		return
+	}
 	if !e.isReachable(token) {
 		leader.HandleStopReply(stop, fleet.Reply{Outcome: fleet.OrderUnknown, SentAt: w.now}, w.now)
 		return
 	}
+	e.ran[stop.Task] = max(e.ran[stop.Task], stop.Run)
 	if current, ok := e.running[stop.Task]; ok && current.run == stop.Run {
 		current.stopped = true
 		e.running[stop.Task] = current
@@ -223,6 +272,9 @@
 
 // endRuns ends the runs that are due or whose lease has expired.
 func (e *storeWorldEndpoint) endRuns(w *storeWorld, now time.Time) {
+	if now.After(e.leaseUntil) {
+		e.lapsedAt = now
+	}
 	for task, current := range e.running {
 		kind := fleet.CompletionDone
 		switch {
@@ -238,7 +290,9 @@
 			w.done[task]++
 		}
 		delete(e.running, task)
+		e.ran[task] = max(e.ran[task], current.run)
 		e.count++
+		e.endedAt[e.count] = now
 		e.ended = append(e.ended, fleet.Completion{Number: e.count, Task: task, Run: current.run, Kind: kind})
 	}
 }
@@ -246,30 +300,63 @@
 // renew delivers an endpoint's report if a lease renewal is due.
 func (w *storeWorld) renew(id fleet.EndpointID, leader *fleet.Leader, token uint64) {
 	e := w.endpoints[id]
+	if e.isRenewed && leader == w.leader {
+		return
+	}
 	renewal, isDue := leader.NextRenewal(id, w.now)
 	if !isDue {
 		return
 	}
-	if !e.isReachable(token) {
+	sentAt := w.now
+	if e.holds(func() { w.deliver(id, renewal, sentAt, leader, token) }) {
+		e.isRenewed = true
+		return
+	}
+	if w.delays(func() { w.executeRenewal(id, renewal, token) }) {
 		leader.RenewalFailed(id, fleet.Reply{Outcome: fleet.OrderUnknown, SentAt: w.now}, w.now)
 		return
 	}
-	for len(e.ended) > 0 && e.ended[0].Number <= renewal.AckedUpTo {
-		e.ended = e.ended[1:]
+	w.deliver(id, renewal, sentAt, leader, token)
+}
+
+// deliver delivers a renewal and its answer.
+func (w *storeWorld) deliver(id fleet.EndpointID, renewal fleet.LeaseRenewal, sentAt time.Time, leader *fleet.Leader, token uint64) {
+	e := w.endpoints[id]
+	e.isRenewed = false
+	if e.isCut || !w.executeRenewal(id, renewal, token) {
+		leader.RenewalFailed(id, fleet.Reply{Outcome: fleet.OrderUnknown, SentAt: sentAt}, w.now)
+		return
 	}
-	e.extend(w, renewal.Lease)
 	report := fleet.Report{
-		Clock: w.now.Sub(w.started), StartedAt: time.UnixMilli(1000), Completions: slices.Clone(e.ended[:min(len(e.ended), reportedEnds)]),
+		Clock: w.now.Sub(e.born), StartedAt: e.startedAt, Completions: slices.Clone(e.ended[:min(len(e.ended), reportedEnds)]),
 	}
 	for task, current := range e.running {
 		report.Running = append(report.Running, fleet.RunningTask{Task: task, Run: current.run, SpeedPercent: 100})
 	}
-	leader.HandleReport(id, renewal, w.now, report, w.now)
+	leader.HandleReport(id, renewal, sentAt, report, w.now)
+}
+
+// executeRenewal lets an endpoint carry out a renewal.
+func (w *storeWorld) executeRenewal(id fleet.EndpointID, renewal fleet.LeaseRenewal, token uint64) bool {
+	e := w.endpoints[id]
+	if !e.accepts(token) {
+		return false
+	}
+	for len(e.ended) > 0 && e.ended[0].Number <= renewal.AckedUpTo {
+		w.noteAcked(e, e.ended[0])
+		e.ended = e.ended[1:]
+	}
+	e.extend(w, renewal.Lease)
+	return true
 }
 
-// extend extends an endpoint's lease.
+// extend extends an endpoint's lease, which is on the clock of its life, to the longest one at most.
 func (e *storeWorldEndpoint) extend(w *storeWorld, lease time.Duration) {
-	if until := w.started.Add(lease); lease > 0 && until.After(e.leaseUntil) {
+	until := e.born.Add(lease)
+	if longest := w.now.Add(storeWorldMaxLease); until.After(longest) {
+		until = longest
+	}
+	if lease > 0 && until.After(e.leaseUntil) {
 		e.leaseUntil = until
 	}
 }
@@ -277,25 +364,62 @@
 // accept lets an endpoint carry out a start.
 func (w *storeWorld) accept(start fleet.Start, leader *fleet.Leader, token uint64) {
 	e := w.endpoints[start.Endpoint]
-	if !e.isReachable(token) {
+	if !leader.ConfirmStart(start, w.now) || e.holds(func() { w.answerStart(start, leader, token) }) {
+		return
+	}
+	if e.isCut {
 		leader.HandleStartReply(start, fleet.Reply{Outcome: fleet.OrderNotSent, SentAt: w.now}, w.now)
 		return
 	}
-	w.starts[start.Task]++
+	if w.delays(func() { w.executeStart(start, token) }) {
+		leader.HandleStartReply(start, fleet.Reply{Outcome: fleet.OrderUnknown, SentAt: w.now}, w.now)
+		return
+	}
+	w.answerStart(start, leader, token)
+}
+
+// answerStart lets an endpoint carry out a start, and answers it.
+func (w *storeWorld) answerStart(start fleet.Start, leader *fleet.Leader, token uint64) {
+	e := w.endpoints[start.Endpoint]
+	outcome := w.executeStart(start, token)
+	if e.isCut {
+		outcome = fleet.OrderUnknown
+	}
+	leader.HandleStartReply(start, fleet.Reply{Outcome: outcome, SentAt: w.now, Clock: w.now.Sub(e.born)}, w.now)
+}
+
+// executeStart lets an endpoint carry out a start.
+func (w *storeWorld) executeStart(start fleet.Start, token uint64) fleet.OrderOutcome {
+	e := w.endpoints[start.Endpoint]
+	if !e.accepts(token) {
+		return fleet.OrderFenced
+	}
 	e.extend(w, start.Lease)
+	if current, ok := e.running[start.Task]; ok && current.run == start.Run {
+		return fleet.OrderAccepted
+	}
+	if start.Run <= e.ran[start.Task] {
+		return fleet.OrderStaleRun
+	}
+	if !w.now.Before(e.leaseUntil) {
+		return fleet.OrderLeaseExpired
+	}
+	w.starts[start.Task]++
 	duration := w.config.duration
 	if w.config.durationOf != nil {
 		duration = w.config.durationOf(start.Task)
 	}
 	e.running[start.Task] = storeWorldRun{run: start.Run, endsAt: w.now.Add(duration)}
 	w.checkLimits(start)
-	leader.HandleStartReply(start, fleet.Reply{Outcome: fleet.OrderAccepted, SentAt: w.now}, w.now)
+	return fleet.OrderAccepted
 }
 
 // checkLimits checks what all endpoints run, reached or not, after a start: accounts within their
 // caps, endpoints within their capacity, and each task run once.
 func (w *storeWorld) checkLimits(start fleet.Start) {
 	account := w.jobs[start.Task.Job].Submission.Account
+	isSpeculative := w.jobs[start.Task.Job].Submission.Steps[start.Task.Step].Speculative
+	w.checkEnds(start.Task)
 	var inUse int64
 	for id, e := range w.endpoints {
 		var reserved policy.Resources
@@ -310,7 +434,7 @@
 			if task.StepKey() == start.Task.StepKey() && task.Job == start.Task.Job {
 				beside++
 			}
-			if task == start.Task && id != start.Endpoint {
+			if task == start.Task && id != start.Endpoint && !isSpeculative {
 				w.violate("task %v runs on %s and is started on %s", task, id, start.Endpoint)
 			}
 		}
@@ -352,7 +476,7 @@
 		return
 	}
 	w.writtenAt = w.now
-	for {
+	for w.leader != nil {
 		batch, ok := w.leader.NextBatch()
 		if !ok {
 			return
