fleet: a restart shows by the clock although the last reading was low

An endpoint that has just begun is read at a clock of 0.1 s, is idle, and restarts 5 s later. The next incarnation answers a start at 0.4 s of its own clock. The leader compared that with the last reading, did not notice the restart, and reckoned the lease on the former clock: 5.8 s after the restart it started the task elsewhere, while the endpoint held the longest lease. A start now carries the lowest reading that the clock can have when it is decided.

TestRestartThatOnlyTheClockShows failed before.

--- a/internal/fleet/incarnation_test.go
+++ b/internal/fleet/incarnation_test.go
@@ -259,6 +259,34 @@
 	t.Error("starts after the longest lease has expired: got none, want the waiting task's")
 }
 
+// Guards against two runs of a task at once: an endpoint restarts twice, and its clock, which the leader read
+// soon after the first time, is ahead of that when the second incarnation answers a start. No list shows the
+// restart, and the endpoint falls silent with the longest lease.
+func TestRestartThatOnlyTheClockShows(t *testing.T) {
+	const longestLease = 10 * time.Second
+	s := newSimulation(t, simulationConfig{})
+	s.restart("a", s.now.Round(0))
+	s.advance(100 * time.Millisecond)
+	s.list("a")
+	s.report("a", s.now)
+	s.advance(5 * time.Second)
+	s.restart("a", s.now.Round(0))
+	restartedAt := s.now
+	s.advance(400 * time.Millisecond)
+	s.submit(submission(1, tasks(1)))
+	start := s.step().Starts[0]
+	s.leader.HandleStartReply(start, fleet.Reply{Outcome: fleet.OrderAccepted, Clock: 400 * time.Millisecond}, s.now)
+	s.addEndpoint("b")
+	for s.now.Sub(restartedAt) < longestLease {
+		s.advance(100 * time.Millisecond)
+		s.leader.RenewalFailed("a", fleet.Reply{Outcome: fleet.OrderUnknown, SentAt: s.now}, s.now)
+		s.renewLease("b")
+		if got := len(s.step().Starts); got != 0 {
+			t.Fatalf("starts %s after the restart: got %d, want 0", s.now.Sub(restartedAt), got)
+		}
+	}
+}
+
 // Guards against two runs of a task at once: a new leader has adopted runs, but not yet
 // renewed their lease, when the endpoint does not answer once.
 func TestAdoptedRunsOutliveFailedRenewal(t *testing.T) {
--- a/internal/fleet/order.go
+++ b/internal/fleet/order.go
@@ -23,8 +23,8 @@
 	// IsGangMember is true if the others of a gang wait for the run: up to GangStartsPerEndpoint such
 	// starts are sent to an endpoint at the same time.
 	IsGangMember bool
-	// incarnation and clock are the start time and the clock's last reading of the endpoint's
-	// incarnation that was known when the start was ordered.
+	// incarnation is the start time of the endpoint's incarnation that was known when the start was
+	// ordered, and clock the lowest reading that its clock could have then.
 	incarnation time.Time
 	clock       time.Duration
 }
--- a/internal/fleet/startrecord.go
+++ b/internal/fleet/startrecord.go
@@ -112,7 +112,7 @@
 		r := e.runs[runKey{start.Task, start.Run}]
 		r.isHeld, r.awaitsAnswer, r.orderedAt = false, true, now
 		r.lease = e.nextLease(now, l.leaseDuration())
-		start.Lease, start.clock = r.lease, e.clock
+		start.Lease, start.clock = r.lease, e.minClock(now)-leaseMargin
 		orders.Starts = append(orders.Starts, start)
 	}
 }
--- a/internal/fleet/step.go
+++ b/internal/fleet/step.go
@@ -361,7 +361,7 @@
 	}
 	order := Start{
 		Endpoint: e.row.ID, Task: task, Run: number, Spec: g.job.submission.Spec, Lease: r.lease,
-		Checkpoint: r.checkpoint, Ticket: g.step.tickets[e.row.ID], DataCentre: l.dataCentreOf(e), incarnation: e.startedAt, clock: e.clock,
+		Checkpoint: r.checkpoint, Ticket: g.step.tickets[e.row.ID], DataCentre: l.dataCentreOf(e), incarnation: e.startedAt, clock: e.minClock(now) - leaseMargin,
 		IsGangMember: g.attempt != nil,
 	}
 	if r.onTrial {
