fleet: a task stays on the endpoint of its unanswered start

A start got no answer, the endpoint accepted a stop, and the task went elsewhere; the endpoint restarted within the time that an order may be late, and its next life, which knows no stop, carried the start out beside the task's next run.

Cause: a stop binds one incarnation, and the task was free from then on. Waiting for 15 s with each unanswered start would make sound work pay.

Change: as long as the start may be carried out, its task may only start on that same endpoint, in the incarnation that has accepted the stop. Should that end, the next run ends with it, before the next incarnation can carry out the start. It costs no wait while the endpoint takes work. If the endpoint is gone, or silent for its leases, the task goes elsewhere as before, unless this leader has seen endpoints restart under their IDs. Persistent tasks do not wait for an endpoint that takes no work.

--- a/internal/fleet/gang.go
+++ b/internal/fleet/gang.go
@@ -85,8 +85,12 @@
 	var target *candidateEndpoint
 	for _, index := range g.step.pending {
 		// The endpoint of the member before has become fuller, and so is preferred for the next one.
-		if target == nil || len(g.job.avoid) > 0 || isFull(target) {
-			target = g.bestFor(index, candidates, isFull)
+		task := g.job.taskAt(g.step.key, index)
+		isClosed := func(candidate *candidateEndpoint) bool {
+			return isFull(candidate) || !l.mayStartOn(task, candidate.endpoint, now)
+		}
+		if target == nil || len(g.job.avoid) > 0 || isClosed(target) {
+			target = g.bestFor(index, candidates, isClosed)
 		}
 		if target == nil {
 			unplace(g, placed)
--- a/internal/fleet/latestart.go
+++ b/internal/fleet/latestart.go
@@ -1,7 +1,10 @@
 package fleet
 
 import (
+	"slices"
 	"time"
+
+	"github.com/lovagedyke/lovagedyke/internal/job"
 )
 
 // lateStartCheckInterval is the time between two removals of starts that cannot come late any
@@ -19,6 +22,12 @@
 	isHeld bool
 }
 
+// lateStartKey identifies a start that may be carried out late.
+type lateStartKey struct {
+	endpoint EndpointID
+	run      runKey
+}
+
 // mayComeLate reports whether the start of a run that is no longer tracked may still be
 // carried out by some incarnation of its endpoint: a stop binds one incarnation alone.
 func (r *run) mayComeLate(now time.Time) bool {
@@ -46,6 +55,49 @@
 			"endpoint", id, "for", late.until.Sub(now).Round(time.Millisecond).String())
 	}
 	l.lateStarts[id][r.key] = late
+	if r.job != nil && !r.step().Speculative {
+		l.lateTasks[r.key.task] = append(l.lateTasks[r.key.task], lateStartKey{id, r.key})
+	}
+}
+
+// mayStartOn reports whether a task may start on an endpoint although earlier starts of it may yet be carried out by
+// other incarnations of theirs: only on the same one, in the incarnation that has accepted a stop. Should that end, the
+// task's run ends with it, before the next one can carry out the start.
+func (l *Leader) mayStartOn(task job.Task, e *endpoint, now time.Time) bool {
+	for _, key := range l.lateTasks[task] {
+		late := l.lateStarts[key.endpoint][key.run]
+		isThere := key.endpoint == e.row.ID && late.stoppedOn.Equal(e.startedAt)
+		if !isThere && l.binds(late, now) {
+			return false
+		}
+	}
+	return true
+}
+
+// binds reports whether a start that may be carried out late keeps its task from other endpoints: its own one is not
+// to end by plan. One that is gone, or silent for its leases, may still be followed by another incarnation where some
+// endpoints restart under their IDs. Persistent tasks are not to wait for one that takes no work.
+func (l *Leader) binds(late lateStart, now time.Time) bool {
+	e := l.endpoints[late.run.endpoint.row.ID]
+	switch {
+	case l.isLateStartOver(late, now):
+		return false
+	case late.run.step().Persistent:
+		return e != nil && l.acceptsWork(e, now)
+	case e == nil || e.gone || e.unresponsive && l.leasesOver(e, now):
+		return l.hasSeenRestart
+	default:
+		return !e.leaving && !l.endsByPlan(e) && !l.isEvacuated(e)
+	}
+}
+
+// isLateStartOver reports whether a start can neither be carried out any more nor run on an endpoint that has not reported since.
+func (l *Leader) isLateStartOver(late lateStart, now time.Time) bool {
+	e := l.endpoints[late.run.endpoint.row.ID]
+	if e != nil && !e.gone && e.askedAt.Before(late.until) {
+		return now.After(l.longestLeaseEnd(late.until))
+	}
+	return !now.Before(late.until)
 }
 
 // holdsTask reports whether a task waits while the start of its run may come late: the next
@@ -84,6 +136,13 @@
 	if len(l.lateStarts[id]) == 0 {
 		delete(l.lateStarts, id)
 	}
+	if keys := l.lateTasks[key.task]; len(keys) > 0 {
+		keys = slices.DeleteFunc(keys, func(other lateStartKey) bool { return other == lateStartKey{id, key} })
+		l.lateTasks[key.task] = keys
+		if len(keys) == 0 {
+			delete(l.lateTasks, key.task)
+		}
+	}
 	if late.isHeld {
 		l.heldTasks[key.task]--
 		if l.heldTasks[key.task] == 0 {
@@ -113,7 +172,7 @@
 	l.lateStartsCheckedAt = now
 	for id, starts := range l.lateStarts {
 		for key, late := range starts {
-			if !now.Before(late.until) {
+			if l.isLateStartOver(late, now) {
 				l.releaseLateStart(id, key, now)
 			}
 		}
--- a/internal/fleet/overdue.go
+++ b/internal/fleet/overdue.go
@@ -130,7 +130,7 @@
 	if !slices.Contains(r.job.avoid[task], r.endpoint.row.ID) {
 		r.job.avoid[task] = append(r.job.avoid[task], r.endpoint.row.ID)
 	}
-	target := l.choose(g, task, candidates)
+	target := l.choose(g, task, candidates, now)
 	isCopy := decision.Action == runtimes.Copy
 	if target == nil || isCopy && !l.underCap(r.job.submission.Account, step.step.Resources, 1) {
 		return
--- a/internal/fleet/step.go
+++ b/internal/fleet/step.go
@@ -192,6 +192,8 @@
 		cause = "the job's row has no room for more runs"
 	case g.step.tickets == nil && g.step.adviceRequested:
 		cause = "waiting for the advice service"
+	case len(l.lateTasks[g.job.taskAt(g.step.key, g.step.pending[0])]) > 0:
+		cause = "an earlier start may still be carried out on its endpoint"
 	}
 	l.log("tasks wait", "job", g.job.submission.ID, "step", g.step.key.Step, "tasks", len(g.step.pending), "cause", cause,
 		"pool", l.poolOf(g.job), "endpoints", len(candidates), "account", g.job.submission.Account,
@@ -279,8 +281,13 @@
 			break
 		}
 		// The endpoint of the task before has become fuller, and so is preferred for alike tasks.
-		if target == nil || len(g.job.avoid) > 0 || !g.allows(target) {
-			target = l.choose(g, task, p.open)
+		mayBeLate := len(l.lateTasks[task]) > 0
+		if target == nil || len(g.job.avoid) > 0 || mayBeLate || !g.allows(target) {
+			target = l.choose(g, task, p.open, now)
+		}
+		if target == nil && mayBeLate {
+			remaining = append(remaining, index)
+			continue
 		}
 		if target == nil {
 			// The same limits apply to the other tasks of the step.
--- a/internal/fleet/storeworld_test.go
+++ b/internal/fleet/storeworld_test.go
@@ -52,7 +52,9 @@
 	refusals               []string
 	// violations are starts beyond a limit. mostInUse is the most that each account had running.
 	violations []string
-	mostInUse  map[string]int64
+	// repeats are starts of tasks that are done.
+	repeats   []string
+	mostInUse map[string]int64
 	// unheard are the jobs that the leader learns of by the feed alone.
 	unheard map[job.ID]bool
 	// acked are the tasks whose successful end was acknowledged, restarted the ends after which, before
