fleet: unanswered orders outlive the endpoint that is forgotten

An acknowledgement got no answer, the endpoint was taken for gone and left the list, and was listed again under its ID 3 s later. What was known of the order was forgotten with the endpoint's state, so that the next life got work at once, whose ends it would have forgotten unread when the acknowledgement reached it. The same for orders that carry a lease. They are kept by ID now until they can come no more, as late starts are.

TestForgottenEndpointKeepsItsUnansweredOrders failed before (a start 3.2 s after the acknowledgement, want none for 15 s).

--- a/internal/fleet/endpointlist.go
+++ b/internal/fleet/endpointlist.go
@@ -22,6 +22,7 @@
 	if !ok {
 		return
 	}
+	l.keepOrders(e)
 	delete(l.endpoints, e.row.ID)
 	delete(l.unpersisted, e.row.ID)
 	l.endpointList = slices.Delete(slices.Clone(l.endpointList), at, at+1)
--- a/internal/fleet/endpointstate.go
+++ b/internal/fleet/endpointstate.go
@@ -255,6 +255,7 @@
 	known, ok := l.endpoints[row.ID]
 	if !ok {
 		listed := newEndpoint(row, now)
+		l.recallOrders(listed)
 		l.addEndpoint(listed)
 		l.log("endpoint listed", "endpoint", row.ID, "pool", row.Pool, "draining", row.Draining)
 		l.noteWarmUp(listed, nil, now)
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -121,6 +121,8 @@
 	heldTasks map[job.Task]int
 	// lateTasks holds, by task, those of its starts.
 	lateTasks map[job.Task][]lateStartKey
+	// unansweredOrders holds those to endpoints that are forgotten.
+	unansweredOrders map[EndpointID]unansweredOrders
 	// hasSeenRestart is true once an endpoint has restarted under its ID.
 	hasSeenRestart bool
 	// lateStartsCheckedAt is when those that cannot be any more were last removed.
@@ -182,7 +184,7 @@
 		config: config, confirmedAt: config.Now, policy: policy.New(policy.Config{}),
 		endpoints: map[EndpointID]*endpoint{}, endpointsByHost: map[HostID][]*endpoint{}, unpersisted: map[EndpointID]*endpoint{}, lastEndpoints: map[HostID]EndpointID{}, jobs: map[job.ID]*jobState{}, live: map[job.ID]*jobState{}, inUse: map[string]policy.Resources{},
 		pendingCancels: map[job.ID]time.Time{},
-		lookups:        map[job.ID]lookup{}, lateStarts: map[EndpointID]map[runKey]lateStart{}, heldTasks: map[job.Task]int{}, lateTasks: map[job.Task][]lateStartKey{}, shareBuckets: map[string]*tokenBucket{},
+		lookups:        map[job.ID]lookup{}, lateStarts: map[EndpointID]map[runKey]lateStart{}, heldTasks: map[job.Task]int{}, lateTasks: map[job.Task][]lateStartKey{}, unansweredOrders: map[EndpointID]unansweredOrders{}, shareBuckets: map[string]*tokenBucket{},
 		hosts: newHosts(), arrivalHistories: map[string]*arrivalHistory{}, durations: map[string]*runtimes.Model{}, sizes: map[string]*overload.Sizes{}, deferralsAt: map[string]time.Time{}, writeQueue: newWriteQueue(),
 		rowFormat: job.NewestRowFormat, inheritedEvidence: "all endpoints have reported",
 	}
--- a/internal/fleet/incarnation.go
+++ b/internal/fleet/incarnation.go
@@ -73,3 +73,35 @@
 	e.endedUnanswered = nil
 	e.slowness, e.reportsWork, e.overdueSinceEnd = runtimes.Slowness{}, false, 0
 }
+
+// unansweredOrders is until when orders that an endpoint has left unanswered may be carried out.
+type unansweredOrders struct {
+	ackUntil, leaseUntil time.Time
+}
+
+// keepOrders keeps the orders that an endpoint, which is forgotten, has left unanswered: it may be listed again.
+func (l *Leader) keepOrders(e *endpoint) {
+	if !e.lateAckUntil.IsZero() || !e.lateLeaseUntil.IsZero() {
+		l.unansweredOrders[e.row.ID] = unansweredOrders{ackUntil: e.lateAckUntil, leaseUntil: e.lateLeaseUntil}
+	}
+}
+
+// recallOrders lets an endpoint that is listed have the orders that an earlier one of its ID left unanswered.
+func (l *Leader) recallOrders(e *endpoint) {
+	orders, ok := l.unansweredOrders[e.row.ID]
+	if !ok {
+		return
+	}
+	delete(l.unansweredOrders, e.row.ID)
+	e.isSuccessor = true
+	e.lateAckUntil, e.noWorkUntil, e.lateLeaseUntil = orders.ackUntil, orders.ackUntil, orders.leaseUntil
+}
+
+// expireOrders forgets the orders to forgotten endpoints that cannot be carried out any more.
+func (l *Leader) expireOrders(now time.Time) {
+	for id, orders := range l.unansweredOrders {
+		if now.After(orders.ackUntil) && now.After(orders.leaseUntil) {
+			delete(l.unansweredOrders, id)
+		}
+	}
+}
--- a/internal/fleet/incarnation_test.go
+++ b/internal/fleet/incarnation_test.go
@@ -475,3 +475,44 @@
 		})
 	}
 }
+
+// Guards against tasks that run again after their end: an acknowledgement without an answer is forgotten with
+// its endpoint, which is gone and then listed again under its ID, and is carried out late by the next life.
+func TestForgottenEndpointKeepsItsUnansweredOrders(t *testing.T) {
+	const orderDelay = 15 * time.Second
+	s, start := startOn(t)
+	s.accept(start)
+	s.endRun(start, fleet.CompletionDone)
+	s.report("a", s.now)
+	s.writeBatches()
+	renewal, isDue := s.leader.NextRenewal("a", s.now)
+	if !isDue || renewal.AckedUpTo != 1 {
+		t.Fatalf("renewal: got %+v (due %t), want an acknowledgement of 1", renewal, isDue)
+	}
+	sentAt := s.now
+	s.leader.RenewalFailed("a", fleet.Reply{Outcome: fleet.OrderUnknown, SentAt: sentAt}, s.now)
+	s.advance(200 * time.Millisecond)
+	s.listed(downHost("a"), newHost(poolName, "b"))
+	s.failRenewal("a", fleet.OrderUnknown)
+	s.leader.RemoveEndpoint("a", s.now)
+	if _, ok := s.leader.AddressOf("a"); ok {
+		t.Fatal("endpoint a: got known, want forgotten")
+	}
+	s.advance(3 * time.Second)
+	s.restart("a", laterStart)
+	s.list("a")
+	s.advance(10 * time.Millisecond)
+	s.report("a", s.now)
+	large := tasks(2)
+	large.Resources.CPU = endpointSize.CPU
+	s.submit(submission(2, large))
+	if got := startsOn(s.step().Starts)["a"]; got != 0 {
+		t.Errorf("starts on the next life %s after the acknowledgement: got %d, want none for %s", s.now.Sub(sentAt), got, orderDelay)
+	}
+	s.acceptStarts()
+	s.advance(orderDelay)
+	s.report("a", s.now)
+	if got := startsOn(s.step().Starts)["a"]; got != 1 {
+		t.Errorf("starts on the next life once the acknowledgement is over: got %d, want 1", got)
+	}
+}
--- a/internal/fleet/latestart.go
+++ b/internal/fleet/latestart.go
@@ -170,6 +170,7 @@
 		return
 	}
 	l.lateStartsCheckedAt = now
+	l.expireOrders(now)
 	for id, starts := range l.lateStarts {
 		for key, late := range starts {
 			if l.isLateStartOver(late, now) {
