--- a/internal/fleet/renewal.go
+++ b/internal/fleet/renewal.go
@@ -160,7 +160,7 @@
 // on an endpoint that may have restarted unnoticed: its deadline is on a clock that has
 // begun anew then. A restart of an endpoint that the platform shows as gone is noticed.
 func (l *Leader) mayStartLate(r *run, now time.Time) bool {
-	return !r.endpoint.gone && r.isUnresolved() && now.Sub(r.orderedAt) <= maxOrderDelay+maxElapsed(l.config.Bounds.MaxLease)+leaseMargin
+	return !r.endpoint.gone && r.isUnresolved() && now.Sub(r.sentAt) <= maxOrderDelay+maxElapsed(l.config.Bounds.MaxLease)+leaseMargin
 }
 
 // HandleReport processes an endpoint's report. sentAt is when the renewal was sent:
--- a/internal/fleet/suspicion_test.go
+++ b/internal/fleet/suspicion_test.go
@@ -308,6 +308,27 @@
 	}
 }
 
+// Guards against two runs of a task at once: a start waits in the leader's queue before it is sent, gets no answer,
+// and is carried out late by the next incarnation of its endpoint. The wait for it counted from the decision.
+func TestLateStartCountsFromItsSending(t *testing.T) {
+	const queued, orderDelay, longestLease = 3 * time.Second, 12 * time.Second, 10 * time.Second
+	s := longRunning(t)
+	s.submit(submission(1, tasks(1)))
+	start := s.step().Starts[0]
+	s.advance(queued)
+	s.report("a", s.now)
+	if !s.leader.ConfirmStart(start, s.now) {
+		t.Fatal("start that has waited: got withdrawn, want sent")
+	}
+	sentAt := s.now
+	s.leader.HandleStartReply(start, fleet.Reply{Outcome: fleet.OrderUnknown}, s.now)
+	s.addEndpoint("b")
+	s.silentUntilStart()
+	if got := s.now.Sub(sentAt); got < orderDelay+longestLease+queued {
+		t.Errorf("start elsewhere: got %s after the first was sent, want after %s at least", got, orderDelay+longestLease+queued)
+	}
+}
+
 // Guards against tasks that wait for a late start which a stop has prevented.
 func TestStoppedStartOnSilentEndpoint(t *testing.T) {
 	s := longRunning(t)
