fleet: an entry that expires does not shorten the wait for a young life

An endpoint that had restarted before the takeover was waited for longer while its entry stood (28 s after the takeover, as an order may be 15 s late) than once the entry had expired (13 s): less knowledge gave the shorter wait, and a late start of the former leader ran beside the task's next run. What the last entry says of the life counts on now.

The case "late order, entry lost" of TestTaskWaitsForLeaseOfFormerLife failed before.

--- a/internal/fleet/formerlife_test.go
+++ b/internal/fleet/formerlife_test.go
@@ -174,6 +174,25 @@
 			w.replaceLeader()
 			w.work(9 * time.Second)
 		}},
+		"late order, entry lost": {tasks(1), func(w *recutWorld) {
+			w.config.durationOf = func(task job.Task) time.Duration {
+				// These are submitted while starts are late.
+				if task.Job > jobID(19) && task.Job <= jobID(22) {
+					return longTask
+				}
+				return shortTask
+			}
+			w.startDelay = 9500 * time.Millisecond
+			w.work(300 * time.Millisecond)
+			w.startDelay = 0
+			w.killLeader()
+			w.crashHalf(300 * time.Millisecond)
+			w.work(300 * time.Millisecond)
+			w.cutHalf(true)
+			w.work(takeoverTime - 600*time.Millisecond)
+			w.replaceLeader()
+			w.work(20 * time.Second)
+		}},
 		"same leader": {tasks(1), func(w *recutWorld) {
 			w.crashHalf(600 * time.Millisecond)
 			w.work(2000 * time.Millisecond)
--- a/internal/fleet/lease.go
+++ b/internal/fleet/lease.go
@@ -101,11 +101,12 @@
 		return time.Time{}
 	}
 	lastOrder := l.config.Now.Add(formerLeaderGrace)
+	end := l.longestLeaseEnd(earlier(lastOrder, l.begun(e).Add(foreignOrderReach)).Add(maxOrderDelay))
 	if !e.listed || l.endpointsAsOf.Before(lastOrder) {
 		// It may have restarted since its row was written.
-		return l.longestLeaseEnd(lastOrder)
+		end = later(end, l.longestLeaseEnd(lastOrder))
 	}
-	return l.longestLeaseEnd(earlier(lastOrder, l.begun(e).Add(foreignOrderReach)).Add(maxOrderDelay))
+	return end
 }
 
 // begun returns when the endpoint's incarnation began at the latest, by its row.
--- a/internal/fleet/storeworld_test.go
+++ b/internal/fleet/storeworld_test.go
@@ -63,6 +63,8 @@
 	restarted map[worldEnd]bool
 	// isLate draws whether an order is left unanswered, and for how long; nil means that none is.
 	isLate func() (time.Duration, bool)
+	// startDelay is how late all starts are carried out, without an answer, or 0.
+	startDelay time.Duration
 	// late are the orders that are left unanswered until they are carried out.
 	late []lateOrder
 	// journal is passed to the leaders.
@@ -373,6 +375,11 @@
 		leader.HandleStartReply(start, fleet.Reply{Outcome: fleet.OrderNotSent, SentAt: w.now}, w.now)
 		return
 	}
+	if w.startDelay > 0 {
+		w.late = append(w.late, lateOrder{w.now.Add(w.startDelay), func() { w.executeStart(start, token) }})
+		leader.HandleStartReply(start, fleet.Reply{Outcome: fleet.OrderUnknown, SentAt: w.now}, w.now)
+		return
+	}
 	if w.delays(func() { w.executeStart(start, token) }) {
 		leader.HandleStartReply(start, fleet.Reply{Outcome: fleet.OrderUnknown, SentAt: w.now}, w.now)
 		return
