soak: endpoints restart under their IDs and are cut off soon after

Two runs of a task at once were seen where back ends had started again under their old IDs and were cut off soon after, while long tasks ran and leaders changed. No kind of fault of the soak put these beside each other: restarts were of single endpoints, cuts of single links, and tasks ended within a second.

Recuts restart all endpoints of a data centre, cut all nodes off from them and kill, pause or cut off whoever leads in between, also twice, with several restarts in a row, an earlier cut, late orders, late lists and rows that are gone (-soak-kinds recuts). A link that is cut loses what is sent meanwhile. Killed nodes stay down for 3 s in these plays, so that another one leads. All runs are written to runs.log, and -soak-keep keeps the logs of seeds that passed.

The plans of other kinds are unchanged (TestPlanKeepsItsMeaning).

--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -25,6 +25,12 @@
 	case n%gangInterval == gangInterval-1:
 		return standin.Job{Steps: 1, Tasks: gangSize, IsGang: true}
 	}
+	if s.hasRecuts() {
+		job = standin.Job{Steps: 1, Tasks: 1}
+		if n%longInterval == 0 {
+			job.TaskTime = longRecutTaskTime
+		}
+	}
 	if !s.config.HasMixedJobs {
 		return job
 	}
@@ -64,11 +70,19 @@
 			continue
 		}
 		attempts.Go(func(ctx context.Context) { s.submitJob(ctx, n, maxAttempts) })
-		loops.Sleep(ctx, jobInterval)
+		loops.Sleep(ctx, s.jobInterval())
 	}
 	attempts.Wait()
 }
 
+// jobInterval returns the time between two jobs.
+func (s *soak) jobInterval() time.Duration {
+	if s.hasRecuts() {
+		return recutJobInterval
+	}
+	return jobInterval
+}
+
 // setDeadly makes one of deadlyInterval jobs deadly while some are.
 func (s *soak) setDeadly(n int) {
 	s.mu.Lock()
--- a/internal/soak/checks.go
+++ b/internal/soak/checks.go
@@ -3,6 +3,9 @@
 import (
 	"context"
 	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
 	"time"
 
 	"github.com/lovagedyke/lovagedyke/internal/loops"
@@ -28,6 +31,14 @@
 	}
 }
 
+// logRuns writes all runs to runs.log in Config.Dir.
+func (s *soak) logRuns() {
+	text := strings.Join(s.platform.DescribeRuns(), "\n")
+	if err := os.WriteFile(filepath.Join(s.config.Dir, "runs.log"), []byte(text+"\n"), 0o600); err != nil {
+		s.addViolation("log of runs not written: %v", err)
+	}
+}
+
 // checkRuns compares the runs at the endpoints with the responses to callers.
 func (s *soak) checkRuns() {
 	for id := range s.accepted {
--- a/internal/soak/doc.go
+++ b/internal/soak/doc.go
@@ -22,11 +22,14 @@
 //   - the host list lags, each row by a time of its own, goes back, or is unavailable;
 //   - endpoints exit, or are lost without a sign, and others with new IDs replace them on
 //     their hosts, also while the hosts' rows lag, and are soon out of reach;
+//   - the endpoints of a data centre restart under their IDs, once or several times, while long tasks run,
+//     and are cut off soon after, while whoever leads is killed, paused or cut off from the store, orders
+//     are late, and lists lag or lack an endpoint;
 //   - the operator requests and withdraws evacuations of data centres in series, while whoever
 //     leads is killed, paused or cut off from the store, data centres return cold, and a wave
 //     takes hosts down.
 //
-// Each fault is written to faults.log in Config.Dir as it is injected. A plan can be
+// Each fault is written to faults.log in Config.Dir as it is injected, and all runs to runs.log. A plan can be
 // limited to some kinds of faults, so that seeds keep their meaning when kinds are added. A
 // cold start has all at once from the first moment: endpoints that have just replaced others,
 // a host list that lags behind them, faults, and a backlog of jobs.
--- a/internal/soak/inject.go
+++ b/internal/soak/inject.go
@@ -98,6 +98,8 @@
 		s.injectListFault(ctx, fault, host)
 	case Evacuate, DataCentreReturnsCold, MaintenanceWave:
 		s.injectEvacuationFault(ctx, fault)
+	case DataCentreRestarts, DataCentreHangsUp, DataCentreCut, EndpointUnlisted:
+		s.injectRecutFault(ctx, fault, host)
 	case TakeoverBesideCut:
 		s.takeOverBesideCut(ctx)
 	case EndpointRefuses:
@@ -171,6 +173,7 @@
 		s.platform.SetHostListLag(n+1, 0, 0)
 		s.platform.SetHung(n+1, false)
 		s.platform.SetRefusesStarts(n+1, false)
+		s.platform.SetUnlisted(n+1, false)
 		s.platform.SetOrderDelay(n+1, 0)
 		s.platform.SetRenewalDelay(n+1, 0)
 		s.platform.SetStopTime(n+1, 0)
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -80,6 +80,14 @@
 	// EndpointRefuses lets an endpoint refuse all starts, AllRefuse all of them for refusalTime.
 	EndpointRefuses Kind = "endpoint-refuses"
 	AllRefuse       Kind = "all-refuse"
+	// DataCentreRestarts restarts the endpoints of the data centre Target under their IDs, which are down for
+	// Duration: orders wait for the next incarnations. DataCentreHangsUp breaks off the reports that wait,
+	// too. DataCentreCut cuts all nodes off from the endpoints of one, which go on. EndpointUnlisted keeps
+	// an endpoint from the store, so that its row is gone.
+	DataCentreRestarts Kind = "data-centre-restarts"
+	DataCentreHangsUp  Kind = "data-centre-hangs-up"
+	DataCentreCut      Kind = "data-centre-cut"
+	EndpointUnlisted   Kind = "endpoint-unlisted"
 )
 
 // KindsWithoutRestarts returns the kinds of faults in which each endpoint has one
@@ -191,6 +199,16 @@
 // Plan returns the faults of a seed in order of time, of the given kinds. It does not depend
 // on what other kinds there are.
 func Plan(seed uint64, duration time.Duration, nodes, endpoints int, kinds []Kind) []Fault {
+	plan := planFaults(seed, duration, nodes, endpoints, kinds)
+	slices.SortStableFunc(plan, func(a, b Fault) int { return cmp.Compare(a.At, b.At) })
+	return plan
+}
+
+// planFaults returns the faults of a plan in any order.
+func planFaults(seed uint64, duration time.Duration, nodes, endpoints int, kinds []Kind) []Fault {
+	if slices.Contains(kinds, DataCentreCut) {
+		return planRecuts(seed, duration, endpoints, kinds)
+	}
 	random := rand.New(rand.NewPCG(seed, 0))
 	var plan []Fault
 	crashes := 0
@@ -235,7 +253,6 @@
 	if slices.Contains(kinds, Evacuate) {
 		plan = append(plan, planEvacuations(seed, duration)...)
 	}
-	slices.SortStableFunc(plan, func(a, b Fault) int { return cmp.Compare(a.At, b.At) })
 	return plan
 }
 
@@ -262,7 +279,7 @@
 		return true
 	}
 	switch f.Kind {
-	case EndpointDelayed, EndpointReset, EndpointOneWay, EndpointSilent, EndpointCrash, EndpointShrinks, EndpointRefuses:
+	case EndpointDelayed, EndpointReset, EndpointOneWay, EndpointSilent, EndpointCrash, EndpointShrinks, EndpointRefuses, EndpointUnlisted:
 		return true
 	default:
 		return slices.Contains(RestartKinds(), f.Kind) || slices.Contains(LagKinds(), f.Kind)
--- a/internal/soak/proxy.go
+++ b/internal/soak/proxy.go
@@ -21,6 +21,9 @@
 	linkOneWay
 	// linkSilent forwards nothing and keeps connections open.
 	linkSilent
+	// linkCut is like linkSilent, but loses what is sent meanwhile: such connections are closed once
+	// the link is whole.
+	linkCut
 )
 
 const (
@@ -106,7 +109,7 @@
 // holds reports whether the link holds back the bytes of a direction.
 func (p *proxy) holds(isResponse bool) bool {
 	state := p.getState()
-	return state == linkSilent || state == linkOneWay && isResponse
+	return state == linkSilent || state == linkCut || state == linkOneWay && isResponse
 }
 
 // awaitFlow waits while the link holds back the bytes of a direction. It returns false if ctx
@@ -168,7 +171,8 @@
 		if p.getState() == linkDelayed {
 			time.Sleep(linkDelay)
 		}
-		if !p.awaitFlow(ctx, isResponse) {
+		isLost := p.getState() == linkCut
+		if !p.awaitFlow(ctx, isResponse) || isLost {
 			return
 		}
 		if n > 0 {
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -168,6 +168,9 @@
 	if s.hasEvacuations() {
 		standinConfig.DataCentres, standinConfig.EvacuationBound = dataCentres, evacuationBound
 	}
+	if s.hasRecuts() {
+		standinConfig.DataCentres = dataCentres[:recutDataCentres]
+	}
 	platform, err := standin.New(standinConfig)
 	if err != nil {
 		return Report{}, errors.Wrap(err, "start the simulated platform")
@@ -278,4 +281,5 @@
 	s.awaitNoneWaiting(ctx)
 	s.checkGangs(clearedAt)
 	s.checkRuns()
+	s.logRuns()
 }
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -233,6 +233,7 @@
 		"delayed": {inject: func(p *proxy) { p.setState(linkDelayed) }},
 		"one way": {inject: func(p *proxy) { p.setState(linkOneWay) }, wantHeld: true},
 		"silent":  {inject: func(p *proxy) { p.setState(linkSilent) }, wantHeld: true},
+		"cut":     {inject: func(p *proxy) { p.setState(linkCut) }, wantHeld: true},
 		"reset":   {inject: func(p *proxy) { p.reset() }, wantBroken: true},
 	}
 	for name, tc := range tests {
@@ -266,7 +267,7 @@
 // are refused after that, but for a link that is cut, which gives no sign until it is whole.
 func TestProxyRefuses(t *testing.T) {
 	const maxDials = 1000
-	for name, state := range map[string]linkState{"healthy": linkHealthy, "silent": linkSilent, "one way": linkOneWay} {
+	for name, state := range map[string]linkState{"healthy": linkHealthy, "silent": linkSilent, "cut": linkCut, "one way": linkOneWay} {
 		t.Run(name, func(t *testing.T) {
 			ctx, cancel := context.WithCancel(context.Background())
 			group := loops.New(ctx)
--- a/test/overload_test.go
+++ b/test/overload_test.go
@@ -57,7 +57,7 @@
 			t.Fatal(err)
 		}
 		f.callers, f.logs = append(f.callers, address(0)), append(f.logs, log)
-		node := &soakProcess{binary: binary, settings: settings, log: log}
+		node := &soakProcess{binary: binary, settings: settings, log: log, restartDelay: restartDelay}
 		group.Go(node.Supervise)
 	}
 	platform.WritePolicy(1)
--- a/test/soak_test.go
+++ b/test/soak_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"os"
 	"path/filepath"
+	"slices"
 	"testing"
 	"time"
 
@@ -21,10 +22,11 @@
 	soakEndpoints = flag.Int("soak-endpoints", 6, "number of endpoints")
 	soakPort      = flag.Uint("soak-port", 14700, "first of the nodes' ports, below those of other tests")
 	soakParallel  = flag.Int("soak-parallel", 1, "number of seeds at a time")
-	soakKinds     = flag.String("soak-kinds", "all", "kinds of faults: without-restarts, with-restarts, with-lags, with-budgets, lists, evacuations, takeovers, starts or all")
+	soakKinds     = flag.String("soak-kinds", "all", "kinds of faults: without-restarts, with-restarts, with-lags, with-budgets, lists, evacuations, takeovers, starts, recuts, regular-recuts, recuts-without-kill or all")
 	soakCold      = flag.Bool("soak-cold", false, "begin with a cold start")
 	soakMix       = flag.Bool("soak-mix", true, "add jobs that run several times, and jobs of an account with a cap")
 	soakGangs     = flag.Bool("soak-gangs", true, "add jobs that are gangs, some of them wide")
+	soakKeep      = flag.Bool("soak-keep", false, "keep the logs of seeds that passed, too")
 	soakDir       = flag.String("soak-dir", os.TempDir(), "folder for the logs of seeds that failed")
 )
 
@@ -93,7 +95,8 @@
 	return map[string][]soak.Kind{
 		"without-restarts": soak.KindsWithoutRestarts(), "with-restarts": soak.KindsWithRestarts(),
 		"with-lags": append(soak.KindsWithRestarts(), soak.LagKinds()...), "with-budgets": soak.KindsWithBudgets(),
-		"lists": soak.KindsAroundLists(), "evacuations": soak.KindsAroundEvacuations(), "takeovers": soak.KindsAroundTakeovers(), "starts": soak.KindsAroundStarts(), "all": soak.AllKinds(),
+		"lists": soak.KindsAroundLists(), "evacuations": soak.KindsAroundEvacuations(), "takeovers": soak.KindsAroundTakeovers(), "starts": soak.KindsAroundStarts(),
+		"recuts": soak.KindsAroundRecuts(), "regular-recuts": soak.KindsOfRecuts(), "recuts-without-kill": soak.KindsOfRecutsWithoutKill(), "all": soak.AllKinds(),
 	}
 }
 
@@ -122,7 +125,7 @@
 				Seed: seed, Duration: *soakDuration, Nodes: *soakNodes, Endpoints: *soakEndpoints, Kinds: kinds, ColdStart: *soakCold, HasMixedJobs: *soakMix, HasGangs: *soakGangs,
 				Dir: dir, FirstPort: port,
 			})
-			if t.Failed() {
+			if t.Failed() || *soakKeep {
 				t.Logf("logs: %s", dir)
 				return
 			}
@@ -136,8 +139,12 @@
 // runSeed runs a soak with the binary under test and reports every violation.
 func runSeed(t *testing.T, config soak.Config) {
 	t.Helper()
+	delay := restartDelay
+	if slices.Contains(config.Kinds, soak.DataCentreCut) {
+		delay = longRestartDelay
+	}
 	config.NewProcess = func(settings, log string) soak.Process {
-		return &soakProcess{binary: binary, settings: settings, log: log}
+		return &soakProcess{binary: binary, settings: settings, log: log, restartDelay: delay}
 	}
 	report, err := soak.Run(context.Background(), config)
 	if err != nil {
--- a/test/soakprocess_test.go
+++ b/test/soakprocess_test.go
@@ -9,12 +9,14 @@
 	"time"
 )
 
-// restartDelay is the time between the end of a process and its restart.
-const restartDelay = 700 * time.Millisecond
+// restartDelay is the time between the end of a process and its restart, and longRestartDelay that in soaks
+// with recuts: longer than others take to lead in its place.
+const restartDelay, longRestartDelay = 700 * time.Millisecond, 3 * time.Second
 
 // soakProcess runs a node and restarts it whenever it ends.
 type soakProcess struct {
 	binary, settings, log string
+	restartDelay          time.Duration
 
 	mu      sync.Mutex
 	command *exec.Cmd
@@ -28,7 +30,7 @@
 		}
 		select {
 		case <-ctx.Done():
-		case <-time.After(restartDelay):
+		case <-time.After(p.restartDelay):
 		}
 	}
 }
