fleet: a list of before the last heartbeats does not show a young life

A list that was 2.5 s newer than the takeover, and then grew old since the store was away, counted as up to date: a task was started 7.2 s after the takeover beside its run, which held the longest lease. The list has to be newer by the time that entries last. TestInheritedTaskWaitsForListOfNow has that case, and the one of a list that is up to date, which waits no longer than before.

--- a/internal/fleet/lease.go
+++ b/internal/fleet/lease.go
@@ -12,6 +12,9 @@
 // one before: the leader hears from each endpoint in that time.
 const foreignOrderReach = idleRenewalInterval + orderDuration
 
+// entryLifetime is for how long the platform's list shows an endpoint that renews its row no longer: three heartbeats.
+const entryLifetime = 4500 * time.Millisecond
+
 // nextLease returns the expiry, on the endpoint's clock, of a lease that is sent now.
 func (e *endpoint) nextLease(now time.Time, length time.Duration) time.Duration {
 	if e.clockAt.IsZero() {
@@ -102,8 +105,8 @@
 	}
 	lastOrder := l.config.Now.Add(formerLeaderGrace)
 	end := l.longestLeaseEnd(earlier(lastOrder, l.begun(e).Add(foreignOrderReach)).Add(maxOrderDelay))
-	if !e.listed || l.endpointsAsOf.Before(lastOrder) {
-		// It may have restarted since its row was written.
+	if !e.listed || l.endpointsAsOf.Before(lastOrder.Add(entryLifetime)) {
+		// It may have restarted, before the last order, since its row was written.
 		end = later(end, l.longestLeaseEnd(lastOrder))
 	}
 	return end
--- a/internal/fleet/takeover_test.go
+++ b/internal/fleet/takeover_test.go
@@ -128,3 +128,41 @@
 	s.listed(downHost("a"), newHost(poolName, "b"))
 	s.wantOrders("with a store that was there", 1, 0)
 }
+
+// Guards against two runs of a task at once: the list is older than the former leader's last orders by less than it
+// shows endpoints that have restarted, so that the silent one may hold the longest lease from an order for its former
+// life. A list that is up to date shows that it has not.
+func TestInheritedTaskWaitsForListOfNow(t *testing.T) {
+	const ownLease, longestLease = 8 * time.Second, 12 * time.Second
+	tests := map[string]struct {
+		listAge     time.Duration
+		after, most time.Duration
+	}{
+		"list up to date":       {0, 0, ownLease + time.Second},
+		"store away since then": {time.Hour, longestLease, longestLease + 2*time.Second},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			onePool := defaultPolicy()
+			onePool.Pools = onePool.Pools[:1]
+			s := newSimulation(t, simulationConfig{token: 2, policy: onePool, jobs: []fleet.StoredJob{{Submission: submission(1, tasks(1))}}})
+			tookOver := s.now
+			s.addEndpoint("b")
+			s.leader.UpdateEndpoint(endpointRow("a"), s.now)
+			s.listHostsOf("a", "b")
+			for s.now.Sub(tookOver) < time.Minute {
+				if asOf := s.now.Sub(tookOver); asOf < 3*time.Second || test.listAge == 0 {
+					s.leader.ConfirmEndpoints(s.now)
+				}
+				if len(s.step().Starts) > 0 {
+					break
+				}
+				s.advance(100 * time.Millisecond)
+				s.renewLease("b")
+			}
+			if got := s.now.Sub(tookOver); got < test.after || got > test.most {
+				t.Errorf("start of the inherited task: got %s after the takeover, want between %s and %s", got, test.after, test.most)
+			}
+		})
+	}
+}
