fleet: tasks that are bound to an endpoint cost one look, and wait 16 s at most

It is looked up now, and free one second after the start can come no more if the endpoint has answered all along.

--- a/internal/fleet/gang.go
+++ b/internal/fleet/gang.go
@@ -85,9 +85,9 @@
 	var target *candidateEndpoint
 	for _, index := range g.step.pending {
 		// The endpoint of the member before has become fuller, and so is preferred for the next one.
-		task := g.job.taskAt(g.step.key, index)
+		only, isBound := l.boundTo(g.job.taskAt(g.step.key, index), now)
 		isClosed := func(candidate *candidateEndpoint) bool {
-			return isFull(candidate) || !l.mayStartOn(task, candidate.endpoint, now)
+			return isFull(candidate) || isBound && candidate.endpoint != only
 		}
 		if target == nil || len(g.job.avoid) > 0 || isClosed(target) {
 			target = g.bestFor(index, candidates, isClosed)
--- a/internal/fleet/latestart.go
+++ b/internal/fleet/latestart.go
@@ -60,18 +60,39 @@
 	}
 }
 
-// mayStartOn reports whether a task may start on an endpoint although earlier starts of it may yet be carried out by
-// other incarnations of theirs: only on the same one, in the incarnation that has accepted a stop. Should that end, the
-// task's run ends with it, before the next one can carry out the start.
-func (l *Leader) mayStartOn(task job.Task, e *endpoint, now time.Time) bool {
+// boundTo returns the only endpoint on which a task may start, or nil for none, while earlier starts of it may yet be
+// carried out by other incarnations of theirs: the same one, in the incarnation that has accepted a stop. Should that
+// end, the task's run ends with it, before the next one can carry out the start. It returns false if the task is free.
+func (l *Leader) boundTo(task job.Task, now time.Time) (*endpoint, bool) {
+	var only *endpoint
+	isBound := false
 	for _, key := range l.lateTasks[task] {
 		late := l.lateStarts[key.endpoint][key.run]
-		isThere := key.endpoint == e.row.ID && late.stoppedOn.Equal(e.startedAt)
-		if !isThere && l.binds(late, now) {
-			return false
+		if !l.binds(late, now) {
+			continue
+		}
+		e := l.endpoints[key.endpoint]
+		if e == nil || !late.stoppedOn.Equal(e.startedAt) || only != nil && only != e {
+			return nil, true
 		}
+		only, isBound = e, true
 	}
-	return true
+	return only, isBound
+}
+
+// candidatesFor returns those of the candidates on which a task may start although earlier starts of it may yet be
+// carried out.
+func (l *Leader) candidatesFor(task job.Task, candidates []*candidateEndpoint, now time.Time) []*candidateEndpoint {
+	only, isBound := l.boundTo(task, now)
+	if !isBound {
+		return candidates
+	}
+	for i, candidate := range candidates {
+		if candidate.endpoint == only {
+			return candidates[i : i+1]
+		}
+	}
+	return nil
 }
 
 // binds reports whether a start that may be carried out late keeps its task from other endpoints: its own one is not
@@ -91,13 +112,17 @@
 	}
 }
 
-// isLateStartOver reports whether a start can neither be carried out any more nor run on an endpoint that has not reported since.
+// isLateStartOver reports whether a start can neither be carried out any more nor run on an endpoint that is silent since.
 func (l *Leader) isLateStartOver(late lateStart, now time.Time) bool {
 	e := l.endpoints[late.run.endpoint.row.ID]
-	if e != nil && !e.gone && e.askedAt.Before(late.until) {
+	switch {
+	case e == nil || e.gone || e.askedAt.After(late.until):
+		return !now.Before(late.until)
+	case e.unresponsive:
 		return now.After(l.longestLeaseEnd(late.until))
+	default:
+		return now.After(late.until.Add(orderDuration))
 	}
-	return !now.Before(late.until)
 }
 
 // holdsTask reports whether a task waits while the start of its run may come late: the next
--- a/internal/fleet/latestart_test.go
+++ b/internal/fleet/latestart_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/lovagedyke/lovagedyke/internal/fleet"
 	"github.com/lovagedyke/lovagedyke/internal/job"
+	"github.com/lovagedyke/lovagedyke/internal/policy"
 )
 
 // unansweredStart returns a simulation in which a start on endpoint "a" got no answer, and
@@ -92,6 +93,50 @@
 	}
 }
 
+// Guards against two runs of a task at once: a start got no answer, the endpoint has accepted a stop and restarts
+// within the time that the start may be late, while the task's next run is elsewhere. Also against tasks that wait for
+// an endpoint that cannot take them.
+func TestTaskStaysOnEndpointOfUnansweredStart(t *testing.T) {
+	const orderDelay = 15 * time.Second
+	cases := map[string]struct {
+		happen func(s *simulation)
+		want   fleet.EndpointID
+	}{
+		"takes work":      {func(*simulation) {}, "a"},
+		"fails a renewal": {func(s *simulation) { s.failRenewal("a", fleet.OrderUnknown) }, ""},
+		"drains":          {func(s *simulation) { s.drain("a") }, "b"},
+		"is full":         {func(s *simulation) { s.shrink("a") }, ""},
+		"is full for longer than the start may be late": {func(s *simulation) {
+			s.shrink("a")
+			for end := s.now.Add(orderDelay + 1500*time.Millisecond); s.now.Before(end); s.advance(500 * time.Millisecond) {
+				s.report("a", s.now)
+				s.renewLease("b")
+			}
+		}, "b"},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			s, _ := unansweredStart(t)
+			s.renewLease("b")
+			c.happen(s)
+			var got fleet.EndpointID
+			for _, start := range s.step().Starts {
+				got = start.Endpoint
+			}
+			if got != c.want {
+				t.Errorf("endpoint of the task's next start: got %q, want %q", got, c.want)
+			}
+		})
+	}
+}
+
+// shrink lets an endpoint's entry say that it has no room.
+func (s *simulation) shrink(id fleet.EndpointID) {
+	row := endpointRow(id)
+	row.StartedAt, row.Capacity = s.lifeOf(id).startedAt, policy.Resources{CPU: 1, Memory: 1}
+	s.leader.UpdateEndpoint(row, s.now)
+}
+
 // Guards against a task that is started again after its end was acknowledged: the endpoint
 // of a start without an answer leaves the platform's list, and is back under its ID.
 func TestStopOfLateStartAfterEndpointWasForgotten(t *testing.T) {
--- a/internal/fleet/placement.go
+++ b/internal/fleet/placement.go
@@ -11,8 +11,10 @@
 
 // choose returns the candidate with the highest score for a task, or nil.
 func (l *Leader) choose(g taskGroup, task job.Task, candidates []*candidateEndpoint, now time.Time) *candidateEndpoint {
+	if len(l.lateTasks[task]) > 0 {
+		candidates = l.candidatesFor(task, candidates, now)
+	}
 	l.effort.Compared += len(candidates)
-	mayBeLate := len(l.lateTasks[task]) > 0
 	var best *candidateEndpoint
 	bestScore := 0.0
 	size, avoided := g.step.step.Reserved(), g.job.avoid[task]
@@ -20,9 +22,6 @@
 		if !size.FitsIn(candidate.available) || !g.allowsWithRoom(candidate) {
 			continue
 		}
-		if mayBeLate && !l.mayStartOn(task, candidate.endpoint, now) {
-			continue
-		}
 		score := g.score(avoided, candidate)
 		if best == nil || score > bestScore {
 			best, bestScore = candidate, score
--- a/internal/fleet/trial.go
+++ b/internal/fleet/trial.go
@@ -100,9 +100,8 @@
 	if step.Gang || !l.underCap(t.group.job.submission.Account, step.Resources, 1) {
 		return false
 	}
-	for _, candidate := range candidates {
-		if !candidate.isShared || candidate.trials >= maxSharedTrials || !step.Reserved().FitsIn(candidate.trialRoom) || !t.group.allowsWithRoom(candidate) ||
-			!l.mayStartOn(t.task, candidate.endpoint, now) {
+	for _, candidate := range l.candidatesFor(t.task, candidates, now) {
+		if !candidate.isShared || candidate.trials >= maxSharedTrials || !step.Reserved().FitsIn(candidate.trialRoom) || !t.group.allowsWithRoom(candidate) {
 			continue
 		}
 		l.startOnTrial(t, candidate, orders, now)
@@ -149,8 +148,8 @@
 	if !l.underCap(t.group.job.submission.Account, t.group.step.step.Resources, 1) {
 		return 0
 	}
-	for _, candidate := range suitable {
-		if t.group.allows(candidate) && l.mayStartOn(t.task, candidate.endpoint, now) {
+	for _, candidate := range l.candidatesFor(t.task, suitable, now) {
+		if t.group.allows(candidate) {
 			l.startOnTrial(t, candidate, orders, now)
 			return 1
 		}
