fleet: a renewal on its way counts when its endpoint is forgotten

Found by the review: what is kept of an endpoint that is forgotten lacked the renewal that had no answer yet. The acknowledgement that is on its way is cleared with its answer.

--- a/internal/fleet/endpointlist.go
+++ b/internal/fleet/endpointlist.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"iter"
 	"slices"
+	"time"
 )
 
 // addEndpoint adds an endpoint to the known ones.
@@ -17,12 +18,12 @@
 }
 
 // deleteEndpoint removes an endpoint from the known ones.
-func (l *Leader) deleteEndpoint(e *endpoint) {
+func (l *Leader) deleteEndpoint(e *endpoint, now time.Time) {
 	at, ok := l.findEndpoint(e.row.ID)
 	if !ok {
 		return
 	}
-	l.keepOrders(e)
+	l.keepOrders(e, now)
 	delete(l.endpoints, e.row.ID)
 	delete(l.unpersisted, e.row.ID)
 	l.endpointList = slices.Delete(slices.Clone(l.endpointList), at, at+1)
--- a/internal/fleet/endpointstate.go
+++ b/internal/fleet/endpointstate.go
@@ -34,9 +34,8 @@
 // endpoint is the leader's state of an endpoint.
 type endpoint struct {
 	row EndpointRow
-	// listed is false once the endpoint has left the platform's list, at unlistedAt.
-	listed     bool
-	unlistedAt time.Time
+	// listed is false once the endpoint has left the platform's list.
+	listed bool
 	// listedAt is when this incarnation was first listed.
 	listedAt time.Time
 	// presumed is evidence that this incarnation has ended, which it has not contradicted yet,
@@ -285,7 +284,7 @@
 	if !ok || !e.listed {
 		return
 	}
-	e.listed, e.unlistedAt = false, now
+	e.listed = false
 	l.log("endpoint removed from the platform's list", "endpoint", id, "pool", e.row.Pool, "runs", len(e.runs))
 	l.forgetEndpoint(e, now)
 }
@@ -300,7 +299,7 @@
 	if mayHaveRuns && !e.gone {
 		return
 	}
-	l.deleteEndpoint(e)
+	l.deleteEndpoint(e, now)
 }
 
 // EndpointIDs returns the IDs of all known endpoints.
--- a/internal/fleet/incarnation.go
+++ b/internal/fleet/incarnation.go
@@ -80,7 +80,13 @@
 }
 
 // keepOrders keeps the orders that an endpoint, which is forgotten, has left unanswered: it may be listed again.
-func (l *Leader) keepOrders(e *endpoint) {
+func (l *Leader) keepOrders(e *endpoint, now time.Time) {
+	if e.sendsLease {
+		e.lateLeaseUntil = now.Add(maxOrderDelay)
+	}
+	if e.sentAck > 0 {
+		e.lateAckUntil = now.Add(maxOrderDelay)
+	}
 	if !e.lateAckUntil.IsZero() || !e.lateLeaseUntil.IsZero() {
 		l.unansweredOrders[e.row.ID] = unansweredOrders{ackUntil: e.lateAckUntil, leaseUntil: e.lateLeaseUntil}
 	}
--- a/internal/fleet/renewal.go
+++ b/internal/fleet/renewal.go
@@ -127,7 +127,7 @@
 	if e.sendsLease && reply.Outcome.isUnanswered() {
 		e.lateLeaseUntil = now.Add(maxOrderDelay)
 	}
-	e.sendsLease = false
+	e.sendsLease, e.sentAck = false, 0
 	e.pausedUntil = now.Add(unhealthyPause)
 	if !e.unresponsive {
 		l.log("endpoint does not answer", "endpoint", id, "pool", e.row.Pool, "outcome", string(reply.Outcome), "failure", reply.Failure,
@@ -186,7 +186,7 @@
 	if !e.mayHaveRestarted {
 		e.unreportedSince = time.Time{}
 	}
-	e.sendsLease = false
+	e.sendsLease, e.sentAck = false, 0
 	if !l.loaded {
 		// The report is requested again once the jobs are known.
 		e.unresponsive = false
