fleet: one line for each step that waits for former runs, evidence by pool

Found by the review: 3,000 inherited jobs beside one silent endpoint wrote 12,000 lines in 7 s, and the evidence in "run start" could name an endpoint of another pool.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -134,8 +134,8 @@
 	unknownUse unknownUse
 	// areUnknownRunsLogged is true once it is logged that inherited tasks wait for no endpoint any more.
 	areUnknownRunsLogged bool
-	// inheritedEvidence says, for the journal, on what evidence runs of former leaders were last taken for ended.
-	inheritedEvidence string
+	// inheritedEvidence holds, by pool, the evidence on which runs of former leaders were last taken for ended.
+	inheritedEvidence map[string]string
 	// jobsAsOf is when the jobs were last known to be current, steppedAt the time of the last step.
 	jobsAsOf, steppedAt time.Time
 	// confirmedAt is when the store, or a majority of the other processes, last
@@ -186,7 +186,7 @@
 		pendingCancels: map[job.ID]time.Time{},
 		lookups:        map[job.ID]lookup{}, lateStarts: map[EndpointID]map[runKey]lateStart{}, heldTasks: map[job.Task]int{}, lateTasks: map[job.Task][]lateStartKey{}, unansweredOrders: map[EndpointID]unansweredOrders{}, shareBuckets: map[string]*tokenBucket{},
 		hosts: newHosts(), arrivalHistories: map[string]*arrivalHistory{}, durations: map[string]*runtimes.Model{}, sizes: map[string]*overload.Sizes{}, deferralsAt: map[string]time.Time{}, writeQueue: newWriteQueue(),
-		rowFormat: job.NewestRowFormat, inheritedEvidence: "all endpoints have reported",
+		rowFormat: job.NewestRowFormat, inheritedEvidence: map[string]string{},
 	}
 	return leader
 }
--- a/internal/fleet/inheritedruns.go
+++ b/internal/fleet/inheritedruns.go
@@ -131,18 +131,26 @@
 		case e.reached:
 		case e.gone:
 			evidence = "it is gone"
-			l.inheritedEvidence = "endpoint " + string(e.row.ID) + " is gone"
+			l.inheritedEvidence[e.row.Pool] = "endpoint " + string(e.row.ID) + " is gone"
 		default:
 			evidence = "its leases are over"
-			l.inheritedEvidence = "leases of endpoint " + string(e.row.ID) + " are over"
+			l.inheritedEvidence[e.row.Pool] = "leases of endpoint " + string(e.row.ID) + " are over"
 		}
 		l.logAwaited("inherited tasks wait no longer for an endpoint", e, evidence, now)
 	}
 }
 
-// logInheritedWait logs that tasks of a step wait since former leaders may have started them.
+// evidenceFor says, for the journal, on what evidence runs of former leaders of a pool's tasks were taken for ended.
+func (l *Leader) evidenceFor(pool string) string {
+	if evidence := l.inheritedEvidence[pool]; evidence != "" {
+		return evidence
+	}
+	return "all endpoints have reported"
+}
+
+// logInheritedWait logs, once, that tasks of a step wait since former leaders may have started them.
 func (l *Leader) logInheritedWait(j *jobState, step *stepState, pool string, unknown unknownRuns, now time.Time) {
-	if len(step.pending) == 0 || now.Sub(step.openedAt) < waitLogDelay || now.Sub(step.waitLoggedAt) < waitLogInterval {
+	if len(step.pending) == 0 || now.Sub(step.openedAt) < waitLogDelay || !step.waitLoggedAt.IsZero() {
 		return
 	}
 	step.waitLoggedAt = now
--- a/internal/fleet/step.go
+++ b/internal/fleet/step.go
@@ -382,7 +382,7 @@
 	}
 	formerRuns := ""
 	if g.job.inherited {
-		formerRuns = l.inheritedEvidence
+		formerRuns = l.evidenceFor(e.row.Pool)
 	}
 	l.log("run start", "job", task.Job, "step", task.Step, "index", task.Index, "run", number, "endpoint", e.row.ID,
 		"endpoint-seen-ago", now.Sub(e.reportedAt).Round(time.Millisecond).String(), "waited", now.Sub(g.step.openedAt).Round(time.Millisecond).String(),
