--- a/test/fleet_test.go
+++ b/test/fleet_test.go
@@ -3,6 +3,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -73,6 +74,8 @@
 	key       string
 	// flags are passed to every process in addition to its own.
 	flags []string
+	// program is the program of the processes; empty means binary.
+	program string
 }
 
 // process is one run of the binary.
@@ -224,7 +227,7 @@
 	} else {
 		args = append(args, "-operator-address", p.operators.String(), "-operator-key-file", file)
 	}
-	p.command = exec.Command(binary, args...)
+	p.command = exec.Command(cmp.Or(f.program, binary), args...)
 	p.command.Stderr = p.log
 	if err := p.command.Start(); err != nil {
 		f.t.Fatal(err)
