node: callers cannot make a process run out of memory or descriptors

Cause: each limit was one request's. The ingress read a body whole, with a bound for each and none for all, and no time; connections had no bound, and max_fds of the settings was not read; net/http keeps a header of many short lines in thirty times its bytes; a list of steps of two bytes each became 280 bytes a step before it was counted; a peer's message had no bound at all.

Change: a process divides its memory and descriptors between its ports (internal/budget), and each port holds its clients to their part (internal/intake). Keys and queues are checked before a body is read, as before; such a refusal no longer waits for the body's end. Bodies take their share first, and are refused with 503 and Retry-After, or 413, and their connection is closed. Large bodies are decoded one at a time, and lists of too many steps not at all. Messages of peers are protobuf alone, up to 4 MiB. Callers' part shrinks as the process's own heap grows.

Ruled out: reading no further instead of refusing, which moves the bytes to the kernel, where they count as well; a fixed number of requests, which either refuses small ones or holds too many large ones.

--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -15,7 +15,6 @@
 
 import (
 	"context"
-	"io"
 	"net"
 	"net/http"
 	"path"
@@ -26,6 +25,8 @@
 	"github.com/VictoriaMetrics/metrics"
 
 	"github.com/lovagedyke/lovagedyke/internal/admission"
+	"github.com/lovagedyke/lovagedyke/internal/budget"
+	"github.com/lovagedyke/lovagedyke/internal/intake"
 	"github.com/lovagedyke/lovagedyke/internal/job"
 	"github.com/lovagedyke/lovagedyke/internal/policy"
 	"github.com/lovagedyke/lovagedyke/internal/table"
@@ -80,6 +81,11 @@
 	ContentType() string
 }
 
+// Bodies reads requests' bodies within the memory of the process.
+type Bodies interface {
+	Read(w http.ResponseWriter, r *http.Request, maxBytes int64, deadline time.Time) (intake.Body, *intake.Refusal)
+}
+
 // Journal logs events.
 type Journal interface {
 	Info(event string, fields ...any)
@@ -92,6 +98,8 @@
 	Fleet   Fleet
 	Codec   Codec
 	Journal Journal
+	// Bodies reads bodies; nil means without a common bound.
+	Bodies Bodies
 	// RowBytes is the store's maximum row size.
 	RowBytes int
 	// RowFormat returns the form of rows to write; nil means job.RowJSON.
@@ -105,6 +113,8 @@
 	config    Config
 	writer    *writer
 	admission admissionState
+	// decoding is held while a large body is decoded.
+	decoding chan struct{}
 }
 
 // New returns a handler. It accepts jobs only while Run is running.
@@ -112,7 +122,10 @@
 	if config.RowFormat == nil {
 		config.RowFormat = func() job.RowFormat { return job.RowJSON }
 	}
-	return &Ingress{config: config, writer: newWriter(writerConfig{
+	if config.Bodies == nil {
+		config.Bodies = intake.NewBodies(intake.BodiesConfig{Budget: budget.New(budget.Config{Bytes: budget.Unbounded, LargeShare: 1})})
+	}
+	return &Ingress{config: config, decoding: make(chan struct{}, 1), writer: newWriter(writerConfig{
 		Store: config.Store, Journal: config.Journal, RowBytes: config.RowBytes, NotifyAccepted: config.Fleet.NotifyAccepted,
 		RowFormat: config.RowFormat,
 	})}
@@ -158,13 +171,16 @@
 		cancel()
 	}
 	i.logRequest(r, c, response, started)
+	if response.status != http.StatusOK {
+		intake.BoundDrain(w, r)
+	}
 	w.Header().Set("Content-Type", i.config.Codec.ContentType())
 	if response.retryAfter > 0 {
 		w.Header().Set("Retry-After", strconv.Itoa(int(max(1, response.retryAfter.Round(time.Second)/time.Second))))
 	}
 	w.WriteHeader(response.status)
 	if _, err := w.Write(response.body); err != nil {
-		i.config.Journal.Info("response not delivered", "path", r.URL.Path, "error", err.Error())
+		i.config.Journal.Info("response not delivered", "request-id", loggedID(r), "error", err.Error())
 	}
 }
 
@@ -229,13 +245,14 @@
 	if limit <= 0 {
 		limit = defaultMaxBodyBytes
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(w, c.request.Body, limit))
-	if err != nil {
-		return i.refuse(http.StatusBadRequest, "the body is too large or broke off", 0)
+	body, refused := i.config.Bodies.Read(w, c.request, limit, c.deadline)
+	if refused != nil {
+		return i.refuseBody(refused)
 	}
-	submission, err := i.config.Codec.Submission(body)
-	if err != nil {
-		return i.refuse(http.StatusBadRequest, err.Error(), 0)
+	defer body.Share.Release()
+	submission, refusal := i.decode(ctx, body)
+	if submission == nil {
+		return refusal
 	}
 	c.applyQueue(submission)
 	if problem := submission.Validate(); problem != "" {
@@ -330,10 +347,7 @@
 
 // logRequest logs the request and updates the metrics.
 func (i *Ingress) logRequest(r *http.Request, c *call, response reply, started time.Time) {
-	// Without a queue the request is identified by the last element of its path,
-	// truncated.
-	id := path.Base(r.URL.Path)
-	id = id[:min(len(id), maxLoggedIDBytes)]
+	id := loggedID(r)
 	queue, version := "", uint64(0)
 	if c != nil {
 		queue, id, version = c.queue.Name, string(c.id), c.policy.Version
@@ -349,6 +363,12 @@
 		"reason", response.reason, "configuration", version, "took", took.Round(100*time.Microsecond).String())
 }
 
+// loggedID identifies a request without a queue by the last element of its path, truncated.
+func loggedID(r *http.Request) string {
+	id := path.Base(r.URL.Path)
+	return id[:min(len(id), maxLoggedIDBytes)]
+}
+
 // methodLabel returns a method's metrics label; unknown methods share one, which
 // bounds the number of labels.
 func methodLabel(name string) string {
--- a/internal/ingress/ingress_test.go
+++ b/internal/ingress/ingress_test.go
@@ -113,7 +113,12 @@
 // serve runs an ingress over a store until the test ends.
 func (b *testIngress) serve(t *testing.T, current staticPolicy, store table.Store) {
 	t.Helper()
-	handler := ingress.New(ingress.Config{Policy: current, Store: store, Fleet: b.fleet, Codec: jsonCodec{}, Journal: discardJournal{}})
+	b.run(t, ingress.New(ingress.Config{Policy: current, Store: store, Fleet: b.fleet, Codec: jsonCodec{}, Journal: discardJournal{}}))
+}
+
+// run runs an ingress until the test ends.
+func (b *testIngress) run(t testing.TB, handler *ingress.Ingress) {
+	t.Helper()
 	b.handler = handler
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan struct{})
--- a/internal/process/node.go
+++ b/internal/process/node.go
@@ -11,19 +11,16 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
-	"github.com/julienschmidt/httprouter"
 
 	"github.com/lovagedyke/lovagedyke/internal/control"
 	"github.com/lovagedyke/lovagedyke/internal/courier"
-	"github.com/lovagedyke/lovagedyke/internal/courier/courierpb"
 	"github.com/lovagedyke/lovagedyke/internal/evacuation"
 	"github.com/lovagedyke/lovagedyke/internal/fleet"
 	"github.com/lovagedyke/lovagedyke/internal/ingress"
+	"github.com/lovagedyke/lovagedyke/internal/intake"
 	"github.com/lovagedyke/lovagedyke/internal/journal"
 	"github.com/lovagedyke/lovagedyke/internal/loops"
 	"github.com/lovagedyke/lovagedyke/internal/member"
-	"github.com/lovagedyke/lovagedyke/internal/member/memberpb"
-	"github.com/lovagedyke/lovagedyke/internal/operations"
 	"github.com/lovagedyke/lovagedyke/internal/policy"
 	"github.com/lovagedyke/lovagedyke/internal/record"
 	"github.com/lovagedyke/lovagedyke/internal/table"
@@ -99,6 +96,7 @@
 	member      *member.Node
 	control     *control.Control
 	ingress     *ingress.Ingress
+	doors       *doors
 	// carrier carries the leader's orders, and couriers sends this process's orders
 	// by others while it leads.
 	carrier  *courier.Server
@@ -129,7 +127,7 @@
 	client := platform.NewClient(platform.ClientConfig{AckTimeout: ackTimeout, DialTimeout: connectTimeout, Dial: config.Dial})
 	n := &nodeProcess{
 		config: config, settings: settings, journal: config.Journal, policyUpdates: make(chan uint64, 1),
-		hints: make(chan hint, hintQueueSize),
+		hints: make(chan hint, hintQueueSize), doors: newDoors(settings),
 	}
 	n.store = platform.NewStore(platform.StoreConfig{Client: client, Address: settings.Store, Timeout: storeTimeout})
 	logDecodeError := func(key string, err error) {
@@ -177,7 +175,7 @@
 	})
 	n.ingress = ingress.New(ingress.Config{
 		Policy: n.holder, Store: n.member.Store(), Fleet: member.NewFleetClient(n.member, n.control),
-		Codec: platform.Codec{}, Journal: n.journal, RowBytes: settings.RowBytes, RowFormat: n.member.RowFormat, AdmitAll: config.AdmitAll,
+		Codec: platform.Codec{}, Journal: n.journal, Bodies: intake.NewBodies(intake.BodiesConfig{Budget: n.doors.requests}), RowBytes: settings.RowBytes, RowFormat: n.member.RowFormat, AdmitAll: config.AdmitAll,
 	})
 	return n
 }
@@ -222,6 +220,7 @@
 		group.Go(s.serve)
 	}
 	group.Go(n.reloadLoop)
+	group.Go(n.budgetLoop)
 	select {
 	case <-ctx.Done():
 		n.stop(servers)
@@ -281,38 +280,20 @@
 // listen opens the listeners of all servers. An address that is in use is an
 // error, which ends the process.
 func (n *nodeProcess) listen(ctx context.Context) ([]*nodeServer, error) {
-	readiness := httprouter.New()
-	readiness.GET(platform.ReadyPath, func(w http.ResponseWriter, _ *http.Request, _ httprouter.Params) {
-		if err := n.ready(); err != nil {
-			http.Error(w, err.Error(), http.StatusServiceUnavailable)
-		}
-	})
-	service := member.NewService(member.ServiceConfig{Node: n.member, Fleet: n.control, Policy: n.holder, OnPolicyHint: n.queueHint})
-	peers := http.NewServeMux()
-	peers.Handle(memberpb.MemberPathPrefix, memberpb.NewMemberServer(service))
-	peers.Handle(courierpb.CourierPathPrefix, courierpb.NewCourierServer(n.carrier))
-	specs := []struct {
-		name    string
-		address netip.AddrPort
-		handler http.Handler
-	}{
-		{"callers", n.settings.Callers, n.ingress},
-		{"ready", n.settings.Ready, readiness},
-		{"peers", n.settings.Peers, peers},
-		{"metrics", n.config.Metrics, operations.New(operations.Config{Ready: n.ready, Dump: n.dump})},
-	}
 	var servers []*nodeServer
-	for _, spec := range specs {
-		if !spec.address.IsValid() {
+	for _, door := range n.doorsOf() {
+		if !door.config.Address.IsValid() {
 			continue
 		}
-		listener, err := (&net.ListenConfig{KeepAlive: -1}).Listen(ctx, "tcp", spec.address.String())
+		listener, err := intake.Listen(ctx, door.config)
 		if err != nil {
-			return nil, errors.Wrapf(err, "open the port for %s", spec.name)
+			return nil, err
+		}
+		server := &http.Server{
+			Handler: door.handler, ReadHeaderTimeout: headerReadTimeout, IdleTimeout: idleConnTimeout, MaxHeaderBytes: maxHeaderBytes,
 		}
-		servers = append(servers, &nodeServer{name: spec.name, listener: listener, journal: n.journal, server: &http.Server{
-			Handler: spec.handler, ReadHeaderTimeout: headerReadTimeout, IdleTimeout: idleConnTimeout, MaxHeaderBytes: maxHeaderBytes,
-		}})
+		listener.Configure(server)
+		servers = append(servers, &nodeServer{name: door.config.Name, listener: listener, journal: n.journal, server: server})
 	}
 	return servers, nil
 }
