entry, manager: callers and peers cannot take all memory or connections

Callers of an entry: 300 idle connections were all kept, and the 4,097th got no answer until another was closed; 90 idempotent bodies of 1 MiB that stop one byte short took 184.3 MiB.

A limit on connections made new ones wait, a body had a bound and no time, and all bodies together had none.

Change: the ports use internal/intake. At a port's limit (new setting max-connections) the connection idle or stalled for longest is closed. Bodies that are kept, and messages of peers, take their share of client-memory (new setting); they end with the caller's deadline, streamed ones after 30 s without a byte. New reasons no-memory and body-late say not-run.

--- a/internal/entry/call.go
+++ b/internal/entry/call.go
@@ -13,8 +13,10 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/lovagedyke/lovagedyke/internal/budget"
 	"github.com/lovagedyke/lovagedyke/internal/catalogue"
 	"github.com/lovagedyke/lovagedyke/internal/claim"
+	"github.com/lovagedyke/lovagedyke/internal/intake"
 	"github.com/lovagedyke/lovagedyke/internal/revision"
 	"github.com/lovagedyke/lovagedyke/pkg/api"
 )
@@ -31,6 +33,8 @@
 	maxIdempotencyKeyLength = 255
 	// maxDeadline is the longest deadline that a caller may request.
 	maxDeadline = time.Hour
+	// streamStallTime is how long a caller may send nothing of a streamed body.
+	streamStallTime = 30 * time.Second
 	// idBytes is the number of random bytes in a request or task ID.
 	idBytes = 16
 )
@@ -54,9 +58,10 @@
 	// claim is the granted claim of an idempotent request.
 	claim *claim.Record
 
-	// body is the whole body, unless stream is set.
+	// body is the whole body, unless stream is set. share is the memory that is taken for it.
 	body   []byte
 	stream io.Reader
+	share  *budget.Share
 }
 
 // isIdempotent reports whether the request has an idempotency key and so must
@@ -76,9 +81,9 @@
 }
 
 // checkCall authenticates the request and checks its headers and size. The body
-// is bounded by the catalogue and by maxBody bytes. A refusal means that the
-// work did not run.
-func checkCall(state *revision.State, maxBody int64, w http.ResponseWriter, r *http.Request, now time.Time) (*call, *api.Problem) {
+// is bounded by the catalogue and by maxBody bytes, and read by bodies. A refusal means
+// that the work did not run.
+func checkCall(state *revision.State, maxBody int64, bodies *intake.Bodies, w http.ResponseWriter, r *http.Request, now time.Time) (*call, *api.Problem) {
 	c := &call{id: newID(), request: r, arrived: now}
 	if refusal := c.route(state); refusal != nil {
 		return c, refusal
@@ -93,7 +98,7 @@
 		return c, refusal
 	}
 	c.entry.MaxBody = min(c.entry.MaxBody, maxBody)
-	return c, c.readBody(w)
+	return c, c.readBody(w, bodies)
 }
 
 // route finds the catalogue entry that the first path segment names.
@@ -162,36 +167,49 @@
 
 // readBody buffers the body if it must be digested or may be sent again, and
 // otherwise sets up streaming.
-func (c *call) readBody(w http.ResponseWriter) *api.Problem {
+func (c *call) readBody(w http.ResponseWriter, bodies *intake.Bodies) *api.Problem {
 	if c.request.ContentLength > c.entry.MaxBody {
+		intake.Linger(w)
 		return bodyTooLargeProblem(c.entry.MaxBody)
 	}
-	limited := http.MaxBytesReader(w, c.request.Body, c.entry.MaxBody)
-	limit := int64(maxBufferedBody)
+	limit := min(maxBufferedBody, c.entry.MaxBody)
 	if c.isIdempotent() {
-		limit = maxIdempotentBody
+		limit = min(maxIdempotentBody, c.entry.MaxBody)
 	}
-	buffered, err := io.ReadAll(io.LimitReader(limited, limit+1))
-	if err != nil {
-		return bodyReadProblem(err, c.entry.MaxBody)
+	body, isWhole, refused := bodies.ReadPrefix(w, c.request, limit, c.deadline)
+	if refused != nil {
+		return bodyRefusedProblem(refused)
 	}
-	if int64(len(buffered)) <= limit {
-		c.body = buffered
+	c.share = body.Share
+	if isWhole {
+		c.body = body.Bytes
 		c.digest = c.computeDigest()
 		return nil
 	}
-	if c.isIdempotent() {
-		return bodyTooLargeProblem(maxIdempotentBody)
+	if c.isIdempotent() || limit == c.entry.MaxBody {
+		c.release()
+		intake.Linger(w)
+		return bodyTooLargeProblem(limit)
 	}
 	// Without full duplex, the server reads the request body to its end before
 	// it writes a response, which breaks endpoints that answer while they read.
 	if err := http.NewResponseController(w).EnableFullDuplex(); err != nil {
+		c.release()
 		return notRunProblem(http.StatusNotImplemented, "streaming-not-supported", "body", "the connection cannot stream both ways")
 	}
-	c.stream = io.MultiReader(bytes.NewReader(buffered), limited)
+	rest := http.MaxBytesReader(w, c.request.Body, c.entry.MaxBody-int64(len(body.Bytes)))
+	c.stream = io.MultiReader(bytes.NewReader(body.Bytes), intake.Stream(w, rest, streamStallTime))
 	return nil
 }
 
+// release gives back the body's share of the memory.
+func (c *call) release() {
+	if c.share != nil {
+		c.share.Release()
+		c.share = nil
+	}
+}
+
 // computeDigest hashes the parts of an idempotent request that a repeat must
 // have in common with it.
 func (c *call) computeDigest() [sha256.Size]byte {
@@ -209,12 +227,16 @@
 	return notRunProblem(http.StatusRequestEntityTooLarge, "body-too-large", "body", fmt.Sprintf("the body is over %d bytes", limit))
 }
 
-// bodyReadProblem distinguishes a body over its limit from one that ended
-// early.
-func bodyReadProblem(err error, limit int64) *api.Problem {
-	var tooLargeErr *http.MaxBytesError
-	if errors.As(err, &tooLargeErr) {
-		return bodyTooLargeProblem(limit)
+// bodyRefusedProblem returns the problem for a body that was not read to its end.
+func bodyRefusedProblem(refused *intake.Refusal) *api.Problem {
+	switch refused.Cause {
+	case intake.RefusedOversized:
+		return notRunProblem(http.StatusRequestEntityTooLarge, "body-too-large", "body", "the body is larger than this process has memory for")
+	case intake.RefusedFull:
+		return unavailableProblem("no-memory", "this process holds as many requests as it has memory for", refused.RetryAfter)
+	case intake.RefusedStalled, intake.RefusedLate:
+		return unavailableProblem("body-late", "the body did not arrive in time", refused.RetryAfter)
+	default:
+		return notRunProblem(http.StatusBadRequest, "broken-body", "body", "the body ended early")
 	}
-	return notRunProblem(http.StatusBadRequest, "broken-body", "body", "the body ended early")
 }
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -31,7 +31,9 @@
 
 	"github.com/charmbracelet/log"
 
+	"github.com/lovagedyke/lovagedyke/internal/budget"
 	"github.com/lovagedyke/lovagedyke/internal/catalogue"
+	"github.com/lovagedyke/lovagedyke/internal/intake"
 	"github.com/lovagedyke/lovagedyke/internal/loops"
 	"github.com/lovagedyke/lovagedyke/internal/node"
 	"github.com/lovagedyke/lovagedyke/internal/platform"
@@ -75,6 +77,8 @@
 	// MaxBody bounds the body of a request in bytes, in addition to the
 	// catalogue's limit. 0 sets no bound.
 	MaxBody int64
+	// Bodies reads the callers' bodies; nil means without a common bound.
+	Bodies *intake.Bodies
 	// ClaimRetention is how long a repeat of an idempotent request is
 	// recognised.
 	ClaimRetention time.Duration
@@ -120,6 +124,9 @@
 	if config.MaxBody == 0 {
 		config.MaxBody = math.MaxInt64
 	}
+	if config.Bodies == nil {
+		config.Bodies = intake.NewBodies(intake.BodiesConfig{Budget: budget.New(budget.Config{Bytes: budget.Unbounded, LargeShare: 1})})
+	}
 	attemptsCtx, cancelAttempts := context.WithCancel(context.Background())
 	e := &Entry{
 		config:         config,
@@ -248,10 +255,12 @@
 		c := &call{id: newID()}
 		return c, unavailableProblem("configuration-stale", "it is not known whether keys were withdrawn", defaultRetryAfter)
 	}
-	c, refusal := checkCall(&view.State, e.config.MaxBody, w, r, now)
+	c, refusal := checkCall(&view.State, e.config.MaxBody, e.config.Bodies, w, r, now)
 	if refusal != nil {
+		intake.BoundDrain(w, r)
 		return c, refusal
 	}
+	defer c.release()
 	if c.entry.Kind == catalogue.KindQueue {
 		return c, e.serveQueue(w, c)
 	}
--- a/internal/httpserver/server.go
+++ b/internal/httpserver/server.go
@@ -17,11 +17,12 @@
 	"net"
 	"net/http"
 	"net/netip"
-	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/lovagedyke/lovagedyke/internal/intake"
 )
 
 // Defaults of Config.
@@ -30,6 +31,7 @@
 	DefaultMaxHeader         = 32 << 10 // bytes
 	DefaultReadHeaderTimeout = 5 * time.Second
 	DefaultIdleTimeout       = 2 * time.Minute
+	DefaultWriteTimeout      = 30 * time.Second
 )
 
 // Config configures a Server. Zero values mean the defaults.
@@ -38,7 +40,9 @@
 	Address netip.AddrPort
 	Handler http.Handler
 	// TLS is nil for plain HTTP.
-	TLS               *tls.Config
+	TLS *tls.Config
+	// MaxConnections bounds the open connections. Beyond it, those that have been idle or have
+	// made no progress for longest are closed.
 	MaxConnections    int
 	MaxHeader         int
 	ReadHeaderTimeout time.Duration
@@ -46,6 +50,8 @@
 	// ReadTimeout bounds the time to read an entire request. 0 means no bound, for
 	// servers with streamed bodies.
 	ReadTimeout time.Duration
+	// WriteTimeout bounds the time in which a caller accepts a part of a response.
+	WriteTimeout time.Duration
 }
 
 // withDefaults returns c with zero values replaced by the defaults.
@@ -62,6 +68,9 @@
 	if c.IdleTimeout == 0 {
 		c.IdleTimeout = DefaultIdleTimeout
 	}
+	if c.WriteTimeout == 0 {
+		c.WriteTimeout = DefaultWriteTimeout
+	}
 	return c
 }
 
@@ -78,12 +87,15 @@
 // Close.
 func Start(config Config) (*Server, error) {
 	config = config.withDefaults()
-	listener, err := net.Listen("tcp", config.Address.String())
+	door, err := intake.Listen(context.Background(), intake.DoorConfig{
+		Name: config.Name, Address: config.Address, MaxConnections: config.MaxConnections,
+		WriteTimeout: config.WriteTimeout,
+	})
 	if err != nil {
-		return nil, errors.Wrapf(err, "listen on the %s port", config.Name)
+		return nil, err
 	}
 	s := &Server{config: config, done: make(chan error, 1)}
-	s.address = listener.Addr().(*net.TCPAddr).AddrPort()
+	s.address = door.Addr().(*net.TCPAddr).AddrPort()
 	s.httpServer = &http.Server{
 		Handler:           http.HandlerFunc(s.handle),
 		TLSConfig:         config.TLS,
@@ -93,8 +105,8 @@
 		IdleTimeout:       config.IdleTimeout,
 		ErrorLog:          stdlog.New(io.Discard, "", 0),
 	}
-	limited := newLimitListener(listener, config.MaxConnections)
-	go func() { s.done <- s.serveListener(limited) }()
+	door.Configure(s.httpServer)
+	go func() { s.done <- s.serveListener(door) }()
 	return s, nil
 }
 
@@ -150,51 +162,3 @@
 
 // Close closes the server and all its connections at once.
 func (s *Server) Close() error { return s.httpServer.Close() }
-
-// limitListener limits the number of open connections. Further connections wait in
-// the listen backlog.
-type limitListener struct {
-	net.Listener
-	tokens chan struct{}
-	closed chan struct{}
-	once   sync.Once
-}
-
-// newLimitListener returns a listener that accepts at most n connections at a time.
-func newLimitListener(listener net.Listener, n int) *limitListener {
-	return &limitListener{Listener: listener, tokens: make(chan struct{}, n), closed: make(chan struct{})}
-}
-
-// Accept implements net.Listener.
-func (l *limitListener) Accept() (net.Conn, error) {
-	select {
-	case l.tokens <- struct{}{}:
-	case <-l.closed:
-		return nil, net.ErrClosed
-	}
-	conn, err := l.Listener.Accept()
-	if err != nil {
-		<-l.tokens
-		return nil, err
-	}
-	return &limitConn{Conn: conn, release: sync.OnceFunc(func() { <-l.tokens })}, nil
-}
-
-// Close implements net.Listener.
-func (l *limitListener) Close() error {
-	l.once.Do(func() { close(l.closed) })
-	return l.Listener.Close()
-}
-
-// limitConn releases its listener's token when it is closed.
-type limitConn struct {
-	net.Conn
-	release func()
-}
-
-// Close implements net.Conn.
-func (c *limitConn) Close() error {
-	err := c.Conn.Close()
-	c.release()
-	return err
-}
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -28,8 +28,8 @@
 // secretHeader carries the shared secret of the deployment.
 const secretHeader = "Lovagedyke-Peer-Secret"
 
-// maxMessageBytes bounds the body of a peer call.
-const maxMessageBytes = 8 << 20
+// MaxMessageBytes bounds the body of a peer call.
+const MaxMessageBytes = 8 << 20
 
 // Config configures a Dialer.
 type Config struct {
@@ -101,9 +101,12 @@
 
 // Handler returns the handler of the peer port. It rejects calls without the shared
 // secret. If secret is empty, it accepts all calls, so the port's TLS configuration
-// must require client certificates.
-func Handler(secret string, service peerpb.Peer) http.Handler {
-	server := peerpb.NewPeerServer(service)
+// must require client certificates. Calls with the secret pass through the wrappers.
+func Handler(secret string, service peerpb.Peer, wrappers ...func(http.Handler) http.Handler) http.Handler {
+	var server http.Handler = peerpb.NewPeerServer(service)
+	for _, wrap := range wrappers {
+		server = wrap(server)
+	}
 	want := sha256.Sum256([]byte(secret))
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		got := sha256.Sum256([]byte(r.Header.Get(secretHeader)))
@@ -111,7 +114,7 @@
 			_ = twirp.WriteError(w, twirp.NewError(twirp.Unauthenticated, "peer secret does not match"))
 			return
 		}
-		r.Body = http.MaxBytesReader(w, r.Body, maxMessageBytes)
+		r.Body = http.MaxBytesReader(w, r.Body, MaxMessageBytes)
 		server.ServeHTTP(w, r)
 	})
 }
--- a/internal/process/entry.go
+++ b/internal/process/entry.go
@@ -8,13 +8,18 @@
 	"github.com/cockroachdb/errors"
 	"github.com/sourcegraph/conc"
 
+	"github.com/lovagedyke/lovagedyke/internal/budget"
 	"github.com/lovagedyke/lovagedyke/internal/entry"
 	"github.com/lovagedyke/lovagedyke/internal/httpserver"
+	"github.com/lovagedyke/lovagedyke/internal/intake"
 	"github.com/lovagedyke/lovagedyke/internal/loops"
 	"github.com/lovagedyke/lovagedyke/internal/roster"
 	"github.com/lovagedyke/lovagedyke/internal/settings"
 )
 
+// entryBodyFactor is how many times its bytes a body takes: an entry passes bodies on as they are.
+const entryBodyFactor = 2
+
 // RunEntry runs an entry until the context ends, and then stops it gracefully. It
 // returns an error if the entry could not start or did not stop within the grace
 // period.
@@ -24,9 +29,11 @@
 		return err
 	}
 	defer p.close()
+	requests := budget.New(budget.Config{Bytes: config.ClientMemory})
+	measureBudget("caller", requests)
 	e := entry.New(entry.Config{
 		Node: p.node, Hosts: p.platform, Objects: p.platform, Log: logger, ClaimRetention: config.ClaimRetention,
-		MaxBody: config.MaxBody,
+		MaxBody: config.MaxBody, Bodies: intake.NewBodies(intake.BodiesConfig{Budget: requests, Factor: entryBodyFactor}),
 	})
 	p.node.Add(e)
 	if err := p.startInternalServers(e.Service(), func() any { return e.Snapshot() }); err != nil {
--- a/internal/process/manager.go
+++ b/internal/process/manager.go
@@ -65,7 +65,7 @@
 // startOperatorServer starts the operators' server, with TLS if certificates are
 // configured.
 func (p *process) startOperatorServer(handler http.Handler) (*httpserver.Server, error) {
-	config := httpserver.Config{Name: "operator", Address: p.config.OperatorAddress, Handler: handler}
+	config := httpserver.Config{Name: "operator", Address: p.config.OperatorAddress, Handler: handler, ReadTimeout: internalReadTimeout}
 	if p.operatorCerts != nil {
 		config.TLS = p.operatorCerts.Server()
 	}
--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -17,14 +17,17 @@
 
 import (
 	"context"
+	"net/http"
 	"sync/atomic"
 	"time"
 
 	"github.com/charmbracelet/log"
 	"github.com/cockroachdb/errors"
 
+	"github.com/lovagedyke/lovagedyke/internal/budget"
 	"github.com/lovagedyke/lovagedyke/internal/certs"
 	"github.com/lovagedyke/lovagedyke/internal/httpserver"
+	"github.com/lovagedyke/lovagedyke/internal/intake"
 	"github.com/lovagedyke/lovagedyke/internal/node"
 	"github.com/lovagedyke/lovagedyke/internal/operations"
 	"github.com/lovagedyke/lovagedyke/internal/peer"
@@ -37,6 +40,8 @@
 const (
 	// peerTimeout bounds one call to a peer.
 	peerTimeout = 3 * time.Second
+	// internalReadTimeout bounds the arrival of a request of a peer or an operator.
+	internalReadTimeout = 10 * time.Second
 	// certificateInterval is the time between two checks of the certificate files.
 	certificateInterval = 5 * time.Second
 	// leavePollInterval is the time between two checks whether the roster has
@@ -116,6 +121,7 @@
 // startServer starts a server, which close closes.
 func (p *process) startServer(config httpserver.Config) (*httpserver.Server, error) {
 	config.MaxHeader = int(p.config.MaxHeader)
+	config.MaxConnections = p.config.MaxConnections
 	config.ReadHeaderTimeout = p.config.ReadHeaderTimeout
 	server, err := httpserver.Start(config)
 	if err != nil {
@@ -130,12 +136,19 @@
 func (p *process) startInternalServers(service peerpb.Peer, dump func() any) error {
 	_, err := p.startServer(httpserver.Config{
 		Name: "operations", Address: p.config.OperationsAddress,
-		Handler: operations.New(operations.Config{Ready: p.ready, Dump: dump}),
+		Handler:     intake.NoBodies(operations.New(operations.Config{Ready: p.ready, Dump: dump})),
+		ReadTimeout: internalReadTimeout,
 	})
 	if err != nil {
 		return err
 	}
-	peerConfig := httpserver.Config{Name: "peer", Address: p.config.PeerAddress, Handler: peer.Handler(p.secret, service)}
+	messages := intake.NewBodies(intake.BodiesConfig{Budget: budget.New(budget.Config{Bytes: p.config.ClientMemory})})
+	bound := func(next http.Handler) http.Handler {
+		return intake.Messages(next, intake.MessagesConfig{Bodies: messages, MaxBytes: peer.MaxMessageBytes, Timeout: peerTimeout})
+	}
+	peerConfig := httpserver.Config{
+		Name: "peer", Address: p.config.PeerAddress, Handler: peer.Handler(p.secret, service, bound), ReadTimeout: internalReadTimeout,
+	}
 	if p.peerCerts != nil {
 		peerConfig.TLS = p.peerCerts.Server()
 	}
--- a/internal/settings/definitions.go
+++ b/internal/settings/definitions.go
@@ -30,6 +30,7 @@
 	wantDuration = "a duration with its unit, such as 2s or 500ms"
 	wantSize     = "a size with its unit, such as 64KiB"
 	wantWeight   = "a number from 0 to 100"
+	wantCount    = "a whole number above 0"
 )
 
 var definitions = []definition{
@@ -61,6 +62,8 @@
 
 	{"requests", "max-header", "64KiB", "largest header of a request", wantSize, size(func(c *Config) *int64 { return &c.MaxHeader })},
 	{"requests", "max-body", "1GiB", "largest body of a request, whatever the catalogue says", wantSize, size(func(c *Config) *int64 { return &c.MaxBody })},
+	{"requests", "client-memory", "256MiB", "memory for the bodies that callers or peers have sent", wantSize, size(func(c *Config) *int64 { return &c.ClientMemory })},
+	{"requests", "max-connections", "4096", "largest number of connections to a port; beyond it, those idle or stalled for longest are closed", wantCount, count(func(c *Config) *int { return &c.MaxConnections })},
 	{"requests", "read-header-timeout", "5s", "time limit for reading a request's header", wantDuration, duration(func(c *Config) *time.Duration { return &c.ReadHeaderTimeout })},
 
 	{"agreement", "gossip-interval", "100ms", "time between exchanges with peers", wantDuration, duration(func(c *Config) *time.Duration { return &c.GossipInterval })},
@@ -159,6 +162,17 @@
 	}
 }
 
+func count(field func(*Config) *int) setter {
+	return func(c *Config, text string) error {
+		parsed, err := strconv.Atoi(text)
+		if err != nil || parsed <= 0 {
+			return fmt.Errorf("count %q is malformed", text)
+		}
+		*field(c) = parsed
+		return nil
+	}
+}
+
 const maxWeight = 100
 
 func weight(field func(*Config) *float64) setter {
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -99,6 +99,9 @@
 	MaxHeader         int64
 	MaxBody           int64
 	ReadHeaderTimeout time.Duration
+	// ClientMemory is in bytes.
+	ClientMemory   int64
+	MaxConnections int
 
 	GossipInterval time.Duration
 	PollInterval   time.Duration
