node: what callers may hold follows what the process itself needs

Callers: beside a leader with much state of its own, a crowd's bodies left ordinary jobs no room, or took memory that the state needs.

Cause: the budget shrank as the heap grew, but the connections did not; what large claims had taken before counted against the small ones; and each chunked body took 48 KiB, the most that counts as small, before it had sent a byte.

Change: a quarter of what the process leaves of its heap is kept for garbage, and the rest divided between connections and requests (Plan.Within). What large claims hold beyond their part is not taken from the small ones, and a tenth of the budget is for the smallest. A chunked body begins with 6 KiB.

--- a/internal/budget/budget.go
+++ b/internal/budget/budget.go
@@ -14,7 +14,8 @@
 //
 // A claim is granted as long as there is room. If there is none, claims whose requests make no
 // progress give way, those without any for longest first; if that is not enough, the claim is
-// refused. Large claims have only a part of the budget, so that small ones always find room.
+// refused. Large claims have only a part of the budget, and the last of it is for the smallest, so
+// that small ones always find room.
 //
 // The package takes the time as an argument and has no goroutines.
 package budget
@@ -33,6 +34,10 @@
 	DefaultLargeShare = 0.5
 	// DefaultSmallBytes is the largest claim that counts as small.
 	DefaultSmallBytes = 48 << 10
+	// tinyShare is the part of the budget that is kept for the smallest claims, of at most a
+	// tinyDivisor of what counts as small.
+	tinyShare   = 0.1
+	tinyDivisor = 8
 	// ProgressBytes is how much has to arrive to count as progress.
 	ProgressBytes = 4 << 10
 	// Unbounded is the size of a budget that refuses nothing.
@@ -167,11 +172,17 @@
 	if !share.isLarge() {
 		largeBytes += share.bytes
 	}
-	if share.bytes+bytes > b.largeLimit() && isLarge || share.bytes+bytes > b.usage.Bytes {
+	if total := share.bytes + bytes; isLarge && total > b.largeLimit() || total > b.usage.Bytes {
 		b.usage.Refused++
 		return nil, &Refusal{IsTooLarge: true, RetryAfter: minRetryAfter}
 	}
-	lacking := b.usage.Held + bytes - b.usage.Bytes
+	// What large claims hold beyond their part, after the budget has shrunk, is not taken from
+	// the small ones.
+	excess := max(0, b.usage.HeldLarge-b.largeLimit())
+	lacking := b.usage.Held - excess + bytes - b.usage.Bytes
+	if share.bytes+bytes > b.config.SmallBytes/tinyDivisor {
+		lacking += int64(float64(b.usage.Bytes) * tinyShare)
+	}
 	lackingLarge := int64(0)
 	if isLarge {
 		lackingLarge = b.usage.HeldLarge + largeBytes - b.largeLimit()
--- a/internal/budget/plan.go
+++ b/internal/budget/plan.go
@@ -27,6 +27,10 @@
 	operationsDescriptors = 0.05
 	// maxOperationsConnections bounds the connections to each of the other ports.
 	maxOperationsConnections = 64
+	// minShare is the part of the callers' budget and connections that they have however much
+	// the process itself needs, and garbageShare the part of free memory that is left for
+	// garbage.
+	minShare, garbageShare = 0.25, 0.25
 	// minConnections is the least number of connections of a port.
 	minConnections = 8
 )
@@ -66,6 +70,15 @@
 	}
 }
 
+// Within returns the part of the callers' budget and connections that fits into the memory that
+// the process itself leaves: half of it for either, and never less than minShare.
+func (p Plan) Within(free int64) (requestBytes int64, callerConnections int) {
+	half := float64(free) * (1 - garbageShare) / 2
+	requestBytes = int64(min(float64(p.RequestBytes), max(float64(p.RequestBytes)*minShare, half)))
+	callerConnections = int(min(float64(p.CallerConnections), max(float64(p.CallerConnections)*minShare, half/ConnectionBytes)))
+	return requestBytes, callerConnections
+}
+
 func connections(limits ...float64) int {
 	least := limits[0]
 	for _, limit := range limits {
--- a/internal/intake/body.go
+++ b/internal/intake/body.go
@@ -20,9 +20,9 @@
 	LingerTime = 500 * time.Millisecond
 	// DefaultBodyFactor is for bodies that are decoded and encoded again.
 	DefaultBodyFactor = 3
-	// firstBodyBytes is what a body takes whose length is not known, before it is read, and
-	// the size of the first buffer.
-	firstBodyBytes = 16 << 10
+	// firstBodyBytes is the size of a body's first buffer, and what a body takes whose length
+	// is not known, before it is read.
+	firstBodyBytes = 2 << 10
 )
 
 // Causes of refused bodies, as metrics' labels.
--- a/internal/intake/door.go
+++ b/internal/intake/door.go
@@ -65,7 +65,7 @@
 	// Name is the port's, in metrics and errors.
 	Name    string
 	Address netip.AddrPort
-	// MaxConnections bounds the connections; 0 means no bound.
+	// MaxConnections bounds the connections until SetMaxConnections; 0 means no bound.
 	MaxConnections int
 	// Headers is the budget of the headers that are larger than usual, or nil.
 	Headers *budget.Budget
@@ -84,6 +84,8 @@
 	config DoorConfig
 
 	mu sync.Mutex
+	// maxConnections bounds the connections; 0 means no bound.
+	maxConnections int
 	// connections holds the open connections. Those that may be closed in favour of others
 	// are in newcomers if they have had no request, or in others, the longest idle first.
 	connections       map[*Conn]struct{}
@@ -110,7 +112,7 @@
 	if err != nil {
 		return nil, errors.Wrapf(err, "open the port for %s", config.Name)
 	}
-	d := &Door{Listener: listener, config: config, connections: map[*Conn]struct{}{}}
+	d := &Door{Listener: listener, config: config, maxConnections: config.MaxConnections, connections: map[*Conn]struct{}{}}
 	metrics.GetOrCreateGauge(`client_connections{port="`+config.Name+`"}`, func() float64 { return float64(d.Connections()) })
 	return d, nil
 }
@@ -208,9 +210,9 @@
 // admit adds a connection, in place of another if the limit is reached. It returns false if
 // all others are being served.
 func (d *Door) admit(conn *Conn) bool {
-	var victim *Conn
-	if d.config.MaxConnections > 0 && d.Connections() >= d.config.MaxConnections {
-		if victim = d.takeVictim(); victim == nil {
+	for beyond := d.beyondLimit(); beyond > 0; beyond-- {
+		victim := d.takeVictim()
+		if victim == nil {
 			return false
 		}
 		victim.evict(victim.cause())
@@ -223,6 +225,23 @@
 	return true
 }
 
+// beyondLimit returns how many connections have to be closed for one more.
+func (d *Door) beyondLimit() int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.maxConnections <= 0 {
+		return 0
+	}
+	return len(d.connections) + 1 - d.maxConnections
+}
+
+// SetMaxConnections changes the limit; connections beyond it are closed for the next one.
+func (d *Door) SetMaxConnections(limit int) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.maxConnections = limit
+}
+
 // takeVictim chooses the connection to close in favour of another, or returns nil if all are
 // being served.
 func (d *Door) takeVictim() *Conn {
--- a/internal/process/doors.go
+++ b/internal/process/doors.go
@@ -23,6 +23,8 @@
 )
 
 const (
+	// callersPort names the port of callers.
+	callersPort = "callers"
 	// maxPeerMessage bounds a message of another process, and maxPeerFields the number of its
 	// fields, each of which may take far more memory than its bytes.
 	maxPeerMessage, maxPeerFields = 4 << 20, 16 << 10
@@ -32,9 +34,6 @@
 	peerLargeShare = 0.75
 	// budgetInterval is the time between two adjustments of callers' budget.
 	budgetInterval = time.Second
-	// minRequestShare is the part of callers' budget that they have however much the process
-	// itself needs.
-	minRequestShare = 0.25
 )
 
 // doors holds what bounds the clients of a node.
@@ -44,6 +43,8 @@
 	requests, messages *budget.Budget
 	// heapLimit is the soft limit of the heap.
 	heapLimit int64
+	// callers is the port of callers; it is set before the loops run.
+	callers *intake.Door
 }
 
 // newDoors divides the memory and descriptors of a process.
@@ -56,7 +57,7 @@
 		messages:  budget.New(budget.Config{Bytes: plan.PeerBytes, LargeShare: peerLargeShare}),
 		heapLimit: debug.SetMemoryLimit(-1),
 	}
-	measureBudget("callers", d.requests)
+	measureBudget(callersPort, d.requests)
 	measureBudget("peers", d.messages)
 	return d
 }
@@ -93,7 +94,7 @@
 	return []door{
 		{
 			intake.DoorConfig{
-				Name: "callers", Address: n.settings.Callers, MaxConnections: plan.CallerConnections, Headers: n.doors.requests,
+				Name: callersPort, Address: n.settings.Callers, MaxConnections: plan.CallerConnections, Headers: n.doors.requests,
 				ReceiveBytes: intake.DefaultReceiveBytes, SendBytes: intake.DefaultSendBytes, Refuses: true,
 			},
 			n.ingress,
@@ -146,7 +147,10 @@
 		case <-ticker.C:
 		}
 		usage := n.doors.requests.Usage()
-		n.doors.requests.Resize(requestBytes(n.doors.plan.RequestBytes, n.doors.heapLimit, liveHeap()-usage.Held))
+		own := liveHeap() - usage.Held - int64(n.doors.callers.Connections())*budget.PeerConnectionBytes
+		bytes, connections := n.doors.plan.Within(n.doors.heapLimit - max(0, own))
+		n.doors.requests.Resize(bytes)
+		n.doors.callers.SetMaxConnections(connections)
 		if usage.Refused != logged.Refused || usage.Evicted != logged.Evicted {
 			n.journal.Info("clients held back", "budget", usage.Bytes, "held", usage.Held, "held-large", usage.HeldLarge,
 				"refused", usage.Refused-logged.Refused, "gave-way", usage.Evicted-logged.Evicted)
@@ -155,13 +159,6 @@
 	}
 }
 
-// requestBytes returns callers' budget: what is planned, less what the process itself needs
-// beyond its part of the heap.
-func requestBytes(planned, heapLimit, own int64) int64 {
-	least := int64(float64(planned) * minRequestShare)
-	return min(planned, max(least, heapLimit-planned-own))
-}
-
 // liveHeap returns the size of the heap that the last collection found in use.
 func liveHeap() int64 {
 	sample := []metrics.Sample{{Name: "/gc/heap/live:bytes"}}
--- a/internal/process/node.go
+++ b/internal/process/node.go
@@ -293,6 +293,9 @@
 			Handler: door.handler, ReadHeaderTimeout: headerReadTimeout, IdleTimeout: idleConnTimeout, MaxHeaderBytes: maxHeaderBytes,
 		}
 		listener.Configure(server)
+		if door.config.Name == callersPort {
+			n.doors.callers = listener
+		}
 		servers = append(servers, &nodeServer{name: door.config.Name, listener: listener, journal: n.journal, server: server})
 	}
 	return servers, nil
