intake: a client that is asked for its body is not the first to go

Callers that send Expect: 100-continue: the interim answer counted as the answer to their request, so that at a port's limit their connection was the first to be closed, and without a refusal. Only final answers count now.

A case of TestStalledRequestIsAnswered failed before: no answer where 503 is wanted.

--- a/internal/intake/conn.go
+++ b/internal/intake/conn.go
@@ -145,10 +145,14 @@
 	return (cost-freeHeaderBytes)/headerClaimBytes + 1
 }
 
+// interimAnswer begins the answer that asks a client for its body.
+var interimAnswer = []byte("HTTP/1.1 100 ")
+
 // Write implements net.Conn. A client that does not read makes it fail.
 func (c *Conn) Write(p []byte) (int, error) {
 	now := time.Now()
-	if !c.hasAnswered.Swap(true) && c.door.config.Refuses && phase(c.phase.Load()) == phaseBody {
+	isInterim := bytes.HasPrefix(p, interimAnswer)
+	if !isInterim && !c.hasAnswered.Swap(true) && c.door.config.Refuses && phase(c.phase.Load()) == phaseBody {
 		c.becomeFirst()
 	}
 	c.writingSince.Store(now.UnixNano())
--- a/internal/intake/intake_test.go
+++ b/internal/intake/intake_test.go
@@ -148,6 +148,7 @@
 		"header":         "GET / HTTP/1.1\r\nHost: a\r\n",
 		"body of length": post("Content-Length: 10") + "123456789",
 		"chunked body":   post("Transfer-Encoding: chunked") + "5\r\n12345\r\n",
+		"expected body":  post("Content-Length: 10\r\nExpect: 100-continue") + "123456789",
 	}
 	for name, text := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -156,6 +157,9 @@
 			first := dial(t, door)
 			first.send(text)
 			eventually(t, "the request arrives", func() bool { return door.Arriving() == 1 })
+			if strings.Contains(text, "Expect") {
+				first.want(http.StatusContinue)
+			}
 			second := dial(t, door)
 			second.send(get)
 			second.want(http.StatusOK)
