--- a/Makefile
+++ b/Makefile
@@ -20,11 +20,14 @@
 KNOWN_RED := $(shell sed -n 's/^test: //p' KNOWN-RED.txt 2>/dev/null | paste -sd'|' -)
 SKIP := $(if $(KNOWN_RED),-skip '$(KNOWN_RED)')
 
+# The longest time for one package's tests: with the race detector some take minutes.
+TEST_TIMEOUT := 30m
+
 test:
 	@if [ -s KNOWN-RED.txt ]; then echo "passed over, known red:"; cat KNOWN-RED.txt; fi
-	go test -race $(SKIP) $(filter-out $(MODULE)/test $(RAPID_PACKAGES:./%=$(MODULE)/%),$(shell go list ./...))
-	go test -race $(SKIP) -count=1 ./test # builds the binaries itself, so that a cached verdict would be stale
-	go test -race $(SKIP) $(RAPID_PACKAGES) -rapid.seed=$(RAPID_SEED) -rapid.nofailfile
+	go test -race -timeout $(TEST_TIMEOUT) $(SKIP) $(filter-out $(MODULE)/test $(RAPID_PACKAGES:./%=$(MODULE)/%),$(shell go list ./...))
+	go test -race -timeout $(TEST_TIMEOUT) $(SKIP) -count=1 ./test # builds the binaries itself, so that a cached verdict would be stale
+	go test -race -timeout $(TEST_TIMEOUT) $(SKIP) $(RAPID_PACKAGES) -rapid.seed=$(RAPID_SEED) -rapid.nofailfile
 
 tools:
 	cd tools && GOBIN=$(BIN)/tools go install mvdan.cc/gofumpt honnef.co/go/tools/cmd/staticcheck github.com/mgechev/revive
