fleet: one play for the cases of restarts, a killed leader and a cut

Four cases of TestTaskWaitsForLeaseOfFormerLife had the same steps written out; their kinds of steps differ alone. What they check is unchanged.

--- a/internal/fleet/formerlife_test.go
+++ b/internal/fleet/formerlife_test.go
@@ -92,16 +92,7 @@
 		step job.Step
 		play func(w *recutWorld)
 	}{
-		"leader killed before the cut": {tasks(1), func(w *recutWorld) {
-			w.crashHalf(600 * time.Millisecond)
-			w.work(1400 * time.Millisecond)
-			w.killLeader()
-			w.work(600 * time.Millisecond)
-			w.cutHalf(false)
-			w.work(takeoverTime - 600*time.Millisecond)
-			w.replaceLeader()
-			w.work(9 * time.Second)
-		}},
+		"leader killed before the cut": {tasks(1), (*recutWorld).killAndCut},
 		"leader killed after the cut": {tasks(1), func(w *recutWorld) {
 			w.crashHalf(600 * time.Millisecond)
 			w.work(1400 * time.Millisecond)
@@ -199,36 +190,9 @@
 			w.cutHalf(false)
 			w.work(9 * time.Second)
 		}},
-		"lasting tasks": {lasting, func(w *recutWorld) {
-			w.crashHalf(600 * time.Millisecond)
-			w.work(1400 * time.Millisecond)
-			w.killLeader()
-			w.work(600 * time.Millisecond)
-			w.cutHalf(false)
-			w.work(takeoverTime - 600*time.Millisecond)
-			w.replaceLeader()
-			w.work(9 * time.Second)
-		}},
-		"gangs": {gang, func(w *recutWorld) {
-			w.crashHalf(600 * time.Millisecond)
-			w.work(1400 * time.Millisecond)
-			w.killLeader()
-			w.work(600 * time.Millisecond)
-			w.cutHalf(false)
-			w.work(takeoverTime - 600*time.Millisecond)
-			w.replaceLeader()
-			w.work(9 * time.Second)
-		}},
-		"checkpoints": {retried, func(w *recutWorld) {
-			w.crashHalf(600 * time.Millisecond)
-			w.work(1400 * time.Millisecond)
-			w.killLeader()
-			w.work(600 * time.Millisecond)
-			w.cutHalf(false)
-			w.work(takeoverTime - 600*time.Millisecond)
-			w.replaceLeader()
-			w.work(9 * time.Second)
-		}},
+		"lasting tasks": {lasting, (*recutWorld).killAndCut},
+		"gangs":         {gang, (*recutWorld).killAndCut},
+		"checkpoints":   {retried, (*recutWorld).killAndCut},
 	}
 	for name, c := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -240,6 +204,19 @@
 	}
 }
 
+// killAndCut lets the endpoints of one data centre restart, the leader be killed, and these endpoints be cut off before
+// the next leader reaches them.
+func (w *recutWorld) killAndCut() {
+	w.crashHalf(600 * time.Millisecond)
+	w.work(1400 * time.Millisecond)
+	w.killLeader()
+	w.work(600 * time.Millisecond)
+	w.cutHalf(false)
+	w.work(takeoverTime - 600*time.Millisecond)
+	w.replaceLeader()
+	w.work(9 * time.Second)
+}
+
 // crashHalf lets the endpoints of one data centre restart, and waits until they are back.
 func (w *recutWorld) crashHalf(down time.Duration) {
 	for _, id := range w.half() {
