soak: connections of a proxy end with it

Soaks use the same proxy.

The proxy's loop waits for the end of its context and then stops the AfterFunc that would have closed its connections: context.AfterFunc starts its function only after the context's channel is closed, so that the stop can come first, and the function never runs. And a connection that was accepted as the proxy stopped was added after all others had been closed.

The loop closes the connections itself, and one that is added after the end closes at once.

--- a/internal/soak/proxy.go
+++ b/internal/soak/proxy.go
@@ -53,14 +53,12 @@
 	}
 	p := &proxy{target: target, listener: listener, group: group, conns: map[net.Conn]bool{}}
 	group.Go(func(ctx context.Context) {
-		stop := context.AfterFunc(ctx, func() {
-			_ = listener.Close()
-			p.reset()
-		})
+		stop := context.AfterFunc(ctx, func() { _ = listener.Close() })
 		defer stop()
 		p.accept()
 		// Connections that are left after refuse end with the group.
 		<-ctx.Done()
+		p.reset()
 	})
 	return p, nil
 }
@@ -145,6 +143,9 @@
 	p.mu.Lock()
 	p.conns[client], p.conns[server] = true, true
 	p.mu.Unlock()
+	if ctx.Err() != nil {
+		p.reset() // the proxy may have closed its connections before this one was added
+	}
 	responsesDone := make(chan struct{})
 	p.group.Go(func(ctx context.Context) {
 		defer close(responsesDone)
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -303,6 +303,58 @@
 	}
 }
 
+// Guards against a proxy whose connections outlive it, so that its group waits without end: those
+// that are open after it refuses new ones, and one that was accepted as it stopped.
+func TestProxyClosesItsConnections(t *testing.T) {
+	const (
+		limit   = 10 * time.Second
+		proxies = 300
+	)
+	awaitEnd := func(t *testing.T, what string, wait func()) {
+		t.Helper()
+		ended := make(chan struct{})
+		go func() {
+			defer close(ended)
+			wait()
+		}()
+		select {
+		case <-ended:
+		case <-time.After(limit):
+			t.Fatalf("%s: got open after %s, want closed", what, limit)
+		}
+	}
+	t.Run("open after it refuses", func(t *testing.T) {
+		target := startEchoServer(t)
+		for range proxies {
+			ctx, cancel := context.WithCancel(context.Background())
+			group := loops.New(ctx)
+			p, err := newProxy(group, target)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if err := dial(t, p).roundTrip(); err != nil {
+				t.Fatal(err)
+			}
+			p.refuse()
+			cancel()
+			awaitEnd(t, "open connection", group.Wait)
+		}
+	})
+	t.Run("accepted as it stops", func(t *testing.T) {
+		ctx, cancel := context.WithCancel(context.Background())
+		group := loops.New(ctx)
+		p, err := newProxy(group, startEchoServer(t))
+		if err != nil {
+			t.Fatal(err)
+		}
+		cancel()
+		group.Wait()
+		client, accepted := net.Pipe()
+		defer func() { _ = client.Close() }()
+		awaitEnd(t, "accepted connection", func() { p.forward(ctx, accepted) })
+	})
+}
+
 // client sends lines and reads their echo.
 type client struct {
 	conn  net.Conn
