fleet: a task waits for the next life of its unanswered start's endpoint, also out of reach

What callers could see: two runs of a task at once. A start got no answer, and its endpoint accepted a stop, which binds one life. The endpoint's entry then shows a new life, and the leader does not reach it: the leases of the old one were over, no other endpoint had been seen to restart by its own report, and the task's next run went elsewhere while the new life could carry the start out.

Cause: whether endpoints restart under their IDs was judged by reports alone. Tasks that last wait as well: the next life is known to be there, out of reach, and may run them.

Test: the case "restarts out of reach" of TestTaskStaysOnEndpointOfUnansweredStart; before, the task starts on another endpoint.

--- a/internal/fleet/latestart.go
+++ b/internal/fleet/latestart.go
@@ -103,6 +103,9 @@
 	switch {
 	case l.isLateStartOver(late, now):
 		return false
+	case e != nil && e.mayHaveRestarted:
+		// The next incarnation is there, and has accepted no stop.
+		return true
 	case late.run.step().Persistent:
 		return e != nil && l.acceptsWork(e, now)
 	case e == nil || e.gone || e.unresponsive && l.leasesOver(e, now):
--- a/internal/fleet/latestart_test.go
+++ b/internal/fleet/latestart_test.go
@@ -106,6 +106,14 @@
 		"fails a renewal": {func(s *simulation) { s.failRenewal("a", fleet.OrderUnknown) }, ""},
 		"drains":          {func(s *simulation) { s.drain("a") }, "b"},
 		"is full":         {func(s *simulation) { s.shrink("a") }, ""},
+		"restarts out of reach": {func(s *simulation) {
+			s.restart("a", laterStart)
+			s.list("a")
+			s.failRenewal("a", fleet.OrderUnknown)
+			for end := s.now.Add(7 * time.Second); s.now.Before(end); s.advance(500 * time.Millisecond) {
+				s.renewLease("b")
+			}
+		}, ""},
 		"is full for longer than the start may be late": {func(s *simulation) {
 			s.shrink("a")
 			for end := s.now.Add(orderDelay + 1500*time.Millisecond); s.now.Before(end); s.advance(500 * time.Millisecond) {
