fleet: a task keeps the room that its unanswered start had

Cause: a task whose start got no answer may start on that endpoint alone. Once the endpoint has accepted the stop, the room of the start is free, and the first in rank takes it.

Such tasks start before all others, on the endpoint to which they are bound. They had been in turn before. TestTaskKeepsTheRoomOfItsUnansweredStart: before, another job's task takes the room.

--- a/internal/fleet/latestart.go
+++ b/internal/fleet/latestart.go
@@ -57,6 +57,7 @@
 	l.lateStarts[id][r.key] = late
 	if r.job != nil && !r.step().Speculative {
 		l.lateTasks[r.key.task] = append(l.lateTasks[r.key.task], lateStartKey{id, r.key})
+		r.job.lateTasks++
 	}
 }
 
@@ -95,6 +96,45 @@
 	return nil
 }
 
+// startBound starts those tasks first that may start on one endpoint only, as earlier starts of theirs may yet be carried
+// out: other tasks would take the room that these had there.
+func (l *Leader) startBound(p *pass, orders *Orders, now time.Time) {
+	if len(l.lateTasks) == 0 {
+		return
+	}
+	for _, g := range p.groups {
+		if g.step.step.Gang || !l.hasLateTask(g) || !l.hasAdvice(g, p.candidates, orders, now) {
+			continue
+		}
+		g.step.pending = slices.DeleteFunc(g.step.pending, func(index int) bool {
+			return l.startBoundTask(g, g.job.taskAt(g.step.key, index), p, orders, now)
+		})
+	}
+}
+
+// hasLateTask reports whether a pending task of the group has an earlier start that may yet be carried out.
+func (l *Leader) hasLateTask(g taskGroup) bool {
+	return g.job.lateTasks > 0 && slices.ContainsFunc(g.step.pending, func(index int) bool {
+		return len(l.lateTasks[g.job.taskAt(g.step.key, index)]) > 0
+	})
+}
+
+// startBoundTask starts a task on the only endpoint on which it may start, and reports whether it did.
+func (l *Leader) startBoundTask(g taskGroup, task job.Task, p *pass, orders *Orders, now time.Time) bool {
+	only, _ := l.boundTo(task, now)
+	if only == nil || g.job.isSuspect(task) || !l.rowHasRoom(g, task) || !l.mayStartMore(g, p) {
+		return false
+	}
+	for _, candidate := range p.candidates {
+		if candidate.endpoint == only && g.allows(candidate) {
+			l.start(g, task, candidate, l.nextRun(g.job, task), orders, now)
+			p.used(candidate)
+			return true
+		}
+	}
+	return false
+}
+
 // binds reports whether a start that may be carried out late keeps its task from other endpoints: its own one is not
 // to end by plan. One that is gone, or silent for its leases, may still be followed by another incarnation where some
 // endpoints restart under their IDs. Persistent tasks are not to wait for one that takes no work.
@@ -165,7 +205,11 @@
 		delete(l.lateStarts, id)
 	}
 	if keys := l.lateTasks[key.task]; len(keys) > 0 {
+		known := len(keys)
 		keys = slices.DeleteFunc(keys, func(other lateStartKey) bool { return other == lateStartKey{id, key} })
+		if removed := known - len(keys); removed > 0 {
+			late.run.job.lateTasks -= removed
+		}
 		l.lateTasks[key.task] = keys
 		if len(keys) == 0 {
 			delete(l.lateTasks, key.task)
--- a/internal/fleet/latestart_test.go
+++ b/internal/fleet/latestart_test.go
@@ -138,6 +138,26 @@
 	}
 }
 
+// Guards against a task that waits beside empty endpoints since others have taken the room that its unanswered
+// start had: it may start on that endpoint alone.
+func TestTaskKeepsTheRoomOfItsUnansweredStart(t *testing.T) {
+	s, start := startOn(t)
+	// These rank first and would take all room.
+	s.submit(submission(2, persistentTasks(40, 1)))
+	s.step()
+	s.acceptStarts()
+	s.leader.HandleStartReply(start, fleet.Reply{Outcome: fleet.OrderUnknown}, s.now)
+	s.advance(10 * time.Millisecond)
+	s.report("a", s.now)
+	s.acceptStop()
+	s.advance(10 * time.Millisecond)
+	s.report("a", s.now)
+	starts := s.step().Starts
+	if len(starts) != 1 || starts[0].Task != start.Task || starts[0].Endpoint != "a" {
+		t.Errorf("starts once the stop is accepted: got %+v, want the task of the unanswered start, on a", starts)
+	}
+}
+
 // shrink lets an endpoint's entry say that it has no room.
 func (s *simulation) shrink(id fleet.EndpointID) {
 	row := endpointRow(id)
--- a/internal/fleet/step.go
+++ b/internal/fleet/step.go
@@ -91,6 +91,9 @@
 			passes = append(passes, p)
 		}
 	}
+	for _, p := range passes {
+		l.startBound(p, orders, now)
+	}
 	if l.starts.isBehind {
 		for _, p := range passes {
 			l.startGroups(p.inTime(), p, orders, now)
