fleet: leaders know the unanswered starts of former ones

What callers could see: two runs of a task at once. A start got no answer and its leader was killed. Its endpoint, cut off, began another life, and carried the start out beside the task's next run, which the next leader had sent elsewhere.

Cause: the starts that got no answer were kept in the leader's memory alone. A successor takes an endpoint for known once it has answered under the new token, which binds that one life.

A start without an answer is recorded in its job's row, with its endpoint and the time it was sent, at most 64 a job. The successor treats it as a late start of its own: it is stopped on each life of the endpoint, and its task starts there alone for as long as the start may be late. Records go with the row's next change. Rows without them are read as before, and former versions pass over them; malformed ones get a log line and are left out.

--- a/internal/fleet/darkworld_test.go
+++ b/internal/fleet/darkworld_test.go
@@ -16,8 +16,9 @@
 
 // lateOrder is an order that an endpoint leaves unanswered and carries out at a time.
 type lateOrder struct {
-	at      time.Time
-	execute func()
+	at       time.Time
+	execute  func()
+	endpoint fleet.EndpointID
 }
 
 // worldEnd identifies the end of a run.
@@ -114,13 +115,13 @@
 }
 
 // delays keeps an order to be carried out late, without an answer, if it is drawn.
-func (w *storeWorld) delays(order func()) bool {
+func (w *storeWorld) delays(id fleet.EndpointID, order func()) bool {
 	if w.isLate == nil {
 		return false
 	}
 	delay, ok := w.isLate()
 	if ok {
-		w.late = append(w.late, lateOrder{w.now.Add(delay), order})
+		w.late = append(w.late, lateOrder{w.now.Add(delay), order, id})
 	}
 	return ok
 }
--- a/internal/fleet/jobstate.go
+++ b/internal/fleet/jobstate.go
@@ -175,6 +175,7 @@
 	}
 	l.completeIfDone(j, now)
 	l.open(j, now, wall)
+	l.loadUnanswered(j, now)
 }
 
 // Knows reports whether the leader has a job, live or ended.
--- a/internal/fleet/latestart.go
+++ b/internal/fleet/latestart.go
@@ -106,9 +106,13 @@
 		if g.step.step.Gang || !l.hasLateTask(g) || !l.hasAdvice(g, p.candidates, orders, now) {
 			continue
 		}
-		g.step.pending = slices.DeleteFunc(g.step.pending, func(index int) bool {
-			return l.startBoundTask(g, g.job.taskAt(g.step.key, index), p, orders, now)
-		})
+		var remaining []int
+		for _, index := range g.step.pending {
+			if !l.startBoundTask(g, g.job.taskAt(g.step.key, index), p, orders, now) {
+				remaining = append(remaining, index)
+			}
+		}
+		g.step.pending = remaining
 	}
 }
 
@@ -121,6 +125,9 @@
 
 // startBoundTask starts a task on the only endpoint on which it may start, and reports whether it did.
 func (l *Leader) startBoundTask(g taskGroup, task job.Task, p *pass, orders *Orders, now time.Time) bool {
+	if len(l.lateTasks[task]) == 0 {
+		return false
+	}
 	only, _ := l.boundTo(task, now)
 	if only == nil || g.job.isSuspect(task) || !l.rowHasRoom(g, task) || !l.mayStartMore(g, p) {
 		return false
@@ -192,7 +199,11 @@
 
 // releaseLateStart forgets a start that cannot come late any more. Its task waits no longer.
 func (l *Leader) releaseLateStart(id EndpointID, key runKey, now time.Time) {
-	if l.forgetLateStart(id, key).isHeld {
+	late := l.forgetLateStart(id, key)
+	if late.run != nil {
+		l.forgetUnanswered(late.run)
+	}
+	if late.isHeld {
 		l.requeue(l.jobs[key.task.Job], key.task, now)
 	}
 }
--- a/internal/fleet/renewal.go
+++ b/internal/fleet/renewal.go
@@ -299,6 +299,7 @@
 		r.state = runLive
 		r.answeredAt = now
 	}
+	l.forgetUnanswered(r)
 	r.reported, r.seenAt, r.verdict = true, sentAt, notInvolved
 	r.noteActivity(running, now)
 	if running.Checkpoint != "" {
--- a/internal/fleet/reply.go
+++ b/internal/fleet/reply.go
@@ -90,6 +90,7 @@
 			r.state = runUnconfirmed
 			r.answeredAt = now
 			r.wasUnconfirmed = true
+			l.recordUnanswered(r)
 		}
 	case OrderStaleRun:
 		// The run cannot start any more, but it may have run: the next report says.
--- a/internal/fleet/storeworld_test.go
+++ b/internal/fleet/storeworld_test.go
@@ -316,7 +316,7 @@
 		e.isRenewed = true
 		return
 	}
-	if w.delays(func() { w.executeRenewal(id, renewal, token) }) {
+	if w.delays(id, func() { w.executeRenewal(id, renewal, token) }) {
 		leader.RenewalFailed(id, fleet.Reply{Outcome: fleet.OrderUnknown, SentAt: w.now}, w.now)
 		return
 	}
@@ -376,11 +376,11 @@
 		return
 	}
 	if w.startDelay > 0 {
-		w.late = append(w.late, lateOrder{w.now.Add(w.startDelay), func() { w.executeStart(start, token) }})
+		w.late = append(w.late, lateOrder{w.now.Add(w.startDelay), func() { w.executeStart(start, token) }, start.Endpoint})
 		leader.HandleStartReply(start, fleet.Reply{Outcome: fleet.OrderUnknown, SentAt: w.now}, w.now)
 		return
 	}
-	if w.delays(func() { w.executeStart(start, token) }) {
+	if w.delays(start.Endpoint, func() { w.executeStart(start, token) }) {
 		leader.HandleStartReply(start, fleet.Reply{Outcome: fleet.OrderUnknown, SentAt: w.now}, w.now)
 		return
 	}
--- a/internal/job/job.go
+++ b/internal/job/job.go
@@ -158,6 +158,12 @@
 	})
 }
 
+// Has reports whether a task belongs to the job.
+func (s *Submission) Has(task Task) bool {
+	isWithin := func(number, count int) bool { return number >= 0 && number < count }
+	return isWithin(task.Step, len(s.Steps)) && isWithin(task.Index, s.Steps[task.Step].Count) && isWithin(task.Occurrence, s.Occurrences())
+}
+
 // Persistent reports whether the job has persistent tasks.
 func (s *Submission) Persistent() bool {
 	for _, step := range s.Steps {
--- a/internal/job/progress.go
+++ b/internal/job/progress.go
@@ -39,6 +39,8 @@
 	// Started holds, by task index, runs of which it is not known yet whether they crash
 	// their endpoint.
 	Started map[int]StartedRun `json:"started,omitempty"`
+	// Unanswered holds, by task index, starts that got no answer.
+	Unanswered map[int][]UnansweredStart `json:"unanswered,omitempty"`
 }
 
 // StartedRun is a run that was started, and may crash its endpoint.
@@ -92,6 +94,8 @@
 	closed map[int]closedStep
 	// startCount and startNameBytes measure the recorded starts, crashCount the recorded crashes.
 	startCount, startNameBytes, crashCount int
+	// unansweredCount and unansweredNameBytes measure the recorded unanswered starts.
+	unansweredCount, unansweredNameBytes int
 }
 
 // closedStep holds the occurrences in which all tasks of a step have completed.
@@ -119,6 +123,9 @@
 	for index := range p.Steps[key].Started {
 		p.dropStart(p.Steps[key], index)
 	}
+	for index := range p.Steps[key].Unanswered {
+		p.dropUnanswered(p.Steps[key], index)
+	}
 	p.crashCount -= len(p.Steps[key].Crashes)
 	delete(p.Steps, key)
 	closed := p.closed[key.Step]
@@ -161,6 +168,7 @@
 	step.DoneCount++
 	delete(step.FailedRuns, task.Index)
 	delete(step.FailedEarlier, task.Index)
+	p.dropUnanswered(step, task.Index)
 	return true
 }
 
@@ -255,7 +263,7 @@
 // dropIfEmpty drops the record of a step that holds nothing.
 func (p *Progress) dropIfEmpty(key StepKey) {
 	step := p.Steps[key]
-	if step.DoneCount == 0 && len(step.FailedRuns) == 0 && len(step.Crashes) == 0 && len(step.Started) == 0 {
+	if step.DoneCount == 0 && len(step.FailedRuns) == 0 && len(step.Crashes) == 0 && len(step.Started) == 0 && len(step.Unanswered) == 0 {
 		delete(p.Steps, key)
 	}
 }
--- a/internal/job/progressrow.go
+++ b/internal/job/progressrow.go
@@ -178,6 +178,7 @@
 	p.State, p.Ended = row.State, row.Ended
 	p.Steps, p.closed = map[StepKey]*StepProgress{}, map[int]closedStep{}
 	p.startCount, p.startNameBytes, p.crashCount = 0, 0, 0
+	p.unansweredCount, p.unansweredNameBytes = 0, 0
 	for _, closed := range row.Closed {
 		occurrences, err := newOccurrenceSet(closed.Occurrences)
 		if err != nil || closed.Step < 0 || closed.Tasks <= 0 {
@@ -195,6 +196,11 @@
 			p.startCount++
 			p.startNameBytes += started.nameBytes()
 		}
+		for _, starts := range step.Unanswered {
+			for _, start := range starts {
+				p.countUnanswered(start, 1)
+			}
+		}
 	}
 	return nil
 }
--- a/internal/job/progressrow_test.go
+++ b/internal/job/progressrow_test.go
@@ -65,13 +65,15 @@
 	progress := job.NewProgress()
 	progress.State = job.Running
 	for _, task := range rapid.SliceOf(rapid.SampledFrom(allTasks(submission))).Draw(t, "tasks") {
-		switch rapid.IntRange(0, 3).Draw(t, "event") {
+		switch rapid.IntRange(0, 4).Draw(t, "event") {
 		case 0:
 			progress.MarkFailed(task, rapid.Int64Range(1, 1<<20).Draw(t, "run"))
 		case 1:
 			progress.RecordStart(task, job.StartedRun{Run: 1, Endpoint: "i-1", Host: "h-1"})
 		case 2:
 			progress.RecordCrashes(task, job.Crashes{Total: rapid.IntRange(0, 2).Draw(t, "crashes")})
+		case 3:
+			progress.RecordUnanswered(task, job.UnansweredStart{Run: 1, Endpoint: "i-1", SentAt: time.UnixMilli(5000)})
 		default:
 			markDone(progress, submission, task)
 		}
@@ -83,7 +85,7 @@
 func describe(p *job.Progress, submission *job.Submission) string {
 	var out strings.Builder
 	for _, task := range allTasks(submission) {
-		_, _ = fmt.Fprintln(&out, task, p.IsDone(task), p.FailureCount(task), p.HasStart(task, 1))
+		_, _ = fmt.Fprintln(&out, task, p.IsDone(task), p.FailureCount(task), p.HasStart(task, 1), p.Unanswered(task))
 	}
 	_, _ = fmt.Fprintln(&out, p.StartCount(), p.StartNameBytes(), p.AllDone(submission), p.NextOpen(submission, 0))
 	return out.String()
@@ -192,6 +194,16 @@
 			Run: int64(index), Endpoint: name, Host: name, EndpointStart: time.UnixMilli(int64(index) * 77777),
 		})
 	}
+	unanswered := 0
+	for index := range 20_000 {
+		start := job.UnansweredStart{Run: int64(index), Endpoint: fmt.Sprintf("%016x", rand.Uint64()), SentAt: time.UnixMilli(int64(index) * 77777)}
+		if progress.RecordUnanswered(job.Task{Job: testID, Index: index}, start) {
+			unanswered++
+		}
+	}
+	if want := 64; unanswered != want {
+		t.Errorf("recorded starts without an answer: got %d, want %d", unanswered, want)
+	}
 	if _, size := job.EncodeProgress(progress, job.NewestRowFormat, storeRowBytes); size > storeRowBytes*3/10 {
 		t.Errorf("row with starts and crashes alone: got %d bytes, want at most %d", size, storeRowBytes*3/10)
 	}
