fleet: tasks that wait take no memory of their own

A leader listed the tasks of each open step by itself, 8 bytes and more for each: a job of 80 bytes with 20,000 tasks took 170 KiB while it waited, and as much again in each pass in which no endpoint had room. No budget of clients counts it: the jobs are accepted, and their bodies are small.

Steps share the list while none of their tasks has started. What is left of it after starts is a part of it, and removing a task from it copies it first.

--- a/internal/fleet/jobstate.go
+++ b/internal/fleet/jobstate.go
@@ -1,7 +1,6 @@
 package fleet
 
 import (
-	"slices"
 	"time"
 
 	"github.com/lovagedyke/lovagedyke/internal/job"
@@ -73,7 +72,8 @@
 type stepState struct {
 	key  job.StepKey
 	step job.Step
-	// pending lists the tasks that wait for an endpoint.
+	// pending lists the tasks that wait for an endpoint. It may be a part of the list that steps
+	// share, and is changed by removePending or replaced.
 	pending []int
 	// notBefore delays tasks whose last start was rejected.
 	notBefore time.Time
@@ -129,7 +129,7 @@
 // dropPending removes a task from the pending ones.
 func (j *jobState) dropPending(task job.Task) {
 	if step := j.steps[task.StepKey()]; step != nil {
-		step.pending = slices.DeleteFunc(step.pending, func(index int) bool { return index == task.Index })
+		step.removePending(task.Index)
 	}
 }
 
--- a/internal/fleet/occurrence.go
+++ b/internal/fleet/occurrence.go
@@ -133,12 +133,7 @@
 		return
 	}
 	opened := &stepState{key: key, step: j.submission.Steps[key.Step], openedAt: now}
-	for index := range opened.step.Count {
-		task := j.taskAt(key, index)
-		if !j.progress.IsDone(task) && len(j.active[task]) == 0 {
-			opened.pending = append(opened.pending, index)
-		}
-	}
+	opened.pending = j.openTasks(key, opened.step.Count)
 	j.steps[key] = opened
 	if j.occurrences.states[key.Occurrence] == nil {
 		j.occurrences.add(key.Occurrence, j.occurrenceStateOf(key.Occurrence))
--- a/internal/fleet/step.go
+++ b/internal/fleet/step.go
@@ -272,6 +272,13 @@
 		return
 	}
 	var remaining []int
+	keepFrom := func(i int) {
+		if len(remaining) == 0 {
+			remaining = g.step.pending[i:]
+			return
+		}
+		remaining = append(remaining, g.step.pending[i:]...)
+	}
 	var target *candidateEndpoint
 	for i, index := range g.step.pending {
 		task := g.job.taskAt(g.step.key, index)
@@ -280,7 +287,7 @@
 			continue
 		}
 		if !l.mayStartMore(g, p) {
-			remaining = append(remaining, g.step.pending[i:]...)
+			keepFrom(i)
 			break
 		}
 		// The endpoint of the task before has become fuller, and so is preferred for alike tasks.
@@ -294,7 +301,7 @@
 		}
 		if target == nil {
 			// The same limits apply to the other tasks of the step.
-			remaining = append(remaining, g.step.pending[i:]...)
+			keepFrom(i)
 			p.noteUnplaced(g, len(remaining))
 			break
 		}
--- a/internal/fleet/trial.go
+++ b/internal/fleet/trial.go
@@ -161,7 +161,7 @@
 // but for others that are tried together.
 func (l *Leader) startOnTrial(t trial, candidate *candidateEndpoint, orders *Orders, now time.Time) {
 	l.start(t.group, t.task, candidate, l.nextRun(t.group.job, t.task), orders, now)
-	t.group.step.pending = slices.DeleteFunc(t.group.step.pending, func(index int) bool { return index == t.task.Index })
+	t.group.step.removePending(t.task.Index)
 	candidate.isShared = !t.isSolo()
 	candidate.trials++
 	candidate.trialRoom = candidate.endpoint.availableForStarts()
