fleet: jobs that have ended keep none of their texts

A leader keeps the state of a job for minutes after its end, and with it the whole submission. The names of images, labels and racks have no limit of their own: a body of 262,144 bytes that is one such name compresses to a small row where all processes read compressed rows, and stayed in the leader's memory whole.

What only starts need is dropped once a job has ended: its spec and the names in its steps.

Jobs that wait still hold their texts.

--- a/internal/fleet/jobstate.go
+++ b/internal/fleet/jobstate.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"slices"
 	"time"
 
 	"github.com/lovagedyke/lovagedyke/internal/job"
@@ -168,6 +169,7 @@
 	}
 	if j.progress.State.Final() {
 		j.endedAt, j.inheritedEnd = now, j.progress.Ended
+		j.dropTexts()
 	}
 	l.unknownUse.tasks = nil
 	if stored.Cancelled && !j.progress.State.Final() {
@@ -243,6 +245,7 @@
 func (l *Leader) endJob(j *jobState, reason string, now time.Time) {
 	delete(l.live, j.submission.ID)
 	j.progress.Ended = now.Round(0)
+	j.dropTexts()
 	j.steps = map[job.StepKey]*stepState{}
 	l.markDirty(j)
 	for _, runs := range j.active {
@@ -252,6 +255,18 @@
 	}
 }
 
+// dropTexts drops what only starts need of a job that has ended: its state is kept for minutes, and
+// its texts may be as long as its body was.
+func (j *jobState) dropTexts() {
+	ended := *j.submission
+	ended.Spec, ended.Steps = "", slices.Clone(ended.Steps)
+	for number := range ended.Steps {
+		step := &ended.Steps[number]
+		step.Requires, step.Affinity, step.Image = "", "", ""
+	}
+	j.submission = &ended
+}
+
 // completeIfDone sets a job's final state once all its tasks have completed.
 func (l *Leader) completeIfDone(j *jobState, now time.Time) {
 	if j.over() || j.submission.Persistent() || !j.progress.AllDone(j.submission) {
