fleet: jobs share what may be open of occurrences that wait

A job of few bytes with a million occurrences that are due had 256 of them open while it waited, each with a state of its own.

Jobs share 32,768 such occurrences, at most 256 a job as before, at least one. Up to 128 live jobs nothing changes; an occurrence that begins makes room for the next one as before.

TestWaitingOccurrencesTakeLittleMemory fails on the code before and passes now.

--- a/internal/fleet/occurrence.go
+++ b/internal/fleet/occurrence.go
@@ -6,9 +6,13 @@
 	"github.com/lovagedyke/lovagedyke/internal/job"
 )
 
-// maxIdleOccurrences is the number of a job's occurrences that are looked at in each step
-// although nothing of them has started yet: the ones after them need the same capacity.
-const maxIdleOccurrences = 256
+const (
+	// maxIdleOccurrences is the number of a job's occurrences that are looked at in each step
+	// although nothing of them has started yet: the ones after them need the same capacity.
+	maxIdleOccurrences = 256
+	// maxAllIdleOccurrences is the number of those of all jobs, which share it evenly.
+	maxAllIdleOccurrences = 1 << 15
+)
 
 // occurrenceState is an occurrence with open steps.
 type occurrenceState struct {
@@ -116,7 +120,7 @@
 		if due := j.submission.Due(o.next); !due.IsZero() && wall.Before(due) {
 			return
 		}
-		if o.idle >= maxIdleOccurrences || o.finite > 0 && !l.rowHasRoomForOccurrence(j) {
+		if o.idle >= l.idleOccurrenceLimit() || o.finite > 0 && !l.rowHasRoomForOccurrence(j) {
 			return
 		}
 		o.next++
@@ -126,6 +130,11 @@
 	}
 }
 
+// idleOccurrenceLimit returns how many occurrences of a job may be open although nothing of them has started yet.
+func (l *Leader) idleOccurrenceLimit() int {
+	return min(maxIdleOccurrences, max(1, maxAllIdleOccurrences/max(1, len(l.live))))
+}
+
 // openStep makes one step of an open occurrence ready if its predecessors have completed.
 func (l *Leader) openStep(j *jobState, key job.StepKey, now time.Time) {
 	if j.steps[key] != nil || j.over() || key.Occurrence >= j.occurrences.next ||
--- a/internal/fleet/waitingtasks_test.go
+++ b/internal/fleet/waitingtasks_test.go
@@ -53,6 +53,26 @@
 	}
 }
 
+// Guards against jobs of few bytes that take a leader's memory by the number of their occurrences while
+// these wait.
+func TestWaitingOccurrencesTakeLittleMemory(t *testing.T) {
+	const jobs, bytesPerJob = 1500, 48 << 10
+	s := newSimulation(t, simulationConfig{policy: defaultPolicy()})
+	s.listHosts(baseHosts()...)
+	before := heapBytes()
+	for n := range jobs {
+		many := submission(n+1, tasks(1))
+		many.Times = 1_000_000
+		s.submit(many)
+	}
+	s.step()
+	got := heapBytes() - before
+	if want := int64(jobs * bytesPerJob); got > want {
+		t.Errorf("heap of %d waiting jobs: got %d bytes, want at most %d", jobs, got, want)
+	}
+	runtime.KeepAlive(s)
+}
+
 // Guards against tasks that start twice or not at all since another job has begun: steps of the
 // same size share the list of their tasks.
 func TestRunsOfOneJobLeaveTasksOfOthers(t *testing.T) {
