fleet: a start that is stopped before its call fails may come late, too

What callers could see: two runs at once of a gang's member. A member is refused, the others are stopped while their calls are open, and one of these calls fails. The endpoint restarts and carries the start out beside the member's next run. A start of a job that is cancelled, or of a task whose earlier run completed, takes the same path.

Cause: only starts in the state "starting" were marked as unanswered; one that was being stopped counted as answered, since nothing awaited its answer any more.

TestStartStoppedBeforeItsCallFails: before, no stop is sent to the next life.

--- a/internal/fleet/latestart_test.go
+++ b/internal/fleet/latestart_test.go
@@ -138,6 +138,44 @@
 	}
 }
 
+// Guards against two runs of a gang's member at once: its start is stopped, as another member was refused, before the
+// call fails, and is carried out by the endpoint's next life.
+func TestStartStoppedBeforeItsCallFails(t *testing.T) {
+	s, start := startOn(t)
+	s.accept(start)
+	s.report("a", s.now)
+	gang := tasks(2)
+	gang.Gang, gang.MaxPerEndpoint = true, 1
+	s.submit(submission(2, gang))
+	starts := s.step().Starts
+	if len(starts) != 2 {
+		t.Fatalf("starts of the gang: got %d, want 2", len(starts))
+	}
+	refused, unanswered := starts[0], starts[1]
+	for _, start := range starts {
+		if !s.leader.ConfirmStart(start, s.now) {
+			t.Fatalf("start %+v: got it withdrawn, want it sent", start)
+		}
+	}
+	s.leader.HandleStartReply(refused, fleet.Reply{Outcome: fleet.OrderNoCapacity}, s.now)
+	s.advance(10 * time.Millisecond)
+	stops := s.step().Stops
+	s.leader.HandleStartReply(unanswered, fleet.Reply{Outcome: fleet.OrderUnknown}, s.now)
+	for _, stop := range stops {
+		s.leader.HandleStopReply(stop, fleet.Reply{Outcome: fleet.OrderAccepted}, s.now)
+	}
+	s.advance(50 * time.Millisecond)
+	s.report("a", s.now)
+	s.report("b", s.now)
+	s.restart(unanswered.Endpoint, laterStart)
+	s.advance(10 * time.Millisecond)
+	s.report(unanswered.Endpoint, s.now)
+	stops = s.step().Stops
+	if len(stops) != 1 || stops[0].Task != unanswered.Task || stops[0].Run != unanswered.Run {
+		t.Errorf("stops after the restart: got %+v, want one of run %d of %+v", stops, unanswered.Run, unanswered.Task)
+	}
+}
+
 // Guards against a task that waits beside empty endpoints since others have taken the room that its unanswered
 // start had: it may start on that endpoint alone.
 func TestTaskKeepsTheRoomOfItsUnansweredStart(t *testing.T) {
--- a/internal/fleet/reply.go
+++ b/internal/fleet/reply.go
@@ -89,6 +89,9 @@
 		if r.state == runStarting {
 			r.state = runUnconfirmed
 			r.answeredAt = now
+		}
+		if r.answeredAt.IsZero() || r.state == runUnconfirmed {
+			// Also if it is being stopped already.
 			r.wasUnconfirmed = true
 			l.recordUnanswered(r)
 		}
