fleet: records of unanswered starts end with their runs

What callers could see: nothing yet. A start that ended before a report listed it, or was lost on an endpoint out of reach, stayed recorded; once a job's row held 64, no further one was recorded, and the next leader did not know of it. A job that lasts gets there, as its tasks are never done. A start whose run was taken for lost before its call failed was not recorded at all.

Records are dropped when the run ends or can't come late, also those of former leaders, and are made when a late start is noted. Found by the review of these records. TestRecordsOfUnansweredStartsEnd and TestStartThatIsLostBeforeItsCallFailsIsRecorded fail on the code before.

--- a/internal/fleet/accounting.go
+++ b/internal/fleet/accounting.go
@@ -83,7 +83,9 @@
 		"report-age", age(e.reportedAt, now), "life", e.startedAt.UnixMilli(), "listed-life", e.row.StartedAt.UnixMilli(),
 		"clock", e.clock.String(), "lease-until", e.leaseUntil.String())
 	l.untrackRun(r)
-	l.noteLateStart(r, now)
+	if !l.noteLateStart(r, now) {
+		l.forgetUnanswered(r)
+	}
 	if r.job == nil {
 		return
 	}
--- a/internal/fleet/completion.go
+++ b/internal/fleet/completion.go
@@ -33,6 +33,7 @@
 	l.releaseLateStart(e.row.ID, key, now)
 	var took time.Duration
 	if r != nil {
+		l.forgetUnanswered(r)
 		took = now.Sub(r.orderedAt)
 		if completion.Checkpoint == "" {
 			completion.Checkpoint = r.checkpoint
--- a/internal/fleet/latestart.go
+++ b/internal/fleet/latestart.go
@@ -35,11 +35,11 @@
 	return !hasAnswer && r.seenAt.IsZero() && now.Before(r.sentAt.Add(maxOrderDelay))
 }
 
-// noteLateStart remembers the start of a run that is no longer tracked, if it may still be
+// noteLateStart remembers the start of a run that is no longer tracked, and reports whether it may still be
 // carried out.
-func (l *Leader) noteLateStart(r *run, now time.Time) {
+func (l *Leader) noteLateStart(r *run, now time.Time) bool {
 	if !r.mayComeLate(now) {
-		return
+		return false
 	}
 	id := r.endpoint.row.ID
 	if l.lateStarts[id] == nil {
@@ -59,6 +59,8 @@
 		l.lateTasks[r.key.task] = append(l.lateTasks[r.key.task], lateStartKey{id, r.key})
 		r.job.lateTasks++
 	}
+	l.recordUnanswered(r)
+	return true
 }
 
 // boundTo returns the only endpoint on which a task may start, or nil for none, while earlier starts of it may yet be
--- a/internal/fleet/leader_test.go
+++ b/internal/fleet/leader_test.go
@@ -32,6 +32,8 @@
 	// lives holds the incarnation of each endpoint that has restarted.
 	lives     map[fleet.EndpointID]life
 	unchecked bool
+	// rows are the jobs' rows that were written.
+	rows map[job.ID][]byte
 }
 
 // life is an incarnation of a simulated endpoint.
@@ -61,7 +63,7 @@
 	s := &simulation{
 		t: t, unchecked: config.unchecked, now: now, startedAt: now,
 		running: map[fleet.EndpointID][]fleet.RunningTask{}, ended: map[fleet.EndpointID][]fleet.Completion{},
-		lives: map[fleet.EndpointID]life{},
+		lives: map[fleet.EndpointID]life{}, rows: map[job.ID][]byte{},
 	}
 	s.leader = fleet.New(fleet.Config{Token: config.token, Now: now, DeadlineOrder: config.deadlineOrder, Journal: config.journal, Bounds: fleet.Bounds{
 		MaxLease: 10 * time.Second, StatusRetention: 120 * time.Second, Move: 1500 * time.Millisecond,
@@ -175,6 +177,7 @@
 		if !ok {
 			return
 		}
+		maps.Copy(s.rows, batch.Rows)
 		s.leader.MarkBatchWritten(batch, s.now)
 	}
 }
--- a/internal/fleet/unansweredrecord.go
+++ b/internal/fleet/unansweredrecord.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"slices"
 	"time"
 
 	"github.com/lovagedyke/lovagedyke/internal/job"
@@ -22,7 +23,7 @@
 
 // forgetUnanswered removes the record of a start that was carried out or cannot be any more, with the row's next change.
 func (l *Leader) forgetUnanswered(r *run) {
-	if r.job != nil && r.wasUnconfirmed {
+	if r.job != nil && (r.wasUnconfirmed || r.awaitsAnswer) {
 		r.job.progress.ForgetUnanswered(r.key.task, r.key.run)
 	}
 }
@@ -34,7 +35,7 @@
 	}
 	for key, step := range j.progress.Steps {
 		for index, starts := range step.Unanswered {
-			for _, start := range starts {
+			for _, start := range slices.Clone(starts) {
 				l.loadUnansweredStart(j, j.taskAt(key, index), start, now)
 			}
 		}
@@ -57,9 +58,10 @@
 		key: runKey{task, start.Run}, endpoint: e, job: j, state: runUnconfirmed, percent: 100, wasUnconfirmed: true,
 		orderedAt: now.Add(-sentAgo), sentAt: now.Add(-sentAgo), reserved: j.submission.Steps[task.Step].Reserved(),
 	}
-	if r.mayComeLate(now) {
-		l.noteLateStart(r, now)
-		l.log("start of a former leader may come late", "job", task.Job, "step", task.Step, "index", task.Index, "run", start.Run,
-			"endpoint", start.Endpoint, "sent-ago", sentAgo.Round(time.Millisecond).String())
+	if !l.noteLateStart(r, now) {
+		l.forgetUnanswered(r)
+		return
 	}
+	l.log("start of a former leader may come late", "job", task.Job, "step", task.Step, "index", task.Index, "run", start.Run,
+		"endpoint", start.Endpoint, "sent-ago", sentAgo.Round(time.Millisecond).String())
 }
--- a/internal/fleet/unansweredrecord_test.go
+++ b/internal/fleet/unansweredrecord_test.go
@@ -8,6 +8,9 @@
 	"github.com/lovagedyke/lovagedyke/internal/job"
 )
 
+// maxRecorded is the number of unanswered starts that a job's row holds.
+const maxRecorded = 64
+
 // Pattern: recut-kill beside orders-late-everywhere. Guards against two runs of a task at once: a start of a former
 // leader got no answer, and its endpoint's next life carries it out beside the task's next run.
 func TestTaskRunsOnceDespiteLateStartOfFormerLeader(t *testing.T) {
@@ -130,3 +133,84 @@
 		})
 	}
 }
+
+// recordedStarts returns the starts without an answer of a task that its job's row holds.
+func (s *simulation) recordedStarts(task job.Task, submission *job.Submission) []job.UnansweredStart {
+	s.t.Helper()
+	s.writeBatches()
+	if s.rows[task.Job] == nil {
+		return nil
+	}
+	progress, err := job.DecodeProgress(submission, s.rows[task.Job])
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	return progress.Unanswered(task)
+}
+
+// Guards against starts that stay recorded once they have ended or cannot come late, until a job's row has
+// no room for others.
+func TestRecordsOfUnansweredStartsEnd(t *testing.T) {
+	const rounds = 400
+	lasting := submission(2, persistentTasks(1, 1))
+	cases := map[string]struct {
+		end func(s *simulation, start fleet.Start)
+	}{
+		"failed before a report": {func(s *simulation, start fleet.Start) {
+			s.run(start)
+			s.endRun(start, fleet.CompletionFailed)
+			s.advance(time.Second)
+		}},
+		"out of reach": {func(s *simulation, start fleet.Start) {
+			for end := s.now.Add(30 * time.Second); s.now.Before(end); s.advance(500 * time.Millisecond) {
+				s.failRenewal(start.Endpoint, fleet.OrderUnknown)
+			}
+		}},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			s, first := startOn(t)
+			s.accept(first)
+			s.submit(lasting)
+			for round := 0; ; round++ {
+				if round > rounds {
+					t.Fatalf("rounds until run %d: got more than %d", maxRecorded+1, rounds)
+				}
+				for _, start := range s.step().Starts {
+					s.leader.HandleStartReply(start, fleet.Reply{Outcome: fleet.OrderUnknown}, s.now)
+					if start.Run > maxRecorded {
+						if got := s.recordedStarts(start.Task, lasting); len(got) != 1 || got[0].Run != start.Run {
+							t.Errorf("recorded starts: got %d, want that of run %d alone", len(got), start.Run)
+						}
+						return
+					}
+					c.end(s, start)
+				}
+				s.report("a", s.now)
+				s.report("b", s.now)
+				s.writeBatches()
+				s.advance(17 * time.Second)
+				s.report("a", s.now)
+				s.report("b", s.now)
+			}
+		})
+	}
+}
+
+// Guards against a start that no row holds since its run was taken for lost before its call failed.
+func TestStartThatIsLostBeforeItsCallFailsIsRecorded(t *testing.T) {
+	s, start := startOn(t)
+	for range 2 {
+		s.listedGone(downHost("a"), newHost(poolName, "b"))
+		s.advance(time.Second)
+		s.failRenewal("a", fleet.OrderUnknown)
+	}
+	s.leader.RemoveEndpoint("a", s.now)
+	s.advance(7 * time.Second)
+	s.renewLease("b")
+	s.failRenewal("a", fleet.OrderUnknown)
+	s.leader.HandleStartReply(start, fleet.Reply{Outcome: fleet.OrderUnknown}, s.now)
+	if got := s.recordedStarts(start.Task, submission(1, tasks(1))); len(got) != 1 || got[0].Run != start.Run {
+		t.Errorf("recorded starts: got %+v, want run %d", got, start.Run)
+	}
+}
