fleet: a new leader knows that endpoints restart under their IDs

What callers could see: two runs of a task at once. The endpoint of a former leader's unanswered start is gone by the host list when the next leader takes over, or out of reach; the task started elsewhere after 6 s, and the endpoint may be back under its ID with the start still on its way.

Cause: a task waits for such an endpoint only where endpoints have been seen to restart under their IDs, and a new leader has seen nothing yet. The record of a start says so now. A record without an endpoint is malformed, and left out. Found by the review of these records.

TestStartOfFormerLeaderOnEndpointThatIsGone: before, the task starts elsewhere too early where endpoints restart.

--- a/internal/fleet/unansweredrecord.go
+++ b/internal/fleet/unansweredrecord.go
@@ -15,7 +15,9 @@
 	if r.job == nil || r.job.over() || r.step().Speculative {
 		return
 	}
-	start := job.UnansweredStart{Run: r.key.run, Endpoint: string(r.endpoint.row.ID), SentAt: r.sentAt.Round(0)}
+	start := job.UnansweredStart{
+		Run: r.key.run, Endpoint: string(r.endpoint.row.ID), SentAt: r.sentAt.Round(0), AfterRestarts: l.hasSeenRestart,
+	}
 	if r.job.progress.RecordUnanswered(r.key.task, start) {
 		l.markDirty(r.job)
 	}
@@ -45,7 +47,7 @@
 // loadUnansweredStart lets the task of a start of a former leader wait, or start on the same endpoint only, for as long
 // as the start may be carried out late.
 func (l *Leader) loadUnansweredStart(j *jobState, task job.Task, start job.UnansweredStart, now time.Time) {
-	if !j.submission.Has(task) || start.Run <= 0 || !l.isFormerRun(start.Run) {
+	if !j.submission.Has(task) || start.Endpoint == "" || start.Run <= 0 || !l.isFormerRun(start.Run) {
 		l.log("unanswered start in a row is invalid", "job", task.Job, "step", task.Step, "index", task.Index, "run", start.Run)
 		return
 	}
@@ -62,6 +64,7 @@
 		l.forgetUnanswered(r)
 		return
 	}
+	l.hasSeenRestart = l.hasSeenRestart || start.AfterRestarts
 	l.log("start of a former leader may come late", "job", task.Job, "step", task.Step, "index", task.Index, "run", start.Run,
 		"endpoint", start.Endpoint, "sent-ago", sentAgo.Round(time.Millisecond).String())
 }
--- a/internal/fleet/unansweredrecord_test.go
+++ b/internal/fleet/unansweredrecord_test.go
@@ -214,3 +214,43 @@
 		t.Errorf("recorded starts: got %+v, want run %d", got, start.Run)
 	}
 }
+
+// Guards against two runs of a task at once: the endpoint of a former leader's start is gone when the next one takes
+// over, and may come back under its ID. Where no endpoint does that, its tasks are not to wait.
+func TestStartOfFormerLeaderOnEndpointThatIsGone(t *testing.T) {
+	const orderDelay = 15 * time.Second
+	cases := map[string]struct {
+		afterRestarts bool
+		// least and most are when the task starts elsewhere, from when its start was sent.
+		least, most time.Duration
+	}{
+		"endpoints restart under their IDs": {true, orderDelay, orderDelay + 5*time.Second},
+		"they do not":                       {false, 0, orderDelay},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			onePool := defaultPolicy()
+			onePool.Pools = onePool.Pools[:1]
+			progress := job.NewProgress()
+			sentAt := newSimulation(t, simulationConfig{}).now
+			progress.RecordUnanswered(job.Task{Job: jobID(1)}, job.UnansweredStart{Run: 1, Endpoint: "a", SentAt: sentAt, AfterRestarts: c.afterRestarts})
+			s := newSimulation(t, simulationConfig{policy: onePool, token: 2, jobs: []fleet.StoredJob{{Submission: submission(1, tasks(1)), Progress: progress}}})
+			s.startedAt = s.now.Add(-time.Hour)
+			s.addEndpoint("b")
+			s.list("a")
+			s.listed(newHost(poolName, "a"), newHost(poolName, "b"))
+			for s.now.Sub(sentAt) < time.Minute {
+				s.advance(100 * time.Millisecond)
+				s.renewLease("b")
+				s.failRenewal("a", fleet.OrderUnknown)
+				s.listed(downHost("a"), newHost(poolName, "b"))
+				if len(s.step().Starts) > 0 {
+					break
+				}
+			}
+			if got := s.now.Sub(sentAt); got < c.least || got > c.most {
+				t.Errorf("start elsewhere: got after %s, want after %s to %s", got, c.least, c.most)
+			}
+		})
+	}
+}
--- a/internal/job/unanswered.go
+++ b/internal/job/unanswered.go
@@ -18,6 +18,8 @@
 	Endpoint string `json:"endpoint"`
 	// SentAt is when it was sent, by the leader's wall clock.
 	SentAt time.Time `json:"sent-at"`
+	// AfterRestarts is true if endpoints have been seen to restart under their IDs.
+	AfterRestarts bool `json:"after-restarts,omitempty"`
 }
 
 // RecordUnanswered records a start that got no answer, and reports whether that changes the record.
