--- a/internal/fleet/jobstate.go
+++ b/internal/fleet/jobstate.go
@@ -53,8 +53,6 @@
 	checkpoint map[job.Task]string
 	// avoid lists, by task, the endpoints on which it failed or was overdue.
 	avoid map[job.Task][]EndpointID
-	// lateTasks counts the starts of the job's tasks that may yet be carried out.
-	lateTasks int
 	// overdueCount counts, by task, how many of its runs were overdue.
 	overdueCount map[job.Task]int
 	// crashRecords holds, by task or by the first member of a gang, the crashes under it.
--- a/internal/fleet/latestart.go
+++ b/internal/fleet/latestart.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -57,7 +58,6 @@
 	l.lateStarts[id][r.key] = late
 	if r.job != nil && !r.step().Speculative {
 		l.lateTasks[r.key.task] = append(l.lateTasks[r.key.task], lateStartKey{id, r.key})
-		r.job.lateTasks++
 	}
 	l.recordUnanswered(r)
 	return true
@@ -98,50 +98,58 @@
 	return nil
 }
 
+// lateTasksBySteps returns the tasks with earlier starts that may yet be carried out, by their steps and in order.
+func (l *Leader) lateTasksBySteps() map[stepRef][]job.Task {
+	if len(l.lateTasks) == 0 {
+		return nil
+	}
+	l.visit(len(l.lateTasks))
+	bySteps := map[stepRef][]job.Task{}
+	for task := range l.lateTasks {
+		ref := stepRef{l.jobs[task.Job], task.StepKey()}
+		bySteps[ref] = append(bySteps[ref], task)
+	}
+	for _, tasks := range bySteps {
+		slices.SortFunc(tasks, func(a, b job.Task) int { return cmp.Compare(a.Index, b.Index) })
+	}
+	return bySteps
+}
+
 // startBound starts those tasks first that may start on one endpoint only, as earlier starts of theirs may yet be carried
 // out: other tasks would take the room that these had there.
-func (l *Leader) startBound(p *pass, orders *Orders, now time.Time) {
-	if len(l.lateTasks) == 0 {
+func (l *Leader) startBound(late map[stepRef][]job.Task, p *pass, orders *Orders, now time.Time) {
+	if len(late) == 0 {
 		return
 	}
 	for _, g := range p.groups {
-		if g.step.step.Gang || !l.hasLateTask(g) || !l.hasAdvice(g, p.candidates, orders, now) {
+		tasks := late[stepRef{g.job, g.step.key}]
+		if len(tasks) == 0 || g.step.step.Gang || !l.hasAdvice(g, p.candidates, orders, now) {
 			continue
 		}
-		var remaining []int
-		for _, index := range g.step.pending {
-			if !l.startBoundTask(g, g.job.taskAt(g.step.key, index), p, orders, now) {
-				remaining = append(remaining, index)
+		for _, task := range tasks {
+			if slices.Contains(g.step.pending, task.Index) && l.startBoundTask(g, task, p, orders, now) {
+				g.step.removePending(task.Index)
 			}
 		}
-		g.step.pending = remaining
 	}
 }
 
-// hasLateTask reports whether a pending task of the group has an earlier start that may yet be carried out.
-func (l *Leader) hasLateTask(g taskGroup) bool {
-	return g.job.lateTasks > 0 && slices.ContainsFunc(g.step.pending, func(index int) bool {
-		return len(l.lateTasks[g.job.taskAt(g.step.key, index)]) > 0
-	})
-}
-
 // startBoundTask starts a task on the only endpoint on which it may start, and reports whether it did.
 func (l *Leader) startBoundTask(g taskGroup, task job.Task, p *pass, orders *Orders, now time.Time) bool {
-	if len(l.lateTasks[task]) == 0 {
-		return false
-	}
 	only, _ := l.boundTo(task, now)
 	if only == nil || g.job.isSuspect(task) || !l.rowHasRoom(g, task) || !l.mayStartMore(g, p) {
 		return false
 	}
-	for _, candidate := range p.candidates {
-		if candidate.endpoint == only && g.allows(candidate) {
-			l.start(g, task, candidate, l.nextRun(g.job, task), orders, now)
-			p.used(candidate)
-			return true
-		}
+	at, ok := slices.BinarySearchFunc(p.candidates, only.row.ID, func(candidate *candidateEndpoint, id EndpointID) int {
+		return cmp.Compare(candidate.endpoint.row.ID, id)
+	})
+	if !ok || !g.allows(p.candidates[at]) {
+		return false
 	}
-	return false
+	target := p.candidates[at]
+	l.start(g, task, target, l.nextRun(g.job, task), orders, now)
+	p.used(target)
+	return true
 }
 
 // binds reports whether a start that may be carried out late keeps its task from other endpoints: its own one is not
@@ -218,11 +226,7 @@
 		delete(l.lateStarts, id)
 	}
 	if keys := l.lateTasks[key.task]; len(keys) > 0 {
-		known := len(keys)
 		keys = slices.DeleteFunc(keys, func(other lateStartKey) bool { return other == lateStartKey{id, key} })
-		if removed := known - len(keys); removed > 0 {
-			late.run.job.lateTasks -= removed
-		}
 		l.lateTasks[key.task] = keys
 		if len(keys) == 0 {
 			delete(l.lateTasks, key.task)
--- a/internal/fleet/step.go
+++ b/internal/fleet/step.go
@@ -91,8 +91,9 @@
 			passes = append(passes, p)
 		}
 	}
+	late := l.lateTasksBySteps()
 	for _, p := range passes {
-		l.startBound(p, orders, now)
+		l.startBound(late, p, orders, now)
 	}
 	if l.starts.isBehind {
 		for _, p := range passes {
