--- a/internal/fleet/unansweredrecord_test.go
+++ b/internal/fleet/unansweredrecord_test.go
@@ -172,31 +172,38 @@
 			s, first := startOn(t)
 			s.accept(first)
 			s.submit(lasting)
-			for round := 0; ; round++ {
-				if round > rounds {
-					t.Fatalf("rounds until run %d: got more than %d", maxRecorded+1, rounds)
-				}
-				for _, start := range s.step().Starts {
-					s.leader.HandleStartReply(start, fleet.Reply{Outcome: fleet.OrderUnknown}, s.now)
-					if start.Run > maxRecorded {
-						if got := s.recordedStarts(start.Task, lasting); len(got) != 1 || got[0].Run != start.Run {
-							t.Errorf("recorded starts: got %d, want that of run %d alone", len(got), start.Run)
-						}
-						return
-					}
-					c.end(s, start)
-				}
-				s.report("a", s.now)
-				s.report("b", s.now)
-				s.writeBatches()
-				s.advance(17 * time.Second)
-				s.report("a", s.now)
-				s.report("b", s.now)
+			start, ok := s.failStarts(rounds, c.end)
+			if !ok {
+				t.Fatalf("rounds until run %d: got more than %d", maxRecorded+1, rounds)
+			}
+			if got := s.recordedStarts(start.Task, lasting); len(got) != 1 || got[0].Run != start.Run {
+				t.Errorf("recorded starts: got %d, want that of run %d alone", len(got), start.Run)
 			}
 		})
 	}
 }
 
+// failStarts leaves the starts of a task unanswered, one after the other, and ends them, for a number of rounds. It returns
+// the first one beyond those that a row holds.
+func (s *simulation) failStarts(rounds int, end func(s *simulation, start fleet.Start)) (fleet.Start, bool) {
+	for range rounds {
+		for _, start := range s.step().Starts {
+			s.leader.HandleStartReply(start, fleet.Reply{Outcome: fleet.OrderUnknown}, s.now)
+			if start.Run > maxRecorded {
+				return start, true
+			}
+			end(s, start)
+		}
+		s.report("a", s.now)
+		s.report("b", s.now)
+		s.writeBatches()
+		s.advance(17 * time.Second)
+		s.report("a", s.now)
+		s.report("b", s.now)
+	}
+	return fleet.Start{}, false
+}
+
 // Guards against a start that no row holds since its run was taken for lost before its call failed.
 func TestStartThatIsLostBeforeItsCallFailsIsRecorded(t *testing.T) {
 	s, start := startOn(t)
