--- a/internal/fleet/unansweredrecord_test.go
+++ b/internal/fleet/unansweredrecord_test.go
@@ -31,15 +31,16 @@
 		w.pass(stored)
 		w.restartDark(endpoint, down)
 	}
+	restartUnderNextLeader := func(w *recutWorld, endpoint fleet.EndpointID) {
+		takeOver(w)
+		w.pass(4 * time.Second)
+		restartBehindCut(w, endpoint)
+	}
 	cases := map[string]struct {
 		step job.Step
 		play func(w *recutWorld, endpoint fleet.EndpointID)
 	}{
-		"endpoint restarts under the next leader": {tasks(1), func(w *recutWorld, endpoint fleet.EndpointID) {
-			takeOver(w)
-			w.pass(4 * time.Second)
-			restartBehindCut(w, endpoint)
-		}},
+		"endpoint restarts under the next leader": {tasks(1), restartUnderNextLeader},
 		"endpoint restarts before the takeover": {tasks(1), func(w *recutWorld, endpoint fleet.EndpointID) {
 			w.killLeader()
 			restartBehindCut(w, endpoint)
@@ -65,21 +66,9 @@
 			w.pass(5 * time.Second)
 			restartBehindCut(w, endpoint)
 		}},
-		"lasting": {lasting, func(w *recutWorld, endpoint fleet.EndpointID) {
-			takeOver(w)
-			w.pass(4 * time.Second)
-			restartBehindCut(w, endpoint)
-		}},
-		"gang": {gang, func(w *recutWorld, endpoint fleet.EndpointID) {
-			takeOver(w)
-			w.pass(4 * time.Second)
-			restartBehindCut(w, endpoint)
-		}},
-		"checkpoints": {retried, func(w *recutWorld, endpoint fleet.EndpointID) {
-			takeOver(w)
-			w.pass(4 * time.Second)
-			restartBehindCut(w, endpoint)
-		}},
+		"lasting":     {lasting, restartUnderNextLeader},
+		"gang":        {gang, restartUnderNextLeader},
+		"checkpoints": {retried, restartUnderNextLeader},
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
