--- a/review/cases-3/late-start/main.go
+++ b/review/cases-3/late-start/main.go
@@ -6,6 +6,7 @@
 // # Usage
 //
 //	TROUBLE=1 late-start -program target/lovagedyke -record record.txt
+//	TROUBLE=1 late-start -lasting -program target/lovagedyke -record record.txt # a task that lasts
 package main
 
 import (
@@ -13,6 +14,7 @@
 	"flag"
 	"fmt"
 	"io"
+	"net/http"
 	"os"
 	"strings"
 	"time"
@@ -34,23 +36,26 @@
 	// orderDelay is how late the one start is carried out that gets no answer.
 	orderDelay = 5 * time.Second
 	// downTime is how long the machine has no power.
-	downTime     = 4 * time.Second
-	pollInterval = 20 * time.Millisecond
-	watchTime    = 12 * time.Second
+	downTime = 4 * time.Second
+	// otherDownTime is the same for the machine that has lost power before.
+	otherDownTime = time.Second
+	pollInterval  = 20 * time.Millisecond
+	watchTime     = 12 * time.Second
 )
 
 func main() {
 	program := flag.String("program", "target/lovagedyke", "program under test")
 	path := flag.String("record", "record.txt", "file for the record")
+	isLasting := flag.Bool("lasting", false, "the task lasts, and another runner has started again under its ID before")
 	flag.Parse()
 	hasTrouble := os.Getenv("TROUBLE") != "0"
 	os.Exit(harness.RunCase(*path, func(dir string, record io.Writer) (int, error) {
-		return run(*program, dir, record, hasTrouble)
+		return run(*program, dir, record, hasTrouble, *isLasting)
 	}))
 }
 
 // run runs the case and returns its exit code.
-func run(program, dir string, record io.Writer, hasTrouble bool) (int, error) {
+func run(program, dir string, record io.Writer, hasTrouble, isLasting bool) (int, error) {
 	platform, err := standin.New(standin.Config{Hosts: hosts, TaskTime: taskTime, MaxStopTime: 200 * time.Millisecond})
 	if err != nil {
 		return harness.NotRun, err
@@ -67,8 +72,20 @@
 		return harness.NotRun, err
 	}
 	time.Sleep(2 * time.Second)
+	if isLasting && hasTrouble {
+		h.Logf("machine %d loses power for %s; then the runner starts again under its ID", hosts, otherDownTime)
+		if err := platform.RestartHost(hosts, standin.Restart{Pause: otherDownTime, Departure: standin.Waits}); err != nil {
+			return harness.NotRun, err
+		}
+		h.Logf("machine %d is back", hosts)
+		time.Sleep(2 * time.Second)
+	}
 	setOrderDelay(platform, hasTrouble, orderDelay)
-	if err := submit(h, platform, jobID, standin.Job{Steps: 1, Tasks: 1, TaskCPU: jobCPU}); err != nil {
+	hand := submit
+	if isLasting {
+		hand = submitLasting
+	}
+	if err := hand(h, platform, jobID, standin.Job{Steps: 1, Tasks: 1, TaskCPU: jobCPU}); err != nil {
 		return harness.NotRun, err
 	}
 	time.Sleep(100 * time.Millisecond)
@@ -116,6 +133,31 @@
 	return nil
 }
 
+// lastingBody is the body of a job of one task that lasts.
+const lastingBody = `{"spec":"demo","steps":[{"count":1,"cpu":1000,"mem_mb":64,"persistent":true}]}`
+
+// submitLasting hands a job in whose task lasts; the stand-in's callers have none.
+func submitLasting(h *harness.Harness, _ *standin.Platform, id string, _ standin.Job) error {
+	ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+h.Callers(1).String()+"/jobs/"+id, strings.NewReader(lastingBody))
+	if err != nil {
+		return err
+	}
+	request.Host = "shop.example"
+	request.Header.Set("Authorization", "Bearer k-demo")
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = response.Body.Close() }()
+	h.Logf("job %s, whose task lasts, handed in: %d", id, response.StatusCode)
+	if response.StatusCode != http.StatusOK {
+		return fmt.Errorf("job %s was not accepted", id)
+	}
+	return nil
+}
+
 // setOrderDelay makes the runners carry out orders late, which they leave unanswered, or ends that.
 func setOrderDelay(platform *standin.Platform, hasTrouble bool, delay time.Duration) {
 	for n := range hosts {
--- a/review/harness-3/harness.go
+++ b/review/harness-3/harness.go
@@ -14,6 +14,7 @@
 	"context"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/netip"
@@ -121,18 +122,25 @@
 	return process.Start()
 }
 
+// firstPort and portCount bound the ports of nodes: outgoing connections take none of these.
+const firstPort, portCount = 10000, 20000
+
 // freePorts returns loopback addresses that are free now.
 func freePorts(count int) ([]netip.AddrPort, error) {
 	var ports []netip.AddrPort
-	for range count {
-		listener, err := net.Listen("tcp", "127.0.0.1:0")
+	for range 100 * count {
+		if len(ports) == count {
+			return ports, nil
+		}
+		address := netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, 1}), uint16(firstPort+rand.IntN(portCount)))
+		listener, err := net.Listen("tcp", address.String())
 		if err != nil {
-			return nil, err
+			continue
 		}
 		defer func() { _ = listener.Close() }()
-		ports = append(ports, netip.MustParseAddrPort(listener.Addr().String()))
+		ports = append(ports, address)
 	}
-	return ports, nil
+	return nil, fmt.Errorf("no free ports")
 }
 
 // isReady reports whether a node accepts callers.
@@ -203,9 +211,7 @@
 		_, _ = fmt.Fprintln(os.Stderr, err)
 		return NotRun
 	}
-	if os.Getenv("KEEP") == "" {
-		defer func() { _ = os.RemoveAll(dir) }()
-	}
+	defer func() { _ = os.RemoveAll(dir) }()
 	code, err := run(dir, record)
 	if err != nil {
 		_, _ = fmt.Fprintln(record, "not run:", err)
