review: machines without power lose what is sent to them

In the scripts of 11 to 13 a machine without power kept orders, and its next runner carried them out or answered them; no sound machine does. 13's check did not ask for idle capacity, 14's not for others that are away at the moment of a stop.

Done: a proxy loses what is sent meanwhile; the late order of 11 and 12 is due 40 ms after the runner is back; the order of 13 that gets the 421 is the stop of a job that its client cancels.

--- a/review/cases-3/healthy-runs/main.go
+++ b/review/cases-3/healthy-runs/main.go
@@ -15,6 +15,7 @@
 	"io"
 	"net/http"
 	"os"
+	"slices"
 	"strings"
 	"time"
 
@@ -60,7 +61,8 @@
 
 // run runs the case and returns its exit code.
 func run(program, dir string, record io.Writer, hasTrouble bool) (int, error) {
-	platform, err := standin.New(standin.Config{Hosts: hosts, TaskTime: taskTime, MaxStopTime: 200 * time.Millisecond})
+	proxies := &harness.Proxies{}
+	platform, err := standin.New(standin.Config{Hosts: hosts, TaskTime: taskTime, MaxStopTime: 200 * time.Millisecond, Expose: proxies.Expose})
 	if err != nil {
 		return harness.NotRun, err
 	}
@@ -81,6 +83,7 @@
 		return harness.NotRun, fmt.Errorf("the first job was not accepted")
 	}
 	time.Sleep(2 * time.Second)
+	ordersBefore, lateBefore := proxies.Orders(), proxies.OrdersTo(late)
 	if hasTrouble {
 		h.Logf("machine %d leaves orders unanswered for %s, and carries them out %s late", late, lateTime, orderDelay)
 		platform.SetOrderDelay(late, orderDelay)
@@ -92,13 +95,18 @@
 		// The starts first, and then a share of the lease renewals.
 		time.Sleep(100 * time.Millisecond)
 		platform.SetOrderDelay(late, 0)
+		lateCalls := proxies.OrdersTo(late) - lateBefore
 		for end := time.Now().Add(lateTime); time.Now().Before(end); {
+			countBefore := proxies.OrdersTo(late)
 			platform.SetRenewalDelay(late, orderDelay)
 			time.Sleep(shareTime)
 			platform.SetRenewalDelay(late, 0)
+			lateCalls += proxies.OrdersTo(late) - countBefore
 			time.Sleep(shareTime)
 		}
+		h.Logf("at most %d calls got no answer", lateCalls)
 	}
+	h.Logf("%d calls to runners meanwhile, %d of them to machine %d", proxies.Orders()-ordersBefore, proxies.OrdersTo(late)-lateBefore, late)
 	time.Sleep(killAfter)
 	h.Logf("%d tasks that last run", len(running(platform)))
 	if len(running(platform)) < tasks {
@@ -156,25 +164,52 @@
 	return number
 }
 
-// judge counts the runs that went on before the leader was killed, and were stopped since.
+// judge looks for stops of runs that went on before the leader was killed, while too many others of the
+// step were away.
 func judge(h *harness.Harness, platform *standin.Platform, before []string, killedAt time.Time) int {
-	stopped := 0
+	var runs []string
 	for _, line := range platform.DescribeRuns() {
-		if !strings.HasPrefix(line, jobID) {
+		if strings.HasPrefix(line, jobID) {
+			runs = append(runs, line)
+			h.Logf("run: %s", line)
+		}
+	}
+	for _, run := range runs {
+		_, end := times(run)
+		wentOn := slices.ContainsFunc(before, func(other string) bool { return strings.HasPrefix(run, other) })
+		if !wentOn || !strings.Contains(run, " (stopped,") {
 			continue
 		}
-		h.Logf("run: %s", line)
-		for _, run := range before {
-			if strings.HasPrefix(line, run) && strings.Contains(line, " (stopped,") {
-				stopped++
-			}
+		if away := othersAway(runs, run, end); away >= mayMiss {
+			h.Logf("AVAIL: %s after the end of the leader, a task at work on a sound runner had been stopped while %d others of its step were away, where %d may be: %s",
+				time.Since(killedAt).Round(time.Second), away, mayMiss, run)
+			return harness.Broken
 		}
 	}
-	if stopped > mayMiss {
-		h.Logf("AVAIL: within %s of the end of the leader, %d of %d tasks at work on sound runners were stopped, where %d may be away",
-			time.Since(killedAt).Round(time.Second), stopped, tasks, mayMiss)
-		return harness.Broken
-	}
-	h.Logf("held: %d of %d tasks at work were stopped", stopped, tasks)
+	h.Logf("held: no task at work was stopped while others were away")
 	return harness.Held
 }
+
+// othersAway counts the step's other tasks that have no run at a time.
+func othersAway(runs []string, stopped, at string) int {
+	task := strings.Fields(stopped)[0]
+	present := map[string]bool{}
+	for _, run := range runs {
+		begin, end := times(run)
+		if begin <= at && (end == "" || end > at) {
+			present[strings.Fields(run)[0]] = true
+		}
+	}
+	delete(present, task)
+	return tasks - 1 - len(present)
+}
+
+// times returns when a run began and ended, the latter "" if it goes on.
+func times(run string) (begin, end string) {
+	_, after, _ := strings.Cut(run, " from ")
+	fields := strings.Fields(after)
+	if len(fields) > 2 && fields[1] == "to" {
+		return fields[0], fields[2]
+	}
+	return fields[0], ""
+}
--- a/review/cases-3/late-start/main.go
+++ b/review/cases-3/late-start/main.go
@@ -35,8 +35,10 @@
 	jobCPU    = 1000
 	// orderDelay is how late the one start is carried out that gets no answer.
 	orderDelay = 5 * time.Second
-	// downTime is how long the machine has no power.
-	downTime = 4 * time.Second
+	// maxDownTime is the longest time that the machine may have no power, and beforeOrder how long before
+	// the late start is carried out it is back.
+	maxDownTime = 4500 * time.Millisecond
+	beforeOrder = 40 * time.Millisecond
 	// otherDownTime is the same for the machine that has lost power before.
 	otherDownTime = time.Second
 	pollInterval  = 20 * time.Millisecond
@@ -56,7 +58,8 @@
 
 // run runs the case and returns its exit code.
 func run(program, dir string, record io.Writer, hasTrouble, isLasting bool) (int, error) {
-	platform, err := standin.New(standin.Config{Hosts: hosts, TaskTime: taskTime, MaxStopTime: 200 * time.Millisecond})
+	proxies := &harness.Proxies{}
+	platform, err := standin.New(standin.Config{Hosts: hosts, TaskTime: taskTime, MaxStopTime: 200 * time.Millisecond, Expose: proxies.Expose})
 	if err != nil {
 		return harness.NotRun, err
 	}
@@ -73,14 +76,13 @@
 	}
 	time.Sleep(2 * time.Second)
 	if isLasting && hasTrouble {
-		h.Logf("machine %d loses power for %s; then the runner starts again under its ID", hosts, otherDownTime)
-		if err := platform.RestartHost(hosts, standin.Restart{Pause: otherDownTime, Departure: standin.Waits}); err != nil {
+		if err := losePower(h, platform, proxies, hosts, otherDownTime); err != nil {
 			return harness.NotRun, err
 		}
-		h.Logf("machine %d is back", hosts)
 		time.Sleep(2 * time.Second)
 	}
 	setOrderDelay(platform, hasTrouble, orderDelay)
+	sentAt := time.Now()
 	hand := submit
 	if isLasting {
 		hand = submitLasting
@@ -100,13 +102,16 @@
 	h.Logf("the task runs on machine %d", machine)
 	if hasTrouble {
 		time.Sleep(200 * time.Millisecond)
-		h.Logf("machine %d loses power for %s; then the runner starts again under its ID", machine, downTime)
-		if err := platform.RestartHost(machine, standin.Restart{Pause: downTime, Departure: standin.Waits}); err != nil {
+		downTime := time.Until(sentAt.Add(orderDelay - beforeOrder))
+		if downTime > maxDownTime {
+			return harness.NotRun, fmt.Errorf("the machine would be down for %s", downTime)
+		}
+		if err := losePower(h, platform, proxies, machine, downTime); err != nil {
 			return harness.NotRun, err
 		}
-		h.Logf("machine %d is back", machine)
 	}
 	time.Sleep(watchTime)
+	h.Logf("%d calls to runners in all", proxies.Orders())
 	for _, line := range platform.DescribeRuns() {
 		h.Logf("run: %s", line)
 	}
@@ -121,6 +126,16 @@
 	return harness.Held, nil
 }
 
+// losePower lets a machine lose its power for a time. Its runner then starts again under its ID.
+func losePower(h *harness.Harness, platform *standin.Platform, proxies *harness.Proxies, machine int, downTime time.Duration) error {
+	h.Logf("machine %d loses power for %s; then the runner starts again under its ID", machine, downTime.Round(time.Millisecond))
+	proxies.SetDark(machine, true)
+	err := platform.RestartHost(machine, standin.Restart{Pause: downTime, Departure: standin.HangsUp})
+	proxies.SetDark(machine, false)
+	h.Logf("machine %d is back", machine)
+	return err
+}
+
 // submit hands a job in.
 func submit(h *harness.Harness, platform *standin.Platform, id string, job standin.Job) error {
 	ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
--- a/review/cases-3/reused-address/main.go
+++ b/review/cases-3/reused-address/main.go
@@ -37,6 +37,8 @@
 	victim = 1
 	// downTime is how long the runner's machine has no power.
 	downTime = 800 * time.Millisecond
+	// cancelAfter is how long after the second job was handed in the first one is cancelled.
+	cancelAfter = 250 * time.Millisecond
 	// finish is how long after the end of the traffic jobs are asked for, and idleLimit how long a
 	// job may have nothing running from then on, though it could.
 	finish, idleLimit = 14 * time.Second, 3 * time.Second
@@ -55,7 +57,8 @@
 
 // run runs the case and returns its exit code.
 func run(program, dir string, record io.Writer, hasTrouble bool) (int, error) {
-	platform, err := standin.New(standin.Config{Hosts: hosts, TaskTime: taskTime, MaxStopTime: 200 * time.Millisecond})
+	proxies := &harness.Proxies{}
+	platform, err := standin.New(standin.Config{Hosts: hosts, TaskTime: taskTime, MaxStopTime: 200 * time.Millisecond, Expose: proxies.Expose})
 	if err != nil {
 		return harness.NotRun, err
 	}
@@ -72,8 +75,10 @@
 	}
 	if hasTrouble {
 		h.Logf("machine %d loses power for %s; then a new runner answers at its address", victim, downTime)
+		proxies.SetDark(victim, true)
 		go func() {
-			_ = platform.RestartHost(victim, standin.Restart{Pause: downTime, Departure: standin.Waits, NewID: true})
+			_ = platform.RestartHost(victim, standin.Restart{Pause: downTime, Departure: standin.HangsUp, NewID: true})
+			proxies.SetDark(victim, false)
 			h.Logf("machine %d has a new runner", victim)
 		}()
 		time.Sleep(50 * time.Millisecond)
@@ -81,6 +86,11 @@
 	if err := submit(h, platform, jobID, standin.Job{Steps: 1, Tasks: jobTasks, TaskCPU: jobCPU}); err != nil {
 		return harness.NotRun, err
 	}
+	time.Sleep(cancelAfter)
+	ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
+	status := platform.Cancel(ctx, h.Callers(1), anchorID)
+	cancel()
+	h.Logf("job %s cancelled by its client: %d", anchorID, status)
 	return judge(h, platform), nil
 }
 
@@ -132,7 +142,8 @@
 		if state == "complete" {
 			break
 		}
-		if running(platform, jobID) > 0 || time.Since(trafficEnd) < finish {
+		// The rule holds while under half of the service's capacity is in use, and there is room twice over.
+		if running(platform, jobID) > 0 || time.Since(trafficEnd) < finish || occupied(platform) >= hosts/2 {
 			idleSince = time.Time{}
 		} else if idleSince.IsZero() {
 			idleSince = time.Now()
@@ -147,8 +158,8 @@
 	}
 	record(h, platform)
 	if state != "complete" {
-		h.Logf("job %s is not complete", jobID)
-		return harness.Broken
+		h.Logf("job %s is not complete, and was never idle for long enough", jobID)
+		return harness.NotRun
 	}
 	h.Logf("held: job %s is complete %s after the end of the traffic", jobID, time.Since(trafficEnd).Round(time.Millisecond))
 	return harness.Held
